--- /dev/null
+++ b/scripts/cluster.py
@@ -0,0 +1,190 @@
+"""Starts stand-ins and entry nodes on loopback for the demo, the tests and the measurements.
+
+Every process is ended by its id when the cluster is closed. Waiting is always for a state, with a
+generous limit, never for a length of time.
+"""
+
+import http.client
+import json
+import os
+import signal
+import subprocess
+import time
+
+STATE_LIMIT_S = 30
+ZONES = ["centro-a", "centro-b", "centro-c"]
+
+
+class Answer:
+    """Status, headers and body of an HTTP answer."""
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    def json(self):
+        return json.loads(self.body)
+
+
+def ask(address, method, path, body=None, headers=None, limit_s=20):
+    """One HTTP request; raises OSError or http.client.HTTPException where there is no answer."""
+    host, port = address.rsplit(":", 1)
+    connection = http.client.HTTPConnection(host, int(port), timeout=limit_s)
+    try:
+        data = json.dumps(body) if isinstance(body, (dict, list)) else body
+        connection.request(method, path, data, headers or {})
+        response = connection.getresponse()
+        return Answer(response.status, dict(response.getheaders()), response.read().decode())
+    finally:
+        connection.close()
+
+
+def wait_for(what, condition, limit_s=STATE_LIMIT_S):
+    """Polls until condition() is true; its OSErrors count as false."""
+    end = time.monotonic() + limit_s
+    while time.monotonic() < end:
+        try:
+            value = condition()
+            if value:
+                return value
+        except (OSError, http.client.HTTPException, ValueError, KeyError):
+            pass
+        time.sleep(0.02)
+    raise TimeoutError(f"not reached within {limit_s} s: {what}")
+
+
+class Cluster:
+    """Stand-ins and nodes of one run. Ports follow from `base_port`."""
+
+    def __init__(self, build, base_port, log_dir, environment="tienditas"):
+        self.build = build
+        self.base_port = base_port
+        self.log_dir = log_dir
+        self.environment = environment
+        self.processes = {}
+        self.vms = []
+        self.nodes = {}
+        self.platform = f"127.0.0.1:{base_port}"
+        self.next_port = base_port + 100
+        os.makedirs(log_dir, exist_ok=True)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.close()
+
+    def start(self, name, *arguments):
+        """Starts a process; its output goes to a file of its name."""
+        log = open(os.path.join(self.log_dir, name + ".log"), "ab")
+        self.processes[name] = subprocess.Popen(arguments, stdout=log, stderr=log)
+        log.close()
+
+    def standin(self, name, kind, *arguments):
+        self.start(name, f"{self.build}/src/standin/bramleypitch-standin", kind, *arguments)
+
+    def start_platform(self):
+        self.standin("platform", "platform", f"--listen={self.platform}")
+        wait_for("platform", lambda: ask(self.platform, "GET", "/calls").status == 200)
+
+    def ports(self, count):
+        first = self.next_port
+        self.next_port += count
+        return first
+
+    def start_engines(self, name, count, zone, domain, *arguments):
+        """One process with several engines, all in one fabric domain. Returns their addresses."""
+        first = self.ports(count)
+        self.standin(name, "engine", f"--listen=127.0.0.1:{first}", f"--count={count}", *arguments)
+        addresses = [f"127.0.0.1:{first + i}" for i in range(count)]
+        for address in addresses:
+            self.vms.append({"id": f"vm-{address.split(':')[1]}", "address": address,
+                             "availability_zone": zone, "fabric_domain": domain})
+            wait_for(address, lambda a=address: ask(a, "GET", "/state").status == 200)
+        return addresses
+
+    def start_services(self, name, count, zone, service):
+        first = self.ports(count)
+        self.standin(name, "service", f"--listen=127.0.0.1:{first}", f"--count={count}")
+        addresses = [f"127.0.0.1:{first + i}" for i in range(count)]
+        for address in addresses:
+            self.vms.append({"id": f"vm-{address.split(':')[1]}", "address": address,
+                             "availability_zone": zone, "service": service})
+            wait_for(address, lambda a=address: ask(a, "GET", "/state").status == 200)
+        return addresses
+
+    def publish_vms(self):
+        ask(self.platform, "PUT", "/vms", {"vms": self.vms})
+
+    def start_node(self, name, zone, *arguments):
+        entry, peer = self.ports(1), self.ports(1)
+        self.nodes[name] = f"127.0.0.1:{entry}"
+        self.start(name, f"{self.build}/src/command/bramleypitch", "serve",
+                   f"--listen=127.0.0.1:{entry}", f"--peer_listen=127.0.0.1:{peer}",
+                   f"--platform=http://{self.platform}", f"--environment={self.environment}",
+                   f"--availability_zone={zone}", f"--node={name}", *arguments)
+
+    def operate(self, command, *operands):
+        """Runs an operators' command and returns (exit code, output)."""
+        done = subprocess.run(
+            [f"{self.build}/src/command/bramleypitch", command, f"--platform=http://{self.platform}",
+             f"--environment={self.environment}", "--operator=demo", *operands],
+            capture_output=True, text=True, check=False)
+        return done.returncode, done.stdout + done.stderr
+
+    def fault(self, address, **faults):
+        ask(address, "POST", "/fault", faults)
+
+    def ran(self, address):
+        """What a backend server says that it ran."""
+        return ask(address, "GET", "/ledger").json()["ran"]
+
+    def status(self, node):
+        return ask(self.nodes[node], "GET", "/status").json()
+
+    def open_groups(self, node, target):
+        return [group for group in self.status(node)["groups"]
+                if group["target"] == target and group["gate"] == "open"]
+
+    def metric(self, node, name):
+        for line in ask(self.nodes[node], "GET", "/metrics").body.splitlines():
+            if line.startswith(f"bramleypitch_{name} "):
+                return float(line.split()[1])
+        raise KeyError(name)
+
+    def kill(self, name, sig=signal.SIGKILL):
+        self.processes[name].send_signal(sig)
+        if sig in (signal.SIGKILL, signal.SIGTERM):
+            code = self.processes[name].wait(timeout=STATE_LIMIT_S)
+            del self.processes[name]
+            return code
+        return None
+
+    def signal(self, name, sig):
+        self.processes[name].send_signal(sig)
+
+    def close(self):
+        for process in self.processes.values():
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+        for process in self.processes.values():
+            process.wait()
+        self.processes.clear()
+
+
+def completion(entry, key, text, max_tokens=8, stream=False, limit_s=20, **fields):
+    """Asks for a completion."""
+    body = {"model": "asistente-llm", "max_tokens": max_tokens, "stream": stream,
+            "messages": [{"role": "user", "content": text}], **fields}
+    return ask(entry, "POST", "/v1/chat/completions", body, {"Authorization": f"Bearer {key}"},
+               limit_s)
+
+
+def pay(entry, key, idempotency_key, amount=100, limit_s=20, first=True):
+    """Makes a payment."""
+    headers = {"Authorization": f"Bearer {key}", "Content-Type": "application/json",
+               "Idempotency-Key": idempotency_key}
+    if first:
+        headers["Idempotency-Attempt"] = "1"
+    return ask(entry, "POST", "/services/caja-app/payments", {"amount": amount}, headers, limit_s)
--- /dev/null
+++ b/src/command/operator_store.cpp
@@ -0,0 +1,149 @@
+#include "command/operator_store.h"
+
+#include "coordination/environment_func.h"
+#include "network/lease_keeper.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace bramleypitch {
+
+namespace {
+
+constexpr Duration statusLimit {1'000};
+constexpr int statusOk = 200;
+
+/// Revisions as keys of equal length, so that they sort by number.
+std::string revisionName(Revision revision)
+{
+    std::array<char, 24> digits {};
+    std::snprintf(digits.data(), digits.size(), "%019lld",
+                  static_cast<long long>(revision.value()));
+    return digits.data();
+}
+
+} // namespace
+
+OperatorStore::OperatorStore(const Settings &settings)
+    : m_http(m_loop)
+    , m_platform(m_loop, m_http, settings.url(Setting::Platform), settings.url(Setting::Platform))
+    , m_environment(settings.text(Setting::Environment))
+{
+}
+
+StoredEnvelope OperatorStore::read(Stage stage)
+{
+    StoreRead result;
+    m_platform.readKey(configurationKey(m_environment, stage), [&](const StoreRead &read) {
+        result = read;
+        m_loop.stop();
+    });
+    m_loop.run();
+    if (!result.ok)
+        throw Failure(ErrorCode::PlatformUnavailable, "the platform's store gives no answer");
+    StoredEnvelope stored;
+    if (!result.values.empty()) {
+        stored.revision = result.values.front().revision;
+        stored.envelope = parseEnvelope(result.values.front().value);
+    }
+    return stored;
+}
+
+void OperatorStore::keepAudit(Stage stage, const StoredEnvelope &current)
+{
+    if (!current.envelope)
+        return;
+    const std::string key = auditPrefix(m_environment, stage) + revisionName(current.revision);
+    StoreSwap result;
+    m_platform.compareAndSwap(key, Revision(0), auditJson(current.envelope->audit).dump(), 0,
+                              [&](const StoreSwap &swap) {
+                                  result = swap;
+                                  m_loop.stop();
+                              });
+    m_loop.run();
+    // A conflict means that an earlier change kept the record already.
+    if (result.outcome == StoreSwapOutcome::Unknown)
+        throw Failure(ErrorCode::PlatformUnavailable,
+                      "the audit record of the present value could not be kept");
+}
+
+Revision OperatorStore::execute(const EnvelopeChange &change)
+{
+    const StoredEnvelope current = read(change.stage);
+    if (current.revision != change.expected)
+        throw Failure(ErrorCode::Conflict, "another operator changed it meanwhile");
+    keepAudit(change.stage, current);
+    StoreSwap result;
+    m_platform.compareAndSwap(configurationKey(m_environment, change.stage), change.expected,
+                              serializeEnvelope(change.envelope), 0, [&](const StoreSwap &swap) {
+                                  result = swap;
+                                  m_loop.stop();
+                              });
+    m_loop.run();
+    if (result.outcome == StoreSwapOutcome::Conflict)
+        throw Failure(ErrorCode::Conflict, "another operator changed it meanwhile");
+    if (result.outcome == StoreSwapOutcome::Unknown)
+        throw Failure(ErrorCode::OutcomeUnknown,
+                      "the write was sent and its effect could not be learnt; see status");
+    return result.revision;
+}
+
+StoreRead OperatorStore::readPrefix(const std::string &prefix)
+{
+    StoreRead result;
+    m_platform.readPrefix(prefix, Revision(0), [&](const StoreRead &read) {
+        result = read;
+        m_loop.stop();
+    });
+    m_loop.run();
+    if (!result.ok)
+        throw Failure(ErrorCode::PlatformUnavailable, "the platform's store gives no answer");
+    return result;
+}
+
+std::vector<AcceptedChange> OperatorStore::audit(Stage stage)
+{
+    const std::string prefix = auditPrefix(m_environment, stage);
+    const StoredEnvelope current = read(stage);
+    std::vector<AcceptedChange> changes;
+    for (const SharedValue &value : readPrefix(prefix).values) {
+        const Revision revision(std::stoll(value.key.substr(prefix.size())));
+        if (revision < current.revision)
+            changes.push_back({revision, parseAudit(nlohmann::json::parse(value.value))});
+    }
+    if (current.envelope)
+        changes.push_back({current.revision, current.envelope->audit});
+    std::sort(changes.begin(), changes.end(), [](const AcceptedChange &a, const AcceptedChange &b) {
+        return a.revision < b.revision;
+    });
+    return changes;
+}
+
+std::vector<NodeRecord> OperatorStore::nodes()
+{
+    return parseNodeRecords(readPrefix(nodePrefix(m_environment)));
+}
+
+std::optional<std::string> OperatorStore::nodeStatus(const Address &entry)
+{
+    std::optional<std::string> status;
+    HttpCall call;
+    call.address = entry;
+    call.path = "/status";
+    call.timeLimit = statusLimit;
+    HttpHooks hooks;
+    hooks.answered = [&](const HttpAnswer &answer) {
+        if (answer.status == statusOk)
+            status = answer.body;
+        m_loop.stop();
+    };
+    hooks.broken = [&](const HttpBreak &) { m_loop.stop(); };
+    m_http.send(call, std::move(hooks));
+    m_loop.run();
+    return status;
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/command/serve_command.cpp
@@ -0,0 +1,82 @@
+#include "command/serve_command.h"
+
+#include "network/daemon.h"
+#include "network/log.h"
+#include "settings/settings.h"
+
+#include <csignal>
+#include <random>
+
+namespace bramleypitch {
+
+namespace {
+
+std::uint64_t seedOf(const Settings &settings)
+{
+    const auto given = static_cast<std::uint64_t>(settings.integer(Setting::Seed));
+    if (given != 0)
+        return given;
+    std::random_device device;
+    return (std::uint64_t {device()} << 32U) | device();
+}
+
+LogLevel levelOf(const std::string &name)
+{
+    if (name == "debug")
+        return LogLevel::Debug;
+    if (name == "warning")
+        return LogLevel::Warning;
+    if (name == "error")
+        return LogLevel::Error;
+    return LogLevel::Info;
+}
+
+NodeOptions nodeOptions(const Settings &settings)
+{
+    NodeOptions options;
+    options.node = NodeId(settings.text(Setting::Node));
+    options.environment = EnvironmentId(settings.text(Setting::Environment));
+    options.stage = settings.text(Setting::Stage) == "trial" ? Stage::Trial : Stage::Production;
+    options.zone = ZoneId(settings.text(Setting::AvailabilityZone));
+    options.entryAddress = settings.address(Setting::Listen);
+    options.peerAddress = settings.address(Setting::PeerListen);
+    options.seed = seedOf(settings);
+    options.probeInterval = settings.milliseconds(Setting::ProbeIntervalMs);
+    options.placement.memberFreshness = settings.milliseconds(Setting::MemberFreshnessMs);
+    options.placement.orderLifetime = settings.milliseconds(Setting::OrderLifetimeMs);
+    options.configurationFreshness = settings.milliseconds(Setting::ConfigurationFreshnessMs);
+    options.entryKeep = settings.milliseconds(Setting::EntryKeepMs);
+    options.domainSubset = static_cast<std::uint32_t>(settings.integer(Setting::DomainSubset));
+    options.loadsAtOnce = static_cast<std::uint32_t>(settings.integer(Setting::LoadsAtOnce));
+    options.baselinePolicy = settings.text(Setting::BaselinePolicy) == "on";
+    options.leaseRenewInterval = settings.milliseconds(Setting::LeaseMs) / 5;
+    return options;
+}
+
+} // namespace
+
+void runServe(const std::vector<std::string> &arguments)
+{
+    const Settings settings(arguments,
+                            {Setting::Listen, Setting::PeerListen, Setting::Platform,
+                             Setting::Environment, Setting::AvailabilityZone, Setting::Node});
+    if (!settings.operands().empty())
+        throw Failure(ErrorCode::UnknownFlag, settings.operands().front() + " is not expected");
+    DaemonOptions options;
+    options.node = nodeOptions(settings);
+    options.platform = settings.url(Setting::Platform);
+    options.vmList =
+        settings.isGiven(Setting::VmList) ? settings.url(Setting::VmList) : options.platform;
+    options.leaseTime = settings.milliseconds(Setting::LeaseMs);
+    startLog(settings.text(Setting::LogFormat) == "json" ? LogFormat::Json : LogFormat::KeyValue,
+             levelOf(settings.text(Setting::LogLevel)), options.node.node.value());
+    std::signal(SIGPIPE, SIG_IGN);
+    EventLoop loop;
+    Daemon daemon(loop, std::move(options));
+    const SignalWatch terminate(loop, SIGTERM, [&] { daemon.stop(); });
+    const SignalWatch interrupt(loop, SIGINT, [&] { daemon.stop(); });
+    daemon.start();
+    loop.run();
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/coordination/completion_system.cpp
@@ -0,0 +1,363 @@
+#include "coordination/completion_system.h"
+
+#include "coordination/environment_func.h"
+#include "coordination/route_func.h"
+#include "core/rendezvous_func.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bramleypitch {
+
+namespace {
+
+constexpr std::size_t affinityBytes = 256; ///< Of a prompt's beginning, for prefix caches.
+constexpr Duration avoidAfterFailure {1'000};
+constexpr Duration leastRetryAfter {1'000};
+constexpr double serviceSmoothing = 0.1;
+
+Refuse refusal(RequestId request, ErrorCode code, std::string message,
+               std::optional<Duration> retryAfter = std::nullopt)
+{
+    Refuse refuse;
+    refuse.request = request;
+    refuse.code = code;
+    refuse.message = std::move(message);
+    refuse.retryAfter = retryAfter;
+    return refuse;
+}
+
+} // namespace
+
+CompletionSystem::CompletionSystem(NodeState &state)
+    : m_state(state)
+{
+}
+
+void CompletionSystem::asked(const CompletionAsked &asked, TimePoint now, Actions &actions)
+{
+    m_state.counters.add(Counter::CompletionsAsked);
+    const OrganisationSpec *organisation =
+        m_state.envelope ? organisationOfKey(m_state.envelope->environment, asked.key) : nullptr;
+    const ModelGroupSpec *model =
+        m_state.envelope ? findModelGroup(m_state.envelope->environment, asked.model) : nullptr;
+    if (std::optional<Refuse> refuse = admission(asked, organisation, model, now)) {
+        refuse->request = asked.request;
+        m_state.counters.add(Counter::CompletionsRefused);
+        actions.emplace_back(std::move(*refuse));
+        return;
+    }
+    Completion completion;
+    completion.id = asked.request;
+    completion.organisation = organisation->name;
+    completion.model = asked.model;
+    completion.prompt = asked.prompt;
+    completion.affinity = stableHash(std::string_view(asked.prompt).substr(0, affinityBytes));
+    completion.maxTokens = asked.maxTokens;
+    completion.priority = asked.priority;
+    completion.startBy = now + asked.firstTokenDeadline.value_or(model->firstTokenDeadline);
+    completion.deadline = now + model->deadline;
+    m_organisations[organisation->name].retries.earn();
+    m_queues[asked.model].queue.push(organisation->name, organisation->weight,
+                                     queueItem(completion));
+    m_completions.emplace(asked.request, std::move(completion));
+    pump(now, actions);
+}
+
+FairQueue::Item CompletionSystem::queueItem(const Completion &completion) const
+{
+    return {completion.id, static_cast<double>(completion.maxTokens), completion.priority};
+}
+
+std::optional<Refuse> CompletionSystem::admission(const CompletionAsked &asked,
+                                                  const OrganisationSpec *organisation,
+                                                  const ModelGroupSpec *model, TimePoint now)
+{
+    if (std::optional<Refuse> refuse = refusalOfNode(m_state, now))
+        return refuse;
+    if (!organisation)
+        return refusal(asked.request, ErrorCode::Unauthorized, "no organisation has this key");
+    if (!model)
+        return refusal(asked.request, ErrorCode::UnknownModel,
+                       "no model group is named " + asked.model.value());
+    if (m_state.options.baselinePolicy)
+        return std::nullopt;
+    return admissionByLoad(asked, *organisation, *model, now);
+}
+
+std::optional<Refuse> CompletionSystem::admissionByLoad(const CompletionAsked &asked,
+                                                        const OrganisationSpec &organisation,
+                                                        const ModelGroupSpec &model, TimePoint now)
+{
+    const TargetCapacity capacity = targetCapacity(m_state, model.name.value(), now);
+    if (capacity.slots == 0 && capacity.coldElsewhere > 0) {
+        m_state.counters.add(Counter::ColdRefusals);
+        return refusal(asked.request, ErrorCode::NoCapacity,
+                       "groups are in cold start and take work through other entries",
+                       leastRetryAfter);
+    }
+    if (capacity.openGroups == 0)
+        return refusal(asked.request, ErrorCode::NoCapacity, "no whole group is in service",
+                       leastRetryAfter);
+    const std::size_t waiting = m_queues[model.name].queue.waiting(organisation.name);
+    const double wait = expectedWaitMillis(organisation, model, capacity.slots);
+    const Duration deadline = asked.firstTokenDeadline.value_or(model.firstTokenDeadline);
+    const Duration over = Duration(std::llround(wait)) - deadline;
+    const Duration retryAfter = std::max(leastRetryAfter, over);
+    if (waiting >= organisation.maxQueued)
+        return refusal(asked.request, ErrorCode::QueueFull,
+                       "too many requests of the organisation wait", retryAfter);
+    if (over > Duration(0))
+        return refusal(asked.request, ErrorCode::DeadlineUnreachable,
+                       "the answer could not start in time", retryAfter);
+    return std::nullopt;
+}
+
+double CompletionSystem::expectedWaitMillis(const OrganisationSpec &organisation,
+                                            const ModelGroupSpec &model, double slots)
+{
+    ModelQueue &entry = m_queues[model.name];
+    const double waiting = static_cast<double>(entry.queue.waiting(organisation.name));
+    const double active = entry.queue.activeWeight(organisation.name, organisation.weight);
+    const double share = slots * organisation.weight / active;
+    if (share <= 0)
+        return 0;
+    return waiting * entry.serviceMillis / share;
+}
+
+void CompletionSystem::pump(TimePoint now, Actions &actions)
+{
+    if (!m_state.envelope)
+        return;
+    const auto mayRun = [&](const OrganisationId &name) {
+        for (const OrganisationSpec &spec : m_state.envelope->environment.organisations) {
+            if (spec.name == name)
+                return m_organisations[name].running < spec.maxRunning;
+        }
+        return true; // An organisation that left the document still gets what it had asked.
+    };
+    for (auto &[model, entry] : m_queues) {
+        while (entry.queue.waiting() > 0) {
+            // Affinity depends on the request, so it is taken first and put back without room.
+            const std::optional<FairQueue::Item> item = entry.queue.pop(mayRun);
+            if (!item)
+                break;
+            Completion &completion = m_completions.at(item->request);
+            const std::optional<GroupIndex> index =
+                chooseGroup(m_state, model.value(), completion.affinity, now);
+            if (!index) {
+                entry.queue.pushRetry(completion.organisation, *item);
+                break;
+            }
+            dispatch(completion, *index, now, actions);
+        }
+    }
+}
+
+void CompletionSystem::dispatch(Completion &completion, GroupIndex index, TimePoint now,
+                                Actions &actions)
+{
+    Group &group = *m_state.groups.find(index);
+    const Vm &head = *m_state.vms.find(group.placed.members.front());
+    const ModelGroupSpec *spec = findModelGroup(m_state.envelope->environment, completion.model);
+    completion.attempt = AttemptNumber(completion.attempt.value() + 1);
+    completion.running = true;
+    completion.group = group.placed.id;
+    completion.head = head.record.id;
+    completion.dispatchedAt = now;
+    completion.deliveredBefore = completion.delivered;
+    ++group.ownRunning;
+    ++m_organisations[completion.organisation].running;
+    m_state.counters.add(Counter::AttemptsSent);
+    if (completion.delivered > 0)
+        m_state.counters.add(Counter::CompletionsResumed);
+    DispatchEngine engine;
+    engine.request = completion.id;
+    engine.attempt = completion.attempt;
+    engine.vm = head.record.id;
+    engine.address = head.record.address;
+    engine.group = group.placed.id;
+    engine.generation = group.placed.generation;
+    engine.model = spec ? spec->model : std::string();
+    engine.prompt = completion.prompt;
+    engine.maxTokens = completion.maxTokens;
+    engine.resumeFrom = completion.delivered;
+    engine.priority = completion.priority;
+    engine.timeLimit = completion.deadline - now;
+    actions.emplace_back(std::move(engine));
+}
+
+Group *CompletionSystem::groupOf(const Completion &completion)
+{
+    for (const GroupIndex index : m_state.groups.ofTarget(completion.model.value())) {
+        Group *group = m_state.groups.find(index);
+        if (group->placed.id == completion.group)
+            return group;
+    }
+    return nullptr;
+}
+
+Completion *CompletionSystem::current(RequestId request, AttemptNumber attempt)
+{
+    const auto found = m_completions.find(request);
+    if (found == m_completions.end() || !found->second.running
+        || found->second.attempt != attempt) {
+        m_state.counters.add(Counter::FramesDropped);
+        return nullptr;
+    }
+    return &found->second;
+}
+
+void CompletionSystem::token(const EngineToken &token, TimePoint now, Actions &actions)
+{
+    Completion *completion = current(token.request, token.attempt);
+    if (!completion)
+        return;
+    if (token.index < completion->delivered) {
+        m_state.counters.add(Counter::FramesDropped);
+        return;
+    }
+    if (token.index > completion->delivered || completion->delivered >= completion->maxTokens) {
+        // A gap cannot be mended within this attempt.
+        actions.emplace_back(CancelAttempt {token.request, token.attempt});
+        broken({token.request, token.attempt, true, false}, now, actions);
+        return;
+    }
+    ++completion->delivered;
+    completion->mayHaveRun = true;
+    m_state.counters.add(Counter::TokensDelivered);
+    actions.emplace_back(AnswerToken {token.request, token.text});
+}
+
+void CompletionSystem::end(const EngineEnd &end, TimePoint now, Actions &actions)
+{
+    Completion *completion = current(end.request, end.attempt);
+    if (!completion)
+        return;
+    if (end.count != completion->delivered) {
+        broken({end.request, end.attempt, true, false}, now, actions);
+        return;
+    }
+    const Duration took = now - completion->dispatchedAt;
+    if (Group *group = groupOf(*completion))
+        noteSpeed(*group, took, completion->delivered - completion->deliveredBefore);
+    double &service = m_queues[completion->model].serviceMillis;
+    const auto millis = static_cast<double>(took.count());
+    service = service == 0 ? millis : service + serviceSmoothing * (millis - service);
+    endAttempt(*completion);
+    m_state.counters.add(Counter::CompletionsWhole);
+    actions.emplace_back(AnswerEnd {end.request, completion->delivered});
+    m_completions.erase(end.request);
+    pump(now, actions);
+}
+
+void CompletionSystem::endAttempt(Completion &completion)
+{
+    completion.running = false;
+    if (Group *group = groupOf(completion); group && group->ownRunning > 0)
+        --group->ownRunning;
+    --m_organisations[completion.organisation].running;
+}
+
+bool CompletionSystem::broken(const AttemptBroken &broken, TimePoint now, Actions &actions)
+{
+    const auto found = m_completions.find(broken.request);
+    if (found == m_completions.end())
+        return false;
+    Completion &completion = found->second;
+    if (!completion.running || completion.attempt != broken.attempt) {
+        m_state.counters.add(Counter::FramesDropped);
+        return true;
+    }
+    m_state.counters.add(Counter::AttemptsBroken);
+    completion.mayHaveRun = completion.mayHaveRun || broken.sent;
+    if (Group *group = groupOf(completion))
+        group->avoidUntil = now + avoidAfterFailure;
+    // Any sign of loss shuts the gate in this event; the next good probe opens it.
+    if (!broken.refused)
+        m_state.vms.suspect(completion.head, now);
+    endAttempt(completion);
+    retryOrGiveUp(completion, now, actions);
+    pump(now, actions);
+    return true;
+}
+
+void CompletionSystem::retryOrGiveUp(Completion &completion, TimePoint now, Actions &actions)
+{
+    const ModelGroupSpec *spec = findModelGroup(m_state.envelope->environment, completion.model);
+    const std::uint32_t maxAttempts = spec ? spec->maxAttempts : 1;
+    if (completion.attempt.value() >= maxAttempts || now >= completion.deadline) {
+        giveUp(completion, ErrorCode::BackendFailed, "every attempt allowed has failed", actions);
+        return;
+    }
+    if (!m_organisations[completion.organisation].retries.spend()) {
+        m_state.counters.add(Counter::RetriesDenied);
+        giveUp(completion, ErrorCode::BackendFailed, "the retry budget is spent", actions);
+        return;
+    }
+    m_queues[completion.model].queue.pushRetry(completion.organisation, queueItem(completion));
+}
+
+void CompletionSystem::giveUp(Completion &completion, ErrorCode code, const std::string &message,
+                              Actions &actions)
+{
+    const RequestId request = completion.id;
+    m_queues[completion.model].queue.remove(completion.organisation, request);
+    m_state.counters.add(completion.delivered > 0 ? Counter::CompletionsBroken
+                                                  : Counter::CompletionsRefused);
+    Refuse refuse = refusal(request, code, message, leastRetryAfter);
+    refuse.run = completion.mayHaveRun ? RunOutcome::MayHaveRun : RunOutcome::NotRun;
+    m_completions.erase(request);
+    actions.emplace_back(std::move(refuse));
+}
+
+bool CompletionSystem::callerGone(RequestId request, TimePoint now, Actions &actions)
+{
+    const auto found = m_completions.find(request);
+    if (found == m_completions.end())
+        return false;
+    Completion &completion = found->second;
+    m_state.counters.add(Counter::CallersGone);
+    m_queues[completion.model].queue.remove(completion.organisation, request);
+    if (completion.running) {
+        actions.emplace_back(CancelAttempt {request, completion.attempt});
+        endAttempt(completion);
+    }
+    m_completions.erase(found);
+    pump(now, actions);
+    return true;
+}
+
+void CompletionSystem::expire(Completion &completion, TimePoint now, Actions &actions)
+{
+    if (!completion.running && completion.attempt.value() == 0 && now >= completion.startBy) {
+        giveUp(completion, ErrorCode::DeadlineUnreachable, "no group had room in time", actions);
+        return;
+    }
+    if (now < completion.deadline)
+        return;
+    if (completion.running) {
+        actions.emplace_back(CancelAttempt {completion.id, completion.attempt});
+        completion.mayHaveRun = true;
+        endAttempt(completion);
+    }
+    giveUp(completion, ErrorCode::DeadlineExceeded, "the answer took too long", actions);
+}
+
+void CompletionSystem::tick(TimePoint now, Actions &actions)
+{
+    std::vector<RequestId> requests;
+    for (const auto &[request, completion] : m_completions)
+        requests.push_back(request);
+    for (const RequestId request : requests)
+        expire(m_completions.at(request), now, actions);
+    pump(now, actions);
+}
+
+std::size_t CompletionSystem::waiting(const ModelGroupId &model) const
+{
+    const auto found = m_queues.find(model);
+    return found == m_queues.end() ? 0 : found->second.queue.waiting();
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/coordination/document_reader.cpp
@@ -0,0 +1,149 @@
+#include "coordination/document_reader.h"
+
+#include <algorithm>
+
+namespace bramleypitch {
+
+DocumentReader::DocumentReader(const nlohmann::json &object, std::string path,
+                               std::vector<Fault> &faults)
+    : m_object(&object)
+    , m_path(std::move(path))
+    , m_faults(&faults)
+{
+    if (!object.is_object())
+        m_faults->push_back({m_path.empty() ? "document" : m_path, "must be an object"});
+}
+
+std::string DocumentReader::fieldPath(const std::string &field) const
+{
+    return m_path.empty() ? field : m_path + "." + field;
+}
+
+void DocumentReader::fault(const std::string &field, const std::string &message)
+{
+    m_faults->push_back({fieldPath(field), message});
+}
+
+const nlohmann::json *DocumentReader::find(const char *field, bool required)
+{
+    m_known.insert(field);
+    if (!m_object->is_object())
+        return nullptr;
+    const auto found = m_object->find(field);
+    if (found != m_object->end())
+        return &*found;
+    if (required)
+        fault(field, "is missing");
+    return nullptr;
+}
+
+std::string DocumentReader::text(const char *field, bool required, const std::string &fallback)
+{
+    const nlohmann::json *value = find(field, required);
+    if (!value)
+        return fallback;
+    if (!value->is_string() || value->get_ref<const std::string &>().empty()) {
+        fault(field, "must be a text that is not empty");
+        return fallback;
+    }
+    return value->get<std::string>();
+}
+
+std::int64_t DocumentReader::integer(const char *field, std::int64_t fallback, std::int64_t least,
+                                     std::int64_t most)
+{
+    const nlohmann::json *value = find(field, false);
+    if (!value)
+        return fallback;
+    if (!value->is_number_integer()) {
+        fault(field, "must be a whole number");
+        return fallback;
+    }
+    const auto read = value->get<std::int64_t>();
+    if (read >= least && read <= most)
+        return read;
+    fault(field, "must be from " + std::to_string(least) + " to " + std::to_string(most));
+    return fallback;
+}
+
+double DocumentReader::number(const char *field, double fallback, double least, double most)
+{
+    const nlohmann::json *value = find(field, false);
+    if (!value)
+        return fallback;
+    if (!value->is_number()) {
+        fault(field, "must be a number");
+        return fallback;
+    }
+    const auto read = value->get<double>();
+    if (read >= least && read <= most)
+        return read;
+    fault(field,
+          "must be from " + nlohmann::json(least).dump() + " to " + nlohmann::json(most).dump());
+    return fallback;
+}
+
+bool DocumentReader::boolean(const char *field, bool fallback)
+{
+    const nlohmann::json *value = find(field, false);
+    if (!value)
+        return fallback;
+    if (value->is_boolean())
+        return value->get<bool>();
+    fault(field, "must be true or false");
+    return fallback;
+}
+
+std::vector<std::string> DocumentReader::texts(const char *field, bool required)
+{
+    std::vector<std::string> read;
+    const nlohmann::json *value = find(field, required);
+    if (!value)
+        return read;
+    if (!value->is_array()) {
+        fault(field, "must be a list");
+        return read;
+    }
+    for (std::size_t i = 0; i < value->size(); ++i) {
+        const nlohmann::json &item = (*value)[i];
+        const std::string place = std::string(field) + "[" + std::to_string(i) + "]";
+        if (!item.is_string() || item.get_ref<const std::string &>().empty()) {
+            fault(place, "must be a text that is not empty");
+            continue;
+        }
+        if (std::find(read.begin(), read.end(), item.get<std::string>()) != read.end()) {
+            fault(place, "stands twice");
+            continue;
+        }
+        read.push_back(item.get<std::string>());
+    }
+    return read;
+}
+
+std::vector<DocumentReader> DocumentReader::objects(const char *field, bool required)
+{
+    std::vector<DocumentReader> readers;
+    const nlohmann::json *value = find(field, required);
+    if (!value)
+        return readers;
+    if (!value->is_array()) {
+        fault(field, "must be a list");
+        return readers;
+    }
+    for (std::size_t i = 0; i < value->size(); ++i)
+        readers.emplace_back((*value)[i], fieldPath(field) + "[" + std::to_string(i) + "]",
+                             *m_faults);
+    return readers;
+}
+
+void DocumentReader::finish()
+{
+    if (!m_object->is_object())
+        return;
+    for (const auto &item : m_object->items()) {
+        if (!m_known.count(item.key()))
+            fault(item.key(), "is not a known field");
+    }
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/coordination/group_func.cpp
@@ -0,0 +1,90 @@
+#include "coordination/group_func.h"
+
+#include "coordination/environment_func.h"
+
+#include <algorithm>
+
+namespace bramleypitch {
+
+namespace {
+
+/// Whether a member's last confirmation is of this group and recent enough.
+bool confirms(const Vm &vm, const Group &group, const PlacementLimits &limits, TimePoint now)
+{
+    if (!vm.report || vm.report->state != EngineState::Ready)
+        return false;
+    if (now - vm.confirmedAt >= limits.memberFreshness)
+        return false;
+    if (group.isService)
+        return true;
+    return vm.report->group == group.placed.id && vm.report->generation == group.placed.generation;
+}
+
+bool isHome(const Group &group, const OwnLease &lease, TimePoint now)
+{
+    return group.placed.home == lease.node && group.placed.homeIncarnation == lease.incarnation
+        && now < lease.validUntil;
+}
+
+} // namespace
+
+const char *gateStateName(GateState state)
+{
+    switch (state) {
+    case GateState::Open:
+        return "open";
+    case GateState::MemberMissing:
+        return "member_missing";
+    case GateState::MemberLeaving:
+        return "member_leaving";
+    case GateState::ZoneOut:
+        return "zone_out";
+    }
+    return "member_missing";
+}
+
+GateState gateState(const Group &group, const VmTable &vms, const Envelope &envelope,
+                    const PlacementLimits &limits, TimePoint now)
+{
+    for (const VmId &member : group.placed.members) {
+        const Vm *vm = vms.find(member);
+        if (!vm || !vm->listed || !confirms(*vm, group, limits, now))
+            return GateState::MemberMissing;
+        if (vm->record.leaving)
+            return GateState::MemberLeaving;
+        if (zoneIsOut(envelope, vm->record.zone))
+            return GateState::ZoneOut;
+    }
+    return GateState::Open;
+}
+
+bool isWarm(const Group &group, const VmTable &vms)
+{
+    return std::all_of(
+        group.placed.members.begin(), group.placed.members.end(), [&](const VmId &member) {
+            const Vm *vm = vms.find(member);
+            return vm && vm->report && vm->report->completed >= group.limits.warmAfter;
+        });
+}
+
+void noteReport(Group &group, const VmReport &report)
+{
+    const std::uint32_t own = std::min(group.ownAtProbe, group.ownRunning);
+    group.othersRunning = report.running > own ? report.running - own : 0;
+}
+
+std::uint32_t freeSlots(const Group &group, const VmTable &vms, const OwnLease &lease,
+                        TimePoint now)
+{
+    const Vm *head = vms.find(group.placed.members.front());
+    if (!head || !head->report)
+        return 0;
+    const bool warm = isWarm(group, vms);
+    if (!warm && !isHome(group, lease, now))
+        return 0;
+    const std::uint32_t limit = warm ? group.limits.concurrency : group.limits.coldAllowance;
+    const std::uint32_t running = group.ownRunning + group.othersRunning;
+    return running >= limit ? 0 : limit - running;
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/coordination/ledger_func.cpp
@@ -0,0 +1,338 @@
+#include "coordination/ledger_func.h"
+
+#include "core/error_type.h"
+#include "core/rendezvous_func.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace bramleypitch {
+
+namespace {
+
+constexpr std::size_t recordOverhead = 160; ///< Bytes of a stored record beside its body.
+
+std::string hexHash(std::string_view bytes, std::uint64_t seed)
+{
+    std::array<char, 17> digits {};
+    std::snprintf(digits.data(), digits.size(), "%016llx",
+                  static_cast<unsigned long long>(stableHash(bytes, seed)));
+    return digits.data();
+}
+
+/// Two independent 64-bit hashes: collisions of 128 bits are left out of account.
+std::string wideHash(const std::string &bytes)
+{
+    return hexHash(bytes, 1) + hexHash(bytes, 2);
+}
+
+std::string joined(std::initializer_list<std::string_view> parts)
+{
+    std::string text;
+    for (const std::string_view part : parts) {
+        text += std::to_string(part.size());
+        text += ':';
+        text += part;
+    }
+    return text;
+}
+
+std::size_t headBytes(const SegmentHead &head)
+{
+    std::size_t bytes = 0;
+    for (const LedgerRecord &record : head.records)
+        bytes += recordOverhead + record.outcome.body.size();
+    return bytes;
+}
+
+/// Applies requests one after the other to a copy of the head.
+class BatchApplier
+{
+public:
+    BatchApplier(const SegmentHead &head, const LedgerArchive &archive, const LedgerLimits &limits)
+        : m_archive(archive)
+        , m_limits(limits)
+        , m_bytes(headBytes(head))
+    {
+        m_batch.head = head;
+        for (std::size_t i = 0; i < head.records.size(); ++i)
+            m_index[head.records[i].key] = i;
+    }
+
+    void apply(const LedgerRequest &request)
+    {
+        switch (request.verb) {
+        case LedgerVerb::Claim:
+            m_batch.replies.push_back(claim(request));
+            break;
+        case LedgerVerb::Record:
+            m_batch.replies.push_back(record(request));
+            break;
+        case LedgerVerb::Abandon:
+            m_batch.replies.push_back(abandon(request));
+            break;
+        }
+    }
+
+    LedgerBatch take() { return std::move(m_batch); }
+
+private:
+    const LedgerRecord *find(const LedgerKey &key) const
+    {
+        const auto open = m_index.find(key);
+        if (open != m_index.end())
+            return &m_batch.head.records[open->second];
+        const auto closed = m_archive.find(key);
+        return closed == m_archive.end() ? nullptr : &closed->second;
+    }
+
+    /// The open claim of this request in the head, or null.
+    LedgerRecord *ownClaim(const LedgerRequest &request)
+    {
+        const auto open = m_index.find(request.key);
+        if (open == m_index.end())
+            return nullptr;
+        LedgerRecord &record = m_batch.head.records[open->second];
+        return record.claim == request.claim && record.state == ClaimState::Claimed ? &record
+                                                                                    : nullptr;
+    }
+
+    LedgerReply claim(const LedgerRequest &request)
+    {
+        const LedgerRecord *held = find(request.key);
+        if (!held)
+            return addClaim(request);
+        if (held->digest != request.digest)
+            return {LedgerAnswer::KeyReused, {}};
+        if (held->state == ClaimState::Done)
+            return {LedgerAnswer::Repeat, held->outcome};
+        // The same claim asked again after a lost reply: it was granted and not yet sent.
+        if (held->state == ClaimState::Claimed && held->claim == request.claim)
+            return {LedgerAnswer::Granted, {}};
+        return {LedgerAnswer::InProgress, {}};
+    }
+
+    LedgerReply addClaim(const LedgerRequest &request)
+    {
+        if (m_bytes + recordOverhead > m_limits.fullBytes)
+            return {LedgerAnswer::Full, {}};
+        LedgerRecord record;
+        record.key = request.key;
+        record.digest = request.digest;
+        record.claim = request.claim;
+        record.when = request.when;
+        m_index[request.key] = m_batch.head.records.size();
+        m_batch.head.records.push_back(std::move(record));
+        m_bytes += recordOverhead;
+        m_batch.changed = true;
+        return {LedgerAnswer::Granted, {}};
+    }
+
+    LedgerReply record(const LedgerRequest &request)
+    {
+        if (LedgerRecord *held = ownClaim(request)) {
+            held->state = ClaimState::Done;
+            held->outcome = request.outcome;
+            m_bytes += request.outcome.body.size();
+            m_batch.changed = true;
+        }
+        return {LedgerAnswer::Recorded, {}};
+    }
+
+    LedgerReply abandon(const LedgerRequest &request)
+    {
+        if (ownClaim(request)) {
+            auto &records = m_batch.head.records;
+            const std::size_t at = m_index[request.key];
+            m_index.erase(request.key);
+            if (at + 1 != records.size()) {
+                records[at] = std::move(records.back());
+                m_index[records[at].key] = at;
+            }
+            records.pop_back();
+            m_batch.changed = true;
+        }
+        return {LedgerAnswer::Recorded, {}};
+    }
+
+    const LedgerArchive &m_archive;
+    const LedgerLimits &m_limits;
+    LedgerBatch m_batch;
+    std::unordered_map<LedgerKey, std::size_t> m_index;
+    std::size_t m_bytes;
+};
+
+char stateLetter(ClaimState state)
+{
+    switch (state) {
+    case ClaimState::Claimed:
+        return 'c';
+    case ClaimState::Done:
+        return 'd';
+    case ClaimState::Unknown:
+        return 'u';
+    }
+    return 'u';
+}
+
+nlohmann::json recordJson(const LedgerRecord &record)
+{
+    nlohmann::json json {{"k", record.key},
+                         {"g", record.digest},
+                         {"c", record.claim},
+                         {"s", std::string(1, stateLetter(record.state))},
+                         {"t", record.when}};
+    if (record.state == ClaimState::Done) {
+        json["st"] = record.outcome.status;
+        json["ct"] = record.outcome.contentType;
+        json["b"] = record.outcome.body;
+        json["x"] = record.outcome.cut;
+    }
+    return json;
+}
+
+LedgerRecord parseRecord(const nlohmann::json &json)
+{
+    LedgerRecord record;
+    json.at("k").get_to(record.key);
+    json.at("g").get_to(record.digest);
+    json.at("c").get_to(record.claim);
+    json.at("t").get_to(record.when);
+    const auto state = json.at("s").get<std::string>();
+    record.state = state == "c" ? ClaimState::Claimed
+        : state == "d"          ? ClaimState::Done
+                                : ClaimState::Unknown;
+    if (record.state == ClaimState::Done) {
+        json.at("st").get_to(record.outcome.status);
+        json.at("ct").get_to(record.outcome.contentType);
+        json.at("b").get_to(record.outcome.body);
+        json.at("x").get_to(record.outcome.cut);
+    }
+    return record;
+}
+
+nlohmann::json recordsJson(const std::vector<LedgerRecord> &records)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const LedgerRecord &record : records)
+        list.push_back(recordJson(record));
+    return list;
+}
+
+std::vector<LedgerRecord> parseRecords(const nlohmann::json &list)
+{
+    std::vector<LedgerRecord> records;
+    for (const nlohmann::json &item : list)
+        records.push_back(parseRecord(item));
+    return records;
+}
+
+/// Bodies are any bytes; what is not UTF-8 is replaced rather than refused.
+std::string dumpLossy(const nlohmann::json &json)
+{
+    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+constexpr std::size_t uuidLength = 36;
+constexpr std::size_t uuidVersionAt = 14; ///< Position of the version digit.
+constexpr int hexBase = 16;
+
+} // namespace
+
+LedgerBatch applyRequests(const SegmentHead &head, const LedgerArchive &archive,
+                          const std::vector<LedgerRequest> &requests, const LedgerLimits &limits)
+{
+    BatchApplier applier(head, archive, limits);
+    for (const LedgerRequest &request : requests)
+        applier.apply(request);
+    return applier.take();
+}
+
+std::pair<LedgerPage, SegmentHead> splitHead(const SegmentHead &head, WallTime now,
+                                             const LedgerLimits &limits)
+{
+    LedgerPage page;
+    SegmentHead rest;
+    page.previous = head.lastPage;
+    rest.lastPage = head.lastPage;
+    for (LedgerRecord record : head.records) {
+        const bool expired = now.value() - record.when.value() > limits.claimExpiry.count();
+        if (record.state == ClaimState::Claimed && expired)
+            record.state = ClaimState::Unknown;
+        auto &target = record.state == ClaimState::Claimed ? rest.records : page.records;
+        target.push_back(std::move(record));
+    }
+    return {std::move(page), std::move(rest)};
+}
+
+LedgerKey ledgerKey(std::string_view organisation, std::string_view service,
+                    std::string_view idempotencyKey)
+{
+    return LedgerKey(wideHash(joined({organisation, service, idempotencyKey})));
+}
+
+std::string callDigest(std::string_view method, std::string_view path, std::string_view body)
+{
+    return hexHash(joined({method, path, body}), 3);
+}
+
+SegmentIndex segmentOf(const LedgerKey &key)
+{
+    return SegmentIndex(static_cast<std::uint32_t>(stableHash(key.value()) % ledgerSegments));
+}
+
+std::optional<WallTime> creationTime(std::string_view key)
+{
+    if (key.size() != uuidLength || key[8] != '-' || key[13] != '-' || key[18] != '-'
+        || key[23] != '-' || key[uuidVersionAt] != '7')
+        return std::nullopt;
+    std::string digits(key.substr(0, 8));
+    digits += key.substr(9, 4);
+    if (digits.find_first_not_of("0123456789abcdefABCDEF") != std::string::npos)
+        return std::nullopt;
+    return WallTime(std::stoll(digits, nullptr, hexBase));
+}
+
+std::string serializeHead(const SegmentHead &head)
+{
+    return dumpLossy({{"nonce", head.nonce},
+                      {"last_page", head.lastPage},
+                      {"records", recordsJson(head.records)}});
+}
+
+SegmentHead parseHead(std::string_view text)
+{
+    try {
+        const nlohmann::json json = nlohmann::json::parse(text);
+        SegmentHead head;
+        json.at("nonce").get_to(head.nonce);
+        json.at("last_page").get_to(head.lastPage);
+        head.records = parseRecords(json.at("records"));
+        return head;
+    } catch (const nlohmann::json::exception &error) {
+        throw Failure(ErrorCode::PlatformProtocol, error.what());
+    }
+}
+
+std::string serializePage(const LedgerPage &page)
+{
+    return dumpLossy({{"previous", page.previous}, {"records", recordsJson(page.records)}});
+}
+
+LedgerPage parsePage(std::string_view text)
+{
+    try {
+        const nlohmann::json json = nlohmann::json::parse(text);
+        LedgerPage page;
+        json.at("previous").get_to(page.previous);
+        page.records = parseRecords(json.at("records"));
+        return page;
+    } catch (const nlohmann::json::exception &error) {
+        throw Failure(ErrorCode::PlatformProtocol, error.what());
+    }
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/coordination/ledger_owner.cpp
@@ -0,0 +1,283 @@
+#include "coordination/ledger_owner.h"
+
+#include <algorithm>
+
+namespace bramleypitch {
+
+namespace {
+
+constexpr Duration retryPause {200}; ///< Before a segment is read again after a failure.
+constexpr double millisecondsPerSecond = 1000;
+
+} // namespace
+
+LedgerOwner::LedgerOwner(std::string keyPrefix, std::string nodeName, LedgerLimits limits,
+                         OperationHook newOperation)
+    : m_keyPrefix(std::move(keyPrefix))
+    , m_nodeName(std::move(nodeName))
+    , m_limits(limits)
+    , m_newOperation(std::move(newOperation))
+{
+}
+
+std::string LedgerOwner::headKey(SegmentIndex index) const
+{
+    return m_keyPrefix + std::to_string(index.value()) + "/head";
+}
+
+std::string LedgerOwner::pageKey(SegmentIndex index, const Nonce &page) const
+{
+    return m_keyPrefix + std::to_string(index.value()) + "/page/" + page.value();
+}
+
+Nonce LedgerOwner::newNonce()
+{
+    return Nonce(m_nodeName + "-" + std::to_string(m_wall.value()) + "-"
+                 + std::to_string(++m_nonces));
+}
+
+void LedgerOwner::ask(const LedgerAsked &asked, TimePoint now, Actions &actions)
+{
+    Segment &segment = m_segments[asked.segment];
+    segment.usedAt = now;
+    segment.pending.push_back({asked.operation, asked.request});
+    advance(asked.segment, segment, now, actions);
+}
+
+void LedgerOwner::tick(WallTime wall, TimePoint now, Actions &actions)
+{
+    m_wall = wall;
+    for (auto it = m_segments.begin(); it != m_segments.end();) {
+        Segment &segment = it->second;
+        const bool idle = segment.pending.empty() && segment.writing.empty()
+            && now - segment.usedAt >= m_limits.cacheIdle;
+        if (idle) {
+            it = m_segments.erase(it);
+            continue;
+        }
+        advance(it->first, segment, now, actions);
+        ++it;
+    }
+}
+
+bool LedgerOwner::takeToken(Segment &segment, TimePoint now)
+{
+    if (segment.tokensAt == TimePoint()) {
+        segment.tokens = m_limits.writeBurst;
+        segment.tokensAt = now;
+    }
+    const auto passed = static_cast<double>((now - segment.tokensAt).count());
+    segment.tokens =
+        std::min(m_limits.writeBurst,
+                 segment.tokens + passed * m_limits.writesPerSecond / millisecondsPerSecond);
+    segment.tokensAt = now;
+    if (segment.tokens < 1)
+        return false;
+    segment.tokens -= 1;
+    return true;
+}
+
+void LedgerOwner::readHead(SegmentIndex index, Segment &segment, Actions &actions)
+{
+    segment.phase = Phase::ReadingHead;
+    segment.operation = m_newOperation();
+    actions.emplace_back(ReadKey {segment.operation, headKey(index)});
+}
+
+void LedgerOwner::readPage(SegmentIndex index, Segment &segment, const Nonce &page,
+                           Actions &actions)
+{
+    segment.phase = Phase::ReadingPages;
+    segment.walkingAt = page;
+    segment.operation = m_newOperation();
+    actions.emplace_back(ReadKey {segment.operation, pageKey(index, page)});
+}
+
+void LedgerOwner::advance(SegmentIndex index, Segment &segment, TimePoint now, Actions &actions)
+{
+    if (segment.pending.empty() || now < segment.retryAt)
+        return;
+    if (segment.phase == Phase::Unloaded) {
+        readHead(index, segment, actions);
+        return;
+    }
+    if (segment.phase != Phase::Ready)
+        return;
+    std::vector<LedgerRequest> requests;
+    for (const Pending &pending : segment.pending)
+        requests.push_back(pending.request);
+    LedgerBatch batch = applyRequests(segment.head, segment.archive, requests, m_limits);
+    if (!batch.changed) {
+        segment.writing.swap(segment.pending);
+        segment.replies = std::move(batch.replies);
+        settle(segment);
+        return;
+    }
+    if (!takeToken(segment, now))
+        return;
+    if (serializeHead(segment.head).size() > m_limits.rollBytes) {
+        auto split = splitHead(segment.head, m_wall, m_limits);
+        if (split.first.records.size() >= split.second.records.size()) {
+            segment.page = std::move(split.first);
+            segment.written = std::move(split.second);
+            writePage(index, segment, actions);
+            return;
+        }
+    }
+    segment.writing.swap(segment.pending);
+    segment.replies = std::move(batch.replies);
+    writeHead(index, segment, std::move(batch.head), actions);
+}
+
+void LedgerOwner::writePage(SegmentIndex index, Segment &segment, Actions &actions)
+{
+    segment.phase = Phase::WritingPage;
+    segment.pageName = newNonce();
+    segment.operation = m_newOperation();
+    ++m_writes;
+    actions.emplace_back(CompareAndSwap {segment.operation, pageKey(index, segment.pageName),
+                                         Revision(0), serializePage(segment.page),
+                                         segment.pageName});
+}
+
+void LedgerOwner::writeHead(SegmentIndex index, Segment &segment, SegmentHead head,
+                            Actions &actions)
+{
+    segment.phase = Phase::WritingHead;
+    head.nonce = newNonce();
+    segment.written = std::move(head);
+    segment.operation = m_newOperation();
+    ++m_writes;
+    actions.emplace_back(CompareAndSwap {segment.operation, headKey(index), segment.revision,
+                                         serializeHead(segment.written), segment.written.nonce});
+}
+
+void LedgerOwner::settle(Segment &segment)
+{
+    // The hook may ask again, so the segment must be consistent before it is called.
+    std::vector<Pending> settled;
+    std::vector<LedgerReply> replies;
+    settled.swap(segment.writing);
+    replies.swap(segment.replies);
+    m_answered += settled.size();
+    for (std::size_t i = 0; i < settled.size(); ++i)
+        m_reply(settled[i].operation, replies[i]);
+}
+
+void LedgerOwner::fail(Segment &segment, TimePoint now)
+{
+    segment.phase = Phase::Unloaded;
+    segment.retryAt = now + retryPause;
+    std::vector<Pending> failed;
+    failed.swap(segment.writing);
+    failed.insert(failed.end(), segment.pending.begin(), segment.pending.end());
+    segment.pending.clear();
+    segment.replies.clear();
+    for (const Pending &pending : failed)
+        m_reply(pending.operation, {LedgerAnswer::Unavailable, {}});
+}
+
+bool LedgerOwner::keyRead(const KeyRead &read, TimePoint now, Actions &actions)
+{
+    for (auto &[index, segment] : m_segments) {
+        if (segment.operation != read.operation)
+            continue;
+        if (!read.ok) {
+            fail(segment, now);
+        } else if (segment.phase == Phase::ReadingHead) {
+            segment.head = read.revision.value() == 0 ? SegmentHead() : parseHead(read.value);
+            segment.revision = read.revision;
+            headLoaded(index, segment, now, actions);
+        } else if (segment.phase == Phase::ReadingPages) {
+            pageRead(index, segment, read, now, actions);
+        }
+        return true;
+    }
+    return false;
+}
+
+void LedgerOwner::headLoaded(SegmentIndex index, Segment &segment, TimePoint now, Actions &actions)
+{
+    if (segment.head.lastPage != segment.archivedTo) {
+        readPage(index, segment, segment.head.lastPage, actions);
+        return;
+    }
+    segment.phase = Phase::Ready;
+    advance(index, segment, now, actions);
+}
+
+void LedgerOwner::pageRead(SegmentIndex index, Segment &segment, const KeyRead &read, TimePoint now,
+                           Actions &actions)
+{
+    if (read.revision.value() == 0) {
+        // A page that the head names is missing: without it no claim is safe.
+        fail(segment, now);
+        return;
+    }
+    const LedgerPage page = parsePage(read.value);
+    bool retained = false;
+    for (const LedgerRecord &record : page.records) {
+        segment.archive[record.key] = record;
+        retained = retained || m_wall.value() - record.when.value() < m_limits.retention.count();
+    }
+    const bool walkOn =
+        retained && !page.previous.value().empty() && page.previous != segment.archivedTo;
+    if (walkOn) {
+        readPage(index, segment, page.previous, actions);
+        return;
+    }
+    segment.archivedTo = segment.head.lastPage;
+    segment.phase = Phase::Ready;
+    advance(index, segment, now, actions);
+}
+
+bool LedgerOwner::swapDone(const SwapDone &done, TimePoint now, Actions &actions)
+{
+    for (auto &[index, segment] : m_segments) {
+        if (segment.operation != done.operation)
+            continue;
+        if (done.outcome == SwapOutcome::Unknown) {
+            fail(segment, now);
+            return true;
+        }
+        if (segment.phase == Phase::WritingPage) {
+            if (done.outcome == SwapOutcome::Conflict) {
+                fail(segment, now);
+                return true;
+            }
+            SegmentHead rest = segment.written;
+            rest.lastPage = segment.pageName;
+            writeHead(index, segment, std::move(rest), actions);
+            return true;
+        }
+        if (segment.phase != Phase::WritingHead)
+            return true;
+        if (done.outcome == SwapOutcome::Conflict) {
+            // Another owner wrote: nothing of this batch took effect, so it is tried again.
+            segment.pending.insert(segment.pending.begin(), segment.writing.begin(),
+                                   segment.writing.end());
+            segment.writing.clear();
+            segment.replies.clear();
+            segment.page = {};
+            segment.head = parseHead(done.value);
+            segment.revision = done.revision;
+            headLoaded(index, segment, now, actions);
+            return true;
+        }
+        if (segment.written.lastPage != segment.head.lastPage) {
+            for (LedgerRecord &record : segment.page.records)
+                segment.archive[record.key] = std::move(record);
+            segment.archivedTo = segment.written.lastPage;
+        }
+        segment.page = {};
+        segment.head = segment.written;
+        segment.revision = done.revision;
+        segment.phase = Phase::Ready;
+        settle(segment);
+        advance(index, segment, now, actions);
+        return true;
+    }
+    return false;
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/coordination/member_base.cpp
@@ -0,0 +1,121 @@
+#include "coordination/member_base.h"
+
+#include <algorithm>
+
+namespace bramleypitch {
+
+MemberTable::MemberTable(MemberEntry self, MemberLimits limits)
+    : m_self(std::move(self))
+    , m_limits(limits)
+{
+}
+
+void MemberTable::merge(const std::vector<MemberEntry> &entries, TimePoint now)
+{
+    for (const MemberEntry &entry : entries) {
+        if (entry.node == m_self.node)
+            continue;
+        const auto [found, isNew] = m_members.try_emplace(entry.node, Member {entry, now});
+        if (isNew)
+            continue;
+        Member &member = found->second;
+        const auto order = std::pair(entry.incarnation, entry.counter);
+        if (order <= std::pair(member.entry.incarnation, member.entry.counter))
+            continue;
+        member.entry = entry;
+        member.lastAdvance = now;
+    }
+}
+
+void MemberTable::learn(const std::vector<NodeRecord> &records, TimePoint now)
+{
+    for (const NodeRecord &record : records) {
+        if (record.node == m_self.node)
+            continue;
+        const auto found = m_members.find(record.node);
+        if (found != m_members.end() && found->second.entry.incarnation >= record.incarnation)
+            continue;
+        MemberEntry entry;
+        entry.node = record.node;
+        entry.incarnation = record.incarnation;
+        entry.entryAddress = record.entryAddress;
+        entry.peerAddress = record.peerAddress;
+        entry.zone = record.zone;
+        m_members[record.node] = Member {entry, now - m_limits.timeout};
+    }
+}
+
+void MemberTable::tick(TimePoint now)
+{
+    ++m_self.counter;
+    for (auto it = m_members.begin(); it != m_members.end();) {
+        if (now - it->second.lastAdvance >= m_limits.forget)
+            it = m_members.erase(it);
+        else
+            ++it;
+    }
+}
+
+bool MemberTable::isAlive(const Member &member, TimePoint now) const
+{
+    return now - member.lastAdvance < m_limits.timeout;
+}
+
+std::vector<MemberEntry> MemberTable::alive(TimePoint now, bool withLeaving) const
+{
+    std::vector<MemberEntry> entries;
+    if (withLeaving || !m_self.leaving)
+        entries.push_back(m_self);
+    for (const auto &[node, member] : m_members) {
+        if (isAlive(member, now) && (withLeaving || !member.entry.leaving))
+            entries.push_back(member.entry);
+    }
+    std::sort(entries.begin(), entries.end(),
+              [](const MemberEntry &a, const MemberEntry &b) { return a.node < b.node; });
+    return entries;
+}
+
+bool MemberTable::majorityAlive(TimePoint now) const
+{
+    return alive(now, true).size() * 2 > knownCount() || knownCount() == 1;
+}
+
+std::vector<MemberEntry> MemberTable::digest(TimePoint now) const
+{
+    std::vector<const Member *> recent;
+    for (const auto &[node, member] : m_members) {
+        if (isAlive(member, now))
+            recent.push_back(&member);
+    }
+    std::stable_sort(recent.begin(), recent.end(), [](const Member *a, const Member *b) {
+        return a->lastAdvance > b->lastAdvance;
+    });
+    if (recent.size() + 1 > m_limits.entriesPerHeartbeat)
+        recent.resize(m_limits.entriesPerHeartbeat - 1);
+    std::vector<MemberEntry> entries {m_self};
+    for (const Member *member : recent)
+        entries.push_back(member->entry);
+    return entries;
+}
+
+std::vector<MemberEntry> MemberTable::targets(TimePoint now, std::mt19937_64 &random) const
+{
+    std::vector<MemberEntry> live;
+    std::vector<MemberEntry> silent;
+    for (const auto &[node, member] : m_members)
+        (isAlive(member, now) ? live : silent).push_back(member.entry);
+    std::shuffle(live.begin(), live.end(), random);
+    if (live.size() > m_limits.fanout)
+        live.resize(m_limits.fanout);
+    if (!silent.empty())
+        live.push_back(silent[random() % silent.size()]);
+    return live;
+}
+
+const Member *MemberTable::find(const NodeId &node) const
+{
+    const auto found = m_members.find(node);
+    return found == m_members.end() ? nullptr : &found->second;
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/coordination/node.cpp
@@ -0,0 +1,262 @@
+#include "coordination/node.h"
+
+#include "coordination/environment_func.h"
+#include "core/rendezvous_func.h"
+
+#include <algorithm>
+
+namespace bramleypitch {
+
+Node::Node(NodeOptions options)
+    : m_state(std::move(options))
+    , m_shared(m_state)
+    , m_probes(m_state)
+    , m_placement(m_state)
+    , m_ledger(ledgerPrefix(m_state.options.environment, m_state.options.stage),
+               m_state.options.node.value(), m_state.options.ledger,
+               [this] { return m_state.newOperation(); })
+    , m_services(m_state,
+                 [this](OperationId operation, SegmentIndex segment, const LedgerRequest &request,
+                        TimePoint now,
+                        Actions &actions) { askLedger(operation, segment, request, now, actions); })
+    , m_completions(m_state)
+{
+    m_ledger.setReplyHook([this](OperationId operation, const LedgerReply &reply) {
+        m_settled.push_back({operation, reply});
+    });
+}
+
+Actions Node::handle(const Event &event, TimePoint now)
+{
+    Actions actions;
+    std::visit([&](const auto &specific) { on(specific, now, actions); }, event);
+    deliverLedger(now, actions);
+    return actions;
+}
+
+void Node::on(const Tick &tick, TimePoint now, Actions &actions)
+{
+    m_state.wall = tick.wall;
+    m_shared.tick(now, actions);
+    m_probes.tick(m_placement.owned(), now, actions);
+    m_placement.tick(now, actions);
+    m_ledger.tick(tick.wall, now, actions);
+    m_completions.tick(now, actions);
+    m_services.tick(now, actions);
+    noteZone(now, actions);
+    finishStop(now, actions);
+}
+
+void Node::on(const SharedRead &read, TimePoint now, Actions &actions)
+{
+    applyShared(m_shared.sharedRead(read), now, actions);
+}
+
+void Node::on(const SharedWatched &watched, TimePoint now, Actions &actions)
+{
+    m_shared.sharedWatched(watched, now, actions);
+}
+
+void Node::on(const SharedPulled &pulled, TimePoint now, Actions &actions)
+{
+    applyShared(m_shared.sharedPulled(pulled), now, actions);
+}
+
+void Node::applyShared(const std::vector<std::string> &changed, TimePoint now, Actions &actions)
+{
+    if (changed.empty())
+        return;
+    const std::string key = configurationKey(m_state.options.environment, m_state.options.stage);
+    if (std::find(changed.begin(), changed.end(), key) != changed.end())
+        applyConfiguration(actions);
+    updateGroups();
+    noteZone(now, actions);
+    m_completions.pump(now, actions);
+}
+
+void Node::applyConfiguration(Actions &actions)
+{
+    const SharedValue *value =
+        m_state.shared.find(configurationKey(m_state.options.environment, m_state.options.stage));
+    m_state.envelope = parseEnvelope(value->value);
+    m_state.envelopeRevision = value->revision;
+    m_state.groups.applyLimits(m_state.envelope->environment);
+    actions.emplace_back(
+        LogChange {"configuration_in_force", std::to_string(value->revision.value())});
+}
+
+void Node::updateGroups()
+{
+    if (!m_state.envelope)
+        return;
+    for (const DomainId &domain : routedDomains(m_state))
+        m_state.groups.update(knownPlacement(m_state, domain).placement, *m_state.envelope);
+}
+
+void Node::noteZone(TimePoint now, Actions &actions)
+{
+    const bool out = ownZoneOut(m_state);
+    const bool wasOut = m_state.zoneOutSince != TimePoint();
+    if (out == wasOut)
+        return;
+    m_state.zoneOutSince = out ? now : TimePoint();
+    actions.emplace_back(LogChange {out ? "zone_out" : "zone_in", m_state.options.zone.value()});
+}
+
+void Node::on(const NodesRead &read, TimePoint now, Actions &)
+{
+    m_placement.nodesRead(read);
+    if (read.ok)
+        m_state.members.learn(read.nodes, now);
+}
+
+void Node::on(const KeyRead &read, TimePoint now, Actions &actions)
+{
+    m_ledger.keyRead(read, now, actions);
+}
+
+void Node::on(const SwapDone &done, TimePoint now, Actions &actions)
+{
+    if (!m_placement.swapDone(done, actions))
+        m_ledger.swapDone(done, now, actions);
+}
+
+void Node::on(const LeaseRenewed &renewed, TimePoint, Actions &actions)
+{
+    m_shared.leaseRenewed(renewed, actions);
+}
+
+void Node::on(const VmListRead &read, TimePoint, Actions &)
+{
+    m_probes.vmListRead(read);
+}
+
+void Node::on(const ProbeDone &done, TimePoint now, Actions &actions)
+{
+    m_probes.probeDone(done, now);
+    m_completions.pump(now, actions);
+}
+
+void Node::on(const OrderDone &done, TimePoint now, Actions &)
+{
+    m_placement.orderDone(done, now);
+}
+
+void Node::on(const HeartbeatReceived &received, TimePoint now, Actions &actions)
+{
+    m_shared.heartbeat(received, now, actions);
+}
+
+void Node::on(const LedgerAsked &asked, TimePoint now, Actions &actions)
+{
+    m_ledger.ask(asked, now, actions);
+}
+
+void Node::on(const LedgerAnswered &answered, TimePoint now, Actions &actions)
+{
+    m_services.ledgerAnswered(answered.operation, answered.reply, now, actions);
+}
+
+void Node::on(const CompletionAsked &asked, TimePoint now, Actions &actions)
+{
+    m_completions.asked(asked, now, actions);
+}
+
+void Node::on(const ServiceAsked &asked, TimePoint now, Actions &actions)
+{
+    m_services.asked(asked, now, actions);
+}
+
+void Node::on(const CallerGone &gone, TimePoint now, Actions &actions)
+{
+    if (!m_completions.callerGone(gone.request, now, actions))
+        m_services.callerGone(gone.request, now, actions);
+}
+
+void Node::on(const EngineToken &token, TimePoint now, Actions &actions)
+{
+    m_completions.token(token, now, actions);
+}
+
+void Node::on(const EngineEnd &end, TimePoint now, Actions &actions)
+{
+    m_completions.end(end, now, actions);
+}
+
+void Node::on(const AttemptBroken &broken, TimePoint now, Actions &actions)
+{
+    if (!m_completions.broken(broken, now, actions))
+        m_services.broken(broken, now, actions);
+}
+
+void Node::on(const ServiceAnswered &answered, TimePoint now, Actions &actions)
+{
+    m_services.answered(answered, now, actions);
+}
+
+void Node::on(const StopAsked &, TimePoint now, Actions &actions)
+{
+    if (m_state.stopping)
+        return;
+    m_state.stopping = true;
+    m_stopAskedAt = now;
+    m_state.members.setLeaving(true);
+    actions.emplace_back(LogChange {"stopping", std::to_string(openRequests()) + " requests open"});
+}
+
+void Node::finishStop(TimePoint now, Actions &actions)
+{
+    if (!m_state.stopping || m_stopped || openRequests() > 0)
+        return;
+    // Peers learn of the leaving within a few heartbeats, callers once their list has run out.
+    if (now - m_stopAskedAt < m_state.options.entryKeep)
+        return;
+    m_stopped = true;
+    actions.emplace_back(ReleaseLease {});
+    actions.emplace_back(Stopped {});
+}
+
+void Node::askLedger(OperationId operation, SegmentIndex segment, const LedgerRequest &request,
+                     TimePoint now, Actions &actions)
+{
+    const std::vector<MemberEntry> alive = m_state.members.alive(now, false);
+    const auto name = [](const MemberEntry &entry) { return entry.node.value(); };
+    const auto order = rendezvousOrder("ledger/" + std::to_string(segment.value()), alive, name);
+    if (!order.empty() && order.front().node != m_state.options.node) {
+        actions.emplace_back(SendLedger {operation, order.front().peerAddress, segment, request});
+        return;
+    }
+    m_ownLedgerAsks.insert(operation);
+    m_ledger.ask({operation, segment, request}, now, actions);
+}
+
+void Node::deliverLedger(TimePoint now, Actions &actions)
+{
+    while (!m_settled.empty()) {
+        std::vector<SettledLedger> settled;
+        settled.swap(m_settled);
+        for (const SettledLedger &entry : settled) {
+            if (m_ownLedgerAsks.erase(entry.operation) > 0)
+                m_services.ledgerAnswered(entry.operation, entry.reply, now, actions);
+            else
+                actions.emplace_back(AnswerLedger {entry.operation, entry.reply});
+        }
+    }
+}
+
+std::vector<EntryAddress> Node::entries(const ZoneId &near, std::uint64_t spread,
+                                        TimePoint now) const
+{
+    std::vector<EntryAddress> usable;
+    for (const MemberEntry &entry : m_state.members.alive(now, false)) {
+        if (!m_state.envelope || !zoneIsOut(*m_state.envelope, entry.zone))
+            usable.push_back({entry.entryAddress, entry.zone});
+    }
+    const auto name = [](const EntryAddress &entry) { return entry.address.value(); };
+    usable = rendezvousOrder(std::to_string(spread), usable, name);
+    std::stable_partition(usable.begin(), usable.end(),
+                          [&](const EntryAddress &entry) { return entry.zone == near; });
+    return usable;
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/coordination/node_state.cpp
@@ -0,0 +1,113 @@
+#include "coordination/node_state.h"
+
+#include "coordination/environment_func.h"
+
+namespace bramleypitch {
+
+namespace {
+
+constexpr Duration askAgainSoon {1'000}; ///< Where another node can take the request at once.
+
+MemberEntry selfEntry(const NodeOptions &options)
+{
+    MemberEntry entry;
+    entry.node = options.node;
+    entry.entryAddress = options.entryAddress;
+    entry.peerAddress = options.peerAddress;
+    entry.zone = options.zone;
+    return entry;
+}
+
+} // namespace
+
+const char *const sharedPrefix = "/bramleypitch/shared/";
+
+NodeState::NodeState(NodeOptions nodeOptions)
+    : options(std::move(nodeOptions))
+    , members(selfEntry(options), options.members)
+    , random(options.seed)
+{
+    lease.node = options.node;
+}
+
+std::string configurationKey(const EnvironmentId &environment, Stage stage)
+{
+    return std::string(sharedPrefix) + "configuration/" + environment.value() + "/"
+        + stageName(stage);
+}
+
+std::string placementKey(const DomainId &domain)
+{
+    return std::string(sharedPrefix) + "placement/" + domain.value();
+}
+
+std::string nodePrefix(const EnvironmentId &environment)
+{
+    return "/bramleypitch/nodes/" + environment.value() + "/";
+}
+
+std::string ledgerPrefix(const EnvironmentId &environment, Stage stage)
+{
+    return "/bramleypitch/ledger/" + environment.value() + "/" + stageName(stage) + "/";
+}
+
+std::string auditPrefix(const EnvironmentId &environment, Stage stage)
+{
+    return "/bramleypitch/audit/" + environment.value() + "/" + stageName(stage) + "/";
+}
+
+bool configurationCurrent(const NodeState &state, TimePoint now)
+{
+    if (!state.envelope)
+        return false;
+    if (now - state.shared.evidence() < state.options.configurationFreshness)
+        return true;
+    // Evidence spreads with every heartbeat. That a majority is heard of and still none came
+    // means that the platform answers none of them, and so accepts no configuration through them.
+    return state.members.majorityAlive(now);
+}
+
+bool ownZoneOut(const NodeState &state)
+{
+    return state.envelope && zoneIsOut(*state.envelope, state.options.zone);
+}
+
+std::optional<Refuse> refusalOfNode(const NodeState &state, TimePoint now)
+{
+    Refuse refuse;
+    refuse.retryAfter = askAgainSoon;
+    if (state.stopping) {
+        refuse.code = ErrorCode::Stopping;
+        refuse.message = "this node is stopping, use another entry";
+        return refuse;
+    }
+    if (!configurationCurrent(state, now)) {
+        refuse.code = ErrorCode::ConfigurationStale;
+        refuse.message = "this node cannot tell whether its configuration is current";
+        return refuse;
+    }
+    // Callers keep the list of entries for a while, so the node serves on from other zones so long.
+    const bool graceOver =
+        state.zoneOutSince != TimePoint() && now - state.zoneOutSince >= state.options.entryKeep;
+    if (ownZoneOut(state) && graceOver) {
+        refuse.code = ErrorCode::ZoneOut;
+        refuse.message = "this node's availability zone is out, use another entry";
+        return refuse;
+    }
+    return std::nullopt;
+}
+
+KnownPlacement knownPlacement(const NodeState &state, const DomainId &domain)
+{
+    KnownPlacement known;
+    const SharedValue *value = state.shared.find(placementKey(domain));
+    if (!value) {
+        known.placement.domain = domain;
+        return known;
+    }
+    known.placement = parsePlacement(value->value);
+    known.revision = value->revision;
+    return known;
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/coordination/placement_system.cpp
@@ -0,0 +1,299 @@
+#include "coordination/placement_system.h"
+
+#include "coordination/environment_func.h"
+#include "core/rendezvous_func.h"
+
+#include <algorithm>
+
+namespace bramleypitch {
+
+namespace {
+
+constexpr Duration swapTimeout {5'000}; ///< After this a lost swap reply is no longer waited for.
+
+} // namespace
+
+PlacementSystem::PlacementSystem(NodeState &state)
+    : m_state(state)
+{
+}
+
+void PlacementSystem::updateOwned(TimePoint now)
+{
+    const std::vector<MemberEntry> alive = m_state.members.alive(now, false);
+    std::set<DomainId> owned;
+    for (const DomainId &domain : domainsOf(m_state.envelope->environment)) {
+        const auto name = [](const MemberEntry &entry) { return entry.node.value(); };
+        const auto order = rendezvousOrder(domain.value(), alive, name);
+        if (order.empty() || order.front().node != m_state.options.node)
+            continue;
+        owned.insert(domain);
+        if (!m_domains.count(domain))
+            m_domains[domain].since = now;
+    }
+    for (auto it = m_domains.begin(); it != m_domains.end();)
+        it = owned.count(it->first) ? std::next(it) : m_domains.erase(it);
+    m_ownedDomains = std::move(owned);
+}
+
+void PlacementSystem::readNodes(TimePoint now, Actions &actions)
+{
+    if (m_nodesAsked && now - m_nodesAskedAt < m_state.options.nodesReadInterval)
+        return;
+    m_nodesAsked = true;
+    m_nodesAskedAt = now;
+    m_nodesOperation = m_state.newOperation();
+    m_state.counters.add(Counter::PlatformReads);
+    actions.emplace_back(ReadNodes {m_nodesOperation});
+}
+
+void PlacementSystem::nodesRead(const NodesRead &read)
+{
+    m_state.nodeRecordsKnown = read.ok;
+    if (read.ok)
+        m_state.nodeRecords = read.nodes;
+}
+
+void PlacementSystem::tick(TimePoint now, Actions &actions)
+{
+    if (!m_state.envelope)
+        return;
+    updateOwned(now);
+    const bool alone = m_state.members.knownCount() == 1;
+    if (!m_domains.empty() || alone)
+        readNodes(now, actions);
+    for (auto &[domain, owned] : m_domains) {
+        plan(domain, owned, now, actions);
+        orderMembers(domain, owned, now, actions);
+    }
+}
+
+void PlacementSystem::plan(const DomainId &domain, OwnedDomain &owned, TimePoint now,
+                           Actions &actions)
+{
+    if (owned.swapping && now - owned.swapAt < swapTimeout)
+        return;
+    // Without a recent read of the platform the write would fail or rest on old knowledge.
+    const bool recent = now - m_state.shared.evidence() < m_state.options.configurationFreshness;
+    if (!recent || !m_state.nodeRecordsKnown)
+        return;
+    const KnownPlacement known = knownPlacement(m_state, domain);
+    if (known.revision < owned.awaited)
+        return;
+    dropOldReleases(known.placement, owned);
+    PlanInput input;
+    input.domain = domain;
+    input.envelope = &*m_state.envelope;
+    input.vms = &m_state.vms;
+    input.nodes = m_state.nodeRecords;
+    input.releasedAt = owned.releasedAt;
+    input.ownerSince = owned.since;
+    std::optional<DomainPlacement> next =
+        planDomain(known.placement, input, m_state.options.placement, now);
+    if (!next)
+        return;
+    owned.swapping = true;
+    owned.swapAt = now;
+    owned.operation = m_state.newOperation();
+    next->nonce = Nonce(m_state.options.node.value() + "-" + std::to_string(m_state.random()));
+    owned.written = *next;
+    m_state.counters.add(Counter::PlatformWrites);
+    actions.emplace_back(CompareAndSwap {owned.operation, placementKey(domain), known.revision,
+                                         serializePlacement(*next), next->nonce});
+}
+
+void PlacementSystem::dropOldReleases(const DomainPlacement &placement, OwnedDomain &owned)
+{
+    for (auto it = owned.releasedAt.begin(); it != owned.releasedAt.end();) {
+        const bool waits = std::any_of(
+            placement.released.begin(), placement.released.end(), [&](const ReleasedVm &released) {
+                return ReleaseKey(released.vm, released.fence) == it->first;
+            });
+        it = waits ? std::next(it) : owned.releasedAt.erase(it);
+    }
+}
+
+bool PlacementSystem::swapDone(const SwapDone &done, Actions &actions)
+{
+    for (auto &[domain, owned] : m_domains) {
+        if (!owned.swapping || owned.operation != done.operation)
+            continue;
+        owned.swapping = false;
+        if (done.outcome == SwapOutcome::Conflict)
+            m_state.counters.add(Counter::SwapConflicts);
+        if (done.outcome == SwapOutcome::Unknown)
+            m_state.counters.add(Counter::SwapUnknown);
+        if (done.outcome != SwapOutcome::Written)
+            return true;
+        const KnownPlacement before = knownPlacement(m_state, domain);
+        logChanges(before.placement, owned.written, actions);
+        owned.awaited = done.revision;
+        m_state.readSharedSoon = true;
+        return true;
+    }
+    return false;
+}
+
+void PlacementSystem::logChanges(const DomainPlacement &before, const DomainPlacement &after,
+                                 Actions &actions)
+{
+    const auto has = [](const DomainPlacement &placement, const PlacedGroup &group) {
+        return std::any_of(
+            placement.groups.begin(), placement.groups.end(),
+            [&](const PlacedGroup &other) { return other.generation == group.generation; });
+    };
+    for (const PlacedGroup &group : before.groups) {
+        if (has(after, group))
+            continue;
+        m_state.counters.add(Counter::GroupsDissolved);
+        actions.emplace_back(LogChange {"group_dissolved", group.id.value()});
+    }
+    for (const PlacedGroup &group : after.groups) {
+        if (has(before, group))
+            continue;
+        m_state.counters.add(Counter::GroupsFormed);
+        actions.emplace_back(LogChange {"group_formed", group.id.value()});
+    }
+}
+
+std::uint64_t PlacementSystem::missingWeights(const PlacedGroup &group) const
+{
+    const ModelGroupSpec *spec =
+        findModelGroup(m_state.envelope->environment, ModelGroupId(group.target));
+    std::uint64_t missing = 0;
+    for (const VmId &member : group.members) {
+        const Vm *vm = m_state.vms.find(member);
+        if (!vm || !vm->report || !spec || vm->report->heldModel != spec->model)
+            ++missing;
+    }
+    return missing;
+}
+
+bool PlacementSystem::isComplete(const PlacedGroup &group) const
+{
+    return std::all_of(group.members.begin(), group.members.end(), [&](const VmId &member) {
+        const Vm *vm = m_state.vms.find(member);
+        return vm && vm->report && vm->report->state == EngineState::Ready
+            && vm->report->group == group.id && vm->report->generation == group.generation;
+    });
+}
+
+bool PlacementSystem::isLoading(const PlacedGroup &group) const
+{
+    return std::any_of(group.members.begin(), group.members.end(), [&](const VmId &member) {
+        const Vm *vm = m_state.vms.find(member);
+        return vm && vm->report && vm->report->group == group.id;
+    });
+}
+
+void PlacementSystem::orderMembers(const DomainId &domain, OwnedDomain &owned, TimePoint now,
+                                   Actions &actions)
+{
+    const KnownPlacement known = knownPlacement(m_state, domain);
+    for (const ReleasedVm &released : known.placement.released)
+        orderRelease(domain, owned, released, now, actions);
+    // The weight store is rate-limited: groups that lack least are completed first, few at a time.
+    std::vector<const PlacedGroup *> incomplete;
+    std::size_t loading = 0;
+    for (const PlacedGroup &group : known.placement.groups) {
+        const bool ours = group.environment == m_state.options.environment;
+        const ModelGroupSpec *spec =
+            findModelGroup(m_state.envelope->environment, ModelGroupId(group.target));
+        if (!ours || !spec || isComplete(group))
+            continue;
+        if (isLoading(group)) {
+            ++loading;
+            orderGroup(domain, group, now, actions);
+        } else {
+            incomplete.push_back(&group);
+        }
+    }
+    std::stable_sort(incomplete.begin(), incomplete.end(),
+                     [&](const PlacedGroup *a, const PlacedGroup *b) {
+                         return missingWeights(*a) < missingWeights(*b);
+                     });
+    for (const PlacedGroup *group : incomplete) {
+        if (loading >= m_state.options.loadsAtOnce)
+            return;
+        ++loading;
+        orderGroup(domain, *group, now, actions);
+    }
+}
+
+void PlacementSystem::orderGroup(const DomainId &domain, const PlacedGroup &group, TimePoint now,
+                                 Actions &actions)
+{
+    for (const VmId &member : group.members) {
+        const Vm *vm = m_state.vms.find(member);
+        if (!vm || !vm->report)
+            continue;
+        const bool obeys =
+            vm->report->group == group.id && vm->report->generation == group.generation;
+        if (!obeys)
+            sendOrder(domain, *vm, OrderKind::Load, group, now, actions);
+    }
+}
+
+void PlacementSystem::orderRelease(const DomainId &domain, OwnedDomain &owned,
+                                   const ReleasedVm &released, TimePoint now, Actions &actions)
+{
+    const Vm *vm = m_state.vms.find(released.vm);
+    if (!vm || !vm->report)
+        return;
+    const auto confirmed = owned.releasedAt.find({released.vm, released.fence});
+    const bool loadedAgain = !vm->report->group.value().empty();
+    if (confirmed != owned.releasedAt.end()) {
+        // An older order that arrived late on an engine without fencing: release it anew.
+        if (!loadedAgain || vm->confirmedAt < confirmed->second)
+            return;
+        owned.releasedAt.erase(confirmed);
+    }
+    PlacedGroup none;
+    none.generation = released.fence;
+    sendOrder(domain, *vm, OrderKind::Release, none, now, actions);
+}
+
+void PlacementSystem::sendOrder(const DomainId &domain, const Vm &vm, OrderKind kind,
+                                const PlacedGroup &group, TimePoint now, Actions &actions)
+{
+    const auto underWay = m_orders.find(vm.record.id);
+    if (underWay != m_orders.end() && now - underWay->second.sentAt < m_state.options.orderTimeout
+        && underWay->second.generation == group.generation)
+        return;
+    OrderUnderWay order {m_state.newOperation(), now, kind, group.generation, domain};
+    m_orders[vm.record.id] = order;
+    m_state.counters.add(Counter::OrdersSent);
+    SendOrder send;
+    send.operation = order.operation;
+    send.vm = vm.record.id;
+    send.address = vm.record.address;
+    send.kind = kind;
+    send.group = group.id;
+    send.generation = group.generation;
+    const ModelGroupSpec *spec =
+        findModelGroup(m_state.envelope->environment, ModelGroupId(group.target));
+    if (spec)
+        send.model = spec->model;
+    for (const VmId &member : group.members) {
+        if (const Vm *other = m_state.vms.find(member))
+            send.members.push_back(other->record.address);
+    }
+    actions.emplace_back(std::move(send));
+}
+
+bool PlacementSystem::orderDone(const OrderDone &done, TimePoint now)
+{
+    const auto found = m_orders.find(done.vm);
+    if (found == m_orders.end() || found->second.operation != done.operation)
+        return false;
+    const OrderUnderWay order = found->second;
+    if (!done.ok)
+        return true; // Sent again after the order timeout.
+    m_orders.erase(found);
+    const auto domain = m_domains.find(order.domain);
+    if (domain != m_domains.end() && order.kind == OrderKind::Release)
+        domain->second.releasedAt[{done.vm, order.generation}] = now;
+    return true;
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/coordination/probe_system.cpp
@@ -0,0 +1,84 @@
+#include "coordination/probe_system.h"
+
+#include "core/rendezvous_func.h"
+
+#include <algorithm>
+
+namespace bramleypitch {
+
+ProbeSystem::ProbeSystem(NodeState &state)
+    : m_state(state)
+{
+}
+
+void ProbeSystem::vmListRead(const VmListRead &read)
+{
+    if (read.ok)
+        m_state.vms.update(read.vms);
+}
+
+void ProbeSystem::probeDone(const ProbeDone &done, TimePoint now)
+{
+    Vm *vm = m_state.vms.find(done.vm);
+    if (!vm)
+        return;
+    vm->probing = false;
+    if (!done.ok) {
+        m_state.counters.add(Counter::ProbesFailed);
+        m_state.vms.suspect(done.vm, now);
+        return;
+    }
+    m_state.vms.confirm(done.vm, done.report, done.sentAt);
+    m_state.groups.forEach([&](GroupIndex, Group &group) {
+        if (group.placed.members.front() == done.vm)
+            noteReport(group, done.report);
+    });
+}
+
+bool ProbeSystem::isDue(const Vm &vm, TimePoint now) const
+{
+    if (!vm.listed)
+        return false;
+    if (vm.probing)
+        return now - vm.probeSentAt >= 2 * m_state.options.probeTimeout;
+    return vm.probeSentAt == TimePoint() || now - vm.probeSentAt >= m_state.options.probeInterval;
+}
+
+void ProbeSystem::tick(const std::set<DomainId> &owned, TimePoint now, Actions &actions)
+{
+    if (!m_listAsked || now - m_listAskedAt >= m_state.options.vmListInterval) {
+        m_listAsked = true;
+        m_listAskedAt = now;
+        actions.emplace_back(ReadVmList {m_state.newOperation()});
+    }
+    const std::set<DomainId> routed = routedDomains(m_state);
+    for (auto &[id, vm] : m_state.vms.all()) {
+        const DomainId &domain = vm.record.domain;
+        if (!isDue(vm, now) || (!routed.count(domain) && !owned.count(domain)))
+            continue;
+        vm.probing = true;
+        vm.probeSentAt = now;
+        m_state.counters.add(Counter::ProbesSent);
+        actions.emplace_back(SendProbe {id, vm.record.address});
+    }
+    m_state.groups.forEach([&](GroupIndex, Group &group) {
+        const Vm *head = m_state.vms.find(group.placed.members.front());
+        if (head && head->probing && head->probeSentAt == now)
+            group.ownAtProbe = group.ownRunning;
+    });
+}
+
+std::set<DomainId> routedDomains(const NodeState &state)
+{
+    if (!state.envelope)
+        return {};
+    std::vector<DomainId> domains = domainsOf(state.envelope->environment);
+    if (domains.size() > state.options.domainSubset) {
+        domains = rendezvousOrder(state.options.node.value(), domains,
+                                  [](const DomainId &domain) { return domain.value(); });
+        domains.resize(state.options.domainSubset);
+    }
+    return {domains.begin(), domains.end()};
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/coordination/route_func.cpp
@@ -0,0 +1,135 @@
+#include "coordination/route_func.h"
+
+#include "core/rendezvous_func.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bramleypitch {
+
+namespace {
+
+constexpr double loadFactor = 1.25; ///< A group may carry so much more than the mean.
+constexpr double stragglerFactor = 2; ///< Slower than the median by this: a straggler.
+constexpr double speedSmoothing = 0.2; ///< Weight of the newest attempt.
+
+struct Candidate
+{
+    GroupIndex index;
+    Group *group;
+    std::uint64_t weight;
+    bool demoted;
+};
+
+double load(const Group &group)
+{
+    return static_cast<double>(group.ownRunning + group.othersRunning)
+        / static_cast<double>(group.limits.concurrency);
+}
+
+double medianTokenMillis(const std::vector<Candidate> &candidates)
+{
+    std::vector<double> speeds;
+    for (const Candidate &candidate : candidates) {
+        if (candidate.group->tokenMillis > 0)
+            speeds.push_back(candidate.group->tokenMillis);
+    }
+    if (speeds.empty())
+        return 0;
+    const auto middle = speeds.begin() + static_cast<std::ptrdiff_t>(speeds.size() / 2);
+    std::nth_element(speeds.begin(), middle, speeds.end());
+    return *middle;
+}
+
+std::vector<Candidate> openGroups(NodeState &state, const std::string &target, TimePoint now)
+{
+    std::vector<Candidate> candidates;
+    for (const GroupIndex index : state.groups.ofTarget(target)) {
+        Group *group = state.groups.find(index);
+        const GateState gate =
+            gateState(*group, state.vms, *state.envelope, state.options.placement, now);
+        if (gate == GateState::Open)
+            candidates.push_back({index, group, 0, false});
+    }
+    return candidates;
+}
+
+/// The baseline that measurements are held against: the next open group, whatever its load.
+std::optional<GroupIndex> roundRobin(NodeState &state, const std::vector<Candidate> &open)
+{
+    if (open.empty())
+        return std::nullopt;
+    return open[state.counters.value(Counter::AttemptsSent) % open.size()].index;
+}
+
+} // namespace
+
+TargetCapacity targetCapacity(NodeState &state, const std::string &target, TimePoint now)
+{
+    TargetCapacity capacity;
+    const auto nodes = static_cast<double>(state.members.alive(now, false).size());
+    for (const Candidate &candidate : openGroups(state, target, now)) {
+        const Group &group = *candidate.group;
+        const bool home = group.placed.home == state.options.node;
+        ++capacity.openGroups;
+        if (isWarm(group, state.vms))
+            capacity.slots += group.limits.concurrency / std::max(1.0, nodes);
+        else if (home)
+            capacity.slots += group.limits.coldAllowance;
+        else
+            ++capacity.coldElsewhere;
+    }
+    return capacity;
+}
+
+std::optional<GroupIndex> chooseGroup(NodeState &state, const std::string &target,
+                                      std::uint64_t affinity, TimePoint now)
+{
+    std::vector<Candidate> candidates = openGroups(state, target, now);
+    if (state.options.baselinePolicy)
+        return roundRobin(state, candidates);
+    const double median = medianTokenMillis(candidates);
+    double loadSum = 0;
+    const std::string key = std::to_string(affinity);
+    for (Candidate &candidate : candidates) {
+        loadSum += load(*candidate.group);
+        candidate.weight = rendezvousWeight(key, candidate.group->placed.id.value());
+        const bool straggles =
+            median > 0 && candidate.group->tokenMillis > stragglerFactor * median;
+        candidate.demoted = straggles || now < candidate.group->avoidUntil;
+    }
+    const double mean = candidates.empty() ? 0 : loadSum / static_cast<double>(candidates.size());
+    candidates.erase(
+        std::remove_if(candidates.begin(), candidates.end(),
+                       [&](const Candidate &candidate) {
+                           return freeSlots(*candidate.group, state.vms, state.lease, now) == 0;
+                       }),
+        candidates.end());
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) {
+        if (a.demoted != b.demoted)
+            return b.demoted;
+        return a.weight > b.weight;
+    });
+    for (const Candidate &candidate : candidates) {
+        const Group &group = *candidate.group;
+        const double bound = std::ceil(loadFactor * mean * group.limits.concurrency + 1);
+        if (group.ownRunning + group.othersRunning < bound)
+            return candidate.index;
+    }
+    if (candidates.empty())
+        return std::nullopt;
+    return candidates.front().index;
+}
+
+void noteSpeed(Group &group, Duration streamed, std::uint32_t tokens)
+{
+    if (tokens == 0)
+        return;
+    const double millis = static_cast<double>(streamed.count()) / tokens;
+    if (group.tokenMillis == 0)
+        group.tokenMillis = millis;
+    else
+        group.tokenMillis += speedSmoothing * (millis - group.tokenMillis);
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/coordination/service_system.cpp
@@ -0,0 +1,411 @@
+#include "coordination/service_system.h"
+
+#include "coordination/environment_func.h"
+#include "coordination/ledger_func.h"
+#include "coordination/route_func.h"
+#include "core/rendezvous_func.h"
+
+#include <algorithm>
+
+namespace bramleypitch {
+
+namespace {
+
+constexpr Duration retryAfterFailure {1'000};
+constexpr Duration avoidAfterFailure {1'000};
+constexpr Duration noticeLifetime {60'000}; ///< A Record or Abandon is repeated for so long.
+
+/// What a refusal may say of a call that was not sent here. The caller's own earlier attempts
+/// with the same key count too, and only the ledger or the caller knows of them.
+RunOutcome runOfUnsent(const ServiceAsked &asked)
+{
+    if (asked.idempotencyKey.empty() || asked.firstAttempt)
+        return RunOutcome::NotRun;
+    return RunOutcome::MayHaveRun;
+}
+
+Refuse refusal(const ServiceAsked &asked, ErrorCode code, std::string message,
+               std::optional<Duration> retryAfter = std::nullopt)
+{
+    Refuse refuse;
+    refuse.request = asked.request;
+    refuse.code = code;
+    refuse.message = std::move(message);
+    refuse.run = runOfUnsent(asked);
+    refuse.retryAfter = retryAfter;
+    return refuse;
+}
+
+} // namespace
+
+ServiceSystem::ServiceSystem(NodeState &state, LedgerHook askLedger)
+    : m_state(state)
+    , m_askLedger(std::move(askLedger))
+{
+}
+
+void ServiceSystem::asked(const ServiceAsked &asked, TimePoint now, Actions &actions)
+{
+    m_state.counters.add(Counter::ServiceCallsAsked);
+    const OrganisationSpec *organisation =
+        m_state.envelope ? organisationOfKey(m_state.envelope->environment, asked.key) : nullptr;
+    const ServiceSpec *service =
+        m_state.envelope ? findService(m_state.envelope->environment, asked.service) : nullptr;
+    if (std::optional<Refuse> refuse = admission(asked, organisation, service, now)) {
+        m_state.counters.add(Counter::ServiceCallsRefused);
+        actions.emplace_back(std::move(*refuse));
+        return;
+    }
+    ServiceCall call;
+    call.asked = asked;
+    call.organisation = organisation->name;
+    call.once = runsAtMostOnce(*service, asked.method, asked.path);
+    call.deadline = now + service->deadline;
+    m_retries[asked.service].earn();
+    ServiceCall &stored = m_calls.emplace(asked.request, std::move(call)).first->second;
+    if (!stored.once) {
+        pump(now, actions);
+        return;
+    }
+    stored.phase = CallPhase::Claiming;
+    LedgerRequest &claim = stored.claim;
+    claim.key = ledgerKey(organisation->name.value(), asked.service.value(), asked.idempotencyKey);
+    claim.digest = callDigest(asked.method, asked.path, asked.body);
+    claim.claim = ClaimId(
+        m_state.options.node.value() + "/" + std::to_string(m_state.lease.incarnation.value()) + "/"
+        + std::to_string(asked.request.value()) + "/" + std::to_string(m_state.random()));
+    claim.when = m_state.wall;
+    askClaim(stored, now, actions);
+}
+
+std::optional<Refuse> ServiceSystem::admission(const ServiceAsked &asked,
+                                               const OrganisationSpec *organisation,
+                                               const ServiceSpec *service, TimePoint now) const
+{
+    if (std::optional<Refuse> refuse = refusalOfNode(m_state, now)) {
+        refuse->request = asked.request;
+        refuse->run = runOfUnsent(asked);
+        return refuse;
+    }
+    if (!organisation)
+        return refusal(asked, ErrorCode::Unauthorized, "no organisation has this key");
+    if (!service)
+        return refusal(asked, ErrorCode::UnknownService,
+                       "no service is named " + asked.service.value());
+    const bool once = runsAtMostOnce(*service, asked.method, asked.path);
+    if (once) {
+        if (std::optional<Refuse> refuse = checkKey(asked))
+            return refuse;
+    }
+    const auto running = std::count_if(m_calls.begin(), m_calls.end(), [&](const auto &entry) {
+        return entry.second.organisation == organisation->name;
+    });
+    if (static_cast<std::uint32_t>(running) >= organisation->maxQueued)
+        return refusal(asked, ErrorCode::QueueFull, "too many calls of the organisation wait",
+                       retryAfterFailure);
+    return std::nullopt;
+}
+
+std::optional<Refuse> ServiceSystem::checkKey(const ServiceAsked &asked) const
+{
+    if (asked.idempotencyKey.empty())
+        return refusal(asked, ErrorCode::IdempotencyKeyMissing,
+                       "this call may run at most once and needs an Idempotency-Key");
+    const std::optional<WallTime> created = creationTime(asked.idempotencyKey);
+    const std::int64_t oldest = m_state.wall.value() - m_state.options.ledger.retention.count();
+    if (created && created->value() < oldest) {
+        Refuse refuse = refusal(asked, ErrorCode::IdempotencyKeyExpired,
+                                "the key is older than the ledger remembers");
+        refuse.run = RunOutcome::MayHaveRun;
+        return refuse;
+    }
+    return std::nullopt;
+}
+
+void ServiceSystem::askClaim(ServiceCall &call, TimePoint now, Actions &actions)
+{
+    m_claims.erase(call.ledgerOperation);
+    call.ledgerOperation = m_state.newOperation();
+    call.ledgerAskedAt = now;
+    m_claims[call.ledgerOperation] = call.asked.request;
+    m_askLedger(call.ledgerOperation, segmentOf(call.claim.key), call.claim, now, actions);
+}
+
+void ServiceSystem::ledgerAnswered(OperationId operation, const LedgerReply &reply, TimePoint now,
+                                   Actions &actions)
+{
+    const auto claim = m_claims.find(operation);
+    if (claim != m_claims.end()) {
+        const RequestId request = claim->second;
+        m_claims.erase(claim);
+        claimAnswered(m_calls.at(request), reply, now, actions);
+        return;
+    }
+    if (reply.answer == LedgerAnswer::Unavailable)
+        return;
+    m_notices.erase(
+        std::remove_if(m_notices.begin(), m_notices.end(),
+                       [&](const LedgerNotice &notice) { return notice.operation == operation; }),
+        m_notices.end());
+}
+
+void ServiceSystem::claimAnswered(ServiceCall &call, const LedgerReply &reply, TimePoint now,
+                                  Actions &actions)
+{
+    const RequestId request = call.asked.request;
+    switch (reply.answer) {
+    case LedgerAnswer::Granted:
+    case LedgerAnswer::Recorded:
+        call.phase = CallPhase::Waiting;
+        pump(now, actions);
+        return;
+    case LedgerAnswer::Unavailable:
+        // Asked again with the same claim by the next tick, until the deadline.
+        m_state.counters.add(Counter::LedgerUnavailable);
+        return;
+    case LedgerAnswer::Repeat:
+        m_state.counters.add(Counter::LedgerRepeats);
+        m_state.counters.add(Counter::ServiceCallsAnswered);
+        actions.emplace_back(AnswerService {request, reply.outcome, true});
+        break;
+    case LedgerAnswer::InProgress:
+        refuse(call, ErrorCode::InProgress, "the first call with this key has no outcome yet",
+               RunOutcome::MayHaveRun, retryAfterFailure, actions);
+        break;
+    case LedgerAnswer::KeyReused:
+        refuse(call, ErrorCode::IdempotencyKeyReused, "the key was used for another call",
+               RunOutcome::NotRun, std::nullopt, actions);
+        break;
+    case LedgerAnswer::Full:
+        refuse(call, ErrorCode::LedgerFull, "the ledger has no room", runOfUnsent(call.asked),
+               retryAfterFailure, actions);
+        break;
+    }
+    erase(request);
+}
+
+void ServiceSystem::notify(LedgerRequest request, LedgerVerb verb, TimePoint now, Actions &actions)
+{
+    request.verb = verb;
+    LedgerNotice notice {std::move(request), m_state.newOperation(), now, now + noticeLifetime};
+    m_notices.push_back(notice);
+    m_askLedger(notice.operation, segmentOf(notice.request.key), notice.request, now, actions);
+}
+
+Group *ServiceSystem::serverOf(const ServiceCall &call)
+{
+    for (const GroupIndex index : m_state.groups.ofTarget(call.asked.service.value())) {
+        Group *group = m_state.groups.find(index);
+        if (group->placed.id == call.server)
+            return group;
+    }
+    return nullptr;
+}
+
+void ServiceSystem::pump(TimePoint now, Actions &actions)
+{
+    if (!m_state.envelope)
+        return;
+    for (auto &[request, call] : m_calls) {
+        if (call.phase == CallPhase::Waiting)
+            send(call, now, actions);
+    }
+}
+
+void ServiceSystem::send(ServiceCall &call, TimePoint now, Actions &actions)
+{
+    if (now >= call.deadline)
+        return; // The next tick ends it.
+    const std::optional<GroupIndex> index =
+        chooseGroup(m_state, call.asked.service.value(), call.asked.request.value(), now);
+    if (!index)
+        return;
+    Group &server = *m_state.groups.find(*index);
+    const Vm &vm = *m_state.vms.find(server.placed.members.front());
+    call.phase = CallPhase::Running;
+    call.attempt = AttemptNumber(call.attempt.value() + 1);
+    call.server = server.placed.id;
+    call.vm = vm.record.id;
+    ++server.ownRunning;
+    m_state.counters.add(Counter::AttemptsSent);
+    DispatchService dispatch;
+    dispatch.request = call.asked.request;
+    dispatch.attempt = call.attempt;
+    dispatch.vm = call.vm;
+    dispatch.address = vm.record.address;
+    dispatch.method = call.asked.method;
+    dispatch.path = call.asked.path;
+    dispatch.contentType = call.asked.contentType;
+    dispatch.body = call.asked.body;
+    dispatch.idempotencyKey = call.asked.idempotencyKey;
+    dispatch.timeLimit = call.deadline - now;
+    actions.emplace_back(std::move(dispatch));
+}
+
+void ServiceSystem::endAttempt(const ServiceCall &call)
+{
+    if (Group *server = serverOf(call); server && server->ownRunning > 0)
+        --server->ownRunning;
+}
+
+void ServiceSystem::answered(const ServiceAnswered &answered, TimePoint now, Actions &actions)
+{
+    const auto found = m_calls.find(answered.request);
+    if (found == m_calls.end() || found->second.phase != CallPhase::Running
+        || found->second.attempt != answered.attempt) {
+        m_state.counters.add(Counter::FramesDropped);
+        return;
+    }
+    ServiceCall &call = found->second;
+    endAttempt(call);
+    m_state.counters.add(Counter::ServiceCallsAnswered);
+    actions.emplace_back(AnswerService {answered.request, answered.outcome, false});
+    if (call.once) {
+        call.claim.outcome = answered.outcome;
+        if (call.claim.outcome.body.size() > maxOutcomeBytes) {
+            call.claim.outcome.body.resize(maxOutcomeBytes);
+            call.claim.outcome.cut = true;
+        }
+        notify(call.claim, LedgerVerb::Record, now, actions);
+    }
+    erase(answered.request);
+    pump(now, actions);
+}
+
+bool ServiceSystem::broken(const AttemptBroken &broken, TimePoint now, Actions &actions)
+{
+    const auto found = m_calls.find(broken.request);
+    if (found == m_calls.end())
+        return false;
+    ServiceCall &call = found->second;
+    if (call.phase != CallPhase::Running || call.attempt != broken.attempt) {
+        m_state.counters.add(Counter::FramesDropped);
+        return true;
+    }
+    m_state.counters.add(Counter::AttemptsBroken);
+    if (Group *server = serverOf(call))
+        server->avoidUntil = now + avoidAfterFailure;
+    m_state.vms.suspect(call.vm, now);
+    endAttempt(call);
+    call.mayHaveRun = call.mayHaveRun || broken.sent;
+    const ServiceSpec *spec = findService(m_state.envelope->environment, call.asked.service);
+    const bool repeatable = !call.once && (call.asked.method != "POST" || !broken.sent);
+    const bool mayRetry = repeatable || !broken.sent;
+    const bool allowed = mayRetry && spec && call.retries < spec->retryLimit && now < call.deadline;
+    if (allowed && m_retries[call.asked.service].spend()) {
+        ++call.retries;
+        call.phase = CallPhase::Waiting;
+        m_state.counters.add(Counter::ServiceCallsRetried);
+        pump(now, actions);
+        return true;
+    }
+    if (allowed)
+        m_state.counters.add(Counter::RetriesDenied);
+    if (!call.mayHaveRun) {
+        giveUpUnsent(call, ErrorCode::BackendFailed, "no backend server could be reached", now,
+                     actions);
+        return true;
+    }
+    refuse(call, ErrorCode::BackendFailed, "the backend server gave no whole answer",
+           RunOutcome::MayHaveRun, retryAfterFailure, actions);
+    erase(broken.request);
+    return true;
+}
+
+bool ServiceSystem::callerGone(RequestId request, TimePoint now, Actions &actions)
+{
+    const auto found = m_calls.find(request);
+    if (found == m_calls.end())
+        return false;
+    ServiceCall &call = found->second;
+    // A call that was sent and may run at most once goes on, so that its outcome is recorded.
+    if (call.once && call.phase == CallPhase::Running)
+        return true;
+    m_state.counters.add(Counter::CallersGone);
+    if (call.phase == CallPhase::Running) {
+        actions.emplace_back(CancelAttempt {request, call.attempt});
+        endAttempt(call);
+    }
+    if (call.once)
+        notify(call.claim, LedgerVerb::Abandon, now, actions);
+    erase(request);
+    return true;
+}
+
+void ServiceSystem::refuse(const ServiceCall &call, ErrorCode code, const std::string &message,
+                           RunOutcome run, std::optional<Duration> retryAfter, Actions &actions)
+{
+    m_state.counters.add(Counter::ServiceCallsRefused);
+    Refuse refuse = refusal(call.asked, code, message, retryAfter);
+    refuse.run = run;
+    actions.emplace_back(std::move(refuse));
+}
+
+void ServiceSystem::giveUpUnsent(ServiceCall &call, ErrorCode code, const std::string &message,
+                                 TimePoint now, Actions &actions)
+{
+    RunOutcome run = RunOutcome::NotRun;
+    // Until the ledger answered, an earlier request with this key may have run.
+    if (call.once && call.phase == CallPhase::Claiming)
+        run = runOfUnsent(call.asked);
+    refuse(call, code, message, run, retryAfterFailure, actions);
+    if (call.once)
+        notify(call.claim, LedgerVerb::Abandon, now, actions);
+    erase(call.asked.request);
+}
+
+void ServiceSystem::erase(RequestId request)
+{
+    const auto found = m_calls.find(request);
+    m_claims.erase(found->second.ledgerOperation);
+    m_calls.erase(found);
+}
+
+void ServiceSystem::tick(TimePoint now, Actions &actions)
+{
+    const Duration askTimeout = m_state.options.ledgerAskTimeout;
+    std::vector<RequestId> requests;
+    for (const auto &[request, call] : m_calls)
+        requests.push_back(request);
+    for (const RequestId request : requests) {
+        const auto found = m_calls.find(request);
+        if (found == m_calls.end())
+            continue;
+        ServiceCall &call = found->second;
+        if (now >= call.deadline && call.phase == CallPhase::Running) {
+            actions.emplace_back(CancelAttempt {request, call.attempt});
+            endAttempt(call);
+            refuse(call, ErrorCode::DeadlineExceeded, "the answer took too long",
+                   RunOutcome::MayHaveRun, retryAfterFailure, actions);
+            erase(request);
+        } else if (now >= call.deadline) {
+            const bool claiming = call.phase == CallPhase::Claiming;
+            if (call.mayHaveRun) {
+                refuse(call, ErrorCode::DeadlineExceeded, "the answer took too long",
+                       RunOutcome::MayHaveRun, retryAfterFailure, actions);
+                erase(request);
+                continue;
+            }
+            giveUpUnsent(call, claiming ? ErrorCode::LedgerUnavailable : ErrorCode::NoCapacity,
+                         claiming ? "the ledger gave no certain answer"
+                                  : "no backend server has room",
+                         now, actions);
+        } else if (call.phase == CallPhase::Claiming && now - call.ledgerAskedAt >= askTimeout) {
+            askClaim(call, now, actions);
+        }
+    }
+    for (LedgerNotice &notice : m_notices) {
+        if (now - notice.askedAt < askTimeout)
+            continue;
+        notice.askedAt = now;
+        notice.operation = m_state.newOperation();
+        m_askLedger(notice.operation, segmentOf(notice.request.key), notice.request, now, actions);
+    }
+    m_notices.erase(
+        std::remove_if(m_notices.begin(), m_notices.end(),
+                       [&](const LedgerNotice &notice) { return now >= notice.giveUpAt; }),
+        m_notices.end());
+    pump(now, actions);
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/coordination/shared_system.cpp
@@ -0,0 +1,153 @@
+#include "coordination/shared_system.h"
+
+#include "core/rendezvous_func.h"
+
+#include <algorithm>
+
+namespace bramleypitch {
+
+SharedSystem::SharedSystem(NodeState &state)
+    : m_state(state)
+{
+}
+
+bool SharedSystem::isWatcher(TimePoint now) const
+{
+    std::vector<MemberEntry> sameZone;
+    for (MemberEntry &entry : m_state.members.alive(now, true)) {
+        if (entry.zone == m_state.options.zone)
+            sameZone.push_back(std::move(entry));
+    }
+    const auto name = [](const MemberEntry &entry) { return entry.node.value(); };
+    const auto order = rendezvousOrder("watch", sameZone, name);
+    for (std::size_t i = 0; i < order.size() && i < m_state.options.watchersPerZone; ++i) {
+        if (order[i].node == m_state.options.node)
+            return true;
+    }
+    return false;
+}
+
+std::vector<std::string> SharedSystem::sharedRead(const SharedRead &read)
+{
+    if (!read.ok || read.operation != m_readOperation)
+        return {};
+    Revision through = m_readAbove;
+    for (const SharedValue &value : read.values)
+        through = std::max(through, value.revision);
+    return m_state.shared.merge(read.values, through, read.sentAt);
+}
+
+void SharedSystem::sharedWatched(const SharedWatched &watched, TimePoint now, Actions &actions)
+{
+    if (watched.ended) {
+        m_watching = false;
+        return;
+    }
+    m_state.readSharedSoon = true;
+    readShared(now, actions);
+}
+
+std::vector<std::string> SharedSystem::sharedPulled(const SharedPulled &pulled)
+{
+    if (!pulled.known)
+        return {};
+    return m_state.shared.merge(pulled.values, pulled.newest, pulled.sentAt - pulled.evidenceAge);
+}
+
+void SharedSystem::leaseRenewed(const LeaseRenewed &renewed, Actions &actions)
+{
+    if (!renewed.ok)
+        return;
+    if (renewed.incarnation != m_state.lease.incarnation) {
+        m_state.lease.incarnation = renewed.incarnation;
+        m_state.members.setIncarnation(renewed.incarnation);
+        actions.emplace_back(
+            LogChange {"lease_granted", std::to_string(renewed.incarnation.value())});
+    }
+    m_state.lease.validUntil = renewed.sentAt + renewed.timeToLive - m_state.options.leaseMargin;
+}
+
+void SharedSystem::heartbeat(const HeartbeatReceived &received, TimePoint now, Actions &actions)
+{
+    const Heartbeat &heartbeat = received.heartbeat;
+    m_state.counters.add(Counter::HeartbeatsReceived);
+    m_state.members.merge(heartbeat.members, now);
+    if (!heartbeat.known)
+        return;
+    const bool ahead = heartbeat.newest > m_state.shared.newest() || !m_state.shared.known();
+    if (ahead) {
+        const Member *peer = m_state.members.find(heartbeat.from);
+        if (!peer)
+            return;
+        m_state.counters.add(Counter::SharedPulls);
+        actions.emplace_back(PullShared {peer->entry.peerAddress, m_state.shared.newest()});
+        return;
+    }
+    // Only of a reply is it known when, by this clock, its evidence was at the latest given.
+    if (received.isReply && heartbeat.newest == m_state.shared.newest())
+        m_state.shared.merge({}, heartbeat.newest, received.sentAt - heartbeat.evidenceAge);
+}
+
+Heartbeat SharedSystem::ownHeartbeat(TimePoint now) const
+{
+    Heartbeat heartbeat;
+    heartbeat.from = m_state.options.node;
+    heartbeat.members = m_state.members.digest(now);
+    heartbeat.newest = m_state.shared.newest();
+    heartbeat.known = m_state.shared.known();
+    heartbeat.evidenceAge = now - m_state.shared.evidence();
+    return heartbeat;
+}
+
+void SharedSystem::renewLease(TimePoint now, Actions &actions)
+{
+    if (m_state.stopping || (m_started && now - m_renewAt < m_state.options.leaseRenewInterval))
+        return;
+    m_renewAt = now;
+    m_state.counters.add(Counter::PlatformWrites);
+    actions.emplace_back(RenewLease {m_state.newOperation(), m_state.members.self()});
+}
+
+void SharedSystem::readShared(TimePoint now, Actions &actions)
+{
+    const bool due = !m_started || now - m_readAt >= m_state.options.sharedReadInterval;
+    // A node that knows nothing yet, or lost touch with its watchers, reads for itself.
+    const bool alone = !m_state.shared.known()
+        || now - m_state.shared.evidence() >= m_state.options.configurationFreshness / 2;
+    if (!m_state.readSharedSoon && (!due || (!alone && !isWatcher(now))))
+        return;
+    m_state.readSharedSoon = false;
+    if (!m_watching && isWatcher(now)) {
+        m_watching = true;
+        actions.emplace_back(WatchShared {m_state.shared.newest()});
+    }
+    m_readAt = now;
+    m_readAbove = m_state.shared.newest();
+    m_readOperation = m_state.newOperation();
+    m_state.counters.add(Counter::PlatformReads);
+    actions.emplace_back(ReadShared {m_readOperation, m_readAbove});
+}
+
+void SharedSystem::sendHeartbeats(TimePoint now, Actions &actions)
+{
+    if (m_started && now - m_heartbeatAt < m_state.options.heartbeatInterval)
+        return;
+    m_heartbeatAt = now;
+    m_state.members.tick(now);
+    m_state.members.setLeaving(m_state.stopping);
+    const Heartbeat heartbeat = ownHeartbeat(now);
+    for (const MemberEntry &target : m_state.members.targets(now, m_state.random)) {
+        m_state.counters.add(Counter::HeartbeatsSent);
+        actions.emplace_back(SendHeartbeat {target.peerAddress, target.node, heartbeat});
+    }
+}
+
+void SharedSystem::tick(TimePoint now, Actions &actions)
+{
+    renewLease(now, actions);
+    readShared(now, actions);
+    sendHeartbeats(now, actions);
+    m_started = true;
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/core/counter_type.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace bramleypitch {
+
+/// Everything the decision library counts. Names and help texts stand in table/counter_table.h.
+enum class Counter : std::uint8_t {
+    CompletionsAsked,
+    CompletionsWhole,
+    CompletionsResumed,
+    CompletionsRefused,
+    CompletionsBroken,
+    CallersGone,
+    AttemptsSent,
+    AttemptsBroken,
+    FramesDropped,
+    TokensDelivered,
+    RetriesDenied,
+    ServiceCallsAsked,
+    ServiceCallsAnswered,
+    ServiceCallsRefused,
+    ServiceCallsRetried,
+    LedgerRepeats,
+    LedgerUnavailable,
+    LedgerWrites,
+    PlatformReads,
+    PlatformWrites,
+    SwapConflicts,
+    SwapUnknown,
+    ProbesSent,
+    ProbesFailed,
+    OrdersSent,
+    GroupsFormed,
+    GroupsDissolved,
+    HeartbeatsSent,
+    HeartbeatsReceived,
+    SharedPulls,
+    ColdRefusals,
+    Count, ///< Not a counter: how many there are.
+};
+
+/// The counters of one node. They only rise.
+class Counters
+{
+public:
+    void add(Counter counter, std::uint64_t amount = 1)
+    {
+        m_values[static_cast<std::size_t>(counter)] += amount;
+    }
+    std::uint64_t value(Counter counter) const
+    {
+        return m_values[static_cast<std::size_t>(counter)];
+    }
+
+private:
+    std::array<std::uint64_t, static_cast<std::size_t>(Counter::Count)> m_values {};
+};
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/core/pool_type.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace bramleypitch {
+
+/// A table of entities with stable typed indices; freed slots are reused.
+/// `Index` is a StrongType over std::uint32_t. Systems walk it with forEach.
+template<typename Entity, typename Index>
+class Pool
+{
+public:
+    /// Puts an entity into the first free slot and returns its index.
+    Index insert(Entity entity)
+    {
+        if (m_free.empty()) {
+            m_slots.push_back(std::move(entity));
+            ++m_size;
+            return Index(static_cast<std::uint32_t>(m_slots.size() - 1));
+        }
+        const std::uint32_t slot = m_free.back();
+        m_free.pop_back();
+        m_slots[slot] = std::move(entity);
+        ++m_size;
+        return Index(slot);
+    }
+
+    /// The entity, or null where the slot is free or never was used.
+    Entity *find(Index index)
+    {
+        if (index.value() >= m_slots.size() || !m_slots[index.value()])
+            return nullptr;
+        return &*m_slots[index.value()];
+    }
+
+    /// Frees the slot; unknown indices are ignored.
+    void erase(Index index)
+    {
+        if (!find(index))
+            return;
+        m_slots[index.value()].reset();
+        m_free.push_back(index.value());
+        --m_size;
+    }
+
+    /// Calls visit(Index, Entity &) for every entity, in index order.
+    template<typename Visit>
+    void forEach(Visit visit)
+    {
+        for (std::uint32_t slot = 0; slot < m_slots.size(); ++slot) {
+            if (m_slots[slot])
+                visit(Index(slot), *m_slots[slot]);
+        }
+    }
+
+    std::size_t size() const { return m_size; }
+
+private:
+    std::vector<std::optional<Entity>> m_slots;
+    std::vector<std::uint32_t> m_free;
+    std::size_t m_size = 0;
+};
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/core/rendezvous_func.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bramleypitch {
+
+/// 64-bit hash of some bytes (XXH3); the same on every node.
+std::uint64_t stableHash(std::string_view bytes, std::uint64_t seed = 0);
+
+/// The weight of a candidate for a key in rendezvous hashing (Thaler and Ravishankar, 1998).
+std::uint64_t rendezvousWeight(std::string_view key, std::string_view candidate);
+
+/// Orders candidates for a key, highest weight first. `nameOf` gives a candidate's name as
+/// something convertible to std::string_view.
+template<typename Candidate, typename NameOf>
+std::vector<Candidate> rendezvousOrder(std::string_view key,
+                                       const std::vector<Candidate> &candidates, NameOf nameOf)
+{
+    std::vector<std::pair<std::uint64_t, Candidate>> weighted;
+    weighted.reserve(candidates.size());
+    for (const Candidate &candidate : candidates)
+        weighted.emplace_back(rendezvousWeight(key, nameOf(candidate)), candidate);
+    std::stable_sort(weighted.begin(), weighted.end(),
+                     [](const auto &a, const auto &b) { return a.first > b.first; });
+    std::vector<Candidate> ordered;
+    ordered.reserve(weighted.size());
+    for (auto &entry : weighted)
+        ordered.push_back(std::move(entry.second));
+    return ordered;
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/core/strong_type.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace bramleypitch {
+
+/// A value of representation `Rep` that does not mix with values of another `Tag`.
+template<typename Tag, typename Rep>
+class StrongType
+{
+public:
+    StrongType() = default;
+    explicit StrongType(Rep value)
+        : m_value(std::move(value))
+    {
+    }
+
+    /// The plain value, for printing, hashing and serialization.
+    const Rep &value() const { return m_value; }
+
+    auto operator<=>(const StrongType &) const = default;
+
+private:
+    Rep m_value {};
+};
+
+/// JSON holds the plain value.
+template<typename Tag, typename Rep>
+void to_json(nlohmann::json &json, const StrongType<Tag, Rep> &strong)
+{
+    json = strong.value();
+}
+
+/// Reads the plain value back; throws nlohmann::json::type_error on another JSON type.
+template<typename Tag, typename Rep>
+void from_json(const nlohmann::json &json, StrongType<Tag, Rep> &strong)
+{
+    strong = StrongType<Tag, Rep>(json.get<Rep>());
+}
+
+using VmId = StrongType<struct VmIdTag, std::string>; ///< A VM of the platform's VM list.
+using NodeId = StrongType<struct NodeIdTag, std::string>; ///< One entry VM's process.
+using ZoneId = StrongType<struct ZoneIdTag, std::string>; ///< An availability zone.
+using DomainId = StrongType<struct DomainIdTag, std::string>; ///< A fabric domain.
+using OrganisationId = StrongType<struct OrganisationIdTag, std::string>;
+using ModelGroupId = StrongType<struct ModelGroupIdTag, std::string>;
+using ServiceId = StrongType<struct ServiceIdTag, std::string>;
+using EnvironmentId = StrongType<struct EnvironmentIdTag, std::string>;
+using GroupId = StrongType<struct GroupIdTag, std::string>; ///< One formed group of VMs.
+using BootId = StrongType<struct BootIdTag, std::string>; ///< Changes whenever an engine restarts.
+using Address = StrongType<struct AddressTag, std::string>; ///< "IP:PORT".
+using Nonce = StrongType<struct NonceTag, std::string>; ///< Names one write or claim attempt.
+
+using Generation = StrongType<struct GenerationTag, std::uint64_t>; ///< Fencing number of orders.
+using Revision = StrongType<struct RevisionTag, std::int64_t>; ///< Store revision; 0 is "absent".
+using Incarnation = StrongType<struct IncarnationTag, std::int64_t>; ///< One life of a node.
+using RequestId = StrongType<struct RequestIdTag, std::uint64_t>;
+using AttemptNumber = StrongType<struct AttemptNumberTag, std::uint32_t>;
+using OperationId = StrongType<struct OperationIdTag, std::uint64_t>; ///< Pairs action and reply.
+using SegmentIndex = StrongType<struct SegmentIndexTag, std::uint32_t>; ///< A ledger segment.
+
+} // namespace bramleypitch
+
+/// Hashes the plain value, so that strong types can key unordered containers.
+template<typename Tag, typename Rep>
+struct std::hash<bramleypitch::StrongType<Tag, Rep>>
+{
+    std::size_t operator()(const bramleypitch::StrongType<Tag, Rep> &strong) const
+    {
+        return std::hash<Rep>()(strong.value());
+    }
+};
--- /dev/null
+++ b/src/network/caller_api.cpp
@@ -0,0 +1,227 @@
+#include "network/caller_api.h"
+
+#include "core/error_type.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace bramleypitch {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint32_t maxTokensAllowed = 32'768;
+constexpr std::uint32_t defaultMaxTokens = 16;
+constexpr std::uint32_t maxPriority = 100;
+constexpr std::int64_t maxDeadlineMillis = 3'600'000;
+constexpr std::string_view bearer = "Bearer ";
+constexpr std::string_view servicesPath = "/services/";
+constexpr int millisecondsPerSecond = 1'000;
+
+std::string bearerKey(const HttpRequest &request)
+{
+    const std::string header = request.header("Authorization");
+    if (header.rfind(bearer, 0) != 0)
+        return {};
+    return header.substr(bearer.size());
+}
+
+std::string dumpText(const json &value)
+{
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+void checkBody(const HttpRequest &request)
+{
+    if (request.bodyTooLarge)
+        throw Failure(ErrorCode::BodyTooLarge, "the body has more than 1048576 bytes");
+}
+
+[[noreturn]] void malformed(const std::string &message)
+{
+    throw Failure(ErrorCode::MalformedRequest, message);
+}
+
+std::uint32_t boundedNumber(const json &body, const char *field, std::uint32_t fallback,
+                            std::uint32_t least, std::uint32_t most)
+{
+    const auto found = body.find(field);
+    if (found == body.end() || found->is_null())
+        return fallback;
+    if (!found->is_number_integer())
+        malformed(std::string(field) + " must be a whole number");
+    const auto value = found->get<std::int64_t>();
+    if (value < least || value > most)
+        malformed(std::string(field) + " must be from " + std::to_string(least) + " to "
+                  + std::to_string(most));
+    return static_cast<std::uint32_t>(value);
+}
+
+std::string promptOf(const json &body)
+{
+    const auto messages = body.find("messages");
+    if (messages == body.end() || !messages->is_array() || messages->empty())
+        malformed("messages must be a list that is not empty");
+    std::string prompt;
+    for (const json &message : *messages) {
+        if (!message.is_object() || !message.contains("role") || !message["role"].is_string()
+            || !message.contains("content") || !message["content"].is_string())
+            malformed("each message must have a role and a content, both texts");
+        prompt += message["role"].get_ref<const std::string &>();
+        prompt += ": ";
+        prompt += message["content"].get_ref<const std::string &>();
+        prompt += '\n';
+    }
+    return prompt;
+}
+
+int statusOf(ErrorCode code)
+{
+    switch (code) {
+    case ErrorCode::MalformedRequest:
+    case ErrorCode::IdempotencyKeyMissing:
+        return 400;
+    case ErrorCode::Unauthorized:
+        return 401;
+    case ErrorCode::UnknownModel:
+    case ErrorCode::UnknownService:
+    case ErrorCode::UnknownPath:
+        return 404;
+    case ErrorCode::InProgress:
+        return 409;
+    case ErrorCode::BodyTooLarge:
+        return 413;
+    case ErrorCode::IdempotencyKeyReused:
+    case ErrorCode::IdempotencyKeyExpired:
+        return 422;
+    case ErrorCode::QueueFull:
+    case ErrorCode::RateLimited:
+    case ErrorCode::DeadlineUnreachable:
+        return 429;
+    case ErrorCode::BackendFailed:
+        return 502;
+    case ErrorCode::DeadlineExceeded:
+        return 504;
+    case ErrorCode::Internal:
+        return 500;
+    default:
+        return 503;
+    }
+}
+
+json errorJson(const Refuse &refuse)
+{
+    return {{"error",
+             {{"type", errorName(refuse.code)},
+              {"message", refuse.message},
+              {"run", refuse.run == RunOutcome::NotRun ? "not_run" : "may_have_run"}}}};
+}
+
+} // namespace
+
+ParsedCompletion parseCompletion(const HttpRequest &request)
+{
+    checkBody(request);
+    const json body = json::parse(request.body, nullptr, false);
+    if (body.is_discarded())
+        malformed("the body is not JSON");
+    if (!body.is_object() || !body.contains("model") || !body["model"].is_string())
+        malformed("model must be a text");
+    ParsedCompletion parsed;
+    parsed.asked.request = RequestId(request.exchange.value());
+    parsed.asked.key = bearerKey(request);
+    parsed.asked.model = ModelGroupId(body["model"].get<std::string>());
+    parsed.asked.prompt = promptOf(body);
+    parsed.asked.maxTokens =
+        boundedNumber(body, "max_tokens", defaultMaxTokens, 1, maxTokensAllowed);
+    parsed.asked.priority = boundedNumber(body, "priority", 0, 0, maxPriority);
+    if (body.contains("first_token_deadline_ms"))
+        parsed.asked.firstTokenDeadline =
+            Duration(boundedNumber(body, "first_token_deadline_ms", 1, 1, maxDeadlineMillis));
+    if (body.contains("stream") && !body["stream"].is_boolean())
+        malformed("stream must be true or false");
+    parsed.stream = body.value("stream", false);
+    return parsed;
+}
+
+ServiceAsked parseServiceCall(const HttpRequest &request)
+{
+    checkBody(request);
+    const std::string rest = request.path.substr(servicesPath.size());
+    const std::size_t slash = rest.find('/');
+    ServiceAsked asked;
+    asked.request = RequestId(request.exchange.value());
+    asked.key = bearerKey(request);
+    asked.service = ServiceId(rest.substr(0, slash));
+    if (asked.service.value().empty())
+        malformed("the path names no service");
+    if (request.method == "UNKNOWN")
+        malformed("the method is not supported");
+    asked.method = request.method;
+    asked.path = slash == std::string::npos ? "/" : rest.substr(slash);
+    if (!request.query.empty())
+        asked.path += "?" + request.query;
+    asked.contentType = request.header("Content-Type");
+    asked.body = request.body;
+    asked.idempotencyKey = request.header("Idempotency-Key");
+    asked.firstAttempt = request.header("Idempotency-Attempt") == "1";
+    return asked;
+}
+
+RefusalText refusalText(const Refuse &refuse)
+{
+    RefusalText text;
+    text.status = statusOf(refuse.code);
+    text.body = dumpText(errorJson(refuse));
+    if (refuse.retryAfter) {
+        const auto seconds =
+            (refuse.retryAfter->count() + millisecondsPerSecond - 1) / millisecondsPerSecond;
+        text.headers.emplace_back("Retry-After",
+                                  std::to_string(std::max<std::int64_t>(1, seconds)));
+    }
+    return text;
+}
+
+CompletionWriter::CompletionWriter(RequestId request, std::string model, WallTime created)
+    : m_id("chatcmpl-" + std::to_string(request.value()))
+    , m_model(std::move(model))
+    , m_created(created)
+{
+    m_head = "data: {\"id\":" + dumpText(m_id)
+        + ",\"object\":\"chat.completion.chunk\",\"created\":"
+        + std::to_string(m_created.value() / millisecondsPerSecond)
+        + ",\"model\":" + dumpText(m_model) + ",\"choices\":[{\"index\":0,\"delta\":";
+}
+
+std::string CompletionWriter::tokenEvent(const std::string &token) const
+{
+    return m_head + "{\"content\":" + dumpText(token) + "},\"finish_reason\":null}]}\n\n";
+}
+
+std::string CompletionWriter::endEvents() const
+{
+    return m_head + "{},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n";
+}
+
+std::string CompletionWriter::errorEvent(const Refuse &refuse)
+{
+    return "data: " + dumpText(errorJson(refuse)) + "\n\n";
+}
+
+std::string CompletionWriter::wholeBody(const std::string &text, std::uint32_t tokens) const
+{
+    const json body {{"id", m_id},
+                     {"object", "chat.completion"},
+                     {"created", m_created.value() / millisecondsPerSecond},
+                     {"model", m_model},
+                     {"choices",
+                      {{{"index", 0},
+                        {"message", {{"role", "assistant"}, {"content", text}}},
+                        {"finish_reason", "stop"}}}},
+                     {"usage", {{"completion_tokens", tokens}}}};
+    return dumpText(body);
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/network/daemon.cpp
@@ -0,0 +1,468 @@
+#include "network/daemon.h"
+
+#include "core/error_type.h"
+#include "network/log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bramleypitch {
+
+namespace {
+
+using nlohmann::json;
+
+/// Operations that the daemon numbers for peers lie above all that the node numbers itself.
+constexpr std::uint64_t firstPeerOperation = std::uint64_t {1} << 62;
+constexpr const char *jsonType = "application/json";
+constexpr const char *streamType = "text/event-stream";
+constexpr const char *metricsType = "text/plain; version=0.0.4";
+
+SwapDone toEvent(OperationId operation, const StoreSwap &swap)
+{
+    SwapDone done;
+    done.operation = operation;
+    done.outcome = swap.outcome == StoreSwapOutcome::Written ? SwapOutcome::Written
+        : swap.outcome == StoreSwapOutcome::Conflict         ? SwapOutcome::Conflict
+                                                             : SwapOutcome::Unknown;
+    done.revision = swap.revision;
+    done.value = swap.value;
+    return done;
+}
+
+std::string queryValue(const std::string &query, const std::string &name)
+{
+    std::size_t start = 0;
+    while (start < query.size()) {
+        const std::size_t end = std::min(query.find('&', start), query.size());
+        const std::string pair = query.substr(start, end - start);
+        if (pair.rfind(name + "=", 0) == 0)
+            return pair.substr(name.size() + 1);
+        start = end + 1;
+    }
+    return {};
+}
+
+Refuse refusalOf(const HttpRequest &request, const Failure &failure)
+{
+    Refuse refuse;
+    refuse.request = RequestId(request.exchange.value());
+    refuse.code = failure.code();
+    refuse.message = failure.what();
+    return refuse;
+}
+
+} // namespace
+
+Daemon::Daemon(EventLoop &loop, DaemonOptions options)
+    : m_loop(loop)
+    , m_options(std::move(options))
+    , m_node(m_options.node)
+    , m_http(loop)
+    , m_platform(loop, m_http, m_options.platform, m_options.vmList)
+    , m_lease(loop, m_platform,
+              nodePrefix(m_options.node.environment) + m_options.node.node.value(),
+              m_options.leaseTime, [this](const LeaseRenewed &renewed) { post(renewed); })
+    , m_engines(loop, m_http, m_options.node.node.value(),
+                [this](const Event &event) { post(event); })
+    , m_peers(m_http)
+    , m_server(loop, maxCallerBody)
+    , m_peerServer(loop, peerHooks())
+    , m_tick(loop, [this] { post(Tick {m_loop.wall()}); })
+    , m_lastPeerOperation(firstPeerOperation)
+{
+    m_server.setRequestHook([this](const HttpRequest &request) { requestCame(request); });
+    m_server.setGoneHook([this](ExchangeId exchange) {
+        const RequestId request(exchange.value());
+        m_callers.erase(request);
+        m_serviceCallers.erase(request);
+        post(CallerGone {request});
+    });
+}
+
+void Daemon::start()
+{
+    m_server.listen(m_options.node.entryAddress);
+    m_peerServer.listen(m_options.node.peerAddress);
+    m_tick.startRepeating(m_options.tickInterval);
+    logLine(LogLevel::Info, "started",
+            {{"listen", m_options.node.entryAddress.value()},
+             {"peer_listen", m_options.node.peerAddress.value()},
+             {"environment", m_options.node.environment.value()},
+             {"availability_zone", m_options.node.zone.value()}});
+    post(Tick {m_loop.wall()});
+}
+
+void Daemon::stop()
+{
+    post(StopAsked {});
+}
+
+void Daemon::post(Event event)
+{
+    // An action may bring the next event at once; it waits until this one is done with.
+    m_events.push_back(std::move(event));
+    if (m_handling)
+        return;
+    m_handling = true;
+    while (!m_events.empty()) {
+        const Event next = std::move(m_events.front());
+        m_events.pop_front();
+        perform(m_node.handle(next, m_loop.now()));
+    }
+    m_handling = false;
+}
+
+void Daemon::perform(const Actions &actions)
+{
+    for (const Action &action : actions)
+        std::visit([this](const auto &specific) { perform(specific); }, action);
+}
+
+void Daemon::perform(const ReadShared &read)
+{
+    const TimePoint sentAt = m_loop.now();
+    m_platform.readPrefix(sharedPrefix, read.above,
+                          [this, operation = read.operation, sentAt](const StoreRead &result) {
+                              post(SharedRead {operation, result.ok, result.values, sentAt});
+                          });
+}
+
+void Daemon::perform(const WatchShared &watch)
+{
+    m_platform.watchPrefix(
+        sharedPrefix, watch.above, [this] { post(SharedWatched {false}); },
+        [this] { post(SharedWatched {true}); });
+}
+
+void Daemon::perform(const ReadNodes &read)
+{
+    m_platform.readPrefix(nodePrefix(m_options.node.environment), Revision(0),
+                          [this, operation = read.operation](const StoreRead &result) {
+                              post(NodesRead {operation, result.ok, parseNodeRecords(result)});
+                          });
+}
+
+void Daemon::perform(const ReadKey &read)
+{
+    m_platform.readKey(read.key, [this, operation = read.operation](const StoreRead &result) {
+        KeyRead done;
+        done.operation = operation;
+        done.ok = result.ok;
+        if (!result.values.empty()) {
+            done.revision = result.values.front().revision;
+            done.value = result.values.front().value;
+        }
+        post(std::move(done));
+    });
+}
+
+void Daemon::perform(const CompareAndSwap &swap)
+{
+    m_platform.compareAndSwap(swap.key, swap.expected, swap.value, 0,
+                              [this, operation = swap.operation](const StoreSwap &result) {
+                                  post(toEvent(operation, result));
+                              });
+}
+
+void Daemon::perform(const RenewLease &renew)
+{
+    m_lease.renew(renew);
+}
+
+void Daemon::perform(const ReleaseLease &)
+{
+    m_lease.release([this] {
+        logLine(LogLevel::Info, "stopped", {});
+        m_loop.stop();
+    });
+}
+
+void Daemon::perform(const ReadVmList &read)
+{
+    m_platform.readVmList(
+        [this, operation = read.operation](const std::optional<std::vector<VmRecord>> &vms) {
+            post(VmListRead {operation, vms.has_value(), vms.value_or(std::vector<VmRecord>())});
+        });
+}
+
+void Daemon::perform(const SendProbe &probe)
+{
+    m_engines.probe(probe, m_options.node.probeTimeout);
+}
+
+void Daemon::perform(const SendOrder &order)
+{
+    m_engines.order(order, m_options.node.orderTimeout);
+}
+
+void Daemon::perform(const SendHeartbeat &send)
+{
+    const TimePoint sentAt = m_loop.now();
+    m_peers.heartbeat(send.peer, send.heartbeat, [this, sentAt](const Heartbeat &reply) {
+        post(HeartbeatReceived {reply, sentAt, true});
+    });
+}
+
+void Daemon::perform(const PullShared &pull)
+{
+    const TimePoint sentAt = m_loop.now();
+    m_peers.pull(pull.peer, pull.above, [this, sentAt](SharedPulled pulled) {
+        pulled.sentAt = sentAt;
+        post(std::move(pulled));
+    });
+}
+
+void Daemon::perform(const SendLedger &ask)
+{
+    m_peers.ledger(ask.peer, ask.segment, ask.request,
+                   [this, operation = ask.operation](const std::optional<LedgerReply> &reply) {
+                       post(LedgerAnswered {operation, reply.value_or(LedgerReply())});
+                   });
+}
+
+void Daemon::perform(const AnswerLedger &answer)
+{
+    const auto found = m_ledgerAskers.find(answer.operation);
+    if (found == m_ledgerAskers.end())
+        return;
+    const auto reply = std::move(found->second);
+    m_ledgerAskers.erase(found);
+    reply(answer.reply);
+}
+
+void Daemon::perform(const DispatchEngine &dispatch)
+{
+    m_engines.dispatch(dispatch);
+}
+
+void Daemon::perform(const DispatchService &dispatch)
+{
+    m_engines.dispatch(dispatch);
+}
+
+void Daemon::perform(const CancelAttempt &cancel)
+{
+    m_engines.cancel(cancel);
+}
+
+void Daemon::perform(const AnswerToken &token)
+{
+    const auto found = m_callers.find(token.request);
+    if (found == m_callers.end())
+        return;
+    Caller &caller = found->second;
+    const TimePoint now = m_loop.now();
+    if (caller.lastTokenAt == TimePoint())
+        m_distributions.firstToken.add(static_cast<double>((now - caller.arrivedAt).count()));
+    else
+        m_distributions.betweenTokens.add(static_cast<double>((now - caller.lastTokenAt).count()));
+    caller.lastTokenAt = now;
+    if (!caller.stream) {
+        caller.text += token.text;
+        return;
+    }
+    const ExchangeId exchange(token.request.value());
+    if (!caller.started) {
+        caller.started = true;
+        m_server.startStream(exchange, 200, streamType);
+    }
+    m_server.sendPiece(exchange, caller.writer.tokenEvent(token.text));
+}
+
+void Daemon::perform(const AnswerEnd &end)
+{
+    const auto found = m_callers.find(end.request);
+    if (found == m_callers.end())
+        return;
+    const Caller caller = std::move(found->second);
+    m_callers.erase(found);
+    const ExchangeId exchange(end.request.value());
+    if (!caller.stream) {
+        m_server.reply(exchange, 200, jsonType, caller.writer.wholeBody(caller.text, end.tokens));
+        return;
+    }
+    m_server.startStream(exchange, 200, streamType);
+    m_server.sendPiece(exchange, caller.writer.endEvents());
+    m_server.endStream(exchange);
+}
+
+void Daemon::perform(const AnswerService &answer)
+{
+    const auto found = m_serviceCallers.find(answer.request);
+    if (found == m_serviceCallers.end())
+        return;
+    m_distributions.serviceCall.add(static_cast<double>((m_loop.now() - found->second).count()));
+    m_serviceCallers.erase(found);
+    HttpHeaders headers;
+    if (answer.repeated)
+        headers.emplace_back("Idempotency-Replayed", "true");
+    if (answer.outcome.cut)
+        headers.emplace_back("Idempotency-Body-Cut", "true");
+    m_server.reply(ExchangeId(answer.request.value()), answer.outcome.status,
+                   answer.outcome.contentType, answer.outcome.body, headers);
+}
+
+void Daemon::perform(const Refuse &refuse)
+{
+    const ExchangeId exchange(refuse.request.value());
+    const auto found = m_callers.find(refuse.request);
+    const bool started = found != m_callers.end() && found->second.started;
+    m_callers.erase(refuse.request);
+    m_serviceCallers.erase(refuse.request);
+    if (started) {
+        // The status is out already: the error event and the missing [DONE] say it.
+        m_server.sendPiece(exchange, CompletionWriter::errorEvent(refuse));
+        m_server.endStream(exchange);
+        return;
+    }
+    const RefusalText text = refusalText(refuse);
+    m_server.reply(exchange, text.status, jsonType, text.body, text.headers);
+}
+
+void Daemon::perform(const LogChange &change)
+{
+    logLine(LogLevel::Info, change.event, {{"detail", change.detail}});
+}
+
+void Daemon::perform(const Stopped &)
+{
+    // The loop ends once the lease is given up.
+}
+
+PeerHooks Daemon::peerHooks()
+{
+    PeerHooks hooks;
+    hooks.heartbeat = [this](const Heartbeat &heartbeat) {
+        post(HeartbeatReceived {heartbeat, m_loop.now(), false});
+        return m_node.heartbeatReply(m_loop.now());
+    };
+    hooks.pull = [this](Revision above) {
+        const NodeState &state = m_node.state();
+        SharedPulled pulled;
+        pulled.values = m_node.sharedSince(above);
+        pulled.newest = state.shared.newest();
+        pulled.known = state.shared.known();
+        pulled.evidenceAge = m_loop.now() - state.shared.evidence();
+        return pulled;
+    };
+    hooks.ledger = [this](SegmentIndex segment, const LedgerRequest &request,
+                          std::function<void(const LedgerReply &)> reply) {
+        const OperationId operation(++m_lastPeerOperation);
+        m_ledgerAskers[operation] = std::move(reply);
+        post(LedgerAsked {operation, segment, request});
+    };
+    return hooks;
+}
+
+void Daemon::requestCame(const HttpRequest &request)
+{
+    if (request.path == "/v1/chat/completions" && request.method == "POST")
+        completionCame(request);
+    else if (request.path.rfind("/services/", 0) == 0)
+        serviceCame(request);
+    else if (request.path == "/v1/entries" && request.method == "GET")
+        replyEntries(request);
+    else if (request.path == "/healthz" && request.method == "GET")
+        replyHealth(request);
+    else if (request.path == "/metrics" && request.method == "GET")
+        replyMetrics(request);
+    else if (request.path == "/status" && request.method == "GET")
+        replyStatus(request);
+    else
+        perform(refusalOf(request,
+                          Failure(ErrorCode::UnknownPath, "nothing is served at " + request.path)));
+}
+
+void Daemon::completionCame(const HttpRequest &request)
+{
+    try {
+        ParsedCompletion parsed = parseCompletion(request);
+        Caller caller;
+        caller.stream = parsed.stream;
+        caller.arrivedAt = m_loop.now();
+        caller.writer =
+            CompletionWriter(parsed.asked.request, parsed.asked.model.value(), m_loop.wall());
+        m_callers[parsed.asked.request] = std::move(caller);
+        post(std::move(parsed.asked));
+    } catch (const Failure &failure) {
+        perform(refusalOf(request, failure));
+    }
+}
+
+void Daemon::serviceCame(const HttpRequest &request)
+{
+    try {
+        ServiceAsked asked = parseServiceCall(request);
+        m_serviceCallers[asked.request] = m_loop.now();
+        post(std::move(asked));
+    } catch (const Failure &failure) {
+        perform(refusalOf(request, failure));
+    }
+}
+
+void Daemon::replyEntries(const HttpRequest &request)
+{
+    const std::string wanted = queryValue(request.query, "availability_zone");
+    const ZoneId near(wanted.empty() ? m_options.node.zone.value() : wanted);
+    json body {{"entries", json::array()}, {"keep_ms", m_options.node.entryKeep.count()}};
+    for (const EntryAddress &entry : m_node.entries(near, ++m_entriesAsked, m_loop.now()))
+        body["entries"].push_back({{"address", entry.address}, {"availability_zone", entry.zone}});
+    m_server.reply(request.exchange, 200, jsonType, body.dump());
+}
+
+void Daemon::replyHealth(const HttpRequest &request)
+{
+    const bool accepting = m_node.accepting(m_loop.now());
+    m_server.reply(request.exchange, accepting ? 200 : 503, jsonType,
+                   json({{"accepting", accepting}}).dump());
+}
+
+void Daemon::replyMetrics(const HttpRequest &request)
+{
+    const NodeState &state = m_node.state();
+    const TimePoint now = m_loop.now();
+    std::string text = counterText(state.counters);
+    text += gaugeText({"open_requests", "Requests not yet answered.",
+                       static_cast<double>(m_node.openRequests())});
+    text += gaugeText({"configuration_revision", "Revision of the configuration in force.",
+                       static_cast<double>(state.envelopeRevision.value())});
+    text += gaugeText({"configuration_evidence_age_ms", "Age of the proof that it is current.",
+                       static_cast<double>((now - state.shared.evidence()).count())});
+    text += gaugeText({"members_alive", "Nodes heard of lately, this one included.",
+                       static_cast<double>(state.members.alive(now, true).size())});
+    text += gaugeText({"groups_known", "Groups this node may route to.",
+                       static_cast<double>(state.groups.size())});
+    text += gaugeText({"ledger_segment_writes", "Compare-and-swaps of ledger segments.",
+                       static_cast<double>(m_node.ledger().writes())});
+    text += m_distributions.firstToken.text("first_token_ms", "Arrival to first token.");
+    text += m_distributions.betweenTokens.text("between_tokens_ms", "Token to token.");
+    text += m_distributions.serviceCall.text("service_call_ms", "Arrival to service answer.");
+    m_server.reply(request.exchange, 200, metricsType, text);
+}
+
+void Daemon::replyStatus(const HttpRequest &request)
+{
+    NodeState &state = m_node.state();
+    const TimePoint now = m_loop.now();
+    json body {
+        {"node", state.options.node},         {"availability_zone", state.options.zone},
+        {"accepting", m_node.accepting(now)}, {"configuration_revision", state.envelopeRevision},
+        {"members", json::array()},           {"groups", json::array()}};
+    for (const MemberEntry &entry : state.members.alive(now, true))
+        body["members"].push_back({{"node", entry.node}, {"leaving", entry.leaving}});
+    state.groups.forEach([&](GroupIndex, Group &group) {
+        const GateState gate =
+            gateState(group, state.vms, *state.envelope, state.options.placement, now);
+        body["groups"].push_back({{"id", group.placed.id},
+                                  {"target", group.placed.target},
+                                  {"generation", group.placed.generation},
+                                  {"members", group.placed.members},
+                                  {"home", group.placed.home},
+                                  {"gate", gateStateName(gate)},
+                                  {"warm", isWarm(group, state.vms)},
+                                  {"running", group.ownRunning}});
+    });
+    m_server.reply(request.exchange, 200, jsonType, body.dump());
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/network/engine_client.cpp
@@ -0,0 +1,235 @@
+#include "network/engine_client.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bramleypitch {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int statusOk = 200;
+constexpr std::size_t maxLineBytes = 64 * 1024;
+
+std::optional<VmReport> parseReport(const HttpAnswer &answer)
+{
+    if (answer.status != statusOk)
+        return std::nullopt;
+    try {
+        const json body = json::parse(answer.body);
+        VmReport report;
+        body.at("boot_id").get_to(report.boot);
+        const auto state = body.at("state").get<std::string>();
+        report.state = state == "ready" ? EngineState::Ready
+            : state == "loading"        ? EngineState::Loading
+                                        : EngineState::Empty;
+        report.group = GroupId(body.value("group", std::string()));
+        report.generation = Generation(body.value("generation", std::uint64_t {0}));
+        report.heldModel = body.value("held_model", std::string());
+        report.running = body.value("running", 0U);
+        report.completed = body.value("completed", 0U);
+        return report;
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+EngineClient::EngineClient(EventLoop &loop, HttpClient &http, std::string nodeName, EventHook hook)
+    : m_loop(loop)
+    , m_http(http)
+    , m_nodeName(std::move(nodeName))
+    , m_hook(std::move(hook))
+{
+}
+
+void EngineClient::dispatch(const DispatchEngine &dispatch)
+{
+    const AttemptKey key {dispatch.request, dispatch.attempt};
+    Stream &stream = m_streams[key];
+    stream.wireName = m_nodeName + "/" + std::to_string(dispatch.request.value());
+    const json body {{"request", stream.wireName},       {"attempt", dispatch.attempt},
+                     {"group", dispatch.group},          {"generation", dispatch.generation},
+                     {"model", dispatch.model},          {"prompt", dispatch.prompt},
+                     {"max_tokens", dispatch.maxTokens}, {"resume_from", dispatch.resumeFrom},
+                     {"priority", dispatch.priority}};
+    HttpCall call;
+    call.address = dispatch.address;
+    call.method = "POST";
+    call.path = "/v1/generate";
+    call.headers = {{"Content-Type", "application/json"}};
+    call.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
+    call.timeLimit = dispatch.timeLimit;
+    HttpHooks hooks;
+    hooks.chunk = [this, key](std::string_view piece) { pieceCame(key, piece); };
+    hooks.answered = [this, key](const HttpAnswer &answer) {
+        streamEnded(key, true, answer.status != statusOk);
+    };
+    hooks.broken = [this, key](const HttpBreak &broken) { streamEnded(key, broken.sent, false); };
+    remember(key, m_http.send(call, std::move(hooks)));
+}
+
+void EngineClient::remember(const AttemptKey &key, HttpCallId id)
+{
+    if (m_http.isOpen(id))
+        m_calls[key] = id;
+}
+
+void EngineClient::pieceCame(const AttemptKey &key, std::string_view piece)
+{
+    const auto found = m_streams.find(key);
+    if (found == m_streams.end())
+        return;
+    found->second.partial += piece;
+    std::string lines = std::move(found->second.partial);
+    std::size_t start = 0;
+    for (std::size_t end = lines.find('\n'); end != std::string::npos;
+         end = lines.find('\n', start)) {
+        const std::string_view line = std::string_view(lines).substr(start, end - start);
+        start = end + 1;
+        // Each event may cancel the attempt, so the stream is looked up anew.
+        const auto stream = m_streams.find(key);
+        if (stream == m_streams.end())
+            return;
+        if (!lineCame(key, stream->second, line)) {
+            cancel({key.request, key.attempt});
+            m_hook(AttemptBroken {key.request, key.attempt, true, false});
+            return;
+        }
+    }
+    const auto stream = m_streams.find(key);
+    if (stream == m_streams.end())
+        return;
+    stream->second.partial = lines.substr(start);
+    if (stream->second.partial.size() > maxLineBytes) {
+        cancel({key.request, key.attempt});
+        m_hook(AttemptBroken {key.request, key.attempt, true, false});
+    }
+}
+
+bool EngineClient::lineCame(const AttemptKey &key, Stream &stream, std::string_view line)
+{
+    if (line.empty())
+        return true;
+    const json frame = json::parse(line, nullptr, false);
+    if (!frame.is_object())
+        return false;
+    try {
+        if (frame.at("request").get_ref<const std::string &>() != stream.wireName
+            || frame.at("attempt").get<AttemptNumber>() != key.attempt) {
+            // Crossed or late: handed on under a number no attempt has, so that it is counted.
+            m_hook(EngineToken {key.request, AttemptNumber(0), 0, {}});
+            return true;
+        }
+        if (frame.value("end", false)) {
+            stream.ended = true;
+            m_hook(EngineEnd {key.request, key.attempt, frame.at("count").get<std::uint32_t>()});
+            return true;
+        }
+        m_hook(EngineToken {key.request, key.attempt, frame.at("index").get<std::uint32_t>(),
+                            frame.at("token").get<std::string>()});
+        return true;
+    } catch (const json::exception &) {
+        return false;
+    }
+}
+
+void EngineClient::streamEnded(const AttemptKey &key, bool sent, bool refused)
+{
+    const auto found = m_streams.find(key);
+    if (found == m_streams.end())
+        return;
+    const bool ended = found->second.ended;
+    m_streams.erase(found);
+    m_calls.erase(key);
+    if (!ended)
+        m_hook(AttemptBroken {key.request, key.attempt, sent, refused});
+}
+
+void EngineClient::dispatch(const DispatchService &dispatch)
+{
+    const AttemptKey key {dispatch.request, dispatch.attempt};
+    HttpCall call;
+    call.address = dispatch.address;
+    call.method = dispatch.method;
+    call.path = dispatch.path;
+    if (!dispatch.contentType.empty())
+        call.headers.emplace_back("Content-Type", dispatch.contentType);
+    if (!dispatch.idempotencyKey.empty())
+        call.headers.emplace_back("Idempotency-Key", dispatch.idempotencyKey);
+    call.body = dispatch.body;
+    call.timeLimit = dispatch.timeLimit;
+    // A kept connection may be closing; a call that must not be repeated cannot risk that.
+    call.ownConnection = !dispatch.idempotencyKey.empty();
+    HttpHooks hooks;
+    hooks.answered = [this, key](const HttpAnswer &answer) {
+        m_calls.erase(key);
+        CallOutcome outcome;
+        outcome.status = answer.status;
+        outcome.contentType = answer.contentType;
+        outcome.body = answer.body;
+        m_hook(ServiceAnswered {key.request, key.attempt, std::move(outcome)});
+    };
+    hooks.broken = [this, key](const HttpBreak &broken) {
+        m_calls.erase(key);
+        m_hook(AttemptBroken {key.request, key.attempt, broken.sent, false});
+    };
+    remember(key, m_http.send(call, std::move(hooks)));
+}
+
+void EngineClient::cancel(const CancelAttempt &cancel)
+{
+    const AttemptKey key {cancel.request, cancel.attempt};
+    m_streams.erase(key);
+    const auto found = m_calls.find(key);
+    if (found == m_calls.end())
+        return;
+    const HttpCallId id = found->second;
+    m_calls.erase(found);
+    m_http.cancel(id);
+}
+
+void EngineClient::probe(const SendProbe &probe, Duration timeLimit)
+{
+    HttpCall call;
+    call.address = probe.address;
+    call.path = "/state";
+    call.timeLimit = timeLimit;
+    const TimePoint sentAt = m_loop.now();
+    HttpHooks hooks;
+    hooks.answered = [this, vm = probe.vm, sentAt](const HttpAnswer &answer) {
+        const std::optional<VmReport> report = parseReport(answer);
+        m_hook(ProbeDone {vm, report.has_value(), report.value_or(VmReport()), sentAt});
+    };
+    hooks.broken = [this, vm = probe.vm, sentAt](const HttpBreak &) {
+        m_hook(ProbeDone {vm, false, {}, sentAt});
+    };
+    m_http.send(call, std::move(hooks));
+}
+
+void EngineClient::order(const SendOrder &order, Duration timeLimit)
+{
+    const json body {{"order", order.kind == OrderKind::Load ? "load" : "release"},
+                     {"group", order.group},
+                     {"generation", order.generation},
+                     {"model", order.model},
+                     {"members", order.members}};
+    HttpCall call;
+    call.address = order.address;
+    call.method = "POST";
+    call.path = "/order";
+    call.headers = {{"Content-Type", "application/json"}};
+    call.body = body.dump();
+    call.timeLimit = timeLimit;
+    HttpHooks hooks;
+    hooks.answered = [this, operation = order.operation, vm = order.vm](const HttpAnswer &answer) {
+        m_hook(OrderDone {operation, vm, answer.status == statusOk});
+    };
+    hooks.broken = [this, operation = order.operation, vm = order.vm](const HttpBreak &) {
+        m_hook(OrderDone {operation, vm, false});
+    };
+    m_http.send(call, std::move(hooks));
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/network/event_loop.cpp
@@ -0,0 +1,114 @@
+#include "network/event_loop.h"
+
+#include "core/error_type.h"
+
+namespace bramleypitch {
+
+namespace {
+
+/// Added to the monotonic clock, so that "never" (zero) is long past on a machine just booted.
+constexpr Duration clockOffset {24 * 3'600'000};
+constexpr int millisecondsPerSecond = 1'000;
+constexpr int microsecondsPerMillisecond = 1'000;
+
+timeval toTimeval(Duration duration)
+{
+    timeval value {};
+    value.tv_sec = duration.count() / millisecondsPerSecond;
+    value.tv_usec = (duration.count() % millisecondsPerSecond) * microsecondsPerMillisecond;
+    return value;
+}
+
+} // namespace
+
+EventLoop::EventLoop()
+    : m_base(event_base_new(), event_base_free)
+{
+    if (!m_base)
+        throw Failure(ErrorCode::Internal, "the event loop cannot be created");
+}
+
+void EventLoop::run()
+{
+    event_base_loop(m_base.get(), EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+void EventLoop::stop()
+{
+    event_base_loopbreak(m_base.get());
+}
+
+TimePoint EventLoop::now() const
+{
+    const auto steady = std::chrono::steady_clock::now().time_since_epoch();
+    return TimePoint(clockOffset + std::chrono::duration_cast<Duration>(steady));
+}
+
+WallTime EventLoop::wall() const
+{
+    const auto system = std::chrono::system_clock::now().time_since_epoch();
+    return WallTime(std::chrono::duration_cast<std::chrono::milliseconds>(system).count());
+}
+
+Timer::Timer(EventLoop &loop, std::function<void()> hook)
+    : m_hook(std::move(hook))
+    , m_event(event_new(loop.base(), -1, 0, fired, this))
+{
+}
+
+Timer::~Timer()
+{
+    event_free(m_event);
+}
+
+void Timer::add(Duration delay)
+{
+    const timeval value = toTimeval(delay);
+    event_add(m_event, &value);
+}
+
+void Timer::startOnce(Duration delay)
+{
+    m_interval = Duration(0);
+    add(delay);
+}
+
+void Timer::startRepeating(Duration interval)
+{
+    m_interval = interval;
+    add(interval);
+}
+
+void Timer::stop()
+{
+    event_del(m_event);
+}
+
+void Timer::fired(evutil_socket_t, short, void *self)
+{
+    auto *timer = static_cast<Timer *>(self);
+    if (timer->m_interval > Duration(0))
+        timer->add(timer->m_interval);
+    // The hook may destroy the timer, and with it the stored function.
+    const std::function<void()> hook = timer->m_hook;
+    hook();
+}
+
+SignalWatch::SignalWatch(EventLoop &loop, int signal, std::function<void()> hook)
+    : m_hook(std::move(hook))
+    , m_event(evsignal_new(loop.base(), signal, fired, this))
+{
+    event_add(m_event, nullptr);
+}
+
+SignalWatch::~SignalWatch()
+{
+    event_free(m_event);
+}
+
+void SignalWatch::fired(evutil_socket_t, short, void *self)
+{
+    static_cast<SignalWatch *>(self)->m_hook();
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/network/http_client.cpp
@@ -0,0 +1,231 @@
+#include "network/http_client.h"
+
+#include "network/address_func.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+
+namespace bramleypitch {
+
+namespace {
+
+constexpr std::size_t maxIdlePerAddress = 64;
+constexpr int firstSuccess = 200;
+constexpr int firstRedirect = 300;
+
+evhttp_cmd_type methodOf(const std::string &method)
+{
+    if (method == "POST")
+        return EVHTTP_REQ_POST;
+    if (method == "PUT")
+        return EVHTTP_REQ_PUT;
+    if (method == "DELETE")
+        return EVHTTP_REQ_DELETE;
+    if (method == "HEAD")
+        return EVHTTP_REQ_HEAD;
+    if (method == "PATCH")
+        return EVHTTP_REQ_PATCH;
+    if (method == "OPTIONS")
+        return EVHTTP_REQ_OPTIONS;
+    return EVHTTP_REQ_GET;
+}
+
+std::string drain(evbuffer *buffer)
+{
+    std::string text(evbuffer_get_length(buffer), '\0');
+    evbuffer_remove(buffer, text.data(), text.size());
+    return text;
+}
+
+/// Whether the end of the answer's body can be told from a cut connection.
+bool endIsExplicit(evhttp_request *request)
+{
+    evkeyvalq *headers = evhttp_request_get_input_headers(request);
+    return evhttp_find_header(headers, "Content-Length")
+        || evhttp_find_header(headers, "Transfer-Encoding")
+        || evhttp_request_get_response_code(request) == HTTP_NOCONTENT;
+}
+
+} // namespace
+
+/// One call under way. evhttp owns the request object until its callback has run.
+struct HttpClient::Call
+{
+    HttpClient *client = nullptr;
+    HttpCallId id;
+    Address address;
+    HttpHooks hooks;
+    evhttp_connection *connection = nullptr;
+    evhttp_request *request = nullptr;
+    evbuffer_cb_entry *outputWatch = nullptr;
+    std::unique_ptr<Timer> timer;
+    bool ownConnection = false;
+    bool sent = false;
+    bool timedOut = false;
+    bool failed = false;
+
+    static void outputChanged(evbuffer *, const evbuffer_cb_info *info, void *self)
+    {
+        if (info->n_deleted > 0)
+            static_cast<Call *>(self)->sent = true;
+    }
+
+    static void chunkCame(evhttp_request *request, void *self)
+    {
+        auto *call = static_cast<Call *>(self);
+        const int status = evhttp_request_get_response_code(request);
+        if (status < firstSuccess || status >= firstRedirect)
+            return;
+        const std::string piece = drain(evhttp_request_get_input_buffer(request));
+        if (!piece.empty())
+            call->hooks.chunk(piece);
+    }
+
+    static void errorCame(evhttp_request_error error, void *self)
+    {
+        auto *call = static_cast<Call *>(self);
+        call->failed = true;
+        call->timedOut = call->timedOut || error == EVREQ_HTTP_TIMEOUT;
+    }
+
+    static void ended(evhttp_request *request, void *self)
+    {
+        auto *call = static_cast<Call *>(self);
+        const bool whole = request && !call->failed
+            && evhttp_request_get_response_code(request) != 0 && endIsExplicit(request);
+        HttpAnswer answer;
+        if (whole) {
+            answer.status = evhttp_request_get_response_code(request);
+            const char *type =
+                evhttp_find_header(evhttp_request_get_input_headers(request), "Content-Type");
+            answer.contentType = type ? type : "";
+            answer.body = drain(evhttp_request_get_input_buffer(request));
+        }
+        const HttpBreak broken {call->sent, call->timedOut};
+        const HttpHooks hooks = std::move(call->hooks);
+        call->client->finish(*call, whole && !call->ownConnection);
+        if (whole)
+            hooks.answered(answer);
+        else
+            hooks.broken(broken);
+    }
+};
+
+HttpClient::HttpClient(EventLoop &loop)
+    : m_loop(loop)
+    , m_sweep(loop, [this] {
+        for (evhttp_connection *connection : m_discarded)
+            evhttp_connection_free(connection);
+        m_discarded.clear();
+    })
+{
+}
+
+HttpClient::~HttpClient()
+{
+    while (!m_calls.empty())
+        cancel(m_calls.begin()->first);
+    for (evhttp_connection *connection : m_discarded)
+        evhttp_connection_free(connection);
+    for (auto &[address, connections] : m_idle) {
+        for (evhttp_connection *connection : connections)
+            evhttp_connection_free(connection);
+    }
+}
+
+evhttp_connection *HttpClient::takeConnection(const HttpCall &call)
+{
+    auto &idle = m_idle[call.address];
+    if (!call.ownConnection && !idle.empty()) {
+        evhttp_connection *connection = idle.back();
+        idle.pop_back();
+        return connection;
+    }
+    const HostPort peer = parseAddress(call.address);
+    return evhttp_connection_base_bufferevent_new(m_loop.base(), nullptr, nullptr,
+                                                  peer.host.c_str(), peer.port);
+}
+
+HttpCallId HttpClient::send(const HttpCall &request, HttpHooks hooks)
+{
+    const HttpCallId id(++m_lastId);
+    auto owned = std::make_unique<Call>();
+    Call &call = *owned;
+    call.client = this;
+    call.id = id;
+    call.address = request.address;
+    call.hooks = std::move(hooks);
+    call.ownConnection = request.ownConnection;
+    call.connection = takeConnection(request);
+    call.timer = std::make_unique<Timer>(m_loop, [this, id] { timedOut(id); });
+    call.timer->startOnce(request.timeLimit);
+    call.request = evhttp_request_new(Call::ended, &call);
+    evhttp_request_set_error_cb(call.request, Call::errorCame);
+    if (call.hooks.chunk)
+        evhttp_request_set_chunked_cb(call.request, Call::chunkCame);
+    evkeyvalq *headers = evhttp_request_get_output_headers(call.request);
+    evhttp_add_header(headers, "Host", request.address.value().c_str());
+    for (const auto &[name, value] : request.headers)
+        evhttp_add_header(headers, name.c_str(), value.c_str());
+    if (request.ownConnection)
+        evhttp_add_header(headers, "Connection", "close");
+    evbuffer_add(evhttp_request_get_output_buffer(call.request), request.body.data(),
+                 request.body.size());
+    evbuffer *output = bufferevent_get_output(evhttp_connection_get_bufferevent(call.connection));
+    call.outputWatch = evbuffer_add_cb(output, Call::outputChanged, &call);
+    m_calls.emplace(id, std::move(owned));
+    // On failure evhttp has called back already and the call is gone.
+    evhttp_make_request(call.connection, call.request, methodOf(request.method),
+                        request.path.c_str());
+    return id;
+}
+
+void HttpClient::finish(Call &call, bool reusable)
+{
+    evbuffer *output = bufferevent_get_output(evhttp_connection_get_bufferevent(call.connection));
+    evbuffer_remove_cb_entry(output, call.outputWatch);
+    auto &idle = m_idle[call.address];
+    if (reusable && idle.size() < maxIdlePerAddress)
+        idle.push_back(call.connection);
+    else
+        discard(call.connection);
+    m_calls.erase(call.id);
+}
+
+void HttpClient::discard(evhttp_connection *connection)
+{
+    // evhttp may still be working on it further up the stack.
+    m_discarded.push_back(connection);
+    m_sweep.startOnce(Duration(0));
+}
+
+void HttpClient::timedOut(HttpCallId id)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end())
+        return;
+    const HttpBreak broken {found->second->sent, true};
+    const HttpHooks hooks = std::move(found->second->hooks);
+    cancel(id);
+    hooks.broken(broken);
+}
+
+void HttpClient::cancel(HttpCallId id)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end())
+        return;
+    Call &call = *found->second;
+    // The request's own callbacks must not reach the call any more.
+    evhttp_request_set_error_cb(call.request, nullptr);
+    evhttp_request_set_chunked_cb(call.request, nullptr);
+    call.request->cb = [](evhttp_request *, void *) {};
+    evhttp_request *request = call.request;
+    finish(call, false);
+    evhttp_cancel_request(request);
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/network/http_server.cpp
@@ -0,0 +1,244 @@
+#include "network/http_server.h"
+
+#include "core/error_type.h"
+#include "network/address_func.h"
+
+#include <evhtp/evhtp.h>
+
+namespace bramleypitch {
+
+namespace {
+
+constexpr int listenBacklog = 1'024;
+/// Bytes that may wait for a caller that reads slowly.
+constexpr std::size_t maxWaitingBytes = 4 * 1024 * 1024;
+
+const char *methodName(htp_method method)
+{
+    switch (method) {
+    case htp_method_GET:
+        return "GET";
+    case htp_method_HEAD:
+        return "HEAD";
+    case htp_method_POST:
+        return "POST";
+    case htp_method_PUT:
+        return "PUT";
+    case htp_method_DELETE:
+        return "DELETE";
+    case htp_method_OPTIONS:
+        return "OPTIONS";
+    case htp_method_PATCH:
+        return "PATCH";
+    default:
+        return "UNKNOWN";
+    }
+}
+
+class EvBuffer
+{
+public:
+    explicit EvBuffer(std::string_view text)
+        : m_buffer(evbuffer_new())
+    {
+        evbuffer_add(m_buffer, text.data(), text.size());
+    }
+    ~EvBuffer() { evbuffer_free(m_buffer); }
+    EvBuffer(const EvBuffer &) = delete;
+    EvBuffer &operator=(const EvBuffer &) = delete;
+    evbuffer *get() const { return m_buffer; }
+
+private:
+    evbuffer *m_buffer;
+};
+
+void addHeader(evhtp_request_t *request, const std::string &name, const std::string &value)
+{
+    evhtp_headers_add_header(request->headers_out,
+                             evhtp_header_new(name.c_str(), value.c_str(), 1, 1));
+}
+
+/// libevhtp takes every hook as a C function without prototype.
+template<typename Function>
+evhtp_hook asHook(Function *function)
+{
+    return reinterpret_cast<evhtp_hook>(reinterpret_cast<void (*)()>(function));
+}
+
+} // namespace
+
+/// A request whose answer is not complete.
+struct HttpServer::Exchange
+{
+    HttpServer *server = nullptr;
+    ExchangeId id;
+    evhtp_request_t *request = nullptr;
+    bool streaming = false;
+    bool answered = false; ///< The whole answer was handed to the connection.
+};
+
+/// The C callbacks of libevhtp.
+struct HttpServer::Hooks
+{
+    static evhtp_res bodyCame(evhtp_request_t *request, evbuffer *piece, void *self)
+    {
+        auto *server = static_cast<HttpServer *>(self);
+        const std::size_t size =
+            evbuffer_get_length(request->buffer_in) + evbuffer_get_length(piece);
+        if (size > server->m_maxBodyBytes || server->m_tooLarge.count(request)) {
+            server->m_tooLarge[request] += evbuffer_get_length(piece);
+            evbuffer_drain(piece, evbuffer_get_length(piece));
+        }
+        return EVHTP_RES_OK;
+    }
+
+    static evhtp_res connected(evhtp_connection_t *connection, void *self)
+    {
+        evhtp_connection_set_hook(connection, evhtp_hook_on_read, asHook(bodyCame), self);
+        evhtp_connection_set_hook(connection, evhtp_hook_on_request_fini, asHook(anyFinished),
+                                  self);
+        return EVHTP_RES_OK;
+    }
+
+    static evhtp_res anyFinished(evhtp_request_t *request, void *self)
+    {
+        static_cast<HttpServer *>(self)->m_tooLarge.erase(request);
+        return EVHTP_RES_OK;
+    }
+
+    static evhtp_res finished(evhtp_request_t *request, void *self)
+    {
+        auto *exchange = static_cast<Exchange *>(self);
+        HttpServer *server = exchange->server;
+        server->m_tooLarge.erase(request);
+        const ExchangeId id = exchange->id;
+        const bool gone = !exchange->answered;
+        server->m_exchanges.erase(id);
+        if (gone && server->m_goneHook)
+            server->m_goneHook(id);
+        return EVHTP_RES_OK;
+    }
+
+    static void requestCame(evhtp_request_t *request, void *self)
+    {
+        auto *server = static_cast<HttpServer *>(self);
+        auto owned = std::make_unique<Exchange>();
+        Exchange &exchange = *owned;
+        exchange.server = server;
+        exchange.id = ExchangeId(++server->m_lastId);
+        exchange.request = request;
+        server->m_exchanges.emplace(exchange.id, std::move(owned));
+        evhtp_request_set_hook(request, evhtp_hook_on_request_fini, asHook(finished), &exchange);
+        HttpRequest come;
+        come.exchange = exchange.id;
+        come.method = methodName(evhtp_request_get_method(request));
+        come.path = request->uri->path->full ? request->uri->path->full : "/";
+        if (request->uri->query_raw)
+            come.query = reinterpret_cast<const char *>(request->uri->query_raw);
+        come.bodyTooLarge = server->m_tooLarge.count(request) > 0;
+        if (!come.bodyTooLarge) {
+            come.body.resize(evbuffer_get_length(request->buffer_in));
+            evbuffer_copyout(request->buffer_in, come.body.data(), come.body.size());
+        }
+        come.raw = request;
+        server->m_requestHook(come);
+    }
+};
+
+std::string HttpRequest::header(const char *name) const
+{
+    const char *value = evhtp_header_find(raw->headers_in, name);
+    return value ? value : "";
+}
+
+HttpServer::HttpServer(EventLoop &loop, std::size_t maxBodyBytes)
+    : m_loop(loop)
+    , m_maxBodyBytes(maxBodyBytes)
+    , m_evhtp(evhtp_new(loop.base(), nullptr))
+{
+    evhtp_enable_flag(m_evhtp, EVHTP_FLAG_ENABLE_NODELAY);
+    evhtp_set_gencb(m_evhtp, Hooks::requestCame, this);
+    evhtp_set_post_accept_cb(m_evhtp, Hooks::connected, this);
+}
+
+HttpServer::~HttpServer()
+{
+    if (m_bound)
+        evhtp_unbind_socket(m_evhtp);
+    evhtp_free(m_evhtp);
+}
+
+void HttpServer::listen(const Address &address)
+{
+    const HostPort bound = parseAddress(address);
+    const std::string host =
+        bound.host.find(':') == std::string::npos ? "ipv4:" + bound.host : "ipv6:" + bound.host;
+    if (evhtp_bind_socket(m_evhtp, host.c_str(), bound.port, listenBacklog) != 0)
+        throw Failure(ErrorCode::InvalidSetting, "cannot listen on " + address.value());
+    m_bound = true;
+}
+
+HttpServer::Exchange *HttpServer::find(ExchangeId exchange)
+{
+    const auto found = m_exchanges.find(exchange);
+    return found == m_exchanges.end() || found->second->answered ? nullptr : found->second.get();
+}
+
+void HttpServer::reply(ExchangeId id, int status, const std::string &contentType,
+                       std::string_view body, const HttpHeaders &headers)
+{
+    Exchange *exchange = find(id);
+    if (!exchange)
+        return;
+    exchange->answered = true;
+    evhtp_request_t *request = exchange->request;
+    addHeader(request, "Content-Type", contentType);
+    for (const auto &[name, value] : headers)
+        addHeader(request, name, value);
+    evbuffer_add(request->buffer_out, body.data(), body.size());
+    evhtp_send_reply(request, static_cast<evhtp_res>(status));
+}
+
+void HttpServer::startStream(ExchangeId id, int status, const std::string &contentType)
+{
+    Exchange *exchange = find(id);
+    if (!exchange || exchange->streaming)
+        return;
+    exchange->streaming = true;
+    addHeader(exchange->request, "Content-Type", contentType);
+    addHeader(exchange->request, "Cache-Control", "no-cache");
+    evhtp_send_reply_chunk_start(exchange->request, static_cast<evhtp_res>(status));
+}
+
+void HttpServer::sendPiece(ExchangeId id, std::string_view piece)
+{
+    Exchange *exchange = find(id);
+    if (!exchange)
+        return;
+    evbuffer *output = bufferevent_get_output(evhtp_request_get_bev(exchange->request));
+    if (evbuffer_get_length(output) > maxWaitingBytes) {
+        cut(id);
+        return;
+    }
+    const EvBuffer buffer(piece);
+    evhtp_send_reply_chunk(exchange->request, buffer.get());
+}
+
+void HttpServer::endStream(ExchangeId id)
+{
+    Exchange *exchange = find(id);
+    if (!exchange)
+        return;
+    exchange->answered = true;
+    evhtp_send_reply_chunk_end(exchange->request);
+}
+
+void HttpServer::cut(ExchangeId id)
+{
+    Exchange *exchange = find(id);
+    if (!exchange)
+        return;
+    evhtp_connection_free(evhtp_request_get_connection(exchange->request));
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/network/lease_keeper.cpp
@@ -0,0 +1,110 @@
+#include "network/lease_keeper.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bramleypitch {
+
+using nlohmann::json;
+
+LeaseKeeper::LeaseKeeper(EventLoop &loop, PlatformClient &platform, std::string key,
+                         Duration timeToLive, RenewedHook hook)
+    : m_loop(loop)
+    , m_platform(platform)
+    , m_key(std::move(key))
+    , m_timeToLive(timeToLive)
+    , m_hook(std::move(hook))
+{
+}
+
+void LeaseKeeper::renew(const RenewLease &renew)
+{
+    if (m_busy)
+        return;
+    m_busy = true;
+    const TimePoint sentAt = m_loop.now();
+    if (m_lease == 0)
+        grant(renew, sentAt);
+    else if (m_incarnation.value() == 0)
+        writeRecord(renew, sentAt);
+    else
+        keepAlive(renew, sentAt);
+}
+
+void LeaseKeeper::grant(const RenewLease &renew, TimePoint sentAt)
+{
+    m_platform.grantLease(m_timeToLive, [this, renew, sentAt](const StoreLease &lease) {
+        if (!lease.ok || lease.id == 0) {
+            report(renew, false, sentAt);
+            return;
+        }
+        m_lease = lease.id;
+        m_timeToLive = lease.timeToLive;
+        writeRecord(renew, sentAt);
+    });
+}
+
+void LeaseKeeper::writeRecord(const RenewLease &renew, TimePoint sentAt)
+{
+    const json record {{"node", renew.self.node},
+                       {"entry_address", renew.self.entryAddress},
+                       {"peer_address", renew.self.peerAddress},
+                       {"availability_zone", renew.self.zone},
+                       {"lease", m_lease}};
+    // Only where no record stands: an earlier life of this node may still hold its lease.
+    m_platform.compareAndSwap(
+        m_key, Revision(0), record.dump(), m_lease, [this, renew, sentAt](const StoreSwap &swap) {
+            if (swap.outcome == StoreSwapOutcome::Written)
+                m_incarnation = Incarnation(swap.revision.value());
+            else
+                m_lease = 0; // It runs out by itself; the next renewal starts anew.
+            report(renew, swap.outcome == StoreSwapOutcome::Written, sentAt);
+        });
+}
+
+void LeaseKeeper::keepAlive(const RenewLease &renew, TimePoint sentAt)
+{
+    m_platform.keepLeaseAlive(m_lease, [this, renew, sentAt](const StoreLease &lease) {
+        const bool gone = lease.ok && lease.timeToLive <= Duration(0);
+        if (gone) {
+            m_lease = 0;
+            m_incarnation = Incarnation(0);
+        }
+        report(renew, lease.ok && !gone, sentAt);
+    });
+}
+
+void LeaseKeeper::report(const RenewLease &renew, bool ok, TimePoint sentAt)
+{
+    m_busy = false;
+    m_hook({renew.operation, ok, m_incarnation, sentAt, m_timeToLive});
+}
+
+void LeaseKeeper::release(std::function<void()> done)
+{
+    if (m_lease == 0) {
+        done();
+        return;
+    }
+    m_platform.revokeLease(m_lease, std::move(done));
+    m_lease = 0;
+}
+
+std::vector<NodeRecord> parseNodeRecords(const StoreRead &read)
+{
+    std::vector<NodeRecord> records;
+    for (const SharedValue &value : read.values) {
+        const json body = json::parse(value.value, nullptr, false);
+        if (!body.is_object())
+            continue;
+        NodeRecord record;
+        record.node = NodeId(body.value("node", std::string()));
+        record.incarnation = Incarnation(value.revision.value());
+        record.entryAddress = Address(body.value("entry_address", std::string()));
+        record.peerAddress = Address(body.value("peer_address", std::string()));
+        record.zone = ZoneId(body.value("availability_zone", std::string()));
+        records.push_back(std::move(record));
+    }
+    return records;
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/network/metrics.cpp
@@ -0,0 +1,69 @@
+#include "network/metrics.h"
+
+#include "table/counter_table.h"
+
+#include <array>
+#include <sstream>
+
+namespace bramleypitch {
+
+namespace {
+
+namespace accumulators = boost::accumulators;
+
+constexpr std::array<double, 4> probabilities {0.5, 0.9, 0.95, 0.99};
+constexpr const char *prefix = "bramleypitch_";
+
+} // namespace
+
+Distribution::Distribution()
+    : m_accumulators(accumulators::extended_p_square_probabilities = probabilities)
+{
+}
+
+void Distribution::add(double milliseconds)
+{
+    m_accumulators(milliseconds);
+}
+
+std::string Distribution::text(const std::string &name, const std::string &help) const
+{
+    std::ostringstream out;
+    out << "# HELP " << prefix << name << " " << help << "\n";
+    out << "# TYPE " << prefix << name << " summary\n";
+    // The estimate needs as many samples as it keeps markers.
+    constexpr std::size_t leastSamples = 2 * probabilities.size() + 3;
+    if (accumulators::count(m_accumulators) >= leastSamples) {
+        for (const double probability : probabilities)
+            out << prefix << name << "{quantile=\"" << probability << "\"} "
+                << accumulators::quantile(m_accumulators,
+                                          accumulators::quantile_probability = probability)
+                << "\n";
+    }
+    out << prefix << name << "_sum " << accumulators::sum(m_accumulators) << "\n";
+    out << prefix << name << "_count " << accumulators::count(m_accumulators) << "\n";
+    return out.str();
+}
+
+std::string counterText(const Counters &counters)
+{
+    std::ostringstream out;
+    for (std::size_t i = 0; i < counterTable.size(); ++i) {
+        const CounterInfo &info = counterTable[i];
+        out << "# HELP " << prefix << info.name << "_total " << info.help << "\n";
+        out << "# TYPE " << prefix << info.name << "_total counter\n";
+        out << prefix << info.name << "_total " << counters.value(static_cast<Counter>(i)) << "\n";
+    }
+    return out.str();
+}
+
+std::string gaugeText(const Gauge &gauge)
+{
+    std::ostringstream out;
+    out << "# HELP " << prefix << gauge.name << " " << gauge.help << "\n";
+    out << "# TYPE " << prefix << gauge.name << " gauge\n";
+    out << prefix << gauge.name << " " << gauge.value << "\n";
+    return out.str();
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/network/peer.thrift
@@ -0,0 +1,61 @@
+// What nodes of one environment say to each other. Generate with scripts/generate.sh.
+namespace cpp bramleypitch.peer
+
+struct MemberEntry {
+  1: string node
+  2: i64 incarnation
+  3: i64 counter
+  4: string entry_address
+  5: string peer_address
+  6: string zone
+  7: bool leaving
+}
+
+struct Heartbeat {
+  1: string from_node
+  2: list<MemberEntry> members
+  3: i64 newest
+  4: bool known
+  5: i64 evidence_age_ms
+}
+
+struct SharedValue {
+  1: string key
+  2: i64 revision
+  3: binary value
+}
+
+struct SharedValues {
+  1: list<SharedValue> values
+  2: i64 newest
+  3: bool known
+  4: i64 evidence_age_ms
+}
+
+struct CallOutcome {
+  1: i32 status
+  2: string content_type
+  3: binary body
+  4: bool cut
+}
+
+struct LedgerRequest {
+  1: i32 segment
+  2: i32 verb
+  3: string key
+  4: string digest
+  5: string claim
+  6: i64 when_ms
+  7: CallOutcome outcome
+}
+
+struct LedgerReply {
+  1: i32 answer
+  2: CallOutcome outcome
+}
+
+service Peer {
+  Heartbeat heartbeat(1: Heartbeat heartbeat)
+  SharedValues pull(1: i64 above)
+  LedgerReply ledger(1: LedgerRequest request)
+}
--- /dev/null
+++ b/src/network/platform_client.cpp
@@ -0,0 +1,265 @@
+#include "network/platform_client.h"
+
+#include "core/error_type.h"
+#include "network/base64_func.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bramleypitch {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr Duration callLimit {1'500}; ///< The store answers in milliseconds when it is well.
+constexpr Duration watchLimit {300'000}; ///< A watch is renewed after so long.
+constexpr int statusOk = 200;
+constexpr int millisecondsPerSecond = 1'000;
+
+/// etcd writes 64-bit numbers as texts and leaves zeros out.
+std::int64_t number(const json &object, const char *field)
+{
+    const auto found = object.find(field);
+    if (found == object.end())
+        return 0;
+    if (found->is_string())
+        return std::stoll(found->get<std::string>());
+    return found->get<std::int64_t>();
+}
+
+/// The key just after all keys with this prefix, as etcd's range_end wants it.
+std::string prefixEnd(std::string prefix)
+{
+    while (!prefix.empty() && static_cast<unsigned char>(prefix.back()) == 0xff)
+        prefix.pop_back();
+    if (!prefix.empty())
+        prefix.back() = static_cast<char>(prefix.back() + 1);
+    return prefix;
+}
+
+StoreRead parseRange(const HttpAnswer &answer)
+{
+    StoreRead read;
+    if (answer.status != statusOk)
+        return read;
+    try {
+        const json body = json::parse(answer.body);
+        for (const json &item : body.value("kvs", json::array())) {
+            SharedValue value;
+            value.key = decodeBase64(item.at("key").get<std::string>());
+            value.revision = Revision(number(item, "mod_revision"));
+            value.value = decodeBase64(item.value("value", std::string()));
+            read.values.push_back(std::move(value));
+        }
+        read.ok = true;
+    } catch (const std::exception &) {
+        return {}; // What cannot be read is no answer.
+    }
+    return read;
+}
+
+StoreLease parseLease(const HttpAnswer &answer)
+{
+    StoreLease lease;
+    const json body = json::parse(answer.body, nullptr, false);
+    if (answer.status != statusOk || !body.is_object())
+        return lease;
+    const json &result = body.contains("result") ? body["result"] : body;
+    try {
+        lease.id = number(result, "ID");
+        lease.timeToLive = Duration(number(result, "TTL") * millisecondsPerSecond);
+        lease.ok = true;
+    } catch (const std::exception &) {
+        return {};
+    }
+    return lease;
+}
+
+std::optional<std::vector<VmRecord>> parseVmList(const HttpAnswer &answer)
+{
+    if (answer.status != statusOk)
+        return std::nullopt;
+    try {
+        std::vector<VmRecord> vms;
+        const json body = json::parse(answer.body);
+        for (const json &item : body.at("vms")) {
+            VmRecord vm;
+            item.at("id").get_to(vm.id);
+            item.at("address").get_to(vm.address);
+            item.at("availability_zone").get_to(vm.zone);
+            const auto service = item.value("service", std::string());
+            vm.domain = service.empty() ? DomainId(item.at("fabric_domain").get<std::string>())
+                                        : DomainId("service/" + service);
+            vm.leaving = item.value("leaving", false);
+            vms.push_back(std::move(vm));
+        }
+        return vms;
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+PlatformClient::PlatformClient(EventLoop &, HttpClient &http, Address address,
+                               Address vmListAddress)
+    : m_http(http)
+    , m_address(std::move(address))
+    , m_vmListAddress(std::move(vmListAddress))
+{
+}
+
+HttpCall PlatformClient::storeCall(const std::string &path, const std::string &body) const
+{
+    HttpCall call;
+    call.address = m_address;
+    call.method = "POST";
+    call.path = path;
+    call.headers = {{"Content-Type", "application/json"}};
+    call.body = body;
+    call.timeLimit = callLimit;
+    return call;
+}
+
+void PlatformClient::range(const std::string &body, std::function<void(const StoreRead &)> done)
+{
+    HttpHooks hooks;
+    hooks.answered = [done](const HttpAnswer &answer) { done(parseRange(answer)); };
+    hooks.broken = [done](const HttpBreak &) { done({}); };
+    m_http.send(storeCall("/v3/kv/range", body), std::move(hooks));
+}
+
+void PlatformClient::readPrefix(const std::string &prefix, Revision above,
+                                std::function<void(const StoreRead &)> done)
+{
+    json body {{"key", encodeBase64(prefix)}, {"range_end", encodeBase64(prefixEnd(prefix))}};
+    if (above.value() > 0)
+        body["min_mod_revision"] = std::to_string(above.value() + 1);
+    range(body.dump(), std::move(done));
+}
+
+void PlatformClient::readKey(const std::string &key, std::function<void(const StoreRead &)> done)
+{
+    range(json({{"key", encodeBase64(key)}}).dump(), std::move(done));
+}
+
+void PlatformClient::compareAndSwap(const std::string &key, Revision expected,
+                                    const std::string &value, std::int64_t lease,
+                                    std::function<void(const StoreSwap &)> done)
+{
+    json put {{"key", encodeBase64(key)}, {"value", encodeBase64(value)}};
+    if (lease != 0)
+        put["lease"] = std::to_string(lease);
+    const json body {{"compare",
+                      {{{"key", encodeBase64(key)},
+                        {"target", "MOD"},
+                        {"result", "EQUAL"},
+                        {"mod_revision", std::to_string(expected.value())}}}},
+                     {"success", {{{"request_put", put}}}}};
+    HttpHooks hooks;
+    hooks.answered = [this, key, expected, value, done](const HttpAnswer &answer) {
+        const json reply = json::parse(answer.body, nullptr, false);
+        const bool readable = answer.status == statusOk && reply.is_object();
+        if (readable && reply.value("succeeded", false) && reply.contains("header")) {
+            done({StoreSwapOutcome::Written, Revision(number(reply["header"], "revision")), {}});
+            return;
+        }
+        readBack(key, expected, value, !readable, done);
+    };
+    hooks.broken = [this, key, expected, value, done](const HttpBreak &broken) {
+        if (!broken.sent) {
+            done({});
+            return;
+        }
+        readBack(key, expected, value, true, done);
+    };
+    m_http.send(storeCall("/v3/kv/txn", body.dump()), std::move(hooks));
+}
+
+void PlatformClient::readBack(const std::string &key, Revision expected, const std::string &value,
+                              bool mayBeWritten, std::function<void(const StoreSwap &)> done)
+{
+    readKey(key, [expected, value, mayBeWritten, done](const StoreRead &read) {
+        if (!read.ok) {
+            done({});
+            return;
+        }
+        const bool present = !read.values.empty();
+        const Revision revision = present ? read.values.front().revision : Revision(0);
+        const std::string stored = present ? read.values.front().value : std::string();
+        // Values hold their writer's nonce, so an equal value is this very write.
+        if (mayBeWritten && present && stored == value) {
+            done({StoreSwapOutcome::Written, revision, {}});
+            return;
+        }
+        // A write whose reply was lost may have been overwritten, or may still arrive.
+        if (mayBeWritten || revision == expected) {
+            done({});
+            return;
+        }
+        done({StoreSwapOutcome::Conflict, revision, stored});
+    });
+}
+
+void PlatformClient::grantLease(Duration timeToLive, std::function<void(const StoreLease &)> done)
+{
+    const json body {{"TTL", std::to_string(timeToLive.count() / millisecondsPerSecond)},
+                     {"ID", "0"}};
+    HttpHooks hooks;
+    hooks.answered = [done](const HttpAnswer &answer) { done(parseLease(answer)); };
+    hooks.broken = [done](const HttpBreak &) { done({}); };
+    m_http.send(storeCall("/v3/lease/grant", body.dump()), std::move(hooks));
+}
+
+void PlatformClient::keepLeaseAlive(std::int64_t lease,
+                                    std::function<void(const StoreLease &)> done)
+{
+    HttpHooks hooks;
+    hooks.answered = [done](const HttpAnswer &answer) { done(parseLease(answer)); };
+    hooks.broken = [done](const HttpBreak &) { done({}); };
+    m_http.send(storeCall("/v3/lease/keepalive", json({{"ID", std::to_string(lease)}}).dump()),
+                std::move(hooks));
+}
+
+void PlatformClient::revokeLease(std::int64_t lease, std::function<void()> done)
+{
+    HttpHooks hooks;
+    hooks.answered = [done](const HttpAnswer &) { done(); };
+    hooks.broken = [done](const HttpBreak &) { done(); };
+    m_http.send(storeCall("/v3/lease/revoke", json({{"ID", std::to_string(lease)}}).dump()),
+                std::move(hooks));
+}
+
+void PlatformClient::watchPrefix(const std::string &prefix, Revision above,
+                                 std::function<void()> changed, std::function<void()> ended)
+{
+    const json create {{"key", encodeBase64(prefix)},
+                       {"range_end", encodeBase64(prefixEnd(prefix))},
+                       {"start_revision", std::to_string(above.value() + 1)}};
+    HttpCall call = storeCall("/v3/watch", json({{"create_request", create}}).dump());
+    call.timeLimit = watchLimit;
+    call.ownConnection = true;
+    HttpHooks hooks;
+    hooks.chunk = [changed](std::string_view piece) {
+        if (piece.find("\"events\"") != std::string_view::npos)
+            changed();
+    };
+    hooks.answered = [ended](const HttpAnswer &) { ended(); };
+    hooks.broken = [ended](const HttpBreak &) { ended(); };
+    m_http.send(call, std::move(hooks));
+}
+
+void PlatformClient::readVmList(
+    std::function<void(const std::optional<std::vector<VmRecord>> &)> done)
+{
+    HttpCall call;
+    call.address = m_vmListAddress;
+    call.path = "/vms";
+    call.timeLimit = callLimit;
+    HttpHooks hooks;
+    hooks.answered = [done](const HttpAnswer &answer) { done(parseVmList(answer)); };
+    hooks.broken = [done](const HttpBreak &) { done(std::nullopt); };
+    m_http.send(call, std::move(hooks));
+}
+
+} // namespace bramleypitch
