--- /dev/null
+++ b/scripts/mutants.py
@@ -0,0 +1,134 @@
+"""Mutation run over the promises; see mutants.sh. Each mutant takes one mechanism away."""
+
+import os
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+
+LIBRARY = "src/coordination/"
+# Name, file, text to replace, replacement.
+MUTANTS = [
+    ("ledger_claim_skipped", "service_system.cpp",
+     "    if (!stored.once) {\n", "    if (true) {\n"),
+    ("ledger_grant_before_write", "ledger_owner.cpp",
+     "if (!batch.changed) {", "if (true) {\n        segment.head = batch.head;"),
+    ("ledger_other_claim_granted", "ledger_func.cpp",
+     "if (held->state == ClaimState::Claimed && held->claim == request.claim)",
+     "if (held->state == ClaimState::Claimed)"),
+    ("ledger_conflict_taken_as_written", "ledger_owner.cpp",
+     "if (done.outcome == SwapOutcome::Conflict) {\n            // Another owner",
+     "if (false) {\n            // Another owner"),
+    ("once_call_retried_after_sending", "service_system.cpp",
+     "const bool mayRetry = repeatable || !broken.sent;", "const bool mayRetry = true;"),
+    ("unsent_always_not_run", "service_system.cpp",
+     "if (asked.idempotencyKey.empty() || asked.firstAttempt)", "if (true)"),
+    ("sent_forgotten_in_outcome", "completion_system.cpp",
+     "completion.mayHaveRun = completion.mayHaveRun || broken.sent;", ""),
+    ("gate_ignores_freshness", "group_func.cpp",
+     "if (now - vm.confirmedAt >= limits.memberFreshness)\n        return false;", ""),
+    ("gate_asks_head_alone", "group_func.cpp",
+     "for (const VmId &member : group.placed.members) {",
+     "for (const VmId &member : {group.placed.members.front()}) {"),
+    ("gate_ignores_generation", "group_func.cpp",
+     "return vm.report->group == group.placed.id && vm.report->generation == group.placed.generation;",
+     "return true;"),
+    ("gate_ignores_zone", "group_func.cpp",
+     "if (zoneIsOut(envelope, vm->record.zone))", "if (false)"),
+    ("gate_ignores_leaving", "group_func.cpp", "if (vm->record.leaving)", "if (false)"),
+    ("released_vm_reused_at_once", "placement_func.cpp",
+     "    for (const ReleasedVm &released : m_next.released)\n            vms.insert(released.vm);",
+     ""),
+    ("cold_group_open_to_all", "group_func.cpp", "if (!warm && !isHome(group, lease, now))",
+     "if (false)"),
+    ("cold_group_without_allowance", "group_func.cpp",
+     "warm ? group.limits.concurrency : group.limits.coldAllowance",
+     "group.limits.concurrency"),
+    ("home_kept_past_its_lease", "group_func.cpp", "\n            && now < lease.validUntil", ""),
+    ("older_configuration_taken", "shared_base.cpp", "if (value.revision <= held.revision)",
+     "if (value.revision == held.revision)"),
+    ("stale_configuration_served", "node_state.cpp",
+     "return state.members.majorityAlive(now);", "return true;"),
+    ("late_frames_taken", "completion_system.cpp", "|| found->second.attempt != attempt", ""),
+    ("repeated_frames_taken", "completion_system.cpp",
+     "if (token.index < completion->delivered) {", "if (false) {"),
+    ("stop_without_waiting", "node.cpp", " || openRequests() > 0", ""),
+]
+PARAMETERS = "seed=20261203 max_success=25 max_size=14 noshrink=1"
+
+
+def spaced(text):
+    """A pattern that matches the text however the formatter broke its lines."""
+    return r"\s*".join(re.escape(part) for part in re.findall(r"\w+|[^\w\s]", text))
+
+
+def build(tree):
+    environment = dict(os.environ, CCACHE_BASEDIR=tree, CCACHE_NOHASHDIR="1")
+    return subprocess.run(["ninja", "-C", f"{tree}/build", "promises_test"], env=environment,
+                          capture_output=True, text=True, check=False)
+
+
+def copy_tree(tree):
+    files = subprocess.run(["git", "ls-files", "-co", "--exclude-standard"], capture_output=True,
+                           text=True, check=True).stdout.splitlines()
+    for name in files:
+        target = os.path.join(tree, name)
+        os.makedirs(os.path.dirname(target), exist_ok=True)
+        shutil.copy(name, target)
+    subprocess.run(["cmake", "-S", tree, "-B", f"{tree}/build", "-G", "Ninja"],
+                   capture_output=True, check=True)
+
+
+def caught_by(tree):
+    """Names of the properties that fail."""
+    run = subprocess.run([f"{tree}/build/src/tests/promises_test"],
+                         env=dict(os.environ, RC_PARAMS=PARAMETERS), capture_output=True,
+                         text=True, check=False, timeout=900)
+    output = run.stdout + run.stderr
+    promises = sorted(set(re.findall(
+        r"^(payment once|whole group|one group a VM|cold server|configuration|not run|zone out"
+        r"|leaving server|planned stop|whole answer):", output, re.MULTILINE)))
+    failed = sorted(set(re.findall(r"\[  FAILED  \] Promises\.(\w+)", output)))
+    if run.returncode != 0 and not failed:
+        failed = ["crashed"]
+    return failed, promises
+
+
+def main():
+    wanted = set(sys.argv[1:])
+    alive = []
+    with tempfile.TemporaryDirectory() as tree:
+        copy_tree(tree)
+        for name, file, old, new in MUTANTS:
+            if wanted and name not in wanted:
+                continue
+            path = os.path.join(tree, LIBRARY, file)
+            with open(path, encoding="utf-8") as source:
+                text = source.read()
+            mutated, count = re.subn(spaced(old), lambda _, n=new: n, text)
+            if count != 1:
+                print(f"{name}: the text to replace stands {count} times", flush=True)
+                alive.append(name)
+                continue
+            with open(path, "w", encoding="utf-8") as source:
+                source.write(mutated)
+            built = build(tree)
+            if built.returncode != 0:
+                print(f"{name}: does not build\n{built.stdout[-800:]}", flush=True)
+                alive.append(name)
+            else:
+                failed, promises = caught_by(tree)
+                verdict = "caught" if failed else "ALIVE"
+                print(f"{name}: {verdict} by {len(failed)} properties: {', '.join(promises)}",
+                      flush=True)
+                if not failed:
+                    alive.append(name)
+            with open(path, "w", encoding="utf-8") as source:
+                source.write(text)
+    print(f"{len(alive)} mutants live: {', '.join(alive) or 'none'}")
+    return 1 if alive else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/coordination/completion_system.cpp
+++ b/src/coordination/completion_system.cpp
@@ -165,6 +165,7 @@
     completion.group = group.placed.id;
     completion.head = head.record.id;
     completion.dispatchedAt = now;
+    completion.lastTokenAt = now;
     completion.deliveredBefore = completion.delivered;
     ++group.ownRunning;
     ++m_organisations[completion.organisation].running;
@@ -225,6 +226,7 @@
     }
     ++completion->delivered;
     completion->mayHaveRun = true;
+    completion->lastTokenAt = now;
     m_state.counters.add(Counter::TokensDelivered);
     actions.emplace_back(AnswerToken {token.request, token.text});
 }
@@ -328,12 +330,34 @@
     return true;
 }
 
+bool CompletionSystem::hasStalled(const Completion &completion, TimePoint now)
+{
+    if (!completion.running)
+        return false;
+    const Duration silent = now - completion.lastTokenAt;
+    if (silent >= m_state.options.stallLimit)
+        return true;
+    const Group *group = groupOf(completion);
+    if (!group)
+        return silent >= m_state.options.stallSuspicion;
+    const GateState gate = gateState(*group, m_state.vms, *m_state.envelope,
+                                     m_state.options.placement, now);
+    return gate == GateState::MemberMissing && silent >= m_state.options.stallSuspicion;
+}
+
 void CompletionSystem::expire(Completion &completion, TimePoint now, Actions &actions)
 {
     if (!completion.running && completion.attempt.value() == 0 && now >= completion.startBy) {
         giveUp(completion, ErrorCode::DeadlineUnreachable, "no group had room in time", actions);
         return;
     }
+    if (now < completion.deadline && hasStalled(completion, now)) {
+        const RequestId request = completion.id;
+        const AttemptNumber attempt = completion.attempt;
+        actions.emplace_back(CancelAttempt {request, attempt});
+        broken({request, attempt, true, false}, now, actions);
+        return;
+    }
     if (now < completion.deadline)
         return;
     if (completion.running) {
@@ -349,8 +373,11 @@
     std::vector<RequestId> requests;
     for (const auto &[request, completion] : m_completions)
         requests.push_back(request);
-    for (const RequestId request : requests)
-        expire(m_completions.at(request), now, actions);
+    for (const RequestId request : requests) {
+        const auto found = m_completions.find(request);
+        if (found != m_completions.end())
+            expire(found->second, now, actions);
+    }
     pump(now, actions);
 }
 
--- a/src/coordination/completion_system.h
+++ b/src/coordination/completion_system.h
@@ -28,6 +28,7 @@
     GroupId group; ///< Of the running attempt.
     VmId head;
     TimePoint dispatchedAt;
+    TimePoint lastTokenAt; ///< Or when the running attempt was sent.
     std::uint32_t deliveredBefore = 0; ///< `delivered` when the running attempt began.
 };
 
@@ -78,6 +79,8 @@
     void giveUp(Completion &completion, ErrorCode code, const std::string &message,
                 Actions &actions);
     void expire(Completion &completion, TimePoint now, Actions &actions);
+    /// Whether the running attempt's group has gone silent.
+    bool hasStalled(const Completion &completion, TimePoint now);
     Completion *current(RequestId request, AttemptNumber attempt);
     Group *groupOf(const Completion &completion);
     FairQueue::Item queueItem(const Completion &completion) const;
--- a/src/coordination/node_state.h
+++ b/src/coordination/node_state.h
@@ -44,6 +44,8 @@
     Duration leaseMargin {1'000}; ///< A lease is relied on for so much less than its time to live.
     Duration ledgerAskTimeout {600}; ///< Before a ledger request is asked again.
     Duration orderTimeout {2'000}; ///< Before an order is sent again.
+    Duration stallSuspicion {500}; ///< Silence after which a stream of a broken group is given up.
+    Duration stallLimit {10'000}; ///< Silence after which any stream is given up.
     Duration entryKeep {3'000}; ///< How long callers keep the list of entries.
     std::uint32_t domainSubset = 16; ///< Fabric domains that one node routes to.
     std::uint32_t loadsAtOnce = 4; ///< Groups of one domain that load weights at the same time.
--- /dev/null
+++ b/src/tests/promises_test.cpp
@@ -0,0 +1,115 @@
+// The brief's ten promises as properties: random steps of failures and operators' changes, several
+// nodes, and checks that look at the outside alone. RC_PARAMS sets seed and number of cases:
+//   RC_PARAMS="seed=7 max_success=500" build/src/tests/promises_test
+
+#include "world.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <cstdlib>
+#include <iostream>
+
+namespace bramleypitch::test {
+
+namespace {
+
+constexpr const char *fixedParameters = "seed=20261203 max_success=25 max_size=14 noshrink=1";
+
+/// Steps of the kinds given, each with a random target and length.
+rc::Gen<std::vector<Step>> stepsOf(std::vector<StepKind> kinds)
+{
+    return rc::gen::container<std::vector<Step>>(
+            rc::gen::build<Step>(rc::gen::set(&Step::kind, rc::gen::elementOf(std::move(kinds))),
+                                 rc::gen::set(&Step::target, rc::gen::inRange<std::uint32_t>(0, 90)),
+                                 rc::gen::set(&Step::lasts,
+                                              rc::gen::inRange<std::uint32_t>(100, 6'000))));
+}
+
+std::vector<StepKind> allKinds()
+{
+    std::vector<StepKind> kinds;
+    for (int kind = 0; kind < static_cast<int>(StepKind::Count); ++kind)
+        kinds.push_back(static_cast<StepKind>(kind));
+    return kinds;
+}
+
+/// Runs the steps and fails with every breach seen.
+void holds(const std::vector<Step> &steps, WorldOptions options)
+{
+    World world(options);
+    world.run(steps);
+    RC_LOG() << "world seed " << options.seed << ", dispatches " << world.dispatches()
+             << ", whole " << world.answeredWhole() << "\n";
+    for (const Step &step : steps)
+        RC_LOG() << "step " << static_cast<int>(step.kind) << " on " << step.target << " for "
+                 << step.lasts << " ms\n";
+    for (const Breach &breach : world.breaches())
+        RC_LOG() << breach.promise << ": " << breach.what << "\n";
+    RC_ASSERT(world.breaches().empty());
+    RC_ASSERT(world.answeredWhole() > 0U);
+    RC_ASSERT(world.paymentsRun() > 0U);
+}
+
+void property(const std::vector<StepKind> &kinds, bool checksFencing)
+{
+    const auto steps = *stepsOf(kinds);
+    WorldOptions options;
+    options.seed = *rc::gen::arbitrary<std::uint64_t>();
+    options.checksFencing = checksFencing;
+    holds(steps, options);
+}
+
+} // namespace
+
+RC_GTEST_PROP(Promises, HoldWithoutFailures, ())
+{
+    property({StepKind::Wait, StepKind::ChangeDocument, StepKind::DrainZone,
+              StepKind::RestoreZone, StepKind::StopNode},
+             true);
+}
+
+RC_GTEST_PROP(Promises, HoldWhenNodesFail, ())
+{
+    property({StepKind::KillNode, StepKind::PauseNode, StepKind::StopNode,
+              StepKind::CutNodePeers, StepKind::CutNodePlatform, StepKind::DrainZone,
+              StepKind::RestoreZone},
+             true);
+}
+
+RC_GTEST_PROP(Promises, HoldWhenVmsFail, ())
+{
+    property({StepKind::KillVm, StepKind::PauseVm, StepKind::KillDomain, StepKind::ColdVm,
+              StepKind::LeaveVm, StepKind::CutNodeEngines},
+             true);
+}
+
+RC_GTEST_PROP(Promises, HoldWhenVmsFailWithoutFencing, ())
+{
+    property({StepKind::KillVm, StepKind::PauseVm, StepKind::KillDomain, StepKind::KillNode,
+              StepKind::LeaveVm, StepKind::CutNodeEngines, StepKind::PauseNode},
+             false);
+}
+
+RC_GTEST_PROP(Promises, HoldWhenThePlatformFails, ())
+{
+    property({StepKind::PlatformOutage, StepKind::LoseReplies, StepKind::CutNodePlatform,
+              StepKind::KillNode, StepKind::ChangeDocument, StepKind::KillVm},
+             true);
+}
+
+RC_GTEST_PROP(Promises, HoldWhenAnythingFails, ())
+{
+    property(allKinds(), true);
+}
+
+} // namespace bramleypitch::test
+
+int main(int argc, char **argv)
+{
+    setenv("RC_PARAMS", bramleypitch::test::fixedParameters, 0);
+    std::cout << "RC_PARAMS=" << std::getenv("RC_PARAMS") << "\n";
+    testing::InitGoogleTest(&argc, argv);
+    return RUN_ALL_TESTS();
+}
--- /dev/null
+++ b/src/tests/world_checks.cpp
@@ -0,0 +1,162 @@
+#include "world.h"
+
+#include "coordination/environment_func.h"
+#include "coordination/placement_func.h"
+
+#include <set>
+
+namespace bramleypitch::test {
+
+namespace {
+
+constexpr std::int64_t memberFreshness = 2'000; ///< The stated bound of the serve gate.
+constexpr std::int64_t fewSeconds = 4'000; ///< "After a few seconds", "within seconds".
+constexpr std::int64_t coldKnown = 2'500; ///< Gate's freshness and the longest usual way there.
+constexpr std::uint32_t coldAllowance = 1;
+constexpr std::uint32_t warmAfter = 3;
+
+} // namespace
+
+void World::breach(const std::string &promise, const std::string &what)
+{
+    m_breaches.push_back({promise, what + " at " + std::to_string(m_now)});
+}
+
+void World::noteServing(VmSlot &vm)
+{
+    if (vm.report.state == EngineState::Ready)
+        vm.servedUntil[{vm.report.group, vm.report.generation}] = m_now;
+}
+
+void World::checkDispatch(std::uint32_t node, const DispatchEngine &dispatch)
+{
+    ++m_dispatches;
+    const VmSlot *head = vmOf(dispatch.address);
+    // The members as the store's placement has them; gone groups were checked when they stood.
+    const auto placed = m_store.find(placementKey(head->record.domain));
+    const DomainPlacement placement = parsePlacement(placed->second.value);
+    for (const PlacedGroup &group : placement.groups) {
+        if (group.id != dispatch.group)
+            continue;
+        for (const VmId &member : group.members) {
+            VmSlot *vm = vmOf(Address(member.value()));
+            const auto served = vm->servedUntil.find({dispatch.group, dispatch.generation});
+            if (served == vm->servedUntil.end() || served->second < m_now - memberFreshness)
+                breach("whole group", group.id.value() + " served without " + member.value());
+            if (dispatch.generation.value() < vm->highestDispatched)
+                breach("one group a VM", member.value() + " served an older group again");
+            vm->highestDispatched = std::max(vm->highestDispatched, dispatch.generation.value());
+            const bool knows = m_nodes[node].noPlatformUntil < m_now - fewSeconds
+                    && m_outageUntil < m_now - fewSeconds;
+            if (vm->leavingSince >= 0 && knows && m_now - vm->leavingSince > fewSeconds)
+                breach("leaving server", member.value() + " got new work");
+        }
+    }
+    const auto out = m_zoneOutSince.find(head->record.zone);
+    const bool platformWell = m_outageUntil < m_now - fewSeconds;
+    if (out != m_zoneOutSince.end() && platformWell && m_now - out->second > fewSeconds)
+        breach("zone out", head->record.zone.value() + " got new work from n"
+                       + std::to_string(node));
+}
+
+void World::checkArrival(const VmSlot &vm)
+{
+    const bool cold = vm.report.completed < warmAfter;
+    if (cold && vm.running >= coldAllowance && m_now - vm.coldSince > coldKnown)
+        breach("cold server", vm.record.id.value() + " got more than it bears");
+}
+
+void World::checkPlacement(const std::string &key, const std::string &value)
+{
+    if (key.rfind(placementKey(DomainId()), 0) != 0)
+        return;
+    std::set<VmId> seen;
+    for (const PlacedGroup &group : parsePlacement(value).groups) {
+        for (const VmId &member : group.members) {
+            if (!seen.insert(member).second)
+                breach("one group a VM", member.value() + " is written into two groups");
+        }
+    }
+}
+
+void World::checkService(const DispatchService &dispatch)
+{
+    const VmSlot *vm = vmOf(dispatch.address);
+    const auto out = m_zoneOutSince.find(vm->record.zone);
+    const bool platformWell = m_outageUntil < m_now - fewSeconds;
+    if (out != m_zoneOutSince.end() && platformWell && m_now - out->second > fewSeconds)
+        breach("zone out", vm->record.zone.value() + " got a new call");
+    if (m_asked.at(dispatch.request.value()).paymentKey != dispatch.idempotencyKey)
+        breach("whole answer", "a call was sent with another call's key");
+}
+
+void World::checkToken(std::uint32_t, const AnswerToken &token)
+{
+    Asked &asked = m_asked.at(token.request.value());
+    if (asked.ended)
+        breach("whole answer", "a token came after the end");
+    if (token.text != tokenText(asked.prompt, asked.delivered))
+        breach("whole answer", "got " + token.text + " for token "
+                       + std::to_string(asked.delivered) + " of " + asked.prompt);
+    ++asked.delivered;
+}
+
+void World::checkEnd(const AnswerEnd &end)
+{
+    Asked &asked = m_asked.at(end.request.value());
+    if (asked.delivered != asked.maxTokens || asked.ended)
+        breach("whole answer", asked.prompt + " ended after " + std::to_string(asked.delivered));
+    asked.ended = true;
+    ++m_answeredWhole;
+}
+
+void World::checkRefusal(const Refuse &refuse)
+{
+    Asked &asked = m_asked.at(refuse.request.value());
+    if (asked.ended)
+        breach("whole answer", "a refusal came after the end");
+    asked.ended = true;
+    if (refuse.run == RunOutcome::NotRun)
+        m_notRun.push_back(refuse.request.value());
+}
+
+void World::checkRevision(std::uint32_t node, std::int64_t revision)
+{
+    NodeSlot &slot = m_nodes[node];
+    if (revision <= slot.highestRevision)
+        breach("configuration", "n" + std::to_string(node) + " went back to "
+                       + std::to_string(revision));
+    slot.highestRevision = revision;
+}
+
+void World::checkSettled()
+{
+    const std::string key = configurationKey(EnvironmentId("world"), Stage::Production);
+    for (std::uint32_t node = 0; node < m_options.nodes; ++node) {
+        const NodeSlot &slot = m_nodes[node];
+        if (slot.node && !slot.stopping
+            && slot.node->state().envelopeRevision.value() != m_store.at(key).revision)
+            breach("configuration", "n" + std::to_string(node) + " is behind");
+    }
+    for (const std::uint64_t request : m_notRun) {
+        if (m_requestRuns.count(request) > 0)
+            breach("not run", "request " + std::to_string(request) + " ran");
+        const std::string &payment = m_asked.at(request).paymentKey;
+        if (payment.empty())
+            continue;
+        // Earlier requests with the same key count too.
+        for (const auto &[earlier, asked] : m_asked) {
+            if (earlier < request && asked.paymentKey == payment && m_requestRuns.count(earlier))
+                breach("not run", "key " + payment + " had run before");
+        }
+    }
+    // Whoever was asked for an answer by a node that lived on has it by now.
+    for (const auto &[id, asked] : m_asked) {
+        const NodeSlot &slot = m_nodes[asked.node];
+        const bool old = id + 100 < m_lastRequest;
+        if (old && !asked.ended && slot.life == asked.life)
+            breach("whole answer", "request " + std::to_string(id) + " was never answered");
+    }
+}
+
+} // namespace bramleypitch::test
