--- a/src/command/main.cpp
+++ b/src/command/main.cpp
@@ -1,3 +1,4 @@
+#include "command/load_command.h"
 #include "command/operator_command.h"
 #include "command/serve_command.h"
 #include "core/error_type.h"
@@ -15,8 +16,9 @@
 const std::map<std::string, Command> &commands()
 {
     static const std::map<std::string, Command> all {
-        {"serve", runServe},   {"check", runCheck}, {"apply", runApply}, {"promote", runPromote},
-        {"status", runStatus}, {"audit", runAudit}, {"drain", runDrain}, {"restore", runRestore}};
+        {"serve", runServe},     {"check", runCheck},     {"apply", runApply},
+        {"promote", runPromote}, {"status", runStatus},   {"audit", runAudit},
+        {"drain", runDrain},     {"restore", runRestore}, {"load", runLoad}};
     return all;
 }
 
@@ -32,6 +34,7 @@
            "  restore ZONE     take an availability zone back in\n"
            "  status           what is in force, and where\n"
            "  audit            every accepted change\n"
+           "  load             put load on a running system and report\n"
            "\nsettings:\n"
         << settingsHelp();
 }
--- a/src/coordination/completion_system.cpp
+++ b/src/coordination/completion_system.cpp
@@ -273,8 +273,7 @@
     }
     m_state.counters.add(Counter::AttemptsBroken);
     completion.mayHaveRun = completion.mayHaveRun || broken.sent;
-    if (Group *group = groupOf(completion))
-        group->avoidUntil = now + avoidAfterFailure;
+    avoidDomain(completion, now);
     // Any sign of loss shuts the gate in this event; the next good probe opens it.
     if (!broken.refused)
         m_state.vms.suspect(completion.head, now);
@@ -284,6 +283,18 @@
     return true;
 }
 
+void CompletionSystem::avoidDomain(const Completion &completion, TimePoint now)
+{
+    // Groups of one fabric domain tend to fail together, so the next attempt goes elsewhere.
+    const Vm *head = m_state.vms.find(completion.head);
+    for (const GroupIndex index : m_state.groups.ofTarget(completion.model.value())) {
+        Group *group = m_state.groups.find(index);
+        const Vm *other = m_state.vms.find(group->placed.members.front());
+        if (head && other && head->record.domain == other->record.domain)
+            group->avoidUntil = now + avoidAfterFailure;
+    }
+}
+
 void CompletionSystem::retryOrGiveUp(Completion &completion, TimePoint now, Actions &actions)
 {
     const ModelGroupSpec *spec = findModelGroup(m_state.envelope->environment, completion.model);
--- a/src/coordination/completion_system.h
+++ b/src/coordination/completion_system.h
@@ -75,6 +75,7 @@
                               double slots);
     void dispatch(Completion &completion, GroupIndex index, TimePoint now, Actions &actions);
     void endAttempt(Completion &completion);
+    void avoidDomain(const Completion &completion, TimePoint now);
     void retryOrGiveUp(Completion &completion, TimePoint now, Actions &actions);
     void giveUp(Completion &completion, ErrorCode code, const std::string &message,
                 Actions &actions);
--- /dev/null
+++ b/src/load/generator.cpp
@@ -0,0 +1,288 @@
+#include "load/generator.h"
+
+#include "core/error_type.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bramleypitch::load {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr Duration requestLimit {30'000};
+constexpr Duration entriesLimit {1'000};
+constexpr Duration entriesRetry {100};
+constexpr int statusOk = 200;
+constexpr double millisecondsPerSecond = 1'000;
+constexpr std::string_view dataPrefix = "data: ";
+
+} // namespace
+
+Generator::Generator(EventLoop &loop, Mix mix, GeneratorOptions options)
+    : m_loop(loop)
+    , m_http(loop)
+    , m_mix(std::move(mix))
+    , m_options(std::move(options))
+    , m_random(m_options.seed)
+    , m_next(loop, [this] { arrive(); })
+    , m_refresh(loop, [this] { refreshEntries(); })
+{
+}
+
+Result Generator::run(const std::function<void(const std::string &)> &progress)
+{
+    m_entries = {m_options.entry};
+    refreshEntries();
+    m_start = m_loop.now();
+    m_due = m_start;
+    m_result.seconds.resize(static_cast<std::size_t>(m_options.duration.count()) / 1'000 + 1);
+    Timer report(m_loop, [&] {
+        const std::int64_t elapsed = (m_loop.now() - m_start).count();
+        const std::size_t second =
+            std::min(static_cast<std::size_t>(elapsed) / 1'000, m_result.seconds.size()) - 1;
+        const Second &last = m_result.seconds[second];
+        progress(std::to_string(elapsed / 1'000) + " s: offered " + std::to_string(last.offered)
+                 + ", in time so far " + std::to_string(last.inTime) + ", open "
+                 + std::to_string(m_open.size()));
+    });
+    report.startRepeating(Duration(1'000));
+    scheduleNext();
+    m_loop.run();
+    m_result.durationMillis = (m_loop.now() - m_start).count();
+    return std::move(m_result);
+}
+
+void Generator::refreshEntries()
+{
+    HttpCall call;
+    call.address = nextEntry();
+    call.path = "/v1/entries";
+    call.timeLimit = entriesLimit;
+    HttpHooks hooks;
+    hooks.answered = [this](const HttpAnswer &answer) {
+        const json body = json::parse(answer.body, nullptr, false);
+        if (answer.status != statusOk || !body.is_object() || body["entries"].empty()) {
+            m_refresh.startOnce(entriesRetry);
+            return;
+        }
+        m_entries.clear();
+        for (const json &entry : body["entries"])
+            m_entries.push_back(entry["address"].get<Address>());
+        m_refresh.startOnce(Duration(body["keep_ms"].get<std::int64_t>()));
+    };
+    hooks.broken = [this](const HttpBreak &) { m_refresh.startOnce(entriesRetry); };
+    m_http.send(call, std::move(hooks));
+}
+
+Address Generator::nextEntry()
+{
+    return m_entries[m_entryTurn++ % m_entries.size()];
+}
+
+double Generator::weightOf(const MixOrganisation &organisation) const
+{
+    const std::int64_t elapsed = (m_due - m_start).count();
+    double weight = organisation.share;
+    for (const MixSurge &surge : m_mix.surges) {
+        if (surge.organisation == organisation.name && elapsed >= surge.fromMillis
+            && elapsed < surge.toMillis)
+            weight *= surge.factor;
+    }
+    return weight;
+}
+
+double Generator::currentRate() const
+{
+    double usual = 0;
+    double now = 0;
+    for (const MixOrganisation &organisation : m_mix.organisations) {
+        usual += organisation.share;
+        now += weightOf(organisation);
+    }
+    return m_options.ratePerSecond * now / usual;
+}
+
+void Generator::scheduleNext()
+{
+    std::exponential_distribution<double> gap(currentRate() / millisecondsPerSecond);
+    // Due times are whole milliseconds; what is cut off goes into the next gap.
+    m_dueRemainder += gap(m_random);
+    const auto whole = static_cast<std::int64_t>(m_dueRemainder);
+    m_dueRemainder -= static_cast<double>(whole);
+    m_due += Duration(whole);
+    if (m_due - m_start >= m_options.duration) {
+        m_arrivalsOver = true;
+        finishIfDone();
+        return;
+    }
+    m_next.startOnce(std::max(Duration(0), m_due - m_loop.now()));
+}
+
+void Generator::arrive()
+{
+    std::vector<double> organisationWeights;
+    for (const MixOrganisation &organisation : m_mix.organisations)
+        organisationWeights.push_back(weightOf(organisation));
+    std::vector<double> requestWeights;
+    for (const MixRequest &request : m_mix.requests)
+        requestWeights.push_back(request.share);
+    std::discrete_distribution<std::size_t> organisation(organisationWeights.begin(),
+                                                         organisationWeights.end());
+    std::discrete_distribution<std::size_t> request(requestWeights.begin(), requestWeights.end());
+    const std::size_t chosen = organisation(m_random);
+    send(m_mix.organisations[chosen], m_mix.requests[request(m_random)], m_due);
+    scheduleNext();
+}
+
+HttpCall Generator::completionCall(const MixOrganisation &organisation, const MixRequest &request)
+{
+    std::string prompt = organisation.name + " " + request.name + " "
+        + std::to_string(m_random() % request.prefixes) + " ";
+    prompt.resize(std::max<std::size_t>(prompt.size(), request.prefixBytes), '.');
+    prompt += std::to_string(m_lastId);
+    const json body {{"model", request.target},
+                     {"stream", true},
+                     {"max_tokens", request.maxTokens},
+                     {"priority", request.priority},
+                     {"first_token_deadline_ms", request.inTimeMillis},
+                     {"messages", {{{"role", "user"}, {"content", prompt}}}}};
+    HttpCall call;
+    call.method = "POST";
+    call.path = "/v1/chat/completions";
+    call.body = body.dump();
+    return call;
+}
+
+HttpCall Generator::serviceCall(const MixOrganisation &, const MixRequest &request)
+{
+    HttpCall call;
+    call.path = "/services/" + request.target + request.path;
+    if (request.kind == RequestKind::Read)
+        return call;
+    call.method = "POST";
+    call.body = "{\"amount\":100}";
+    call.headers = {{"Idempotency-Key",
+                     "load-" + std::to_string(m_options.seed) + "-" + std::to_string(m_random())},
+                    {"Idempotency-Attempt", "1"}};
+    return call;
+}
+
+void Generator::send(const MixOrganisation &organisation, const MixRequest &request, TimePoint due)
+{
+    const std::uint64_t id = ++m_lastId;
+    Request &open = m_open[id];
+    open.organisation = organisation.name;
+    open.className = request.name;
+    open.inTimeMillis = request.inTimeMillis;
+    open.due = due;
+    open.second = static_cast<std::size_t>((due - m_start).count()) / 1'000;
+    ++m_result.seconds[open.second].offered;
+    ++tallyOf(open).offered;
+    const bool isCompletion = request.kind == RequestKind::Completion;
+    HttpCall call =
+        isCompletion ? completionCall(organisation, request) : serviceCall(organisation, request);
+    call.address = nextEntry();
+    call.timeLimit = requestLimit;
+    call.headers.emplace_back("Authorization", "Bearer " + organisation.key);
+    HttpHooks hooks;
+    if (isCompletion)
+        hooks.chunk = [this, id](std::string_view piece) { streamCame(id, piece); };
+    hooks.answered = [this, id](const HttpAnswer &answer) { answered(id, answer); };
+    hooks.broken = [this, id](const HttpBreak &) { broken(id); };
+    m_http.send(call, std::move(hooks));
+}
+
+Tally &Generator::tallyOf(const Request &request)
+{
+    return m_result.tallies[{request.organisation, request.className}];
+}
+
+void Generator::streamCame(std::uint64_t id, std::string_view piece)
+{
+    Request &request = m_open.at(id);
+    request.partial += piece;
+    std::size_t start = 0;
+    for (std::size_t end = request.partial.find('\n'); end != std::string::npos;
+         end = request.partial.find('\n', start)) {
+        lineCame(request, std::string_view(request.partial).substr(start, end - start));
+        start = end + 1;
+    }
+    request.partial.erase(0, start);
+}
+
+void Generator::lineCame(Request &request, std::string_view line)
+{
+    if (line.substr(0, dataPrefix.size()) != dataPrefix)
+        return;
+    const std::string_view data = line.substr(dataPrefix.size());
+    if (data == "[DONE]") {
+        request.done = true;
+        return;
+    }
+    if (data.rfind("{\"error\"", 0) == 0) {
+        request.error = json::parse(data)["error"]["type"].get<std::string>();
+        return;
+    }
+    if (data.find("\"content\"") == std::string_view::npos)
+        return;
+    const TimePoint now = m_loop.now();
+    ++m_result.tokens;
+    if (request.firstAt == TimePoint())
+        request.firstAt = now;
+    else
+        tallyOf(request).betweenTokens.add(static_cast<double>((now - request.lastAt).count()));
+    request.lastAt = now;
+}
+
+void Generator::answered(std::uint64_t id, const HttpAnswer &answer)
+{
+    Request &request = m_open.at(id);
+    if (answer.status != statusOk) {
+        const json body = json::parse(answer.body, nullptr, false);
+        const std::string type = body.is_object() && body.contains("error")
+            ? body["error"].value("type", std::string("unreadable"))
+            : std::string("status_") + std::to_string(answer.status);
+        ++tallyOf(request).refused[type];
+        finish(id);
+        return;
+    }
+    const bool isStream = answer.contentType.rfind("text/event-stream", 0) == 0;
+    if (isStream && !request.done) {
+        broken(id);
+        return;
+    }
+    if (request.firstAt == TimePoint())
+        request.firstAt = m_loop.now();
+    const std::int64_t took = (request.firstAt - request.due).count();
+    Tally &tally = tallyOf(request);
+    ++tally.whole;
+    tally.firstToken.add(static_cast<double>(took));
+    if (took <= request.inTimeMillis) {
+        ++tally.inTime;
+        ++m_result.seconds[request.second].inTime;
+    }
+    finish(id);
+}
+
+void Generator::broken(std::uint64_t id)
+{
+    const Request &request = m_open.at(id);
+    ++tallyOf(request).broken;
+    ++m_result.seconds[request.second].broken;
+    finish(id);
+}
+
+void Generator::finish(std::uint64_t id)
+{
+    m_open.erase(id);
+    finishIfDone();
+}
+
+void Generator::finishIfDone()
+{
+    if (m_arrivalsOver && m_open.empty())
+        m_loop.stop();
+}
+
+} // namespace bramleypitch::load
--- a/src/network/metrics.cpp
+++ b/src/network/metrics.cpp
@@ -12,6 +12,8 @@
 namespace accumulators = boost::accumulators;
 
 constexpr std::array<double, 4> probabilities {0.5, 0.9, 0.95, 0.99};
+/// The estimate needs as many samples as it keeps markers.
+constexpr std::size_t leastSamples = 2 * probabilities.size() + 3;
 constexpr const char *prefix = "bramleypitch_";
 
 } // namespace
@@ -26,22 +28,29 @@
     m_accumulators(milliseconds);
 }
 
+std::size_t Distribution::count() const
+{
+    return accumulators::count(m_accumulators);
+}
+
+std::optional<double> Distribution::quantile(double probability) const
+{
+    if (count() < leastSamples)
+        return std::nullopt;
+    return accumulators::quantile(m_accumulators, accumulators::quantile_probability = probability);
+}
+
 std::string Distribution::text(const std::string &name, const std::string &help) const
 {
     std::ostringstream out;
     out << "# HELP " << prefix << name << " " << help << "\n";
     out << "# TYPE " << prefix << name << " summary\n";
-    // The estimate needs as many samples as it keeps markers.
-    constexpr std::size_t leastSamples = 2 * probabilities.size() + 3;
-    if (accumulators::count(m_accumulators) >= leastSamples) {
-        for (const double probability : probabilities)
-            out << prefix << name << "{quantile=\"" << probability << "\"} "
-                << accumulators::quantile(m_accumulators,
-                                          accumulators::quantile_probability = probability)
-                << "\n";
+    for (const double probability : probabilities) {
+        if (const std::optional<double> estimate = quantile(probability))
+            out << prefix << name << "{quantile=\"" << probability << "\"} " << *estimate << "\n";
     }
     out << prefix << name << "_sum " << accumulators::sum(m_accumulators) << "\n";
-    out << prefix << name << "_count " << accumulators::count(m_accumulators) << "\n";
+    out << prefix << name << "_count " << count() << "\n";
     return out.str();
 }
 
--- a/src/network/metrics.h
+++ b/src/network/metrics.h
@@ -9,6 +9,7 @@
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
 
+#include <optional>
 #include <string>
 
 namespace bramleypitch {
@@ -19,6 +20,9 @@
 public:
     Distribution();
     void add(double milliseconds);
+    std::size_t count() const;
+    /// The estimate for one of 0.5, 0.9, 0.95 and 0.99; none while there are too few samples.
+    std::optional<double> quantile(double probability) const;
     /// The summary in Prometheus text form.
     std::string text(const std::string &name, const std::string &help) const;
 
--- a/src/settings/settings_type.h
+++ b/src/settings/settings_type.h
@@ -29,7 +29,7 @@
     BaselinePolicy,
     Entries,
     Mix,
-    RatePerSecond,
+    RatePerSecond, ///< Flag "rate".
     DurationS,
     Output,
     Count, ///< Not a setting: how many there are.
--- /dev/null
+++ b/src/tests/golden_test.cpp
@@ -0,0 +1,256 @@
+// Golden files of whole sessions: the worst story of each promise, events in and actions out. Each
+// test also says in words what must not stand in the file, so that a renewed file is no excuse.
+
+#include "coordination/environment_func.h"
+#include "session.h"
+
+#include <gtest/gtest.h>
+
+namespace bramleypitch::test {
+
+namespace {
+
+std::size_t count(const Session &session, const std::string &text)
+{
+    std::size_t found = 0;
+    for (std::size_t at = session.text().find(text); at != std::string::npos;
+         at = session.text().find(text, at + 1))
+        ++found;
+    return found;
+}
+
+AttemptNumber attempt(std::uint32_t number)
+{
+    return AttemptNumber(number);
+}
+
+const RequestId one(1);
+const RequestId two(2);
+
+} // namespace
+
+TEST(Golden, PaymentOnceThoughTheReplyOfTheClaimIsLost)
+{
+    Session session;
+    session.begin();
+    session.say("a payment comes; the claim's segment is read and written");
+    session.askPayment(10, 1, "pay-1", true);
+    session.at(12, KeyRead {session.lastOperation(), true, Revision(0), {}});
+    session.say("the write's reply is lost: nothing may be sent");
+    session.at(1'512, SwapDone {session.lastOperation(), SwapOutcome::Unknown, {}, {}});
+    EXPECT_EQ(count(session, "< dispatch_service"), 0U);
+    session.say("asked again with the same claim, which turns out to stand there");
+    session.confirmAll(1'700);
+    session.at(1'720, Tick {WallTime(2'720)});
+    session.at(1'740, Tick {WallTime(2'740)});
+    expectGolden(session, "payment_once");
+    EXPECT_EQ(count(session, "< dispatch_service"), 0U);
+    EXPECT_GE(count(session, "< read_key"), 2U);
+}
+
+TEST(Golden, RepeatedPaymentGetsTheRecordedOutcome)
+{
+    Session session;
+    session.begin();
+    session.askPayment(10, 1, "pay-1", true);
+    session.at(12, KeyRead {session.lastOperation(), true, Revision(0), {}});
+    session.at(15, SwapDone {session.lastOperation(), SwapOutcome::Written, Revision(20), {}});
+    session.say("the same payment comes while the first runs");
+    session.askPayment(16, 2, "pay-1", false);
+    CallOutcome outcome;
+    outcome.status = 200;
+    outcome.body = "paid";
+    session.at(20, ServiceAnswered {one, attempt(1), outcome});
+    session.at(25, SwapDone {session.lastOperation(), SwapOutcome::Written, Revision(21), {}});
+    session.say("and once more after it ended");
+    session.askPayment(30, 3, "pay-1", false);
+    expectGolden(session, "payment_repeated");
+    EXPECT_EQ(count(session, "< dispatch_service"), 1U);
+    EXPECT_EQ(count(session, "in_progress may_have_run"), 1U);
+    EXPECT_EQ(count(session, "body=paid repeated=yes"), 1U);
+}
+
+TEST(Golden, GroupWithAMissingMemberTakesNothing)
+{
+    Session session;
+    session.begin();
+    session.say("a member of each group is lost in the same event that tells of it");
+    ProbeDone lost;
+    lost.vm = VmId("a2");
+    lost.sentAt = timePoint(100'100);
+    session.at(110, lost);
+    lost.vm = VmId("b2");
+    session.at(111, lost);
+    session.askCompletion(112, 1, "p");
+    expectGolden(session, "group_member_missing");
+    EXPECT_EQ(count(session, "< dispatch_engine"), 0U);
+    EXPECT_EQ(count(session, "no_capacity not_run"), 1U);
+}
+
+TEST(Golden, PausedNodeChecksAgainBeforeItSends)
+{
+    Session session;
+    session.begin();
+    session.say("the node is paused for 2.5 s; the request waited in its socket meanwhile");
+    session.askCompletion(2'510, 1, "p");
+    expectGolden(session, "group_paused_node");
+    EXPECT_EQ(count(session, "< dispatch_engine"), 0U);
+}
+
+TEST(Golden, VmOfADissolvedGroupWaitsBeforeItIsUsedAgain)
+{
+    Session session;
+    session.begin();
+    NodesRead nodes {OperationId(), true, {}};
+    nodes.nodes.push_back({NodeId("n0"), Incarnation(5), {}, {}, ZoneId("za")});
+    session.at(30, nodes);
+    session.say("a2 is silent; after the loss time its group is dissolved, not before");
+    for (std::int64_t time = 500; time <= 4'000; time += 500) {
+        session.confirm(time, "a1", "da/1", 1);
+        session.confirm(time, "b1", "db/1", 1);
+        session.confirm(time, "b2", "db/1", 1);
+        session.confirm(time, "s1", "", 0);
+        ProbeDone silent;
+        silent.vm = VmId("a2");
+        silent.sentAt = timePoint(100'000 + time - 400);
+        session.at(time, silent);
+        session.at(time,
+                   LeaseRenewed {OperationId(), true, Incarnation(5), timePoint(100'000 + time),
+                                 Duration(10'000)});
+        session.at(time, Tick {WallTime(time)});
+        session.readShared(time + 2, {});
+    }
+    expectGolden(session, "vm_released");
+    EXPECT_EQ(count(session, "log group_dissolved"), 0U); // Its write is not confirmed yet.
+    EXPECT_EQ(count(session, "\"released\":[{"), 1U);
+    EXPECT_EQ(count(session, "< send_order a1 load"), 0U);
+}
+
+TEST(Golden, ColdGroupTakesItsAllowanceFromItsHomeAlone)
+{
+    Session session;
+    session.begin("[]", false);
+    session.askCompletion(10, 1, "p");
+    session.askCompletion(11, 2, "p");
+    session.say("both groups bear one each; the third waits and is told at its deadline");
+    session.askCompletion(12, 3, "p");
+    session.confirmAll(1'000);
+    session.at(1'013, Tick {WallTime(2'013)});
+    session.say("the home's lease has run out by its own clock: nothing is sent any more");
+    session.at(1'100, EngineToken {one, attempt(1), 0, "t0"});
+    session.at(1'101, CallerGone {one});
+    session.at(1'102, CallerGone {two});
+    session.confirmAll(9'100);
+    session.readShared(9'101, {});
+    session.askCompletion(9'102, 4, "p");
+    expectGolden(session, "cold_home");
+    EXPECT_EQ(count(session, "< dispatch_engine"), 2U);
+}
+
+TEST(Golden, ConfigurationNeverGoesBack)
+{
+    Session session;
+    session.begin();
+    session.say("zone zb is drained by revision 9; an older value comes late, from a peer");
+    session.at(20, Tick {WallTime(1'020)});
+    session.readShared(22, {Session::configuration(9, "[\"zb\"]")});
+    SharedPulled old;
+    old.values = {Session::configuration(7, "[]")};
+    old.newest = Revision(7);
+    old.known = true;
+    old.sentAt = timePoint(100'010);
+    session.at(30, old);
+    for (std::uint64_t request = 1; request <= 4; ++request)
+        session.askCompletion(31, request, "p" + std::to_string(request));
+    expectGolden(session, "configuration_order");
+    EXPECT_EQ(count(session, "log configuration_in_force"), 2U);
+    EXPECT_EQ(count(session, "< dispatch_engine request=1/1 a1"), 1U);
+    EXPECT_EQ(count(session, "group=db/1 generation=1 resume"), 0U);
+}
+
+TEST(Golden, BrokenStreamIsResumedAndLateFramesAreDropped)
+{
+    Session session;
+    session.begin();
+    session.askCompletion(10, 1, "p");
+    session.at(20, EngineToken {one, attempt(1), 0, "t0"});
+    session.say("the stream breaks after one token; the other group goes on from there");
+    session.at(30, AttemptBroken {one, attempt(1), true, false});
+    session.say("frames of the first attempt, and one twice, come late");
+    session.at(35, EngineToken {one, attempt(1), 1, "late"});
+    session.at(40, EngineToken {one, attempt(2), 1, "t1"});
+    session.at(41, EngineToken {one, attempt(2), 1, "twice"});
+    session.at(50, EngineToken {one, attempt(2), 2, "t2"});
+    session.at(55, EngineEnd {one, attempt(1), 1});
+    session.at(60, EngineEnd {one, attempt(2), 3});
+    expectGolden(session, "stream_resumed");
+    EXPECT_EQ(count(session, "< answer_token"), 3U);
+    EXPECT_EQ(count(session, "< answer_end request=1 tokens=3"), 1U);
+    EXPECT_EQ(count(session, "resume_from=1"), 1U);
+}
+
+TEST(Golden, NotRunIsOnlySaidIfNothingWasSent)
+{
+    Session session;
+    session.begin();
+    session.askCompletion(10, 1, "p");
+    session.say("first attempt: sent, then broken; second: refused connection; third: too");
+    session.at(20, AttemptBroken {one, attempt(1), true, false});
+    session.at(30, AttemptBroken {one, attempt(2), false, false});
+    session.confirmAll(40);
+    session.at(50, AttemptBroken {one, attempt(3), false, false});
+    session.say("another request never gets a connection");
+    session.confirmAll(60);
+    session.askCompletion(70, 2, "p");
+    session.at(71, AttemptBroken {two, attempt(1), false, false});
+    session.at(72, AttemptBroken {two, attempt(2), false, false});
+    session.confirmAll(80);
+    session.at(90, AttemptBroken {two, attempt(3), false, false});
+    expectGolden(session, "not_run");
+    EXPECT_EQ(count(session, "refuse request=1 backend_failed may_have_run"), 1U);
+    EXPECT_EQ(count(session, "refuse request=2 backend_failed not_run"), 1U);
+}
+
+TEST(Golden, LeavingServerTakesNothingThoughTheListLags)
+{
+    Session session;
+    session.begin();
+    VmListRead list {OperationId(), true, {}};
+    for (const auto &[id, vm] : session.node().state().vms.all()) {
+        list.vms.push_back(vm.record);
+        list.vms.back().leaving = id == VmId("b1");
+    }
+    session.at(20, list);
+    session.say("an older list comes after the newer one");
+    for (VmRecord &vm : list.vms)
+        vm.leaving = false;
+    session.at(25, list);
+    for (std::uint64_t request = 1; request <= 4; ++request)
+        session.askCompletion(30, request, "p" + std::to_string(request));
+    expectGolden(session, "leaving_server");
+    EXPECT_EQ(count(session, "< dispatch_engine"), 4U);
+    EXPECT_EQ(count(session, "group=db/1 generation=1 resume"), 0U);
+}
+
+TEST(Golden, PlannedStopEndsWhatRunsAndRefusesTheRest)
+{
+    Session session;
+    session.begin();
+    session.askCompletion(10, 1, "p");
+    session.at(20, StopAsked {});
+    session.askCompletion(21, 2, "q");
+    for (std::uint32_t index = 0; index < 3; ++index)
+        session.at(2'000 + index, EngineToken {one, attempt(1), index, "t"});
+    session.confirmAll(3'950);
+    session.say("longer than callers keep the entries, and one request is still open");
+    session.at(4'000, Tick {WallTime(5'000)});
+    EXPECT_EQ(count(session, "< stopped"), 0U);
+    session.at(4'100, EngineEnd {one, attempt(1), 3});
+    session.at(4'120, Tick {WallTime(5'120)});
+    expectGolden(session, "planned_stop");
+    EXPECT_EQ(count(session, "< answer_end request=1"), 1U);
+    EXPECT_EQ(count(session, "stopping not_run"), 1U);
+    EXPECT_EQ(count(session, "< stopped"), 1U);
+}
+
+} // namespace bramleypitch::test
