Fix: [Tests] Dispatches to groups that are gone are checked too

It now keeps every group ever placed. Two more properties: homes that lose their lease, groups that change unseen.

--- a/src/tests/promises_test.cpp
+++ b/src/tests/promises_test.cpp
@@ -77,6 +77,14 @@
     return options;
 }
 
+WorldOptions inQuickSteps()
+{
+    WorldOptions options;
+    options.stepGap = Duration(600);
+    options.requestEvery = Duration(15);
+    return options;
+}
+
 WorldOptions withLateMessages()
 {
     WorldOptions options;
@@ -152,6 +160,16 @@
              alwaysCold());
 }
 
+RC_GTEST_PROP(Promises, HoldWhenHomesAreLost, ())
+{
+    property({StepKind::LoseHome, StepKind::Wait, StepKind::KillNode}, alwaysCold());
+}
+
+RC_GTEST_PROP(Promises, HoldWhenGroupsChangeUnseen, ())
+{
+    property({StepKind::IsolateNode, StepKind::ChangeSpan}, inQuickSteps());
+}
+
 RC_GTEST_PROP(Promises, HoldWhenAnythingFails, ())
 {
     property(allKinds(), busy());
--- a/src/tests/world.cpp
+++ b/src/tests/world.cpp
@@ -787,6 +787,11 @@
     case StepKind::IsolateNode:
         slot.noPlatformUntil = slot.noPeersUntil = until + step.lasts;
         return;
+    case StepKind::LoseHome:
+        slot.noPlatformUntil = m_now + 14'000;
+        after(8'000 + randomUpTo(2'500),
+              [this, node] { m_nodes[node].noPeersUntil = m_now + 5'000; });
+        return;
     case StepKind::CutNodeEngines:
         slot.noDomain = (step.target / m_options.nodes) % zones;
         slot.noDomainUntil = until;
@@ -856,7 +861,7 @@
     runUntil(m_now + 6'000);
     for (const Step &step : steps) {
         apply(step);
-        runUntil(m_now + 200 + randomUpTo(1'800));
+        runUntil(m_now + 200 + randomUpTo(m_options.stepGap.count()));
     }
     runUntil(m_now + 14'000);
     m_calm = true;
--- a/src/tests/world.h
+++ b/src/tests/world.h
@@ -23,6 +23,7 @@
     CutNodePlatform, ///< Node and platform do not reach each other for a while.
     CutNodePeers, ///< Node and all other nodes do not reach each other for a while.
     IsolateNode, ///< Neither platform nor other nodes, engines alone, for a while.
+    LoseHome, ///< A node loses the platform for longer than its lease, and late its peers too.
     CutNodeEngines, ///< Node and one fabric domain do not reach each other for a while.
     PlatformOutage,
     LoseReplies, ///< Writes take effect and their replies are lost for a while.
@@ -52,6 +53,7 @@
     std::uint32_t nodes = 3;
     Duration requestEvery {60}; ///< Between callers' requests.
     std::uint32_t warmAfter = 3; ///< Completions after which a server is warm.
+    Duration stepGap {1'800}; ///< Steps follow one another after 0.2 s and up to so much more.
     double lateness = 0.005; ///< Share of messages that take up to seconds.
 };
 
@@ -232,6 +234,7 @@
     std::map<std::string, std::uint32_t> m_paymentRuns; ///< Runs at the services, by key.
     std::map<std::uint64_t, std::uint32_t> m_requestRuns; ///< Arrivals at backends, by request.
     std::vector<std::uint64_t> m_notRun; ///< Requests refused as not run.
+    std::map<GroupId, PlacedGroup> m_placedEver; ///< Every group that a placement ever named.
     std::map<ZoneId, std::int64_t> m_zoneOutSince;
     std::map<std::uint64_t, std::pair<std::uint32_t, OperationId>> m_ledgerAsks;
     std::uint64_t m_lastLedgerAsk = std::uint64_t {1} << 62;
--- a/src/tests/world_checks.cpp
+++ b/src/tests/world_checks.cpp
@@ -31,25 +31,18 @@
 {
     ++m_dispatches;
     const VmSlot *head = vmOf(dispatch.address);
-    // The members as the store's placement has them; gone groups were checked when they stood.
-    const auto placed = m_store.find(placementKey(head->record.domain));
-    const DomainPlacement placement = parsePlacement(placed->second.value);
-    for (const PlacedGroup &group : placement.groups) {
-        if (group.id != dispatch.group)
-            continue;
-        for (const VmId &member : group.members) {
-            VmSlot *vm = vmOf(Address(member.value()));
-            const auto served = vm->servedUntil.find({dispatch.group, dispatch.generation});
-            if (served == vm->servedUntil.end() || served->second < m_now - memberFreshness)
-                breach("whole group", group.id.value() + " served without " + member.value());
-            if (dispatch.generation.value() < vm->highestDispatched)
-                breach("one group a VM", member.value() + " served an older group again");
-            vm->highestDispatched = std::max(vm->highestDispatched, dispatch.generation.value());
-            const bool knows = m_nodes[node].noPlatformUntil < m_now - fewSeconds
-                && m_outageUntil < m_now - fewSeconds;
-            if (vm->leavingSince >= 0 && knows && m_now - vm->leavingSince > fewSeconds)
-                breach("leaving server", member.value() + " got new work");
-        }
+    for (const VmId &member : m_placedEver.at(dispatch.group).members) {
+        VmSlot *vm = vmOf(Address(member.value()));
+        const auto served = vm->servedUntil.find({dispatch.group, dispatch.generation});
+        if (served == vm->servedUntil.end() || served->second < m_now - memberFreshness)
+            breach("whole group", dispatch.group.value() + " served without " + member.value());
+        if (dispatch.generation.value() < vm->highestDispatched)
+            breach("one group a VM", member.value() + " served an older group again");
+        vm->highestDispatched = std::max(vm->highestDispatched, dispatch.generation.value());
+        const bool knows = m_nodes[node].noPlatformUntil < m_now - fewSeconds
+            && m_outageUntil < m_now - fewSeconds;
+        if (vm->leavingSince >= 0 && knows && m_now - vm->leavingSince > fewSeconds)
+            breach("leaving server", member.value() + " got new work");
     }
     const auto out = m_zoneOutSince.find(head->record.zone);
     const bool platformWell = m_outageUntil < m_now - fewSeconds;
@@ -71,6 +64,7 @@
         return;
     std::set<VmId> seen;
     for (const PlacedGroup &group : parsePlacement(value).groups) {
+        m_placedEver[group.id] = group;
         for (const VmId &member : group.members) {
             if (!seen.insert(member).second)
                 breach("one group a VM", member.value() + " is written into two groups");
