Fix: [Ledger] Record and Abandon are proved against the store, not against an old copy

Cause, found by the property OneGrantAKeyWithTwoOwners: an owner whose copy of the head was old did not find the claim, changed nothing and answered 'recorded' without a write, so the outcome was lost and every repeat got in_progress. Ruled out: reading the head before each answer, a call more for each. Both now always write; an old copy conflicts, is read anew and the request applied to it. The same for a claim that is granted again.

--- a/src/coordination/ledger_func.cpp
+++ b/src/coordination/ledger_func.cpp
@@ -109,9 +109,12 @@
             return {LedgerAnswer::KeyReused, {}};
         if (held->state == ClaimState::Done)
             return {LedgerAnswer::Repeat, held->outcome};
-        // The same claim asked again after a lost reply: it was granted and not yet sent.
-        if (held->state == ClaimState::Claimed && held->claim == request.claim)
+        // The same claim asked again after a lost reply: it was granted and not yet sent. The head
+        // is written again, which proves that this owner's copy of it is not an old one.
+        if (held->state == ClaimState::Claimed && held->claim == request.claim) {
+            m_batch.changed = true;
             return {LedgerAnswer::Granted, {}};
+        }
         return {LedgerAnswer::InProgress, {}};
     }
 
@@ -131,19 +134,22 @@
         return {LedgerAnswer::Granted, {}};
     }
 
+    // Record and Abandon always write: that a claim is not found may only mean that this owner's
+    // copy of the head is an old one, and then the write conflicts and they are applied anew.
     LedgerReply record(const LedgerRequest &request)
     {
+        m_batch.changed = true;
         if (LedgerRecord *held = ownClaim(request)) {
             held->state = ClaimState::Done;
             held->outcome = request.outcome;
             m_bytes += request.outcome.body.size();
-            m_batch.changed = true;
         }
         return {LedgerAnswer::Recorded, {}};
     }
 
     LedgerReply abandon(const LedgerRequest &request)
     {
+        m_batch.changed = true;
         if (ownClaim(request)) {
             auto &records = m_batch.head.records;
             const std::size_t at = m_index[request.key];
@@ -153,7 +159,6 @@
                 m_index[records[at].key] = at;
             }
             records.pop_back();
-            m_batch.changed = true;
         }
         return {LedgerAnswer::Recorded, {}};
     }
--- /dev/null
+++ b/src/tests/ledger_test.cpp
@@ -0,0 +1,209 @@
+// The ledger: its pure part, and two owners at once over one store.
+
+#include "coordination/ledger_func.h"
+#include "coordination/ledger_owner.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <set>
+
+namespace bramleypitch {
+
+namespace {
+
+LedgerRequest request(LedgerVerb verb, const std::string &key, const std::string &claim)
+{
+    LedgerRequest made;
+    made.verb = verb;
+    made.key = LedgerKey(key);
+    made.digest = "d";
+    made.claim = ClaimId(claim);
+    made.when = WallTime(1'000);
+    made.outcome.status = 200;
+    made.outcome.body = claim;
+    return made;
+}
+
+LedgerAnswer answerOf(SegmentHead &head, const LedgerRequest &asked)
+{
+    const LedgerBatch batch = applyRequests(head, {}, {asked}, {});
+    head = batch.head;
+    return batch.replies.front().answer;
+}
+
+/// One store key after the other for several owners, with conflicts and lost replies.
+class Store
+{
+public:
+    void perform(const Actions &actions, LedgerOwner &owner, TimePoint now, bool loseReply,
+                 Actions &next)
+    {
+        for (const Action &action : actions) {
+            if (const auto *read = std::get_if<ReadKey>(&action)) {
+                const auto &[revision, value] = m_values[read->key];
+                owner.keyRead({read->operation, true, Revision(revision), value}, now, next);
+            } else if (const auto *swap = std::get_if<CompareAndSwap>(&action)) {
+                auto &[revision, value] = m_values[swap->key];
+                const bool fits = revision == swap->expected.value();
+                if (fits) {
+                    revision = ++m_revision;
+                    value = swap->value;
+                }
+                const SwapOutcome outcome = loseReply ? SwapOutcome::Unknown
+                    : fits                            ? SwapOutcome::Written
+                                                      : SwapOutcome::Conflict;
+                owner.swapDone({swap->operation, outcome, Revision(revision), value}, now, next);
+            }
+        }
+    }
+
+private:
+    std::map<std::string, std::pair<std::int64_t, std::string>> m_values;
+    std::int64_t m_revision = 0;
+};
+
+/// An owner with the replies it gave.
+struct OwnerUnderTest
+{
+    explicit OwnerUnderTest(const std::string &name, LedgerLimits limits)
+        : owner("ledger/", name, limits, [this] { return OperationId(++operations); })
+    {
+        owner.setReplyHook([this](OperationId operation, const LedgerReply &reply) {
+            replies[operation.value()] = reply.answer;
+        });
+    }
+    std::uint64_t operations = 1'000'000;
+    LedgerOwner owner;
+    std::map<std::uint64_t, LedgerAnswer> replies;
+    Actions waiting;
+};
+
+} // namespace
+
+TEST(Ledger, ClaimRecordRepeat)
+{
+    SegmentHead head;
+    EXPECT_EQ(answerOf(head, request(LedgerVerb::Claim, "k", "a")), LedgerAnswer::Granted);
+    EXPECT_EQ(answerOf(head, request(LedgerVerb::Claim, "k", "a")), LedgerAnswer::Granted);
+    EXPECT_EQ(answerOf(head, request(LedgerVerb::Claim, "k", "b")), LedgerAnswer::InProgress);
+    EXPECT_EQ(answerOf(head, request(LedgerVerb::Record, "k", "b")), LedgerAnswer::Recorded);
+    EXPECT_EQ(answerOf(head, request(LedgerVerb::Claim, "k", "b")), LedgerAnswer::InProgress);
+    EXPECT_EQ(answerOf(head, request(LedgerVerb::Record, "k", "a")), LedgerAnswer::Recorded);
+    EXPECT_EQ(answerOf(head, request(LedgerVerb::Claim, "k", "b")), LedgerAnswer::Repeat);
+    EXPECT_EQ(answerOf(head, request(LedgerVerb::Abandon, "k", "a")), LedgerAnswer::Recorded);
+    EXPECT_EQ(answerOf(head, request(LedgerVerb::Claim, "k", "c")), LedgerAnswer::Repeat);
+}
+
+TEST(Ledger, AbandonedKeyIsFreeAndOnlyItsOwnerMayAbandon)
+{
+    SegmentHead head;
+    answerOf(head, request(LedgerVerb::Claim, "k", "a"));
+    answerOf(head, request(LedgerVerb::Claim, "l", "a"));
+    answerOf(head, request(LedgerVerb::Abandon, "k", "b"));
+    EXPECT_EQ(answerOf(head, request(LedgerVerb::Claim, "k", "c")), LedgerAnswer::InProgress);
+    answerOf(head, request(LedgerVerb::Abandon, "k", "a"));
+    EXPECT_EQ(answerOf(head, request(LedgerVerb::Claim, "k", "c")), LedgerAnswer::Granted);
+    EXPECT_EQ(answerOf(head, request(LedgerVerb::Claim, "l", "c")), LedgerAnswer::InProgress);
+}
+
+TEST(Ledger, AnotherCallWithTheSameKeyIsTold)
+{
+    SegmentHead head;
+    answerOf(head, request(LedgerVerb::Claim, "k", "a"));
+    LedgerRequest other = request(LedgerVerb::Claim, "k", "b");
+    other.digest = "other";
+    EXPECT_EQ(answerOf(head, other), LedgerAnswer::KeyReused);
+}
+
+TEST(Ledger, PartsOfAKeyCannotRunTogether)
+{
+    EXPECT_NE(ledgerKey("ab", "c", "d"), ledgerKey("a", "bc", "d"));
+    EXPECT_NE(ledgerKey("a", "b", "c"), ledgerKey("a", "b", "c "));
+}
+
+TEST(Ledger, TimeOfAUuidOfVersionSeven)
+{
+    EXPECT_EQ(creationTime("017f22e2-79b0-7cc3-98c4-dc0c0c07398f"), WallTime(0x017f22e279b0));
+    EXPECT_EQ(creationTime("017f22e2-79b0-4cc3-98c4-dc0c0c07398f"), std::nullopt);
+    EXPECT_EQ(creationTime("order 7"), std::nullopt);
+}
+
+TEST(Ledger, HeadAndPageSurviveTheStore)
+{
+    SegmentHead head;
+    answerOf(head, request(LedgerVerb::Claim, "k", "a"));
+    answerOf(head, request(LedgerVerb::Claim, "l", "b"));
+    answerOf(head, request(LedgerVerb::Record, "l", "b"));
+    EXPECT_EQ(parseHead(serializeHead(head)), head);
+    const auto [page, rest] = splitHead(head, WallTime(2'000), {});
+    EXPECT_EQ(parsePage(serializePage(page)).records, page.records);
+    EXPECT_EQ(page.records.size(), 1U);
+    EXPECT_EQ(rest.records.size(), 1U);
+}
+
+TEST(Ledger, ClaimWithoutOutcomeIsClosedAsUnknown)
+{
+    SegmentHead head;
+    answerOf(head, request(LedgerVerb::Claim, "k", "a"));
+    const LedgerLimits limits;
+    const auto [page, rest] = splitHead(head, WallTime(1'001 + limits.claimExpiry.count()), limits);
+    ASSERT_EQ(page.records.size(), 1U);
+    EXPECT_EQ(page.records[0].state, ClaimState::Unknown);
+    const LedgerArchive archive {{LedgerKey("k"), page.records[0]}};
+    const LedgerBatch batch =
+        applyRequests(rest, archive, {request(LedgerVerb::Claim, "k", "b")}, limits);
+    EXPECT_EQ(batch.replies[0].answer, LedgerAnswer::InProgress);
+}
+
+// Two owners of one segment, small pages, lost replies: each key is granted to one claim alone,
+// and what was recorded is found again, whichever owner is asked.
+RC_GTEST_PROP(Ledger, OneGrantAKeyWithTwoOwners, ())
+{
+    LedgerLimits limits;
+    limits.rollBytes = 700;
+    limits.writesPerSecond = 1'000;
+    OwnerUnderTest owners[] = {OwnerUnderTest("x", limits), OwnerUnderTest("y", limits)};
+    Store store;
+    std::int64_t time = 100'000;
+    std::map<std::string, std::set<std::string>> granted;
+    std::map<std::uint64_t, std::pair<std::string, std::string>> claims;
+    std::set<std::string> recorded;
+    const auto steps = *rc::gen::container<std::vector<std::uint32_t>>(
+        60, rc::gen::inRange<std::uint32_t>(0, 4'000));
+    std::uint64_t operation = 0;
+    for (const std::uint32_t step : steps) {
+        OwnerUnderTest &asked = owners[step % 2];
+        const std::string key = "k" + std::to_string(step / 2 % 7);
+        const std::string claim = "c" + std::to_string(step / 14 % 3);
+        // Only a claim that was granted can be recorded: its node sent the call.
+        const bool mayRecord = granted[key].count(claim) > 0;
+        const LedgerVerb verb = mayRecord && step % 5 == 0 ? LedgerVerb::Record : LedgerVerb::Claim;
+        claims[++operation] = {key, claim};
+        asked.owner.ask({OperationId(operation), SegmentIndex(1), request(verb, key, claim)},
+                        timePoint(time), asked.waiting);
+        for (int round = 0; round < 12; ++round) {
+            time += 40;
+            for (OwnerUnderTest &owner : owners) {
+                Actions actions;
+                actions.swap(owner.waiting);
+                store.perform(actions, owner.owner, timePoint(time), step % 11 == 0 && round < 3,
+                              owner.waiting);
+                owner.owner.tick(WallTime(time), timePoint(time), owner.waiting);
+            }
+        }
+        const auto reply = asked.replies.find(operation);
+        RC_ASSERT(reply != asked.replies.end());
+        if (verb == LedgerVerb::Claim && reply->second == LedgerAnswer::Granted) {
+            RC_ASSERT(recorded.count(key) == 0U);
+            granted[key].insert(claim);
+        }
+        if (verb == LedgerVerb::Record && reply->second == LedgerAnswer::Recorded)
+            recorded.insert(key);
+        RC_ASSERT(granted[key].size() <= 1U);
+    }
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/tests/queue_test.cpp
@@ -0,0 +1,149 @@
+// The fair queue, membership and routing helpers.
+
+#include "coordination/fair_queue.h"
+#include "coordination/member_base.h"
+#include "coordination/shared_base.h"
+#include "core/pool_type.h"
+#include "core/rendezvous_func.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+namespace bramleypitch {
+
+namespace {
+
+const OrganisationId large("large");
+const OrganisationId small("small");
+
+bool anyone(const OrganisationId &)
+{
+    return true;
+}
+
+MemberEntry entryOf(const std::string &name, std::int64_t incarnation, std::int64_t counter)
+{
+    MemberEntry entry;
+    entry.node = NodeId(name);
+    entry.incarnation = Incarnation(incarnation);
+    entry.counter = counter;
+    return entry;
+}
+
+} // namespace
+
+TEST(FairQueue, FloodOfOneDoesNotDelayTheOther)
+{
+    FairQueue queue;
+    std::uint64_t id = 0;
+    for (int i = 0; i < 1'000; ++i)
+        queue.push(large, 1, {RequestId(++id), 10, 0});
+    queue.push(small, 1, {RequestId(9'999), 10, 0});
+    for (int turn = 0; turn < 2; ++turn) {
+        if (queue.pop(anyone)->request == RequestId(9'999))
+            return;
+    }
+    FAIL() << "the small organisation waits behind the flood";
+}
+
+TEST(FairQueue, HigherPriorityFirstWithinAnOrganisation)
+{
+    FairQueue queue;
+    queue.push(large, 1, {RequestId(1), 1, 0});
+    queue.push(large, 1, {RequestId(2), 1, 2});
+    queue.push(large, 1, {RequestId(3), 1, 1});
+    EXPECT_EQ(queue.pop(anyone)->request, RequestId(2));
+    EXPECT_EQ(queue.pop(anyone)->request, RequestId(3));
+    EXPECT_EQ(queue.pop(anyone)->request, RequestId(1));
+    EXPECT_FALSE(queue.pop(anyone));
+}
+
+TEST(FairQueue, OrganisationAtItsLimitIsPassedOver)
+{
+    FairQueue queue;
+    queue.push(large, 1, {RequestId(1), 1, 0});
+    queue.push(small, 1, {RequestId(2), 1, 0});
+    const auto notLarge = [](const OrganisationId &name) { return name != large; };
+    EXPECT_EQ(queue.pop(notLarge)->request, RequestId(2));
+    EXPECT_FALSE(queue.pop(notLarge));
+    EXPECT_EQ(queue.waiting(), 1U);
+}
+
+// While both wait, each gets service by its weight, to within one request of each.
+RC_GTEST_PROP(FairQueue, ServiceFollowsWeights, ())
+{
+    const double weight = *rc::gen::inRange(1, 8);
+    FairQueue queue;
+    double served[2] = {0, 0};
+    for (std::uint64_t id = 0; id < 2'000; ++id) {
+        const double cost = 1 + static_cast<double>(id % 5);
+        queue.push(id % 2 ? small : large, id % 2 ? 1 : weight, {RequestId(id), cost, 0});
+    }
+    for (int turn = 0; turn < 800; ++turn) {
+        const auto item = queue.pop(anyone);
+        served[item->request.value() % 2] += item->cost;
+    }
+    constexpr double largestCost = 5;
+    RC_ASSERT(std::abs(served[0] / weight - served[1]) <= largestCost + largestCost / weight);
+}
+
+TEST(Members, LivesByItsCounterAndOlderNewsIsIgnored)
+{
+    MemberTable table(entryOf("a", 1, 0), {});
+    table.merge({entryOf("b", 1, 5)}, timePoint(1'000));
+    table.merge({entryOf("b", 1, 4), entryOf("b", 0, 99)}, timePoint(3'500));
+    EXPECT_EQ(table.alive(timePoint(3'900), true).size(), 2U);
+    EXPECT_EQ(table.alive(timePoint(4'100), true).size(), 1U);
+    table.merge({entryOf("b", 2, 0)}, timePoint(4'200));
+    EXPECT_EQ(table.alive(timePoint(4'300), true).size(), 2U);
+}
+
+TEST(Members, HeartbeatsStayBounded)
+{
+    MemberLimits limits;
+    MemberTable table(entryOf("self", 1, 0), limits);
+    for (int i = 0; i < 390; ++i)
+        table.merge({entryOf("n" + std::to_string(i), 1, 1)}, timePoint(1'000 + i));
+    std::mt19937_64 random(1);
+    EXPECT_EQ(table.digest(timePoint(1'500)).size(), limits.entriesPerHeartbeat);
+    EXPECT_LE(table.targets(timePoint(1'500), random).size(), limits.fanout + 1);
+}
+
+TEST(Shared, OlderTableProvesNothingAboutNewerValues)
+{
+    SharedState state;
+    state.merge({{"k", Revision(5), "new"}}, Revision(5), timePoint(1'000));
+    state.merge({{"k", Revision(4), "old"}}, Revision(4), timePoint(9'000));
+    EXPECT_EQ(state.find("k")->value, "new");
+    EXPECT_EQ(state.evidence(), timePoint(1'000));
+    EXPECT_EQ(state.since(Revision(4)).size(), 1U);
+    EXPECT_TRUE(state.since(Revision(5)).empty());
+}
+
+TEST(Pool, SlotsAreReusedAndIndicesStay)
+{
+    using Index = StrongType<struct IndexTag, std::uint32_t>;
+    Pool<std::string, Index> pool;
+    const Index a = pool.insert("a");
+    const Index b = pool.insert("b");
+    pool.erase(a);
+    EXPECT_EQ(pool.find(a), nullptr);
+    EXPECT_EQ(pool.insert("c"), a);
+    EXPECT_EQ(*pool.find(b), "b");
+    EXPECT_EQ(pool.size(), 2U);
+}
+
+// Taking a candidate away moves only the keys that it held.
+RC_GTEST_PROP(Rendezvous, OnlyTheKeysOfTheGoneMove, (const std::string &key))
+{
+    const std::vector<std::string> all {"a", "b", "c", "d", "e"};
+    const auto name = [](const std::string &candidate) { return candidate; };
+    const auto before = rendezvousOrder(key, all, name);
+    const std::vector<std::string> fewer {"a", "b", "d", "e"};
+    const auto after = rendezvousOrder(key, fewer, name);
+    if (before.front() != "c")
+        RC_ASSERT(after.front() == before.front());
+}
+
+} // namespace bramleypitch
