Codechange: [Coordination] Control costs what a node looks after, not the whole fleet

Cause: every 20 ms tick a node ordered all members for every fabric domain, parsed every placement it owned and walked every VM of the list, by string. Ruled out: a longer tick alone, which would only divide it and delay the queues. Now VMs stand in a pool with an index by domain, placements are parsed once, ownership is worked out when the live members change, probing and placing run every 100 ms.

Fix: [Group] An attempt given up keeps its place on a cold server until it cannot arrive any more. Cause, found by HoldWhenServersAreCold: the place was free at once, while the engine had not seen the cancellation, or a late request arrived after the next one was sent.

--- a/src/coordination/completion_system.cpp
+++ b/src/coordination/completion_system.cpp
@@ -27,6 +27,13 @@
     return refuse;
 }
 
+/// How the running attempt ends if it is given up now.
+AttemptEnd givenUp(const Completion &completion)
+{
+    return completion.delivered > completion.deliveredBefore ? AttemptEnd::GivenUp
+                                                             : AttemptEnd::Unheard;
+}
+
 } // namespace
 
 CompletionSystem::CompletionSystem(NodeState &state)
@@ -163,6 +170,7 @@
     completion.attempt = AttemptNumber(completion.attempt.value() + 1);
     completion.running = true;
     completion.group = group.placed.id;
+    completion.groupIndex = index;
     completion.head = head.record.id;
     completion.dispatchedAt = now;
     completion.lastTokenAt = now;
@@ -190,12 +198,9 @@
 
 Group *CompletionSystem::groupOf(const Completion &completion)
 {
-    for (const GroupIndex index : m_state.groups.ofTarget(completion.model.value())) {
-        Group *group = m_state.groups.find(index);
-        if (group->placed.id == completion.group)
-            return group;
-    }
-    return nullptr;
+    // The slot may have been given to another group meanwhile.
+    Group *group = m_state.groups.find(completion.groupIndex);
+    return group && group->placed.id == completion.group ? group : nullptr;
 }
 
 Completion *CompletionSystem::current(RequestId request, AttemptNumber attempt)
@@ -246,18 +251,18 @@
     double &service = m_queues[completion->model].serviceMillis;
     const auto millis = static_cast<double>(took.count());
     service = service == 0 ? millis : service + serviceSmoothing * (millis - service);
-    endAttempt(*completion);
+    endAttempt(*completion, AttemptEnd::Whole, now);
     m_state.counters.add(Counter::CompletionsWhole);
     actions.emplace_back(AnswerEnd {end.request, completion->delivered});
     m_completions.erase(end.request);
     pump(now, actions);
 }
 
-void CompletionSystem::endAttempt(Completion &completion)
+void CompletionSystem::endAttempt(Completion &completion, AttemptEnd end, TimePoint now)
 {
     completion.running = false;
-    if (Group *group = groupOf(completion); group && group->ownRunning > 0)
-        --group->ownRunning;
+    if (Group *group = groupOf(completion))
+        noteEnded(*group, end, now);
     --m_organisations[completion.organisation].running;
 }
 
@@ -277,7 +282,7 @@
     // Any sign of loss shuts the gate in this event; the next good probe opens it.
     if (!broken.refused)
         m_state.vms.suspect(completion.head, now);
-    endAttempt(completion);
+    endAttempt(completion, broken.sent ? givenUp(completion) : AttemptEnd::NotSent, now);
     retryOrGiveUp(completion, now, actions);
     pump(now, actions);
     return true;
@@ -334,7 +339,7 @@
     m_queues[completion.model].queue.remove(completion.organisation, request);
     if (completion.running) {
         actions.emplace_back(CancelAttempt {request, completion.attempt});
-        endAttempt(completion);
+        endAttempt(completion, givenUp(completion), now);
     }
     m_completions.erase(found);
     pump(now, actions);
@@ -374,7 +379,7 @@
     if (completion.running) {
         actions.emplace_back(CancelAttempt {completion.id, completion.attempt});
         completion.mayHaveRun = true;
-        endAttempt(completion);
+        endAttempt(completion, givenUp(completion), now);
     }
     giveUp(completion, ErrorCode::DeadlineExceeded, "the answer took too long", actions);
 }
--- a/src/coordination/completion_system.h
+++ b/src/coordination/completion_system.h
@@ -26,6 +26,7 @@
     bool running = false;
     bool mayHaveRun = false; ///< A byte of some attempt may have reached a backend server.
     GroupId group; ///< Of the running attempt.
+    GroupIndex groupIndex;
     VmId head;
     TimePoint dispatchedAt;
     TimePoint lastTokenAt; ///< Or when the running attempt was sent.
@@ -74,7 +75,7 @@
     double expectedWaitMillis(const OrganisationSpec &organisation, const ModelGroupSpec &model,
                               double slots);
     void dispatch(Completion &completion, GroupIndex index, TimePoint now, Actions &actions);
-    void endAttempt(Completion &completion);
+    void endAttempt(Completion &completion, AttemptEnd end, TimePoint now);
     void avoidDomain(const Completion &completion, TimePoint now);
     void retryOrGiveUp(Completion &completion, TimePoint now, Actions &actions);
     void giveUp(Completion &completion, ErrorCode code, const std::string &message,
--- a/src/coordination/group_base.cpp
+++ b/src/coordination/group_base.cpp
@@ -13,10 +13,11 @@
     return domain.value().rfind(serviceDomain(ServiceId()).value(), 0) == 0;
 }
 
-bool ofDomain(const Group &group, const DomainId &domain)
+/// A group's id is its domain, a slash and its generation.
+DomainId domainOf(const Group &group)
 {
     const std::string &id = group.placed.id.value();
-    return id.substr(0, id.rfind('/')) == domain.value();
+    return DomainId(id.substr(0, id.rfind('/')));
 }
 
 } // namespace
@@ -30,7 +31,7 @@
     }
     std::vector<GroupIndex> gone;
     m_groups.forEach([&](GroupIndex index, Group &group) {
-        if (!ofDomain(group, placement.domain))
+        if (domainOf(group) != placement.domain)
             return;
         const auto found = wanted.find({group.placed.id, group.placed.generation});
         if (found == wanted.end()) {
@@ -49,6 +50,7 @@
         group.limits = limitsOf(envelope.environment, placed->target, group.isService);
         m_groups.insert(std::move(group));
     }
+    indexTargets();
 }
 
 void GroupTable::applyLimits(const Environment &environment)
@@ -58,14 +60,41 @@
     });
 }
 
-std::vector<GroupIndex> GroupTable::ofTarget(const std::string &target)
+void GroupTable::keepDomains(const std::set<DomainId> &routed)
 {
-    std::vector<GroupIndex> indices;
+    std::vector<GroupIndex> gone;
     m_groups.forEach([&](GroupIndex index, Group &group) {
-        if (group.placed.target == target)
-            indices.push_back(index);
+        if (routed.count(domainOf(group)) == 0)
+            gone.push_back(index);
+    });
+    for (const GroupIndex index : gone)
+        m_groups.erase(index);
+    indexTargets();
+}
+
+void GroupTable::resolve(const VmTable &vms)
+{
+    m_groups.forEach([&](GroupIndex, Group &group) {
+        group.vms.clear();
+        for (const VmId &member : group.placed.members) {
+            if (const std::optional<VmIndex> index = vms.indexOf(member))
+                group.vms.push_back(*index);
+        }
     });
-    return indices;
+}
+
+void GroupTable::indexTargets()
+{
+    m_targets.clear();
+    m_groups.forEach(
+        [&](GroupIndex index, Group &group) { m_targets[group.placed.target].push_back(index); });
+}
+
+const std::vector<GroupIndex> &GroupTable::ofTarget(const std::string &target) const
+{
+    static const std::vector<GroupIndex> none;
+    const auto found = m_targets.find(target);
+    return found == m_targets.end() ? none : found->second;
 }
 
 TargetLimits limitsOf(const Environment &environment, const std::string &target, bool isService)
--- a/src/coordination/group_base.h
+++ b/src/coordination/group_base.h
@@ -7,6 +7,7 @@
 #include "core/pool_type.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,12 +20,16 @@
     /// Takes in a domain's placement as of a newer revision: groups of other environments are
     /// left out, groups gone or of another generation lose their entry.
     void update(const DomainPlacement &placement, const Envelope &envelope);
+    /// Drops the groups of domains that this node routes to no more.
+    void keepDomains(const std::set<DomainId> &routed);
+    /// Looks the members up anew, after the VM table or the groups have changed.
+    void resolve(const VmTable &vms);
     /// Applies limits of a new document to all groups.
     void applyLimits(const Environment &environment);
 
     Group *find(GroupIndex index) { return m_groups.find(index); }
-    /// The indices of a target's groups, in order of creation.
-    std::vector<GroupIndex> ofTarget(const std::string &target);
+    /// The indices of a target's groups.
+    const std::vector<GroupIndex> &ofTarget(const std::string &target) const;
     /// Calls visit(GroupIndex, Group &) for every group.
     template<typename Visit>
     void forEach(Visit visit)
@@ -34,7 +39,10 @@
     std::size_t size() const { return m_groups.size(); }
 
 private:
+    void indexTargets();
+
     Pool<Group, GroupIndex> m_groups;
+    std::map<std::string, std::vector<GroupIndex>> m_targets;
 };
 
 /// The limits that a document gives a target; defaults where it names no such target.
--- a/src/coordination/group_func.cpp
+++ b/src/coordination/group_func.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr Duration lateArrival {3'000}; ///< A request may arrive so long after it was given up.
+
 /// Whether a member's last confirmation is of this group and recent enough.
 bool confirms(const Vm &vm, const Group &group, const PlacementLimits &limits, TimePoint now)
 {
@@ -20,6 +22,13 @@
     return vm.report->group == group.placed.id && vm.report->generation == group.placed.generation;
 }
 
+/// Attempts that may still arrive at the server.
+std::uint32_t lateAttempts(const Group &group, TimePoint now)
+{
+    return static_cast<std::uint32_t>(std::count_if(group.lateUntil.begin(), group.lateUntil.end(),
+                                                    [&](TimePoint until) { return now < until; }));
+}
+
 bool isHome(const Group &group, const OwnLease &lease, TimePoint now)
 {
     return group.placed.home == lease.node && group.placed.homeIncarnation == lease.incarnation
@@ -46,7 +55,9 @@
 GateState gateState(const Group &group, const VmTable &vms, const Envelope &envelope,
                     const PlacementLimits &limits, TimePoint now)
 {
-    for (const VmId &member : group.placed.members) {
+    if (group.vms.size() != group.placed.members.size())
+        return GateState::MemberMissing;
+    for (const VmIndex member : group.vms) {
         const Vm *vm = vms.find(member);
         if (!vm || !vm->listed || !confirms(*vm, group, limits, now))
             return GateState::MemberMissing;
@@ -67,8 +78,27 @@
         });
 }
 
+void noteProbe(Group &group)
+{
+    group.ownAtProbe = group.ownRunning;
+    group.lingeringAtProbe = group.lingering;
+}
+
+void noteEnded(Group &group, AttemptEnd end, TimePoint now)
+{
+    if (group.ownRunning > 0)
+        --group.ownRunning;
+    if (end == AttemptEnd::GivenUp || end == AttemptEnd::Unheard)
+        ++group.lingering;
+    std::erase_if(group.lateUntil, [&](TimePoint until) { return now >= until; });
+    if (end == AttemptEnd::Unheard)
+        group.lateUntil.push_back(now + lateArrival);
+}
+
 void noteReport(Group &group, const VmReport &report)
 {
+    group.lingering -= group.lingeringAtProbe;
+    group.lingeringAtProbe = 0;
     const std::uint32_t own = std::min(group.ownAtProbe, group.ownRunning);
     group.othersRunning = report.running > own ? report.running - own : 0;
 }
@@ -76,14 +106,15 @@
 std::uint32_t freeSlots(const Group &group, const VmTable &vms, const OwnLease &lease,
                         TimePoint now)
 {
-    const Vm *head = vms.find(group.placed.members.front());
+    const Vm *head = group.vms.empty() ? nullptr : vms.find(group.vms.front());
     if (!head || !head->report)
         return 0;
     const bool warm = isWarm(group, vms);
     if (!warm && !isHome(group, lease, now))
         return 0;
     const std::uint32_t limit = warm ? group.limits.concurrency : group.limits.coldAllowance;
-    const std::uint32_t running = group.ownRunning + group.othersRunning;
+    const std::uint32_t late = warm ? 0 : lateAttempts(group, now);
+    const std::uint32_t running = late + group.ownRunning + group.othersRunning + group.lingering;
     return running >= limit ? 0 : limit - running;
 }
 
--- a/src/coordination/member_base.cpp
+++ b/src/coordination/member_base.cpp
@@ -7,6 +7,7 @@
 MemberTable::MemberTable(MemberEntry self, MemberLimits limits)
     : m_self(std::move(self))
     , m_limits(limits)
+    , m_view({m_self})
 {
 }
 
@@ -54,6 +55,27 @@
         else
             ++it;
     }
+    refreshView(now);
+}
+
+void MemberTable::refreshView(TimePoint now)
+{
+    std::vector<MemberEntry> view = alive(now, false);
+    const bool same = std::equal(view.begin(), view.end(), m_view.begin(), m_view.end(),
+                                 [](const MemberEntry &a, const MemberEntry &b) {
+                                     return a.node == b.node && a.incarnation == b.incarnation;
+                                 });
+    m_view = std::move(view);
+    if (!same)
+        ++m_viewVersion;
+}
+
+std::size_t MemberTable::aliveCount(TimePoint now) const
+{
+    return 1
+        + static_cast<std::size_t>(
+               std::count_if(m_members.begin(), m_members.end(),
+                             [&](const auto &entry) { return isAlive(entry.second, now); }));
 }
 
 bool MemberTable::isAlive(const Member &member, TimePoint now) const
@@ -77,7 +99,7 @@
 
 bool MemberTable::majorityAlive(TimePoint now) const
 {
-    return alive(now, true).size() * 2 > knownCount() || knownCount() == 1;
+    return aliveCount(now) * 2 > knownCount();
 }
 
 std::vector<MemberEntry> MemberTable::digest(TimePoint now) const
--- a/src/coordination/member_base.h
+++ b/src/coordination/member_base.h
@@ -36,6 +36,10 @@
 
     /// This node and every member heard of lately, by name. `withLeaving` includes leaving ones.
     std::vector<MemberEntry> alive(TimePoint now, bool withLeaving) const;
+    /// The members that work is spread over, as of the last tick: alive and not leaving, by name.
+    const std::vector<MemberEntry> &view() const { return m_view; }
+    /// Rises whenever view() names other nodes than before.
+    std::uint64_t viewVersion() const { return m_viewVersion; }
     /// Members known at all, this node included.
     std::size_t knownCount() const { return m_members.size() + 1; }
     /// Whether a strict majority of the known members, this node included, is alive.
@@ -53,8 +57,13 @@
 private:
     bool isAlive(const Member &member, TimePoint now) const;
 
+    void refreshView(TimePoint now);
+    std::size_t aliveCount(TimePoint now) const;
+
     MemberEntry m_self;
     MemberLimits m_limits;
+    std::vector<MemberEntry> m_view;
+    std::uint64_t m_viewVersion = 0;
     std::map<NodeId, Member> m_members;
 };
 
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -38,8 +38,11 @@
 {
     m_state.wall = tick.wall;
     m_shared.tick(now, actions);
-    m_probes.tick(m_placement.owned(), now, actions);
-    m_placement.tick(now, actions);
+    if (now - m_controlledAt >= m_state.options.controlInterval) {
+        m_controlledAt = now;
+        m_probes.tick(m_placement.owned(), now, actions);
+        m_placement.tick(now, actions);
+    }
     m_ledger.tick(tick.wall, now, actions);
     m_completions.tick(now, actions);
     m_services.tick(now, actions);
@@ -66,9 +69,15 @@
 {
     if (changed.empty())
         return;
-    const std::string key = configurationKey(m_state.options.environment, m_state.options.stage);
-    if (std::find(changed.begin(), changed.end(), key) != changed.end())
-        applyConfiguration(actions);
+    const std::string configuration =
+        configurationKey(m_state.options.environment, m_state.options.stage);
+    const std::string placement = placementKey(DomainId());
+    for (const std::string &key : changed) {
+        if (key == configuration)
+            applyConfiguration(actions);
+        else if (key.rfind(placement, 0) == 0)
+            learnPlacement(m_state, *m_state.shared.find(key));
+    }
     updateGroups();
     noteZone(now, actions);
     m_completions.pump(now, actions);
@@ -80,6 +89,8 @@
         m_state.shared.find(configurationKey(m_state.options.environment, m_state.options.stage));
     m_state.envelope = parseEnvelope(value->value);
     m_state.envelopeRevision = value->revision;
+    m_state.domains = domainsOf(m_state.envelope->environment);
+    m_state.routed = routedDomains(m_state);
     m_state.groups.applyLimits(m_state.envelope->environment);
     actions.emplace_back(
         LogChange {"configuration_in_force", std::to_string(value->revision.value())});
@@ -89,8 +100,10 @@
 {
     if (!m_state.envelope)
         return;
-    for (const DomainId &domain : routedDomains(m_state))
+    m_state.groups.keepDomains(m_state.routed);
+    for (const DomainId &domain : m_state.routed)
         m_state.groups.update(knownPlacement(m_state, domain).placement, *m_state.envelope);
+    m_state.groups.resolve(m_state.vms);
 }
 
 void Node::noteZone(TimePoint now, Actions &actions)
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -102,6 +102,7 @@
     CompletionSystem m_completions;
     std::set<OperationId> m_ownLedgerAsks; ///< Asked by this node of itself.
     std::vector<SettledLedger> m_settled; ///< Own replies, delivered after the event.
+    TimePoint m_controlledAt;
     TimePoint m_stopAskedAt;
     bool m_stopped = false;
 };
--- a/src/coordination/node_state.cpp
+++ b/src/coordination/node_state.cpp
@@ -97,17 +97,17 @@
     return std::nullopt;
 }
 
-KnownPlacement knownPlacement(const NodeState &state, const DomainId &domain)
+const KnownPlacement &knownPlacement(const NodeState &state, const DomainId &domain)
 {
-    KnownPlacement known;
-    const SharedValue *value = state.shared.find(placementKey(domain));
-    if (!value) {
-        known.placement.domain = domain;
-        return known;
-    }
-    known.placement = parsePlacement(value->value);
-    known.revision = value->revision;
-    return known;
+    static const KnownPlacement none;
+    const auto found = state.placements.find(domain);
+    return found == state.placements.end() ? none : found->second;
+}
+
+void learnPlacement(NodeState &state, const SharedValue &value)
+{
+    const DomainId domain(value.key.substr(placementKey(DomainId()).size()));
+    state.placements[domain] = {parsePlacement(value.value), value.revision};
 }
 
 } // namespace bramleypitch
--- a/src/coordination/node_state.h
+++ b/src/coordination/node_state.h
@@ -11,8 +11,10 @@
 #include "coordination/vm_base.h"
 #include "core/counter_type.h"
 
+#include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 
 namespace bramleypitch {
@@ -37,6 +39,7 @@
     std::uint32_t watchersPerZone = 2;
     Duration configurationFreshness {3'000}; ///< Evidence older than this is stale.
     Duration vmListInterval {1'000};
+    Duration controlInterval {100}; ///< Between rounds of probing and placing.
     Duration probeInterval {500};
     Duration probeTimeout {1'000};
     Duration nodesReadInterval {2'000};
@@ -52,6 +55,13 @@
     bool baselinePolicy = false; ///< Round robin without queues or ramps, for comparisons.
 };
 
+/// A placement value as this node knows it, with its revision.
+struct KnownPlacement
+{
+    DomainPlacement placement;
+    Revision revision; ///< 0 if none is written yet.
+};
+
 /// The tables of one node that its systems share. It holds no behaviour of its own.
 struct NodeState
 {
@@ -67,6 +77,9 @@
     GroupTable groups;
     std::optional<Envelope> envelope; ///< The configuration in force here.
     Revision envelopeRevision;
+    std::vector<DomainId> domains; ///< All that the configuration makes use of.
+    std::set<DomainId> routed; ///< Those that this node routes to.
+    std::map<DomainId, KnownPlacement> placements; ///< The placement values, parsed.
     OwnLease lease;
     std::vector<NodeRecord> nodeRecords; ///< Lease holders at the last good read.
     bool nodeRecordsKnown = false;
@@ -102,14 +115,9 @@
 /// Why the node takes no new work at all, or none.
 std::optional<Refuse> refusalOfNode(const NodeState &state, TimePoint now);
 
-/// A placement value as this node knows it, with its revision.
-struct KnownPlacement
-{
-    DomainPlacement placement;
-    Revision revision;
-};
-
 /// The placement of a domain; empty with revision 0 if none is written yet.
-KnownPlacement knownPlacement(const NodeState &state, const DomainId &domain);
+const KnownPlacement &knownPlacement(const NodeState &state, const DomainId &domain);
+/// Parses a placement value that has changed.
+void learnPlacement(NodeState &state, const SharedValue &value);
 
 } // namespace bramleypitch
--- a/src/coordination/placement_system.cpp
+++ b/src/coordination/placement_system.cpp
@@ -20,12 +20,17 @@
 
 void PlacementSystem::updateOwned(TimePoint now)
 {
-    const std::vector<MemberEntry> alive = m_state.members.alive(now, false);
+    const std::pair seen(m_state.members.viewVersion(), m_state.envelopeRevision);
+    if (m_ownedFor == seen)
+        return;
+    m_ownedFor = seen;
+    const auto name = [](const MemberEntry &entry) -> const std::string & {
+        return entry.node.value();
+    };
     std::set<DomainId> owned;
-    for (const DomainId &domain : domainsOf(m_state.envelope->environment)) {
-        const auto name = [](const MemberEntry &entry) { return entry.node.value(); };
-        const auto order = rendezvousOrder(domain.value(), alive, name);
-        if (order.empty() || order.front().node != m_state.options.node)
+    for (const DomainId &domain : m_state.domains) {
+        const MemberEntry *owner = rendezvousFirst(domain.value(), m_state.members.view(), name);
+        if (!owner || owner->node != m_state.options.node)
             continue;
         owned.insert(domain);
         if (!m_domains.count(domain))
@@ -77,7 +82,7 @@
     const bool recent = now - m_state.shared.evidence() < m_state.options.configurationFreshness;
     if (!recent || !m_state.nodeRecordsKnown)
         return;
-    const KnownPlacement known = knownPlacement(m_state, domain);
+    const KnownPlacement &known = knownPlacement(m_state, domain);
     if (known.revision < owned.awaited)
         return;
     dropOldReleases(known.placement, owned);
@@ -95,6 +100,7 @@
     owned.swapping = true;
     owned.swapAt = now;
     owned.operation = m_state.newOperation();
+    next->domain = domain;
     next->nonce = Nonce(m_state.options.node.value() + "-" + std::to_string(m_state.random()));
     owned.written = *next;
     m_state.counters.add(Counter::PlatformWrites);
@@ -125,7 +131,7 @@
             m_state.counters.add(Counter::SwapUnknown);
         if (done.outcome != SwapOutcome::Written)
             return true;
-        const KnownPlacement before = knownPlacement(m_state, domain);
+        const KnownPlacement &before = knownPlacement(m_state, domain);
         logChanges(before.placement, owned.written, actions);
         owned.awaited = done.revision;
         m_state.readSharedSoon = true;
@@ -189,7 +195,7 @@
 void PlacementSystem::orderMembers(const DomainId &domain, OwnedDomain &owned, TimePoint now,
                                    Actions &actions)
 {
-    const KnownPlacement known = knownPlacement(m_state, domain);
+    const KnownPlacement &known = knownPlacement(m_state, domain);
     for (const ReleasedVm &released : known.placement.released)
         orderRelease(domain, owned, released, now, actions);
     // The weight store is rate-limited: groups that lack least are completed first, few at a time.
--- a/src/coordination/placement_system.h
+++ b/src/coordination/placement_system.h
@@ -64,6 +64,7 @@
     NodeState &m_state;
     std::map<DomainId, OwnedDomain> m_domains;
     std::set<DomainId> m_ownedDomains;
+    std::optional<std::pair<std::uint64_t, Revision>> m_ownedFor; ///< View and configuration.
     std::map<VmId, OrderUnderWay> m_orders;
     OperationId m_nodesOperation;
     TimePoint m_nodesAskedAt;
--- a/src/coordination/probe_system.cpp
+++ b/src/coordination/probe_system.cpp
@@ -13,8 +13,8 @@
 
 void ProbeSystem::vmListRead(const VmListRead &read)
 {
-    if (read.ok)
-        m_state.vms.update(read.vms);
+    if (read.ok && m_state.vms.update(read.vms))
+        m_state.groups.resolve(m_state.vms);
 }
 
 void ProbeSystem::probeDone(const ProbeDone &done, TimePoint now)
@@ -29,8 +29,9 @@
         return;
     }
     m_state.vms.confirm(done.vm, done.report, done.sentAt);
+    const std::optional<VmIndex> index = m_state.vms.indexOf(done.vm);
     m_state.groups.forEach([&](GroupIndex, Group &group) {
-        if (group.placed.members.front() == done.vm)
+        if (!group.vms.empty() && group.vms.front() == index)
             noteReport(group, done.report);
     });
 }
@@ -51,28 +52,28 @@
         m_listAskedAt = now;
         actions.emplace_back(ReadVmList {m_state.newOperation()});
     }
-    const std::set<DomainId> routed = routedDomains(m_state);
-    for (auto &[id, vm] : m_state.vms.all()) {
-        const DomainId &domain = vm.record.domain;
-        if (!isDue(vm, now) || (!routed.count(domain) && !owned.count(domain)))
-            continue;
-        vm.probing = true;
-        vm.probeSentAt = now;
-        m_state.counters.add(Counter::ProbesSent);
-        actions.emplace_back(SendProbe {id, vm.record.address});
+    std::set<DomainId> domains = m_state.routed;
+    domains.insert(owned.begin(), owned.end());
+    for (const DomainId &domain : domains) {
+        m_state.vms.forEachOfDomain(domain, [&](Vm &vm) {
+            if (!isDue(vm, now))
+                return;
+            vm.probing = true;
+            vm.probeSentAt = now;
+            m_state.counters.add(Counter::ProbesSent);
+            actions.emplace_back(SendProbe {vm.record.id, vm.record.address});
+        });
     }
     m_state.groups.forEach([&](GroupIndex, Group &group) {
-        const Vm *head = m_state.vms.find(group.placed.members.front());
+        const Vm *head = group.vms.empty() ? nullptr : m_state.vms.find(group.vms.front());
         if (head && head->probing && head->probeSentAt == now)
-            group.ownAtProbe = group.ownRunning;
+            noteProbe(group);
     });
 }
 
 std::set<DomainId> routedDomains(const NodeState &state)
 {
-    if (!state.envelope)
-        return {};
-    std::vector<DomainId> domains = domainsOf(state.envelope->environment);
+    std::vector<DomainId> domains = state.domains;
     if (domains.size() > state.options.domainSubset) {
         domains = rendezvousOrder(state.options.node.value(), domains,
                                   [](const DomainId &domain) { return domain.value(); });
--- a/src/coordination/route_func.cpp
+++ b/src/coordination/route_func.cpp
@@ -70,7 +70,7 @@
 TargetCapacity targetCapacity(NodeState &state, const std::string &target, TimePoint now)
 {
     TargetCapacity capacity;
-    const auto nodes = static_cast<double>(state.members.alive(now, false).size());
+    const auto nodes = static_cast<double>(state.members.view().size());
     for (const Candidate &candidate : openGroups(state, target, now)) {
         const Group &group = *candidate.group;
         const bool home = group.placed.home == state.options.node;
--- a/src/coordination/service_system.cpp
+++ b/src/coordination/service_system.cpp
@@ -205,12 +205,9 @@
 
 Group *ServiceSystem::serverOf(const ServiceCall &call)
 {
-    for (const GroupIndex index : m_state.groups.ofTarget(call.asked.service.value())) {
-        Group *group = m_state.groups.find(index);
-        if (group->placed.id == call.server)
-            return group;
-    }
-    return nullptr;
+    // The slot may have been given to another server meanwhile.
+    Group *server = m_state.groups.find(call.serverIndex);
+    return server && server->placed.id == call.server ? server : nullptr;
 }
 
 void ServiceSystem::pump(TimePoint now, Actions &actions)
@@ -236,6 +233,7 @@
     call.phase = CallPhase::Running;
     call.attempt = AttemptNumber(call.attempt.value() + 1);
     call.server = server.placed.id;
+    call.serverIndex = *index;
     call.vm = vm.record.id;
     ++server.ownRunning;
     m_state.counters.add(Counter::AttemptsSent);
@@ -253,10 +251,10 @@
     actions.emplace_back(std::move(dispatch));
 }
 
-void ServiceSystem::endAttempt(const ServiceCall &call)
+void ServiceSystem::endAttempt(const ServiceCall &call, AttemptEnd end, TimePoint now)
 {
-    if (Group *server = serverOf(call); server && server->ownRunning > 0)
-        --server->ownRunning;
+    if (Group *server = serverOf(call))
+        noteEnded(*server, end, now);
 }
 
 void ServiceSystem::answered(const ServiceAnswered &answered, TimePoint now, Actions &actions)
@@ -268,7 +266,7 @@
         return;
     }
     ServiceCall &call = found->second;
-    endAttempt(call);
+    endAttempt(call, AttemptEnd::Whole, now);
     m_state.counters.add(Counter::ServiceCallsAnswered);
     actions.emplace_back(AnswerService {answered.request, answered.outcome, false});
     if (call.once) {
@@ -297,7 +295,7 @@
     if (Group *server = serverOf(call))
         server->avoidUntil = now + avoidAfterFailure;
     m_state.vms.suspect(call.vm, now);
-    endAttempt(call);
+    endAttempt(call, broken.sent ? AttemptEnd::Unheard : AttemptEnd::NotSent, now);
     call.mayHaveRun = call.mayHaveRun || broken.sent;
     const ServiceSpec *spec = findService(m_state.envelope->environment, call.asked.service);
     const bool repeatable = !call.once && (call.asked.method != "POST" || !broken.sent);
@@ -335,7 +333,7 @@
     m_state.counters.add(Counter::CallersGone);
     if (call.phase == CallPhase::Running) {
         actions.emplace_back(CancelAttempt {request, call.attempt});
-        endAttempt(call);
+        endAttempt(call, AttemptEnd::Unheard, now);
     }
     if (call.once)
         notify(call.claim, LedgerVerb::Abandon, now, actions);
@@ -384,7 +382,7 @@
         ServiceCall &call = found->second;
         if (now >= call.deadline && call.phase == CallPhase::Running) {
             actions.emplace_back(CancelAttempt {request, call.attempt});
-            endAttempt(call);
+            endAttempt(call, AttemptEnd::Unheard, now);
             refuse(call, ErrorCode::DeadlineExceeded, "the answer took too long",
                    RunOutcome::MayHaveRun, retryAfterFailure, actions);
             erase(request);
--- a/src/coordination/service_system.h
+++ b/src/coordination/service_system.h
@@ -32,6 +32,7 @@
     std::uint32_t retries = 0;
     bool mayHaveRun = false;
     GroupId server; ///< Of the running attempt.
+    GroupIndex serverIndex;
     VmId vm;
 };
 
@@ -80,7 +81,7 @@
     void askNotice(LedgerNotice &notice, TimePoint now, Actions &actions);
     void send(ServiceCall &call, TimePoint now, Actions &actions);
     void pump(TimePoint now, Actions &actions);
-    void endAttempt(const ServiceCall &call);
+    void endAttempt(const ServiceCall &call, AttemptEnd end, TimePoint now);
     void refuse(const ServiceCall &call, ErrorCode code, const std::string &message, RunOutcome run,
                 std::optional<Duration> retryAfter, Actions &actions);
     /// Ends a call that was never sent: frees its claim and refuses it.
--- a/src/coordination/shared_system.cpp
+++ b/src/coordination/shared_system.cpp
@@ -11,17 +11,17 @@
 {
 }
 
-bool SharedSystem::isWatcher(TimePoint now) const
+bool SharedSystem::isWatcher() const
 {
-    std::vector<MemberEntry> sameZone;
-    for (MemberEntry &entry : m_state.members.alive(now, true)) {
+    std::vector<NodeId> sameZone;
+    for (const MemberEntry &entry : m_state.members.view()) {
         if (entry.zone == m_state.options.zone)
-            sameZone.push_back(std::move(entry));
+            sameZone.push_back(entry.node);
     }
-    const auto name = [](const MemberEntry &entry) { return entry.node.value(); };
-    const auto order = rendezvousOrder("watch", sameZone, name);
+    const auto order =
+        rendezvousOrder("watch", sameZone, [](const NodeId &node) { return node.value(); });
     for (std::size_t i = 0; i < order.size() && i < m_state.options.watchersPerZone; ++i) {
-        if (order[i].node == m_state.options.node)
+        if (order[i] == m_state.options.node)
             return true;
     }
     return false;
@@ -114,10 +114,10 @@
     // A node that knows nothing yet, or lost touch with its watchers, reads for itself.
     const bool alone = !m_state.shared.known()
         || now - m_state.shared.evidence() >= m_state.options.configurationFreshness / 2;
-    if (!m_state.readSharedSoon && (!due || (!alone && !isWatcher(now))))
+    if (!m_state.readSharedSoon && (!due || (!alone && !isWatcher())))
         return;
     m_state.readSharedSoon = false;
-    if (!m_watching && isWatcher(now)) {
+    if (!m_watching && isWatcher()) {
         m_watching = true;
         actions.emplace_back(WatchShared {m_state.shared.newest()});
     }
--- a/src/coordination/shared_system.h
+++ b/src/coordination/shared_system.h
@@ -28,7 +28,7 @@
     Heartbeat ownHeartbeat(TimePoint now) const;
 
 private:
-    bool isWatcher(TimePoint now) const;
+    bool isWatcher() const;
     void renewLease(TimePoint now, Actions &actions);
     void sendHeartbeats(TimePoint now, Actions &actions);
     void readShared(TimePoint now, Actions &actions);
--- a/src/coordination/vm_base.cpp
+++ b/src/coordination/vm_base.cpp
@@ -1,27 +1,61 @@
 #include "coordination/vm_base.h"
 
 #include <algorithm>
-#include <set>
 
 namespace bramleypitch {
 
-void VmTable::update(const std::vector<VmRecord> &records)
+namespace {
+
+/// Changed lists that a VM may be missing from before it is forgotten.
+constexpr std::uint32_t maxMissedLists = 600;
+
+} // namespace
+
+bool VmTable::update(const std::vector<VmRecord> &records)
 {
-    std::set<VmId> before;
-    for (auto &[id, vm] : m_vms) {
-        if (vm.listed)
-            before.insert(id);
-        vm.listed = false;
-    }
+    if (records == m_lastList)
+        return false;
+    m_lastList = records;
+    m_vms.forEach([](VmIndex, Vm &vm) { ++vm.missedLists; });
     for (const VmRecord &record : records) {
-        Vm &vm = m_vms[record.id];
+        const auto [found, isNew] = m_index.try_emplace(record.id);
+        if (isNew)
+            found->second = m_vms.insert(Vm());
+        Vm &vm = *m_vms.find(found->second);
         const bool sameVm = vm.record.address == record.address;
-        const bool wasLeaving = sameVm && vm.record.leaving && before.count(record.id);
+        const bool wasLeaving = sameVm && vm.listed && vm.record.leaving;
         if (!sameVm)
-            vm = Vm {};
+            vm = Vm();
         vm.record = record;
         vm.record.leaving = record.leaving || wasLeaving;
-        vm.listed = true;
+        vm.missedLists = 0;
+    }
+    m_vms.forEach([](VmIndex, Vm &vm) { vm.listed = vm.missedLists == 0; });
+    forgetLongUnlisted();
+    indexDomains();
+    return true;
+}
+
+void VmTable::forgetLongUnlisted()
+{
+    for (auto it = m_index.begin(); it != m_index.end();) {
+        if (m_vms.find(it->second)->missedLists < maxMissedLists) {
+            ++it;
+            continue;
+        }
+        m_vms.erase(it->second);
+        it = m_index.erase(it);
+    }
+}
+
+void VmTable::indexDomains()
+{
+    m_domains.clear();
+    m_vms.forEach([&](VmIndex index, Vm &vm) { m_domains[vm.record.domain].push_back(index); });
+    for (auto &[domain, indices] : m_domains) {
+        std::sort(indices.begin(), indices.end(), [&](VmIndex a, VmIndex b) {
+            return m_vms.find(a)->record.id < m_vms.find(b)->record.id;
+        });
     }
 }
 
@@ -47,22 +81,34 @@
 
 Vm *VmTable::find(const VmId &id)
 {
-    const auto found = m_vms.find(id);
-    return found == m_vms.end() ? nullptr : &found->second;
+    const std::optional<VmIndex> index = indexOf(id);
+    return index ? m_vms.find(*index) : nullptr;
 }
 
 const Vm *VmTable::find(const VmId &id) const
 {
-    const auto found = m_vms.find(id);
-    return found == m_vms.end() ? nullptr : &found->second;
+    const std::optional<VmIndex> index = indexOf(id);
+    return index ? m_vms.find(*index) : nullptr;
+}
+
+std::optional<VmIndex> VmTable::indexOf(const VmId &id) const
+{
+    const auto found = m_index.find(id);
+    if (found == m_index.end())
+        return std::nullopt;
+    return found->second;
 }
 
 std::vector<const Vm *> VmTable::ofDomain(const DomainId &domain) const
 {
     std::vector<const Vm *> vms;
-    for (const auto &[id, vm] : m_vms) {
-        if (vm.listed && vm.record.domain == domain)
-            vms.push_back(&vm);
+    const auto found = m_domains.find(domain);
+    if (found == m_domains.end())
+        return vms;
+    for (const VmIndex index : found->second) {
+        const Vm *vm = m_vms.find(index);
+        if (vm->listed)
+            vms.push_back(vm);
     }
     return vms;
 }
--- a/src/coordination/vm_type.h
+++ b/src/coordination/vm_type.h
@@ -7,6 +7,8 @@
 
 namespace bramleypitch {
 
+using VmIndex = StrongType<struct VmIndexTag, std::uint32_t>;
+
 /// One VM as the platform's VM list gives it.
 struct VmRecord
 {
@@ -38,7 +40,8 @@
 struct Vm
 {
     VmRecord record;
-    bool listed = true; ///< Still in the VM list.
+    bool listed = false; ///< In the newest VM list.
+    std::uint32_t missedLists = 0; ///< Changed lists since one named it.
     std::optional<VmReport> report; ///< None after any sign of loss, until the next good probe.
     TimePoint confirmedAt; ///< When the probe that brought the report was sent.
     TimePoint lastSeen; ///< Like confirmedAt, but kept through losses.
--- a/src/core/pool_type.h
+++ b/src/core/pool_type.h
@@ -36,6 +36,13 @@
         return &*m_slots[index.value()];
     }
 
+    const Entity *find(Index index) const
+    {
+        if (index.value() >= m_slots.size() || !m_slots[index.value()])
+            return nullptr;
+        return &*m_slots[index.value()];
+    }
+
     /// Frees the slot; unknown indices are ignored.
     void erase(Index index)
     {
--- a/src/core/rendezvous_func.h
+++ b/src/core/rendezvous_func.h
@@ -33,4 +33,22 @@
     return ordered;
 }
 
+/// The first of rendezvousOrder() alone, or null if there are no candidates.
+template<typename Candidate, typename NameOf>
+const Candidate *rendezvousFirst(std::string_view key, const std::vector<Candidate> &candidates,
+                                 NameOf nameOf)
+{
+    const Candidate *first = nullptr;
+    std::uint64_t highest = 0;
+    const std::uint64_t seed = stableHash(key);
+    for (const Candidate &candidate : candidates) {
+        const std::uint64_t weight = stableHash(nameOf(candidate), seed);
+        if (!first || weight > highest) {
+            first = &candidate;
+            highest = weight;
+        }
+    }
+    return first;
+}
+
 } // namespace bramleypitch
--- a/src/tests/golden_test.cpp
+++ b/src/tests/golden_test.cpp
@@ -216,9 +216,9 @@
     Session session;
     session.begin();
     VmListRead list {OperationId(), true, {}};
-    for (const auto &[id, vm] : session.node().state().vms.all()) {
-        list.vms.push_back(vm.record);
-        list.vms.back().leaving = id == VmId("b1");
+    for (const std::string name : {"a1", "a2", "b1", "b2", "s1"}) {
+        list.vms.push_back(session.node().state().vms.find(VmId(name))->record);
+        list.vms.back().leaving = name == "b1";
     }
     session.at(20, list);
     session.say("an older list comes after the newer one");
--- a/src/tests/world.cpp
+++ b/src/tests/world.cpp
@@ -574,7 +574,8 @@
             runStream(node, life, dispatch, boot, index);
             return;
         }
-        const bool callerLeft = m_nodes[node].life != life;
+        const bool callerLeft = m_nodes[node].life != life
+            || m_cancelled.count({dispatch.request, dispatch.attempt}) > 0;
         if (vm->boots != boot || m_now < vm->deadUntil || callerLeft) {
             if (vm->boots == boot && vm->running > 0)
                 --vm->running;
@@ -608,6 +609,11 @@
     });
 }
 
+void World::act(std::uint32_t, const CancelAttempt &cancel)
+{
+    after(delay(), [=, this] { m_cancelled.insert({cancel.request, cancel.attempt}); });
+}
+
 void World::act(std::uint32_t node, const DispatchService &dispatch)
 {
     checkService(node, dispatch);
--- a/src/tests/world.h
+++ b/src/tests/world.h
@@ -174,7 +174,7 @@
     void act(std::uint32_t node, const LogChange &change);
     void act(std::uint32_t node, const Stopped &stopped);
     void act(std::uint32_t, const WatchShared &) { }
-    void act(std::uint32_t, const CancelAttempt &) { }
+    void act(std::uint32_t node, const CancelAttempt &cancel);
 
     // The store, engines and services.
     bool platformReachable(const NodeSlot &slot) const;
@@ -231,6 +231,7 @@
     bool m_calm = false; ///< No further losses: everything is to settle.
     std::uint64_t m_lastRequest = 0;
     std::map<std::uint64_t, Asked> m_asked;
+    std::set<std::pair<RequestId, AttemptNumber>> m_cancelled; ///< As the engines know.
     std::map<std::string, std::uint32_t> m_paymentRuns; ///< Runs at the services, by key.
     std::map<std::uint64_t, std::uint32_t> m_requestRuns; ///< Arrivals at backends, by request.
     std::vector<std::uint64_t> m_notRun; ///< Requests refused as not run.
