Feature: [Group] Each node has a share of a group's slots and borrows only what is surely free

Cause: every node filled a group to its concurrency by what the last report, up to 0.5 s old, said of the others, so under a flood the groups were overbooked and requests of small organisations waited inside the engines, behind the flood. Ruled out: faster reports (more probes for every node). Now the shares of all nodes make up the concurrency and only a group with room to spare lends beyond the share.

--- a/src/coordination/group_base.cpp
+++ b/src/coordination/group_base.cpp
@@ -1,6 +1,7 @@
 #include "coordination/group_base.h"
 
 #include "coordination/environment_func.h"
+#include "core/rendezvous_func.h"
 
 #include <algorithm>
 
@@ -72,6 +73,20 @@
     indexTargets();
 }
 
+void GroupTable::share(const std::vector<MemberEntry> &nodes, const NodeId &self)
+{
+    const auto name = [](const MemberEntry &entry) { return entry.node.value(); };
+    m_groups.forEach([&](GroupIndex, Group &group) {
+        const auto order = rendezvousOrder(group.placed.id.value(), nodes, name);
+        const auto at = std::find_if(order.begin(), order.end(),
+                                     [&](const MemberEntry &entry) { return entry.node == self; });
+        const auto count = static_cast<std::uint32_t>(std::max<std::size_t>(1, nodes.size()));
+        const auto rank = static_cast<std::uint32_t>(at - order.begin());
+        const std::uint32_t rest = group.limits.concurrency % count;
+        group.ownShare = group.limits.concurrency / count + (rank < rest ? 1 : 0);
+    });
+}
+
 void GroupTable::resolve(const VmTable &vms)
 {
     m_groups.forEach([&](GroupIndex, Group &group) {
--- a/src/coordination/group_base.h
+++ b/src/coordination/group_base.h
@@ -2,6 +2,7 @@
 
 #include "coordination/environment_type.h"
 #include "coordination/group_type.h"
+#include "coordination/member_type.h"
 #include "coordination/placement_func.h"
 #include "coordination/vm_base.h"
 #include "core/pool_type.h"
@@ -24,6 +25,9 @@
     void keepDomains(const std::set<DomainId> &routed);
     /// Looks the members up anew, after the VM table or the groups have changed.
     void resolve(const VmTable &vms);
+    /// Divides each group's concurrency between the live nodes; what does not divide goes to the
+    /// first of them in rendezvous order by group.
+    void share(const std::vector<MemberEntry> &nodes, const NodeId &self);
     /// Applies limits of a new document to all groups.
     void applyLimits(const Environment &environment);
 
--- a/src/coordination/group_func.cpp
+++ b/src/coordination/group_func.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+constexpr std::uint32_t lendingReserve = 1; ///< Slots of a group that no node borrows.
 constexpr Duration lateArrival {3'000}; ///< A request may arrive so long after it was given up.
 
 /// Whether a member's last confirmation is of this group and recent enough.
@@ -29,6 +30,11 @@
                                                     [&](TimePoint until) { return now < until; }));
 }
 
+std::uint32_t room(std::uint32_t running, std::uint32_t limit)
+{
+    return running >= limit ? 0 : limit - running;
+}
+
 bool isHome(const Group &group, const OwnLease &lease, TimePoint now)
 {
     return group.placed.home == lease.node && group.placed.homeIncarnation == lease.incarnation
@@ -112,10 +118,15 @@
     const bool warm = isWarm(group, vms);
     if (!warm && !isHome(group, lease, now))
         return 0;
-    const std::uint32_t limit = warm ? group.limits.concurrency : group.limits.coldAllowance;
-    const std::uint32_t late = warm ? 0 : lateAttempts(group, now);
-    const std::uint32_t running = late + group.ownRunning + group.othersRunning + group.lingering;
-    return running >= limit ? 0 : limit - running;
+    const std::uint32_t own = group.ownRunning + group.lingering;
+    if (!warm) {
+        const std::uint32_t running = own + group.othersRunning + lateAttempts(group, now);
+        return room(running, group.limits.coldAllowance);
+    }
+    if (own < group.ownShare)
+        return group.ownShare - own;
+    // What others run is known late. Only a group with room to spare lends beyond the share.
+    return room(own + group.othersRunning + lendingReserve, group.limits.concurrency);
 }
 
 } // namespace bramleypitch
--- a/src/coordination/group_type.h
+++ b/src/coordination/group_type.h
@@ -32,6 +32,7 @@
     std::vector<VmIndex> vms; ///< The members; shorter than `placed` if one is not known.
     bool isService = false; ///< One plain backend server; confirms no generation.
     TargetLimits limits;
+    std::uint32_t ownShare = 1; ///< Of the concurrency; the shares of all nodes make it up.
     std::uint32_t ownRunning = 0; ///< Requests this node has running on it.
     std::uint32_t ownAtProbe = 0; ///< ownRunning when the head's probe under way was sent.
     std::uint32_t lingering = 0; ///< Attempts given up here that may still run on the server.
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -40,6 +40,7 @@
     m_shared.tick(now, actions);
     if (now - m_controlledAt >= m_state.options.controlInterval) {
         m_controlledAt = now;
+        shareGroups();
         m_probes.tick(m_placement.owned(), now, actions);
         m_placement.tick(now, actions);
     }
@@ -104,6 +105,16 @@
     for (const DomainId &domain : m_state.routed)
         m_state.groups.update(knownPlacement(m_state, domain).placement, *m_state.envelope);
     m_state.groups.resolve(m_state.vms);
+    m_sharedFor.reset();
+    shareGroups();
+}
+
+void Node::shareGroups()
+{
+    if (m_sharedFor == m_state.members.viewVersion())
+        return;
+    m_sharedFor = m_state.members.viewVersion();
+    m_state.groups.share(m_state.members.view(), m_state.options.node);
 }
 
 void Node::noteZone(TimePoint now, Actions &actions)
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -87,6 +87,7 @@
     void applyShared(const std::vector<std::string> &changed, TimePoint now, Actions &actions);
     void applyConfiguration(Actions &actions);
     void updateGroups();
+    void shareGroups();
     void askLedger(OperationId operation, const LedgerRequest &request, std::uint32_t tries,
                    TimePoint now, Actions &actions);
     void deliverLedger(TimePoint now, Actions &actions);
@@ -102,6 +103,7 @@
     CompletionSystem m_completions;
     std::set<OperationId> m_ownLedgerAsks; ///< Asked by this node of itself.
     std::vector<SettledLedger> m_settled; ///< Own replies, delivered after the event.
+    std::optional<std::uint64_t> m_sharedFor; ///< View of the members that shares were made for.
     TimePoint m_controlledAt;
     TimePoint m_stopAskedAt;
     bool m_stopped = false;
--- a/src/tests/golden_test.cpp
+++ b/src/tests/golden_test.cpp
@@ -182,6 +182,34 @@
     EXPECT_EQ(count(session, "group=db/1 generation=1 resume"), 0U);
 }
 
+TEST(Golden, NodeWithoutProofOfItsConfigurationRefuses)
+{
+    Session session;
+    session.begin();
+    Heartbeat heartbeat;
+    heartbeat.from = NodeId("n1");
+    for (const std::string name : {"n1", "n2"}) {
+        MemberEntry entry;
+        entry.node = NodeId(name);
+        entry.counter = 1;
+        entry.peerAddress = Address("10.0.0.2:81");
+        heartbeat.members.push_back(entry);
+    }
+    session.at(20, HeartbeatReceived {heartbeat, timePoint(100'020), false});
+    session.say("cut off from the platform; the peers are still heard of, so it is an outage");
+    session.confirmAll(3'000);
+    for (MemberEntry &entry : heartbeat.members)
+        entry.counter = 2;
+    session.at(3'005, HeartbeatReceived {heartbeat, timePoint(103'005), false});
+    session.askCompletion(3'010, 1, "p");
+    session.say("now the peers are silent too: it may be this node alone that is cut off");
+    session.confirmAll(6'100);
+    session.askCompletion(6'110, 2, "q");
+    expectGolden(session, "configuration_stale");
+    EXPECT_EQ(count(session, "< dispatch_engine request=1/1"), 1U);
+    EXPECT_EQ(count(session, "refuse request=2 configuration_stale not_run"), 1U);
+}
+
 TEST(Golden, BrokenStreamIsResumedAndLateFramesAreDropped)
 {
     Session session;
