Fix: [Ledger] An owner does not answer 'in progress' from an old copy for ever

Cause, found by PaymentTest.test_replies_of_the_store_are_lost under rapid repeats: an owner whose copy of the head held the open claim answered every repeat from memory; answers that change nothing write nothing, so it never learnt of the outcome that another owner had recorded. Ruled out: reading the head for every repeat. A copy older than 200 ms is read anew before it says 'in progress'. The property with two owners now asks for it; it failed before and passes now.

Fix: [Ledger] A claim that arrives after its own abandonment is not granted. An abandonment is kept for as long as the claim can still be on its way; before, such a claim stood open until it expired and the key was of no use.

--- a/src/coordination/ledger_func.cpp
+++ b/src/coordination/ledger_func.cpp
@@ -104,7 +104,9 @@
     {
         const LedgerRecord *held = find(request.key);
         if (!held)
-            return addClaim(request);
+            return addRecord(request, ClaimState::Claimed);
+        if (held->state == ClaimState::Abandoned)
+            return claimAbandoned(request);
         if (held->digest != request.digest)
             return {LedgerAnswer::KeyReused, {}};
         if (held->state == ClaimState::Done)
@@ -118,7 +120,7 @@
         return {LedgerAnswer::InProgress, {}};
     }
 
-    LedgerReply addClaim(const LedgerRequest &request)
+    LedgerReply addRecord(const LedgerRequest &request, ClaimState state)
     {
         if (m_bytes + recordOverhead > m_limits.fullBytes)
             return {LedgerAnswer::Full, {}};
@@ -126,6 +128,7 @@
         record.key = request.key;
         record.digest = request.digest;
         record.claim = request.claim;
+        record.state = state;
         record.when = request.when;
         m_index[request.key] = m_batch.head.records.size();
         m_batch.head.records.push_back(std::move(record));
@@ -134,6 +137,20 @@
         return {LedgerAnswer::Granted, {}};
     }
 
+    /// An abandoned key goes to any claim but the one that was abandoned, which only comes late.
+    LedgerReply claimAbandoned(const LedgerRequest &request)
+    {
+        LedgerRecord &held = m_batch.head.records[m_index.at(request.key)];
+        if (held.claim == request.claim)
+            return {LedgerAnswer::InProgress, {}};
+        held.digest = request.digest;
+        held.claim = request.claim;
+        held.state = ClaimState::Claimed;
+        held.when = request.when;
+        m_batch.changed = true;
+        return {LedgerAnswer::Granted, {}};
+    }
+
     // Record and Abandon always write: that a claim is not found may only mean that this owner's
     // copy of the head is an old one, and then the write conflicts and they are applied anew.
     LedgerReply record(const LedgerRequest &request)
@@ -150,16 +167,15 @@
     LedgerReply abandon(const LedgerRequest &request)
     {
         m_batch.changed = true;
-        if (ownClaim(request)) {
-            auto &records = m_batch.head.records;
-            const std::size_t at = m_index[request.key];
-            m_index.erase(request.key);
-            if (at + 1 != records.size()) {
-                records[at] = std::move(records.back());
-                m_index[records[at].key] = at;
-            }
-            records.pop_back();
+        if (LedgerRecord *held = ownClaim(request)) {
+            held->state = ClaimState::Abandoned;
+            return {LedgerAnswer::Recorded, {}};
         }
+        // The claim may still be on its way, so the abandonment is kept for it.
+        if (!find(request.key))
+            return addRecord(request, ClaimState::Abandoned).answer == LedgerAnswer::Full
+                ? LedgerReply {LedgerAnswer::Unavailable, {}}
+                : LedgerReply {LedgerAnswer::Recorded, {}};
         return {LedgerAnswer::Recorded, {}};
     }
 
@@ -267,7 +283,11 @@
         const bool expired = now.value() - record.when.value() > limits.claimExpiry.count();
         if (record.state == ClaimState::Claimed && expired)
             record.state = ClaimState::Unknown;
-        auto &target = record.state == ClaimState::Claimed ? rest.records : page.records;
+        if (record.state == ClaimState::Abandoned && expired)
+            continue;
+        const bool open =
+            record.state == ClaimState::Claimed || record.state == ClaimState::Abandoned;
+        auto &target = open ? rest.records : page.records;
         target.push_back(std::move(record));
     }
     return {std::move(page), std::move(rest)};
--- a/src/coordination/ledger_func.h
+++ b/src/coordination/ledger_func.h
@@ -43,7 +43,7 @@
                           const std::vector<LedgerRequest> &requests, const LedgerLimits &limits);
 
 /// Splits a head for a page roll: closed records (and claims without outcome for longer than the
-/// expiry, as unknown) go to the page, the rest stays.
+/// expiry, as unknown) go to the page, the rest stays. Abandonments as old are dropped.
 std::pair<LedgerPage, SegmentHead> splitHead(const SegmentHead &head, WallTime now,
                                              const LedgerLimits &limits);
 
--- a/src/coordination/ledger_owner.cpp
+++ b/src/coordination/ledger_owner.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr Duration retryPause {200}; ///< Before a segment is read again after a failure.
+constexpr Duration copyFreshness {200}; ///< How long a head may be told from memory as in progress.
 constexpr double millisecondsPerSecond = 1000;
 
 } // namespace
@@ -107,6 +108,15 @@
     for (const Pending &pending : segment.pending)
         requests.push_back(pending.request);
     LedgerBatch batch = applyRequests(segment.head, segment.archive, requests, m_limits);
+    const bool inProgress =
+        std::any_of(batch.replies.begin(), batch.replies.end(), [](const LedgerReply &reply) {
+            return reply.answer == LedgerAnswer::InProgress;
+        });
+    if (!batch.changed && inProgress && now - segment.currentAt >= copyFreshness) {
+        // Another owner may have recorded the outcome since: an old copy would never learn it.
+        readHead(index, segment, actions);
+        return;
+    }
     if (!batch.changed) {
         segment.writing.swap(segment.pending);
         segment.replies = std::move(batch.replies);
@@ -187,6 +197,7 @@
         } else if (segment.phase == Phase::ReadingHead) {
             segment.head = read.revision.value() == 0 ? SegmentHead() : parseHead(read.value);
             segment.revision = read.revision;
+            segment.currentAt = now;
             headLoaded(index, segment, now, actions);
         } else if (segment.phase == Phase::ReadingPages) {
             pageRead(index, segment, read, now, actions);
@@ -261,6 +272,7 @@
             segment.page = {};
             segment.head = parseHead(done.value);
             segment.revision = done.revision;
+            segment.currentAt = now;
             headLoaded(index, segment, now, actions);
             return true;
         }
@@ -272,6 +284,7 @@
         segment.page = {};
         segment.head = segment.written;
         segment.revision = done.revision;
+        segment.currentAt = now;
         segment.phase = Phase::Ready;
         settle(segment);
         advance(index, segment, now, actions);
--- a/src/coordination/ledger_owner.h
+++ b/src/coordination/ledger_owner.h
@@ -62,6 +62,7 @@
         OperationId operation; ///< The one under way.
         SegmentHead head;
         Revision revision;
+        TimePoint currentAt; ///< When `head` was last known to be the store's.
         LedgerArchive archive;
         Nonce archivedTo; ///< Newest page that the archive holds.
         Nonce walkingAt; ///< Page being read.
--- a/src/coordination/ledger_type.h
+++ b/src/coordination/ledger_type.h
@@ -18,6 +18,7 @@
 enum class ClaimState {
     Claimed, ///< Granted to one request; may have run.
     Done, ///< Ran; the outcome is recorded.
+    Abandoned, ///< Never sent, and its claim never will be; any other claim may take the key.
     Unknown, ///< Granted long ago and never heard of again; may have run.
 };
 
--- a/src/tests/ledger_test.cpp
+++ b/src/tests/ledger_test.cpp
@@ -109,6 +109,16 @@
     EXPECT_EQ(answerOf(head, request(LedgerVerb::Claim, "l", "c")), LedgerAnswer::InProgress);
 }
 
+TEST(Ledger, ClaimThatComesAfterItsAbandonmentIsNotGranted)
+{
+    SegmentHead head;
+    EXPECT_EQ(answerOf(head, request(LedgerVerb::Abandon, "k", "a")), LedgerAnswer::Recorded);
+    EXPECT_EQ(answerOf(head, request(LedgerVerb::Claim, "k", "a")), LedgerAnswer::InProgress);
+    EXPECT_EQ(answerOf(head, request(LedgerVerb::Claim, "k", "b")), LedgerAnswer::Granted);
+    EXPECT_EQ(answerOf(head, request(LedgerVerb::Claim, "k", "a")), LedgerAnswer::InProgress);
+    EXPECT_EQ(parseHead(serializeHead(head)), head);
+}
+
 TEST(Ledger, AnotherCallWithTheSameKeyIsTold)
 {
     SegmentHead head;
@@ -196,6 +206,10 @@
         }
         const auto reply = asked.replies.find(operation);
         RC_ASSERT(reply != asked.replies.end());
+        // Whichever owner is asked, it learns of an outcome that another one recorded.
+        if (verb == LedgerVerb::Claim && recorded.count(key) > 0
+            && reply->second != LedgerAnswer::Unavailable)
+            RC_ASSERT(reply->second == LedgerAnswer::Repeat);
         if (verb == LedgerVerb::Claim && reply->second == LedgerAnswer::Granted) {
             RC_ASSERT(recorded.count(key) == 0U);
             granted[key].insert(claim);
