--- /dev/null
+++ b/examples/embed_coordination.cpp
@@ -0,0 +1,110 @@
+// Embeds the coordination library without any of the daemon: one node in memory, fed with events by
+// hand. It learns its configuration and a group of two VMs, and routes one completion to it.
+
+#include "coordination/environment_func.h"
+#include "coordination/node.h"
+
+#include <iostream>
+
+using namespace bramleypitch;
+
+namespace {
+
+const char *const document = R"({
+  "environment": "example",
+  "availability_zones": [{"name": "zone-a", "region": "region"}],
+  "organisations": [{"name": "shop", "keys": ["secret"]}],
+  "model_groups": [{"name": "assistant", "model": "weights-1", "span": 2, "warm_after": 0,
+                    "fabric_domains": ["domain-1"]}]})";
+
+/// The configuration and the placement of the one group, as the platform would hold them.
+std::vector<SharedValue> sharedValues()
+{
+    Envelope envelope;
+    envelope.environment = parseEnvironment(document);
+    DomainPlacement placement;
+    placement.domain = DomainId("domain-1");
+    PlacedGroup group;
+    group.id = GroupId("domain-1/1");
+    group.environment = EnvironmentId("example");
+    group.target = "assistant";
+    group.generation = Generation(1);
+    group.members = {VmId("vm-1"), VmId("vm-2")};
+    placement.groups.push_back(group);
+    return {{configurationKey(envelope.environment.name, Stage::Production), Revision(1),
+             serializeEnvelope(envelope)},
+            {placementKey(placement.domain), Revision(2), serializePlacement(placement)}};
+}
+
+VmRecord vm(const std::string &name)
+{
+    VmRecord record;
+    record.id = VmId(name);
+    record.address = Address(name);
+    record.zone = ZoneId("zone-a");
+    record.domain = DomainId("domain-1");
+    return record;
+}
+
+/// A member's answer to a probe: it serves the group.
+ProbeDone confirmation(const std::string &name, TimePoint sentAt)
+{
+    ProbeDone done;
+    done.vm = VmId(name);
+    done.ok = true;
+    done.report.state = EngineState::Ready;
+    done.report.group = GroupId("domain-1/1");
+    done.report.generation = Generation(1);
+    done.sentAt = sentAt;
+    return done;
+}
+
+/// Prints where the node sends the request, or how it refuses it; true if it was sent.
+bool printDecision(const Actions &actions)
+{
+    for (const Action &action : actions) {
+        if (const auto *dispatch = std::get_if<DispatchEngine>(&action)) {
+            std::cout << "dispatch to " << dispatch->vm.value() << " of group "
+                      << dispatch->group.value() << "\n";
+            return true;
+        }
+        if (const auto *refuse = std::get_if<Refuse>(&action))
+            std::cout << "refused: " << refuse->message << "\n";
+    }
+    return false;
+}
+
+} // namespace
+
+int main()
+{
+    NodeOptions options;
+    options.node = NodeId("node-1");
+    options.environment = EnvironmentId("example");
+    options.zone = ZoneId("zone-a");
+    Node node(options);
+
+    // The present time is always an argument; here it is any number that rises.
+    const TimePoint start = timePoint(100'000);
+    OperationId read;
+    for (const Action &action : node.handle(Tick {WallTime(0)}, start)) {
+        if (const auto *asked = std::get_if<ReadShared>(&action))
+            read = asked->operation;
+    }
+    node.handle(SharedRead {read, true, sharedValues(), start}, start);
+    node.handle(VmListRead {OperationId(), true, {vm("vm-1"), vm("vm-2")}}, start);
+
+    CompletionAsked asked;
+    asked.request = RequestId(1);
+    asked.key = "secret";
+    asked.model = ModelGroupId("assistant");
+    asked.prompt = "hello";
+
+    node.handle(confirmation("vm-1", start), start);
+    const bool sentToHalfAGroup = printDecision(node.handle(asked, start));
+
+    node.handle(confirmation("vm-2", start), start);
+    asked.request = RequestId(2);
+    const bool sentToWholeGroup = printDecision(node.handle(asked, start));
+    return !sentToHalfAGroup && sentToWholeGroup ? 0 : 1;
+}
--- /dev/null
+++ b/scripts/measure_ledger.py
@@ -0,0 +1,94 @@
+"""What the ledger costs: platform writes a payment and added time at several rates, and the
+platform's calls at rest and for a change.
+
+  scripts/measure_ledger.py BUILD
+"""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import time
+
+from cluster import ZONES, Cluster, ask, wait_for
+
+BASE_PORT = 26000
+LOAD_S = 8
+REST_S = 10
+RATES = (1, 10, 100, 500)
+
+
+def calls(cluster):
+    counts = ask(cluster.platform, "GET", "/calls").json()
+    return {kind: sum(count for path, count in counts.items() if kind in path)
+            for kind in ("txn", "range", "lease", "watch", "vms")}
+
+
+def difference(after, before):
+    return {kind: after[kind] - before[kind] for kind in after}
+
+
+def load(cluster, directory, rate):
+    mix = {"organisations": [{"name": "a", "key": "key-a"}, {"name": "b", "key": "key-b"}],
+           "requests": [{"name": "payment", "kind": "once", "target": "caja-app",
+                         "path": "/payments", "in_time_ms": 3000}]}
+    path, output = f"{directory}/mix.json", f"{directory}/out.json"
+    with open(path, "w", encoding="utf-8") as file:
+        json.dump(mix, file)
+    before = calls(cluster)
+    subprocess.run([f"{cluster.build}/src/command/bramleypitch", "load",
+                    f"--entries={cluster.nodes['node-centro-a']}", f"--mix={path}",
+                    f"--rate={rate}", f"--duration_s={LOAD_S}", f"--output={output}"],
+                   capture_output=True, check=True)
+    time.sleep(1)  # The last outcomes are recorded in the background.
+    spent = difference(calls(cluster), before)
+    with open(output, encoding="utf-8") as file:
+        tallies = json.load(file)["tallies"]
+    whole = sum(tally["whole"] for tally in tallies)
+    offered = sum(tally["offered"] for tally in tallies)
+    shown = {name: [round(tally["first_token_ms"][name] or 0, 1) for tally in tallies]
+             for name in ("p50", "p95")}
+    print(f"{rate}/s: answered {whole} of {offered}, {spent['txn'] / max(1, whole):.2f} "
+          f"conditional writes a payment ({spent['txn'] / (LOAD_S + 1):.0f}/s), answer ms {shown}",
+          flush=True)
+
+
+def main():
+    with tempfile.TemporaryDirectory() as directory, \
+            Cluster(sys.argv[1], BASE_PORT, directory + "/logs") as cluster:
+        cluster.start_platform()
+        for zone in ZONES:
+            cluster.start_engines(f"engines-{zone}", 4, zone, f"{zone}-1")
+            cluster.start_services(f"caja-{zone}", 1, zone, "caja-app")
+        cluster.publish_vms()
+        for zone in ZONES:
+            for number in range(3):
+                name = f"node-{zone}" if number == 0 else f"node-{zone}-{number}"
+                cluster.start_node(name, zone)
+        document = os.path.join(os.path.dirname(__file__), "..", "examples", "tienditas.json")
+        for command in (("apply", document), ("promote",)):
+            code, output = cluster.operate(*command)
+            if code != 0:
+                raise SystemExit(output)
+        for node in cluster.nodes:
+            wait_for("servers", lambda n=node: len(cluster.open_groups(n, "caja-app")) == 3)
+        time.sleep(3)
+        before = calls(cluster)
+        time.sleep(REST_S)
+        rest = difference(calls(cluster), before)
+        print("9 nodes at rest, calls a second:",
+              {kind: count / REST_S for kind, count in rest.items()}, flush=True)
+        before = calls(cluster)
+        start = time.monotonic()
+        revision = int(cluster.operate("drain", ZONES[1])[1].split()[-1])
+        wait_for("in force everywhere", lambda: all(
+            cluster.status(node)["configuration_revision"] >= revision for node in cluster.nodes))
+        print(f"a change is in force on 9 nodes after {time.monotonic() - start:.2f} s", flush=True)
+        cluster.operate("restore", ZONES[1])
+        for rate in RATES:
+            load(cluster, directory, rate)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/scripts/measure_rest.py
@@ -0,0 +1,65 @@
+"""What control costs at rest with 3, 6 and 9 nodes: processor time, memory and loopback bytes a
+node, and the platform's calls.
+
+  scripts/measure_rest.py BUILD [VMS_A_DOMAIN ...]
+"""
+
+import os
+import sys
+import tempfile
+import time
+
+from cluster import ZONES, Cluster, ask, wait_for
+from measure_entry import processor_s, resident_mb
+
+BASE_PORT = 29000
+REST_S = 10
+
+
+def loopback_bytes():
+    with open("/proc/net/dev", encoding="utf-8") as file:
+        return next(int(line.split()[1]) for line in file if line.strip().startswith("lo:"))
+
+
+def measure(build, nodes, vms_a_domain):
+    with tempfile.TemporaryDirectory() as directory, \
+            Cluster(build, BASE_PORT, directory + "/logs") as cluster:
+        cluster.start_platform()
+        for zone in ZONES:
+            cluster.start_engines(f"engines-{zone}", vms_a_domain, zone, f"{zone}-1")
+        cluster.publish_vms()
+        for number in range(nodes):
+            cluster.start_node(f"node-{number}", ZONES[number % len(ZONES)])
+        document = os.path.join(os.path.dirname(__file__), "..", "examples", "tienditas.json")
+        for command in (("apply", document), ("promote",)):
+            code, output = cluster.operate(*command)
+            if code != 0:
+                raise SystemExit(output)
+        groups = len(ZONES) * (vms_a_domain // 2)
+        for node in cluster.nodes:
+            wait_for("groups", lambda n=node: len(cluster.open_groups(n, "asistente-llm"))
+                     == groups)
+        time.sleep(5)
+        pids = [cluster.processes[name].pid for name in cluster.nodes]
+        before = [processor_s(pid) for pid in pids]
+        calls = ask(cluster.platform, "GET", "/calls").json()
+        sent = loopback_bytes()
+        time.sleep(REST_S)
+        sent = loopback_bytes() - sent
+        calls = sum(ask(cluster.platform, "GET", "/calls").json().values()) - sum(calls.values())
+        spent = [processor_s(pid) - earlier for pid, earlier in zip(pids, before)]
+        print(f"{nodes} nodes, {3 * vms_a_domain} servers: "
+              f"{100 * sum(spent) / REST_S / nodes:.2f} % of a core, "
+              f"{max(resident_mb(pid) for pid in pids):.1f} MB, "
+              f"{sent / REST_S / nodes / 1000:.1f} KB/s a node (all traffic of the machine), "
+              f"{calls / REST_S:.1f} platform calls a second", flush=True)
+
+
+def main():
+    for vms_a_domain in [int(text) for text in sys.argv[2:]] or [8]:
+        for nodes in (3, 6, 9):
+            measure(sys.argv[1], nodes, vms_a_domain)
+
+
+if __name__ == "__main__":
+    main()
