--- a/src/coordination/completion_system.cpp
+++ b/src/coordination/completion_system.cpp
@@ -1,6 +1,7 @@
 #include "coordination/completion_system.h"
 
 #include "coordination/environment_func.h"
+#include "coordination/refusal_func.h"
 #include "coordination/route_func.h"
 #include "core/rendezvous_func.h"
 
@@ -13,20 +14,8 @@
 
 constexpr std::size_t affinityBytes = 256; ///< Of a prompt's beginning, for prefix caches.
 constexpr Duration avoidAfterFailure {1'000};
-constexpr Duration leastRetryAfter {1'000};
 constexpr double serviceSmoothing = 0.1;
 
-Refuse refusal(RequestId request, ErrorCode code, std::string message,
-               std::optional<Duration> retryAfter = std::nullopt)
-{
-    Refuse refuse;
-    refuse.request = request;
-    refuse.code = code;
-    refuse.message = std::move(message);
-    refuse.retryAfter = retryAfter;
-    return refuse;
-}
-
 /// How the running attempt ends if it is given up now.
 AttemptEnd givenUp(const Completion &completion)
 {
@@ -101,16 +90,16 @@
         m_state.counters.add(Counter::ColdRefusals);
         return refusal(asked.request, ErrorCode::NoCapacity,
                        "groups are in cold start and take work through other entries",
-                       leastRetryAfter);
+                       askAgainSoon);
     }
     if (capacity.openGroups == 0)
         return refusal(asked.request, ErrorCode::NoCapacity, "no whole group is in service",
-                       leastRetryAfter);
+                       askAgainSoon);
     const std::size_t waiting = m_queues[model.name].queue.waiting(organisation.name);
     const double wait = expectedWaitMillis(organisation, model, capacity.slots);
     const Duration deadline = asked.firstTokenDeadline.value_or(model.firstTokenDeadline);
     const Duration over = Duration(std::llround(wait)) - deadline;
-    const Duration retryAfter = std::max(leastRetryAfter, over);
+    const Duration retryAfter = std::max(askAgainSoon, over);
     if (waiting >= organisation.maxQueued)
         return refusal(asked.request, ErrorCode::QueueFull,
                        "too many requests of the organisation wait", retryAfter);
@@ -323,7 +312,7 @@
     m_queues[completion.model].queue.remove(completion.organisation, request);
     m_state.counters.add(completion.delivered > 0 ? Counter::CompletionsBroken
                                                   : Counter::CompletionsRefused);
-    Refuse refuse = refusal(request, code, message, leastRetryAfter);
+    Refuse refuse = refusal(request, code, message, askAgainSoon);
     refuse.run = completion.mayHaveRun ? RunOutcome::MayHaveRun : RunOutcome::NotRun;
     m_completions.erase(request);
     actions.emplace_back(std::move(refuse));
--- a/src/coordination/node_state.cpp
+++ b/src/coordination/node_state.cpp
@@ -1,13 +1,12 @@
 #include "coordination/node_state.h"
 
 #include "coordination/environment_func.h"
+#include "coordination/refusal_func.h"
 
 namespace bramleypitch {
 
 namespace {
 
-constexpr Duration askAgainSoon {1'000}; ///< Where another node can take the request at once.
-
 MemberEntry selfEntry(const NodeOptions &options)
 {
     MemberEntry entry;
@@ -74,26 +73,19 @@
 
 std::optional<Refuse> refusalOfNode(const NodeState &state, TimePoint now)
 {
-    Refuse refuse;
-    refuse.retryAfter = askAgainSoon;
-    if (state.stopping) {
-        refuse.code = ErrorCode::Stopping;
-        refuse.message = "this node is stopping, use another entry";
-        return refuse;
-    }
-    if (!configurationCurrent(state, now)) {
-        refuse.code = ErrorCode::ConfigurationStale;
-        refuse.message = "this node cannot tell whether its configuration is current";
-        return refuse;
-    }
+    const RequestId request; // Filled in by whoever asks.
+    if (state.stopping)
+        return refusal(request, ErrorCode::Stopping, "this node is stopping, use another entry",
+                       askAgainSoon);
+    if (!configurationCurrent(state, now))
+        return refusal(request, ErrorCode::ConfigurationStale,
+                       "this node cannot tell whether its configuration is current", askAgainSoon);
     // Callers keep the list of entries for a while, so the node serves on from other zones so long.
     const bool graceOver =
         state.zoneOutSince != TimePoint() && now - state.zoneOutSince >= state.options.entryKeep;
-    if (ownZoneOut(state) && graceOver) {
-        refuse.code = ErrorCode::ZoneOut;
-        refuse.message = "this node's availability zone is out, use another entry";
-        return refuse;
-    }
+    if (ownZoneOut(state) && graceOver)
+        return refusal(request, ErrorCode::ZoneOut,
+                       "this node's availability zone is out, use another entry", askAgainSoon);
     return std::nullopt;
 }
 
--- a/src/coordination/service_system.cpp
+++ b/src/coordination/service_system.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/environment_func.h"
 #include "coordination/ledger_func.h"
+#include "coordination/refusal_func.h"
 #include "coordination/route_func.h"
 #include "core/rendezvous_func.h"
 
@@ -11,7 +12,6 @@
 
 namespace {
 
-constexpr Duration retryAfterFailure {1'000};
 constexpr Duration avoidAfterFailure {1'000};
 constexpr Duration ledgerRetryPause {100}; ///< After an answer that settled nothing.
 constexpr Duration noticeLifetime {60'000}; ///< A Record or Abandon is repeated for so long.
@@ -25,15 +25,11 @@
     return RunOutcome::MayHaveRun;
 }
 
-Refuse refusal(const ServiceAsked &asked, ErrorCode code, std::string message,
-               std::optional<Duration> retryAfter = std::nullopt)
+Refuse refusalOf(const ServiceAsked &asked, ErrorCode code, std::string message,
+                 std::optional<Duration> retryAfter = std::nullopt)
 {
-    Refuse refuse;
-    refuse.request = asked.request;
-    refuse.code = code;
-    refuse.message = std::move(message);
+    Refuse refuse = refusal(asked.request, code, std::move(message), retryAfter);
     refuse.run = runOfUnsent(asked);
-    refuse.retryAfter = retryAfter;
     return refuse;
 }
 
@@ -89,10 +85,10 @@
         return refuse;
     }
     if (!organisation)
-        return refusal(asked, ErrorCode::Unauthorized, "no organisation has this key");
+        return refusalOf(asked, ErrorCode::Unauthorized, "no organisation has this key");
     if (!service)
-        return refusal(asked, ErrorCode::UnknownService,
-                       "no service is named " + asked.service.value());
+        return refusalOf(asked, ErrorCode::UnknownService,
+                         "no service is named " + asked.service.value());
     const bool once = runsAtMostOnce(*service, asked.method, asked.path);
     if (once) {
         if (std::optional<Refuse> refuse = checkKey(asked))
@@ -102,21 +98,21 @@
         return entry.second.organisation == organisation->name;
     });
     if (static_cast<std::uint32_t>(running) >= organisation->maxQueued)
-        return refusal(asked, ErrorCode::QueueFull, "too many calls of the organisation wait",
-                       retryAfterFailure);
+        return refusalOf(asked, ErrorCode::QueueFull, "too many calls of the organisation wait",
+                         askAgainSoon);
     return std::nullopt;
 }
 
 std::optional<Refuse> ServiceSystem::checkKey(const ServiceAsked &asked) const
 {
     if (asked.idempotencyKey.empty())
-        return refusal(asked, ErrorCode::IdempotencyKeyMissing,
-                       "this call may run at most once and needs an Idempotency-Key");
+        return refusalOf(asked, ErrorCode::IdempotencyKeyMissing,
+                         "this call may run at most once and needs an Idempotency-Key");
     const std::optional<WallTime> created = creationTime(asked.idempotencyKey);
     const std::int64_t oldest = m_state.wall.value() - m_state.options.ledger.retention.count();
     if (created && created->value() < oldest) {
-        Refuse refuse = refusal(asked, ErrorCode::IdempotencyKeyExpired,
-                                "the key is older than the ledger remembers");
+        Refuse refuse = refusalOf(asked, ErrorCode::IdempotencyKeyExpired,
+                                  "the key is older than the ledger remembers");
         refuse.run = RunOutcome::MayHaveRun;
         return refuse;
     }
@@ -172,7 +168,7 @@
         break;
     case LedgerAnswer::InProgress:
         refuse(call, ErrorCode::InProgress, "the first call with this key has no outcome yet",
-               RunOutcome::MayHaveRun, retryAfterFailure, actions);
+               RunOutcome::MayHaveRun, askAgainSoon, actions);
         break;
     case LedgerAnswer::KeyReused:
         refuse(call, ErrorCode::IdempotencyKeyReused, "the key was used for another call",
@@ -180,7 +176,7 @@
         break;
     case LedgerAnswer::Full:
         refuse(call, ErrorCode::LedgerFull, "the ledger has no room", runOfUnsent(call.asked),
-               retryAfterFailure, actions);
+               askAgainSoon, actions);
         break;
     }
     erase(request);
@@ -316,7 +312,7 @@
         return true;
     }
     refuse(call, ErrorCode::BackendFailed, "the backend server gave no whole answer",
-           RunOutcome::MayHaveRun, retryAfterFailure, actions);
+           RunOutcome::MayHaveRun, askAgainSoon, actions);
     erase(broken.request);
     return true;
 }
@@ -345,7 +341,7 @@
                            RunOutcome run, std::optional<Duration> retryAfter, Actions &actions)
 {
     m_state.counters.add(Counter::ServiceCallsRefused);
-    Refuse refuse = refusal(call.asked, code, message, retryAfter);
+    Refuse refuse = refusalOf(call.asked, code, message, retryAfter);
     refuse.run = run;
     actions.emplace_back(std::move(refuse));
 }
@@ -357,7 +353,7 @@
     // Until the ledger answered, an earlier request with this key may have run.
     if (call.once && call.phase == CallPhase::Claiming)
         run = runOfUnsent(call.asked);
-    refuse(call, code, message, run, retryAfterFailure, actions);
+    refuse(call, code, message, run, askAgainSoon, actions);
     if (call.once)
         notify(call.claim, LedgerVerb::Abandon, now, actions);
     erase(call.asked.request);
@@ -384,13 +380,13 @@
             actions.emplace_back(CancelAttempt {request, call.attempt});
             endAttempt(call, AttemptEnd::Unheard, now);
             refuse(call, ErrorCode::DeadlineExceeded, "the answer took too long",
-                   RunOutcome::MayHaveRun, retryAfterFailure, actions);
+                   RunOutcome::MayHaveRun, askAgainSoon, actions);
             erase(request);
         } else if (now >= call.deadline) {
             const bool claiming = call.phase == CallPhase::Claiming;
             if (call.mayHaveRun) {
                 refuse(call, ErrorCode::DeadlineExceeded, "the answer took too long",
-                       RunOutcome::MayHaveRun, retryAfterFailure, actions);
+                       RunOutcome::MayHaveRun, askAgainSoon, actions);
                 erase(request);
                 continue;
             }
--- /dev/null
+++ b/src/tests/world_backends.cpp
@@ -0,0 +1,227 @@
+// The world's engines and services.
+
+#include "world.h"
+
+#include <algorithm>
+
+namespace bramleypitch::test {
+
+namespace {
+
+constexpr std::int64_t probeLimit = 500;
+constexpr std::int64_t loadMillis = 300;
+constexpr std::int64_t tokenMillis = 20;
+constexpr std::int64_t streamDelay = 3;
+
+} // namespace
+
+World::VmSlot *World::vmOf(const Address &address)
+{
+    for (VmSlot &vm : m_vms) {
+        if (vm.record.address == address)
+            return &vm;
+    }
+    return nullptr;
+}
+
+bool World::vmReachable(const NodeSlot &slot, const VmSlot &vm) const
+{
+    const bool cut =
+        m_now < slot.noDomainUntil && vm.record.zone == ZoneId("z" + std::to_string(slot.noDomain));
+    return !cut && m_now >= vm.deadUntil;
+}
+
+void World::reboot(VmSlot &vm, bool keepOrder)
+{
+    const bool isService = vm.record.domain == DomainId("service/pay");
+    const std::string held = vm.report.heldModel;
+    ++vm.boots;
+    vm.report.boot = BootId(vm.record.id.value() + "/" + std::to_string(vm.boots));
+    vm.report.completed = 0;
+    vm.coldSince = m_now;
+    if (keepOrder || isService)
+        return;
+    vm.report.group = GroupId();
+    vm.report.generation = Generation(0);
+    vm.report.state = EngineState::Empty;
+    vm.report.heldModel = held;
+    vm.running = 0;
+}
+
+void World::act(std::uint32_t node, const SendProbe &probe)
+{
+    const std::uint64_t life = m_nodes[node].life;
+    const TimePoint sentAt = nodeTime(m_nodes[node]);
+    const std::int64_t there = delay();
+    after(there, [=, this] {
+        VmSlot *vm = vmOf(probe.address);
+        const bool answers = vmReachable(m_nodes[node], *vm) && m_now >= vm->pausedUntil;
+        const std::int64_t back = delay();
+        if (!answers || there + back > probeLimit) {
+            after(std::max<std::int64_t>(1, probeLimit - there), [=, this] {
+                deliver(node, life, ProbeDone {probe.vm, false, {}, sentAt});
+            });
+            return;
+        }
+        noteServing(*vm);
+        VmReport report = vm->report;
+        report.running = vm->running;
+        after(back, [=, this] { deliver(node, life, ProbeDone {probe.vm, true, report, sentAt}); });
+    });
+}
+
+void World::obey(VmSlot &vm, const SendOrder &order)
+{
+    if (order.kind == OrderKind::Prefetch) {
+        vm.report.heldModel = order.model;
+        return;
+    }
+    const bool load = order.kind == OrderKind::Load;
+    vm.report.generation = order.generation;
+    vm.report.group = load ? order.group : GroupId();
+    vm.report.state = load ? EngineState::Loading : EngineState::Empty;
+    ++vm.boots; // Ends the streams of the old order.
+    vm.running = 0;
+    if (!load)
+        return;
+    const bool held = vm.report.heldModel == order.model;
+    vm.report.heldModel = order.model;
+    const std::uint64_t boots = vm.boots;
+    after(held ? tokenMillis : loadMillis, [this, address = order.address, boots] {
+        VmSlot *loaded = vmOf(address);
+        if (loaded->boots == boots && loaded->report.state == EngineState::Loading)
+            loaded->report.state = EngineState::Ready;
+    });
+}
+
+void World::act(std::uint32_t node, const SendOrder &order)
+{
+    const std::uint64_t life = m_nodes[node].life;
+    after(delay(), [=, this] {
+        VmSlot *vm = vmOf(order.address);
+        if (!vmReachable(m_nodes[node], *vm) || m_now < vm->pausedUntil)
+            return;
+        const bool old = order.generation < vm->report.generation;
+        const bool refused = old && m_options.checksFencing;
+        const bool same =
+            order.generation == vm->report.generation && order.group == vm->report.group;
+        if (!refused && (!same || order.kind == OrderKind::Prefetch))
+            obey(*vm, order);
+        after(delay(), [=, this] {
+            deliver(node, life, OrderDone {order.operation, order.vm, !refused});
+        });
+    });
+}
+
+std::string World::tokenText(const std::string &prompt, std::uint32_t index)
+{
+    return prompt + "#" + std::to_string(index);
+}
+
+void World::act(std::uint32_t node, const DispatchEngine &dispatch)
+{
+    checkDispatch(node, dispatch);
+    const std::uint64_t life = m_nodes[node].life;
+    after(delay(), [=, this] {
+        VmSlot *vm = vmOf(dispatch.address);
+        if (!vmReachable(m_nodes[node], *vm)) {
+            deliver(node, life, AttemptBroken {dispatch.request, dispatch.attempt, false, false});
+            return;
+        }
+        ++m_requestRuns[dispatch.request.value()];
+        const bool current =
+            vm->report.group == dispatch.group && vm->report.generation == dispatch.generation;
+        const bool takes =
+            vm->report.state == EngineState::Ready && (current || !m_options.checksFencing);
+        if (!takes) {
+            after(streamDelay, [=, this] {
+                deliver(node, life, AttemptBroken {dispatch.request, dispatch.attempt, true, true});
+            });
+            return;
+        }
+        checkArrival(*vm);
+        ++vm->running;
+        runStream(node, life, dispatch, vm->boots, dispatch.resumeFrom);
+    });
+}
+
+void World::runStream(std::uint32_t node, std::uint64_t life, const DispatchEngine &dispatch,
+                      std::uint64_t boot, std::uint32_t index)
+{
+    after(tokenMillis, [=, this] {
+        VmSlot *vm = vmOf(dispatch.address);
+        if (m_now < vm->pausedUntil) {
+            runStream(node, life, dispatch, boot, index);
+            return;
+        }
+        const bool callerLeft = m_nodes[node].life != life
+            || m_cancelled.count({dispatch.request, dispatch.attempt}) > 0;
+        if (vm->boots != boot || m_now < vm->deadUntil || callerLeft) {
+            if (vm->boots == boot && vm->running > 0)
+                --vm->running;
+            deliver(node, life, AttemptBroken {dispatch.request, dispatch.attempt, true, false});
+            return;
+        }
+        const bool reaches = vmReachable(m_nodes[node], *vm);
+        // Frames of other attempts and frames twice, as a confused network or engine has them.
+        if (reaches && !m_calm && chance(0.03))
+            deliver(node, life,
+                    EngineToken {dispatch.request, AttemptNumber(dispatch.attempt.value() - 1),
+                                 index, "crossed"});
+        if (reaches && !m_calm && index > 0 && chance(0.03))
+            deliver(node, life,
+                    EngineToken {dispatch.request, dispatch.attempt, index - 1, "twice"});
+        if (index < dispatch.maxTokens) {
+            if (reaches)
+                deliver(node, life,
+                        EngineToken {dispatch.request, dispatch.attempt, index,
+                                     tokenText(dispatch.prompt, index)});
+            runStream(node, life, dispatch, boot, index + 1);
+            return;
+        }
+        --vm->running;
+        for (VmSlot &member : m_vms) {
+            if (member.report.group == vm->report.group && !vm->report.group.value().empty())
+                ++member.report.completed;
+        }
+        if (reaches)
+            deliver(node, life, EngineEnd {dispatch.request, dispatch.attempt, dispatch.maxTokens});
+    });
+}
+
+void World::act(std::uint32_t, const CancelAttempt &cancel)
+{
+    after(delay(), [=, this] { m_cancelled.insert({cancel.request, cancel.attempt}); });
+}
+
+void World::act(std::uint32_t node, const DispatchService &dispatch)
+{
+    checkService(node, dispatch);
+    const std::uint64_t life = m_nodes[node].life;
+    after(delay(), [=, this] {
+        VmSlot *vm = vmOf(dispatch.address);
+        if (!vmReachable(m_nodes[node], *vm)) {
+            deliver(node, life, AttemptBroken {dispatch.request, dispatch.attempt, false, false});
+            return;
+        }
+        ++m_requestRuns[dispatch.request.value()];
+        const std::uint32_t runs = ++m_paymentRuns[dispatch.idempotencyKey];
+        if (runs > 1)
+            breach("payment once", "key " + dispatch.idempotencyKey + " ran again");
+        if (!m_calm && chance(0.05)) {
+            after(delay(), [=, this] {
+                deliver(node, life,
+                        AttemptBroken {dispatch.request, dispatch.attempt, true, false});
+            });
+            return;
+        }
+        CallOutcome outcome;
+        outcome.status = 200;
+        outcome.body = dispatch.idempotencyKey;
+        after(delay() + 5, [=, this] {
+            deliver(node, life, ServiceAnswered {dispatch.request, dispatch.attempt, outcome});
+        });
+    });
+}
+
+} // namespace bramleypitch::test
