--- a/src/coordination/ledger_owner.cpp
+++ b/src/coordination/ledger_owner.cpp
@@ -263,34 +263,44 @@
         }
         if (segment.phase != Phase::WritingHead)
             return true;
-        if (done.outcome == SwapOutcome::Conflict) {
-            // Another owner wrote: nothing of this batch took effect, so it is tried again.
-            segment.pending.insert(segment.pending.begin(), segment.writing.begin(),
-                                   segment.writing.end());
-            segment.writing.clear();
-            segment.replies.clear();
-            segment.page = {};
-            segment.head = parseHead(done.value);
-            segment.revision = done.revision;
-            segment.currentAt = now;
-            headLoaded(index, segment, now, actions);
-            return true;
-        }
-        if (segment.written.lastPage != segment.head.lastPage) {
-            for (LedgerRecord &record : segment.page.records)
-                segment.archive[record.key] = std::move(record);
-            segment.archivedTo = segment.written.lastPage;
-        }
-        segment.page = {};
-        segment.head = segment.written;
-        segment.revision = done.revision;
-        segment.currentAt = now;
-        segment.phase = Phase::Ready;
-        settle(segment);
-        advance(index, segment, now, actions);
+        if (done.outcome == SwapOutcome::Conflict)
+            headLost(index, segment, done, now, actions);
+        else
+            headWritten(index, segment, done, now, actions);
         return true;
     }
     return false;
 }
 
+void LedgerOwner::headLost(SegmentIndex index, Segment &segment, const SwapDone &done,
+                           TimePoint now, Actions &actions)
+{
+    // Another owner wrote: nothing of this batch took effect, so it is tried again.
+    segment.pending.insert(segment.pending.begin(), segment.writing.begin(), segment.writing.end());
+    segment.writing.clear();
+    segment.replies.clear();
+    segment.page = {};
+    segment.head = parseHead(done.value);
+    segment.revision = done.revision;
+    segment.currentAt = now;
+    headLoaded(index, segment, now, actions);
+}
+
+void LedgerOwner::headWritten(SegmentIndex index, Segment &segment, const SwapDone &done,
+                              TimePoint now, Actions &actions)
+{
+    if (segment.written.lastPage != segment.head.lastPage) {
+        for (LedgerRecord &record : segment.page.records)
+            segment.archive[record.key] = std::move(record);
+        segment.archivedTo = segment.written.lastPage;
+    }
+    segment.page = {};
+    segment.head = segment.written;
+    segment.revision = done.revision;
+    segment.currentAt = now;
+    segment.phase = Phase::Ready;
+    settle(segment);
+    advance(index, segment, now, actions);
+}
+
 } // namespace bramleypitch
--- a/src/coordination/ledger_owner.h
+++ b/src/coordination/ledger_owner.h
@@ -89,6 +89,10 @@
     void advance(SegmentIndex index, Segment &segment, TimePoint now, Actions &actions);
     void writePage(SegmentIndex index, Segment &segment, Actions &actions);
     void writeHead(SegmentIndex index, Segment &segment, SegmentHead head, Actions &actions);
+    void headLost(SegmentIndex index, Segment &segment, const SwapDone &done, TimePoint now,
+                  Actions &actions);
+    void headWritten(SegmentIndex index, Segment &segment, const SwapDone &done, TimePoint now,
+                     Actions &actions);
     void settle(Segment &segment);
     void fail(Segment &segment, TimePoint now);
     bool takeToken(Segment &segment, TimePoint now);
--- a/src/coordination/route_func.cpp
+++ b/src/coordination/route_func.cpp
@@ -65,6 +65,40 @@
     return open[state.counters.value(Counter::AttemptsSent) % open.size()].index;
 }
 
+double meanLoad(const std::vector<Candidate> &candidates)
+{
+    double sum = 0;
+    for (const Candidate &candidate : candidates)
+        sum += load(*candidate.group);
+    return candidates.empty() ? 0 : sum / static_cast<double>(candidates.size());
+}
+
+/// Fills in what the order of the candidates depends on.
+void rate(std::vector<Candidate> &candidates, const NodeState &state, std::uint64_t affinity,
+          TimePoint now)
+{
+    const double median = medianTokenMillis(candidates);
+    // Affinity alone would leave cold groups cold once others are warm.
+    const bool warmingTurn = state.counters.value(Counter::AttemptsSent) % warmingShare == 0;
+    const std::string key = std::to_string(affinity);
+    for (Candidate &candidate : candidates) {
+        const Group &group = *candidate.group;
+        const bool straggles = median > 0 && group.tokenMillis > stragglerFactor * median;
+        candidate.weight = rendezvousWeight(key, group.placed.id.value());
+        candidate.warming = warmingTurn && !isWarm(group, state.vms);
+        candidate.demoted = straggles || now < group.avoidUntil;
+    }
+}
+
+bool comesBefore(const Candidate &a, const Candidate &b)
+{
+    if (a.warming != b.warming)
+        return a.warming;
+    if (a.demoted != b.demoted)
+        return b.demoted;
+    return a.weight > b.weight;
+}
+
 } // namespace
 
 TargetCapacity targetCapacity(NodeState &state, const std::string &target, TimePoint now)
@@ -91,33 +125,12 @@
     std::vector<Candidate> candidates = openGroups(state, target, now);
     if (state.options.baselinePolicy)
         return roundRobin(state, candidates);
-    const double median = medianTokenMillis(candidates);
-    // Affinity alone would leave cold groups cold once others are warm.
-    const bool warmingTurn = state.counters.value(Counter::AttemptsSent) % warmingShare == 0;
-    double loadSum = 0;
-    const std::string key = std::to_string(affinity);
-    for (Candidate &candidate : candidates) {
-        loadSum += load(*candidate.group);
-        candidate.weight = rendezvousWeight(key, candidate.group->placed.id.value());
-        const bool straggles =
-            median > 0 && candidate.group->tokenMillis > stragglerFactor * median;
-        candidate.warming = warmingTurn && !isWarm(*candidate.group, state.vms);
-        candidate.demoted = straggles || now < candidate.group->avoidUntil;
-    }
-    const double mean = candidates.empty() ? 0 : loadSum / static_cast<double>(candidates.size());
-    candidates.erase(
-        std::remove_if(candidates.begin(), candidates.end(),
-                       [&](const Candidate &candidate) {
-                           return freeSlots(*candidate.group, state.vms, state.lease, now) == 0;
-                       }),
-        candidates.end());
-    std::sort(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) {
-        if (a.warming != b.warming)
-            return a.warming;
-        if (a.demoted != b.demoted)
-            return b.demoted;
-        return a.weight > b.weight;
+    const double mean = meanLoad(candidates);
+    rate(candidates, state, affinity, now);
+    std::erase_if(candidates, [&](const Candidate &candidate) {
+        return freeSlots(*candidate.group, state.vms, state.lease, now) == 0;
     });
+    std::sort(candidates.begin(), candidates.end(), comesBefore);
     for (const Candidate &candidate : candidates) {
         const Group &group = *candidate.group;
         const double bound = std::ceil(loadFactor * mean * group.limits.concurrency + 1);
--- a/src/coordination/service_system.cpp
+++ b/src/coordination/service_system.cpp
@@ -277,6 +277,21 @@
     pump(now, actions);
 }
 
+bool ServiceSystem::mayRetry(const ServiceCall &call, const AttemptBroken &broken, TimePoint now)
+{
+    const ServiceSpec *spec = findService(m_state.envelope->environment, call.asked.service);
+    // What was not sent can be tried elsewhere; what was sent only if running twice does no harm.
+    const bool repeatable = !call.once && call.asked.method != "POST";
+    if (broken.sent && !repeatable)
+        return false;
+    if (!spec || call.retries >= spec->retryLimit || now >= call.deadline)
+        return false;
+    if (m_retries[call.asked.service].spend())
+        return true;
+    m_state.counters.add(Counter::RetriesDenied);
+    return false;
+}
+
 bool ServiceSystem::broken(const AttemptBroken &broken, TimePoint now, Actions &actions)
 {
     const auto found = m_calls.find(broken.request);
@@ -293,19 +308,13 @@
     m_state.vms.suspect(call.vm, now);
     endAttempt(call, broken.sent ? AttemptEnd::Unheard : AttemptEnd::NotSent, now);
     call.mayHaveRun = call.mayHaveRun || broken.sent;
-    const ServiceSpec *spec = findService(m_state.envelope->environment, call.asked.service);
-    const bool repeatable = !call.once && (call.asked.method != "POST" || !broken.sent);
-    const bool mayRetry = repeatable || !broken.sent;
-    const bool allowed = mayRetry && spec && call.retries < spec->retryLimit && now < call.deadline;
-    if (allowed && m_retries[call.asked.service].spend()) {
+    if (mayRetry(call, broken, now)) {
         ++call.retries;
         call.phase = CallPhase::Waiting;
         m_state.counters.add(Counter::ServiceCallsRetried);
         pump(now, actions);
         return true;
     }
-    if (allowed)
-        m_state.counters.add(Counter::RetriesDenied);
     if (!call.mayHaveRun) {
         giveUpUnsent(call, ErrorCode::BackendFailed, "no backend server could be reached", now,
                      actions);
@@ -366,46 +375,48 @@
     m_calls.erase(found);
 }
 
+void ServiceSystem::expire(ServiceCall &call, TimePoint now, Actions &actions)
+{
+    if (call.phase == CallPhase::Running) {
+        actions.emplace_back(CancelAttempt {call.asked.request, call.attempt});
+        endAttempt(call, AttemptEnd::Unheard, now);
+        call.mayHaveRun = true;
+    }
+    if (call.mayHaveRun) {
+        refuse(call, ErrorCode::DeadlineExceeded, "the answer took too long",
+               RunOutcome::MayHaveRun, askAgainSoon, actions);
+        erase(call.asked.request);
+    } else if (call.phase == CallPhase::Claiming) {
+        giveUpUnsent(call, ErrorCode::LedgerUnavailable, "the ledger gave no certain answer", now,
+                     actions);
+    } else {
+        giveUpUnsent(call, ErrorCode::NoCapacity, "no backend server has room", now, actions);
+    }
+}
+
+void ServiceSystem::repeatNotices(TimePoint now, Actions &actions)
+{
+    for (LedgerNotice &notice : m_notices) {
+        if (now >= notice.askAgainAt)
+            askNotice(notice, now, actions);
+    }
+    std::erase_if(m_notices, [&](const LedgerNotice &notice) { return now >= notice.giveUpAt; });
+}
+
 void ServiceSystem::tick(TimePoint now, Actions &actions)
 {
     std::vector<RequestId> requests;
+    requests.reserve(m_calls.size());
     for (const auto &[request, call] : m_calls)
         requests.push_back(request);
     for (const RequestId request : requests) {
-        const auto found = m_calls.find(request);
-        if (found == m_calls.end())
-            continue;
-        ServiceCall &call = found->second;
-        if (now >= call.deadline && call.phase == CallPhase::Running) {
-            actions.emplace_back(CancelAttempt {request, call.attempt});
-            endAttempt(call, AttemptEnd::Unheard, now);
-            refuse(call, ErrorCode::DeadlineExceeded, "the answer took too long",
-                   RunOutcome::MayHaveRun, askAgainSoon, actions);
-            erase(request);
-        } else if (now >= call.deadline) {
-            const bool claiming = call.phase == CallPhase::Claiming;
-            if (call.mayHaveRun) {
-                refuse(call, ErrorCode::DeadlineExceeded, "the answer took too long",
-                       RunOutcome::MayHaveRun, askAgainSoon, actions);
-                erase(request);
-                continue;
-            }
-            giveUpUnsent(call, claiming ? ErrorCode::LedgerUnavailable : ErrorCode::NoCapacity,
-                         claiming ? "the ledger gave no certain answer"
-                                  : "no backend server has room",
-                         now, actions);
-        } else if (call.phase == CallPhase::Claiming && now >= call.ledgerAskAgainAt) {
+        ServiceCall &call = m_calls.at(request);
+        if (now >= call.deadline)
+            expire(call, now, actions);
+        else if (call.phase == CallPhase::Claiming && now >= call.ledgerAskAgainAt)
             askClaim(call, now, actions);
-        }
-    }
-    for (LedgerNotice &notice : m_notices) {
-        if (now >= notice.askAgainAt)
-            askNotice(notice, now, actions);
     }
-    m_notices.erase(
-        std::remove_if(m_notices.begin(), m_notices.end(),
-                       [&](const LedgerNotice &notice) { return now >= notice.giveUpAt; }),
-        m_notices.end());
+    repeatNotices(now, actions);
     pump(now, actions);
 }
 
--- a/src/coordination/service_system.h
+++ b/src/coordination/service_system.h
@@ -78,6 +78,11 @@
     void claimAnswered(ServiceCall &call, const LedgerReply &reply, TimePoint now,
                        Actions &actions);
     void notify(LedgerRequest request, LedgerVerb verb, TimePoint now, Actions &actions);
+    /// Whether a broken attempt may be followed by another; takes from the retry budget.
+    bool mayRetry(const ServiceCall &call, const AttemptBroken &broken, TimePoint now);
+    /// Ends a call at its deadline.
+    void expire(ServiceCall &call, TimePoint now, Actions &actions);
+    void repeatNotices(TimePoint now, Actions &actions);
     void askNotice(LedgerNotice &notice, TimePoint now, Actions &actions);
     void send(ServiceCall &call, TimePoint now, Actions &actions);
     void pump(TimePoint now, Actions &actions);
