Fix: [Group] Nodes of a zone that is out get no share of a group's slots

Cause: shares were made for every live node, so while a zone is out a third of every group's slots was set aside for nodes that take no work. Ruled out: dropping the reserve for borrowing, which brings the overbooking back.

--- a/src/coordination/group_base.cpp
+++ b/src/coordination/group_base.cpp
@@ -81,6 +81,10 @@
         const auto at = std::find_if(order.begin(), order.end(),
                                      [&](const MemberEntry &entry) { return entry.node == self; });
         const auto count = static_cast<std::uint32_t>(std::max<std::size_t>(1, nodes.size()));
+        if (at == order.end()) {
+            group.ownShare = 0;
+            return;
+        }
         const auto rank = static_cast<std::uint32_t>(at - order.begin());
         const std::uint32_t rest = group.limits.concurrency % count;
         group.ownShare = group.limits.concurrency / count + (rank < rest ? 1 : 0);
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -114,7 +114,12 @@
     if (m_sharedFor == m_state.members.viewVersion())
         return;
     m_sharedFor = m_state.members.viewVersion();
-    m_state.groups.share(m_state.members.view(), m_state.options.node);
+    // Nodes of zones that are out take no new work, so they need no share.
+    std::vector<MemberEntry> sharers = m_state.members.view();
+    std::erase_if(sharers, [&](const MemberEntry &entry) {
+        return m_state.envelope && zoneIsOut(*m_state.envelope, entry.zone);
+    });
+    m_state.groups.share(sharers, m_state.options.node);
 }
 
 void Node::noteZone(TimePoint now, Actions &actions)
--- a/src/coordination/route_func.cpp
+++ b/src/coordination/route_func.cpp
@@ -104,13 +104,12 @@
 TargetCapacity targetCapacity(NodeState &state, const std::string &target, TimePoint now)
 {
     TargetCapacity capacity;
-    const auto nodes = static_cast<double>(state.members.view().size());
     for (const Candidate &candidate : openGroups(state, target, now)) {
         const Group &group = *candidate.group;
         const bool home = group.placed.home == state.options.node;
         ++capacity.openGroups;
         if (isWarm(group, state.vms))
-            capacity.slots += group.limits.concurrency / std::max(1.0, nodes);
+            capacity.slots += group.ownShare;
         else if (home)
             capacity.slots += group.limits.coldAllowance;
         else
