--- a/src/tests/golden_test.cpp
+++ b/src/tests/golden_test.cpp
@@ -29,6 +29,66 @@
 
 } // namespace
 
+TEST(Golden, WholeSessionFromAnEmptyPlatform)
+{
+    Session session;
+    session.beginEmpty();
+    session.say("every VM answers its first probe: engines without order, a service that is ready");
+    session.at(100, Tick {WallTime(1'100)});
+    NodesRead nodes {session.lastOperation(), true, {}};
+    nodes.nodes.push_back({NodeId("n0"), Incarnation(5), {}, {}, ZoneId("za")});
+    session.at(105, nodes);
+    for (const std::string vm : {"a1", "a2", "b1", "b2"}) {
+        ProbeDone empty;
+        empty.vm = VmId(vm);
+        empty.ok = true;
+        empty.sentAt = timePoint(100'104);
+        session.at(106, empty);
+    }
+    session.confirm(106, "s1", "", 0, 0);
+    session.say("a group is formed in each domain, written, ordered and confirmed");
+    session.at(200, Tick {WallTime(1'200)});
+    session.writeAll(203);
+    session.at(300, Tick {WallTime(1'300)});
+    session.obeyAll(305);
+    session.say("a completion is streamed");
+    session.askCompletion(310, 1, "p");
+    for (std::uint32_t index = 0; index < 3; ++index)
+        session.at(320 + index, EngineToken {one, attempt(1), index, "t"});
+    session.at(330, EngineEnd {one, attempt(1), 3});
+    session.say("a payment is claimed, made once, and its outcome recorded");
+    session.askPayment(340, 2, "pay-1", true);
+    session.at(342, KeyRead {session.lastOperation(), true, Revision(0), {}});
+    session.writeAll(345);
+    CallOutcome paid;
+    paid.status = 200;
+    paid.body = "paid";
+    session.at(370, ServiceAnswered {two, attempt(1), paid});
+    session.writeAll(375);
+    session.say(
+        "zone za is drained: its group and its service VM take no new work; then it is back");
+    session.readShared(398, {Session::configuration(30, "[\"za\"]")});
+    for (std::uint64_t request = 3; request <= 6; ++request)
+        session.askCompletion(400, request, "p" + std::to_string(request));
+    session.at(420, Tick {WallTime(1'420)});
+    session.readShared(422, {Session::configuration(31, "[]")});
+    for (std::uint64_t request = 7; request <= 10; ++request)
+        session.askCompletion(430, request, "p" + std::to_string(request));
+    expectGolden(session, "whole_session");
+    EXPECT_EQ(count(session, "< log group_formed"), 3U);
+    EXPECT_EQ(count(session, "< send_order a1 load group=da/1"), 1U);
+    EXPECT_EQ(count(session, "< answer_end request=1 tokens=3"), 1U);
+    EXPECT_EQ(count(session, "< dispatch_service"), 1U);
+    EXPECT_EQ(count(session, "< answer_service request=2 status=200 body=paid"), 1U);
+    const std::string &text = session.text();
+    const std::size_t drained = text.find("zone_out za");
+    const std::size_t restored = text.find("zone_in za");
+    ASSERT_NE(drained, std::string::npos);
+    ASSERT_NE(restored, std::string::npos);
+    EXPECT_EQ(text.substr(drained, restored - drained).find("group=da/1 generation=1 resume"),
+              std::string::npos);
+}
+
 TEST(Golden, PaymentOnceThoughTheReplyOfTheClaimIsLost)
 {
     Session session;
--- a/src/tests/session.cpp
+++ b/src/tests/session.cpp
@@ -332,6 +332,10 @@
             m_readOperation = operationOf(action);
         else if (operationOf(action) != OperationId())
             m_lastOperation = operationOf(action);
+        if (const auto *swap = std::get_if<CompareAndSwap>(&action))
+            m_swaps.push_back(*swap);
+        if (const auto *order = std::get_if<SendOrder>(&action))
+            m_orders.push_back(*order);
     }
 }
 
@@ -359,12 +363,7 @@
                {configuration(3, zonesOut), placementValue("da", 4, "m", {"a1", "a2"}),
                 placementValue("db", 5, "m", {"b1", "b2"}),
                 placementValue("service/s", 6, "s", {"s1"})});
-    at(2,
-       LeaseRenewed {OperationId(), true, Incarnation(5), timePoint(firstTime), Duration(10'000)});
-    VmListRead list {OperationId(), true, {}};
-    list.vms = {vmRecord("a1", "za", "da"), vmRecord("a2", "za", "da"), vmRecord("b1", "zb", "db"),
-                vmRecord("b2", "zb", "db"), vmRecord("s1", "za", "service/s")};
-    at(2, list);
+    learnVms();
     confirmAll(4);
 }
 
@@ -384,6 +383,48 @@
     at(time, done);
 }
 
+void Session::learnVms()
+{
+    at(2,
+       LeaseRenewed {OperationId(), true, Incarnation(5), timePoint(firstTime), Duration(10'000)});
+    VmListRead list {OperationId(), true, {}};
+    list.vms = {vmRecord("a1", "za", "da"), vmRecord("a2", "za", "da"), vmRecord("b1", "zb", "db"),
+                vmRecord("b2", "zb", "db"), vmRecord("s1", "za", "service/s")};
+    at(2, list);
+}
+
+void Session::beginEmpty()
+{
+    at(0, Tick {WallTime(1'000)});
+    readShared(2, {configuration(3, "[]")});
+    learnVms();
+}
+
+void Session::writeAll(std::int64_t time)
+{
+    std::vector<CompareAndSwap> swaps;
+    swaps.swap(m_swaps);
+    std::vector<SharedValue> values;
+    for (const CompareAndSwap &swap : swaps) {
+        const Revision revision(++m_revision);
+        if (swap.key.rfind(sharedPrefix, 0) == 0)
+            values.push_back({swap.key, revision, swap.value});
+        at(time, SwapDone {swap.operation, SwapOutcome::Written, revision, {}});
+    }
+    at(time + 20, Tick {WallTime(1'020 + time)});
+    readShared(time + 22, values);
+}
+
+void Session::obeyAll(std::int64_t time)
+{
+    std::vector<SendOrder> orders;
+    orders.swap(m_orders);
+    for (const SendOrder &order : orders) {
+        at(time, OrderDone {order.operation, order.vm, true});
+        confirm(time + 1, order.vm.value(), order.group.value(), order.generation.value(), 0);
+    }
+}
+
 void Session::confirmAll(std::int64_t time)
 {
     const std::uint32_t completed = m_warm ? 9 : 0;
--- a/src/tests/session.h
+++ b/src/tests/session.h
@@ -23,6 +23,8 @@
     void say(const std::string &text);
     /// The node knows its configuration, its VMs, two whole warm groups and a service VM.
     void begin(const std::string &zonesOut = "[]", bool warm = true);
+    /// The node knows its configuration and its VMs; no group is placed yet and no VM has a model.
+    void beginEmpty();
     /// All VMs confirm what they did at begin().
     void confirmAll(std::int64_t time);
     /// One VM confirms a group in a generation.
@@ -38,14 +40,24 @@
     void askPayment(std::int64_t time, std::uint64_t request, const std::string &key, bool first);
     /// The operation of the newest action of a type.
     OperationId lastOperation() const { return m_lastOperation; }
+    /// Every compare-and-swap asked for since the last call is written, at the next revisions, and
+    /// the values are read back.
+    void writeAll(std::int64_t time);
+    /// Every load order since the last call is obeyed, and the member confirms its group.
+    void obeyAll(std::int64_t time);
 
     Node &node() { return m_node; }
     const std::string &text() const { return m_text; }
 
 private:
+    void learnVms();
+
     Node m_node;
     std::string m_text;
     OperationId m_lastOperation;
+    std::vector<CompareAndSwap> m_swaps; ///< Not yet written.
+    std::vector<SendOrder> m_orders; ///< Not yet obeyed.
+    std::int64_t m_revision = 10;
     OperationId m_readOperation;
     bool m_warm = true;
 };
