--- a/scripts/measure_ledger.py
+++ b/scripts/measure_ledger.py
@@ -1,7 +1,7 @@
 """What the ledger costs: platform writes a payment and added time at several rates, and the
 platform's calls at rest and for a change.
 
-  scripts/measure_ledger.py BUILD
+  scripts/measure_ledger.py BUILD [WATCHERS_PER_ZONE]
 """
 
 import json
@@ -16,7 +16,7 @@
 BASE_PORT = 26000
 LOAD_S = 8
 REST_S = 10
-RATES = (1, 10, 100, 500)
+RATES = (1, 10, 100, 500, 1000)
 
 
 def calls(cluster):
@@ -55,6 +55,7 @@
 
 
 def main():
+    watchers = int(sys.argv[2]) if len(sys.argv) > 2 else 2
     with tempfile.TemporaryDirectory() as directory, \
             Cluster(sys.argv[1], BASE_PORT, directory + "/logs") as cluster:
         cluster.start_platform()
@@ -65,7 +66,7 @@
         for zone in ZONES:
             for number in range(3):
                 name = f"node-{zone}" if number == 0 else f"node-{zone}-{number}"
-                cluster.start_node(name, zone)
+                cluster.start_node(name, zone, f"--watchers_per_zone={watchers}")
         document = os.path.join(os.path.dirname(__file__), "..", "examples", "tienditas.json")
         for command in (("apply", document), ("promote",)):
             code, output = cluster.operate(*command)
--- a/src/command/serve_command.cpp
+++ b/src/command/serve_command.cpp
@@ -46,6 +46,8 @@
     options.placement.orderLifetime = settings.milliseconds(Setting::OrderLifetimeMs);
     options.configurationFreshness = settings.milliseconds(Setting::ConfigurationFreshnessMs);
     options.entryKeep = settings.milliseconds(Setting::EntryKeepMs);
+    options.watchersPerZone =
+        static_cast<std::uint32_t>(settings.integer(Setting::WatchersPerZone));
     options.domainSubset = static_cast<std::uint32_t>(settings.integer(Setting::DomainSubset));
     options.loadsAtOnce = static_cast<std::uint32_t>(settings.integer(Setting::LoadsAtOnce));
     options.baselinePolicy = settings.text(Setting::BaselinePolicy) == "on";
--- a/src/settings/settings_type.h
+++ b/src/settings/settings_type.h
@@ -24,6 +24,7 @@
     ConfigurationFreshnessMs,
     EntryKeepMs,
     OrderLifetimeMs,
+    WatchersPerZone,
     DomainSubset,
     LoadsAtOnce,
     BaselinePolicy,
--- a/src/table/settings_table.h
+++ b/src/table/settings_table.h
@@ -40,6 +40,8 @@
      "How long callers may keep the list of entries."},
     {"order_lifetime_ms", SettingKind::Integer, "10000", 0, 600'000, "ms", "",
      "How long after it was sent an order may still arrive."},
+    {"watchers_per_zone", SettingKind::Integer, "2", 1, 1'000, "nodes", "",
+     "Nodes of a zone that read the shared values from the platform."},
     {"domain_subset", SettingKind::Integer, "16", 1, 10'000, "domains", "",
      "Fabric domains that one node routes to."},
     {"loads_at_once", SettingKind::Integer, "4", 1, 10'000, "groups", "",
