Codechange: [Command] One reader of files for both commands; targets are indexed once

Found on reading the whole change: load and the operators' commands each read files by a copy of the same function; the index of targets was rebuilt for every routed domain of an update, now once after it; the prefetch looked its domain up again though it was handed in.

--- /dev/null
+++ b/src/command/file_func.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <string>
+
+namespace bramleypitch {
+
+/// The whole content of a file. Throws Failure(InvalidSetting) if it cannot be read.
+std::string readFile(const std::string &path);
+
+} // namespace bramleypitch
--- a/src/command/load_command.cpp
+++ b/src/command/load_command.cpp
@@ -1,5 +1,6 @@
 #include "command/load_command.h"
 
+#include "command/file_func.h"
 #include "core/error_type.h"
 #include "load/generator.h"
 #include "network/address_func.h"
@@ -8,24 +9,9 @@
 #include <csignal>
 #include <fstream>
 #include <iostream>
-#include <sstream>
 
 namespace bramleypitch {
 
-namespace {
-
-std::string readFile(const std::string &path)
-{
-    std::ifstream file(path, std::ios::binary);
-    if (!file)
-        throw Failure(ErrorCode::InvalidSetting, "mix: cannot read " + path);
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
-} // namespace
-
 void runLoad(const std::vector<std::string> &arguments)
 {
     const Settings settings(arguments, {Setting::Entries, Setting::Mix});
--- a/src/command/operator_command.cpp
+++ b/src/command/operator_command.cpp
@@ -1,30 +1,19 @@
 #include "command/operator_command.h"
 
+#include "command/file_func.h"
 #include "command/operator_store.h"
 #include "coordination/environment_func.h"
 #include "settings/settings.h"
 
 #include <nlohmann/json.hpp>
 
-#include <fstream>
 #include <iostream>
 #include <random>
-#include <sstream>
 
 namespace bramleypitch {
 
 namespace {
 
-std::string readFile(const std::string &path)
-{
-    std::ifstream file(path, std::ios::binary);
-    if (!file)
-        throw Failure(ErrorCode::InvalidSetting, "cannot read " + path);
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 ChangeOrigin originOf(const Settings &settings)
 {
     std::random_device device;
--- a/src/coordination/group_base.cpp
+++ b/src/coordination/group_base.cpp
@@ -51,7 +51,6 @@
         group.limits = limitsOf(envelope.environment, placed->target, group.isService);
         m_groups.insert(std::move(group));
     }
-    indexTargets();
 }
 
 void GroupTable::applyLimits(const Environment &environment)
@@ -70,7 +69,6 @@
     });
     for (const GroupIndex index : gone)
         m_groups.erase(index);
-    indexTargets();
 }
 
 void GroupTable::share(const std::vector<MemberEntry> &nodes, const NodeId &self)
@@ -100,6 +98,7 @@
                 group.vms.push_back(*index);
         }
     });
+    indexTargets();
 }
 
 void GroupTable::indexTargets()
--- a/src/coordination/group_base.h
+++ b/src/coordination/group_base.h
@@ -23,7 +23,7 @@
     void update(const DomainPlacement &placement, const Envelope &envelope);
     /// Drops the groups of domains that this node routes to no more.
     void keepDomains(const std::set<DomainId> &routed);
-    /// Looks the members up anew, after the VM table or the groups have changed.
+    /// Looks members and targets up anew; due after the VM table or the groups have changed.
     void resolve(const VmTable &vms);
     /// Divides each group's concurrency between the live nodes; what does not divide goes to the
     /// first of them in rendezvous order by group.
--- a/src/coordination/placement_system.cpp
+++ b/src/coordination/placement_system.cpp
@@ -235,7 +235,7 @@
         prefetch(domain, owned, now, actions);
 }
 
-void PlacementSystem::prefetch(const DomainId &domain, const OwnedDomain &owned, TimePoint now,
+void PlacementSystem::prefetch(const DomainId &domain, OwnedDomain &owned, TimePoint now,
                                Actions &actions)
 {
     if (now < owned.prefetchAfter)
@@ -246,7 +246,7 @@
     if (!next)
         return;
     const Vm *vm = m_state.vms.find(next->vm);
-    m_domains[domain].prefetchAfter = now + m_state.options.prefetchInterval;
+    owned.prefetchAfter = now + m_state.options.prefetchInterval;
     m_state.counters.add(Counter::OrdersSent);
     SendOrder send;
     send.operation = m_state.newOperation();
--- a/src/coordination/placement_system.h
+++ b/src/coordination/placement_system.h
@@ -50,8 +50,7 @@
     static void dropOldReleases(const DomainPlacement &placement, OwnedDomain &owned);
     void readNodes(TimePoint now, Actions &actions);
     PlanInput planInput(const DomainId &domain, const OwnedDomain &owned) const;
-    void prefetch(const DomainId &domain, const OwnedDomain &owned, TimePoint now,
-                  Actions &actions);
+    void prefetch(const DomainId &domain, OwnedDomain &owned, TimePoint now, Actions &actions);
     void plan(const DomainId &domain, OwnedDomain &owned, TimePoint now, Actions &actions);
     void orderMembers(const DomainId &domain, OwnedDomain &owned, TimePoint now, Actions &actions);
     void orderGroup(const DomainId &domain, const PlacedGroup &group, TimePoint now,
