--- a/src/command/serve_command.cpp
+++ b/src/command/serve_command.cpp
@@ -2,6 +2,7 @@
 
 #include "network/daemon.h"
 #include "network/log.h"
+#include "platform/platform_serve.h"
 #include "settings/settings.h"
 
 #include <csignal>
@@ -59,6 +60,10 @@
 
 void runServe(const std::vector<std::string> &arguments)
 {
+    if (platform::isPlatformStart()) {
+        platform::runPlatformServe();
+        return;
+    }
     const Settings settings(arguments,
                             {Setting::Listen, Setting::PeerListen, Setting::Platform,
                              Setting::Environment, Setting::AvailabilityZone, Setting::Node});
--- a/src/coordination/action_type.h
+++ b/src/coordination/action_type.h
@@ -13,12 +13,6 @@
 
 namespace bramleypitch {
 
-/// Whether a refused or broken call can have had an effect.
-enum class RunOutcome {
-    NotRun, ///< No byte of any attempt can have reached a backend server.
-    MayHaveRun,
-};
-
 /// Read all values under the shared prefix above a revision.
 struct ReadShared
 {
--- a/src/core/error_type.h
+++ b/src/core/error_type.h
@@ -45,6 +45,12 @@
     Internal,
 };
 
+/// Whether a refused or broken call can have had an effect.
+enum class RunOutcome {
+    NotRun, ///< No byte of any attempt can have reached a backend server.
+    MayHaveRun,
+};
+
 /// The stable name of a code, as callers and logs see it ("queue_full").
 const char *errorName(ErrorCode code);
 
--- a/src/core/pool_type.h
+++ b/src/core/pool_type.h
@@ -63,6 +63,16 @@
         }
     }
 
+    /// Calls visit(Index, const Entity &) for every entity, in index order.
+    template<typename Visit>
+    void forEach(Visit visit) const
+    {
+        for (std::uint32_t slot = 0; slot < m_slots.size(); ++slot) {
+            if (m_slots[slot])
+                visit(Index(slot), *m_slots[slot]);
+        }
+    }
+
     std::size_t size() const { return m_size; }
 
 private:
--- /dev/null
+++ b/src/formation/formation_system.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "formation/formation_func.h"
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace bramleypitch {
+
+/// Times of formation.
+struct FormationOptions
+{
+    NodeId node;
+    Duration interval {100}; ///< Between looks at the own domains.
+    /// After the start, until the other nodes have been heard of; before traffic also after the
+    /// last new server.
+    Duration settle {700};
+    Duration orderTimeout {1'500}; ///< Before an order whose effect does not show is sent again.
+    Duration refusedPause {250}; ///< Before an order that was refused is sent again.
+    Duration writeTimeout {3'000}; ///< Before a write of a plan counts as lost.
+    /// A head that cannot be reached may go on until it notices that its members left.
+    Duration headLossWait {6'000};
+    Duration startLoads {8'000}; ///< After the first start, until loads are counted.
+};
+
+/// Forms groups of VMs in the fabric domains that this node owns, opens them once every member is
+/// ready, and takes those apart that lost a member. Ownership is by rendezvous over the live nodes
+/// and only for economy: plans change by compare-and-swap, orders carry fencing numbers.
+class FormationSystem
+{
+public:
+    FormationSystem(FormationOptions options, BackendTable &backends, TimePoint startedAt);
+
+    void setConfiguration(ServingConfigurationPtr configuration);
+    /// The live nodes, this one included.
+    void setNodes(std::vector<NodeId> nodes) { m_nodes = std::move(nodes); }
+    /// The system starts for the first time: loads are not counted yet.
+    void setFirstStart(bool firstStart) { m_firstStart = firstStart; }
+    /// Requests running or waiting for each model, of all nodes.
+    void setDemand(std::map<ModelId, double> requests) { m_requests = std::move(requests); }
+    /// A plan as read from the store; `revision` 0 means that there is none.
+    void planRead(const DomainId &domain, const FormationPlan &plan, Revision revision);
+    /// What became of WritePlan; `revision` is 0 unless it was written.
+    void planWritten(const DomainId &domain, const FormationPlan &plan, Revision revision);
+    void orderDone(const GroupOrderDone &done, TimePoint now, FormationActions &actions);
+    void tick(TimePoint now, FormationActions &actions);
+
+    /// Domains owned at the last tick.
+    std::size_t owned() const { return m_ownedCount; }
+
+private:
+    struct Domain
+    {
+        FormationPlan plan;
+        Revision revision;
+        bool writing = false;
+        TimePoint writeAt;
+        TimePoint ownedSince; ///< Epoch while another node owns it.
+        double loadTokens = 0; ///< Loads from the weight store that may begin now.
+        TimePoint tokensAt;
+        std::map<GroupId, TimePoint> leftSince; ///< Groups without a head: when the rest had left.
+    };
+    struct SentOrder
+    {
+        GroupOrderKind kind = GroupOrderKind::Join;
+        GroupId group;
+        TimePoint retryAt;
+    };
+
+    const ServedService *engineService() const;
+    bool owns(const DomainId &domain) const;
+    void plan(const DomainId &id, Domain &domain, TimePoint now, FormationActions &actions);
+    bool noteLosses(Domain &domain, FormationActions &actions) const;
+    bool dropDissolved(Domain &domain, FormationPlan &next, TimePoint now,
+                       FormationActions &actions);
+    bool addGroups(const DomainId &id, FormationPlan &next, TimePoint now,
+                   FormationActions &actions);
+    std::vector<const Backend *> freeVms(const DomainId &id, const FormationPlan &plan,
+                                         TimePoint now, FormationActions &actions);
+    std::vector<ModelDemand> demand() const;
+    void orderGroup(Domain &domain, const PlannedGroup &group, TimePoint now,
+                    FormationActions &actions);
+    void orderDissolving(const PlannedGroup &group, Generation fence, TimePoint now,
+                         FormationActions &actions);
+    void sendOrder(const Backend &backend, GroupOrderKind kind, const GroupId &group,
+                   Generation generation, const ModelId &model, const std::vector<VmId> &members,
+                   Generation fence, TimePoint now, FormationActions &actions);
+    bool mayLoad(Domain &domain, const PlannedGroup &group, TimePoint now);
+    void refillTokens(Domain &domain, TimePoint now);
+    bool beforeTraffic(TimePoint now) const;
+
+    FormationOptions m_options;
+    BackendTable &m_backends;
+    TimePoint m_startedAt;
+    ServingConfigurationPtr m_configuration;
+    std::vector<NodeId> m_nodes;
+    std::map<ModelId, double> m_requests;
+    bool m_firstStart = false;
+    std::map<DomainId, Domain> m_domains;
+    std::map<VmId, SentOrder> m_orders;
+    TimePoint m_tickedAt;
+    std::size_t m_mostServers = 0; ///< Known at once since the start.
+    TimePoint m_newServerAt;
+    std::size_t m_ownedCount = 0;
+};
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/network/backend_connections.cpp
@@ -0,0 +1,271 @@
+#include "network/backend_connections.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace bramleypitch {
+
+namespace {
+
+/// A server that accepts no connection within this is not there, or its links lose packets.
+constexpr Duration connectTimeout {400};
+/// An idle connection whose server states no time-out is kept for so long.
+constexpr Duration defaultIdleKeep {4'000};
+/// Before the server's own time-out an idle connection is given up, as a request could cross.
+constexpr Duration idleMargin {1'000};
+constexpr std::size_t maxIdlePerServer = 32;
+constexpr int firstFinalStatus = 200;
+constexpr std::string_view keepAliveTimeout = "timeout=";
+
+Duration idleKeepOf(const MessageHead &head)
+{
+    const std::string value = head.value("keep-alive");
+    const std::size_t at = value.find(keepAliveTimeout);
+    if (at == std::string::npos)
+        return defaultIdleKeep;
+    int seconds = 0;
+    const char *begin = value.data() + at + keepAliveTimeout.size();
+    std::from_chars(begin, value.data() + value.size(), seconds);
+    return std::max(Duration(seconds * 1'000) - idleMargin, Duration(0));
+}
+
+} // namespace
+
+/// One connection with the attempt that it carries, if any.
+struct BackendConnections::Link
+{
+    std::uint64_t id = 0;
+    VmId server;
+    std::unique_ptr<StreamSocket> socket;
+    MessageParser parser {MessageParser::Kind::Response};
+    AttemptHandle attempt; ///< 0 while idle.
+    BackendRequest request;
+    BackendHooks hooks;
+    bool headTold = false;
+    bool skipping = false; ///< The present answer belongs to another request.
+    bool reusable = true;
+    TimePoint openedAt;
+    TimePoint idleUntil;
+};
+
+BackendConnections::BackendConnections(EventLoop &loop, std::string traceHeader)
+    : m_loop(loop)
+    , m_traceHeader(std::move(traceHeader))
+    , m_discard(loop, [this] { m_discarded.clear(); })
+{
+}
+
+BackendConnections::~BackendConnections() = default;
+
+BackendConnections::Link *BackendConnections::takeIdle(const VmId &server)
+{
+    const auto found = m_idle.find(server);
+    if (found == m_idle.end())
+        return nullptr;
+    const TimePoint now = m_loop.now();
+    while (!found->second.empty()) {
+        Link *link = found->second.back();
+        found->second.pop_back();
+        if (now < link->idleUntil)
+            return link;
+        discard(*link);
+    }
+    return nullptr;
+}
+
+AttemptHandle BackendConnections::send(BackendRequest request, BackendHooks hooks)
+{
+    Link *link = request.freshConnection ? nullptr : takeIdle(request.server);
+    const bool isNew = link == nullptr;
+    if (isNew) {
+        auto owned = std::make_unique<Link>();
+        link = owned.get();
+        link->id = ++m_lastId;
+        link->server = request.server;
+        link->openedAt = m_loop.now();
+        m_links.emplace(link->id, std::move(owned));
+    }
+    link->attempt = AttemptHandle(++m_lastId);
+    link->request = std::move(request);
+    link->hooks = std::move(hooks);
+    m_attempts[link->attempt] = link;
+    if (isNew) {
+        ++m_opened;
+        SocketHooks socketHooks;
+        socketHooks.connected = [this, link] { begin(*link); };
+        socketHooks.readable = [this, link] { readable(*link); };
+        socketHooks.closed = [this, link](bool clean) { closed(*link, clean); };
+        link->socket = std::make_unique<StreamSocket>(m_loop, link->request.address,
+                                                      std::move(socketHooks));
+    } else {
+        begin(*link);
+    }
+    return link->attempt;
+}
+
+void BackendConnections::begin(Link &link)
+{
+    link.parser.reset(link.request.headMethod);
+    link.headTold = false;
+    link.skipping = false;
+    if (link.request.body.empty())
+        link.socket->write(link.request.head);
+    else
+        link.socket->write(link.request.head + link.request.body);
+}
+
+void BackendConnections::readable(Link &link)
+{
+    if (link.attempt == AttemptHandle()) {
+        // Nothing was asked: bytes on an idle connection belong to nobody.
+        discard(link);
+        return;
+    }
+    bytesCame(link);
+}
+
+void BackendConnections::bytesCame(Link &link)
+{
+    const AttemptHandle attempt = link.attempt;
+    while (m_attempts.count(attempt) && !link.socket->received().empty()) {
+        const std::string_view bytes = link.socket->received();
+        link.socket->consume(link.parser.feed(bytes));
+        if (link.parser.failed()) {
+            fail(link);
+            return;
+        }
+        if (!link.parser.headComplete())
+            continue;
+        const MessageHead &head = link.parser.head();
+        if (!link.headTold && head.status >= firstFinalStatus) {
+            link.headTold = true;
+            const std::string *traceId = head.find(m_traceHeader);
+            link.skipping = traceId && *traceId != link.request.traceId;
+            if (link.skipping)
+                link.reusable = false;
+            else
+                link.hooks.headCame(head);
+        }
+        if (!m_attempts.count(attempt))
+            return;
+        std::string body = link.parser.takeBody();
+        if (!body.empty() && link.headTold && !link.skipping)
+            link.hooks.bodyCame(std::move(body));
+        if (!m_attempts.count(attempt))
+            return;
+        if (!link.parser.complete())
+            continue;
+        if (!link.headTold || link.skipping) {
+            // An interim answer, or one to another request: the own one is still to come.
+            link.parser.reset(link.request.headMethod);
+            link.headTold = false;
+            link.skipping = false;
+            continue;
+        }
+        finish(link);
+        return;
+    }
+}
+
+void BackendConnections::finish(Link &link)
+{
+    const BackendHooks hooks = std::move(link.hooks);
+    link.hooks = BackendHooks();
+    m_attempts.erase(link.attempt);
+    link.attempt = AttemptHandle();
+    auto &idle = m_idle[link.server];
+    const MessageHead &head = link.parser.head();
+    const bool keep = link.reusable && head.keepAlive && link.socket->waiting() == 0
+        && link.socket->received().empty() && idle.size() < maxIdlePerServer;
+    link.idleUntil = m_loop.now() + idleKeepOf(head);
+    if (keep)
+        idle.push_back(&link);
+    else
+        discard(link);
+    hooks.ended();
+}
+
+void BackendConnections::fail(Link &link)
+{
+    const BackendHooks hooks = std::move(link.hooks);
+    const bool sent = link.socket->isConnected();
+    discard(link);
+    hooks.broken(sent);
+}
+
+void BackendConnections::closed(Link &link, bool clean)
+{
+    if (link.attempt == AttemptHandle()) {
+        discard(link);
+        return;
+    }
+    if (clean && link.headTold && !link.skipping) {
+        const AttemptHandle attempt = link.attempt;
+        link.parser.close();
+        std::string body = link.parser.takeBody();
+        if (!body.empty())
+            link.hooks.bodyCame(std::move(body));
+        if (!m_attempts.count(attempt))
+            return;
+        if (link.parser.complete()) {
+            link.reusable = false;
+            finish(link);
+            return;
+        }
+    }
+    fail(link);
+}
+
+void BackendConnections::discard(Link &link)
+{
+    const auto found = m_links.find(link.id);
+    if (found == m_links.end())
+        return;
+    auto &idle = m_idle[link.server];
+    idle.erase(std::remove(idle.begin(), idle.end(), &link), idle.end());
+    if (idle.empty())
+        m_idle.erase(link.server);
+    m_attempts.erase(link.attempt);
+    link.attempt = AttemptHandle();
+    // The socket is closed now; the rest is freed when nothing of it is up the stack.
+    link.socket->setReading(false);
+    m_discarded.push_back(std::move(found->second));
+    m_links.erase(found);
+    m_discard.startOnce(Duration(0));
+}
+
+void BackendConnections::abandon(AttemptHandle handle)
+{
+    const auto found = m_attempts.find(handle);
+    if (found != m_attempts.end())
+        discard(*found->second);
+}
+
+void BackendConnections::setReading(AttemptHandle handle, bool reading)
+{
+    const auto found = m_attempts.find(handle);
+    if (found != m_attempts.end())
+        found->second->socket->setReading(reading);
+}
+
+void BackendConnections::sweep(TimePoint now)
+{
+    std::vector<std::uint64_t> over;
+    for (const auto &[id, link] : m_links) {
+        const bool idle = link->attempt == AttemptHandle();
+        const bool hangs = !link->socket->isConnected() && now - link->openedAt > connectTimeout;
+        if (hangs || (idle && now >= link->idleUntil))
+            over.push_back(id);
+    }
+    for (const std::uint64_t id : over) {
+        const auto found = m_links.find(id);
+        if (found == m_links.end())
+            continue;
+        if (found->second->attempt == AttemptHandle())
+            discard(*found->second);
+        else
+            fail(*found->second);
+    }
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/network/caller_connections.cpp
@@ -0,0 +1,395 @@
+#include "network/caller_connections.h"
+
+#include "core/error_type.h"
+#include "network/address_func.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace bramleypitch {
+
+namespace {
+
+constexpr int listenBacklog = 1'024;
+constexpr int badRequest = 400;
+constexpr int requestTimeout = 408;
+constexpr int contentTooLarge = 413;
+constexpr int headersTooLarge = 431;
+constexpr std::string_view lineEnd = "\r\n";
+
+const char *reasonOf(int status)
+{
+    switch (status) {
+    case 200:
+        return "OK";
+    case 400:
+        return "Bad Request";
+    case 401:
+        return "Unauthorized";
+    case 404:
+        return "Not Found";
+    case 408:
+        return "Request Timeout";
+    case 413:
+        return "Content Too Large";
+    case 429:
+        return "Too Many Requests";
+    case 431:
+        return "Request Header Fields Too Large";
+    case 500:
+        return "Internal Server Error";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Status";
+    }
+}
+
+std::size_t countHeader(const MessageHead &head, std::string_view name)
+{
+    return static_cast<std::size_t>(
+        std::count_if(head.headers.begin(), head.headers.end(),
+                      [&](const auto &header) { return sameHeader(header.first, name); }));
+}
+
+} // namespace
+
+/// A caller's connection and the request that it is at.
+struct CallerConnections::Connection
+{
+    std::uint64_t id = 0;
+    std::unique_ptr<StreamSocket> socket;
+    MessageParser parser {MessageParser::Kind::Request};
+    std::string body;
+    ExchangeId exchange; ///< Of the request being answered; 0 while reading.
+    bool reading = true; ///< Else a request is being answered.
+    bool lastAnswer = false; ///< Closes after the present answer.
+    bool closeWhenDrained = false;
+    bool continued = false; ///< 100 (Continue) was sent for the present request.
+    bool headRequest = false; ///< The answer has no body.
+    TimePoint since; ///< Of the last answer, or of the first byte of a request under way.
+    bool begun = false; ///< A byte of the present request has come.
+    bool readingNow = false; ///< readable() is up the stack and goes on by itself.
+};
+
+CallerConnections::CallerConnections(EventLoop &loop, CallerHooks hooks)
+    : m_loop(loop)
+    , m_hooks(std::move(hooks))
+    , m_discard(loop, [this] { m_discarded.clear(); })
+{
+}
+
+CallerConnections::~CallerConnections()
+{
+    if (m_listener)
+        evconnlistener_free(m_listener);
+}
+
+void CallerConnections::listen(const Address &address)
+{
+    const HostPort bound = parseAddress(address);
+    sockaddr_in own {};
+    own.sin_family = AF_INET;
+    own.sin_port = htons(bound.port);
+    if (inet_pton(AF_INET, bound.host.c_str(), &own.sin_addr) != 1)
+        throw Failure(ErrorCode::InvalidSetting, address.value() + " is not an IPv4 address");
+    m_listener = evconnlistener_new_bind(m_loop.base(), accepted, this,
+                                         LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, listenBacklog,
+                                         reinterpret_cast<sockaddr *>(&own), sizeof(own));
+    if (!m_listener)
+        throw Failure(ErrorCode::InvalidSetting, "cannot listen on " + address.value());
+}
+
+void CallerConnections::accepted(evconnlistener *, evutil_socket_t descriptor, sockaddr *, int,
+                                 void *self)
+{
+    auto *connections = static_cast<CallerConnections *>(self);
+    auto owned = std::make_unique<Connection>();
+    Connection *connection = owned.get();
+    connection->id = ++connections->m_lastId;
+    connection->since = connections->m_loop.now();
+    connections->m_connections.emplace(connection->id, std::move(owned));
+    SocketHooks hooks;
+    hooks.readable = [connections, connection] { connections->readable(*connection); };
+    hooks.drained = [connections, connection] {
+        if (connection->closeWhenDrained)
+            connections->close(*connection);
+        else if (!connection->reading && connections->m_hooks.drained)
+            connections->m_hooks.drained(connection->exchange);
+    };
+    hooks.closed = [connections, connection](bool) { connections->closed(*connection); };
+    connection->socket =
+        std::make_unique<StreamSocket>(connections->m_loop, descriptor, std::move(hooks));
+}
+
+void CallerConnections::readable(Connection &connection)
+{
+    const std::uint64_t id = connection.id;
+    connection.readingNow = true;
+    while (m_connections.count(id) && connection.reading && !connection.closeWhenDrained
+           && !connection.socket->received().empty()) {
+        if (!connection.begun) {
+            connection.begun = true;
+            connection.since = m_loop.now();
+        }
+        const bool more = connection.parser.headComplete() ? readBody(connection)
+                                                           : readHead(connection);
+        if (!more)
+            break;
+    }
+    connection.readingNow = false;
+}
+
+bool CallerConnections::readHead(Connection &connection)
+{
+    std::string_view bytes = connection.socket->received();
+    while (bytes.substr(0, lineEnd.size()) == lineEnd) { // RFC 9112, 2.2: empty lines before it.
+        connection.socket->consume(lineEnd.size());
+        bytes = connection.socket->received();
+    }
+    if (bytes.empty())
+        return false;
+    const std::optional<std::size_t> length = headLength(bytes);
+    if (length.value_or(bytes.size()) > m_limits.maxHeaderBytes) {
+        reject(connection, headersTooLarge, "header_bytes");
+        return false;
+    }
+    if (hasAmbiguousLines(bytes.substr(0, length.value_or(bytes.size())))) {
+        reject(connection, badRequest, "ambiguous_lines");
+        return false;
+    }
+    if (!length)
+        return false;
+    connection.socket->consume(connection.parser.feed(bytes.substr(0, *length)));
+    const MessageHead &head = connection.parser.head();
+    if (connection.parser.failed() || !connection.parser.headComplete()) {
+        reject(connection, badRequest, "malformed");
+        return false;
+    }
+    if (countHeader(head, "host") != 1 || countHeader(head, "transfer-encoding") > 1
+        || head.target.empty() || head.target.front() != '/') {
+        reject(connection, badRequest, "malformed");
+        return false;
+    }
+    if (connection.parser.declaredLength().value_or(0) > m_limits.maxBodyBytes) {
+        reject(connection, contentTooLarge, "body_bytes");
+        return false;
+    }
+    if (connection.parser.complete()) {
+        dispatch(connection);
+    } else if (head.find("expect") && !connection.continued) {
+        connection.continued = true;
+        connection.socket->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    return true;
+}
+
+bool CallerConnections::readBody(Connection &connection)
+{
+    const std::string_view bytes = connection.socket->received();
+    connection.socket->consume(connection.parser.feed(bytes));
+    if (connection.parser.failed()) {
+        reject(connection, badRequest, "malformed_body");
+        return false;
+    }
+    connection.body += connection.parser.takeBody();
+    if (connection.body.size() > m_limits.maxBodyBytes) {
+        reject(connection, contentTooLarge, "body_bytes");
+        return false;
+    }
+    if (connection.parser.complete())
+        dispatch(connection);
+    return true;
+}
+
+void CallerConnections::dispatch(Connection &connection)
+{
+    const MessageHead head = connection.parser.head();
+    connection.exchange = ExchangeId(++m_lastId);
+    connection.reading = false;
+    connection.headRequest = head.method == "HEAD";
+    connection.lastAnswer = !head.keepAlive;
+    m_exchanges[connection.exchange] = &connection;
+    m_hooks.requestCame(connection.exchange, head, std::exchange(connection.body, {}));
+}
+
+void CallerConnections::reject(Connection &connection, int status, const char *cause)
+{
+    if (m_hooks.rejected)
+        m_hooks.rejected(status, cause);
+    connection.reading = false;
+    connection.lastAnswer = true;
+    connection.exchange = ExchangeId(++m_lastId);
+    m_exchanges[connection.exchange] = &connection;
+    reply(connection.exchange, status, {{"Content-Type", "text/plain"}}, cause);
+}
+
+CallerConnections::Connection *CallerConnections::find(ExchangeId exchange) const
+{
+    const auto found = m_exchanges.find(exchange);
+    return found == m_exchanges.end() ? nullptr : found->second;
+}
+
+std::string CallerConnections::headText(const Connection &connection, int status,
+                                        const HttpHeaders &headers) const
+{
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " " + reasonOf(status) + "\r\n";
+    for (const auto &[name, value] : headers)
+        text += name + ": " + value + "\r\n";
+    if (connection.lastAnswer)
+        text += "Connection: close\r\n";
+    return text;
+}
+
+void CallerConnections::reply(ExchangeId exchange, int status, const HttpHeaders &headers,
+                              std::string_view body)
+{
+    Connection *connection = find(exchange);
+    if (!connection)
+        return;
+    connection->lastAnswer = connection->lastAnswer || m_closing;
+    std::string text = headText(*connection, status, headers);
+    text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    if (!connection->headRequest)
+        text += body;
+    connection->socket->write(text);
+    answerEnded(*connection);
+}
+
+void CallerConnections::startPieces(ExchangeId exchange, int status, const HttpHeaders &headers)
+{
+    Connection *connection = find(exchange);
+    if (!connection)
+        return;
+    connection->lastAnswer = connection->lastAnswer || m_closing;
+    connection->socket->write(headText(*connection, status, headers)
+                              + "Transfer-Encoding: chunked\r\n\r\n");
+}
+
+void CallerConnections::sendPiece(ExchangeId exchange, std::string_view piece)
+{
+    Connection *connection = find(exchange);
+    if (!connection || piece.empty())
+        return;
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string size;
+    for (std::size_t left = piece.size(); left > 0; left /= digits.size())
+        size.insert(size.begin(), digits[left % digits.size()]);
+    std::string text = std::move(size);
+    text.append(lineEnd).append(piece).append(lineEnd);
+    connection->socket->write(text);
+}
+
+void CallerConnections::endPieces(ExchangeId exchange)
+{
+    Connection *connection = find(exchange);
+    if (!connection)
+        return;
+    connection->socket->write("0\r\n\r\n");
+    answerEnded(*connection);
+}
+
+void CallerConnections::answerEnded(Connection &connection)
+{
+    m_exchanges.erase(connection.exchange);
+    connection.exchange = ExchangeId();
+    connection.since = m_loop.now();
+    if (connection.lastAnswer) {
+        connection.closeWhenDrained = true;
+        if (connection.socket->waiting() == 0)
+            close(connection);
+        return;
+    }
+    connection.parser.reset();
+    connection.body.clear();
+    connection.continued = false;
+    connection.begun = false;
+    connection.reading = true;
+    if (!connection.readingNow && !connection.socket->received().empty())
+        readable(connection); // Bytes of the next request have come already.
+}
+
+void CallerConnections::cut(ExchangeId exchange)
+{
+    if (Connection *connection = find(exchange)) {
+        m_exchanges.erase(exchange);
+        connection->exchange = ExchangeId();
+        close(*connection);
+    }
+}
+
+std::size_t CallerConnections::waiting(ExchangeId exchange) const
+{
+    const Connection *connection = find(exchange);
+    return connection ? connection->socket->waiting() : 0;
+}
+
+void CallerConnections::closed(Connection &connection)
+{
+    const ExchangeId exchange = connection.exchange;
+    const bool answering = exchange != ExchangeId();
+    if (answering)
+        m_exchanges.erase(exchange);
+    connection.exchange = ExchangeId();
+    close(connection);
+    if (answering)
+        m_hooks.gone(exchange);
+}
+
+void CallerConnections::close(Connection &connection)
+{
+    const auto found = m_connections.find(connection.id);
+    if (found == m_connections.end())
+        return;
+    // Its hooks may be up the stack: it is freed in the next turn of the loop.
+    found->second->socket->setReading(false);
+    found->second->reading = false;
+    m_discarded.push_back(std::move(found->second));
+    m_connections.erase(found);
+    m_discard.startOnce(Duration(0));
+}
+
+void CallerConnections::stopListening()
+{
+    if (m_listener)
+        evconnlistener_free(m_listener);
+    m_listener = nullptr;
+    std::vector<Connection *> idle;
+    for (const auto &[id, connection] : m_connections) {
+        if (connection->reading && !connection->begun)
+            idle.push_back(connection.get());
+    }
+    for (Connection *connection : idle)
+        close(*connection);
+}
+
+void CallerConnections::sweep(TimePoint now)
+{
+    std::vector<Connection *> idle;
+    std::vector<Connection *> slow;
+    for (const auto &[id, connection] : m_connections) {
+        if (!connection->reading)
+            continue;
+        const Duration age = now - connection->since;
+        if (!connection->begun && age > m_limits.idleTimeout)
+            idle.push_back(connection.get());
+        else if (connection->begun && !connection->parser.headComplete()
+                 && age > m_limits.headerTimeout)
+            slow.push_back(connection.get());
+        else if (connection->begun && age > m_limits.headerTimeout + m_limits.idleTimeout)
+            slow.push_back(connection.get());
+    }
+    for (Connection *connection : idle)
+        close(*connection);
+    for (Connection *connection : slow)
+        reject(*connection, requestTimeout, "slow_request");
+}
+
+} // namespace bramleypitch
--- a/src/network/event_loop.cpp
+++ b/src/network/event_loop.cpp
@@ -2,6 +2,8 @@
 
 #include "core/error_type.h"
 
+#include <ctime>
+
 namespace bramleypitch {
 
 namespace {
@@ -40,8 +42,9 @@
 
 TimePoint EventLoop::now() const
 {
-    const auto steady = std::chrono::steady_clock::now().time_since_epoch();
-    return TimePoint(clockOffset + std::chrono::duration_cast<Duration>(steady));
+    timespec sinceBoot {};
+    clock_gettime(CLOCK_BOOTTIME, &sinceBoot);
+    return TimePoint(clockOffset + std::chrono::duration_cast<Duration>(std::chrono::seconds(sinceBoot.tv_sec) + std::chrono::nanoseconds(sinceBoot.tv_nsec)));
 }
 
 WallTime EventLoop::wall() const
--- a/src/network/event_loop.h
+++ b/src/network/event_loop.h
@@ -23,7 +23,8 @@
     /// Lets run() return after the present callback.
     void stop();
 
-    /// Monotonic time; its zero lies well before the start of the process.
+    /// Monotonic time that goes on while the machine is suspended, so that leases and proofs age;
+    /// its zero lies well before the start of the process.
     TimePoint now() const;
     /// Wall clock time.
     WallTime wall() const;
--- a/src/network/gen/peer_types.cpp
+++ b/src/network/gen/peer_types.cpp
@@ -1197,4 +1197,244 @@
   out << ")";
 }
 
+
+Pulse::~Pulse() noexcept {
+}
+
+
+void Pulse::__set_node(const std::string& val) {
+  this->node = val;
+}
+
+void Pulse::__set_life(const int64_t val) {
+  this->life = val;
+}
+
+void Pulse::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void Pulse::__set_taking(const bool val) {
+  this->taking = val;
+}
+
+void Pulse::__set_running(const std::map<std::string, int32_t> & val) {
+  this->running = val;
+}
+
+void Pulse::__set_demand(const std::map<std::string, int32_t> & val) {
+  this->demand = val;
+}
+std::ostream& operator<<(std::ostream& out, const Pulse& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Pulse::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->life);
+          this->__isset.life = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->taking);
+          this->__isset.taking = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->running.clear();
+            uint32_t _size26;
+            ::apache::thrift::protocol::TType _ktype27;
+            ::apache::thrift::protocol::TType _vtype28;
+            xfer += iprot->readMapBegin(_ktype27, _vtype28, _size26);
+            uint32_t _i30;
+            for (_i30 = 0; _i30 < _size26; ++_i30)
+            {
+              std::string _key31;
+              xfer += iprot->readString(_key31);
+              int32_t& _val32 = this->running[_key31];
+              xfer += iprot->readI32(_val32);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->demand.clear();
+            uint32_t _size33;
+            ::apache::thrift::protocol::TType _ktype34;
+            ::apache::thrift::protocol::TType _vtype35;
+            xfer += iprot->readMapBegin(_ktype34, _vtype35, _size33);
+            uint32_t _i37;
+            for (_i37 = 0; _i37 < _size33; ++_i37)
+            {
+              std::string _key38;
+              xfer += iprot->readString(_key38);
+              int32_t& _val39 = this->demand[_key38];
+              xfer += iprot->readI32(_val39);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.demand = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Pulse::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Pulse");
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("life", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->life);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("taking", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->taking);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_MAP, 5);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->running.size()));
+    std::map<std::string, int32_t> ::const_iterator _iter40;
+    for (_iter40 = this->running.begin(); _iter40 != this->running.end(); ++_iter40)
+    {
+      xfer += oprot->writeString(_iter40->first);
+      xfer += oprot->writeI32(_iter40->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_MAP, 6);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->demand.size()));
+    std::map<std::string, int32_t> ::const_iterator _iter41;
+    for (_iter41 = this->demand.begin(); _iter41 != this->demand.end(); ++_iter41)
+    {
+      xfer += oprot->writeString(_iter41->first);
+      xfer += oprot->writeI32(_iter41->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Pulse &a, Pulse &b) {
+  using ::std::swap;
+  swap(a.node, b.node);
+  swap(a.life, b.life);
+  swap(a.number, b.number);
+  swap(a.taking, b.taking);
+  swap(a.running, b.running);
+  swap(a.demand, b.demand);
+  swap(a.__isset, b.__isset);
+}
+
+Pulse::Pulse(const Pulse& other42) {
+  node = other42.node;
+  life = other42.life;
+  number = other42.number;
+  taking = other42.taking;
+  running = other42.running;
+  demand = other42.demand;
+  __isset = other42.__isset;
+}
+Pulse& Pulse::operator=(const Pulse& other43) {
+  node = other43.node;
+  life = other43.life;
+  number = other43.number;
+  taking = other43.taking;
+  running = other43.running;
+  demand = other43.demand;
+  __isset = other43.__isset;
+  return *this;
+}
+void Pulse::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Pulse(";
+  out << "node=" << to_string(node);
+  out << ", " << "life=" << to_string(life);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "taking=" << to_string(taking);
+  out << ", " << "running=" << to_string(running);
+  out << ", " << "demand=" << to_string(demand);
+  out << ")";
+}
+
 }} // namespace
--- a/src/network/gen/peer_types.h
+++ b/src/network/gen/peer_types.h
@@ -35,6 +35,8 @@
 
 class LedgerReply;
 
+class Pulse;
+
 typedef struct _MemberEntry__isset {
   _MemberEntry__isset() : node(false), incarnation(false), counter(false), entry_address(false), peer_address(false), zone(false), leaving(false) {}
   bool node :1;
@@ -507,6 +509,82 @@
 
 std::ostream& operator<<(std::ostream& out, const LedgerReply& obj);
 
+typedef struct _Pulse__isset {
+  _Pulse__isset() : node(false), life(false), number(false), taking(false), running(false), demand(false) {}
+  bool node :1;
+  bool life :1;
+  bool number :1;
+  bool taking :1;
+  bool running :1;
+  bool demand :1;
+} _Pulse__isset;
+
+class Pulse : public virtual ::apache::thrift::TBase {
+ public:
+
+  Pulse(const Pulse&);
+  Pulse& operator=(const Pulse&);
+  Pulse() noexcept
+        : node(),
+          life(0),
+          number(0),
+          taking(0) {
+  }
+
+  virtual ~Pulse() noexcept;
+  std::string node;
+  int64_t life;
+  int64_t number;
+  bool taking;
+  std::map<std::string, int32_t>  running;
+  std::map<std::string, int32_t>  demand;
+
+  _Pulse__isset __isset;
+
+  void __set_node(const std::string& val);
+
+  void __set_life(const int64_t val);
+
+  void __set_number(const int64_t val);
+
+  void __set_taking(const bool val);
+
+  void __set_running(const std::map<std::string, int32_t> & val);
+
+  void __set_demand(const std::map<std::string, int32_t> & val);
+
+  bool operator == (const Pulse & rhs) const
+  {
+    if (!(node == rhs.node))
+      return false;
+    if (!(life == rhs.life))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    if (!(taking == rhs.taking))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    if (!(demand == rhs.demand))
+      return false;
+    return true;
+  }
+  bool operator != (const Pulse &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Pulse & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Pulse &a, Pulse &b);
+
+std::ostream& operator<<(std::ostream& out, const Pulse& obj);
+
 }} // namespace
 
 #endif
--- a/src/network/log.cpp
+++ b/src/network/log.cpp
@@ -4,11 +4,18 @@
 #include <boost/log/expressions.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/unlocked_frontend.hpp>
+#include <boost/make_shared.hpp>
+#include <boost/smart_ptr/make_shared_object.hpp>
 #include <nlohmann/json.hpp>
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <chrono>
-#include <iostream>
+#include <climits>
 
 namespace bramleypitch {
 
@@ -16,6 +23,65 @@
 
 namespace logging = boost::log;
 
+/// Bytes of lines that may wait for the reader of standard output.
+constexpr std::size_t mostBuffered = 512 * 1024;
+/// A pipe that is writable takes this many bytes without blocking (POSIX, PIPE_BUF).
+constexpr std::size_t writeSize = PIPE_BUF;
+
+/// Lines that wait to be written.
+class LineBuffer
+{
+public:
+    void add(const std::string &line)
+    {
+        if (m_bytes.size() + line.size() + 1 > mostBuffered) {
+            ++m_dropped;
+            return;
+        }
+        m_bytes += line;
+        m_bytes += '\n';
+    }
+
+    void flush()
+    {
+        std::size_t written = 0;
+        pollfd output {STDOUT_FILENO, POLLOUT, 0};
+        while (written < m_bytes.size() && poll(&output, 1, 0) == 1
+               && (output.revents & POLLOUT) != 0) {
+            const std::size_t size = std::min(writeSize, m_bytes.size() - written);
+            const ssize_t count = write(STDOUT_FILENO, m_bytes.data() + written, size);
+            if (count <= 0)
+                break;
+            written += static_cast<std::size_t>(count);
+        }
+        m_bytes.erase(0, written);
+    }
+
+    std::uint64_t dropped() const { return m_dropped; }
+
+private:
+    std::string m_bytes;
+    std::uint64_t m_dropped = 0;
+};
+
+LineBuffer &lineBuffer()
+{
+    static LineBuffer buffer;
+    return buffer;
+}
+
+/// Boost.Log's end of the line buffer.
+class BufferBackend
+    : public logging::sinks::basic_formatted_sink_backend<char,
+                                                          logging::sinks::concurrent_feeding>
+{
+public:
+    void consume(const logging::record_view &, const string_type &line)
+    {
+        lineBuffer().add(line);
+    }
+};
+
 /// What startLog() was told; log lines are the one thing that belongs to the process as a whole.
 struct LogState
 {
@@ -88,8 +154,10 @@
 {
     logState().format = format;
     logState().node = node;
-    logging::add_console_log(std::cerr, logging::keywords::format = "%Message%",
-                             logging::keywords::auto_flush = true);
+    using Sink = logging::sinks::unlocked_sink<BufferBackend>;
+    const auto sink = boost::make_shared<Sink>(boost::make_shared<BufferBackend>());
+    sink->set_formatter(logging::expressions::stream << logging::expressions::smessage);
+    logging::core::get()->add_sink(sink);
     logging::core::get()->set_filter(logging::expressions::attr<LogLevel>("Severity") >= least);
 }
 
@@ -101,4 +169,14 @@
     BOOST_LOG_SEV(logState().logger, level) << line;
 }
 
+void flushLog()
+{
+    lineBuffer().flush();
+}
+
+std::uint64_t droppedLogLines()
+{
+    return lineBuffer().dropped();
+}
+
 } // namespace bramleypitch
--- a/src/network/peer.thrift
+++ b/src/network/peer.thrift
@@ -54,6 +54,16 @@
   2: CallOutcome outcome
 }
 
+// Sent as a datagram: what a node takes on, several times a second.
+struct Pulse {
+  1: string node
+  2: i64 life
+  3: i64 number
+  4: bool taking
+  5: map<string, i32> running
+  6: map<string, i32> demand
+}
+
 service Peer {
   Heartbeat heartbeat(1: Heartbeat heartbeat)
   SharedValues pull(1: i64 above)
--- a/src/network/platform_client.h
+++ b/src/network/platform_client.h
@@ -3,6 +3,7 @@
 #include "coordination/shared_base.h"
 #include "coordination/vm_type.h"
 #include "network/http_client.h"
+#include "network/store_client.h"
 
 #include <functional>
 #include <optional>
@@ -18,24 +19,6 @@
     std::vector<SharedValue> values;
 };
 
-/// What became of a conditional write.
-enum class StoreSwapOutcome { Written, Conflict, Unknown };
-
-struct StoreSwap
-{
-    StoreSwapOutcome outcome = StoreSwapOutcome::Unknown;
-    Revision revision; ///< Of the value now stored, if known.
-    std::string value; ///< On conflict, the value stored.
-};
-
-/// A granted or renewed lease; a time to live of zero means that the lease is gone.
-struct StoreLease
-{
-    bool ok = false;
-    std::int64_t id = 0;
-    Duration timeToLive {0};
-};
-
 /// The platform's key-value service in etcd's v3 JSON form over HTTP, and its VM list. Each call
 /// has a time limit. A conditional write whose reply was lost is read back.
 class PlatformClient
--- /dev/null
+++ b/src/network/pulse_socket.cpp
@@ -0,0 +1,118 @@
+#include "network/pulse_socket.h"
+
+#include "core/error_type.h"
+#include "network/address_func.h"
+#include "network/gen/peer_types.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <unistd.h>
+
+#include <array>
+
+namespace bramleypitch {
+
+namespace {
+
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TMemoryBuffer;
+
+constexpr std::size_t maxDatagram = 60'000;
+/// Datagrams read in one turn, so that a flood cannot hold the loop.
+constexpr int maxReadsPerTurn = 64;
+
+sockaddr_in toSocketAddress(const Address &address)
+{
+    const HostPort parsed = parseAddress(address);
+    sockaddr_in socketAddress {};
+    socketAddress.sin_family = AF_INET;
+    socketAddress.sin_port = htons(parsed.port);
+    if (inet_pton(AF_INET, parsed.host.c_str(), &socketAddress.sin_addr) != 1)
+        throw Failure(ErrorCode::InvalidSetting, address.value() + " is not an IPv4 address");
+    return socketAddress;
+}
+
+std::string serialize(const Pulse &pulse)
+{
+    peer::Pulse wire;
+    wire.node = pulse.node.value();
+    wire.life = pulse.life;
+    wire.number = pulse.number;
+    wire.taking = pulse.taking;
+    for (const auto &[server, count] : pulse.running)
+        wire.running[server.value()] = static_cast<std::int32_t>(count);
+    for (const auto &[model, count] : pulse.demand)
+        wire.demand[model.value()] = static_cast<std::int32_t>(count);
+    const auto buffer = std::make_shared<TMemoryBuffer>();
+    TCompactProtocol protocol(buffer);
+    wire.write(&protocol);
+    return buffer->getBufferAsString();
+}
+
+Pulse parse(std::uint8_t *bytes, std::size_t length)
+{
+    const auto buffer = std::make_shared<TMemoryBuffer>(bytes, static_cast<std::uint32_t>(length));
+    TCompactProtocol protocol(buffer);
+    peer::Pulse wire;
+    wire.read(&protocol);
+    Pulse pulse;
+    pulse.node = NodeId(wire.node);
+    pulse.life = wire.life;
+    pulse.number = wire.number;
+    pulse.taking = wire.taking;
+    for (const auto &[server, count] : wire.running)
+        pulse.running[VmId(server)] = static_cast<std::uint32_t>(count);
+    for (const auto &[model, count] : wire.demand)
+        pulse.demand[ModelId(model)] = static_cast<std::uint32_t>(count);
+    return pulse;
+}
+
+} // namespace
+
+PulseSocket::PulseSocket(EventLoop &loop, const Address &address, PulseHook hook)
+    : m_descriptor(socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
+    , m_event(event_new(loop.base(), m_descriptor, EV_READ | EV_PERSIST, readable, this))
+    , m_hook(std::move(hook))
+{
+    const sockaddr_in own = toSocketAddress(address);
+    if (bind(m_descriptor, reinterpret_cast<const sockaddr *>(&own), sizeof(own)) != 0)
+        throw Failure(ErrorCode::InvalidSetting, "cannot receive on " + address.value());
+    event_add(m_event, nullptr);
+}
+
+PulseSocket::~PulseSocket()
+{
+    event_free(m_event);
+    close(m_descriptor);
+}
+
+void PulseSocket::send(const Pulse &pulse, const std::vector<Address> &addresses)
+{
+    const std::string bytes = serialize(pulse);
+    for (const Address &address : addresses) {
+        const sockaddr_in peer = toSocketAddress(address);
+        sendto(m_descriptor, bytes.data(), bytes.size(), MSG_DONTWAIT,
+               reinterpret_cast<const sockaddr *>(&peer), sizeof(peer));
+    }
+}
+
+void PulseSocket::readable(evutil_socket_t descriptor, short, void *self)
+{
+    auto *socket = static_cast<PulseSocket *>(self);
+    static std::array<std::uint8_t, maxDatagram> bytes;
+    for (int i = 0; i < maxReadsPerTurn; ++i) {
+        const ssize_t length = recv(descriptor, bytes.data(), bytes.size(), MSG_DONTWAIT);
+        if (length <= 0)
+            return;
+        try {
+            socket->m_hook(parse(bytes.data(), static_cast<std::size_t>(length)));
+        } catch (const apache::thrift::TException &) {
+            ++socket->m_unreadable;
+        }
+    }
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/network/relay.cpp
@@ -0,0 +1,328 @@
+#include "network/relay.h"
+
+#include <array>
+#include <cstdio>
+
+namespace bramleypitch {
+
+namespace {
+
+constexpr int ok = 200;
+constexpr int firstRedirect = 300;
+constexpr int misdirected = 421;
+/// Bytes that may wait for a slow caller before its server is slowed down.
+constexpr std::size_t mostWaiting = 128 * 1024;
+constexpr std::string_view eventStream = "text/event-stream";
+
+int statusOf(ErrorCode code)
+{
+    switch (code) {
+    case ErrorCode::MalformedRequest:
+        return 400;
+    case ErrorCode::Unauthorized:
+        return 401;
+    case ErrorCode::UnknownPath:
+        return 404;
+    case ErrorCode::BackendFailed:
+        return 502;
+    case ErrorCode::DeadlineExceeded:
+        return 504;
+    default:
+        return 503;
+    }
+}
+
+std::string seconds(Duration duration)
+{
+    std::array<char, 32> text {};
+    constexpr double millisecondsPerSecond = 1'000;
+    std::snprintf(text.data(), text.size(), "%.3f",
+                  static_cast<double>(duration.count()) / millisecondsPerSecond);
+    return text.data();
+}
+
+ExchangeId exchangeOf(RequestId id)
+{
+    return ExchangeId(id.value());
+}
+
+RequestId requestOf(ExchangeId id)
+{
+    return RequestId(id.value());
+}
+
+/// The headers of a server's answer that go on to the caller.
+HttpHeaders passedHeaders(const MessageHead &head)
+{
+    HttpHeaders headers;
+    for (const auto &[name, value] : head.headers) {
+        if (!isHopByHop(head, name) && !sameHeader(name, "content-length"))
+            headers.emplace_back(name, value);
+    }
+    return headers;
+}
+
+} // namespace
+
+Relay::Relay(EventLoop &loop, RequestSystem &requests, RelayDialect dialect, RelayHooks hooks)
+    : m_loop(loop)
+    , m_requests(requests)
+    , m_dialect(std::move(dialect))
+    , m_hooks(std::move(hooks))
+    , m_callers(loop,
+                CallerHooks {[this](ExchangeId id, const MessageHead &head, std::string body) {
+                                 requestCame(id, head, std::move(body));
+                             },
+                             [this](ExchangeId id) { callerGone(id); },
+                             [this](ExchangeId id) { callerDrained(id); },
+                             [this](int status, const char *cause) {
+                                 m_hooks.decided({"",
+                                                  "request_rejected",
+                                                  {{"status", std::to_string(status)},
+                                                   {"cause", cause}}});
+                             }})
+    , m_backends(loop, m_dialect.traceHeader)
+{
+}
+
+void Relay::tick(TimePoint now)
+{
+    RequestActions actions;
+    m_requests.tick(now, actions);
+    perform(actions);
+}
+
+void Relay::sweep(TimePoint now)
+{
+    m_callers.sweep(now);
+    m_backends.sweep(now);
+}
+
+Relay::Exchange *Relay::find(RequestId id, AttemptNumber attempt)
+{
+    const auto found = m_exchanges.find(id);
+    if (found == m_exchanges.end() || found->second.attempt != attempt)
+        return nullptr;
+    return &found->second;
+}
+
+void Relay::requestCame(ExchangeId id, const MessageHead &head, std::string body)
+{
+    const TimePoint now = m_loop.now();
+    const RequestId request = requestOf(id);
+    std::optional<RequestArrival> arrival = m_dialect.readArrival(head);
+    Exchange &exchange = m_exchanges[request];
+    exchange.head = head;
+    exchange.body = std::move(body);
+    exchange.arrivedAt = now;
+    if (!arrival) {
+        perform(RefuseRequest {request, ErrorCode::MalformedRequest, RunOutcome::NotRun, {}});
+        return;
+    }
+    arrival->request = request;
+    RequestActions actions;
+    m_requests.arrived(*arrival, now, actions);
+    perform(actions);
+}
+
+void Relay::callerGone(ExchangeId id)
+{
+    RequestActions actions;
+    m_requests.callerGone(requestOf(id), m_loop.now(), actions);
+    perform(actions);
+    m_exchanges.erase(requestOf(id));
+}
+
+void Relay::callerDrained(ExchangeId id)
+{
+    const auto found = m_exchanges.find(requestOf(id));
+    if (found == m_exchanges.end() || !found->second.paused)
+        return;
+    found->second.paused = false;
+    m_backends.setReading(found->second.handle, true);
+}
+
+void Relay::headCame(RequestId id, AttemptNumber attempt, const MessageHead &head)
+{
+    Exchange *exchange = find(id, attempt);
+    if (!exchange)
+        return;
+    const std::string type = head.value("content-type");
+    exchange->isStream = head.status >= ok && head.status < firstRedirect
+        && type.compare(0, eventStream.size(), eventStream) == 0;
+    if (!exchange->started)
+        exchange->answerHead = head;
+    else if (!exchange->isStream)
+        exchange->answerHead.status = head.status;
+    exchange->answerBody.clear();
+    exchange->framing.reset();
+}
+
+void Relay::bodyCame(RequestId id, AttemptNumber attempt, const std::string &bytes)
+{
+    Exchange *exchange = find(id, attempt);
+    if (!exchange)
+        return;
+    if (exchange->isStream)
+        passEvents(id, *exchange, bytes);
+    else
+        exchange->answerBody += bytes;
+}
+
+void Relay::startAnswer(RequestId id, Exchange &exchange)
+{
+    if (exchange.started)
+        return;
+    exchange.started = true;
+    const TimePoint now = m_loop.now();
+    m_hooks.firstEvent(now - exchange.arrivedAt);
+    m_callers.startPieces(exchangeOf(id), exchange.answerHead.status,
+                          passedHeaders(exchange.answerHead));
+    m_requests.streamStarted(id, exchange.attempt, now);
+}
+
+void Relay::passEvents(RequestId id, Exchange &exchange, const std::string &bytes)
+{
+    const EventBatch batch = exchange.framing.take(bytes);
+    if (batch.events == 0)
+        return;
+    // The head goes out with the first whole event: until then another server can still answer.
+    startAnswer(id, exchange);
+    m_callers.sendPiece(exchangeOf(id), batch.bytes);
+    if (!batch.lastId.empty())
+        exchange.lastEvent = batch.lastId;
+    m_requests.eventPassed(id, exchange.attempt, m_loop.now());
+    if (!exchange.paused && m_callers.waiting(exchangeOf(id)) > mostWaiting) {
+        exchange.paused = true;
+        m_backends.setReading(exchange.handle, false);
+    }
+}
+
+void Relay::answerEnded(RequestId id, AttemptNumber attempt)
+{
+    Exchange *exchange = find(id, attempt);
+    if (!exchange)
+        return;
+    RequestActions actions;
+    const TimePoint now = m_loop.now();
+    if (exchange->isStream) {
+        startAnswer(id, *exchange);
+        m_callers.sendPiece(exchangeOf(id), exchange->framing.remainder());
+        m_callers.endPieces(exchangeOf(id));
+        m_hooks.answered(now - exchange->arrivedAt);
+        m_exchanges.erase(id);
+        m_requests.streamEnded(id, attempt, now, actions);
+    } else {
+        const AnswerSigns signs = m_dialect.readAnswer(exchange->answerHead);
+        const int status = exchange->answerHead.status;
+        if (status == misdirected)
+            m_requests.attemptFailed(id, attempt, AttemptFailure::Misdirected, signs.faultyServer,
+                                     now, actions);
+        else if (signs.notExecuted)
+            m_requests.attemptFailed(id, attempt, AttemptFailure::NotExecuted, signs.faultyServer,
+                                     now, actions);
+        else if (exchange->started)
+            m_requests.attemptFailed(id, attempt, AttemptFailure::Broken, signs.faultyServer, now,
+                                     actions);
+        else {
+            exchange->keptHead = exchange->answerHead;
+            exchange->keptBody = std::move(exchange->answerBody);
+            m_requests.answered(id, attempt, status, now, actions);
+        }
+    }
+    perform(actions);
+}
+
+void Relay::attemptBroken(RequestId id, AttemptNumber attempt, bool sent)
+{
+    if (!find(id, attempt))
+        return;
+    RequestActions actions;
+    m_requests.attemptFailed(id, attempt, sent ? AttemptFailure::Broken : AttemptFailure::Unsent,
+                             VmId(), m_loop.now(), actions);
+    perform(actions);
+}
+
+void Relay::perform(const RequestActions &actions)
+{
+    for (const RequestAction &action : actions)
+        std::visit([this](const auto &one) { perform(one); }, action);
+}
+
+void Relay::perform(const DispatchAttempt &dispatch)
+{
+    const auto found = m_exchanges.find(dispatch.request);
+    if (found == m_exchanges.end())
+        return;
+    Exchange &exchange = found->second;
+    const RequestId id = dispatch.request;
+    const AttemptNumber attempt = dispatch.attempt;
+    exchange.attempt = attempt;
+    exchange.paused = false;
+    BackendRequest request;
+    request.address = dispatch.address;
+    request.server = dispatch.server;
+    request.head = m_dialect.writeAttempt(exchange.head, dispatch, exchange.body.size(),
+                                          exchange.lastEvent);
+    request.body = exchange.body;
+    request.traceId = exchange.head.value(m_dialect.traceHeader);
+    request.headMethod = exchange.head.method == "HEAD";
+    request.freshConnection = dispatch.freshConnection;
+    BackendHooks hooks;
+    hooks.headCame = [this, id, attempt](const MessageHead &head) { headCame(id, attempt, head); };
+    hooks.bodyCame = [this, id, attempt](const std::string &bytes) {
+        bodyCame(id, attempt, bytes);
+    };
+    hooks.ended = [this, id, attempt] { answerEnded(id, attempt); };
+    hooks.broken = [this, id, attempt](bool sent) { attemptBroken(id, attempt, sent); };
+    exchange.handle = m_backends.send(std::move(request), std::move(hooks));
+}
+
+void Relay::perform(const AbandonAttempt &abandon)
+{
+    const auto found = m_exchanges.find(abandon.request);
+    if (found != m_exchanges.end())
+        m_backends.abandon(found->second.handle);
+}
+
+void Relay::perform(const DeliverAnswer &deliver)
+{
+    const auto found = m_exchanges.find(deliver.request);
+    if (found == m_exchanges.end())
+        return;
+    const Exchange exchange = std::move(found->second);
+    m_exchanges.erase(found);
+    m_hooks.answered(m_loop.now() - exchange.arrivedAt);
+    m_callers.reply(exchangeOf(deliver.request), exchange.keptHead.status,
+                    passedHeaders(exchange.keptHead), exchange.keptBody);
+}
+
+void Relay::perform(const RefuseRequest &refuse)
+{
+    const auto found = m_exchanges.find(refuse.request);
+    if (found == m_exchanges.end())
+        return;
+    HttpHeaders headers {{"Content-Type", "text/plain"}};
+    const std::string traceId = found->second.head.value(m_dialect.traceHeader);
+    if (!traceId.empty())
+        headers.emplace_back(m_dialect.traceHeader, traceId);
+    if (refuse.retryAfter)
+        headers.emplace_back("Retry-After", seconds(*refuse.retryAfter));
+    m_exchanges.erase(found);
+    m_hooks.refused(refuse.code);
+    m_callers.reply(exchangeOf(refuse.request), statusOf(refuse.code), headers,
+                    errorName(refuse.code));
+}
+
+void Relay::perform(const BreakAnswer &broken)
+{
+    m_exchanges.erase(broken.request);
+    m_callers.cut(exchangeOf(broken.request));
+}
+
+void Relay::perform(const NoteDecision &note)
+{
+    m_hooks.decided(note);
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/network/serving_daemon.cpp
@@ -0,0 +1,497 @@
+#include "network/serving_daemon.h"
+
+#include "network/log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <sstream>
+
+namespace bramleypitch {
+
+namespace {
+
+constexpr Duration tickInterval {25};
+constexpr Duration pulseInterval {250};
+constexpr Duration sweepInterval {100};
+constexpr Duration leaseTime {4'000};
+constexpr Duration leaseRenewInterval {1'300}; ///< Three tries within a lease.
+constexpr Duration orderTimeLimit {1'500};
+/// Entries that lapsed as the store was away are back this long after its return, if the server
+/// lives: two seconds and one more for the way through the store.
+constexpr Duration lapsedKeep {3'000};
+/// After a stop is asked for, callers' lists of entries run out before connections close.
+constexpr Duration stopListen {5'000};
+constexpr Duration stopMargin {500}; ///< Before the process would be ended by force.
+/// Fewer entries than this in a caller's zone are not enough to bear the loss of one.
+constexpr std::size_t leastEntries = 2;
+constexpr std::size_t maxSideBody = 4'096;
+constexpr int ok = 200;
+constexpr int notFound = 404;
+constexpr int unavailable = 503;
+constexpr const char *formationPart = "formation/";
+constexpr const char *nodesPart = "nodes/";
+
+bool startsWith(const std::string &text, const std::string &prefix)
+{
+    return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+std::string text(Duration duration)
+{
+    return std::to_string(duration.count());
+}
+
+} // namespace
+
+ServingDaemon::ServingDaemon(EventLoop &loop, ServingOptions options, ServingDialect dialect,
+                             StoreClient &store, HttpClient &http)
+    : m_loop(loop)
+    , m_options(std::move(options))
+    , m_dialect(std::move(dialect))
+    , m_store(store)
+    , m_http(http)
+    , m_startedAt(loop.now())
+    , m_requests(m_options.requests, m_backends)
+    , m_formation(m_options.formation, m_backends, m_startedAt)
+    , m_presence(
+          PresenceOptions {{m_options.node, m_options.zone, m_options.front, m_options.pulse}})
+    , m_relay(loop, m_requests, m_dialect.relay, relayHooks())
+    , m_mirror(loop, store, mirrorHooks())
+    , m_sideServer(loop, maxSideBody)
+    , m_ticker(loop, [this] { tick(); })
+    , m_life(loop.wall().value())
+{
+    m_formation.setFirstStart(m_options.firstStart);
+    m_sideServer.setRequestHook([this](const HttpRequest &request) { sideRequest(request); });
+}
+
+void ServingDaemon::start()
+{
+    m_pulses = std::make_unique<PulseSocket>(m_loop, m_options.pulse,
+                                             [this](const Pulse &pulse) { pulseCame(pulse); });
+    m_relay.callers().listen(m_options.front);
+    m_sideServer.listen(m_options.ready);
+    m_sideServer.listen(m_options.directory);
+    if (m_options.metrics)
+        m_sideServer.listen(*m_options.metrics);
+    m_mirror.start();
+    m_ticker.startRepeating(tickInterval);
+    logLine(LogLevel::Info, "started",
+            {{"front", m_options.front.value()},
+             {"directory", m_options.directory.value()},
+             {"zone", m_options.zone.value()},
+             {"first_start", m_options.firstStart ? "true" : "false"}});
+}
+
+void ServingDaemon::reload(const ServingOptions &options)
+{
+    m_options.stopTime = options.stopTime;
+    m_options.entryKeep = options.entryKeep;
+    logLine(LogLevel::Info, "reloaded", {{"stop_time_ms", text(options.stopTime)}});
+}
+
+void ServingDaemon::stop()
+{
+    if (m_stopping)
+        return;
+    m_stopping = true;
+    m_stopAt = m_loop.now();
+    m_relay.callers().setClosing();
+    m_presence.setTaking(false);
+    pulse(m_stopAt);
+    if (m_lease != 0)
+        m_store.revokeLease(m_lease, [] {});
+    logLine(LogLevel::Info, "stopping", {{"open_requests", std::to_string(m_requests.open())}});
+}
+
+MirrorHooks ServingDaemon::mirrorHooks()
+{
+    MirrorHooks hooks;
+    hooks.changed = [this](const StoreChange &change) { storeChanged(change); };
+    hooks.proven = [this](TimePoint at) { m_requests.setConfigurationProof(at); };
+    hooks.settled = [this] { settled(); };
+    hooks.reachable = [this](bool reachable, const std::string &cause) {
+        logLine(reachable ? LogLevel::Info : LogLevel::Warning,
+                reachable ? "store_regained" : "store_lost", {{"cause", cause}});
+    };
+    return hooks;
+}
+
+RelayHooks ServingDaemon::relayHooks()
+{
+    RelayHooks hooks;
+    hooks.decided = [this](const NoteDecision &note) {
+        ++m_decisions[note.event];
+        LogFields fields {{"request", note.traceId}};
+        fields.insert(fields.end(), note.fields.begin(), note.fields.end());
+        logLine(LogLevel::Info, note.event, fields);
+    };
+    hooks.firstEvent = [this](Duration age) {
+        m_firstEvent.add(static_cast<double>(age.count()));
+    };
+    hooks.answered = [this](Duration age) { m_answered.add(static_cast<double>(age.count())); };
+    hooks.refused = [this](ErrorCode code) {
+        ++m_decisions[std::string("refused_") + errorName(code)];
+    };
+    return hooks;
+}
+
+void ServingDaemon::storeChanged(const StoreChange &change)
+{
+    try {
+        if (change.key == m_dialect.configurationKey) {
+            configurationChanged(change);
+        } else if (startsWith(change.key, m_dialect.serverPrefix)) {
+            serverChanged(VmId(change.key.substr(m_dialect.serverPrefix.size())), change);
+        } else if (startsWith(change.key, m_dialect.zoneOutPrefix)) {
+            const ZoneId zone(change.key.substr(m_dialect.zoneOutPrefix.size()));
+            if (change.deleted)
+                m_zonesOut.erase(zone);
+            else
+                m_zonesOut.insert(zone);
+            m_requests.setZonesOut(m_zonesOut);
+            logLine(LogLevel::Info, change.deleted ? "zone_back" : "zone_out",
+                    {{"zone", zone.value()}});
+        } else if (startsWith(change.key, m_dialect.ownPrefix)) {
+            ownKeyChanged(change);
+        }
+    } catch (const Failure &failure) {
+        logLine(LogLevel::Warning, "value_unreadable",
+                {{"key", change.key},
+                 {"revision", std::to_string(change.revision.value())},
+                 {"reason", failure.what()}});
+    }
+}
+
+void ServingDaemon::configurationChanged(const StoreChange &change)
+{
+    if (change.deleted) {
+        logLine(LogLevel::Warning, "configuration_deleted", {{"kept", "the last one"}});
+        return;
+    }
+    auto read = std::make_shared<ServingConfiguration>(m_dialect.readConfiguration(change.value));
+    const ServingConfigurationPtr &present = m_requests.configuration();
+    if (present && read->version <= present->version)
+        return;
+    m_requests.setConfiguration(read);
+    m_formation.setConfiguration(read);
+    m_relay.callers().setLimits(read->limits);
+    logLine(LogLevel::Info, "configuration",
+            {{"version", std::to_string(read->version)},
+             {"routes", std::to_string(read->routes.size())},
+             {"keys", std::to_string(read->keys.size())}});
+}
+
+void ServingDaemon::serverChanged(const VmId &id, const StoreChange &change)
+{
+    const TimePoint now = m_loop.now();
+    if (!change.deleted) {
+        m_lapsed.erase(id);
+        const Backend *before = m_backends.find(id);
+        const GroupClaim claimBefore = before ? before->report.group : GroupClaim();
+        const bool drainingBefore = before && before->report.draining;
+        const BackendReport report = m_dialect.readServer(id, change.value);
+        m_backends.update(report, now);
+        if (!before || claimBefore != report.group || drainingBefore != report.draining)
+            logLine(LogLevel::Info, "server",
+                    {{"server", id.value()},
+                     {"service", report.service.value()},
+                     {"group", report.group.name.value()},
+                     {"state", std::to_string(static_cast<int>(report.group.state))},
+                     {"draining", report.draining ? "true" : "false"}});
+        return;
+    }
+    if (!m_backends.find(id))
+        return;
+    if (now - m_mirror.reachableSince() < lapsedKeep) {
+        m_backends.setLapsed(id, true);
+        m_lapsed[id] = now;
+        logLine(LogLevel::Info, "server_lapsed", {{"server", id.value()}});
+        return;
+    }
+    m_backends.erase(id);
+    logLine(LogLevel::Info, "server_gone", {{"server", id.value()}});
+}
+
+void ServingDaemon::dropLapsed(TimePoint now)
+{
+    for (auto entry = m_lapsed.begin(); entry != m_lapsed.end();) {
+        const bool over = m_mirror.isReachable()
+            && now - m_mirror.reachableSince() >= lapsedKeep && now - entry->second >= lapsedKeep;
+        if (!over) {
+            ++entry;
+            continue;
+        }
+        m_backends.erase(entry->first);
+        logLine(LogLevel::Info, "server_gone",
+                {{"server", entry->first.value()}, {"cause", "lapsed"}});
+        entry = m_lapsed.erase(entry);
+    }
+}
+
+void ServingDaemon::ownKeyChanged(const StoreChange &change)
+{
+    const std::string key = change.key.substr(m_dialect.ownPrefix.size());
+    if (startsWith(key, formationPart)) {
+        if (!change.deleted)
+            m_formation.planRead(DomainId(key.substr(std::string(formationPart).size())),
+                                 parsePlan(change.value), change.revision);
+        return;
+    }
+    if (!startsWith(key, nodesPart))
+        return;
+    const NodeId node(key.substr(std::string(nodesPart).size()));
+    if (change.deleted) {
+        m_presence.eraseRecord(node);
+        if (node == m_options.node)
+            m_recorded = false;
+        return;
+    }
+    const nlohmann::json json = nlohmann::json::parse(change.value, nullptr, false);
+    if (!json.is_object())
+        throw Failure(ErrorCode::PlatformProtocol, "a node's record is no JSON object");
+    PresenceRecord record;
+    record.node = node;
+    record.zone = ZoneId(json.value("zone", std::string()));
+    record.front = Address(json.value("front", std::string()));
+    record.peer = Address(json.value("peer", std::string()));
+    m_presence.setRecord(record, m_loop.now());
+}
+
+void ServingDaemon::settled()
+{
+    if (m_backends.version() == m_tableVersion)
+        return;
+    m_tableVersion = m_backends.version();
+    const TimePoint now = m_loop.now();
+    form(now);
+    m_relay.tick(now);
+}
+
+void ServingDaemon::tick()
+{
+    const TimePoint now = m_loop.now();
+    if (now - m_pulsedAt >= pulseInterval)
+        pulse(now);
+    if (now - m_sweptAt >= sweepInterval) {
+        m_sweptAt = now;
+        m_relay.sweep(now);
+        dropLapsed(now);
+        for (const NodeId &silent : m_presence.takeSilent(now)) {
+            m_backends.setPeerRunning(silent, {});
+            logLine(LogLevel::Info, "node_silent", {{"peer", silent.value()}});
+        }
+        renewLease(now);
+    }
+    noteReadiness(now);
+    form(now);
+    m_relay.tick(now);
+    flushLog();
+    if (m_stopping)
+        finishStop(now);
+}
+
+void ServingDaemon::pulse(TimePoint now)
+{
+    m_pulsedAt = now;
+    Pulse own;
+    own.node = m_options.node;
+    own.life = m_life;
+    own.number = ++m_pulseNumber;
+    own.taking = m_ready && !m_stopping;
+    own.running = m_backends.ownRunning();
+    own.demand = m_requests.demand();
+    m_pulses->send(own, m_presence.peers());
+    m_requests.setNodeBound(m_presence.nodeBound(now));
+}
+
+void ServingDaemon::pulseCame(const Pulse &pulse)
+{
+    if (m_presence.pulseCame(pulse, m_loop.now()))
+        m_backends.setPeerRunning(pulse.node, pulse.running);
+}
+
+void ServingDaemon::renewLease(TimePoint now)
+{
+    if (m_leaseBusy || m_stopping || now - m_leaseAt < leaseRenewInterval)
+        return;
+    m_leaseAt = now;
+    m_leaseBusy = true;
+    if (m_lease == 0) {
+        m_store.grantLease(leaseTime, [this](const StoreLease &lease) {
+            m_leaseBusy = false;
+            if (!lease.ok)
+                return;
+            m_lease = lease.id;
+            writeRecord();
+        });
+        return;
+    }
+    m_store.keepLeaseAlive(m_lease, [this](const StoreLease &lease) {
+        m_leaseBusy = false;
+        if (lease.ok && lease.timeToLive <= Duration(0)) {
+            logLine(LogLevel::Warning, "lease_lost", {{"lease", std::to_string(m_lease)}});
+            m_lease = 0;
+            m_recorded = false;
+            m_leaseAt = TimePoint();
+        } else if (lease.ok && !m_recorded) {
+            writeRecord();
+        }
+    });
+}
+
+void ServingDaemon::writeRecord()
+{
+    const nlohmann::json record {{"zone", m_options.zone},
+                                 {"front", m_options.front},
+                                 {"peer", m_options.pulse},
+                                 {"life", m_life}};
+    m_store.compareAndSwap(m_dialect.ownPrefix + nodesPart + m_options.node.value(), Revision(0),
+                           record.dump(), m_lease, [this](const StoreSwap &swap) {
+                               // A conflict: the record of the life before has yet to run out.
+                               m_recorded = swap.outcome == StoreSwapOutcome::Written;
+                           });
+}
+
+void ServingDaemon::form(TimePoint now)
+{
+    if (!m_mirror.complete() || m_stopping)
+        return;
+    m_formation.setNodes(m_presence.live(now));
+    std::map<ModelId, double> demand = m_presence.demand(now);
+    for (const auto &[model, requests] : m_requests.demand())
+        demand[model] += requests;
+    m_formation.setDemand(std::move(demand));
+    FormationActions actions;
+    m_formation.tick(now, actions);
+    for (const FormationAction &action : actions)
+        std::visit([this](const auto &one) { perform(one); }, action);
+}
+
+void ServingDaemon::perform(const SendGroupOrder &order)
+{
+    HttpCall call = m_dialect.writeOrder(order);
+    call.timeLimit = orderTimeLimit;
+    const auto done = [this, vm = order.vm](GroupOrderOutcome outcome) {
+        FormationActions actions;
+        m_formation.orderDone({vm, outcome}, m_loop.now(), actions);
+        for (const FormationAction &action : actions)
+            std::visit([this](const auto &one) { perform(one); }, action);
+    };
+    HttpHooks hooks;
+    hooks.answered = [this, done](const HttpAnswer &answer) {
+        done(m_dialect.readOrderStatus(answer.status));
+    };
+    hooks.broken = [done](const HttpBreak &) { done(GroupOrderOutcome::Unknown); };
+    m_http.send(call, std::move(hooks));
+}
+
+void ServingDaemon::perform(const WritePlan &write)
+{
+    m_store.compareAndSwap(planKey(write.domain), write.expected, serializePlan(write.plan), 0,
+                           [this, write](const StoreSwap &swap) {
+                               const bool written = swap.outcome == StoreSwapOutcome::Written;
+                               m_formation.planWritten(write.domain, write.plan,
+                                                       written ? swap.revision : Revision());
+                               logLine(LogLevel::Info, "plan_written",
+                                       {{"domain", write.domain.value()},
+                                        {"written", written ? "true" : "false"},
+                                        {"expected", std::to_string(write.expected.value())}});
+                           });
+}
+
+void ServingDaemon::perform(const NoteFormation &note)
+{
+    ++m_decisions[note.event];
+    logLine(LogLevel::Info, note.event, {note.fields.begin(), note.fields.end()});
+}
+
+std::string ServingDaemon::planKey(const DomainId &domain) const
+{
+    return m_dialect.ownPrefix + formationPart + domain.value();
+}
+
+bool ServingDaemon::isReady(TimePoint now) const
+{
+    return !m_stopping && m_mirror.complete() && m_requests.isCurrent(now);
+}
+
+void ServingDaemon::noteReadiness(TimePoint now)
+{
+    const bool ready = isReady(now);
+    if (ready == m_ready)
+        return;
+    m_ready = ready;
+    m_presence.setTaking(ready);
+    logLine(LogLevel::Info, ready ? "ready" : "not_ready", {});
+    pulse(now);
+}
+
+void ServingDaemon::sideRequest(const HttpRequest &request)
+{
+    const TimePoint now = m_loop.now();
+    const auto reply = [&](int status, const std::string &type, const std::string &body) {
+        m_sideServer.reply(request.exchange, status, type, body);
+    };
+    if (request.path == m_dialect.readyPath) {
+        const bool ready = isReady(now);
+        reply(ready ? ok : unavailable, "text/plain", ready ? "ready" : "not ready");
+    } else if (request.path == m_dialect.directoryPath) {
+        const ZoneId zone = m_dialect.readDirectoryQuery(request.query);
+        const std::vector<Address> entries = m_presence.entries(zone, leastEntries, now);
+        if (entries.empty())
+            reply(unavailable, "text/plain", "no entry is known");
+        else
+            reply(ok, "application/json", m_dialect.writeDirectory(entries, m_options.entryKeep));
+    } else if (request.path == m_dialect.metricsPath) {
+        reply(ok, "text/plain; version=0.0.4", metricsText());
+    } else {
+        reply(notFound, "text/plain", "unknown path");
+    }
+}
+
+std::string ServingDaemon::metricsText() const
+{
+    std::ostringstream out;
+    for (const auto &[event, count] : m_decisions)
+        out << "bramleypitch_decisions_total{kind=\"" << event << "\"} " << count << "\n";
+    out << gaugeText({"open_requests", "Requests not answered yet.",
+                      static_cast<double>(m_requests.open())});
+    out << gaugeText({"waiting_requests", "Requests that wait for a server.",
+                      static_cast<double>(m_requests.waiting())});
+    out << gaugeText({"backend_servers", "Servers known.",
+                      static_cast<double>(m_backends.size())});
+    out << gaugeText({"owned_domains", "Fabric domains that this node forms groups in.",
+                      static_cast<double>(m_formation.owned())});
+    out << gaugeText({"backend_connections_opened", "Connections opened since the start.",
+                      static_cast<double>(m_relay.connectionsOpened())});
+    out << gaugeText({"log_lines_dropped", "Log lines dropped as the reader was too slow.",
+                      static_cast<double>(droppedLogLines())});
+    out << m_firstEvent.text("first_event_ms", "From arrival to the first event of a stream.");
+    out << m_answered.text("answer_ms", "From arrival to the end of the answer.");
+    return out.str();
+}
+
+void ServingDaemon::finishStop(TimePoint now)
+{
+    const Duration since = now - m_stopAt;
+    if (since >= stopListen && m_requests.open() == 0) {
+        m_relay.callers().stopListening();
+        if (m_relay.callers().open() == 0) {
+            logLine(LogLevel::Info, "stopped", {{"after_ms", text(since)}});
+            flushLog();
+            m_loop.stop();
+            return;
+        }
+    }
+    if (since >= m_options.stopTime - stopMargin) {
+        logLine(LogLevel::Warning, "stopped",
+                {{"after_ms", text(since)},
+                 {"open_requests", std::to_string(m_requests.open())}});
+        flushLog();
+        m_loop.stop();
+    }
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/network/stream_socket.cpp
@@ -0,0 +1,136 @@
+#include "network/stream_socket.h"
+
+#include "core/error_type.h"
+#include "network/address_func.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace bramleypitch {
+
+namespace {
+
+/// Bytes that are read ahead of what their receiver takes.
+constexpr std::size_t readAhead = 256 * 1024;
+/// Written bytes that the peer does not acknowledge for so long end the connection: a partition or
+/// a machine without power shows no other way.
+constexpr unsigned unacknowledgedTimeoutMs = 3'000;
+
+} // namespace
+
+StreamSocket::StreamSocket(EventLoop &loop, int descriptor, SocketHooks hooks)
+    : m_hooks(std::move(hooks))
+    , m_events(bufferevent_socket_new(loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE))
+    , m_connected(true)
+{
+    setOptions(descriptor);
+    bufferevent_setcb(m_events, onRead, onWrite, onEvent, this);
+    bufferevent_setwatermark(m_events, EV_READ, 0, readAhead);
+    bufferevent_enable(m_events, EV_READ | EV_WRITE);
+}
+
+StreamSocket::StreamSocket(EventLoop &loop, const Address &address, SocketHooks hooks)
+    : m_hooks(std::move(hooks))
+    , m_events(bufferevent_socket_new(loop.base(), -1,
+                                      BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS))
+{
+    bufferevent_setcb(m_events, onRead, onWrite, onEvent, this);
+    bufferevent_setwatermark(m_events, EV_READ, 0, readAhead);
+    const HostPort peer = parseAddress(address);
+    sockaddr_in target {};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(peer.port);
+    if (inet_pton(AF_INET, peer.host.c_str(), &target.sin_addr) != 1)
+        throw Failure(ErrorCode::InvalidSetting, address.value() + " is not an IPv4 address");
+    // Callbacks are deferred, so an immediate failure comes after the constructor, too.
+    bufferevent_socket_connect(m_events, reinterpret_cast<sockaddr *>(&target), sizeof(target));
+    setOptions(bufferevent_getfd(m_events));
+}
+
+StreamSocket::~StreamSocket()
+{
+    bufferevent_free(m_events);
+}
+
+void StreamSocket::setOptions(int descriptor)
+{
+    const int on = 1;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedTimeoutMs,
+               sizeof(unacknowledgedTimeoutMs));
+}
+
+std::string_view StreamSocket::received()
+{
+    evbuffer *input = bufferevent_get_input(m_events);
+    const std::size_t length = evbuffer_get_length(input);
+    if (length == 0)
+        return {};
+    return {reinterpret_cast<const char *>(evbuffer_pullup(input, -1)), length};
+}
+
+void StreamSocket::consume(std::size_t bytes)
+{
+    evbuffer_drain(bufferevent_get_input(m_events), bytes);
+}
+
+void StreamSocket::write(std::string_view bytes)
+{
+    if (m_connected && waiting() == 0) {
+        const ssize_t sent = ::send(bufferevent_getfd(m_events), bytes.data(), bytes.size(),
+                                    MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (sent > 0)
+            bytes.remove_prefix(static_cast<std::size_t>(sent));
+        // An error shows again when the bufferevent writes or reads.
+    }
+    if (!bytes.empty())
+        bufferevent_write(m_events, bytes.data(), bytes.size());
+}
+
+std::size_t StreamSocket::waiting() const
+{
+    return evbuffer_get_length(bufferevent_get_output(m_events));
+}
+
+void StreamSocket::setReading(bool reading)
+{
+    if (reading)
+        bufferevent_enable(m_events, EV_READ);
+    else
+        bufferevent_disable(m_events, EV_READ);
+}
+
+void StreamSocket::onRead(bufferevent *, void *self)
+{
+    const auto hook = static_cast<StreamSocket *>(self)->m_hooks.readable;
+    if (hook)
+        hook();
+}
+
+void StreamSocket::onWrite(bufferevent *, void *self)
+{
+    const auto hook = static_cast<StreamSocket *>(self)->m_hooks.drained;
+    if (hook)
+        hook();
+}
+
+void StreamSocket::onEvent(bufferevent *, short what, void *self)
+{
+    auto *socket = static_cast<StreamSocket *>(self);
+    if (what & BEV_EVENT_CONNECTED) {
+        socket->m_connected = true;
+        bufferevent_enable(socket->m_events, EV_READ | EV_WRITE);
+        const auto hook = socket->m_hooks.connected;
+        if (hook)
+            hook();
+        return;
+    }
+    const auto hook = socket->m_hooks.closed;
+    if (hook)
+        hook((what & BEV_EVENT_EOF) != 0);
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/platform/platform_serve.cpp
@@ -0,0 +1,51 @@
+#include "platform/platform_serve.h"
+
+#include "core/error_type.h"
+#include "network/log.h"
+#include "platform/platform_dialect.h"
+#include "platform/platform_settings.h"
+#include "platform/platform_store.h"
+
+#include <csignal>
+#include <cstdlib>
+
+namespace bramleypitch::platform {
+
+namespace {
+
+constexpr std::uint16_t metricsPort = 7'354; ///< Stands in the deploy file as well.
+
+} // namespace
+
+bool isPlatformStart()
+{
+    return std::getenv(settingsVariable) != nullptr;
+}
+
+void runPlatformServe()
+{
+    const std::string path = std::getenv(settingsVariable);
+    const SettingsFile file = SettingsFile::read(path);
+    const ServingOptions options = servingOptions(file, metricsPort);
+    startLog(LogFormat::KeyValue, LogLevel::Info, options.node.value());
+    std::signal(SIGPIPE, SIG_IGN);
+    EventLoop loop;
+    HttpClient http(loop);
+    PlatformStore store(http, storeAddress(file));
+    ServingDaemon daemon(loop, options, servingDialect(), store, http);
+    const auto reload = [&] {
+        try {
+            daemon.reload(servingOptions(SettingsFile::read(path), metricsPort));
+        } catch (const Failure &failure) {
+            logLine(LogLevel::Warning, "settings_unreadable",
+                    {{"path", path}, {"reason", failure.what()}});
+        }
+    };
+    const SignalWatch terminate(loop, SIGTERM, [&] { daemon.stop(); });
+    const SignalWatch interrupt(loop, SIGINT, [&] { daemon.stop(); });
+    const SignalWatch hangUp(loop, SIGHUP, reload);
+    daemon.start();
+    loop.run();
+}
+
+} // namespace bramleypitch::platform
--- /dev/null
+++ b/src/platform/platform_server_entry.cpp
@@ -0,0 +1,86 @@
+#include "core/error_type.h"
+#include "platform/platform_dialect.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bramleypitch::platform {
+
+namespace {
+
+using nlohmann::json;
+
+MemberState readState(const std::string &state)
+{
+    if (state == "joining")
+        return MemberState::Joining;
+    if (state == "ready")
+        return MemberState::Ready;
+    if (state == "open")
+        return MemberState::Open;
+    if (state == "closing")
+        return MemberState::Closing;
+    if (state == "broken")
+        return MemberState::Broken;
+    throw Failure(ErrorCode::PlatformProtocol, "group.state: \"" + state + "\" is not known");
+}
+
+GroupClaim readClaim(const json &entry)
+{
+    GroupClaim claim;
+    const auto group = entry.find("group");
+    if (group == entry.end() || !group->is_object())
+        return claim;
+    claim.name = GroupId(group->at("name").get<std::string>());
+    if (claim.name.value().empty())
+        return claim;
+    claim.generation = Generation(group->at("epoch").get<std::uint64_t>());
+    claim.rank = group->value("rank", 0U);
+    claim.state = readState(group->at("state").get<std::string>());
+    return claim;
+}
+
+/// A staged model or a domain may come as a name, a number or an object with a name.
+std::string readName(const json &value)
+{
+    if (value.is_string())
+        return value.get<std::string>();
+    if (value.is_object())
+        return value.at("name").get<std::string>();
+    return value.dump();
+}
+
+} // namespace
+
+BackendReport readServer(const VmId &id, const std::string &text)
+{
+    try {
+        const json entry = json::parse(text);
+        BackendReport report;
+        report.id = id;
+        report.service = ServiceId(entry.at("service").get<std::string>());
+        report.address = Address(entry.at("address").get<std::string>());
+        report.zone = ZoneId(entry.at("zone").get<std::string>());
+        report.slots = entry.value("slots", 0U);
+        const std::string state = entry.at("state").get<std::string>();
+        if (state != "ready" && state != "draining")
+            throw Failure(ErrorCode::PlatformProtocol, "state: \"" + state + "\" is not known");
+        report.draining = state == "draining";
+        report.coldFor = Duration(entry.value("cold_remaining_ms", std::int64_t {0}));
+        // "seq_num" counts the entry's writes here, not the orders that the server began.
+        report.startedAt = entry.value("born", std::int64_t {0});
+        if (entry.contains("domain"))
+            report.domain = DomainId(readName(entry["domain"]));
+        if (entry.contains("models") && !entry["models"].empty())
+            report.model = ModelId(readName(entry["models"].front()));
+        if (entry.contains("staged")) {
+            for (const json &model : entry["staged"])
+                report.staged.emplace_back(readName(model));
+        }
+        report.group = readClaim(entry);
+        return report;
+    } catch (const json::exception &error) {
+        throw Failure(ErrorCode::PlatformProtocol, std::string("server: ") + error.what());
+    }
+}
+
+} // namespace bramleypitch::platform
--- /dev/null
+++ b/src/platform/platform_settings.cpp
@@ -0,0 +1,127 @@
+#include "platform/platform_settings.h"
+
+#include "core/error_type.h"
+
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace bramleypitch::platform {
+
+namespace {
+
+/// Tried within the bound on keys that were taken away: the proof of a configuration must be
+/// younger by the time that a request takes to reach a server.
+constexpr double keyFreshnessShare = 0.75;
+constexpr double millisecondsPerSecond = 1'000;
+/// A head that cannot be reached notices after this bound that its members left; one second more
+/// for what is under way.
+constexpr double headLossMargin = 1'000;
+
+Duration milliseconds(double value)
+{
+    return Duration(static_cast<Duration::rep>(value));
+}
+
+} // namespace
+
+const char *const settingsVariable = "BRAMLEYPITCH_BOOT";
+
+SettingsFile SettingsFile::read(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file)
+        throw Failure(ErrorCode::InvalidSetting, "the settings file " + path + " cannot be read");
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parse(text.str());
+}
+
+SettingsFile SettingsFile::parse(const std::string &text)
+{
+    SettingsFile file;
+    std::istringstream lines(text);
+    std::string line;
+    while (std::getline(lines, line)) {
+        const std::size_t equals = line.find('=');
+        if (equals != std::string::npos)
+            file.m_values[line.substr(0, equals)] = line.substr(equals + 1);
+    }
+    return file;
+}
+
+const std::string &SettingsFile::text(const std::string &name) const
+{
+    const auto found = m_values.find(name);
+    if (found == m_values.end())
+        throw Failure(ErrorCode::MissingSetting, name + ": must be given");
+    return found->second;
+}
+
+std::string SettingsFile::text(const std::string &name, const std::string &fallback) const
+{
+    const auto found = m_values.find(name);
+    return found == m_values.end() ? fallback : found->second;
+}
+
+double SettingsFile::number(const std::string &name, double fallback) const
+{
+    const auto found = m_values.find(name);
+    if (found == m_values.end() || found->second.empty())
+        return fallback;
+    double value = 0;
+    const std::string &text = found->second;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc() || end != text.data() + text.size())
+        throw Failure(ErrorCode::InvalidSetting, name + ": \"" + text + "\" is not a number");
+    return value;
+}
+
+bool SettingsFile::boolean(const std::string &name, bool fallback) const
+{
+    const auto found = m_values.find(name);
+    if (found == m_values.end() || found->second.empty())
+        return fallback;
+    if (found->second != "true" && found->second != "false")
+        throw Failure(ErrorCode::InvalidSetting, name + ": must be true or false");
+    return found->second == "true";
+}
+
+ServingOptions servingOptions(const SettingsFile &file, std::uint16_t metricsPort)
+{
+    ServingOptions options;
+    const std::string &ip = file.text("ip");
+    const std::string &ports = file.text("internal_ports");
+    options.node = NodeId(file.text("node_name"));
+    options.zone = ZoneId(file.text("zone"));
+    options.front = Address(file.text("listen.front"));
+    options.ready = Address(file.text("listen.ready"));
+    options.directory = Address(file.text("listen.directory"));
+    options.pulse = Address(ip + ":" + ports.substr(0, ports.find(',')));
+    if (metricsPort != 0)
+        options.metrics = Address(ip + ":" + std::to_string(metricsPort));
+    options.firstStart = file.boolean("first_start", false);
+    options.stopTime = milliseconds(file.number("bounds.grace_s", 8) * millisecondsPerSecond);
+
+    RequestOptions &requests = options.requests;
+    requests.zone = options.zone;
+    requests.retries.ratio = file.number("bounds.retry_ratio", requests.retries.ratio);
+    requests.retries.slack = file.number("bounds.retry_slack", requests.retries.slack);
+    requests.retries.window =
+        milliseconds(file.number("bounds.retry_window_s", 10) * millisecondsPerSecond);
+    requests.failClosed = file.boolean("bounds.fail_closed", true);
+    requests.keyFreshness =
+        milliseconds(file.number("bounds.revoke_ms", 5'000) * keyFreshnessShare);
+
+    options.formation.node = options.node;
+    options.formation.headLossWait =
+        milliseconds(file.number("bounds.stall_ms", 5'000) + headLossMargin);
+    return options;
+}
+
+Address storeAddress(const SettingsFile &file)
+{
+    return Address(file.text("platform.address"));
+}
+
+} // namespace bramleypitch::platform
--- /dev/null
+++ b/src/platform/platform_store.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "network/http_client.h"
+#include "network/store_client.h"
+
+namespace bramleypitch::platform {
+
+/// The platform's store: calls /v1/kv-*, bodies in JSON, values in base64.
+class PlatformStore : public StoreClient
+{
+public:
+    PlatformStore(HttpClient &http, Address address);
+
+    void readPage(const std::string &prefix, const std::string &after,
+                  const std::function<void(const StoreNews &)> &done) override;
+    void watch(const std::string &prefix, Revision above, Duration wait,
+               const std::function<void(const StoreNews &)> &done) override;
+    void compareAndSwap(const std::string &key, Revision expected, const std::string &value,
+                        std::int64_t lease,
+                        const std::function<void(const StoreSwap &)> &done) override;
+    void grantLease(Duration timeToLive,
+                    const std::function<void(const StoreLease &)> &done) override;
+    void keepLeaseAlive(std::int64_t lease,
+                        const std::function<void(const StoreLease &)> &done) override;
+    void revokeLease(std::int64_t lease, const std::function<void()> &done) override;
+
+private:
+    HttpCall call(const std::string &method, const std::string &path,
+                  const std::string &body = {}) const;
+
+    HttpClient &m_http;
+    Address m_address;
+};
+
+} // namespace bramleypitch::platform
--- /dev/null
+++ b/src/request/backend_base.cpp
@@ -0,0 +1,164 @@
+#include "request/backend_base.h"
+
+#include <algorithm>
+
+namespace bramleypitch {
+
+void BackendTable::update(const BackendReport &report, TimePoint now)
+{
+    const auto found = m_byId.find(report.id);
+    if (found == m_byId.end()) {
+        Backend backend;
+        backend.report = report;
+        backend.reportedAt = now;
+        backend.coldUntil = now + report.coldFor;
+        m_byId.emplace(report.id, m_pool.insert(std::move(backend)));
+        changed();
+        return;
+    }
+    Backend &backend = *m_pool.find(found->second);
+    if (backend.report.startedAt != report.startedAt) {
+        backend.gapMs = 0;
+        backend.suspectUntil = TimePoint();
+    }
+    if (backend.report != report || backend.lapsed)
+        changed();
+    backend.lapsed = false;
+    backend.report = report;
+    backend.reportedAt = now;
+    backend.coldUntil = now + report.coldFor;
+}
+
+void BackendTable::erase(const VmId &id)
+{
+    const auto found = m_byId.find(id);
+    if (found == m_byId.end())
+        return;
+    m_pool.erase(found->second);
+    m_byId.erase(found);
+    changed();
+}
+
+void BackendTable::setLapsed(const VmId &id, bool lapsed)
+{
+    if (Backend *backend = find(id); backend && backend->lapsed != lapsed) {
+        backend->lapsed = lapsed;
+        changed();
+    }
+}
+
+Backend *BackendTable::find(const VmId &id)
+{
+    const auto found = m_byId.find(id);
+    return found == m_byId.end() ? nullptr : m_pool.find(found->second);
+}
+
+const Backend *BackendTable::find(const VmId &id) const
+{
+    const auto found = m_byId.find(id);
+    return found == m_byId.end() ? nullptr : m_pool.find(found->second);
+}
+
+void BackendTable::countMembers() const
+{
+    if (m_membersVersion == m_version)
+        return;
+    m_membersVersion = m_version;
+    m_presentMembers.clear();
+    m_pool.forEach([&](BackendIndex, const Backend &backend) {
+        const GroupClaim &claim = backend.report.group;
+        const bool working = claim.state == MemberState::Ready || claim.state == MemberState::Open;
+        if (working && !backend.report.draining)
+            ++m_presentMembers[{claim.name, claim.generation}];
+    });
+}
+
+bool BackendTable::isServable(const Backend &backend,
+                              const ServingConfiguration &configuration) const
+{
+    if (backend.report.draining)
+        return false;
+    const EngineSpec *engine = configuration.engineOf(backend.report.service);
+    if (!engine)
+        return true;
+    const GroupClaim &claim = backend.report.group;
+    if (claim.state != MemberState::Open || claim.rank != 0)
+        return false;
+    const ServedModel *model =
+        configuration.findModel(backend.report.service, backend.report.model);
+    if (!model)
+        return false;
+    countMembers();
+    const auto present = m_presentMembers.find({claim.name, claim.generation});
+    return present != m_presentMembers.end() && present->second >= model->span;
+}
+
+const std::vector<BackendIndex> &
+BackendTable::targets(const ServiceId &service, const ModelId &model,
+                      const ServingConfiguration &configuration)
+{
+    TargetList &list = m_targets[{service, model}];
+    if (list.version == m_version && list.configuration == configuration.version)
+        return list.servers;
+    list.version = m_version;
+    list.configuration = configuration.version;
+    list.servers.clear();
+    const bool byModel = configuration.engineOf(service) != nullptr;
+    m_pool.forEach([&](BackendIndex index, Backend &backend) {
+        if (backend.report.service != service || !isServable(backend, configuration))
+            return;
+        if (!byModel || backend.report.model == model)
+            list.servers.push_back(index);
+    });
+    return list.servers;
+}
+
+std::vector<const Backend *> BackendTable::inDomain(const DomainId &domain) const
+{
+    std::vector<const Backend *> members;
+    m_pool.forEach([&](BackendIndex, const Backend &backend) {
+        if (backend.report.domain == domain)
+            members.push_back(&backend);
+    });
+    std::sort(members.begin(), members.end(), [](const Backend *a, const Backend *b) {
+        return a->report.id < b->report.id;
+    });
+    return members;
+}
+
+std::set<DomainId> BackendTable::domains() const
+{
+    std::set<DomainId> named;
+    m_pool.forEach([&](BackendIndex, const Backend &backend) {
+        if (!backend.report.domain.value().empty())
+            named.insert(backend.report.domain);
+    });
+    return named;
+}
+
+void BackendTable::setPeerRunning(const NodeId &peer, const RunningCounts &counts)
+{
+    if (counts.empty())
+        m_peers.erase(peer);
+    else
+        m_peers[peer] = counts;
+    m_pool.forEach([](BackendIndex, Backend &backend) { backend.peersRunning = 0; });
+    for (const auto &[node, running] : m_peers) {
+        for (const auto &[id, count] : running) {
+            if (Backend *backend = find(id))
+                backend->peersRunning += count;
+        }
+    }
+}
+
+RunningCounts BackendTable::ownRunning() const
+{
+    RunningCounts counts;
+    m_pool.forEach([&](BackendIndex, const Backend &backend) {
+        if (backend.ownRunning > 0)
+            counts[backend.report.id] = backend.ownRunning;
+    });
+    return counts;
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/request/backend_type.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "core/strong_type.h"
+#include "core/time_type.h"
+#include "request/serving_type.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace bramleypitch {
+
+using BackendIndex = StrongType<struct BackendIndexTag, std::uint32_t>;
+
+/// Where a VM stands in the group that it belongs to.
+enum class MemberState {
+    None, ///< It belongs to no group.
+    Joining,
+    Ready, ///< It holds the weights and waits, or works for the head.
+    Open, ///< It is the head and takes requests.
+    Closing,
+    Broken,
+};
+
+/// The group that a VM says it belongs to.
+struct GroupClaim
+{
+    GroupId name; ///< Empty: none.
+    Generation generation;
+    std::uint32_t rank = 0; ///< 0 is the head.
+    MemberState state = MemberState::None;
+
+    bool operator==(const GroupClaim &) const = default;
+};
+
+/// What a backend server last said of itself.
+struct BackendReport
+{
+    VmId id;
+    ServiceId service;
+    Address address;
+    ZoneId zone;
+    DomainId domain;
+    std::uint32_t slots = 0;
+    bool draining = false;
+    Duration coldFor {0}; ///< How much longer it bears only a little load.
+    ModelId model; ///< That it runs or ran last; empty for none and for plain servers.
+    std::vector<ModelId> staged; ///< Whose weights lie on the VM.
+    GroupClaim group;
+    std::int64_t startedAt = 0; ///< Unix milliseconds; tells one life from the next.
+
+    bool operator==(const BackendReport &) const = default;
+};
+
+/// A backend server with what is known of it here.
+struct Backend
+{
+    BackendReport report;
+    TimePoint reportedAt; ///< When this node learnt the report.
+    TimePoint coldUntil;
+    bool lapsed = false; ///< Its entry vanished while the store was away; it may come back.
+    std::uint32_t ownRunning = 0; ///< Requests of this node on it.
+    std::uint32_t peersRunning = 0; ///< Requests of the other nodes, as they last said.
+    TimePoint suspectUntil; ///< It failed a request or stalled: others go first until then.
+    TimePoint lastProgress; ///< When it last sent anything of an answer.
+    TimePoint progressExpectedSince; ///< Since when requests of this node wait on it.
+    double gapMs = 0; ///< Smoothed milliseconds between events of a stream; 0 before the first.
+    TimePoint nextColdDispatch; ///< While cold: before this, this node sends it nothing.
+};
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/request/presence_type.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "request/backend_base.h"
+
+#include <map>
+
+namespace bramleypitch {
+
+/// A node's record in the store; it goes with the node's lease.
+struct PresenceRecord
+{
+    NodeId node;
+    ZoneId zone;
+    Address front; ///< Where callers connect.
+    Address peer; ///< Where pulses are sent.
+
+    bool operator==(const PresenceRecord &) const = default;
+};
+
+/// What a node tells the others several times a second.
+struct Pulse
+{
+    NodeId node;
+    std::int64_t life = 0; ///< Differs between the lives of a node.
+    std::int64_t number = 0; ///< Counts up within a life.
+    bool taking = false; ///< It takes requests of callers.
+    RunningCounts running; ///< Its requests, by server.
+    std::map<ModelId, std::uint32_t> demand; ///< Its requests running or waiting, by model.
+};
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/request/request_system.cpp
@@ -0,0 +1,564 @@
+#include "request/request_system.h"
+
+#include "core/rendezvous_func.h"
+
+#include <algorithm>
+
+namespace bramleypitch {
+
+namespace {
+
+/// A request may meet so many servers that turn it away before it is given up.
+constexpr std::size_t maxServersTried = 5;
+/// A request that would start so much after its response-time goal is turned away: the caller
+/// learns at once, and what waits behind it is not made late as well.
+constexpr Duration lateAllowance {500};
+constexpr Duration rateInterval {500}; ///< Between looks at how fast servers free up.
+constexpr double rateSmoothing = 0.5;
+constexpr double timeSmoothing = 0.1;
+constexpr double gapSmoothing = 0.1;
+constexpr Duration deadlineInterval {40}; ///< Between looks at deadlines and silent streams.
+constexpr Duration leastRetryAfter {100};
+/// Callers come back within a third of the time that they have left.
+constexpr int retryAfterShare = 3;
+constexpr int firstServerError = 500;
+constexpr double microShare = 1'000'000; ///< Steps in which weights are dealt out.
+
+std::string text(Duration duration)
+{
+    return std::to_string(duration.count());
+}
+
+Duration between(TimePoint earlier, TimePoint later)
+{
+    return std::max(later - earlier, Duration(0));
+}
+
+/// Picks by weight, the same service for the same request on every look.
+const WeightedService &pickService(const RouteSpec &route, const std::string &traceId)
+{
+    double total = 0;
+    for (const WeightedService &service : route.services)
+        total += service.weight;
+    const auto steps = static_cast<std::uint64_t>(microShare);
+    double left = total * static_cast<double>(stableHash(traceId) % steps) / microShare;
+    for (const WeightedService &service : route.services) {
+        left -= service.weight;
+        if (left < 0)
+            return service;
+    }
+    return route.services.back();
+}
+
+/// Time from dispatch to the first event, by the engine's published figures.
+Duration expectedStart(const ServingConfiguration &configuration, const ServiceId &service,
+                       const RequestArrival &arrival)
+{
+    const EngineSpec *engine = configuration.engineOf(service);
+    const ServedModel *model = configuration.findModel(service, arrival.model);
+    if (!engine || !model)
+        return Duration(0);
+    const double prefill = arrival.promptTokens / std::max(engine->promptTokensPerMs, 1.0);
+    const double pass =
+        engine->stride * (engine->stepMs + engine->slots * engine->perSequenceMs);
+    return Duration(static_cast<Duration::rep>((prefill + 2 * pass) * model->pace));
+}
+
+} // namespace
+
+RequestSystem::RequestSystem(RequestOptions options, BackendTable &backends)
+    : m_options(std::move(options))
+    , m_backends(backends)
+{
+}
+
+void RequestSystem::setConfiguration(ServingConfigurationPtr configuration)
+{
+    m_configuration = std::move(configuration);
+}
+
+bool RequestSystem::isCurrent(TimePoint now) const
+{
+    return m_configuration
+        && (!m_options.failClosed || now - m_provenAt <= m_options.keyFreshness);
+}
+
+std::size_t RequestSystem::waiting() const
+{
+    std::size_t sum = 0;
+    for (const auto &[key, target] : m_targets)
+        sum += target.waiting.size();
+    return sum;
+}
+
+std::map<ModelId, std::uint32_t> RequestSystem::demand() const
+{
+    std::map<ModelId, std::uint32_t> sum;
+    for (const auto &[id, request] : m_requests) {
+        if (!request.arrival.model.value().empty())
+            ++sum[request.arrival.model];
+    }
+    return sum;
+}
+
+RetryAllowance &RequestSystem::retries(const ServiceId &service)
+{
+    return m_retries.try_emplace(service, m_options.retries).first->second;
+}
+
+RequestSystem::Request *RequestSystem::find(RequestId request, AttemptNumber attempt)
+{
+    const auto found = m_requests.find(request);
+    if (found == m_requests.end() || !found->second.running || found->second.attempt != attempt)
+        return nullptr;
+    return &found->second;
+}
+
+std::optional<ErrorCode> RequestSystem::denial(const RequestArrival &arrival, TimePoint now) const
+{
+    if (!m_configuration)
+        return ErrorCode::ConfigurationStale;
+    const bool provenLately = now - m_provenAt <= m_options.denialFreshness;
+    const RouteSpec *route = m_configuration->findRoute(arrival.host, arrival.path);
+    if (!route || route->services.empty())
+        return provenLately ? ErrorCode::UnknownPath : ErrorCode::ConfigurationStale;
+    if (route->keyless || m_configuration->organisations.empty())
+        return std::nullopt;
+    if (!isCurrent(now))
+        return ErrorCode::ConfigurationStale;
+    if (!m_configuration->findKey(arrival.key))
+        return provenLately ? ErrorCode::Unauthorized : ErrorCode::ConfigurationStale;
+    return std::nullopt;
+}
+
+void RequestSystem::arrived(const RequestArrival &arrival, TimePoint now, RequestActions &actions)
+{
+    Request &request = m_requests[arrival.request];
+    request.arrival = arrival;
+    request.arrivedAt = now;
+    if (const std::optional<ErrorCode> denied = denial(arrival, now)) {
+        const bool temporary = *denied == ErrorCode::ConfigurationStale;
+        refuse(request, *denied,
+               temporary ? std::optional(m_options.retryLater) : std::nullopt, "configuration",
+               now, actions);
+        return;
+    }
+    const RouteSpec &route = *m_configuration->findRoute(arrival.host, arrival.path);
+    request.route = route.name;
+    request.kind = route.kind;
+    request.keyless = route.keyless;
+    request.maxAttempts = std::max<std::uint32_t>(route.maxAttempts, 1);
+    request.targetGap = route.targetGap;
+    request.priority = route.priority;
+    if (!route.keyless) {
+        if (const ServedOrganisation *organisation = m_configuration->findKey(arrival.key)) {
+            request.organisation = organisation->name;
+            request.priority = organisation->priority.value_or(route.priority);
+        }
+    }
+    request.service = pickService(route, arrival.traceId).service;
+    const Duration limit = std::min(route.timeout, arrival.timeLimit.value_or(route.timeout));
+    request.deadline = now + limit;
+    request.onTimeUntil = now + route.targetLatency
+        - expectedStart(*m_configuration, request.service, arrival);
+    retries(request.service).requestArrived(now);
+    wait(request, now);
+    const TargetKey key {request.service, arrival.model};
+    startWaiting(key, m_targets[key], now, actions);
+
+    const auto still = m_requests.find(arrival.request);
+    if (still == m_requests.end() || still->second.running)
+        return;
+    const TargetChoice choice = chooseTarget(m_backends, choiceInput(still->second), now);
+    if (choice.outcome == TargetChoice::Outcome::None) {
+        refuse(still->second, ErrorCode::NoCapacity, m_options.retryLater, "no_server", now,
+               actions);
+    } else if (const auto wait = waitTooLong(still->second, m_targets[key], now)) {
+        refuse(still->second, ErrorCode::QueueFull, *wait, "queue", now, actions);
+    }
+}
+
+std::optional<Duration> RequestSystem::waitTooLong(const Request &request, const Target &target,
+                                                   TimePoint now) const
+{
+    if (request.answering || target.departuresPerSecond <= 0)
+        return std::nullopt;
+    const double seconds =
+        static_cast<double>(target.waiting.size()) / target.departuresPerSecond;
+    const Duration wait(static_cast<Duration::rep>(seconds * 1'000));
+    if (now + wait <= request.onTimeUntil + lateAllowance)
+        return std::nullopt;
+    return wait;
+}
+
+void RequestSystem::wait(Request &request, TimePoint now)
+{
+    WaitingRequest entry;
+    entry.request = request.arrival.request;
+    entry.since = request.arrivedAt;
+    entry.onTimeUntil = request.onTimeUntil;
+    entry.deadline = request.deadline;
+    entry.priority = request.priority;
+    entry.answering = request.answering;
+    request.lastProgress = now;
+    m_targets[{request.service, request.arrival.model}].waiting.push_back(entry);
+}
+
+ChoiceInput RequestSystem::choiceInput(const Request &request) const
+{
+    ChoiceInput input;
+    input.configuration = m_configuration.get();
+    input.zonesOut = &m_zonesOut;
+    input.tried = &request.tried;
+    input.service = request.service;
+    input.model = request.arrival.model;
+    input.ownZone = m_options.zone;
+    input.nodes = m_nodes;
+    return input;
+}
+
+bool RequestSystem::mayStillRun(const Request &request, TimePoint now) const
+{
+    if (denial(request.arrival, now))
+        return false;
+    const RouteSpec &route =
+        *m_configuration->findRoute(request.arrival.host, request.arrival.path);
+    return std::any_of(route.services.begin(), route.services.end(), [&](const auto &weighted) {
+        return weighted.service == request.service;
+    });
+}
+
+void RequestSystem::startWaiting(const TargetKey &, Target &target, TimePoint now,
+                                 RequestActions &actions)
+{
+    while (!target.waiting.empty() && m_configuration) {
+        const std::size_t next = nextToStart(target.waiting, now);
+        Request &request = m_requests.at(target.waiting[next].request);
+        const TargetChoice choice = chooseTarget(m_backends, choiceInput(request), now);
+        if (choice.outcome != TargetChoice::Outcome::Chosen)
+            return;
+        target.waiting.erase(target.waiting.begin() + static_cast<std::ptrdiff_t>(next));
+        if (!mayStillRun(request, now)) {
+            // The configuration changed while it waited; the caller's repeat meets the new one.
+            refuse(request, ErrorCode::ConfigurationStale, leastRetryAfter, "changed", now,
+                   actions);
+            continue;
+        }
+        if (request.deadline - now < m_options.leastTimeLeft) {
+            refuse(request, ErrorCode::DeadlineUnreachable, std::nullopt, "deadline", now,
+                   actions);
+            continue;
+        }
+        dispatch(request, choice.server, now, actions);
+    }
+}
+
+void RequestSystem::dispatch(Request &request, BackendIndex server, TimePoint now,
+                             RequestActions &actions)
+{
+    Backend &backend = *m_backends.find(server);
+    if (request.attempt.value() > request.unsentAttempts)
+        retries(request.service).repeated(now);
+    request.attempt = AttemptNumber(request.attempt.value() + 1);
+    request.server = backend.report.id;
+    request.running = true;
+    request.dispatchedAt = now;
+    request.lastProgress = now;
+    ++request.attemptsUsed;
+    ++backend.ownRunning;
+    if (now < backend.coldUntil) {
+        const ServedService &service = m_configuration->services.at(request.service);
+        backend.nextColdDispatch = now + coldInterval(service, m_nodes);
+    }
+    DispatchAttempt action;
+    action.request = request.arrival.request;
+    action.attempt = request.attempt;
+    action.server = backend.report.id;
+    action.address = backend.report.address;
+    action.organisation = request.organisation;
+    action.timeLeft = request.deadline - now;
+    action.freshConnection = request.attempt.value() > 1;
+    actions.push_back(action);
+    actions.push_back(NoteDecision {
+        request.arrival.traceId,
+        "request_dispatched",
+        {{"server", backend.report.id.value()},
+         {"attempt", std::to_string(request.attempt.value())},
+         {"waited_ms", text(between(request.arrivedAt, now))},
+         {"left_ms", text(action.timeLeft)},
+         {"running", std::to_string(backend.ownRunning)},
+         {"peers_running", std::to_string(backend.peersRunning)},
+         {"report_age_ms", text(between(backend.reportedAt, now))},
+         {"version", std::to_string(m_configuration->version)}}});
+}
+
+void RequestSystem::endAttempt(Request &request, TimePoint now)
+{
+    request.running = false;
+    if (Backend *backend = m_backends.find(request.server); backend && backend->ownRunning > 0)
+        --backend->ownRunning;
+    Target &target = m_targets[{request.service, request.arrival.model}];
+    ++target.departures;
+    const auto took = static_cast<double>(between(request.dispatchedAt, now).count());
+    target.serviceMs =
+        target.serviceMs > 0 ? target.serviceMs + timeSmoothing * (took - target.serviceMs) : took;
+}
+
+void RequestSystem::finish(RequestId id)
+{
+    const auto found = m_requests.find(id);
+    if (found == m_requests.end())
+        return;
+    auto &waiting = m_targets[{found->second.service, found->second.arrival.model}].waiting;
+    const auto entry = std::find_if(waiting.begin(), waiting.end(),
+                                    [&](const auto &other) { return other.request == id; });
+    if (entry != waiting.end())
+        waiting.erase(entry);
+    m_requests.erase(found);
+}
+
+void RequestSystem::refuse(Request &request, ErrorCode code, std::optional<Duration> retryAfter,
+                           const char *cause, TimePoint now, RequestActions &actions)
+{
+    const RequestId id = request.arrival.request;
+    const char *event = "request_refused";
+    if (request.hasAnswer) {
+        event = "request_answered";
+        actions.push_back(DeliverAnswer {id});
+    } else if (request.answering) {
+        event = "answer_broken";
+        actions.push_back(BreakAnswer {id});
+    } else {
+        RefuseRequest refusal;
+        refusal.request = id;
+        refusal.code = code;
+        refusal.run = request.mayHaveRun ? RunOutcome::MayHaveRun : RunOutcome::NotRun;
+        if (retryAfter && !request.mayHaveRun) {
+            const Duration most = between(now, request.deadline) / retryAfterShare;
+            refusal.retryAfter = request.deadline == TimePoint()
+                ? *retryAfter
+                : std::clamp(*retryAfter, leastRetryAfter, std::max(most, leastRetryAfter));
+        }
+        actions.push_back(refusal);
+    }
+    actions.push_back(NoteDecision {
+        request.arrival.traceId,
+        event,
+        {{"error", errorName(code)},
+         {"cause", cause},
+         {"route", request.route.value()},
+         {"service", request.service.value()},
+         {"model", request.arrival.model.value()},
+         {"attempts", std::to_string(request.attempt.value())},
+         {"may_have_run", request.mayHaveRun ? "true" : "false"},
+         {"age_ms", text(between(request.arrivedAt, now))},
+         {"version", m_configuration ? std::to_string(m_configuration->version) : "none"},
+         {"proof_age_ms", text(between(m_provenAt, now))}}});
+    finish(id);
+}
+
+void RequestSystem::callerGone(RequestId id, TimePoint now, RequestActions &actions)
+{
+    const auto found = m_requests.find(id);
+    if (found == m_requests.end())
+        return;
+    Request &request = found->second;
+    if (request.running) {
+        endAttempt(request, now);
+        actions.push_back(AbandonAttempt {id});
+    }
+    actions.push_back(NoteDecision {request.arrival.traceId,
+                                    "caller_gone",
+                                    {{"age_ms", text(between(request.arrivedAt, now))},
+                                     {"server", request.server.value()}}});
+    finish(id);
+}
+
+void RequestSystem::streamStarted(RequestId id, AttemptNumber attempt, TimePoint now)
+{
+    if (Request *request = find(id, attempt)) {
+        request->answering = true;
+        request->mayHaveRun = true;
+        request->lastProgress = now;
+    }
+}
+
+void RequestSystem::eventPassed(RequestId id, AttemptNumber attempt, TimePoint now)
+{
+    Request *request = find(id, attempt);
+    if (!request)
+        return;
+    if (Backend *backend = m_backends.find(request->server)) {
+        const auto gap = static_cast<double>(between(request->lastProgress, now).count());
+        backend->gapMs =
+            backend->gapMs > 0 ? backend->gapMs + gapSmoothing * (gap - backend->gapMs) : gap;
+        backend->lastProgress = now;
+    }
+    request->lastProgress = now;
+}
+
+void RequestSystem::streamEnded(RequestId id, AttemptNumber attempt, TimePoint now,
+                                RequestActions &actions)
+{
+    Request *request = find(id, attempt);
+    if (!request)
+        return;
+    const TargetKey key {request->service, request->arrival.model};
+    endAttempt(*request, now);
+    actions.push_back(NoteDecision {request->arrival.traceId,
+                                    "request_answered",
+                                    {{"server", request->server.value()},
+                                     {"age_ms", text(between(request->arrivedAt, now))}}});
+    finish(id);
+    startWaiting(key, m_targets[key], now, actions);
+}
+
+void RequestSystem::answered(RequestId id, AttemptNumber attempt, int status, TimePoint now,
+                             RequestActions &actions)
+{
+    Request *request = find(id, attempt);
+    if (!request)
+        return;
+    const TargetKey key {request->service, request->arrival.model};
+    endAttempt(*request, now);
+    if (Backend *backend = m_backends.find(request->server))
+        backend->lastProgress = now;
+    request->hasAnswer = true;
+    request->mayHaveRun = true;
+    const bool mayRepeat = status >= firstServerError
+        && (request->kind == RequestKind::Repeatable
+            || (request->kind == RequestKind::ResumableStream && !request->answering));
+    if (mayRepeat) {
+        retryOrEnd(*request, true, "server_error", now, actions);
+    } else {
+        actions.push_back(DeliverAnswer {id});
+        actions.push_back(NoteDecision {request->arrival.traceId,
+                                        "request_answered",
+                                        {{"server", request->server.value()},
+                                         {"status", std::to_string(status)},
+                                         {"age_ms", text(between(request->arrivedAt, now))}}});
+        finish(id);
+    }
+    startWaiting(key, m_targets[key], now, actions);
+}
+
+void RequestSystem::attemptFailed(RequestId id, AttemptNumber attempt, AttemptFailure failure,
+                                  const VmId &faultyServer, TimePoint now,
+                                  RequestActions &actions)
+{
+    Request *request = find(id, attempt);
+    if (!request)
+        return;
+    endAttempt(*request, now);
+    request->tried.push_back(request->server);
+    Backend *backend = m_backends.find(request->server);
+    if (backend)
+        backend->suspectUntil = now + m_options.suspectFor;
+    if (Backend *faulty = m_backends.find(faultyServer))
+        faulty->suspectUntil = now + m_options.suspectFor;
+    const bool serverGone = !backend || backend->lapsed;
+    bool mayRepeat = true;
+    const char *cause = "broken";
+    switch (failure) {
+    case AttemptFailure::Unsent:
+        cause = "unsent";
+        ++request->unsentAttempts;
+        --request->attemptsUsed;
+        break;
+    case AttemptFailure::NotExecuted:
+        cause = "not_executed";
+        break;
+    case AttemptFailure::Misdirected:
+        cause = "misdirected";
+        --request->attemptsUsed;
+        break;
+    case AttemptFailure::Broken:
+        request->mayHaveRun = true;
+        mayRepeat = request->kind == RequestKind::Repeatable
+            || request->kind == RequestKind::ResumableStream;
+        if (serverGone)
+            --request->attemptsUsed;
+        break;
+    }
+    retryOrEnd(*request, mayRepeat, cause, now, actions);
+}
+
+void RequestSystem::retryOrEnd(Request &request, bool mayRepeat, const char *cause, TimePoint now,
+                               RequestActions &actions)
+{
+    const TargetKey key {request.service, request.arrival.model};
+    const bool withinAttempts = request.attemptsUsed < request.maxAttempts
+        && request.tried.size() < maxServersTried;
+    const bool inTime = request.deadline - now >= m_options.leastTimeLeft;
+    const bool withinBudget = retries(request.service).permits(m_nodes, now);
+    const TargetChoice choice = chooseTarget(m_backends, choiceInput(request), now);
+    const bool servable = choice.outcome != TargetChoice::Outcome::None;
+    if (mayRepeat && withinAttempts && inTime && withinBudget && servable) {
+        actions.push_back(NoteDecision {request.arrival.traceId,
+                                        "request_retried",
+                                        {{"cause", cause},
+                                         {"server", request.server.value()},
+                                         {"attempts", std::to_string(request.attempt.value())}}});
+        wait(request, now);
+        startWaiting(key, m_targets[key], now, actions);
+        return;
+    }
+    const ErrorCode code = request.mayHaveRun ? ErrorCode::BackendFailed : ErrorCode::NoCapacity;
+    refuse(request, code, m_options.retryLater / 2, cause, now, actions);
+}
+
+void RequestSystem::watchDeadlines(TimePoint now, RequestActions &actions)
+{
+    std::vector<RequestId> over;
+    std::vector<std::pair<RequestId, AttemptNumber>> silent;
+    for (const auto &[id, request] : m_requests) {
+        const bool waitsTooLong = !request.running && !request.answering
+            && now > request.onTimeUntil + 2 * lateAllowance;
+        if (now >= request.deadline || waitsTooLong) {
+            over.push_back(id);
+        } else if (request.running && request.kind == RequestKind::ResumableStream) {
+            const Backend *backend = m_backends.find(request.server);
+            TimePoint heard = request.lastProgress;
+            if (backend)
+                heard = std::max(heard, backend->lastProgress);
+            if (now - heard > m_options.streamSilence)
+                silent.emplace_back(id, request.attempt);
+        }
+    }
+    for (const RequestId id : over) {
+        Request &request = m_requests.at(id);
+        if (request.running) {
+            request.mayHaveRun = true;
+            endAttempt(request, now);
+            actions.push_back(AbandonAttempt {id});
+        }
+        refuse(request,
+               request.mayHaveRun ? ErrorCode::DeadlineExceeded : ErrorCode::DeadlineUnreachable,
+               m_options.retryLater, "deadline", now, actions);
+    }
+    for (const auto &[id, attempt] : silent) {
+        actions.push_back(AbandonAttempt {id});
+        attemptFailed(id, attempt, AttemptFailure::Broken, VmId(), now, actions);
+    }
+}
+
+void RequestSystem::tick(TimePoint now, RequestActions &actions)
+{
+    if (now - m_ratesAt >= rateInterval) {
+        const double seconds = static_cast<double>((now - m_ratesAt).count()) / 1'000;
+        for (auto &[key, target] : m_targets) {
+            const double rate = target.departures / seconds;
+            target.departuresPerSecond += rateSmoothing * (rate - target.departuresPerSecond);
+            target.departures = 0;
+        }
+        m_ratesAt = now;
+    }
+    for (auto &[key, target] : m_targets)
+        startWaiting(key, target, now, actions);
+    if (now - m_deadlinesAt >= deadlineInterval) {
+        m_deadlinesAt = now;
+        watchDeadlines(now, actions);
+    }
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/request/retry_allowance.cpp
@@ -0,0 +1,50 @@
+#include "request/retry_allowance.h"
+
+#include <algorithm>
+
+namespace bramleypitch {
+
+namespace {
+
+/// A node that restarts forgets its repeats; two lives within a window then stay within the slack.
+constexpr double livesPerWindow = 2;
+
+void dropBefore(std::deque<TimePoint> &times, TimePoint limit)
+{
+    while (!times.empty() && times.front() < limit)
+        times.pop_front();
+}
+
+} // namespace
+
+RetryAllowance::RetryAllowance(RetryLimits limits)
+    : m_limits(limits)
+{
+}
+
+void RetryAllowance::prune(TimePoint now)
+{
+    dropBefore(m_requests, now - m_limits.window);
+    dropBefore(m_repeats, now - m_limits.window);
+}
+
+void RetryAllowance::requestArrived(TimePoint now)
+{
+    prune(now);
+    m_requests.push_back(now);
+}
+
+bool RetryAllowance::permits(std::uint32_t nodes, TimePoint now)
+{
+    prune(now);
+    const double slack = m_limits.slack / (livesPerWindow * std::max<std::uint32_t>(nodes, 1));
+    const double allowed = m_limits.ratio * static_cast<double>(m_requests.size()) + slack;
+    return static_cast<double>(m_repeats.size()) + 1 <= allowed;
+}
+
+void RetryAllowance::repeated(TimePoint now)
+{
+    m_repeats.push_back(now);
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/request/target_choice.cpp
@@ -0,0 +1,99 @@
+#include "request/target_choice.h"
+
+#include <algorithm>
+
+namespace bramleypitch {
+
+namespace {
+
+/// Load, as a share of the slots, that a server of another zone must be ahead by: traffic between
+/// zones is paid for and takes longer.
+constexpr double otherZoneCost = 0.08;
+/// Above any load, so that suspects come after all others.
+constexpr double suspectCost = 10;
+constexpr double triedCost = 20;
+/// A plain server queues a few requests itself; its slots are few and its calls short.
+constexpr std::uint32_t plainQueueFactor = 2;
+/// Slots of a server that does not tell them.
+constexpr std::uint32_t unknownSlots = 4;
+/// A stream's pauses may be so many times those of its peers before the server counts as slow.
+constexpr double slowFactor = 1.5;
+
+double medianGap(const BackendTable &backends, const std::vector<BackendIndex> &servers)
+{
+    std::vector<double> gaps;
+    for (const BackendIndex index : servers) {
+        const double gap = backends.find(index)->gapMs;
+        if (gap > 0)
+            gaps.push_back(gap);
+    }
+    if (gaps.empty())
+        return 0;
+    const auto middle = gaps.begin() + static_cast<std::ptrdiff_t>(gaps.size() / 2);
+    std::nth_element(gaps.begin(), middle, gaps.end());
+    return *middle;
+}
+
+std::uint32_t slotsOf(const Backend &backend, const ServingConfiguration &configuration)
+{
+    const EngineSpec *engine = configuration.engineOf(backend.report.service);
+    if (engine)
+        return std::max<std::uint32_t>(engine->slots, 1);
+    return backend.report.slots > 0 ? backend.report.slots : unknownSlots;
+}
+
+} // namespace
+
+std::uint32_t concurrencyLimit(const Backend &backend, const ServingConfiguration &configuration)
+{
+    const std::uint32_t slots = slotsOf(backend, configuration);
+    return configuration.engineOf(backend.report.service) ? slots : slots * plainQueueFactor;
+}
+
+Duration coldInterval(const ServedService &service, std::uint32_t nodes)
+{
+    if (service.coldPerSecond <= 0)
+        return Duration(0);
+    const double perSecond = service.coldPerSecond / std::max<std::uint32_t>(nodes, 1);
+    return Duration(static_cast<Duration::rep>(1'000 / perSecond) + 1);
+}
+
+TargetChoice chooseTarget(BackendTable &backends, const ChoiceInput &input, TimePoint now)
+{
+    TargetChoice choice;
+    const std::vector<BackendIndex> &servers =
+        backends.targets(input.service, input.model, *input.configuration);
+    const double usualGap = medianGap(backends, servers);
+    double least = 0;
+    for (const BackendIndex index : servers) {
+        const Backend &backend = *backends.find(index);
+        if (input.zonesOut->count(backend.report.zone))
+            continue;
+        if (choice.outcome == TargetChoice::Outcome::None)
+            choice.outcome = TargetChoice::Outcome::Full;
+        const std::uint32_t running = backend.ownRunning + backend.peersRunning;
+        if (running >= concurrencyLimit(backend, *input.configuration))
+            continue;
+        if (now < backend.coldUntil && now < backend.nextColdDispatch)
+            continue;
+        double cost = (running + 1.0) / slotsOf(backend, *input.configuration);
+        if (usualGap > 0 && backend.gapMs > slowFactor * usualGap)
+            cost *= backend.gapMs / usualGap;
+        if (backend.report.zone != input.ownZone)
+            cost += otherZoneCost;
+        if (now < backend.suspectUntil)
+            cost += suspectCost;
+        if (input.tried
+            && std::find(input.tried->begin(), input.tried->end(), backend.report.id)
+                != input.tried->end())
+            cost += triedCost;
+        if (choice.outcome != TargetChoice::Outcome::Chosen || cost < least) {
+            choice.outcome = TargetChoice::Outcome::Chosen;
+            choice.server = index;
+            least = cost;
+        }
+    }
+    return choice;
+}
+
+} // namespace bramleypitch
--- /dev/null
+++ b/src/request/waiting_order.cpp
@@ -0,0 +1,28 @@
+#include "request/waiting_order.h"
+
+#include <tuple>
+
+namespace bramleypitch {
+
+namespace {
+
+/// Smaller goes first.
+auto rankOf(const WaitingRequest &waiting, TimePoint now)
+{
+    const bool late = now > waiting.onTimeUntil;
+    return std::tuple(!waiting.answering, late, late ? 0 : waiting.priority, waiting.since);
+}
+
+} // namespace
+
+std::size_t nextToStart(const std::vector<WaitingRequest> &waiting, TimePoint now)
+{
+    std::size_t first = 0;
+    for (std::size_t i = 1; i < waiting.size(); ++i) {
+        if (rankOf(waiting[i], now) < rankOf(waiting[first], now))
+            first = i;
+    }
+    return first;
+}
+
+} // namespace bramleypitch
