Feature: [Formation] Spares, conversions and staged weights; suspects are shared

Cause: a lost member left three VMs of a four-VM model without use, and every model lost capacity until the weight store had served the new VMs. Change: VMs without need stay spares, weights of the other model are staged before traffic, groups of a model that is less in need are given up for one that is, servers that fall silent are suspected by all nodes until their entry lapses.

--- a/src/formation/formation_func.cpp
+++ b/src/formation/formation_func.cpp
@@ -12,6 +12,14 @@
 
 /// Most groups of one domain that the first split counts through.
 constexpr std::uint32_t maxGroupsPerDomain = 64;
+/// A model gives groups up for one that is by this factor more in need even afterwards: below it,
+/// groups would go to and fro.
+constexpr double conversionFactor = 1.1;
+/// Of a model that is less busy, no group is formed: the VMs are worth more as spares, from which a
+/// lost member is replaced within two seconds.
+constexpr double formBusy = 0.45;
+/// For a model that is less busy, no other gives a group up.
+constexpr double conversionBusy = 0.6;
 
 void split(const EngineSpec &engine, std::size_t model, std::uint32_t left, GroupCounts &counts,
            std::vector<std::pair<std::uint32_t, GroupCounts>> &all)
@@ -58,22 +66,36 @@
     return worst;
 }
 
-/// The VMs to build a group of: those with the weights first, then by id.
+/// How many of the other models a VM holds: those that hold none are used up first.
+std::size_t otherWeights(const Backend &backend, const ServedModel &model,
+                         const EngineSpec &engine)
+{
+    return static_cast<std::size_t>(
+        std::count_if(engine.models.begin(), engine.models.end(), [&](const ServedModel &other) {
+            return other.name != model.name && holdsWeights(backend, other.name);
+        }));
+}
+
+/// The VMs to build a group of: those with the weights first, of these the ones that are of the
+/// least use for other models, then by id.
 std::vector<const Backend *> pickMembers(std::vector<const Backend *> free,
-                                         const ServedModel &model)
+                                         const ServedModel &model, const EngineSpec &engine)
 {
     std::stable_sort(free.begin(), free.end(), [&](const Backend *a, const Backend *b) {
-        return holdsWeights(*a, model.name) > holdsWeights(*b, model.name);
+        const auto rank = [&](const Backend *vm) {
+            return std::pair(!holdsWeights(*vm, model.name), otherWeights(*vm, model, engine));
+        };
+        return rank(a) < rank(b);
     });
-    free.resize(model.span);
+    free.resize(std::min<std::size_t>(free.size(), model.span));
     return free;
 }
 
-std::size_t withWeights(const std::vector<const Backend *> &members, const ModelId &model)
+std::size_t withWeights(const std::vector<const Backend *> &vms, const ServedModel &model)
 {
     return static_cast<std::size_t>(
-        std::count_if(members.begin(), members.end(),
-                      [&](const Backend *member) { return holdsWeights(*member, model); }));
+        std::count_if(vms.begin(), vms.end(),
+                      [&](const Backend *vm) { return holdsWeights(*vm, model.name); }));
 }
 
 void addGroup(FormationPlan &plan, const DomainId &domain, const ServedModel &model,
@@ -119,6 +141,7 @@
         const nlohmann::json json = nlohmann::json::parse(text);
         FormationPlan plan;
         plan.generation = json.at("generation").get<Generation>();
+        plan.promised = json.at("promised").get<ModelId>();
         for (const nlohmann::json &item : json.at("groups")) {
             PlannedGroup group;
             group.name = item.at("name").get<GroupId>();
@@ -150,13 +173,16 @@
                           {"dissolving", group.dissolving},
                           {"members", std::move(members)}});
     }
-    return nlohmann::json {{"generation", plan.generation}, {"groups", std::move(groups)}}.dump();
+    return nlohmann::json {{"generation", plan.generation},
+                           {"groups", std::move(groups)},
+                           {"promised", plan.promised}}
+        .dump();
 }
 
 bool holdsWeights(const Backend &backend, const ModelId &model)
 {
     const std::vector<ModelId> &staged = backend.report.staged;
-    return backend.report.model == model
+    return backend.lastModel == model
         || std::find(staged.begin(), staged.end(), model) != staged.end();
 }
 
@@ -191,47 +217,221 @@
     return result;
 }
 
-bool formGroups(FormationPlan &plan, const DomainId &domain, const FormInput &input)
+namespace {
+
+std::uint32_t groupsOf(const FormationPlan &plan, const ModelId &model)
 {
-    std::vector<const Backend *> free = input.free;
-    std::vector<ModelDemand> demand = input.demand;
-    GroupCounts present(demand.size(), 0);
-    for (const PlannedGroup &group : plan.groups) {
-        for (std::size_t i = 0; i < demand.size(); ++i) {
-            if (!group.dissolving && group.model == demand[i].model->name)
-                ++present[i];
+    return static_cast<std::uint32_t>(
+        std::count_if(plan.groups.begin(), plan.groups.end(), [&](const PlannedGroup &group) {
+            return !group.dissolving && group.model == model;
+        }));
+}
+
+/// Work for each group if the model had so many more.
+double need(const ModelDemand &demand, double groupsMore)
+{
+    constexpr double nearlyNone = 0.1; // A model without a group is in the greatest need.
+    return demand.work / std::max(demand.groups + groupsMore, nearlyNone);
+}
+
+/// One look at a domain: what formGroups() still has at hand, and the plan that it changes.
+class Former
+{
+public:
+    Former(FormationPlan &plan, const DomainId &domain, FormInput input)
+        : m_plan(plan)
+        , m_domain(domain)
+        , m_input(std::move(input))
+    {
+    }
+
+    /// Before traffic: the first split from whatever VMs there are.
+    bool formWanted()
+    {
+        bool changed = false;
+        for (std::size_t i = 0; i < m_input.demand.size(); ++i) {
+            const ServedModel &model = *m_input.demand[i].model;
+            while (groupsOf(m_plan, model.name) < m_input.wanted[i]
+                   && m_input.free.size() >= model.span) {
+                form(i);
+                changed = true;
+            }
         }
+        return changed;
     }
-    bool added = false;
-    for (;;) {
-        std::size_t best = demand.size();
-        double highest = 0;
-        for (std::size_t i = 0; i < demand.size(); ++i) {
-            const ServedModel &model = *demand[i].model;
-            if (model.span == 0 || free.size() < model.span)
+
+    bool formNeeded()
+    {
+        bool changed = false;
+        for (;;) {
+            const std::size_t first = mostInNeed();
+            if (formPromised() || formReady(first)) {
+                changed = true;
                 continue;
-            if (input.beforeTraffic && i < input.wanted.size() && present[i] >= input.wanted[i])
+            }
+            if (!m_plan.promised.value().empty())
+                return changed; // What leaves completes the promised group.
+            const std::vector<PlannedGroup *> given = givenFor(first);
+            if (!given.empty() && !m_input.mayConvert)
+                return changed; // It soon is: until then nothing is built of what is needed.
+            if (!given.empty()) {
+                for (PlannedGroup *group : given)
+                    group->dissolving = true;
+                m_plan.promised = model(first).name;
+                return true;
+            }
+            if (!formAnyReady() && !formLoading())
+                return changed;
+            changed = true;
+        }
+    }
+
+private:
+    const ServedModel &model(std::size_t i) const { return *m_input.demand[i].model; }
+    /// Whether the model needs a further group at all.
+    bool isBusy(std::size_t i) const { return m_input.demand[i].busy >= formBusy; }
+    bool isReady(std::size_t i) const
+    {
+        return withWeights(m_input.free, model(i)) >= model(i).span;
+    }
+
+    std::size_t mostInNeed() const
+    {
+        std::size_t best = 0;
+        for (std::size_t i = 1; i < m_input.demand.size(); ++i) {
+            if (need(m_input.demand[i], 1) > need(m_input.demand[best], 1))
+                best = i;
+        }
+        return best;
+    }
+
+    void form(std::size_t i)
+    {
+        const std::vector<const Backend *> members =
+            pickMembers(m_input.free, model(i), *m_input.engine);
+        addGroup(m_plan, m_domain, model(i), members);
+        for (const Backend *member : members)
+            std::erase(m_input.free, member);
+        ModelDemand &demand = m_input.demand[i];
+        demand.busy *= demand.groups / (demand.groups + 1);
+        demand.groups += 1;
+        if (m_plan.promised == model(i).name)
+            m_plan.promised = ModelId();
+    }
+
+    bool formReady(std::size_t i)
+    {
+        if (!isReady(i) || !isBusy(i))
+            return false;
+        form(i);
+        return true;
+    }
+
+    bool formPromised()
+    {
+        if (m_plan.promised.value().empty())
+            return false;
+        for (std::size_t i = 0; i < m_input.demand.size(); ++i) {
+            if (model(i).name != m_plan.promised)
+                continue;
+            if (isReady(i)) {
+                form(i);
+                return true;
+            }
+            if (m_input.free.size() + m_input.leaving >= model(i).span && m_input.leaving > 0)
+                return false;
+        }
+        m_plan.promised = ModelId(); // It cannot be kept any more.
+        return false;
+    }
+
+    bool formAnyReady()
+    {
+        for (std::size_t i = 0; i < m_input.demand.size(); ++i) {
+            if (formReady(i))
+                return true;
+        }
+        return false;
+    }
+
+    /// The groups whose VMs hold the weights of the model in need and that are worth giving up.
+    std::vector<PlannedGroup *> givenFor(std::size_t receiver)
+    {
+        const std::size_t ready = withWeights(m_input.free, model(receiver));
+        if (m_input.demand[receiver].busy < conversionBusy)
+            return {};
+        if (ready >= model(receiver).span || ready == 0)
+            return {};
+        const std::size_t missing = model(receiver).span - ready;
+        for (std::size_t giver = 0; giver < m_input.demand.size(); ++giver) {
+            if (giver == receiver)
+                continue;
+            std::vector<PlannedGroup *> given;
+            std::size_t gained = 0;
+            for (PlannedGroup &group : m_plan.groups) {
+                if (group.dissolving || group.model != model(giver).name || gained >= missing)
+                    continue;
+                const std::size_t holders = holdersIn(group, model(receiver));
+                if (holders < std::min<std::size_t>(group.members.size(), missing))
+                    continue;
+                gained += holders;
+                given.push_back(&group);
+            }
+            const double after = need(m_input.demand[giver], -static_cast<double>(given.size()));
+            if (gained < missing
+                || need(m_input.demand[receiver], 1) < conversionFactor * after)
+                continue;
+            return given;
+        }
+        return {};
+    }
+
+    std::size_t holdersIn(const PlannedGroup &group, const ServedModel &wanted) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(group.members.begin(), group.members.end(), [&](const auto &member) {
+                const Backend *backend = m_input.backends->find(member.vm);
+                return backend && holdsWeights(*backend, wanted.name);
+            }));
+    }
+
+    /// Forms the group that brings most for the time at the weight store that it takes.
+    bool formLoading()
+    {
+        std::size_t best = m_input.demand.size();
+        double most = 0;
+        for (std::size_t i = 0; i < m_input.demand.size(); ++i) {
+            if (m_input.free.size() < model(i).span || !isBusy(i))
                 continue;
-            const std::size_t staged = withWeights(pickMembers(free, model), model.name);
-            // Weights at hand bring a group back ten times sooner than a load.
-            const double readiness = 1.0 + static_cast<double>(staged) / model.span;
-            const double urgency = readiness * demand[i].work / (demand[i].groups + 1.0);
-            if (best == demand.size() || urgency > highest) {
+            const auto members = pickMembers(m_input.free, model(i), *m_input.engine);
+            const std::size_t loads = members.size() - withWeights(members, model(i));
+            const double seconds = std::max(
+                static_cast<double>(loads) * static_cast<double>(model(i).loadTime.count()), 1.0);
+            const double worth = need(m_input.demand[i], 1) / seconds;
+            if (best == m_input.demand.size() || worth > most) {
                 best = i;
-                highest = urgency;
+                most = worth;
             }
         }
-        if (best == demand.size())
-            return added;
-        const ServedModel &model = *demand[best].model;
-        const std::vector<const Backend *> members = pickMembers(free, model);
-        addGroup(plan, domain, model, members);
-        for (const Backend *member : members)
-            free.erase(std::find(free.begin(), free.end(), member));
-        ++present[best];
-        demand[best].groups += 1;
-        added = true;
+        if (best == m_input.demand.size())
+            return false;
+        form(best);
+        return true;
     }
+
+    FormationPlan &m_plan;
+    const DomainId &m_domain;
+    FormInput m_input;
+};
+
+} // namespace
+
+bool formGroups(FormationPlan &plan, const DomainId &domain, const FormInput &input)
+{
+    if (input.demand.empty())
+        return false;
+    Former former(plan, domain, input);
+    return input.wanted.empty() ? former.formNeeded() : former.formWanted();
 }
 
 } // namespace bramleypitch
--- a/src/formation/formation_func.h
+++ b/src/formation/formation_func.h
@@ -21,6 +21,7 @@
     const ServedModel *model = nullptr;
     double work = 0; ///< Groups that it needs beside the other models; only the ratio counts.
     double groups = 0; ///< Formed or planned, of all domains.
+    double busy = 1; ///< Requests running or waiting, as a share of the slots of its groups.
 };
 
 /// Groups that a model needs beside the other models, as published: its share is one of the time of
@@ -36,17 +37,24 @@
 std::map<DomainId, GroupCounts> firstSplit(const std::map<DomainId, std::uint32_t> &vmsByDomain,
                                            const EngineSpec &engine);
 
-/// What forming new groups in one domain depends on.
+/// What the next change of groups in one domain depends on.
 struct FormInput
 {
     const EngineSpec *engine = nullptr;
+    const BackendTable *backends = nullptr;
     std::vector<const Backend *> free; ///< VMs that stand in no planned group.
-    GroupCounts wanted; ///< Of the first split.
+    std::uint32_t leaving = 0; ///< VMs of dissolving groups that will be free soon.
+    GroupCounts wanted; ///< Of the first split, before traffic; else empty.
     std::vector<ModelDemand> demand; ///< In the order of the engine's models.
-    bool beforeTraffic = false; ///< Loads are cheap; otherwise VMs with the weights go first.
+    bool mayConvert = false; ///< It is this domain's turn to give groups up for another model.
 };
 
-/// Adds to the plan the groups that the free VMs allow. False if there is nothing to add.
+/// Adds to the plan the groups that are needed and that the free VMs allow, the model that is most in
+/// need first. VMs beyond that stay spares that hold weights. VMs that
+/// hold the weights form groups within two seconds; where too few do, groups of a model that is
+/// less in need dissolve, and what they free is promised to the other. VMs without weights load
+/// those that bring most for their time at the weight store. Answers crashes, VMs that come and go,
+/// and shifts of traffic between models. False if nothing changes.
 bool formGroups(FormationPlan &plan, const DomainId &domain, const FormInput &input);
 
 /// Whether the VM holds a model's weights.
--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -17,6 +17,11 @@
 constexpr double fewRequests = 20;
 /// Weight of the measured work against the published shares.
 constexpr double measuredWeight = 0.7;
+/// VMs of a domain that stay without a group at the first start, in domains of at least so many.
+constexpr std::uint32_t sparesOfDomain = 2;
+constexpr std::uint32_t leastForSpares = 8;
+/// A load takes longer while others run; after so many load times it counts as lost.
+constexpr int stagingPatience = 3;
 
 bool claims(const Backend &backend, const PlannedGroup &group)
 {
@@ -152,7 +157,6 @@
             domain.ownedSince = now;
             domain.loadTokens = 0;
             domain.tokensAt = now;
-            domain.leftSince.clear();
         }
         refillTokens(domain, now);
         if (domain.writing && now - domain.writeAt > m_options.writeTimeout)
@@ -168,6 +172,7 @@
             else
                 orderGroup(domain, group, now, actions);
         }
+        stageWeights(id, domain, now, actions);
     }
 }
 
@@ -185,7 +190,7 @@
                            FormationActions &actions)
 {
     FormationPlan next = domain.plan;
-    bool changed = dropDissolved(domain, next, now, actions);
+    bool changed = dropDissolved(domain, next, actions);
     Domain scratch;
     scratch.plan = next;
     changed = noteLosses(scratch, actions) || changed;
@@ -235,8 +240,8 @@
     return changed;
 }
 
-bool FormationSystem::dropDissolved(Domain &domain, FormationPlan &next, TimePoint now,
-                                    FormationActions &actions)
+bool FormationSystem::dropDissolved(const Domain &domain, FormationPlan &next,
+                                    FormationActions &actions) const
 {
     bool changed = false;
     for (const PlannedGroup &group : domain.plan.groups) {
@@ -247,17 +252,8 @@
             const Backend *backend = present(m_backends, member);
             allLeft = allLeft && !(backend && claims(*backend, group));
         }
-        if (!allLeft) {
-            domain.leftSince.erase(group.name);
+        if (!allLeft)
             continue;
-        }
-        // Without an entry the head may be out of reach of the store and still at work.
-        if (!m_backends.find(group.members.front().vm)) {
-            const TimePoint since = domain.leftSince.try_emplace(group.name, now).first->second;
-            if (now - since < m_options.headLossWait)
-                continue;
-        }
-        domain.leftSince.erase(group.name);
         std::erase_if(next.groups, [&](const auto &other) { return other.name == group.name; });
         changed = true;
         actions.push_back(NoteFormation {"group_dissolved", {{"group", group.name.value()}}});
@@ -300,15 +296,17 @@
         ModelDemand demand;
         demand.model = &model;
         demand.work = published > 0 ? publishedWork(model) / published : 1;
-        if (measured >= fewRequests) {
-            const auto found = m_requests.find(model.name);
-            const double share = found == m_requests.end() ? 0 : found->second / measured;
-            demand.work = measuredWeight * share + (1 - measuredWeight) * demand.work;
-        }
+        const auto found = m_requests.find(model.name);
+        const double requests = found == m_requests.end() ? 0 : found->second;
+        if (measured >= fewRequests)
+            demand.work = measuredWeight * requests / measured
+                + (1 - measuredWeight) * demand.work;
         for (const auto &[id, domain] : m_domains) {
             for (const PlannedGroup &group : domain.plan.groups)
                 demand.groups += !group.dissolving && group.model == model.name ? 1 : 0;
         }
+        if (demand.groups > 0)
+            demand.busy = requests / (demand.groups * engine.slots);
         all.push_back(demand);
     }
     return all;
@@ -318,19 +316,44 @@
                                 FormationActions &actions)
 {
     FormInput input;
+    const std::vector<const Backend *> free = freeVms(id, next, now, actions);
+    Domain &domain = m_domains[id];
+    if (free.size() != domain.freeCount) {
+        domain.freeCount = free.size();
+        domain.freeChangedAt = now;
+    }
+    if (now - domain.freeChangedAt < m_options.freeSettle)
+        return false; // VMs that are lost or come together are dealt with together.
     input.engine = &*engineService()->engine;
-    input.free = freeVms(id, next, now, actions);
+    input.backends = &m_backends;
+    input.free = free;
     input.demand = demand();
-    input.beforeTraffic = beforeTraffic(now);
-    if (input.beforeTraffic) {
+    input.mayConvert = hasTurn(id, now);
+    for (const PlannedGroup &group : next.groups) {
+        for (const PlannedMember &member : group.members) {
+            const Backend *backend = present(m_backends, member);
+            input.leaving += group.dissolving && backend && !backend->report.draining ? 1 : 0;
+        }
+    }
+    if (beforeTraffic(now)) {
         std::map<DomainId, std::uint32_t> sizes;
-        for (const DomainId &domain : m_backends.domains())
-            sizes[domain] = static_cast<std::uint32_t>(m_backends.inDomain(domain).size());
+        for (const DomainId &domain : m_backends.domains()) {
+            const auto size = static_cast<std::uint32_t>(m_backends.inDomain(domain).size());
+            sizes[domain] = size >= leastForSpares ? size - sparesOfDomain : size;
+        }
         input.wanted = firstSplit(sizes, *input.engine)[id];
     }
+    const FormationPlan last = next;
     const std::size_t before = next.groups.size();
     if (!formGroups(next, id, input))
-        return false;
+        return next.promised != last.promised;
+    for (std::size_t i = 0; i < before; ++i) {
+        if (next.groups[i].dissolving && !last.groups[i].dissolving)
+            actions.push_back(NoteFormation {"group_dissolving",
+                                             {{"group", next.groups[i].name.value()},
+                                              {"model", next.groups[i].model.value()},
+                                              {"cause", "converted"}}});
+    }
     for (std::size_t i = before; i < next.groups.size(); ++i) {
         const PlannedGroup &group = next.groups[i];
         std::string members;
@@ -345,18 +368,83 @@
     return true;
 }
 
-bool FormationSystem::mayLoad(Domain &domain, const PlannedGroup &group, TimePoint now)
+bool FormationSystem::hasTurn(const DomainId &id, TimePoint now) const
 {
-    if (beforeTraffic(now))
-        return true;
+    // One domain after the other, so that no two give groups up for the same need.
+    const auto turn = static_cast<std::size_t>(milliseconds(now) / m_options.conversionTurn.count());
+    const auto place = static_cast<std::size_t>(
+        std::distance(m_domains.begin(), m_domains.find(id)));
+    return turn % m_domains.size() == place;
+}
+
+void FormationSystem::stageWeights(const DomainId &id, Domain &domain, TimePoint now,
+                                   FormationActions &actions)
+{
+    if (!beforeTraffic(now) && joining(GroupId()) > 0)
+        return; // Groups that form need the weight store more.
     std::uint32_t underWay = 0;
+    for (const Backend *backend : m_backends.inDomain(id)) {
+        const auto sent = m_staging.find(backend->report.id);
+        if (sent == m_staging.end())
+            continue;
+        if (holdsWeights(*backend, sent->second.model) || now >= sent->second.until)
+            m_staging.erase(sent);
+        else
+            ++underWay;
+    }
+    for (const Backend *backend : m_backends.inDomain(id)) {
+        const bool before = beforeTraffic(now);
+        if (!before && underWay >= m_options.stagingAtOnce)
+            return;
+        const GroupClaim &claim = backend->report.group;
+        const bool settled = (before
+                              && (claim.state == MemberState::Ready
+                                  || claim.state == MemberState::Open))
+            || claim.state == MemberState::None;
+        if (!settled || backend->lapsed || backend->report.draining
+            || backend->report.service != engineService()->name
+            || m_staging.count(backend->report.id))
+            continue;
+        const ServedModel *other = nullptr;
+        double most = 0;
+        for (const ModelDemand &wanted : demand()) {
+            if (!holdsWeights(*backend, wanted.model->name) && wanted.work > most) {
+                other = wanted.model;
+                most = wanted.work;
+            }
+        }
+        // Staging drops what was staged before, and a VM that runs no group needs that.
+        const bool holdsAnother = !backend->report.staged.empty()
+            && (claim.state == MemberState::None
+                || backend->report.staged.front() != backend->lastModel);
+        if (!other || holdsAnother)
+            continue;
+        if (!before && domain.loadTokens < 1)
+            return;
+        domain.loadTokens = std::max(0.0, domain.loadTokens - 1);
+        ++underWay;
+        m_staging[backend->report.id] = {other->name, now + other->loadTime * stagingPatience};
+        sendOrder(*backend, GroupOrderKind::Stage, GroupId(), domain.plan.generation, other->name,
+                  {}, domain.plan.generation, now, actions);
+    }
+}
+
+std::uint32_t FormationSystem::joining(const GroupId &except) const
+{
+    std::uint32_t count = 0;
     m_backends.forEach([&](BackendIndex, const Backend &backend) {
         const GroupClaim &claim = backend.report.group;
-        const bool sameGroup = claim.name == group.name;
-        if (claim.state == MemberState::Joining && !sameGroup)
-            ++underWay;
+        if (claim.state == MemberState::Joining && claim.name != except)
+            ++count;
     });
-    if (underWay >= engineService()->engine->loadsAtOnce || domain.loadTokens < 1)
+    return count;
+}
+
+bool FormationSystem::mayLoad(Domain &domain, const PlannedGroup &group, TimePoint now)
+{
+    if (beforeTraffic(now))
+        return true;
+    if (joining(group.name) >= engineService()->engine->loadsAtOnce || domain.loadTokens < 1)
         return false;
     domain.loadTokens -= 1;
     return true;
--- a/src/formation/formation_system.h
+++ b/src/formation/formation_system.h
@@ -19,8 +19,9 @@
     Duration orderTimeout {1'500}; ///< Before an order whose effect does not show is sent again.
     Duration refusedPause {250}; ///< Before an order that was refused is sent again.
     Duration writeTimeout {3'000}; ///< Before a write of a plan counts as lost.
-    /// A head that cannot be reached may go on until it notices that its members left.
-    Duration headLossWait {6'000};
+    Duration freeSettle {200}; ///< Without change of a domain's free VMs before they form groups.
+    Duration conversionTurn {300}; ///< Domains take turns in giving groups up for other models.
+    std::uint32_t stagingAtOnce = 1; ///< VMs of one domain that fetch weights beside their work.
     Duration startLoads {8'000}; ///< After the first start, until loads are counted.
 };
 
@@ -57,9 +58,10 @@
         bool writing = false;
         TimePoint writeAt;
         TimePoint ownedSince; ///< Epoch while another node owns it.
+        std::size_t freeCount = 0; ///< VMs without a group at the last look.
+        TimePoint freeChangedAt;
         double loadTokens = 0; ///< Loads from the weight store that may begin now.
         TimePoint tokensAt;
-        std::map<GroupId, TimePoint> leftSince; ///< Groups without a head: when the rest had left.
     };
     struct SentOrder
     {
@@ -68,12 +70,19 @@
         TimePoint retryAt;
     };
 
+    /// Weights that a VM was told to fetch beside its work.
+    struct Staging
+    {
+        ModelId model;
+        TimePoint until; ///< Afterwards the order counts as lost.
+    };
+
     const ServedService *engineService() const;
     bool owns(const DomainId &domain) const;
     void plan(const DomainId &id, Domain &domain, TimePoint now, FormationActions &actions);
     bool noteLosses(Domain &domain, FormationActions &actions) const;
-    bool dropDissolved(Domain &domain, FormationPlan &next, TimePoint now,
-                       FormationActions &actions);
+    bool dropDissolved(const Domain &domain, FormationPlan &next,
+                       FormationActions &actions) const;
     bool addGroups(const DomainId &id, FormationPlan &next, TimePoint now,
                    FormationActions &actions);
     std::vector<const Backend *> freeVms(const DomainId &id, const FormationPlan &plan,
@@ -86,6 +95,11 @@
     void sendOrder(const Backend &backend, GroupOrderKind kind, const GroupId &group,
                    Generation generation, const ModelId &model, const std::vector<VmId> &members,
                    Generation fence, TimePoint now, FormationActions &actions);
+    bool hasTurn(const DomainId &id, TimePoint now) const;
+    void stageWeights(const DomainId &id, Domain &domain, TimePoint now,
+                      FormationActions &actions);
+    /// VMs of other groups than `except` that are joining.
+    std::uint32_t joining(const GroupId &except) const;
     bool mayLoad(Domain &domain, const PlannedGroup &group, TimePoint now);
     void refillTokens(Domain &domain, TimePoint now);
     bool beforeTraffic(TimePoint now) const;
@@ -99,6 +113,7 @@
     bool m_firstStart = false;
     std::map<DomainId, Domain> m_domains;
     std::map<VmId, SentOrder> m_orders;
+    std::map<VmId, Staging> m_staging;
     TimePoint m_tickedAt;
     std::size_t m_mostServers = 0; ///< Known at once since the start.
     TimePoint m_newServerAt;
--- a/src/formation/formation_type.h
+++ b/src/formation/formation_type.h
@@ -39,6 +39,7 @@
 {
     Generation generation; ///< Of the newest change.
     std::vector<PlannedGroup> groups;
+    ModelId promised; ///< Groups dissolve for a group of this model; empty for none.
 
     bool operator==(const FormationPlan &) const = default;
 };
--- a/src/network/gen/peer_types.cpp
+++ b/src/network/gen/peer_types.cpp
@@ -1225,6 +1225,10 @@
 void Pulse::__set_demand(const std::map<std::string, int32_t> & val) {
   this->demand = val;
 }
+
+void Pulse::__set_suspects_ms(const std::map<std::string, int32_t> & val) {
+  this->suspects_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const Pulse& obj)
 {
   obj.printTo(out);
@@ -1331,6 +1335,29 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->suspects_ms.clear();
+            uint32_t _size40;
+            ::apache::thrift::protocol::TType _ktype41;
+            ::apache::thrift::protocol::TType _vtype42;
+            xfer += iprot->readMapBegin(_ktype41, _vtype42, _size40);
+            uint32_t _i44;
+            for (_i44 = 0; _i44 < _size40; ++_i44)
+            {
+              std::string _key45;
+              xfer += iprot->readString(_key45);
+              int32_t& _val46 = this->suspects_ms[_key45];
+              xfer += iprot->readI32(_val46);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.suspects_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1367,11 +1394,11 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_MAP, 5);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->running.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter40;
-    for (_iter40 = this->running.begin(); _iter40 != this->running.end(); ++_iter40)
+    std::map<std::string, int32_t> ::const_iterator _iter47;
+    for (_iter47 = this->running.begin(); _iter47 != this->running.end(); ++_iter47)
     {
-      xfer += oprot->writeString(_iter40->first);
-      xfer += oprot->writeI32(_iter40->second);
+      xfer += oprot->writeString(_iter47->first);
+      xfer += oprot->writeI32(_iter47->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1380,11 +1407,24 @@
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_MAP, 6);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->demand.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter41;
-    for (_iter41 = this->demand.begin(); _iter41 != this->demand.end(); ++_iter41)
+    std::map<std::string, int32_t> ::const_iterator _iter48;
+    for (_iter48 = this->demand.begin(); _iter48 != this->demand.end(); ++_iter48)
+    {
+      xfer += oprot->writeString(_iter48->first);
+      xfer += oprot->writeI32(_iter48->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("suspects_ms", ::apache::thrift::protocol::T_MAP, 7);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->suspects_ms.size()));
+    std::map<std::string, int32_t> ::const_iterator _iter49;
+    for (_iter49 = this->suspects_ms.begin(); _iter49 != this->suspects_ms.end(); ++_iter49)
     {
-      xfer += oprot->writeString(_iter41->first);
-      xfer += oprot->writeI32(_iter41->second);
+      xfer += oprot->writeString(_iter49->first);
+      xfer += oprot->writeI32(_iter49->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1403,26 +1443,29 @@
   swap(a.taking, b.taking);
   swap(a.running, b.running);
   swap(a.demand, b.demand);
+  swap(a.suspects_ms, b.suspects_ms);
   swap(a.__isset, b.__isset);
 }
 
-Pulse::Pulse(const Pulse& other42) {
-  node = other42.node;
-  life = other42.life;
-  number = other42.number;
-  taking = other42.taking;
-  running = other42.running;
-  demand = other42.demand;
-  __isset = other42.__isset;
-}
-Pulse& Pulse::operator=(const Pulse& other43) {
-  node = other43.node;
-  life = other43.life;
-  number = other43.number;
-  taking = other43.taking;
-  running = other43.running;
-  demand = other43.demand;
-  __isset = other43.__isset;
+Pulse::Pulse(const Pulse& other50) {
+  node = other50.node;
+  life = other50.life;
+  number = other50.number;
+  taking = other50.taking;
+  running = other50.running;
+  demand = other50.demand;
+  suspects_ms = other50.suspects_ms;
+  __isset = other50.__isset;
+}
+Pulse& Pulse::operator=(const Pulse& other51) {
+  node = other51.node;
+  life = other51.life;
+  number = other51.number;
+  taking = other51.taking;
+  running = other51.running;
+  demand = other51.demand;
+  suspects_ms = other51.suspects_ms;
+  __isset = other51.__isset;
   return *this;
 }
 void Pulse::printTo(std::ostream& out) const {
@@ -1434,6 +1477,7 @@
   out << ", " << "taking=" << to_string(taking);
   out << ", " << "running=" << to_string(running);
   out << ", " << "demand=" << to_string(demand);
+  out << ", " << "suspects_ms=" << to_string(suspects_ms);
   out << ")";
 }
 
--- a/src/network/gen/peer_types.h
+++ b/src/network/gen/peer_types.h
@@ -510,13 +510,14 @@
 std::ostream& operator<<(std::ostream& out, const LedgerReply& obj);
 
 typedef struct _Pulse__isset {
-  _Pulse__isset() : node(false), life(false), number(false), taking(false), running(false), demand(false) {}
+  _Pulse__isset() : node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false) {}
   bool node :1;
   bool life :1;
   bool number :1;
   bool taking :1;
   bool running :1;
   bool demand :1;
+  bool suspects_ms :1;
 } _Pulse__isset;
 
 class Pulse : public virtual ::apache::thrift::TBase {
@@ -538,6 +539,7 @@
   bool taking;
   std::map<std::string, int32_t>  running;
   std::map<std::string, int32_t>  demand;
+  std::map<std::string, int32_t>  suspects_ms;
 
   _Pulse__isset __isset;
 
@@ -553,6 +555,8 @@
 
   void __set_demand(const std::map<std::string, int32_t> & val);
 
+  void __set_suspects_ms(const std::map<std::string, int32_t> & val);
+
   bool operator == (const Pulse & rhs) const
   {
     if (!(node == rhs.node))
@@ -567,6 +571,8 @@
       return false;
     if (!(demand == rhs.demand))
       return false;
+    if (!(suspects_ms == rhs.suspects_ms))
+      return false;
     return true;
   }
   bool operator != (const Pulse &rhs) const {
--- a/src/network/peer.thrift
+++ b/src/network/peer.thrift
@@ -62,6 +62,7 @@
   4: bool taking
   5: map<string, i32> running
   6: map<string, i32> demand
+  7: map<string, i32> suspects_ms
 }
 
 service Peer {
--- a/src/network/pulse_socket.cpp
+++ b/src/network/pulse_socket.cpp
@@ -46,6 +46,8 @@
         wire.running[server.value()] = static_cast<std::int32_t>(count);
     for (const auto &[model, count] : pulse.demand)
         wire.demand[model.value()] = static_cast<std::int32_t>(count);
+    for (const auto &[server, left] : pulse.suspects)
+        wire.suspects_ms[server.value()] = static_cast<std::int32_t>(left.count());
     const auto buffer = std::make_shared<TMemoryBuffer>();
     TCompactProtocol protocol(buffer);
     wire.write(&protocol);
@@ -67,6 +69,8 @@
         pulse.running[VmId(server)] = static_cast<std::uint32_t>(count);
     for (const auto &[model, count] : wire.demand)
         pulse.demand[ModelId(model)] = static_cast<std::uint32_t>(count);
+    for (const auto &[server, left] : wire.suspects_ms)
+        pulse.suspects[VmId(server)] = Duration(left);
     return pulse;
 }
 
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -190,16 +190,22 @@
         m_lapsed.erase(id);
         const Backend *before = m_backends.find(id);
         const GroupClaim claimBefore = before ? before->report.group : GroupClaim();
+        const std::vector<ModelId> stagedBefore =
+            before ? before->report.staged : std::vector<ModelId>();
         const bool drainingBefore = before && before->report.draining;
         const BackendReport report = m_dialect.readServer(id, change.value);
         m_backends.update(report, now);
-        if (!before || claimBefore != report.group || drainingBefore != report.draining)
+        if (!before || claimBefore != report.group || drainingBefore != report.draining
+            || stagedBefore != report.staged)
             logLine(LogLevel::Info, "server",
                     {{"server", id.value()},
                      {"service", report.service.value()},
                      {"group", report.group.name.value()},
                      {"state", std::to_string(static_cast<int>(report.group.state))},
-                     {"draining", report.draining ? "true" : "false"}});
+                     {"draining", report.draining ? "true" : "false"},
+                     {"model", report.model.value()},
+                     {"staged", report.staged.empty() ? "" : report.staged.front().value()},
+                     {"domain", report.domain.value()}});
         return;
     }
     if (!m_backends.find(id))
@@ -302,14 +308,18 @@
     own.taking = m_ready && !m_stopping;
     own.running = m_backends.ownRunning();
     own.demand = m_requests.demand();
+    own.suspects = m_backends.suspects(now);
     m_pulses->send(own, m_presence.peers());
     m_requests.setNodeBound(m_presence.nodeBound(now));
 }
 
 void ServingDaemon::pulseCame(const Pulse &pulse)
 {
-    if (m_presence.pulseCame(pulse, m_loop.now()))
-        m_backends.setPeerRunning(pulse.node, pulse.running);
+    const TimePoint now = m_loop.now();
+    if (!m_presence.pulseCame(pulse, now))
+        return;
+    m_backends.setPeerRunning(pulse.node, pulse.running);
+    m_backends.addSuspects(pulse.suspects, now);
 }
 
 void ServingDaemon::renewLease(TimePoint now)
--- a/src/network/store_mirror.cpp
+++ b/src/network/store_mirror.cpp
@@ -9,6 +9,8 @@
 
 /// A watch lasts so long at most: twice this and the way there bound the age of a proof.
 constexpr Duration watchWait {1'000};
+/// After news, so that changes that follow each other come with one call.
+constexpr Duration gather {120};
 constexpr Duration firstPause {100}; ///< After a failure; doubles with each further one.
 constexpr Duration mostPause {800};
 constexpr const char *everything = "";
@@ -113,7 +115,10 @@
         m_asOf = std::max(m_asOf, news.asOf);
         m_hooks.proven(sentAt);
         m_hooks.settled();
-        watch();
+        if (news.changes.empty())
+            watch();
+        else
+            m_retry.startOnce(gather);
     });
 }
 
--- a/src/platform/platform_settings.cpp
+++ b/src/platform/platform_settings.cpp
@@ -14,9 +14,6 @@
 /// younger by the time that a request takes to reach a server.
 constexpr double keyFreshnessShare = 0.75;
 constexpr double millisecondsPerSecond = 1'000;
-/// A head that cannot be reached notices after this bound that its members left; one second more
-/// for what is under way.
-constexpr double headLossMargin = 1'000;
 
 Duration milliseconds(double value)
 {
@@ -114,8 +111,6 @@
         milliseconds(file.number("bounds.revoke_ms", 5'000) * keyFreshnessShare);
 
     options.formation.node = options.node;
-    options.formation.headLossWait =
-        milliseconds(file.number("bounds.stall_ms", 5'000) + headLossMargin);
     return options;
 }
 
--- a/src/request/backend_base.cpp
+++ b/src/request/backend_base.cpp
@@ -12,6 +12,7 @@
         backend.report = report;
         backend.reportedAt = now;
         backend.coldUntil = now + report.coldFor;
+        backend.lastModel = report.model;
         m_byId.emplace(report.id, m_pool.insert(std::move(backend)));
         changed();
         return;
@@ -19,11 +20,14 @@
     Backend &backend = *m_pool.find(found->second);
     if (backend.report.startedAt != report.startedAt) {
         backend.gapMs = 0;
+        backend.lastModel = ModelId();
         backend.suspectUntil = TimePoint();
     }
     if (backend.report != report || backend.lapsed)
         changed();
     backend.lapsed = false;
+    if (!report.model.value().empty() && report.group.state != MemberState::Joining)
+        backend.lastModel = report.model;
     backend.report = report;
     backend.reportedAt = now;
     backend.coldUntil = now + report.coldFor;
@@ -151,6 +155,24 @@
     }
 }
 
+std::map<VmId, Duration> BackendTable::suspects(TimePoint now) const
+{
+    std::map<VmId, Duration> found;
+    m_pool.forEach([&](BackendIndex, const Backend &backend) {
+        if (backend.suspectUntil > now)
+            found[backend.report.id] = backend.suspectUntil - now;
+    });
+    return found;
+}
+
+void BackendTable::addSuspects(const std::map<VmId, Duration> &suspects, TimePoint now)
+{
+    for (const auto &[id, left] : suspects) {
+        if (Backend *backend = find(id))
+            backend->suspectUntil = std::max(backend->suspectUntil, now + left);
+    }
+}
+
 RunningCounts BackendTable::ownRunning() const
 {
     RunningCounts counts;
--- a/src/request/presence_type.h
+++ b/src/request/presence_type.h
@@ -25,6 +25,7 @@
     std::int64_t number = 0; ///< Counts up within a life.
     bool taking = false; ///< It takes requests of callers.
     RunningCounts running; ///< Its requests, by server.
+    std::map<VmId, Duration> suspects; ///< Servers that fail its requests, for how much longer.
     std::map<ModelId, std::uint32_t> demand; ///< Its requests running or waiting, by model.
 };
 
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -452,10 +452,14 @@
     endAttempt(*request, now);
     request->tried.push_back(request->server);
     Backend *backend = m_backends.find(request->server);
+    const Duration suspectFor =
+        failure == AttemptFailure::Unsent || failure == AttemptFailure::Silent
+            ? m_options.silentFor
+            : m_options.suspectFor;
     if (backend)
-        backend->suspectUntil = now + m_options.suspectFor;
+        backend->suspectUntil = std::max(backend->suspectUntil, now + suspectFor);
     if (Backend *faulty = m_backends.find(faultyServer))
-        faulty->suspectUntil = now + m_options.suspectFor;
+        faulty->suspectUntil = std::max(faulty->suspectUntil, now + m_options.silentFor);
     const bool serverGone = !backend || backend->lapsed;
     bool mayRepeat = true;
     const char *cause = "broken";
@@ -472,6 +476,9 @@
         cause = "misdirected";
         --request->attemptsUsed;
         break;
+    case AttemptFailure::Silent:
+        cause = "silent";
+        [[fallthrough]];
     case AttemptFailure::Broken:
         request->mayHaveRun = true;
         mayRepeat = request->kind == RequestKind::Repeatable
@@ -538,7 +545,7 @@
     }
     for (const auto &[id, attempt] : silent) {
         actions.push_back(AbandonAttempt {id});
-        attemptFailed(id, attempt, AttemptFailure::Broken, VmId(), now, actions);
+        attemptFailed(id, attempt, AttemptFailure::Silent, VmId(), now, actions);
     }
 }
 
--- a/src/request/request_type.h
+++ b/src/request/request_type.h
@@ -29,6 +29,7 @@
     Unsent, ///< No byte of it left this node.
     NotExecuted, ///< The server says that it did not run it.
     Misdirected, ///< Another server has the address, or the server is not a head.
+    Silent, ///< Nothing came for so long that it was given up; it may have run.
     Broken, ///< It ended without a whole answer and may have run.
 };
 
