--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -268,7 +268,7 @@
     std::vector<const Backend *> free;
     for (const Backend *backend : m_backends.inDomain(id)) {
         const BackendReport &report = backend->report;
-        if (backend->lapsed || report.draining || report.service != engineService()->name
+        if (backend->listing != Listing::Listed || report.draining || report.service != engineService()->name
             || groupOf(plan, report.id))
             continue;
         if (report.group.state != MemberState::None) {
@@ -401,7 +401,7 @@
                               && (claim.state == MemberState::Ready
                                   || claim.state == MemberState::Open))
             || claim.state == MemberState::None;
-        if (!settled || backend->lapsed || backend->report.draining
+        if (!settled || backend->listing != Listing::Listed || backend->report.draining
             || backend->report.service != engineService()->name
             || m_staging.count(backend->report.id))
             continue;
@@ -456,7 +456,7 @@
     bool allReady = true;
     for (const PlannedMember &member : group.members) {
         const Backend *backend = present(m_backends, member);
-        if (!backend || backend->lapsed) {
+        if (!backend || backend->listing != Listing::Listed) {
             allReady = false;
             continue;
         }
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -20,6 +20,9 @@
 /// Entries that lapsed as the store was away are back this long after its return, if the server
 /// lives: two seconds and one more for the way through the store.
 constexpr Duration lapsedKeep {3'000};
+/// A server that left in truth is sent nothing more this long after its entry vanished: within the
+/// two seconds that a leaving server allows, less the way there.
+constexpr Duration lapsedServe {1'400};
 /// After a stop is asked for, callers' lists of entries run out before connections close.
 constexpr Duration stopListen {5'000};
 constexpr Duration stopMargin {500}; ///< Before the process would be ended by force.
@@ -211,7 +214,7 @@
     if (!m_backends.find(id))
         return;
     if (now - m_mirror.reachableSince() < lapsedKeep) {
-        m_backends.setLapsed(id, true);
+        m_backends.setListing(id, Listing::Lapsed);
         m_lapsed[id] = now;
         logLine(LogLevel::Info, "server_lapsed", {{"server", id.value()}});
         return;
@@ -226,6 +229,8 @@
         const bool over = m_mirror.isReachable()
             && now - m_mirror.reachableSince() >= lapsedKeep && now - entry->second >= lapsedKeep;
         if (!over) {
+            if (now - entry->second >= lapsedServe)
+                m_backends.setListing(entry->first, Listing::Missing);
             ++entry;
             continue;
         }
--- a/src/request/backend_base.cpp
+++ b/src/request/backend_base.cpp
@@ -23,9 +23,9 @@
         backend.lastModel = ModelId();
         backend.suspectUntil = TimePoint();
     }
-    if (backend.report != report || backend.lapsed)
+    if (backend.report != report || backend.listing != Listing::Listed)
         changed();
-    backend.lapsed = false;
+    backend.listing = Listing::Listed;
     if (!report.model.value().empty() && report.group.state != MemberState::Joining)
         backend.lastModel = report.model;
     backend.report = report;
@@ -43,10 +43,10 @@
     changed();
 }
 
-void BackendTable::setLapsed(const VmId &id, bool lapsed)
+void BackendTable::setListing(const VmId &id, Listing listing)
 {
-    if (Backend *backend = find(id); backend && backend->lapsed != lapsed) {
-        backend->lapsed = lapsed;
+    if (Backend *backend = find(id); backend && backend->listing != listing) {
+        backend->listing = listing;
         changed();
     }
 }
@@ -80,7 +80,7 @@
 bool BackendTable::isServable(const Backend &backend,
                               const ServingConfiguration &configuration) const
 {
-    if (backend.report.draining)
+    if (backend.report.draining || backend.listing == Listing::Missing)
         return false;
     const EngineSpec *engine = configuration.engineOf(backend.report.service);
     if (!engine)
--- a/src/request/backend_base.h
+++ b/src/request/backend_base.h
@@ -20,8 +20,8 @@
     void update(const BackendReport &report, TimePoint now);
     /// The store lists the server no more.
     void erase(const VmId &id);
-    /// Marks or unmarks a server whose entry is missing while the store was away.
-    void setLapsed(const VmId &id, bool lapsed);
+    /// Marks a server whose entry vanished while the store was away.
+    void setListing(const VmId &id, Listing listing);
 
     Backend *find(const VmId &id);
     const Backend *find(const VmId &id) const;
--- a/src/request/backend_type.h
+++ b/src/request/backend_type.h
@@ -52,6 +52,13 @@
     bool operator==(const BackendReport &) const = default;
 };
 
+/// Whether the store lists a server.
+enum class Listing {
+    Listed,
+    Lapsed, ///< Its entry vanished while the store was away and may come back: it still serves.
+    Missing, ///< It has not come back in the time that a leaving server may be sent work.
+};
+
 /// A backend server with what is known of it here.
 struct Backend
 {
@@ -59,7 +66,7 @@
     TimePoint reportedAt; ///< When this node learnt the report.
     TimePoint coldUntil;
     ModelId lastModel; ///< Of the group it was last in during this life; it still holds the weights.
-    bool lapsed = false; ///< Its entry vanished while the store was away; it may come back.
+    Listing listing = Listing::Listed;
     std::uint32_t ownRunning = 0; ///< Requests of this node on it.
     std::uint32_t peersRunning = 0; ///< Requests of the other nodes, as they last said.
     TimePoint suspectUntil; ///< It failed a request or stalled: others go first until then.
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -460,7 +460,7 @@
         backend->suspectUntil = std::max(backend->suspectUntil, now + suspectFor);
     if (Backend *faulty = m_backends.find(faultyServer))
         faulty->suspectUntil = std::max(faulty->suspectUntil, now + m_options.silentFor);
-    const bool serverGone = !backend || backend->lapsed;
+    const bool serverGone = !backend || backend->listing != Listing::Listed;
     bool mayRepeat = true;
     const char *cause = "broken";
     switch (failure) {
