Feature: [Formation] Members of a silent group are probed and replaced before their entry lapses

Cause: a crashed member shows in the store after three beats; until then its group stands still. Change: streams that fall silent for 0.7 s put their server under suspicion on all nodes; the owner of the domain probes the members and replaces one that answers twice in a row not.

--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -172,6 +172,7 @@
             else
                 orderGroup(domain, group, now, actions);
         }
+        probeSuspects(domain, now, actions);
         stageWeights(id, domain, now, actions);
     }
 }
@@ -190,10 +191,10 @@
                            FormationActions &actions)
 {
     FormationPlan next = domain.plan;
-    bool changed = dropDissolved(domain, next, actions);
+    bool changed = dropDissolved(domain, next, now, actions);
     Domain scratch;
     scratch.plan = next;
-    changed = noteLosses(scratch, actions) || changed;
+    changed = noteLosses(scratch, now, actions) || changed;
     next = scratch.plan;
     changed = addGroups(id, next, now, actions) || changed;
     if (!changed)
@@ -205,7 +206,44 @@
     actions.push_back(WritePlan {id, domain.revision, next});
 }
 
-bool FormationSystem::noteLosses(Domain &domain, FormationActions &actions) const
+bool FormationSystem::countsAsLost(const VmId &vm, TimePoint now) const
+{
+    const auto doubt = m_doubts.find(vm);
+    return doubt != m_doubts.end() && now < doubt->second.lostUntil;
+}
+
+void FormationSystem::memberProbed(const MemberProbed &probed, TimePoint now)
+{
+    Doubt &doubt = m_doubts[probed.vm];
+    doubt.probing = false;
+    doubt.unanswered = probed.answered ? 0 : doubt.unanswered + 1;
+    if (doubt.unanswered >= m_options.probesUntilLost)
+        doubt.lostUntil = now + m_options.lostFor;
+    else if (probed.answered)
+        doubt.lostUntil = TimePoint();
+}
+
+void FormationSystem::probeSuspects(const Domain &domain, TimePoint now,
+                                    FormationActions &actions)
+{
+    for (const PlannedGroup &group : domain.plan.groups) {
+        const Backend *head = present(m_backends, group.members.front());
+        if (group.dissolving || !head || !claims(*head, group)
+            || head->report.group.state != MemberState::Open || now >= head->suspectUntil)
+            continue;
+        for (const PlannedMember &member : group.members) {
+            const Backend *backend = present(m_backends, member);
+            Doubt &doubt = m_doubts[member.vm];
+            if (!backend || doubt.probing || now - doubt.probedAt < m_options.probeInterval)
+                continue;
+            doubt.probing = true;
+            doubt.probedAt = now;
+            actions.push_back(ProbeMember {member.vm, backend->report.address});
+        }
+    }
+}
+
+bool FormationSystem::noteLosses(Domain &domain, TimePoint now, FormationActions &actions) const
 {
     bool changed = false;
     for (PlannedGroup &group : domain.plan.groups) {
@@ -219,6 +257,8 @@
                 cause = "member_lost";
             else if (backend->report.draining)
                 cause = "member_draining";
+            else if (countsAsLost(member.vm, now))
+                cause = "member_silent";
             else if (claims(*backend, group)
                      && backend->report.group.state == MemberState::Broken)
                 cause = "broken";
@@ -240,7 +280,7 @@
     return changed;
 }
 
-bool FormationSystem::dropDissolved(const Domain &domain, FormationPlan &next,
+bool FormationSystem::dropDissolved(const Domain &domain, FormationPlan &next, TimePoint now,
                                     FormationActions &actions) const
 {
     bool changed = false;
@@ -250,7 +290,8 @@
         bool allLeft = true;
         for (const PlannedMember &member : group.members) {
             const Backend *backend = present(m_backends, member);
-            allLeft = allLeft && !(backend && claims(*backend, group));
+            allLeft = allLeft
+                && !(backend && claims(*backend, group) && !countsAsLost(member.vm, now));
         }
         if (!allLeft)
             continue;
@@ -269,7 +310,7 @@
     for (const Backend *backend : m_backends.inDomain(id)) {
         const BackendReport &report = backend->report;
         if (backend->listing != Listing::Listed || report.draining || report.service != engineService()->name
-            || groupOf(plan, report.id))
+            || groupOf(plan, report.id) || countsAsLost(report.id, now))
             continue;
         if (report.group.state != MemberState::None) {
             // A group that no plan knows: an order of a former plan took effect late.
@@ -486,12 +527,13 @@
                                       TimePoint now, FormationActions &actions)
 {
     const Backend *head = present(m_backends, group.members.front());
-    const bool headServes = head && claims(*head, group)
+    const bool headServes = head && !countsAsLost(head->report.id, now) && claims(*head, group)
         && (head->report.group.state == MemberState::Open
             || head->report.group.state == MemberState::Closing);
     const bool whole =
-        std::all_of(group.members.begin(), group.members.end(),
-                    [&](const auto &member) { return present(m_backends, member) != nullptr; });
+        std::all_of(group.members.begin(), group.members.end(), [&](const auto &member) {
+            return present(m_backends, member) && !countsAsLost(member.vm, now);
+        });
     if (headServes && whole) {
         // A member leaves by its own will: what the head runs can still end.
         if (head->report.group.state == MemberState::Open)
@@ -506,7 +548,7 @@
     }
     for (const PlannedMember &member : group.members) {
         const Backend *backend = present(m_backends, member);
-        if (backend && claims(*backend, group))
+        if (backend && claims(*backend, group) && !countsAsLost(member.vm, now))
             sendOrder(*backend, GroupOrderKind::Leave, group.name, group.generation, group.model,
                       {}, fence, now, actions);
     }
--- a/src/formation/formation_system.h
+++ b/src/formation/formation_system.h
@@ -19,6 +19,9 @@
     Duration orderTimeout {1'500}; ///< Before an order whose effect does not show is sent again.
     Duration refusedPause {250}; ///< Before an order that was refused is sent again.
     Duration writeTimeout {3'000}; ///< Before a write of a plan counts as lost.
+    Duration probeInterval {300}; ///< Between probes of the members of a suspected group.
+    std::uint32_t probesUntilLost = 2; ///< Unanswered in a row; a lost packet leaves one unanswered.
+    Duration lostFor {6'000}; ///< A member that answers no probe is left out for so long.
     Duration freeSettle {200}; ///< Without change of a domain's free VMs before they form groups.
     Duration conversionTurn {300}; ///< Domains take turns in giving groups up for other models.
     std::uint32_t stagingAtOnce = 1; ///< VMs of one domain that fetch weights beside their work.
@@ -45,6 +48,7 @@
     /// What became of WritePlan; `revision` is 0 unless it was written.
     void planWritten(const DomainId &domain, const FormationPlan &plan, Revision revision);
     void orderDone(const GroupOrderDone &done, TimePoint now, FormationActions &actions);
+    void memberProbed(const MemberProbed &probed, TimePoint now);
     void tick(TimePoint now, FormationActions &actions);
 
     /// Domains owned at the last tick.
@@ -77,11 +81,22 @@
         TimePoint until; ///< Afterwards the order counts as lost.
     };
 
+    /// What probes of a member of a suspected group have brought.
+    struct Doubt
+    {
+        std::uint32_t unanswered = 0; ///< In a row.
+        bool probing = false;
+        TimePoint probedAt;
+        TimePoint lostUntil; ///< It counts as lost until then, or until its entry tells more.
+    };
+
     const ServedService *engineService() const;
     bool owns(const DomainId &domain) const;
     void plan(const DomainId &id, Domain &domain, TimePoint now, FormationActions &actions);
-    bool noteLosses(Domain &domain, FormationActions &actions) const;
-    bool dropDissolved(const Domain &domain, FormationPlan &next,
+    bool noteLosses(Domain &domain, TimePoint now, FormationActions &actions) const;
+    void probeSuspects(const Domain &domain, TimePoint now, FormationActions &actions);
+    bool countsAsLost(const VmId &vm, TimePoint now) const;
+    bool dropDissolved(const Domain &domain, FormationPlan &next, TimePoint now,
                        FormationActions &actions) const;
     bool addGroups(const DomainId &id, FormationPlan &next, TimePoint now,
                    FormationActions &actions);
@@ -114,6 +129,7 @@
     std::map<DomainId, Domain> m_domains;
     std::map<VmId, SentOrder> m_orders;
     std::map<VmId, Staging> m_staging;
+    std::map<VmId, Doubt> m_doubts;
     TimePoint m_tickedAt;
     std::size_t m_mostServers = 0; ///< Known at once since the start.
     TimePoint m_newServerAt;
--- a/src/formation/formation_type.h
+++ b/src/formation/formation_type.h
@@ -82,6 +82,19 @@
     GroupOrderOutcome outcome = GroupOrderOutcome::Unknown;
 };
 
+/// Ask a VM whether it is there; its answer comes as MemberProbed.
+struct ProbeMember
+{
+    VmId vm;
+    Address address;
+};
+
+struct MemberProbed
+{
+    VmId vm;
+    bool answered = false;
+};
+
 /// Write a domain's plan if it is still at the expected revision.
 struct WritePlan
 {
@@ -97,7 +110,7 @@
     std::vector<std::pair<std::string, std::string>> fields;
 };
 
-using FormationAction = std::variant<SendGroupOrder, WritePlan, NoteFormation>;
+using FormationAction = std::variant<SendGroupOrder, ProbeMember, WritePlan, NoteFormation>;
 using FormationActions = std::vector<FormationAction>;
 
 } // namespace bramleypitch
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -17,6 +17,7 @@
 constexpr Duration leaseTime {4'000};
 constexpr Duration leaseRenewInterval {1'300}; ///< Three tries within a lease.
 constexpr Duration orderTimeLimit {1'500};
+constexpr Duration probeTimeLimit {250}; ///< Many times the way to a server and back.
 /// Entries that lapsed as the store was away are back this long after its return, if the server
 /// lives: two seconds and one more for the way through the store.
 constexpr Duration lapsedKeep {3'000};
@@ -402,6 +403,20 @@
     m_http.send(call, std::move(hooks));
 }
 
+void ServingDaemon::perform(const ProbeMember &probe)
+{
+    HttpCall call = m_dialect.writeProbe(probe);
+    call.timeLimit = probeTimeLimit;
+    HttpHooks hooks;
+    hooks.answered = [this, vm = probe.vm](const HttpAnswer &answer) {
+        m_formation.memberProbed({vm, answer.status == ok}, m_loop.now());
+    };
+    hooks.broken = [this, vm = probe.vm](const HttpBreak &) {
+        m_formation.memberProbed({vm, false}, m_loop.now());
+    };
+    m_http.send(call, std::move(hooks));
+}
+
 void ServingDaemon::perform(const WritePlan &write)
 {
     m_store.compareAndSwap(planKey(write.domain), write.expected, serializePlan(write.plan), 0,
--- a/src/network/serving_daemon.h
+++ b/src/network/serving_daemon.h
@@ -46,6 +46,7 @@
     std::function<BackendReport(const VmId &, const std::string &)> readServer;
     std::function<HttpCall(const SendGroupOrder &)> writeOrder;
     std::function<GroupOrderOutcome(int status)> readOrderStatus;
+    std::function<HttpCall(const ProbeMember &)> writeProbe;
     std::string readyPath;
     std::string directoryPath;
     std::function<ZoneId(const std::string &query)> readDirectoryQuery;
@@ -85,6 +86,7 @@
     void writeRecord();
     void form(TimePoint now);
     void perform(const SendGroupOrder &order);
+    void perform(const ProbeMember &probe);
     void perform(const WritePlan &write);
     void perform(const NoteFormation &note);
     bool isReady(TimePoint now) const;
--- a/src/platform/platform_dialect.cpp
+++ b/src/platform/platform_dialect.cpp
@@ -150,6 +150,15 @@
     return call;
 }
 
+HttpCall writeProbe(const ProbeMember &probe)
+{
+    HttpCall call;
+    call.address = probe.address;
+    call.path = "/v1/report";
+    call.headers = {{expectHeader, probe.vm.value()}};
+    return call;
+}
+
 GroupOrderOutcome readOrderStatus(int status)
 {
     constexpr int done = 200;
@@ -206,6 +215,7 @@
     dialect.readServer = readServer;
     dialect.writeOrder = writeOrder;
     dialect.readOrderStatus = readOrderStatus;
+    dialect.writeProbe = writeProbe;
     dialect.readyPath = "/v1/readiness";
     dialect.directoryPath = "/v1/resolve";
     dialect.readDirectoryQuery = readDirectoryQuery;
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -25,7 +25,7 @@
     Duration suspectFor {1'000}; ///< After a failure a server comes last for so long.
     /// After a stream fell silent, or no connection was accepted: until its entry lapses.
     Duration silentFor {4'000};
-    Duration streamSilence {1'200}; ///< After which a stream goes on elsewhere.
+    Duration streamSilence {700}; ///< After which a stream goes on elsewhere.
     Duration retryLater {1'000}; ///< Told to callers for whose requests there is no server.
     /// Left for a server to make use of; with less, an attempt is not worth sending.
     Duration leastTimeLeft {30};
