--- a/src/formation/formation_func.cpp
+++ b/src/formation/formation_func.cpp
@@ -15,9 +15,9 @@
 /// A model gives groups up for one that is by this factor more in need even afterwards: below it,
 /// groups would go to and fro.
 constexpr double conversionFactor = 1.1;
-/// Of a model that is less busy and has the groups it wants, none is formed: the VMs are worth more as spares, from which a
+/// Of a model that is less busy, no group is formed: the VMs are worth more as spares, from which a
 /// lost member is replaced within two seconds.
-constexpr double formBusy = 0.55;
+constexpr double formBusy = 0.45;
 /// For a model that is less busy, no other gives a group up.
 constexpr double conversionBusy = 0.6;
 
@@ -289,11 +289,7 @@
 private:
     const ServedModel &model(std::size_t i) const { return *m_input.demand[i].model; }
     /// Whether the model needs a further group at all.
-    bool isBusy(std::size_t i) const
-    {
-        const ModelDemand &demand = m_input.demand[i];
-        return demand.groups < demand.wanted || demand.busy >= formBusy;
-    }
+    bool isBusy(std::size_t i) const { return m_input.demand[i].busy >= formBusy; }
     bool isReady(std::size_t i) const
     {
         return withWeights(m_input.free, model(i)) >= model(i).span;
--- a/src/formation/formation_func.h
+++ b/src/formation/formation_func.h
@@ -21,7 +21,6 @@
     const ServedModel *model = nullptr;
     double work = 0; ///< Groups that it needs beside the other models; only the ratio counts.
     double groups = 0; ///< Formed or planned, of all domains.
-    double wanted = 0; ///< Groups that the VMs of all domains allow beside spares, by published work.
     double busy = 1; ///< Requests running or waiting, as a share of the slots of its groups.
 };
 
--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -353,16 +353,6 @@
     return all;
 }
 
-std::map<DomainId, GroupCounts> FormationSystem::wantedGroups() const
-{
-    std::map<DomainId, std::uint32_t> sizes;
-    for (const DomainId &domain : m_backends.domains()) {
-        const auto size = static_cast<std::uint32_t>(m_backends.inDomain(domain).size());
-        sizes[domain] = size >= leastForSpares ? size - sparesOfDomain : size;
-    }
-    return firstSplit(sizes, *engineService()->engine);
-}
-
 bool FormationSystem::addGroups(const DomainId &id, FormationPlan &next, TimePoint now,
                                 FormationActions &actions)
 {
@@ -386,13 +376,14 @@
             input.leaving += group.dissolving && backend && !backend->report.draining ? 1 : 0;
         }
     }
-    const std::map<DomainId, GroupCounts> wanted = wantedGroups();
-    for (const auto &[domainId, counts] : wanted) {
-        for (std::size_t i = 0; i < counts.size(); ++i)
-            input.demand[i].wanted += counts[i];
+    if (beforeTraffic(now)) {
+        std::map<DomainId, std::uint32_t> sizes;
+        for (const DomainId &domain : m_backends.domains()) {
+            const auto size = static_cast<std::uint32_t>(m_backends.inDomain(domain).size());
+            sizes[domain] = size >= leastForSpares ? size - sparesOfDomain : size;
+        }
+        input.wanted = firstSplit(sizes, *input.engine)[id];
     }
-    if (beforeTraffic(now) && wanted.count(id))
-        input.wanted = wanted.at(id);
     const FormationPlan last = next;
     const std::size_t before = next.groups.size();
     if (!formGroups(next, id, input))
--- a/src/formation/formation_system.h
+++ b/src/formation/formation_system.h
@@ -103,8 +103,6 @@
     std::vector<const Backend *> freeVms(const DomainId &id, const FormationPlan &plan,
                                          TimePoint now, FormationActions &actions);
     std::vector<ModelDemand> demand() const;
-    /// The groups that each domain would hold by the published work alone.
-    std::map<DomainId, GroupCounts> wantedGroups() const;
     void orderGroup(Domain &domain, const PlannedGroup &group, TimePoint now,
                     FormationActions &actions);
     void orderDissolving(const PlannedGroup &group, Generation fence, TimePoint now,
