--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -18,7 +18,7 @@
 /// Weight of the measured work against the published shares.
 constexpr double measuredWeight = 0.7;
 /// VMs of a domain that stay without a group at the first start, in domains of at least so many.
-constexpr std::uint32_t sparesOfDomain = 2;
+constexpr std::uint32_t sparesOfDomain = 0;
 constexpr std::uint32_t leastForSpares = 8;
 /// A load takes longer while others run; after so many load times it counts as lost.
 constexpr int stagingPatience = 3;
