--- a/src/formation/formation_func.cpp
+++ b/src/formation/formation_func.cpp
@@ -17,7 +17,7 @@
 constexpr double conversionFactor = 1.1;
 /// Of a model that is less busy, no group is formed: the VMs are worth more as spares, from which a
 /// lost member is replaced within two seconds.
-constexpr double formBusy = 0.45;
+constexpr double formBusy = 0.55;
 /// For a model that is less busy, no other gives a group up.
 constexpr double conversionBusy = 0.6;
 
