Feature: [Network] One node a zone watches the store and feeds the others; cold servers are met in turn

Change: a mirror keeps a log of changes and tells it to the nodes of its zone as datagrams with an echo of the receiver's clock, which proves the age of what it tells; a node without a recent proof watches itself. First requests to a cold server are spread over the nodes' interval. Pulses go out every 150 ms, to other zones less often the more nodes there are.

--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -216,6 +216,8 @@
 {
     Doubt &doubt = m_doubts[probed.vm];
     doubt.probing = false;
+    if (probed.answered)
+        doubt.answeredAt = now;
     doubt.unanswered = probed.answered ? 0 : doubt.unanswered + 1;
     if (doubt.unanswered >= m_options.probesUntilLost)
         doubt.lostUntil = now + m_options.lostFor;
@@ -234,7 +236,8 @@
         for (const PlannedMember &member : group.members) {
             const Backend *backend = present(m_backends, member);
             Doubt &doubt = m_doubts[member.vm];
-            if (!backend || doubt.probing || now - doubt.probedAt < m_options.probeInterval)
+            if (!backend || doubt.probing || now - doubt.probedAt < m_options.probeInterval
+                || now - doubt.answeredAt < m_options.answerKeep)
                 continue;
             doubt.probing = true;
             doubt.probedAt = now;
--- a/src/formation/formation_system.h
+++ b/src/formation/formation_system.h
@@ -21,6 +21,7 @@
     Duration writeTimeout {3'000}; ///< Before a write of a plan counts as lost.
     Duration probeInterval {300}; ///< Between probes of the members of a suspected group.
     std::uint32_t probesUntilLost = 2; ///< Unanswered in a row; a lost packet leaves one unanswered.
+    Duration answerKeep {1'500}; ///< A member that answered is not probed again for so long.
     Duration lostFor {6'000}; ///< A member that answers no probe is left out for so long.
     Duration freeSettle {200}; ///< Without change of a domain's free VMs before they form groups.
     Duration conversionTurn {300}; ///< Domains take turns in giving groups up for other models.
@@ -85,6 +86,7 @@
     struct Doubt
     {
         std::uint32_t unanswered = 0; ///< In a row.
+        TimePoint answeredAt;
         bool probing = false;
         TimePoint probedAt;
         TimePoint lostUntil; ///< It counts as lost until then, or until its entry tells more.
--- a/src/network/gen/peer_types.cpp
+++ b/src/network/gen/peer_types.cpp
@@ -1229,6 +1229,14 @@
 void Pulse::__set_suspects_ms(const std::map<std::string, int32_t> & val) {
   this->suspects_ms = val;
 }
+
+void Pulse::__set_clock_ms(const int64_t val) {
+  this->clock_ms = val;
+}
+
+void Pulse::__set_held_revision(const int64_t val) {
+  this->held_revision = val;
+}
 std::ostream& operator<<(std::ostream& out, const Pulse& obj)
 {
   obj.printTo(out);
@@ -1358,6 +1366,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->clock_ms);
+          this->__isset.clock_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->held_revision);
+          this->__isset.held_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1430,6 +1454,14 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("clock_ms", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->clock_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("held_revision", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->held_revision);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1444,6 +1476,8 @@
   swap(a.running, b.running);
   swap(a.demand, b.demand);
   swap(a.suspects_ms, b.suspects_ms);
+  swap(a.clock_ms, b.clock_ms);
+  swap(a.held_revision, b.held_revision);
   swap(a.__isset, b.__isset);
 }
 
@@ -1455,6 +1489,8 @@
   running = other50.running;
   demand = other50.demand;
   suspects_ms = other50.suspects_ms;
+  clock_ms = other50.clock_ms;
+  held_revision = other50.held_revision;
   __isset = other50.__isset;
 }
 Pulse& Pulse::operator=(const Pulse& other51) {
@@ -1465,6 +1501,8 @@
   running = other51.running;
   demand = other51.demand;
   suspects_ms = other51.suspects_ms;
+  clock_ms = other51.clock_ms;
+  held_revision = other51.held_revision;
   __isset = other51.__isset;
   return *this;
 }
@@ -1478,6 +1516,352 @@
   out << ", " << "running=" << to_string(running);
   out << ", " << "demand=" << to_string(demand);
   out << ", " << "suspects_ms=" << to_string(suspects_ms);
+  out << ", " << "clock_ms=" << to_string(clock_ms);
+  out << ", " << "held_revision=" << to_string(held_revision);
+  out << ")";
+}
+
+
+FeedChange::~FeedChange() noexcept {
+}
+
+
+void FeedChange::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void FeedChange::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void FeedChange::__set_deleted(const bool val) {
+  this->deleted = val;
+}
+
+void FeedChange::__set_value(const std::string& val) {
+  this->value = val;
+}
+std::ostream& operator<<(std::ostream& out, const FeedChange& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FeedChange::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->deleted);
+          this->__isset.deleted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FeedChange::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FeedChange");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("deleted", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->deleted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeBinary(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FeedChange &a, FeedChange &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.revision, b.revision);
+  swap(a.deleted, b.deleted);
+  swap(a.value, b.value);
+  swap(a.__isset, b.__isset);
+}
+
+FeedChange::FeedChange(const FeedChange& other52) {
+  key = other52.key;
+  revision = other52.revision;
+  deleted = other52.deleted;
+  value = other52.value;
+  __isset = other52.__isset;
+}
+FeedChange& FeedChange::operator=(const FeedChange& other53) {
+  key = other53.key;
+  revision = other53.revision;
+  deleted = other53.deleted;
+  value = other53.value;
+  __isset = other53.__isset;
+  return *this;
+}
+void FeedChange::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FeedChange(";
+  out << "key=" << to_string(key);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "deleted=" << to_string(deleted);
+  out << ", " << "value=" << to_string(value);
+  out << ")";
+}
+
+
+Feed::~Feed() noexcept {
+}
+
+
+void Feed::__set_from_revision(const int64_t val) {
+  this->from_revision = val;
+}
+
+void Feed::__set_to_revision(const int64_t val) {
+  this->to_revision = val;
+}
+
+void Feed::__set_changes(const std::vector<FeedChange> & val) {
+  this->changes = val;
+}
+
+void Feed::__set_echo_ms(const int64_t val) {
+  this->echo_ms = val;
+}
+
+void Feed::__set_proof_age_ms(const int64_t val) {
+  this->proof_age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const Feed& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Feed::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->from_revision);
+          this->__isset.from_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->to_revision);
+          this->__isset.to_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->changes.clear();
+            uint32_t _size54;
+            ::apache::thrift::protocol::TType _etype57;
+            xfer += iprot->readListBegin(_etype57, _size54);
+            this->changes.resize(_size54);
+            uint32_t _i58;
+            for (_i58 = 0; _i58 < _size54; ++_i58)
+            {
+              xfer += this->changes[_i58].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.changes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->echo_ms);
+          this->__isset.echo_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proof_age_ms);
+          this->__isset.proof_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Feed::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Feed");
+
+  xfer += oprot->writeFieldBegin("from_revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->from_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("to_revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->to_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
+    std::vector<FeedChange> ::const_iterator _iter59;
+    for (_iter59 = this->changes.begin(); _iter59 != this->changes.end(); ++_iter59)
+    {
+      xfer += (*_iter59).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("echo_ms", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->echo_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("proof_age_ms", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->proof_age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Feed &a, Feed &b) {
+  using ::std::swap;
+  swap(a.from_revision, b.from_revision);
+  swap(a.to_revision, b.to_revision);
+  swap(a.changes, b.changes);
+  swap(a.echo_ms, b.echo_ms);
+  swap(a.proof_age_ms, b.proof_age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+Feed::Feed(const Feed& other60) {
+  from_revision = other60.from_revision;
+  to_revision = other60.to_revision;
+  changes = other60.changes;
+  echo_ms = other60.echo_ms;
+  proof_age_ms = other60.proof_age_ms;
+  __isset = other60.__isset;
+}
+Feed& Feed::operator=(const Feed& other61) {
+  from_revision = other61.from_revision;
+  to_revision = other61.to_revision;
+  changes = other61.changes;
+  echo_ms = other61.echo_ms;
+  proof_age_ms = other61.proof_age_ms;
+  __isset = other61.__isset;
+  return *this;
+}
+void Feed::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Feed(";
+  out << "from_revision=" << to_string(from_revision);
+  out << ", " << "to_revision=" << to_string(to_revision);
+  out << ", " << "changes=" << to_string(changes);
+  out << ", " << "echo_ms=" << to_string(echo_ms);
+  out << ", " << "proof_age_ms=" << to_string(proof_age_ms);
   out << ")";
 }
 
--- a/src/network/gen/peer_types.h
+++ b/src/network/gen/peer_types.h
@@ -37,6 +37,10 @@
 
 class Pulse;
 
+class FeedChange;
+
+class Feed;
+
 typedef struct _MemberEntry__isset {
   _MemberEntry__isset() : node(false), incarnation(false), counter(false), entry_address(false), peer_address(false), zone(false), leaving(false) {}
   bool node :1;
@@ -510,7 +514,7 @@
 std::ostream& operator<<(std::ostream& out, const LedgerReply& obj);
 
 typedef struct _Pulse__isset {
-  _Pulse__isset() : node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false) {}
+  _Pulse__isset() : node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), clock_ms(false), held_revision(false) {}
   bool node :1;
   bool life :1;
   bool number :1;
@@ -518,6 +522,8 @@
   bool running :1;
   bool demand :1;
   bool suspects_ms :1;
+  bool clock_ms :1;
+  bool held_revision :1;
 } _Pulse__isset;
 
 class Pulse : public virtual ::apache::thrift::TBase {
@@ -529,7 +535,9 @@
         : node(),
           life(0),
           number(0),
-          taking(0) {
+          taking(0),
+          clock_ms(0),
+          held_revision(0) {
   }
 
   virtual ~Pulse() noexcept;
@@ -540,6 +548,8 @@
   std::map<std::string, int32_t>  running;
   std::map<std::string, int32_t>  demand;
   std::map<std::string, int32_t>  suspects_ms;
+  int64_t clock_ms;
+  int64_t held_revision;
 
   _Pulse__isset __isset;
 
@@ -557,6 +567,10 @@
 
   void __set_suspects_ms(const std::map<std::string, int32_t> & val);
 
+  void __set_clock_ms(const int64_t val);
+
+  void __set_held_revision(const int64_t val);
+
   bool operator == (const Pulse & rhs) const
   {
     if (!(node == rhs.node))
@@ -573,6 +587,10 @@
       return false;
     if (!(suspects_ms == rhs.suspects_ms))
       return false;
+    if (!(clock_ms == rhs.clock_ms))
+      return false;
+    if (!(held_revision == rhs.held_revision))
+      return false;
     return true;
   }
   bool operator != (const Pulse &rhs) const {
@@ -591,6 +609,140 @@
 
 std::ostream& operator<<(std::ostream& out, const Pulse& obj);
 
+typedef struct _FeedChange__isset {
+  _FeedChange__isset() : key(false), revision(false), deleted(false), value(false) {}
+  bool key :1;
+  bool revision :1;
+  bool deleted :1;
+  bool value :1;
+} _FeedChange__isset;
+
+class FeedChange : public virtual ::apache::thrift::TBase {
+ public:
+
+  FeedChange(const FeedChange&);
+  FeedChange& operator=(const FeedChange&);
+  FeedChange() noexcept
+             : key(),
+               revision(0),
+               deleted(0),
+               value() {
+  }
+
+  virtual ~FeedChange() noexcept;
+  std::string key;
+  int64_t revision;
+  bool deleted;
+  std::string value;
+
+  _FeedChange__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_deleted(const bool val);
+
+  void __set_value(const std::string& val);
+
+  bool operator == (const FeedChange & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(deleted == rhs.deleted))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    return true;
+  }
+  bool operator != (const FeedChange &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FeedChange & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FeedChange &a, FeedChange &b);
+
+std::ostream& operator<<(std::ostream& out, const FeedChange& obj);
+
+typedef struct _Feed__isset {
+  _Feed__isset() : from_revision(false), to_revision(false), changes(false), echo_ms(false), proof_age_ms(false) {}
+  bool from_revision :1;
+  bool to_revision :1;
+  bool changes :1;
+  bool echo_ms :1;
+  bool proof_age_ms :1;
+} _Feed__isset;
+
+class Feed : public virtual ::apache::thrift::TBase {
+ public:
+
+  Feed(const Feed&);
+  Feed& operator=(const Feed&);
+  Feed() noexcept
+       : from_revision(0),
+         to_revision(0),
+         echo_ms(0),
+         proof_age_ms(0) {
+  }
+
+  virtual ~Feed() noexcept;
+  int64_t from_revision;
+  int64_t to_revision;
+  std::vector<FeedChange>  changes;
+  int64_t echo_ms;
+  int64_t proof_age_ms;
+
+  _Feed__isset __isset;
+
+  void __set_from_revision(const int64_t val);
+
+  void __set_to_revision(const int64_t val);
+
+  void __set_changes(const std::vector<FeedChange> & val);
+
+  void __set_echo_ms(const int64_t val);
+
+  void __set_proof_age_ms(const int64_t val);
+
+  bool operator == (const Feed & rhs) const
+  {
+    if (!(from_revision == rhs.from_revision))
+      return false;
+    if (!(to_revision == rhs.to_revision))
+      return false;
+    if (!(changes == rhs.changes))
+      return false;
+    if (!(echo_ms == rhs.echo_ms))
+      return false;
+    if (!(proof_age_ms == rhs.proof_age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const Feed &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Feed & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Feed &a, Feed &b);
+
+std::ostream& operator<<(std::ostream& out, const Feed& obj);
+
 }} // namespace
 
 #endif
--- a/src/network/peer.thrift
+++ b/src/network/peer.thrift
@@ -63,6 +63,24 @@
   5: map<string, i32> running
   6: map<string, i32> demand
   7: map<string, i32> suspects_ms
+  8: i64 clock_ms
+  9: i64 held_revision
+}
+
+struct FeedChange {
+  1: string key
+  2: i64 revision
+  3: bool deleted
+  4: binary value
+}
+
+// Sent as a datagram by the node that watches the store for its zone.
+struct Feed {
+  1: i64 from_revision
+  2: i64 to_revision
+  3: list<FeedChange> changes
+  4: i64 echo_ms
+  5: i64 proof_age_ms
 }
 
 service Peer {
--- a/src/network/pulse_socket.cpp
+++ b/src/network/pulse_socket.cpp
@@ -21,6 +21,9 @@
 using apache::thrift::transport::TMemoryBuffer;
 
 constexpr std::size_t maxDatagram = 60'000;
+/// The first byte of a datagram tells what it is.
+constexpr char pulseTag = 'P';
+constexpr char feedTag = 'F';
 /// Datagrams read in one turn, so that a flood cannot hold the loop.
 constexpr int maxReadsPerTurn = 64;
 
@@ -35,6 +38,55 @@
     return socketAddress;
 }
 
+template<typename Wire>
+std::string toBytes(char tag, const Wire &wire)
+{
+    const auto buffer = std::make_shared<TMemoryBuffer>();
+    TCompactProtocol protocol(buffer);
+    wire.write(&protocol);
+    return tag + buffer->getBufferAsString();
+}
+
+template<typename Wire>
+Wire fromBytes(std::uint8_t *bytes, std::size_t length)
+{
+    const auto buffer = std::make_shared<TMemoryBuffer>(bytes, static_cast<std::uint32_t>(length));
+    TCompactProtocol protocol(buffer);
+    Wire wire;
+    wire.read(&protocol);
+    return wire;
+}
+
+std::string serialize(const StoreFeed &feed)
+{
+    peer::Feed wire;
+    wire.from_revision = feed.from.value();
+    wire.to_revision = feed.to.value();
+    wire.echo_ms = milliseconds(feed.echo);
+    wire.proof_age_ms = feed.proofAge.count();
+    for (const StoreChange &change : feed.changes) {
+        peer::FeedChange item;
+        item.key = change.key;
+        item.revision = change.revision.value();
+        item.deleted = change.deleted;
+        item.value = change.value;
+        wire.changes.push_back(std::move(item));
+    }
+    return toBytes(feedTag, wire);
+}
+
+StoreFeed toFeed(const peer::Feed &wire)
+{
+    StoreFeed feed;
+    feed.from = Revision(wire.from_revision);
+    feed.to = Revision(wire.to_revision);
+    feed.echo = timePoint(wire.echo_ms);
+    feed.proofAge = Duration(wire.proof_age_ms);
+    for (const peer::FeedChange &item : wire.changes)
+        feed.changes.push_back({item.key, Revision(item.revision), item.deleted, item.value});
+    return feed;
+}
+
 std::string serialize(const Pulse &pulse)
 {
     peer::Pulse wire;
@@ -48,18 +100,13 @@
         wire.demand[model.value()] = static_cast<std::int32_t>(count);
     for (const auto &[server, left] : pulse.suspects)
         wire.suspects_ms[server.value()] = static_cast<std::int32_t>(left.count());
-    const auto buffer = std::make_shared<TMemoryBuffer>();
-    TCompactProtocol protocol(buffer);
-    wire.write(&protocol);
-    return buffer->getBufferAsString();
+    wire.clock_ms = milliseconds(pulse.clock);
+    wire.held_revision = pulse.held.value();
+    return toBytes(pulseTag, wire);
 }
 
-Pulse parse(std::uint8_t *bytes, std::size_t length)
+Pulse toPulse(const peer::Pulse &wire)
 {
-    const auto buffer = std::make_shared<TMemoryBuffer>(bytes, static_cast<std::uint32_t>(length));
-    TCompactProtocol protocol(buffer);
-    peer::Pulse wire;
-    wire.read(&protocol);
     Pulse pulse;
     pulse.node = NodeId(wire.node);
     pulse.life = wire.life;
@@ -71,15 +118,17 @@
         pulse.demand[ModelId(model)] = static_cast<std::uint32_t>(count);
     for (const auto &[server, left] : wire.suspects_ms)
         pulse.suspects[VmId(server)] = Duration(left);
+    pulse.clock = timePoint(wire.clock_ms);
+    pulse.held = Revision(wire.held_revision);
     return pulse;
 }
 
 } // namespace
 
-PulseSocket::PulseSocket(EventLoop &loop, const Address &address, PulseHook hook)
+PulseSocket::PulseSocket(EventLoop &loop, const Address &address, PulseHooks hooks)
     : m_descriptor(socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
     , m_event(event_new(loop.base(), m_descriptor, EV_READ | EV_PERSIST, readable, this))
-    , m_hook(std::move(hook))
+    , m_hooks(std::move(hooks))
 {
     const sockaddr_in own = toSocketAddress(address);
     if (bind(m_descriptor, reinterpret_cast<const sockaddr *>(&own), sizeof(own)) != 0)
@@ -96,11 +145,20 @@
 void PulseSocket::send(const Pulse &pulse, const std::vector<Address> &addresses)
 {
     const std::string bytes = serialize(pulse);
-    for (const Address &address : addresses) {
-        const sockaddr_in peer = toSocketAddress(address);
-        sendto(m_descriptor, bytes.data(), bytes.size(), MSG_DONTWAIT,
-               reinterpret_cast<const sockaddr *>(&peer), sizeof(peer));
-    }
+    for (const Address &address : addresses)
+        sendBytes(bytes, address);
+}
+
+void PulseSocket::send(const StoreFeed &feed, const Address &address)
+{
+    sendBytes(serialize(feed), address);
+}
+
+void PulseSocket::sendBytes(const std::string &bytes, const Address &address)
+{
+    const sockaddr_in peer = toSocketAddress(address);
+    sendto(m_descriptor, bytes.data(), bytes.size(), MSG_DONTWAIT,
+           reinterpret_cast<const sockaddr *>(&peer), sizeof(peer));
 }
 
 void PulseSocket::readable(evutil_socket_t descriptor, short, void *self)
@@ -112,7 +170,11 @@
         if (length <= 0)
             return;
         try {
-            socket->m_hook(parse(bytes.data(), static_cast<std::size_t>(length)));
+            const auto size = static_cast<std::size_t>(length) - 1;
+            if (bytes[0] == feedTag)
+                socket->m_hooks.feed(toFeed(fromBytes<peer::Feed>(bytes.data() + 1, size)));
+            else
+                socket->m_hooks.pulse(toPulse(fromBytes<peer::Pulse>(bytes.data() + 1, size)));
         } catch (const apache::thrift::TException &) {
             ++socket->m_unreadable;
         }
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -12,10 +12,17 @@
 namespace {
 
 constexpr Duration tickInterval {25};
-constexpr Duration pulseInterval {250};
+constexpr Duration pulseInterval {150};
 constexpr Duration sweepInterval {100};
-constexpr Duration leaseTime {4'000};
-constexpr Duration leaseRenewInterval {1'300}; ///< Three tries within a lease.
+/// Other zones need to know only who lives and how busy servers are, and traffic there is paid for.
+/// The interval grows with the nodes, so that a node sends a bounded number of datagrams there.
+constexpr Duration pulseFarPerNode {16};
+/// Changes that a node was told and does not hold after so long are told again.
+constexpr Duration feedRepeat {600};
+/// Without a proof this recent from the node that watches for the zone, a node watches itself.
+constexpr Duration staleProof {1'900};
+constexpr Duration leaseTime {10'000};
+constexpr Duration leaseRenewInterval {3'000}; ///< Three tries within a lease.
 constexpr Duration orderTimeLimit {1'500};
 constexpr Duration probeTimeLimit {250}; ///< Many times the way to a server and back.
 /// Entries that lapsed as the store was away are back this long after its return, if the server
@@ -73,7 +80,10 @@
 void ServingDaemon::start()
 {
     m_pulses = std::make_unique<PulseSocket>(m_loop, m_options.pulse,
-                                             [this](const Pulse &pulse) { pulseCame(pulse); });
+                                             PulseHooks {[this](const Pulse &pulse) { pulseCame(pulse); },
+                                                        [this](const StoreFeed &feed) {
+                                                            m_mirror.take(feed, m_loop.now());
+                                                        }});
     m_relay.callers().listen(m_options.front);
     m_sideServer.listen(m_options.ready);
     m_sideServer.listen(m_options.directory);
@@ -256,10 +266,14 @@
     const NodeId node(key.substr(std::string(nodesPart).size()));
     if (change.deleted) {
         m_presence.eraseRecord(node);
-        if (node == m_options.node)
+        if (node == m_options.node) {
             m_recorded = false;
+            m_recordRevision = Revision();
+        }
         return;
     }
+    if (node == m_options.node)
+        m_recordRevision = change.revision;
     const nlohmann::json json = nlohmann::json::parse(change.value, nullptr, false);
     if (!json.is_object())
         throw Failure(ErrorCode::PlatformProtocol, "a node's record is no JSON object");
@@ -273,10 +287,11 @@
 
 void ServingDaemon::settled()
 {
+    const TimePoint now = m_loop.now();
+    feedPeers(now);
     if (m_backends.version() == m_tableVersion)
         return;
     m_tableVersion = m_backends.version();
-    const TimePoint now = m_loop.now();
     form(now);
     m_relay.tick(now);
 }
@@ -296,6 +311,7 @@
         }
         renewLease(now);
     }
+    m_mirror.setWatching(m_presence.isFeeder(now) || now - m_mirror.provenAt() > staleProof);
     noteReadiness(now);
     form(now);
     m_relay.tick(now);
@@ -315,10 +331,36 @@
     own.running = m_backends.ownRunning();
     own.demand = m_requests.demand();
     own.suspects = m_backends.suspects(now);
-    m_pulses->send(own, m_presence.peers());
+    own.clock = now;
+    own.held = m_mirror.held();
+    const Duration farInterval = std::max(pulseInterval, pulseFarPerNode * m_presence.nodeBound(now));
+    const bool far = now - m_pulsedFarAt >= farInterval || own.taking != m_toldTaking;
+    if (far)
+        m_pulsedFarAt = now;
+    m_toldTaking = own.taking;
+    m_pulses->send(own, m_presence.peers(far));
+    feedPeers(now);
     m_requests.setNodeBound(m_presence.nodeBound(now));
 }
 
+void ServingDaemon::feedPeers(TimePoint now)
+{
+    if (!m_mirror.complete() || !m_presence.isFeeder(now))
+        return;
+    for (const PresenceTable::Fed &fed : m_presence.fed(now)) {
+        SentFeed &sent = m_sentFeeds[fed.node];
+        const bool underWay = now - sent.at < feedRepeat;
+        std::optional<StoreFeed> feed =
+            m_mirror.feedAbove(underWay ? std::max(sent.to, fed.held) : fed.held, now);
+        if (!feed)
+            continue; // It is too far behind and reads the store itself.
+        feed->echo = fed.clock;
+        m_pulses->send(*feed, fed.peer);
+        if (!feed->changes.empty())
+            sent = {feed->to, now};
+    }
+}
+
 void ServingDaemon::pulseCame(const Pulse &pulse)
 {
     const TimePoint now = m_loop.now();
@@ -330,7 +372,7 @@
 
 void ServingDaemon::renewLease(TimePoint now)
 {
-    if (m_leaseBusy || m_stopping || now - m_leaseAt < leaseRenewInterval)
+    if (m_leaseBusy || m_stopping || !m_mirror.complete() || now - m_leaseAt < leaseRenewInterval)
         return;
     m_leaseAt = now;
     m_leaseBusy = true;
@@ -363,9 +405,10 @@
                                  {"front", m_options.front},
                                  {"peer", m_options.pulse},
                                  {"life", m_life}};
-    m_store.compareAndSwap(m_dialect.ownPrefix + nodesPart + m_options.node.value(), Revision(0),
-                           record.dump(), m_lease, [this](const StoreSwap &swap) {
-                               // A conflict: the record of the life before has yet to run out.
+    // The record of the life before may still stand under that life's lease.
+    m_store.compareAndSwap(m_dialect.ownPrefix + nodesPart + m_options.node.value(),
+                           m_recordRevision, record.dump(), m_lease,
+                           [this](const StoreSwap &swap) {
                                m_recorded = swap.outcome == StoreSwapOutcome::Written;
                            });
 }
--- a/src/network/serving_daemon.h
+++ b/src/network/serving_daemon.h
@@ -81,6 +81,7 @@
     void dropLapsed(TimePoint now);
     void tick();
     void pulse(TimePoint now);
+    void feedPeers(TimePoint now);
     void pulseCame(const Pulse &pulse);
     void renewLease(TimePoint now);
     void writeRecord();
@@ -116,12 +117,21 @@
     std::int64_t m_life = 0;
     std::int64_t m_pulseNumber = 0;
     TimePoint m_pulsedAt;
+    TimePoint m_pulsedFarAt;
+    struct SentFeed
+    {
+        Revision to;
+        TimePoint at;
+    };
+    std::map<NodeId, SentFeed> m_sentFeeds;
+    Revision m_recordRevision; ///< Of the own record in the store; 0 if there is none.
     TimePoint m_sweptAt;
     std::int64_t m_lease = 0;
     bool m_recorded = false; ///< The own record stands under the lease.
     bool m_leaseBusy = false;
     TimePoint m_leaseAt;
     bool m_ready = false;
+    bool m_toldTaking = false; ///< What the last pulse said.
     bool m_stopping = false;
     TimePoint m_stopAt;
     std::uint64_t m_tableVersion = 0;
--- a/src/network/store_client.h
+++ b/src/network/store_client.h
@@ -51,6 +51,16 @@
     std::string cause; ///< Why it failed, for the log.
 };
 
+/// All changes of the store between two revisions, as one node tells them to another.
+struct StoreFeed
+{
+    Revision from; ///< Exclusive: the receiver must hold everything up to here.
+    Revision to; ///< Inclusive.
+    std::vector<StoreChange> changes;
+    TimePoint echo; ///< Of the receiver's own clock: it sent its last pulse then.
+    Duration proofAge {0}; ///< When the feed was sent, `to` had been the newest so long ago.
+};
+
 /// The platform's store as the serving daemon uses it, whatever its dialect. Every call has a time
 /// limit and calls back exactly once.
 class StoreClient
--- a/src/network/store_mirror.cpp
+++ b/src/network/store_mirror.cpp
@@ -1,6 +1,7 @@
 #include "network/store_mirror.h"
 
 #include <algorithm>
+#include <limits>
 #include <vector>
 
 namespace bramleypitch {
@@ -8,12 +9,14 @@
 namespace {
 
 /// A watch lasts so long at most: twice this and the way there bound the age of a proof.
-constexpr Duration watchWait {1'000};
+constexpr Duration watchWait {500};
 /// After news, so that changes that follow each other come with one call.
 constexpr Duration gather {120};
 constexpr Duration firstPause {100}; ///< After a failure; doubles with each further one.
 constexpr Duration mostPause {800};
 constexpr const char *everything = "";
+constexpr std::size_t mostKept = 2'000; ///< Changes that can be told to other nodes later.
+constexpr std::size_t mostFed = 40'000; ///< Bytes of changes in one datagram.
 
 } // namespace
 
@@ -22,14 +25,88 @@
     , m_store(store)
     , m_hooks(std::move(hooks))
     , m_retry(loop, [this] {
-        if (m_complete)
-            watch();
-        else
+        m_waiting = false;
+        if (!m_complete)
             readAll();
+        else if (m_wanted)
+            watch();
     })
 {
 }
 
+void StoreMirror::setWatching(bool watching)
+{
+    m_wanted = watching;
+    if (watching && m_complete && !m_waiting)
+        watch();
+}
+
+void StoreMirror::next(Duration pause)
+{
+    m_waiting = true;
+    m_retry.startOnce(pause);
+}
+
+void StoreMirror::prove(TimePoint at)
+{
+    m_provenAt = std::max(m_provenAt, at);
+    m_hooks.proven(at);
+}
+
+void StoreMirror::keep(const StoreChange &change)
+{
+    m_log.push_back(change);
+    if (m_log.size() > mostKept) {
+        m_logFrom = m_log.front().revision;
+        m_log.pop_front();
+    }
+}
+
+bool StoreMirror::take(const StoreFeed &feed, TimePoint now)
+{
+    if (!m_complete || feed.from > m_asOf)
+        return false;
+    bool changed = false;
+    for (const StoreChange &change : feed.changes) {
+        if (change.revision <= m_asOf)
+            continue;
+        apply(change);
+        keep(change);
+        changed = true;
+    }
+    m_asOf = std::max(m_asOf, feed.to);
+    // The other node held `to` as the newest at a time after this one sent its pulse.
+    prove(std::min(feed.echo - feed.proofAge, now));
+    if (changed)
+        m_hooks.settled();
+    return true;
+}
+
+std::optional<StoreFeed> StoreMirror::feedAbove(Revision held, TimePoint now) const
+{
+    if (!m_complete || held < m_logFrom)
+        return std::nullopt;
+    StoreFeed feed;
+    feed.from = held;
+    feed.to = m_asOf;
+    feed.proofAge = now - m_provenAt;
+    std::size_t bytes = 0;
+    const auto first =
+        std::upper_bound(m_log.begin(), m_log.end(), held,
+                         [](Revision above, const auto &change) { return above < change.revision; });
+    for (auto change = first; change != m_log.end(); ++change) {
+        bytes += change->key.size() + change->value.size();
+        if (bytes > mostFed && !feed.changes.empty()) {
+            // The rest follows when this part is known to have come; it proves nothing yet.
+            feed.to = feed.changes.back().revision;
+            feed.proofAge = Duration(std::numeric_limits<std::int32_t>::max());
+            break;
+        }
+        feed.changes.push_back(*change);
+    }
+    return feed;
+}
+
 void StoreMirror::start()
 {
     readAll();
@@ -74,17 +151,19 @@
         apply({key, m_readStart, true, ""});
     // Pages are no snapshot: the watch goes over what changed between them again.
     m_asOf = m_readStart;
+    m_log.clear();
+    m_logFrom = m_readStart;
     m_complete = true;
-    m_hooks.proven(sentAt);
+    prove(sentAt);
     m_hooks.settled();
-    watch();
+    next(Duration(0));
 }
 
 void StoreMirror::apply(const StoreChange &change)
 {
     const auto held = m_held.find(change.key);
     if (change.deleted) {
-        if (held == m_held.end())
+        if (held == m_held.end() || held->second > change.revision)
             return;
         m_held.erase(held);
     } else {
@@ -98,7 +177,9 @@
 void StoreMirror::watch()
 {
     const TimePoint sentAt = m_loop.now();
+    m_waiting = true;
     m_store.watch(everything, m_asOf, watchWait, [this, sentAt](const StoreNews &news) {
+        m_waiting = false;
         if (news.outcome == StoreNews::Outcome::HistoryGone) {
             succeeded();
             m_complete = false;
@@ -110,15 +191,17 @@
             return;
         }
         succeeded();
-        for (const StoreChange &change : news.changes)
+        for (const StoreChange &change : news.changes) {
+            if (change.revision <= m_asOf)
+                continue; // Another node told it meanwhile.
             apply(change);
+            keep(change);
+        }
         m_asOf = std::max(m_asOf, news.asOf);
-        m_hooks.proven(sentAt);
+        prove(sentAt);
         m_hooks.settled();
-        if (news.changes.empty())
-            watch();
-        else
-            m_retry.startOnce(gather);
+        if (m_wanted && !m_waiting)
+            next(news.changes.empty() ? Duration(0) : gather);
     });
 }
 
@@ -129,7 +212,7 @@
     m_reachable = false;
     m_reachableSince = TimePoint();
     m_pause = m_pause == Duration(0) ? firstPause : std::min(m_pause * 2, mostPause);
-    m_retry.startOnce(m_pause);
+    next(m_pause);
 }
 
 void StoreMirror::succeeded()
--- a/src/platform/platform_settings.cpp
+++ b/src/platform/platform_settings.cpp
@@ -101,6 +101,7 @@
     options.stopTime = milliseconds(file.number("bounds.grace_s", 8) * millisecondsPerSecond);
 
     RequestOptions &requests = options.requests;
+    requests.node = options.node;
     requests.zone = options.zone;
     requests.retries.ratio = file.number("bounds.retry_ratio", requests.retries.ratio);
     requests.retries.slack = file.number("bounds.retry_slack", requests.retries.slack);
--- a/src/request/backend_base.cpp
+++ b/src/request/backend_base.cpp
@@ -12,6 +12,7 @@
         backend.report = report;
         backend.reportedAt = now;
         backend.coldUntil = now + report.coldFor;
+        backend.coldSince = now;
         backend.lastModel = report.model;
         m_byId.emplace(report.id, m_pool.insert(std::move(backend)));
         changed();
@@ -28,6 +29,8 @@
     backend.listing = Listing::Listed;
     if (!report.model.value().empty() && report.group.state != MemberState::Joining)
         backend.lastModel = report.model;
+    if (now >= backend.coldUntil)
+        backend.coldSince = now;
     backend.report = report;
     backend.reportedAt = now;
     backend.coldUntil = now + report.coldFor;
--- a/src/request/backend_type.h
+++ b/src/request/backend_type.h
@@ -73,6 +73,7 @@
     TimePoint lastProgress; ///< When it last sent anything of an answer.
     TimePoint progressExpectedSince; ///< Since when requests of this node wait on it.
     double gapMs = 0; ///< Smoothed milliseconds between events of a stream; 0 before the first.
+    TimePoint coldSince; ///< When this node learnt that it is cold.
     TimePoint nextColdDispatch; ///< While cold: before this, this node sends it nothing.
 };
 
--- a/src/request/presence_base.cpp
+++ b/src/request/presence_base.cpp
@@ -1,9 +1,17 @@
 #include "request/presence_base.h"
 
+#include "core/rendezvous_func.h"
+
 #include <algorithm>
 
 namespace bramleypitch {
 
+namespace {
+
+const std::string feederKey = "feeder/";
+
+} // namespace
+
 PresenceTable::PresenceTable(PresenceOptions options)
     : m_options(std::move(options))
 {
@@ -74,16 +82,41 @@
     return silent;
 }
 
-std::vector<Address> PresenceTable::peers() const
+std::vector<Address> PresenceTable::peers(bool otherZones) const
 {
     std::vector<Address> addresses;
     for (const auto &[node, peer] : m_peers) {
-        if (peer.record)
+        if (peer.record && (otherZones || peer.record->zone == m_options.own.zone))
             addresses.push_back(peer.record->peer);
     }
     return addresses;
 }
 
+bool PresenceTable::isFeeder(TimePoint now) const
+{
+    const ZoneId &zone = m_options.own.zone;
+    std::vector<NodeId> nodes {m_options.own.node};
+    for (const auto &[node, peer] : m_peers) {
+        if (peer.record && peer.record->zone == zone && alive(peer, now))
+            nodes.push_back(node);
+    }
+    const NodeId *first = rendezvousFirst(feederKey + zone.value(), nodes, [](const NodeId &node) {
+        return std::string_view(node.value());
+    });
+    return *first == m_options.own.node;
+}
+
+std::vector<PresenceTable::Fed> PresenceTable::fed(TimePoint now) const
+{
+    std::vector<Fed> fed;
+    for (const auto &[node, peer] : m_peers) {
+        if (peer.record && peer.record->zone == m_options.own.zone
+            && now - peer.pulseAt < m_options.silence && peer.pulse.held != Revision())
+            fed.push_back({peer.record->peer, node, peer.pulse.held, peer.pulse.clock});
+    }
+    return fed;
+}
+
 std::uint32_t PresenceTable::nodeBound(TimePoint now) const
 {
     std::uint32_t nodes = 1;
--- a/src/request/presence_base.h
+++ b/src/request/presence_base.h
@@ -34,8 +34,20 @@
     std::vector<NodeId> live(TimePoint now) const;
     /// Nodes whose pulses have stopped since the last call: their requests are to be forgotten.
     std::vector<NodeId> takeSilent(TimePoint now);
-    /// Where to send pulses.
-    std::vector<Address> peers() const;
+    /// Where to send pulses: to all nodes of the own zone, and to the others now and then.
+    std::vector<Address> peers(bool otherZones) const;
+    /// Whether this node watches the store for its zone: one of the live nodes does, the same by all
+    /// their reckoning. Two at once cost calls only.
+    bool isFeeder(TimePoint now) const;
+    /// The live nodes that this one feeds with what it reads of the store, by their last pulse.
+    struct Fed
+    {
+        Address peer;
+        NodeId node;
+        Revision held;
+        TimePoint clock;
+    };
+    std::vector<Fed> fed(TimePoint now) const;
     /// An upper bound on the nodes that share limits: all that were seen lately.
     std::uint32_t nodeBound(TimePoint now) const;
     /// Addresses for a caller of `zone`: its own zone's live nodes that take requests, all zones'
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -213,6 +213,7 @@
     input.service = request.service;
     input.model = request.arrival.model;
     input.ownZone = m_options.zone;
+    input.ownNode = m_options.node;
     input.nodes = m_nodes;
     return input;
 }
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -15,12 +15,13 @@
 /// Times and limits of the request system.
 struct RequestOptions
 {
+    NodeId node;
     ZoneId zone; ///< Where this node stands.
     RetryLimits retries;
     /// Without a proof of the configuration that is this recent, keys are not honoured.
     Duration keyFreshness {4'000};
     /// Without a proof this recent, what the configuration lacks is not denied for good.
-    Duration denialFreshness {1'500};
+    Duration denialFreshness {1'900};
     bool failClosed = true; ///< Refuse keys without a recent proof.
     Duration suspectFor {1'000}; ///< After a failure a server comes last for so long.
     /// After a stream fell silent, or no connection was accepted: until its entry lapses.
--- a/src/request/target_choice.cpp
+++ b/src/request/target_choice.cpp
@@ -1,5 +1,7 @@
 #include "request/target_choice.h"
 
+#include "core/rendezvous_func.h"
+
 #include <algorithm>
 
 namespace bramleypitch {
@@ -58,12 +60,26 @@
     return Duration(static_cast<Duration::rep>(1'000 / perSecond) + 1);
 }
 
+TimePoint coldStart(const Backend &backend, const NodeId &node, Duration interval)
+{
+    if (interval <= Duration(0))
+        return backend.coldSince;
+    const std::uint64_t phase = rendezvousWeight(backend.report.id.value(), node.value());
+    return backend.coldSince
+        + Duration(static_cast<Duration::rep>(
+            phase % static_cast<std::uint64_t>(interval.count())));
+}
+
 TargetChoice chooseTarget(BackendTable &backends, const ChoiceInput &input, TimePoint now)
 {
     TargetChoice choice;
     const std::vector<BackendIndex> &servers =
         backends.targets(input.service, input.model, *input.configuration);
     const double usualGap = medianGap(backends, servers);
+    const auto service = input.configuration->services.find(input.service);
+    const Duration interval = service == input.configuration->services.end()
+        ? Duration(0)
+        : coldInterval(service->second, input.nodes);
     double least = 0;
     for (const BackendIndex index : servers) {
         const Backend &backend = *backends.find(index);
@@ -74,7 +90,9 @@
         const std::uint32_t running = backend.ownRunning + backend.peersRunning;
         if (running >= concurrencyLimit(backend, *input.configuration))
             continue;
-        if (now < backend.coldUntil && now < backend.nextColdDispatch)
+        if (now < backend.coldUntil
+            && now < std::max(backend.nextColdDispatch,
+                              coldStart(backend, input.ownNode, interval)))
             continue;
         double cost = (running + 1.0) / slotsOf(backend, *input.configuration);
         if (usualGap > 0 && backend.gapMs > slowFactor * usualGap)
--- a/src/request/target_choice.h
+++ b/src/request/target_choice.h
@@ -15,6 +15,7 @@
     ServiceId service;
     ModelId model;
     ZoneId ownZone;
+    NodeId ownNode;
     std::uint32_t nodes = 1; ///< Upper bound on the nodes that send to the same servers.
 };
 
@@ -41,4 +42,8 @@
 /// Least time between two dispatches of one node to a cold server.
 Duration coldInterval(const ServedService &service, std::uint32_t nodes);
 
+/// From when on one node may send to a server that has turned cold: the nodes' first requests are
+/// spread over the interval, as together they would come at once.
+TimePoint coldStart(const Backend &backend, const NodeId &node, Duration interval);
+
 } // namespace bramleypitch
