--- a/src/request/backend_base.cpp
+++ b/src/request/backend_base.cpp
@@ -23,6 +23,7 @@
         backend.gapMs = 0;
         backend.lastModel = ModelId();
         backend.suspectUntil = TimePoint();
+        backend.silentUntil = TimePoint();
     }
     if (backend.report != report || backend.listing != Listing::Listed)
         changed();
@@ -157,21 +158,21 @@
     }
 }
 
-std::map<VmId, Duration> BackendTable::suspects(TimePoint now) const
+std::map<VmId, Duration> BackendTable::silent(TimePoint now) const
 {
     std::map<VmId, Duration> found;
     m_pool.forEach([&](BackendIndex, const Backend &backend) {
-        if (backend.suspectUntil > now)
-            found[backend.report.id] = backend.suspectUntil - now;
+        if (backend.silentUntil > now)
+            found[backend.report.id] = backend.silentUntil - now;
     });
     return found;
 }
 
-void BackendTable::addSuspects(const std::map<VmId, Duration> &suspects, TimePoint now)
+void BackendTable::addSilent(const std::map<VmId, Duration> &silent, TimePoint now)
 {
-    for (const auto &[id, left] : suspects) {
+    for (const auto &[id, left] : silent) {
         if (Backend *backend = find(id))
-            backend->suspectUntil = std::max(backend->suspectUntil, now + left);
+            backend->silentUntil = std::max(backend->silentUntil, now + left);
     }
 }
 
