--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -229,7 +229,7 @@
     for (const PlannedGroup &group : domain.plan.groups) {
         const Backend *head = present(m_backends, group.members.front());
         if (group.dissolving || !head || !claims(*head, group)
-            || head->report.group.state != MemberState::Open || now >= head->silentUntil)
+            || head->report.group.state != MemberState::Open || now >= head->suspectUntil)
             continue;
         for (const PlannedMember &member : group.members) {
             const Backend *backend = present(m_backends, member);
--- a/src/network/gen/peer_types.cpp
+++ b/src/network/gen/peer_types.cpp
@@ -1226,8 +1226,8 @@
   this->demand = val;
 }
 
-void Pulse::__set_silent_ms(const std::map<std::string, int32_t> & val) {
-  this->silent_ms = val;
+void Pulse::__set_suspects_ms(const std::map<std::string, int32_t> & val) {
+  this->suspects_ms = val;
 }
 
 void Pulse::__set_clock_ms(const int64_t val) {
@@ -1346,7 +1346,7 @@
       case 7:
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
-            this->silent_ms.clear();
+            this->suspects_ms.clear();
             uint32_t _size40;
             ::apache::thrift::protocol::TType _ktype41;
             ::apache::thrift::protocol::TType _vtype42;
@@ -1356,12 +1356,12 @@
             {
               std::string _key45;
               xfer += iprot->readString(_key45);
-              int32_t& _val46 = this->silent_ms[_key45];
+              int32_t& _val46 = this->suspects_ms[_key45];
               xfer += iprot->readI32(_val46);
             }
             xfer += iprot->readMapEnd();
           }
-          this->__isset.silent_ms = true;
+          this->__isset.suspects_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1441,11 +1441,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("silent_ms", ::apache::thrift::protocol::T_MAP, 7);
+  xfer += oprot->writeFieldBegin("suspects_ms", ::apache::thrift::protocol::T_MAP, 7);
   {
-    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->silent_ms.size()));
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->suspects_ms.size()));
     std::map<std::string, int32_t> ::const_iterator _iter49;
-    for (_iter49 = this->silent_ms.begin(); _iter49 != this->silent_ms.end(); ++_iter49)
+    for (_iter49 = this->suspects_ms.begin(); _iter49 != this->suspects_ms.end(); ++_iter49)
     {
       xfer += oprot->writeString(_iter49->first);
       xfer += oprot->writeI32(_iter49->second);
@@ -1475,7 +1475,7 @@
   swap(a.taking, b.taking);
   swap(a.running, b.running);
   swap(a.demand, b.demand);
-  swap(a.silent_ms, b.silent_ms);
+  swap(a.suspects_ms, b.suspects_ms);
   swap(a.clock_ms, b.clock_ms);
   swap(a.held_revision, b.held_revision);
   swap(a.__isset, b.__isset);
@@ -1488,7 +1488,7 @@
   taking = other50.taking;
   running = other50.running;
   demand = other50.demand;
-  silent_ms = other50.silent_ms;
+  suspects_ms = other50.suspects_ms;
   clock_ms = other50.clock_ms;
   held_revision = other50.held_revision;
   __isset = other50.__isset;
@@ -1500,7 +1500,7 @@
   taking = other51.taking;
   running = other51.running;
   demand = other51.demand;
-  silent_ms = other51.silent_ms;
+  suspects_ms = other51.suspects_ms;
   clock_ms = other51.clock_ms;
   held_revision = other51.held_revision;
   __isset = other51.__isset;
@@ -1515,7 +1515,7 @@
   out << ", " << "taking=" << to_string(taking);
   out << ", " << "running=" << to_string(running);
   out << ", " << "demand=" << to_string(demand);
-  out << ", " << "silent_ms=" << to_string(silent_ms);
+  out << ", " << "suspects_ms=" << to_string(suspects_ms);
   out << ", " << "clock_ms=" << to_string(clock_ms);
   out << ", " << "held_revision=" << to_string(held_revision);
   out << ")";
--- a/src/network/gen/peer_types.h
+++ b/src/network/gen/peer_types.h
@@ -514,14 +514,14 @@
 std::ostream& operator<<(std::ostream& out, const LedgerReply& obj);
 
 typedef struct _Pulse__isset {
-  _Pulse__isset() : node(false), life(false), number(false), taking(false), running(false), demand(false), silent_ms(false), clock_ms(false), held_revision(false) {}
+  _Pulse__isset() : node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), clock_ms(false), held_revision(false) {}
   bool node :1;
   bool life :1;
   bool number :1;
   bool taking :1;
   bool running :1;
   bool demand :1;
-  bool silent_ms :1;
+  bool suspects_ms :1;
   bool clock_ms :1;
   bool held_revision :1;
 } _Pulse__isset;
@@ -547,7 +547,7 @@
   bool taking;
   std::map<std::string, int32_t>  running;
   std::map<std::string, int32_t>  demand;
-  std::map<std::string, int32_t>  silent_ms;
+  std::map<std::string, int32_t>  suspects_ms;
   int64_t clock_ms;
   int64_t held_revision;
 
@@ -565,7 +565,7 @@
 
   void __set_demand(const std::map<std::string, int32_t> & val);
 
-  void __set_silent_ms(const std::map<std::string, int32_t> & val);
+  void __set_suspects_ms(const std::map<std::string, int32_t> & val);
 
   void __set_clock_ms(const int64_t val);
 
@@ -585,7 +585,7 @@
       return false;
     if (!(demand == rhs.demand))
       return false;
-    if (!(silent_ms == rhs.silent_ms))
+    if (!(suspects_ms == rhs.suspects_ms))
       return false;
     if (!(clock_ms == rhs.clock_ms))
       return false;
--- a/src/network/peer.thrift
+++ b/src/network/peer.thrift
@@ -62,7 +62,7 @@
   4: bool taking
   5: map<string, i32> running
   6: map<string, i32> demand
-  7: map<string, i32> silent_ms
+  7: map<string, i32> suspects_ms
   8: i64 clock_ms
   9: i64 held_revision
 }
--- a/src/network/pulse_socket.cpp
+++ b/src/network/pulse_socket.cpp
@@ -98,8 +98,8 @@
         wire.running[server.value()] = static_cast<std::int32_t>(count);
     for (const auto &[model, count] : pulse.demand)
         wire.demand[model.value()] = static_cast<std::int32_t>(count);
-    for (const auto &[server, left] : pulse.silent)
-        wire.silent_ms[server.value()] = static_cast<std::int32_t>(left.count());
+    for (const auto &[server, left] : pulse.suspects)
+        wire.suspects_ms[server.value()] = static_cast<std::int32_t>(left.count());
     wire.clock_ms = milliseconds(pulse.clock);
     wire.held_revision = pulse.held.value();
     return toBytes(pulseTag, wire);
@@ -116,8 +116,8 @@
         pulse.running[VmId(server)] = static_cast<std::uint32_t>(count);
     for (const auto &[model, count] : wire.demand)
         pulse.demand[ModelId(model)] = static_cast<std::uint32_t>(count);
-    for (const auto &[server, left] : wire.silent_ms)
-        pulse.silent[VmId(server)] = Duration(left);
+    for (const auto &[server, left] : wire.suspects_ms)
+        pulse.suspects[VmId(server)] = Duration(left);
     pulse.clock = timePoint(wire.clock_ms);
     pulse.held = Revision(wire.held_revision);
     return pulse;
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -327,7 +327,7 @@
     own.taking = m_ready && !m_stopping;
     own.running = m_backends.ownRunning();
     own.demand = m_requests.demand();
-    own.silent = m_backends.silent(now);
+    own.suspects = m_backends.suspects(now);
     own.clock = now;
     own.held = m_mirror.held();
     const Duration farInterval =
@@ -365,7 +365,7 @@
     if (!m_presence.pulseCame(pulse, now))
         return;
     m_backends.setPeerRunning(pulse.node, pulse.running);
-    m_backends.addSilent(pulse.silent, now);
+    m_backends.addSuspects(pulse.suspects, now);
 }
 
 void ServingDaemon::renewLease(TimePoint now)
--- a/src/request/backend_base.cpp
+++ b/src/request/backend_base.cpp
@@ -23,7 +23,6 @@
         backend.gapMs = 0;
         backend.lastModel = ModelId();
         backend.suspectUntil = TimePoint();
-        backend.silentUntil = TimePoint();
     }
     if (backend.report != report || backend.listing != Listing::Listed)
         changed();
@@ -158,21 +157,21 @@
     }
 }
 
-std::map<VmId, Duration> BackendTable::silent(TimePoint now) const
+std::map<VmId, Duration> BackendTable::suspects(TimePoint now) const
 {
     std::map<VmId, Duration> found;
     m_pool.forEach([&](BackendIndex, const Backend &backend) {
-        if (backend.silentUntil > now)
-            found[backend.report.id] = backend.silentUntil - now;
+        if (backend.suspectUntil > now)
+            found[backend.report.id] = backend.suspectUntil - now;
     });
     return found;
 }
 
-void BackendTable::addSilent(const std::map<VmId, Duration> &silent, TimePoint now)
+void BackendTable::addSuspects(const std::map<VmId, Duration> &suspects, TimePoint now)
 {
-    for (const auto &[id, left] : silent) {
+    for (const auto &[id, left] : suspects) {
         if (Backend *backend = find(id))
-            backend->silentUntil = std::max(backend->silentUntil, now + left);
+            backend->suspectUntil = std::max(backend->suspectUntil, now + left);
     }
 }
 
--- a/src/request/backend_base.h
+++ b/src/request/backend_base.h
@@ -41,10 +41,10 @@
 
     /// Replaces what a peer said to have running. An empty count forgets the peer.
     void setPeerRunning(const NodeId &peer, const RunningCounts &counts);
-    /// Servers that fell silent, and for how much longer they get nothing.
-    std::map<VmId, Duration> silent(TimePoint now) const;
-    /// What fell silent for a peer is taken for silent here as well.
-    void addSilent(const std::map<VmId, Duration> &silent, TimePoint now);
+    /// Servers that are to come last, for how much longer.
+    std::map<VmId, Duration> suspects(TimePoint now) const;
+    /// What a peer suspects is suspected here as well.
+    void addSuspects(const std::map<VmId, Duration> &suspects, TimePoint now);
     /// This node's own requests, by server.
     RunningCounts ownRunning() const;
     /// Counts up on each change that may alter targets().
--- a/src/request/backend_type.h
+++ b/src/request/backend_type.h
@@ -70,7 +70,6 @@
     Listing listing = Listing::Listed;
     std::uint32_t ownRunning = 0; ///< Requests of this node on it.
     std::uint32_t peersRunning = 0; ///< Requests of the other nodes, as they last said.
-    TimePoint silentUntil; ///< It fell silent, or accepts no connection: it gets nothing until then.
     TimePoint suspectUntil; ///< It failed a request or stalled: others go first until then.
     TimePoint lastProgress; ///< When it last sent anything of an answer.
     TimePoint progressExpectedSince; ///< Since when requests of this node wait on it.
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -446,14 +446,14 @@
     endAttempt(*request, now);
     request->tried.push_back(request->server);
     Backend *backend = m_backends.find(request->server);
-    const bool silent = failure == AttemptFailure::Unsent || failure == AttemptFailure::Silent;
-    if (backend) {
-        backend->suspectUntil = now + m_options.suspectFor;
-        if (silent)
-            backend->silentUntil = now + m_options.silentFor;
-    }
+    const Duration suspectFor =
+        failure == AttemptFailure::Unsent || failure == AttemptFailure::Silent
+        ? m_options.silentFor
+        : m_options.suspectFor;
+    if (backend)
+        backend->suspectUntil = std::max(backend->suspectUntil, now + suspectFor);
     if (Backend *faulty = m_backends.find(faultyServer))
-        faulty->silentUntil = now + m_options.silentFor;
+        faulty->suspectUntil = std::max(faulty->suspectUntil, now + m_options.silentFor);
     const bool serverGone = !backend || backend->listing != Listing::Listed;
     bool mayRepeat = true;
     const char *cause = "broken";
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -24,9 +24,8 @@
     Duration denialFreshness {1'900};
     bool failClosed = true; ///< Refuse keys without a recent proof.
     Duration suspectFor {1'000}; ///< After a failure a server comes last for so long.
-    /// After a stream fell silent, or no connection was accepted, a server gets nothing for so long:
-    /// most of the time until a dead server's entry lapses.
-    Duration silentFor {2'500};
+    /// After a stream fell silent, or no connection was accepted: until its entry lapses.
+    Duration silentFor {4'000};
     Duration streamSilence {700}; ///< After which a stream goes on elsewhere.
     Duration retryLater {1'000}; ///< Told to callers for whose requests there is no server.
     /// Left for a server to make use of; with less, an attempt is not worth sending.
--- a/src/request/target_choice.cpp
+++ b/src/request/target_choice.cpp
@@ -87,8 +87,6 @@
             continue;
         if (choice.outcome == TargetChoice::Outcome::None)
             choice.outcome = TargetChoice::Outcome::Full;
-        if (now < backend.silentUntil)
-            continue;
         const std::uint32_t running = backend.ownRunning + backend.peersRunning;
         if (running >= concurrencyLimit(backend, *input.configuration))
             continue;
