--- a/src/request/target_choice.cpp
+++ b/src/request/target_choice.cpp
@@ -94,6 +94,11 @@
             && now
                 < std::max(backend.nextColdDispatch, coldStart(backend, input.ownNode, interval)))
             continue;
+        const bool tried = input.tried
+            && std::find(input.tried->begin(), input.tried->end(), backend.report.id)
+                != input.tried->end();
+        if (tried && now < backend.suspectUntil)
+            continue;
         double cost = (running + 1.0) / slotsOf(backend, *input.configuration);
         if (usualGap > 0 && backend.gapMs > slowFactor * usualGap)
             cost *= backend.gapMs / usualGap;
@@ -101,9 +106,7 @@
             cost += otherZoneCost;
         if (now < backend.suspectUntil)
             cost += suspectCost;
-        if (input.tried
-            && std::find(input.tried->begin(), input.tried->end(), backend.report.id)
-                != input.tried->end())
+        if (tried)
             cost += triedCost;
         if (choice.outcome != TargetChoice::Outcome::Chosen || cost < least) {
             choice.outcome = TargetChoice::Outcome::Chosen;
--- a/src/tests/request_test.cpp
+++ b/src/tests/request_test.cpp
@@ -278,6 +278,10 @@
     ASSERT_EQ(again.size(), 1U);
     EXPECT_NE(again[0].server, sent.server);
     EXPECT_EQ(m_backends.suspects(m_now).count(sent.server), 1U);
+    // Found by an incident: the second attempt went to the same silent server, the only one left.
+    m_backends.erase(again[0].server);
+    const RequestActions later = tickAfter(Duration(800));
+    EXPECT_TRUE(actionsOf<DispatchAttempt>(later).empty());
 }
 
 TEST_F(RequestTest, AnAnswerThatHasBegunIsBrokenRatherThanRefused)
