--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -8,9 +8,10 @@
 import tempfile
 import threading
 
-LIBRARY = "src/coordination/"
+LIBRARY = "src/coordination/"  # Files without a folder stand here; others below src/.
 WORKERS = 4
-TESTS = ["ledger_test", "placement_test", "golden_test", "promises_test"]
+TESTS = ["ledger_test", "placement_test", "golden_test", "request_test", "formation_test",
+         "relay_test", "promises_test"]
 # Name, file, text to replace, replacement.
 MUTANTS = [
     ("ledger_claim_skipped", "service_system.cpp",
@@ -51,11 +52,53 @@
     ("older_configuration_taken", "shared_base.cpp", "if (value.revision <= held.revision)",
      "if (value.revision == held.revision)"),
     ("stale_configuration_served", "node_state.cpp",
-     "return state.members.majorityAlive(now);", "return true;"),
+     "return state.lastEchoedAt >= ranOutAt && state.members.majorityAlive(now);", "return true;"),
+    ("queued_heartbeats_count_as_alive", "node_state.cpp",
+     "return state.lastEchoedAt >= ranOutAt && state.members.majorityAlive(now);",
+     "return state.members.majorityAlive(now);"),
     ("late_frames_taken", "completion_system.cpp", "|| found->second.attempt != attempt", ""),
     ("repeated_frames_taken", "completion_system.cpp",
      "if (token.index < completion->delivered) {", "if (false) {"),
     ("stop_without_waiting", "node.cpp", " || openRequests() > 0", ""),
+    ("payment_sent_again", "request/request_system.cpp",
+     "mayRepeat = request->kind == RequestKind::Repeatable\n"
+     "            || request->kind == RequestKind::ResumableStream;", "mayRepeat = true;"),
+    ("sent_payment_called_not_run", "request/request_system.cpp",
+     "request->mayHaveRun = true;\n        mayRepeat", "mayRepeat"),
+    ("keys_honoured_without_proof", "request/request_system.cpp",
+     "if (!isCurrent(now))\n        return ErrorCode::ConfigurationStale;", ""),
+    ("denied_on_an_old_proof", "request/request_system.cpp",
+     "const bool provenLately = now - m_provenAt <= m_options.denialFreshness;",
+     "const bool provenLately = true;"),
+    ("dispatched_by_an_old_configuration", "request/request_system.cpp",
+     "if (!mayStillRun(request, now)) {", "if (false) {"),
+    ("zone_out_is_served", "request/target_choice.cpp",
+     "if (input.zonesOut->count(backend.report.zone))", "if (false)"),
+    ("short_group_serves", "request/backend_base.cpp",
+     "present->second >= model->span", "present->second >= 1"),
+    ("draining_member_counts", "request/backend_base.cpp",
+     "if (working && !backend.report.draining)", "if (working)"),
+    ("missing_server_is_served", "request/backend_base.cpp",
+     "|| backend.listing == Listing::Missing", ""),
+    ("retries_unbounded", "request/retry_allowance.cpp",
+     "return static_cast<double>(m_repeats.size()) + 1 <= allowed;", "return true;"),
+    ("cold_server_met_by_all_at_once", "request/target_choice.cpp",
+     "return backend.coldSince + Duration(static_cast<Duration::rep>(phase "
+     "% static_cast<std::uint64_t>(interval.count())));", "return backend.coldSince;"),
+    ("group_opens_before_all_are_ready", "formation/formation_system.cpp",
+     "allReady = allReady && backend->report.group.state == MemberState::Ready;", ""),
+    ("members_reused_before_they_left", "formation/formation_system.cpp",
+     "if (!allLeft)\n            continue;", ""),
+    ("loads_unbounded", "formation/formation_system.cpp",
+     "if (beforeTraffic(now))\n        return true;", "return true;"),
+    ("gap_in_a_feed_is_taken", "network/store_mirror.cpp",
+     "if (!m_complete || feed.from > m_asOf)", "if (!m_complete)"),
+    ("old_feed_taken_back", "network/store_mirror.cpp",
+     "if (change.revision <= m_asOf)\n            continue;\n        apply(change);\n"
+     "        keep(change);\n        changed", "apply(change);\n        keep(change);\n        changed"),
+    ("old_feed_proves_the_present", "network/store_mirror.cpp",
+     "prove(std::min(feed.echo - feed.proofAge, now));", "prove(now);"),
+    ("key_goes_to_the_server", "platform/platform_dialect.cpp", '"authorization",', '"x-none",'),
 ]
 PARAMETERS = "seed=20261203 max_success=25 max_size=14 noshrink=1"
 
@@ -101,7 +144,7 @@
 
 def try_mutant(tree, name, file, old, new):
     """Applies one mutant, tests it and takes it back. Returns its line of the report."""
-    path = os.path.join(tree, LIBRARY, file)
+    path = os.path.join(tree, "src" if "/" in file else LIBRARY, file)
     with open(path, encoding="utf-8") as source:
         text = source.read()
     mutated, count = re.subn(spaced(old), lambda _: new, text)
