Feature: [Formation] A group that lost a member is made whole at once, at the cost of one smaller group

Change: where one group's VMs complete the survivors, it is given up at once; several only for a model that is 0.75 busy.

--- a/src/formation/formation_func.cpp
+++ b/src/formation/formation_func.cpp
@@ -12,14 +12,21 @@
 
 /// Most groups of one domain that the first split counts through.
 constexpr std::uint32_t maxGroupsPerDomain = 64;
-/// A model gives groups up for one that is by this factor more in need even afterwards: below it,
-/// groups would go to and fro.
-constexpr double conversionFactor = 1.1;
+/// When groups of a model are given up for a group of another.
+struct Terms
+{
+    double factor; ///< By which the other must be more in need, even afterwards.
+    double leastBusy; ///< The other model is at least so busy.
+    std::size_t mostGroups; ///< Given up for one.
+};
+
+/// Several groups for one: below this factor groups would go to and fro.
+constexpr Terms conversionTerms {1.1, 0.75, 4};
+/// One group, whose VMs make one whole that lost a member: nearly as good as before the loss.
+constexpr Terms repairTerms {0.85, 0.3, 1};
 /// Of a model that is less busy, no group is formed: the VMs are worth more as spares, from which a
 /// lost member is replaced within two seconds.
 constexpr double formBusy = 0.55;
-/// For a model that is less busy, no other gives a group up.
-constexpr double conversionBusy = 0.6;
 
 void split(const EngineSpec &engine, std::size_t model, std::uint32_t left, GroupCounts &counts,
            std::vector<std::pair<std::uint32_t, GroupCounts>> &all)
@@ -274,13 +281,13 @@
             }
             if (!m_plan.promised.value().empty())
                 return changed; // What leaves completes the promised group.
-            const std::vector<PlannedGroup *> given = givenFor(first);
+            if (repair())
+                return true;
+            const std::vector<PlannedGroup *> given = givenFor(first, conversionTerms);
             if (!given.empty() && !m_input.mayConvert)
                 return changed; // It soon is: until then nothing is built of what is needed.
             if (!given.empty()) {
-                for (PlannedGroup *group : given)
-                    group->dissolving = true;
-                m_plan.promised = model(first).name;
+                give(given, first);
                 return true;
             }
             if (!formAnyReady() && !formLoading())
@@ -357,11 +364,34 @@
         return false;
     }
 
+    /// Dissolves groups for a group of another model.
+    void give(const std::vector<PlannedGroup *> &given, std::size_t receiver)
+    {
+        for (PlannedGroup *group : given)
+            group->dissolving = true;
+        m_plan.promised = model(receiver).name;
+    }
+
+    /// A group that lost a member is made whole at the cost of a single smaller one.
+    bool repair()
+    {
+        for (std::size_t i = 0; i < m_input.demand.size(); ++i) {
+            if (2 * withWeights(m_input.free, model(i)) < model(i).span)
+                continue;
+            const std::vector<PlannedGroup *> given = givenFor(i, repairTerms);
+            if (given.empty())
+                continue;
+            give(given, i);
+            return true;
+        }
+        return false;
+    }
+
     /// The groups whose VMs hold the weights of the model in need and that are worth giving up.
-    std::vector<PlannedGroup *> givenFor(std::size_t receiver)
+    std::vector<PlannedGroup *> givenFor(std::size_t receiver, const Terms &terms)
     {
         const std::size_t ready = withWeights(m_input.free, model(receiver));
-        if (m_input.demand[receiver].busy < conversionBusy)
+        if (m_input.demand[receiver].busy < terms.leastBusy)
             return {};
         if (ready >= model(receiver).span || ready == 0)
             return {};
@@ -381,7 +411,8 @@
                 given.push_back(&group);
             }
             const double after = need(m_input.demand[giver], -static_cast<double>(given.size()));
-            if (gained < missing || urgency(m_input.demand[receiver]) < conversionFactor * after)
+            if (gained < missing || given.size() > terms.mostGroups
+                || urgency(m_input.demand[receiver]) < terms.factor * after)
                 continue;
             return given;
         }
