Feature: [Tests] The whole platform path over processes, on stand-ins that speak it

Store with leases, watches and paging, engines that form groups and stand still without a member, plain servers that break, shed and hang. Nine stories: calm, lost member, payments, planned stop, a node that slept as a key was taken away, store away, all nodes killed, odd callers, a log that nobody reads.

--- a/src/request/target_choice.h
+++ b/src/request/target_choice.h
@@ -33,7 +33,8 @@
 
 /// The server on which one more request finishes soonest by what this node knows: the least loaded
 /// for its speed, servers of the own zone first among equals, suspects last; not one that
-/// failed the request just now. Answers bursts, stragglers and servers that fail part of their work.
+/// failed the request just now. Answers bursts, stragglers and servers that fail part of their
+/// work.
 TargetChoice chooseTarget(BackendTable &backends, const ChoiceInput &input, TimePoint now);
 
 /// Requests of all nodes together that a server is given at once.
--- /dev/null
+++ b/src/tests/platform_system.py
@@ -0,0 +1,216 @@
+"""Starts the real program on stand-ins of the users' platform, and asks it as callers do."""
+
+import base64
+import http.client
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+from platform_standin import id_of
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+ZONES = ["za", "zb", "zc"]
+KEYS = {"key-a": "chain-a", "key-b": "chain-b"}
+MODELS = [{"name": "large", "size": 3, "share": 0.5, "pace": 1.0, "load_s": 0.2, "warm_s": 0.1},
+          {"name": "small", "size": 2, "share": 0.5, "pace": 1.0, "load_s": 0.2, "warm_s": 0.1}]
+
+
+def wait_for(what, condition, seconds=20):
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if condition():
+            return
+        time.sleep(0.05)
+    raise AssertionError(f"waited {seconds} s for: {what}")
+
+
+class Answer:
+    """What a caller got: `whole` unless the connection ended in the middle or without any."""
+
+    def __init__(self, status=0, headers=None, body=b"", whole=False):
+        self.status, self.headers, self.body, self.whole = status, headers or {}, body, whole
+
+    def events(self):
+        return [int(line[4:]) for line in self.body.decode().split("\n") if line.startswith("id: ")]
+
+
+def ask(address, method, path, body=None, headers=None, timeout=8, connection=None):
+    host, port = address.rsplit(":", 1)
+    own = connection is None
+    connection = connection or http.client.HTTPConnection(host, int(port), timeout=timeout)
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        try:
+            return Answer(response.status, dict(response.getheaders()), response.read(), True)
+        except (http.client.IncompleteRead, OSError):
+            return Answer(response.status, dict(response.getheaders()))
+    except (OSError, http.client.HTTPException):
+        return Answer()
+    finally:
+        if own:
+            connection.close()
+
+
+class System:
+    """Store, servers and nodes, each a process that only this ends, by its id."""
+
+    def __init__(self, build, engines=10, nodes=3, slot=0):
+        """`slot` picks loopback addresses, so that several systems run beside each other."""
+        self.store = f"127.{slot}.1.1:23000"
+        self.binary = os.path.join(build, "src", "command", "bramleypitch")
+        self.folder = tempfile.TemporaryDirectory()
+        self.processes = {}
+        self.logs = {}
+        self.request = 0
+        self.lock = threading.Lock()
+        self.version = 0
+        self.keys = dict(KEYS)
+        self.engines = [f"127.{slot}.2.{i + 1}:23100" for i in range(engines)]
+        self.tills = [f"127.{slot}.3.{i + 1}:23200" for i in range(2)]
+        self.nodes = [f"127.{slot}.4.{i + 1}" for i in range(nodes)]
+        self.start("store", [sys.executable, os.path.join(HERE, "platform_standin.py"), "store",
+                             self.store])
+        wait_for("the store", lambda: ask(self.store, "GET", "/v1/kv-range?path_prefix=").status == 200)
+        self.configure()
+        for address in self.engines:
+            self.start_server(address)
+        for address in self.tills:
+            self.start_server(address)
+        for number in range(nodes):
+            self.start_node(number)
+
+    def start(self, name, arguments, **options):
+        log = open(os.path.join(self.folder.name, name + ".log"), "ab")
+        self.logs[name] = log.name
+        options.setdefault("stdout", log)
+        self.processes[name] = subprocess.Popen(arguments, stderr=log, **options)
+
+    def start_server(self, address):
+        engine = address in self.engines
+        place = ["llm", "za", "d"] if engine else ["till", "zb", "-"]
+        self.start(address, [sys.executable, os.path.join(HERE, "platform_standin.py"), "server",
+                             address, self.store, *place])
+
+    def start_node(self, number, **options):
+        ip = self.nodes[number]
+        path = os.path.join(self.folder.name, f"node{number}.conf")
+        settings = {
+            "node_name": f"n{number}", "ip": ip, "zone": ZONES[number % 3], "first_start": "true",
+            "listen.front": ip + ":8200", "listen.ready": ip + ":8201",
+            "listen.directory": ip + ":8202", "internal_ports": "7340,7353",
+            "platform.address": self.store, "bounds.grace_s": 8, "bounds.revoke_ms": 5000,
+            "bounds.retry_ratio": 0.2, "bounds.retry_slack": 100, "bounds.retry_window_s": 10,
+            "bounds.fail_closed": "true", "bounds.stall_ms": 1000, "unknown.field": "ignored"}
+        with open(path, "w", encoding="utf-8") as file:
+            file.writelines(f"{name}={value}\n" for name, value in settings.items())
+        self.start(f"n{number}", [self.binary, "serve"],
+                   env=dict(os.environ, BRAMLEYPITCH_BOOT=path), **options)
+
+    def configure(self):
+        """Writes the next version of the operator's configuration."""
+        self.version += 1
+        route = {"host": "shop.example", "timeout_ms": 6000, "target_latency_ms": 400,
+                 "priority": 1, "auth_exempt": False}
+        config = {
+            "version": self.version,
+            "routes": [
+                dict(route, name="ask", path_prefix="/ask/", route_type="streaming",
+                     resumable=True, sticky=True, service="llm", max_attempts=3),
+                dict(route, name="pay", path_prefix="/pay/", route_type="non_idempotent",
+                     service="till", max_attempts=1),
+                dict(route, name="read", path_prefix="/read/", route_type="idempotent",
+                     weighted_services=[{"service": "till", "weight": 100}], max_attempts=2)],
+            "services": [
+                {"name": "llm", "engine": {"slots": 8, "stride": 1, "step_ms": 20,
+                                           "loads_per_s": 50, "loads_at_once": 50,
+                                           "models": MODELS}},
+                {"name": "till"}],
+            "limits": {"max_header_bytes": 4096, "max_body_bytes": 10000,
+                       "header_timeout_ms": 1000, "idle_timeout_ms": 5000},
+            "tenants": [{"name": name, "api_keys": [key]} for key, name in self.keys.items()]}
+        value = base64.b64encode(json.dumps(config).encode()).decode()
+        revision = self.revision("op/config")
+        self.write({"expected": [{"key": "op/config", "revision": revision}],
+                    "puts": [{"key": "op/config", "value": value}], "remove": []})
+
+    def items(self, prefix):
+        found, after = [], ""
+        while True:
+            page = json.loads(ask(self.store, "GET", f"/v1/kv-range?path_prefix={prefix}"
+                                                f"&after={after}").body)
+            found += page["entries"]
+            if not page["more_pages"]:
+                return found
+            after = page["entries"][-1]["key"]
+
+    def revision(self, key):
+        return next((item["revision"] for item in self.items(key) if item["key"] == key), 0)
+
+    def write(self, body):
+        assert ask(self.store, "POST", "/v1/kv-txn", json.dumps(body)).status == 200
+
+    def entry(self, address):
+        for item in self.items("servers/" + id_of(address)):
+            return json.loads(base64.b64decode(item["value"]))
+        return None
+
+    def open_heads(self, model):
+        entries = [self.entry(address) for address in self.engines]
+        return [entry["address"] for entry in entries
+                if entry and entry.get("group") and entry["group"]["state"] == "open"
+                and entry["models"][0]["name"] == model]
+
+    def front(self, number):
+        return self.nodes[number] + ":8200"
+
+    def is_ready(self, number):
+        return ask(self.nodes[number] + ":8201", "GET", "/v1/readiness", timeout=2).status == 200
+
+    def wait_ready(self):
+        for number in range(len(self.nodes)):
+            wait_for(f"node {number} to be ready", lambda n=number: self.is_ready(n))
+        for model in ("large", "small"):
+            for number in range(len(self.nodes)):
+                wait_for(f"a group of {model}",
+                         lambda n=number, m=model: self.stream(n, 1, m)[1].status == 200)
+
+    def call(self, number, method, path, body=None, key="key-a", headers=None, connection=None):
+        """Asks as a caller does; gives the request's id and the answer."""
+        with self.lock:
+            self.request += 1
+            request = f"r{self.request}"
+        headers = dict(headers or {}, Host="shop.example", Authorization="Bearer " + key)
+        headers.update({"X-Request-Id": request, "X-Request-Deadline": "6000"})
+        return request, ask(self.front(number), method, path, body, headers,
+                            connection=connection)
+
+    def stream(self, number, events=30, model="small"):
+        return self.call(number, "POST", "/ask/x", json.dumps({"events": events}),
+                         headers={"X-Model-Name": model, "X-Token-Count": "100,150"})
+
+    def ran(self, request):
+        """How often servers that live ran a request."""
+        return sum(len(json.loads(ask(address, "GET", "/ran").body or b"{}").get(request, []))
+                   for address in self.engines + self.tills)
+
+    def signal(self, name, number):
+        self.processes[name].send_signal(number)
+
+    def kill(self, name):
+        self.signal(name, signal.SIGKILL)
+        self.processes[name].wait()
+
+    def stop(self):
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+        self.folder.cleanup()
--- /dev/null
+++ b/src/tests/platform_test.py
@@ -0,0 +1,199 @@
+"""The whole path on the users' platform over real processes, without the users' bench.
+
+Usage: platform_test.py BUILD_DIR [unittest arguments]
+"""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+
+from platform_system import System, ask, wait_for  # noqa: E402
+
+BUILD = sys.argv.pop(1) if len(sys.argv) > 1 else "build"
+
+
+def together(calls):
+    """Runs calls at the same time and gives their results in order."""
+    results = [None] * len(calls)
+
+    def run(index):
+        results[index] = calls[index]()
+
+    threads = [threading.Thread(target=run, args=(index,)) for index in range(len(calls))]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return results
+
+
+class PlatformTest(unittest.TestCase):
+
+    def setUp(self):
+        self.system = System(BUILD)
+        self.addCleanup(self.system.stop)
+        self.system.wait_ready()
+
+    def test_calm(self):
+        system = self.system
+        answers = together([lambda n=n, m=m: system.stream(n, 20, m)
+                            for n in range(3) for m in ("large", "small")])
+        for request, answer in answers:
+            self.assertEqual((answer.status, answer.whole), (200, True))
+            self.assertEqual(answer.events(), list(range(1, 21)))
+            self.assertTrue(all(request in line for line in answer.body.decode().split("\n")
+                                if line.startswith("data")))
+        request, answer = system.call(0, "POST", "/pay/x", b"{}", key="key-b")
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(json.loads(answer.body)["request"], request)
+        owners = [json.loads(ask(till, "GET", "/ran").body).get(request, [])
+                  for till in system.tills]
+        self.assertEqual(sum(owners, []), ["chain-b"])
+        self.assertEqual(system.call(1, "GET", "/read/x", key="none")[1].status, 401)
+        self.assertEqual(system.call(1, "GET", "/none/x")[1].status, 404)
+        listed = ask(system.nodes[0] + ":8202", "GET", "/v1/resolve?name=shop.example&zone=za")
+        self.assertEqual(len(json.loads(listed.body)["addresses"]), 3)
+        metrics = ask(system.nodes[0] + ":7354", "GET", "/metrics").body.decode()
+        self.assertIn('bramleypitch_decisions_total{kind="request_dispatched"}', metrics)
+
+    def test_lost_member_breaks_no_stream(self):
+        system = self.system
+        head = system.open_heads("large")[0]
+        group = system.entry(head)["group"]
+        member = next(address for address in system.engines
+                      if address != head and system.entry(address)["group"]
+                      and system.entry(address)["group"]["name"] == group["name"])
+        killer = threading.Timer(0.4, lambda: system.kill(member))
+        killer.start()
+        answers = together([lambda n=n: system.stream(n, 60, "large") for n in (0, 1, 2)])
+        for _, answer in answers:
+            self.assertTrue(answer.whole)
+            self.assertEqual(answer.events(), list(range(1, 61)))
+
+    def test_payment_runs_at_most_once_whatever_the_server_does(self):
+        system = self.system
+        for till in system.tills:
+            ask(till, "POST", "/fault", json.dumps({"break_after_run": 0.4, "shed": 0.2}))
+        answers = together([lambda n=n: system.call(n % 3, "POST", "/pay/x", b"{}")
+                            for n in range(60)])
+        for request, answer in answers:
+            ran = system.ran(request)
+            self.assertLessEqual(ran, 1)
+            if answer.status == 200:
+                self.assertEqual(ran, 1)
+            if answer.status in (429, 503, 408, 421):
+                self.assertEqual(ran, 0, "a refusal that says not run")
+        self.assertEqual({answer.status for _, answer in answers}, {200, 502, 503})
+
+    def test_planned_stop_cuts_off_nothing(self):
+        system = self.system
+        kept = http.client.HTTPConnection(system.nodes[0], 8200, timeout=5)
+        self.assertEqual(system.call(0, "GET", "/read/x", connection=kept)[1].status, 200)
+        stopper = threading.Timer(0.3, lambda: system.signal("n0", signal.SIGTERM))
+        stopper.start()
+        answers = together([lambda: system.stream(0, 60) for _ in range(6)])
+        for _, answer in answers:
+            self.assertEqual(answer.events(), list(range(1, 61)))
+        # A connection that was open before is answered once more, then closed.
+        answer = system.call(0, "GET", "/read/x", connection=kept)[1]
+        self.assertEqual((answer.status, answer.headers.get("Connection")), (200, "close"))
+        self.assertFalse(system.is_ready(0))
+        listed = ask(system.nodes[1] + ":8202", "GET", "/v1/resolve?name=shop.example&zone=za")
+        self.assertNotIn(system.front(0), json.loads(listed.body)["addresses"])
+        self.assertEqual(system.processes["n0"].wait(8), 0)
+
+    def test_key_taken_away_is_not_honoured_by_a_node_that_slept(self):
+        system = self.system
+        system.signal("n1", signal.SIGSTOP)
+        del system.keys["key-a"]
+        system.configure()
+        time.sleep(5)  # The bound within which keys end everywhere.
+        system.signal("n1", signal.SIGCONT)
+        answers = together([lambda: system.call(1, "GET", "/read/x") for _ in range(10)])
+        self.assertEqual({answer.status for _, answer in answers} - {401, 503}, set())
+        self.assertEqual(sum(system.ran(request) for request, _ in answers), 0)
+
+    def test_store_away_refuses_and_recovers(self):
+        system = self.system
+        system.signal("store", signal.SIGSTOP)
+        wait_for("refusals", lambda: system.call(0, "GET", "/read/x")[1].status == 503, 8)
+        refused = system.call(0, "GET", "/read/x")[1]
+        self.assertGreater(float(refused.headers["Retry-After"]), 0)
+        self.assertFalse(system.is_ready(0))
+        system.signal("store", signal.SIGCONT)
+        wait_for("service", lambda: system.call(0, "GET", "/read/x")[1].status == 200, 8)
+
+    def test_killed_nodes_find_their_groups_again(self):
+        system = self.system
+        before = system.open_heads("small")
+        for number in range(3):
+            system.kill(f"n{number}")
+        for number in range(3):
+            system.start_node(number)
+        system.wait_ready()
+        self.assertEqual(system.open_heads("small"), before)
+        self.assertEqual(system.stream(2, 10)[1].events(), list(range(1, 11)))
+
+    def test_odd_callers(self):
+        system = self.system
+
+        def raw(text, wait=2.0):
+            with socket.create_connection((system.nodes[0], 8200), timeout=wait) as caller:
+                caller.sendall(text)
+                try:
+                    return caller.recv(4096)
+                except socket.timeout:
+                    return b""
+
+        head = b"GET /read/x HTTP/1.1\r\nHost: shop.example\r\n"
+        self.assertIn(b" 400 ", raw(head.replace(b"\r\n", b"\n") + b"\n"))
+        self.assertIn(b" 400 ", raw(head + b"X-Folded: a\r\n b\r\n\r\n"))
+        self.assertIn(b" 400 ", raw(b"POST /pay/x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+                                    b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"))
+        self.assertIn(b" 431 ", raw(head + b"X-Long: " + b"a" * 5000 + b"\r\n\r\n"))
+        self.assertIn(b" 413 ", raw(b"POST /pay/x HTTP/1.1\r\nHost: a\r\n"
+                                    b"Content-Length: 20000\r\n\r\n"))
+        self.assertIn(b" 408 ", raw(head, 3.0))
+        # Two requests in one packet are answered one after the other.
+        full = head + b"X-Request-Id: p%d\r\nAuthorization: Bearer key-a\r\n\r\n"
+        with socket.create_connection((system.nodes[0], 8200), timeout=3) as caller:
+            caller.sendall(full % 1 + full % 2)
+            text = b""
+            while text.count(b"HTTP/1.1 200") < 2:
+                text += caller.recv(4096)
+        self.assertLess(text.index(b"p1"), text.index(b"p2"))
+
+    def test_blocked_log_reader_delays_nothing(self):
+        system = self.system
+        system.kill("n2")
+        system.start_node(2, stdout=subprocess.PIPE)  # Nobody reads the pipe.
+        wait_for("node 2", lambda: system.is_ready(2))
+
+        def ask_many():
+            kept = http.client.HTTPConnection(system.nodes[2], 8200, timeout=5)
+            slowest = 0
+            for _ in range(900):
+                began = time.monotonic()
+                self.assertEqual(system.call(2, "GET", "/none/x", connection=kept)[1].status, 404)
+                slowest = max(slowest, time.monotonic() - began)
+            return slowest
+
+        slowest = max(together([ask_many] * 6))
+        metrics = ask(system.nodes[2] + ":7354", "GET", "/metrics").body.decode()
+        dropped = [line for line in metrics.split("\n")
+                   if line.startswith("bramleypitch_log_lines_dropped ")][0]
+        self.assertGreater(float(dropped.split()[1]), 0)
+        self.assertLess(slowest, 1.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
