Fix: [Coordination] A node that a peer tells of something newer is behind, not in an outage

The first reply after waking was fresh, said that the peer holds something newer, and made the majority that counts as an outage; until the pull came back the node served by its old configuration. Change: a node that has heard of a newer revision does not serve on by majority.

--- a/src/coordination/node_state.cpp
+++ b/src/coordination/node_state.cpp
@@ -66,7 +66,8 @@
     // Heartbeats that waited in a socket while this process was frozen look alive as well: only a
     // reply to a heartbeat sent since the evidence ran out tells of the present.
     const TimePoint ranOutAt = state.shared.evidence() + state.options.configurationFreshness;
-    return state.lastEchoedAt >= ranOutAt && state.members.majorityAlive(now);
+    const bool behind = state.newestHeard > state.shared.newest();
+    return !behind && state.lastEchoedAt >= ranOutAt && state.members.majorityAlive(now);
 }
 
 bool ownZoneOut(const NodeState &state)
--- a/src/coordination/node_state.h
+++ b/src/coordination/node_state.h
@@ -85,6 +85,7 @@
     std::vector<NodeRecord> nodeRecords; ///< Lease holders at the last good read.
     bool nodeRecordsKnown = false;
     TimePoint lastEchoedAt; ///< When the newest heartbeat that a peer replied to was sent.
+    Revision newestHeard; ///< The newest revision that a peer said to hold.
     bool readSharedSoon = false; ///< Something was written: read the shared values at once.
     bool stopping = false;
     TimePoint zoneOutSince; ///< When this node's own zone was found out; epoch while in.
--- a/src/coordination/shared_system.cpp
+++ b/src/coordination/shared_system.cpp
@@ -76,6 +76,7 @@
         m_state.lastEchoedAt = std::max(m_state.lastEchoedAt, received.sentAt);
     if (!heartbeat.known)
         return;
+    m_state.newestHeard = std::max(m_state.newestHeard, heartbeat.newest);
     const bool ahead = heartbeat.newest > m_state.shared.newest() || !m_state.shared.known();
     if (ahead) {
         const Member *peer = m_state.members.find(heartbeat.from);
--- a/src/tests/golden_test.cpp
+++ b/src/tests/golden_test.cpp
@@ -294,12 +294,21 @@
     session.say("a reply to an own heartbeat cannot");
     session.at(3'008, HeartbeatReceived {heartbeat, timePoint(103'007), true});
     session.askCompletion(3'010, 1, "p");
+    session.say("a reply tells that the peer holds something newer: it is not an outage for it");
+    Heartbeat ahead = heartbeat;
+    for (MemberEntry &entry : ahead.members)
+        entry.counter = 3;
+    ahead.known = true;
+    ahead.newest = Revision(99);
+    session.at(3'015, HeartbeatReceived {ahead, timePoint(103'014), true});
+    session.askCompletion(3'016, 4, "r");
     session.say("now the peers are silent too: it may be this node alone that is cut off");
     session.confirmAll(6'100);
     session.askCompletion(6'110, 2, "q");
     expectGolden(session, "configuration_stale");
     EXPECT_EQ(count(session, "< dispatch_engine request=1/1"), 1U);
     EXPECT_EQ(count(session, "refuse request=3 configuration_stale not_run"), 1U);
+    EXPECT_EQ(count(session, "refuse request=4 configuration_stale not_run"), 1U);
     EXPECT_EQ(count(session, "refuse request=2 configuration_stale not_run"), 1U);
 }
 
