--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -302,7 +302,7 @@
     first, _, last = options.seeds.partition("-")
     seeds = list(range(int(first), int(last or first) + 1)) + list(REGRESSIONS)
     failed = 0
-    with concurrent.futures.ProcessPoolExecutor(options.parallel) as pool:
+    with concurrent.futures.ProcessPoolExecutor(options.parallel, max_tasks_per_child=1) as pool:
         # Slots are dealt out in turn, so that systems beside each other have their own addresses.
         for begin in range(0, len(seeds), options.parallel):
             batch = [pool.submit(play, options.build, seed, options.seconds, slot + 1,
