Feature: [Platform] Settings are read again when the file changes; Codechange: [Formation] Losses are noted in the plan itself

The settings file may change without a signal: it is looked at every two seconds and read on SIGHUP. Tests: settings read again, unreadable values of the store change nothing.

--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -191,10 +191,7 @@
 {
     FormationPlan next = domain.plan;
     bool changed = dropDissolved(domain, next, now, actions);
-    Domain scratch;
-    scratch.plan = next;
-    changed = noteLosses(scratch, now, actions) || changed;
-    next = scratch.plan;
+    changed = noteLosses(next, now, actions) || changed;
     changed = addGroups(id, next, now, actions) || changed;
     if (!changed)
         return;
@@ -244,10 +241,11 @@
     }
 }
 
-bool FormationSystem::noteLosses(Domain &domain, TimePoint now, FormationActions &actions) const
+bool FormationSystem::noteLosses(FormationPlan &plan, TimePoint now,
+                                 FormationActions &actions) const
 {
     bool changed = false;
-    for (PlannedGroup &group : domain.plan.groups) {
+    for (PlannedGroup &group : plan.groups) {
         if (group.dissolving)
             continue;
         const char *cause = nullptr;
--- a/src/formation/formation_system.h
+++ b/src/formation/formation_system.h
@@ -96,7 +96,7 @@
     const ServedService *engineService() const;
     bool owns(const DomainId &domain) const;
     void plan(const DomainId &id, Domain &domain, TimePoint now, FormationActions &actions);
-    bool noteLosses(Domain &domain, TimePoint now, FormationActions &actions) const;
+    bool noteLosses(FormationPlan &plan, TimePoint now, FormationActions &actions) const;
     void probeSuspects(const Domain &domain, TimePoint now, FormationActions &actions);
     bool countsAsLost(const VmId &vm, TimePoint now) const;
     bool dropDissolved(const Domain &domain, FormationPlan &next, TimePoint now,
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -101,6 +101,7 @@
 {
     m_options.stopTime = options.stopTime;
     m_options.entryKeep = options.entryKeep;
+    m_requests.setOptions(options.requests);
     logLine(LogLevel::Info, "reloaded", {{"stop_time_ms", text(options.stopTime)}});
 }
 
--- a/src/platform/platform_serve.cpp
+++ b/src/platform/platform_serve.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+/// Between looks at the settings file, which may change without a signal.
+constexpr Duration settingsInterval {2'000};
 constexpr std::uint16_t metricsPort = 7'354; ///< Stands in the deploy file as well.
 
 } // namespace
@@ -33,9 +35,14 @@
     HttpClient http(loop);
     PlatformStore store(http, storeAddress(file));
     ServingDaemon daemon(loop, options, servingDialect(), store, http);
-    const auto reload = [&] {
+    SettingsFile inForce = file;
+    const auto reload = [&](bool asked) {
         try {
-            daemon.reload(servingOptions(SettingsFile::read(path), metricsPort));
+            SettingsFile read = SettingsFile::read(path);
+            if (!asked && read == inForce)
+                return;
+            daemon.reload(servingOptions(read, metricsPort));
+            inForce = std::move(read);
         } catch (const Failure &failure) {
             logLine(LogLevel::Warning, "settings_unreadable",
                     {{"path", path}, {"reason", failure.what()}});
@@ -43,7 +50,9 @@
     };
     const SignalWatch terminate(loop, SIGTERM, [&] { daemon.stop(); });
     const SignalWatch interrupt(loop, SIGINT, [&] { daemon.stop(); });
-    const SignalWatch hangUp(loop, SIGHUP, reload);
+    const SignalWatch hangUp(loop, SIGHUP, [&] { reload(true); });
+    Timer looks(loop, [&] { reload(false); });
+    looks.startRepeating(settingsInterval);
     daemon.start();
     loop.run();
 }
--- a/src/platform/platform_settings.h
+++ b/src/platform/platform_settings.h
@@ -18,6 +18,7 @@
     static SettingsFile read(const std::string &path);
     static SettingsFile parse(const std::string &text);
 
+    bool operator==(const SettingsFile &) const = default;
     bool has(const std::string &name) const { return m_values.count(name) > 0; }
     /// Throws Failure(MissingSetting) if it is not there.
     const std::string &text(const std::string &name) const;
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -39,6 +39,8 @@
 public:
     RequestSystem(RequestOptions options, BackendTable &backends);
 
+    /// Settings were read again; node and zone stay.
+    void setOptions(RequestOptions options) { m_options = std::move(options); }
     /// A configuration is in force from now on.
     void setConfiguration(ServingConfigurationPtr configuration);
     /// Nothing newer than the present configuration existed at this time.
--- a/src/tests/platform_system.py
+++ b/src/tests/platform_system.py
@@ -198,6 +198,10 @@
         return self.call(number, "POST", "/ask/x", json.dumps({"events": events}),
                          headers={"X-Model-Name": model, "X-Token-Count": "100,150"})
 
+    def log(self, name):
+        with open(self.logs[name], encoding="utf-8") as file:
+            return file.read()
+
     def runs(self):
         """The organisations for which servers ran each request, also those that were killed since."""
         found = {}
--- a/src/tests/platform_test.py
+++ b/src/tests/platform_test.py
@@ -3,6 +3,7 @@
 Usage: platform_test.py BUILD_DIR [unittest arguments]
 """
 
+import base64
 import http.client
 import json
 import os
@@ -141,6 +142,29 @@
         self.assertEqual(system.open_heads("small"), before)
         self.assertEqual(system.stream(2, 10)[1].events(), list(range(1, 11)))
 
+    def test_unreadable_values_change_nothing(self):
+        system = self.system
+        for key, value in (("op/config", b"{"), ("servers/odd", b'{"service": 5}'),
+                           ("servers/bytes", b"\xff\xfe")):
+            system.write({"expected": [], "remove": [], "puts": [
+                {"key": key, "value": base64.b64encode(value).decode()}]})
+        for key in ("op/config", "servers/odd", "servers/bytes"):
+            wait_for(f"a line about {key}", lambda k=key: f"event=value_unreadable key={k}"
+                     in system.log("n0"))
+        self.assertEqual(system.call(0, "GET", "/read/x")[1].status, 200)
+
+    def test_settings_are_read_again(self):
+        system = self.system
+        path = os.path.join(system.folder.name, "node0.conf")
+        with open(path, "a", encoding="utf-8") as file:
+            file.write("bounds.grace_s=6\n")
+        wait_for("the change", lambda: "event=reloaded stop_time_ms=6000" in system.log("n0"))
+        with open(path, "a", encoding="utf-8") as file:
+            file.write("bounds.grace_s=soon\n")
+        wait_for("the complaint", lambda: "bounds.grace_s" in system.log("n0"))
+        system.signal("n0", signal.SIGHUP)
+        self.assertEqual(system.call(0, "GET", "/read/x")[1].status, 200)
+
     def test_odd_callers(self):
         system = self.system
 
