--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -83,6 +83,8 @@
      "if (working && !backend.report.draining)", "if (working)"),
     ("missing_server_is_served", "request/backend_base.cpp",
      "|| backend.listing == Listing::Missing", ""),
+    ("nodes_meet_at_one_server", "request/target_choice.cpp",
+     "cost += spread(input, backend);", ""),
     ("retries_unbounded", "request/retry_allowance.cpp",
      "return static_cast<double>(m_repeats.size()) + 1 <= allowed;", "return true;"),
     ("cold_server_met_by_all_at_once", "request/target_choice.cpp",
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -206,6 +206,7 @@
     input.configuration = m_configuration.get();
     input.zonesOut = &m_zonesOut;
     input.tried = &request.tried;
+    input.traceId = request.arrival.traceId;
     input.service = request.service;
     input.model = request.arrival.model;
     input.ownZone = m_options.zone;
--- a/src/request/target_choice.cpp
+++ b/src/request/target_choice.cpp
@@ -3,6 +3,7 @@
 #include "core/rendezvous_func.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace bramleypitch {
 
@@ -14,6 +15,10 @@
 /// Above any load, so that suspects come after all others.
 constexpr double suspectCost = 10;
 constexpr double triedCost = 20;
+/// Share of the slots by which servers are told apart at random: what a node's peers may have sent
+/// since they last said so, and at most.
+constexpr double spreadPerNode = 0.01;
+constexpr double mostSpread = 0.4;
 /// A plain server queues a few requests itself; its slots are few and its calls short.
 constexpr std::uint32_t plainQueueFactor = 2;
 /// Slots of a server that does not tell them.
@@ -36,6 +41,16 @@
     return *middle;
 }
 
+/// Nodes learn of each other's requests with a delay. Without this all would meet at the server
+/// that was the least loaded a moment ago.
+double spread(const ChoiceInput &input, const Backend &backend)
+{
+    const double most = std::min(mostSpread, spreadPerNode * input.nodes);
+    const auto weight =
+        static_cast<double>(rendezvousWeight(input.traceId, backend.report.id.value()));
+    return most * weight / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+}
+
 std::uint32_t slotsOf(const Backend &backend, const ServingConfiguration &configuration)
 {
     const EngineSpec *engine = configuration.engineOf(backend.report.service);
@@ -102,6 +117,7 @@
         double cost = (running + 1.0) / slotsOf(backend, *input.configuration);
         if (usualGap > 0 && backend.gapMs > slowFactor * usualGap)
             cost *= backend.gapMs / usualGap;
+        cost += spread(input, backend);
         if (backend.report.zone != input.ownZone)
             cost += otherZoneCost;
         if (now < backend.suspectUntil)
--- a/src/request/target_choice.h
+++ b/src/request/target_choice.h
@@ -12,6 +12,7 @@
     const ServingConfiguration *configuration = nullptr;
     const std::set<ZoneId> *zonesOut = nullptr;
     const std::vector<VmId> *tried = nullptr; ///< Servers that failed this request already.
+    std::string traceId; ///< Spreads the requests of nodes that know the same.
     ServiceId service;
     ModelId model;
     ZoneId ownZone;
--- a/src/tests/request_test.cpp
+++ b/src/tests/request_test.cpp
@@ -328,6 +328,34 @@
     EXPECT_EQ(actionsOf<DispatchAttempt>(ask("/read/x")).size(), 1U);
 }
 
+TEST_F(RequestTest, NodesThatKnowTheSameDoNotMeetAtOneServer)
+{
+    // Sixty nodes with the same view send one request each before they hear of each other.
+    constexpr std::uint32_t nodes = 60;
+    constexpr std::uint32_t servers = 20;
+    for (std::uint32_t i = 0; i < servers; ++i) {
+        BackendReport report = plainServer("s" + std::to_string(i));
+        report.slots = 17;
+        m_backends.update(report, m_now);
+    }
+    const ServingConfiguration configuration = goodConfiguration();
+    const std::set<ZoneId> zonesOut;
+    std::map<VmId, std::uint32_t> met;
+    for (std::uint32_t node = 0; node < nodes; ++node) {
+        ChoiceInput input;
+        input.configuration = &configuration;
+        input.zonesOut = &zonesOut;
+        input.traceId = "trace" + std::to_string(node);
+        input.service = ServiceId("till");
+        input.ownZone = ZoneId("za");
+        input.nodes = nodes;
+        const TargetChoice choice = chooseTarget(m_backends, input, m_now);
+        ++met[m_backends.find(choice.server)->report.id];
+    }
+    for (const auto &[server, count] : met)
+        EXPECT_LE(count, slots * nodes / servers) << server.value();
+}
+
 TEST_F(RequestTest, RequestsThatCanBeOnTimeGoBeforeLateOnes)
 {
     WaitingRequest late;
