Fix: [Request] A kept answer is not delivered into another that has begun

Change: an answer that has begun is broken off; a kept one is delivered only if nothing was passed on.

--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -317,12 +317,12 @@
 {
     const RequestId id = request.arrival.request;
     const char *event = "request_refused";
-    if (request.hasAnswer) {
-        event = "request_answered";
-        actions.push_back(DeliverAnswer {id});
-    } else if (request.answering) {
+    if (request.answering) {
         event = "answer_broken";
         actions.push_back(BreakAnswer {id});
+    } else if (request.hasAnswer) {
+        event = "request_answered";
+        actions.push_back(DeliverAnswer {id});
     } else {
         RefuseRequest refusal;
         refusal.request = id;
--- a/src/tests/request_test.cpp
+++ b/src/tests/request_test.cpp
@@ -265,6 +265,23 @@
     EXPECT_EQ(m_system.open(), 0U);
 }
 
+TEST_F(RequestTest, AKeptAnswerIsNotDeliveredIntoAnotherThatHasBegun)
+{
+    // Found by a hunted day: a server error was kept, the next attempt's stream began and broke off,
+    // and the kept answer followed on the same connection.
+    addGroup("g");
+    addGroup("h");
+    const auto sent = actionsOf<DispatchAttempt>(ask("/ask/x")).at(0);
+    RequestActions actions;
+    m_system.answered(sent.request, sent.attempt, 500, m_now, actions);
+    const auto again = actionsOf<DispatchAttempt>(actions);
+    ASSERT_EQ(again.size(), 1U);
+    m_system.streamStarted(again[0].request, again[0].attempt, m_now);
+    const RequestActions after = fail(again[0], AttemptFailure::Broken);
+    EXPECT_TRUE(actionsOf<DeliverAnswer>(after).empty());
+    EXPECT_EQ(actionsOf<BreakAnswer>(after).size(), 1U);
+}
+
 TEST_F(RequestTest, ASilentStreamGoesOnElsewhereAndItsServerIsSuspected)
 {
     addGroup("g");
