--- a/src/tests/request_test.cpp
+++ b/src/tests/request_test.cpp
@@ -267,8 +267,8 @@
 
 TEST_F(RequestTest, AKeptAnswerIsNotDeliveredIntoAnotherThatHasBegun)
 {
-    // Found by a hunted day: a server error was kept, the next attempt's stream began and broke off,
-    // and the kept answer followed on the same connection.
+    // Found by a hunted day: a server error was kept, the next attempt's stream began and broke
+    // off, and the kept answer followed on the same connection.
     addGroup("g");
     addGroup("h");
     const auto sent = actionsOf<DispatchAttempt>(ask("/ask/x")).at(0);
