Fix: [Tests] Lines of runs do not run into each other

The stand-in's threads printed at the same time, and two lines became one that the reader passes over. Change: the line is printed under the lock.

--- a/src/tests/platform_standin.py
+++ b/src/tests/platform_standin.py
@@ -320,7 +320,8 @@
             if random.random() < backend.fault.get("shed", 0):
                 self.reply(503, b"", echo + [("X-Not-Executed", "1")])
                 return
-            print("ran", request, self.headers["X-Tenant-Id"], flush=True)
+            with backend.lock:  # Lines of two threads must not run into each other.
+                print("ran", request, self.headers["X-Tenant-Id"], flush=True)
             if random.random() < backend.fault.get("break_after_run", 0):
                 self.connection.shutdown(socket.SHUT_RDWR)
                 self.close_connection = True
