Codechange: [Request] [Formation] State that nothing reads goes; formation's inputs are gathered when it is due

Found on reading the whole change: fields written and never read (targetGap, keyless, serviceMs, dispatchedAt, the queue entry's deadline), a lookup of routes by name that nobody calls, spares that were set to none, and the views of nodes and demand built forty times a second for a tick that runs ten times.

--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -17,9 +17,6 @@
 constexpr double fewRequests = 20;
 /// Weight of the measured work against the published shares.
 constexpr double measuredWeight = 0.7;
-/// VMs of a domain that stay without a group at the first start, in domains of at least so many.
-constexpr std::uint32_t sparesOfDomain = 0;
-constexpr std::uint32_t leastForSpares = 8;
 /// A load takes longer while others run; after so many load times it counts as lost.
 constexpr int stagingPatience = 3;
 
@@ -131,10 +128,15 @@
     }
 }
 
+bool FormationSystem::isDue(TimePoint now) const
+{
+    return now - m_tickedAt >= m_options.interval && now - m_startedAt >= m_options.settle
+        && engineService();
+}
+
 void FormationSystem::tick(TimePoint now, FormationActions &actions)
 {
-    if (now - m_tickedAt < m_options.interval || now - m_startedAt < m_options.settle
-        || !engineService())
+    if (!isDue(now))
         return;
     m_tickedAt = now;
     if (m_backends.size() > m_mostServers) {
@@ -375,10 +377,8 @@
     }
     if (beforeTraffic(now)) {
         std::map<DomainId, std::uint32_t> sizes;
-        for (const DomainId &domain : m_backends.domains()) {
-            const auto size = static_cast<std::uint32_t>(m_backends.inDomain(domain).size());
-            sizes[domain] = size >= leastForSpares ? size - sparesOfDomain : size;
-        }
+        for (const DomainId &domain : m_backends.domains())
+            sizes[domain] = static_cast<std::uint32_t>(m_backends.inDomain(domain).size());
         input.wanted = firstSplit(sizes, *input.engine)[id];
     }
     const FormationPlan last = next;
--- a/src/formation/formation_system.h
+++ b/src/formation/formation_system.h
@@ -51,6 +51,8 @@
     void planWritten(const DomainId &domain, const FormationPlan &plan, Revision revision);
     void orderDone(const GroupOrderDone &done, TimePoint now, FormationActions &actions);
     void memberProbed(const MemberProbed &probed, TimePoint now);
+    /// Whether tick() has something to do: callers gather its inputs only then.
+    bool isDue(TimePoint now) const;
     void tick(TimePoint now, FormationActions &actions);
 
     /// Domains owned at the last tick.
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -413,7 +413,7 @@
 
 void ServingDaemon::form(TimePoint now)
 {
-    if (!m_mirror.complete() || m_stopping)
+    if (!m_mirror.complete() || m_stopping || !m_formation.isDue(now))
         return;
     m_formation.setNodes(m_presence.live(now));
     std::map<ModelId, double> demand = m_presence.demand(now);
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -15,7 +15,6 @@
 constexpr Duration lateAllowance {500};
 constexpr Duration rateInterval {500}; ///< Between looks at how fast servers free up.
 constexpr double rateSmoothing = 0.5;
-constexpr double timeSmoothing = 0.1;
 constexpr double gapSmoothing = 0.1;
 constexpr Duration deadlineInterval {40}; ///< Between looks at deadlines and silent streams.
 constexpr Duration leastRetryAfter {100};
@@ -143,9 +142,7 @@
     const RouteSpec &route = *m_configuration->findRoute(arrival.host, arrival.path);
     request.route = route.name;
     request.kind = route.kind;
-    request.keyless = route.keyless;
     request.maxAttempts = std::max<std::uint32_t>(route.maxAttempts, 1);
-    request.targetGap = route.targetGap;
     request.priority = route.priority;
     if (!route.keyless) {
         if (const ServedOrganisation *organisation = m_configuration->findKey(arrival.key)) {
@@ -161,7 +158,7 @@
     retries(request.service).requestArrived(now);
     wait(request, now);
     const TargetKey key {request.service, arrival.model};
-    startWaiting(key, m_targets[key], now, actions);
+    startWaiting(m_targets[key], now, actions);
 
     const auto still = m_requests.find(arrival.request);
     if (still == m_requests.end() || still->second.running)
@@ -193,7 +190,6 @@
     entry.request = request.arrival.request;
     entry.since = request.arrivedAt;
     entry.onTimeUntil = request.onTimeUntil;
-    entry.deadline = request.deadline;
     entry.priority = request.priority;
     entry.answering = request.answering;
     request.lastProgress = now;
@@ -225,8 +221,7 @@
                        [&](const auto &weighted) { return weighted.service == request.service; });
 }
 
-void RequestSystem::startWaiting(const TargetKey &, Target &target, TimePoint now,
-                                 RequestActions &actions)
+void RequestSystem::startWaiting(Target &target, TimePoint now, RequestActions &actions)
 {
     while (!target.waiting.empty() && m_configuration) {
         const std::size_t next = nextToStart(target.waiting, now);
@@ -258,7 +253,6 @@
     request.attempt = AttemptNumber(request.attempt.value() + 1);
     request.server = backend.report.id;
     request.running = true;
-    request.dispatchedAt = now;
     request.lastProgress = now;
     ++request.attemptsUsed;
     ++backend.ownRunning;
@@ -287,16 +281,12 @@
                                      {"version", std::to_string(m_configuration->version)}}});
 }
 
-void RequestSystem::endAttempt(Request &request, TimePoint now)
+void RequestSystem::endAttempt(Request &request)
 {
     request.running = false;
     if (Backend *backend = m_backends.find(request.server); backend && backend->ownRunning > 0)
         --backend->ownRunning;
-    Target &target = m_targets[{request.service, request.arrival.model}];
-    ++target.departures;
-    const auto took = static_cast<double>(between(request.dispatchedAt, now).count());
-    target.serviceMs =
-        target.serviceMs > 0 ? target.serviceMs + timeSmoothing * (took - target.serviceMs) : took;
+    ++m_targets[{request.service, request.arrival.model}].departures;
 }
 
 void RequestSystem::finish(RequestId id)
@@ -359,7 +349,7 @@
         return;
     Request &request = found->second;
     if (request.running) {
-        endAttempt(request, now);
+        endAttempt(request);
         actions.push_back(AbandonAttempt {id});
     }
     actions.push_back(NoteDecision {
@@ -399,13 +389,13 @@
     if (!request)
         return;
     const TargetKey key {request->service, request->arrival.model};
-    endAttempt(*request, now);
+    endAttempt(*request);
     actions.push_back(NoteDecision {
         request->arrival.traceId,
         "request_answered",
         {{"server", request->server.value()}, {"age_ms", text(between(request->arrivedAt, now))}}});
     finish(id);
-    startWaiting(key, m_targets[key], now, actions);
+    startWaiting(m_targets[key], now, actions);
 }
 
 void RequestSystem::answered(RequestId id, AttemptNumber attempt, int status, TimePoint now,
@@ -415,7 +405,7 @@
     if (!request)
         return;
     const TargetKey key {request->service, request->arrival.model};
-    endAttempt(*request, now);
+    endAttempt(*request);
     if (Backend *backend = m_backends.find(request->server))
         backend->lastProgress = now;
     request->hasAnswer = true;
@@ -435,7 +425,7 @@
                                          {"age_ms", text(between(request->arrivedAt, now))}}});
         finish(id);
     }
-    startWaiting(key, m_targets[key], now, actions);
+    startWaiting(m_targets[key], now, actions);
 }
 
 void RequestSystem::attemptFailed(RequestId id, AttemptNumber attempt, AttemptFailure failure,
@@ -444,7 +434,7 @@
     Request *request = find(id, attempt);
     if (!request)
         return;
-    endAttempt(*request, now);
+    endAttempt(*request);
     request->tried.push_back(request->server);
     Backend *backend = m_backends.find(request->server);
     const Duration suspectFor =
@@ -502,7 +492,7 @@
                                          {"server", request.server.value()},
                                          {"attempts", std::to_string(request.attempt.value())}}});
         wait(request, now);
-        startWaiting(key, m_targets[key], now, actions);
+        startWaiting(m_targets[key], now, actions);
         return;
     }
     const ErrorCode code = request.mayHaveRun ? ErrorCode::BackendFailed : ErrorCode::NoCapacity;
@@ -531,7 +521,7 @@
         Request &request = m_requests.at(id);
         if (request.running) {
             request.mayHaveRun = true;
-            endAttempt(request, now);
+            endAttempt(request);
             actions.push_back(AbandonAttempt {id});
         }
         refuse(request,
@@ -556,7 +546,7 @@
         m_ratesAt = now;
     }
     for (auto &[key, target] : m_targets)
-        startWaiting(key, target, now, actions);
+        startWaiting(target, now, actions);
     if (now - m_deadlinesAt >= deadlineInterval) {
         m_deadlinesAt = now;
         watchDeadlines(now, actions);
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -84,13 +84,11 @@
         RequestArrival arrival;
         RouteId route;
         RequestKind kind = RequestKind::AtMostOnce;
-        bool keyless = false;
         ServiceId service;
         OrganisationId organisation;
         TimePoint arrivedAt;
         TimePoint deadline;
         TimePoint onTimeUntil;
-        Duration targetGap {0};
         std::uint32_t maxAttempts = 1;
         int priority = 0;
         bool running = false; ///< An attempt is under way.
@@ -103,7 +101,6 @@
         bool answering = false; ///< A part of the answer went to the caller.
         bool hasAnswer = false; ///< A whole answer is kept in case no better one comes.
         TimePoint lastProgress;
-        TimePoint dispatchedAt;
     };
     struct TargetKey
     {
@@ -117,7 +114,6 @@
         std::vector<WaitingRequest> waiting;
         double departuresPerSecond = 0; ///< Smoothed.
         std::uint32_t departures = 0; ///< Since the last smoothing.
-        double serviceMs = 0; ///< Smoothed time from dispatch to end.
     };
 
     Request *find(RequestId request, AttemptNumber attempt);
@@ -125,13 +121,13 @@
     std::optional<ErrorCode> denial(const RequestArrival &arrival, TimePoint now) const;
     bool mayStillRun(const Request &request, TimePoint now) const;
     void wait(Request &request, TimePoint now);
-    void startWaiting(const TargetKey &key, Target &target, TimePoint now, RequestActions &actions);
+    void startWaiting(Target &target, TimePoint now, RequestActions &actions);
     void dispatch(Request &request, BackendIndex server, TimePoint now, RequestActions &actions);
     void retryOrEnd(Request &request, bool mayRepeat, const char *cause, TimePoint now,
                     RequestActions &actions);
     void refuse(Request &request, ErrorCode code, std::optional<Duration> retryAfter,
                 const char *cause, TimePoint now, RequestActions &actions);
-    void endAttempt(Request &request, TimePoint now);
+    void endAttempt(Request &request);
     void finish(RequestId request);
     std::optional<Duration> waitTooLong(const Request &request, const Target &target,
                                         TimePoint now) const;
--- a/src/request/serving_func.cpp
+++ b/src/request/serving_func.cpp
@@ -15,15 +15,6 @@
     return best;
 }
 
-const RouteSpec *ServingConfiguration::findRoute(const RouteId &name) const
-{
-    for (const RouteSpec &route : routes) {
-        if (route.name == name)
-            return &route;
-    }
-    return nullptr;
-}
-
 const ServedOrganisation *ServingConfiguration::findKey(const std::string &key) const
 {
     const auto found = keys.find(key);
--- a/src/request/serving_type.h
+++ b/src/request/serving_type.h
@@ -112,8 +112,6 @@
 
     /// The route with the longest prefix of `path` among those of `host`, or null.
     const RouteSpec *findRoute(const std::string &host, const std::string &path) const;
-    /// The route of that name, or null.
-    const RouteSpec *findRoute(const RouteId &name) const;
     /// The organisation that holds a key, or null.
     const ServedOrganisation *findKey(const std::string &key) const;
     /// The engine figures of a service, or null for plain services and unknown ones.
--- a/src/request/waiting_order.h
+++ b/src/request/waiting_order.h
@@ -14,7 +14,6 @@
     RequestId request;
     TimePoint since;
     TimePoint onTimeUntil; ///< Started later it misses its response-time goal.
-    TimePoint deadline;
     int priority = 0; ///< 0 is the most urgent.
     bool answering = false; ///< Its caller has a part of the answer already.
 };
