--- a/src/formation/formation_func.h
+++ b/src/formation/formation_func.h
@@ -21,7 +21,7 @@
     const ServedModel *model = nullptr;
     double work = 0; ///< Groups that it needs beside the other models; only the ratio counts.
     double groups = 0; ///< Formed or planned, of all domains.
-    double busy = 1; ///< Requests running or waiting, as a share of the slots of its groups.
+    double busy = 1; ///< Slots that its requests need, as a share of those of its groups.
 };
 
 /// Groups that a model needs beside the other models, as published: its share is one of the time of
--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -13,8 +13,8 @@
 constexpr double loadRateShare = 0.85;
 /// Each domain may start one load at once, so that all together keep the store's limit.
 constexpr double mostLoadTokens = 1;
-/// Requests under way below which the published shares say more than what is measured.
-constexpr double fewRequests = 20;
+/// Slots in use below which the published shares say more than what is measured.
+constexpr double fewSlots = 20;
 /// Weight of the measured work against the published shares.
 constexpr double measuredWeight = 0.7;
 /// A load takes longer while others run; after so many load times it counts as lost.
@@ -122,17 +122,17 @@
     }
 }
 
-void FormationSystem::setDemand(const std::map<ModelId, double> &requests, TimePoint now)
+void FormationSystem::setDemand(const std::map<ModelId, double> &slots, TimePoint now)
 {
-    const double passed = static_cast<double>((now - m_requestsAt).count());
+    const double passed = static_cast<double>((now - m_demandAt).count());
     const double weight =
         std::min(1.0, passed / static_cast<double>(m_options.demandSmoothing.count()));
-    m_requestsAt = now;
-    for (const auto &[model, count] : requests)
-        m_requests.try_emplace(model, count);
-    for (auto &[model, smoothed] : m_requests) {
-        const auto found = requests.find(model);
-        smoothed += weight * ((found == requests.end() ? 0 : found->second) - smoothed);
+    m_demandAt = now;
+    for (const auto &[model, count] : slots)
+        m_demand.try_emplace(model, count);
+    for (auto &[model, smoothed] : m_demand) {
+        const auto found = slots.find(model);
+        smoothed += weight * ((found == slots.end() ? 0 : found->second) - smoothed);
     }
 }
 
@@ -375,8 +375,8 @@
     const EngineSpec &engine = *engineService()->engine;
     double measured = 0;
     double published = 0;
-    for (const auto &[model, requests] : m_requests)
-        measured += requests;
+    for (const auto &[model, slots] : m_demand)
+        measured += slots;
     for (const ServedModel &model : engine.models)
         published += publishedWork(model);
     std::vector<ModelDemand> all;
@@ -384,16 +384,16 @@
         ModelDemand demand;
         demand.model = &model;
         demand.work = published > 0 ? publishedWork(model) / published : 1;
-        const auto found = m_requests.find(model.name);
-        const double requests = found == m_requests.end() ? 0 : found->second;
-        if (measured >= fewRequests)
-            demand.work = measuredWeight * requests / measured + (1 - measuredWeight) * demand.work;
+        const auto found = m_demand.find(model.name);
+        const double slots = found == m_demand.end() ? 0 : found->second;
+        if (measured >= fewSlots)
+            demand.work = measuredWeight * slots / measured + (1 - measuredWeight) * demand.work;
         for (const auto &[id, domain] : m_domains) {
             for (const PlannedGroup &group : domain.plan.groups)
                 demand.groups += !group.dissolving && group.model == model.name ? 1 : 0;
         }
         if (demand.groups > 0)
-            demand.busy = requests / (demand.groups * engine.slots);
+            demand.busy = slots / (demand.groups * engine.slots);
         all.push_back(demand);
     }
     return all;
--- a/src/formation/formation_system.h
+++ b/src/formation/formation_system.h
@@ -43,8 +43,8 @@
     void setNodes(std::vector<NodeId> nodes) { m_nodes = std::move(nodes); }
     /// The system starts for the first time: loads are not counted yet.
     void setFirstStart(bool firstStart) { m_firstStart = firstStart; }
-    /// Requests running or waiting for each model, of all nodes.
-    void setDemand(const std::map<ModelId, double> &requests, TimePoint now);
+    /// Slots that requests running or waiting for each model need, of all nodes.
+    void setDemand(const std::map<ModelId, double> &slots, TimePoint now);
     /// A plan as read from the store; `revision` 0 means that there is none.
     void planRead(const DomainId &domain, const FormationPlan &plan, Revision revision);
     /// What became of WritePlan; `revision` is 0 unless it was written.
@@ -135,8 +135,8 @@
     TimePoint m_startedAt;
     ServingConfigurationPtr m_configuration;
     std::vector<NodeId> m_nodes;
-    std::map<ModelId, double> m_requests; ///< Smoothed.
-    TimePoint m_requestsAt;
+    std::map<ModelId, double> m_demand; ///< Slots needed, smoothed.
+    TimePoint m_demandAt;
     bool m_firstStart = false;
     std::map<DomainId, Domain> m_domains;
     std::map<VmId, SentOrder> m_orders;
--- a/src/network/gen/peer_types.cpp
+++ b/src/network/gen/peer_types.cpp
@@ -1222,7 +1222,7 @@
   this->running = val;
 }
 
-void Pulse::__set_demand(const std::map<std::string, int32_t> & val) {
+void Pulse::__set_demand(const std::map<std::string, double> & val) {
   this->demand = val;
 }
 
@@ -1337,8 +1337,8 @@
             {
               std::string _key38;
               xfer += iprot->readString(_key38);
-              int32_t& _val39 = this->demand[_key38];
-              xfer += iprot->readI32(_val39);
+              double& _val39 = this->demand[_key38];
+              xfer += iprot->readDouble(_val39);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1457,12 +1457,12 @@
 
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_MAP, 6);
   {
-    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->demand.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter55;
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_DOUBLE, static_cast<uint32_t>(this->demand.size()));
+    std::map<std::string, double> ::const_iterator _iter55;
     for (_iter55 = this->demand.begin(); _iter55 != this->demand.end(); ++_iter55)
     {
       xfer += oprot->writeString(_iter55->first);
-      xfer += oprot->writeI32(_iter55->second);
+      xfer += oprot->writeDouble(_iter55->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1566,6 +1566,438 @@
 }
 
 
+Digest::~Digest() noexcept {
+}
+
+
+void Digest::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void Digest::__set_node(const std::string& val) {
+  this->node = val;
+}
+
+void Digest::__set_life(const int64_t val) {
+  this->life = val;
+}
+
+void Digest::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void Digest::__set_taking(const std::map<std::string, bool> & val) {
+  this->taking = val;
+}
+
+void Digest::__set_running(const std::map<std::string, int32_t> & val) {
+  this->running = val;
+}
+
+void Digest::__set_demand(const std::map<std::string, double> & val) {
+  this->demand = val;
+}
+
+void Digest::__set_suspects_ms(const std::map<std::string, int32_t> & val) {
+  this->suspects_ms = val;
+}
+
+void Digest::__set_heard_ms(const std::map<std::string, int32_t> & val) {
+  this->heard_ms = val;
+}
+
+void Digest::__set_clock_ms(const int64_t val) {
+  this->clock_ms = val;
+}
+
+void Digest::__set_held_revision(const int64_t val) {
+  this->held_revision = val;
+}
+
+void Digest::__set_relayed(const bool val) {
+  this->relayed = val;
+}
+std::ostream& operator<<(std::ostream& out, const Digest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Digest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->life);
+          this->__isset.life = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->taking.clear();
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _ktype61;
+            ::apache::thrift::protocol::TType _vtype62;
+            xfer += iprot->readMapBegin(_ktype61, _vtype62, _size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
+            {
+              std::string _key65;
+              xfer += iprot->readString(_key65);
+              bool& _val66 = this->taking[_key65];
+              xfer += iprot->readBool(_val66);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.taking = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->running.clear();
+            uint32_t _size67;
+            ::apache::thrift::protocol::TType _ktype68;
+            ::apache::thrift::protocol::TType _vtype69;
+            xfer += iprot->readMapBegin(_ktype68, _vtype69, _size67);
+            uint32_t _i71;
+            for (_i71 = 0; _i71 < _size67; ++_i71)
+            {
+              std::string _key72;
+              xfer += iprot->readString(_key72);
+              int32_t& _val73 = this->running[_key72];
+              xfer += iprot->readI32(_val73);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->demand.clear();
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _ktype75;
+            ::apache::thrift::protocol::TType _vtype76;
+            xfer += iprot->readMapBegin(_ktype75, _vtype76, _size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
+            {
+              std::string _key79;
+              xfer += iprot->readString(_key79);
+              double& _val80 = this->demand[_key79];
+              xfer += iprot->readDouble(_val80);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.demand = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->suspects_ms.clear();
+            uint32_t _size81;
+            ::apache::thrift::protocol::TType _ktype82;
+            ::apache::thrift::protocol::TType _vtype83;
+            xfer += iprot->readMapBegin(_ktype82, _vtype83, _size81);
+            uint32_t _i85;
+            for (_i85 = 0; _i85 < _size81; ++_i85)
+            {
+              std::string _key86;
+              xfer += iprot->readString(_key86);
+              int32_t& _val87 = this->suspects_ms[_key86];
+              xfer += iprot->readI32(_val87);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.suspects_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->heard_ms.clear();
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _ktype89;
+            ::apache::thrift::protocol::TType _vtype90;
+            xfer += iprot->readMapBegin(_ktype89, _vtype90, _size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
+            {
+              std::string _key93;
+              xfer += iprot->readString(_key93);
+              int32_t& _val94 = this->heard_ms[_key93];
+              xfer += iprot->readI32(_val94);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.heard_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->clock_ms);
+          this->__isset.clock_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->held_revision);
+          this->__isset.held_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->relayed);
+          this->__isset.relayed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Digest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Digest");
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("life", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->life);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("taking", ::apache::thrift::protocol::T_MAP, 5);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_BOOL, static_cast<uint32_t>(this->taking.size()));
+    std::map<std::string, bool> ::const_iterator _iter95;
+    for (_iter95 = this->taking.begin(); _iter95 != this->taking.end(); ++_iter95)
+    {
+      xfer += oprot->writeString(_iter95->first);
+      xfer += oprot->writeBool(_iter95->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_MAP, 6);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->running.size()));
+    std::map<std::string, int32_t> ::const_iterator _iter96;
+    for (_iter96 = this->running.begin(); _iter96 != this->running.end(); ++_iter96)
+    {
+      xfer += oprot->writeString(_iter96->first);
+      xfer += oprot->writeI32(_iter96->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_MAP, 7);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_DOUBLE, static_cast<uint32_t>(this->demand.size()));
+    std::map<std::string, double> ::const_iterator _iter97;
+    for (_iter97 = this->demand.begin(); _iter97 != this->demand.end(); ++_iter97)
+    {
+      xfer += oprot->writeString(_iter97->first);
+      xfer += oprot->writeDouble(_iter97->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("suspects_ms", ::apache::thrift::protocol::T_MAP, 8);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->suspects_ms.size()));
+    std::map<std::string, int32_t> ::const_iterator _iter98;
+    for (_iter98 = this->suspects_ms.begin(); _iter98 != this->suspects_ms.end(); ++_iter98)
+    {
+      xfer += oprot->writeString(_iter98->first);
+      xfer += oprot->writeI32(_iter98->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("heard_ms", ::apache::thrift::protocol::T_MAP, 9);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->heard_ms.size()));
+    std::map<std::string, int32_t> ::const_iterator _iter99;
+    for (_iter99 = this->heard_ms.begin(); _iter99 != this->heard_ms.end(); ++_iter99)
+    {
+      xfer += oprot->writeString(_iter99->first);
+      xfer += oprot->writeI32(_iter99->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("clock_ms", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->clock_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("held_revision", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->held_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("relayed", ::apache::thrift::protocol::T_BOOL, 12);
+  xfer += oprot->writeBool(this->relayed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Digest &a, Digest &b) {
+  using ::std::swap;
+  swap(a.zone, b.zone);
+  swap(a.node, b.node);
+  swap(a.life, b.life);
+  swap(a.number, b.number);
+  swap(a.taking, b.taking);
+  swap(a.running, b.running);
+  swap(a.demand, b.demand);
+  swap(a.suspects_ms, b.suspects_ms);
+  swap(a.heard_ms, b.heard_ms);
+  swap(a.clock_ms, b.clock_ms);
+  swap(a.held_revision, b.held_revision);
+  swap(a.relayed, b.relayed);
+  swap(a.__isset, b.__isset);
+}
+
+Digest::Digest(const Digest& other100) {
+  zone = other100.zone;
+  node = other100.node;
+  life = other100.life;
+  number = other100.number;
+  taking = other100.taking;
+  running = other100.running;
+  demand = other100.demand;
+  suspects_ms = other100.suspects_ms;
+  heard_ms = other100.heard_ms;
+  clock_ms = other100.clock_ms;
+  held_revision = other100.held_revision;
+  relayed = other100.relayed;
+  __isset = other100.__isset;
+}
+Digest& Digest::operator=(const Digest& other101) {
+  zone = other101.zone;
+  node = other101.node;
+  life = other101.life;
+  number = other101.number;
+  taking = other101.taking;
+  running = other101.running;
+  demand = other101.demand;
+  suspects_ms = other101.suspects_ms;
+  heard_ms = other101.heard_ms;
+  clock_ms = other101.clock_ms;
+  held_revision = other101.held_revision;
+  relayed = other101.relayed;
+  __isset = other101.__isset;
+  return *this;
+}
+void Digest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Digest(";
+  out << "zone=" << to_string(zone);
+  out << ", " << "node=" << to_string(node);
+  out << ", " << "life=" << to_string(life);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "taking=" << to_string(taking);
+  out << ", " << "running=" << to_string(running);
+  out << ", " << "demand=" << to_string(demand);
+  out << ", " << "suspects_ms=" << to_string(suspects_ms);
+  out << ", " << "heard_ms=" << to_string(heard_ms);
+  out << ", " << "clock_ms=" << to_string(clock_ms);
+  out << ", " << "held_revision=" << to_string(held_revision);
+  out << ", " << "relayed=" << to_string(relayed);
+  out << ")";
+}
+
+
 FeedChange::~FeedChange() noexcept {
 }
 
@@ -1692,19 +2124,19 @@
   swap(a.__isset, b.__isset);
 }
 
-FeedChange::FeedChange(const FeedChange& other60) {
-  key = other60.key;
-  revision = other60.revision;
-  deleted = other60.deleted;
-  value = other60.value;
-  __isset = other60.__isset;
+FeedChange::FeedChange(const FeedChange& other102) {
+  key = other102.key;
+  revision = other102.revision;
+  deleted = other102.deleted;
+  value = other102.value;
+  __isset = other102.__isset;
 }
-FeedChange& FeedChange::operator=(const FeedChange& other61) {
-  key = other61.key;
-  revision = other61.revision;
-  deleted = other61.deleted;
-  value = other61.value;
-  __isset = other61.__isset;
+FeedChange& FeedChange::operator=(const FeedChange& other103) {
+  key = other103.key;
+  revision = other103.revision;
+  deleted = other103.deleted;
+  value = other103.value;
+  __isset = other103.__isset;
   return *this;
 }
 void FeedChange::printTo(std::ostream& out) const {
@@ -1789,14 +2221,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->changes.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->changes.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              xfer += this->changes[_i66].read(iprot);
+              xfer += this->changes[_i108].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1849,10 +2281,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<FeedChange> ::const_iterator _iter67;
-    for (_iter67 = this->changes.begin(); _iter67 != this->changes.end(); ++_iter67)
+    std::vector<FeedChange> ::const_iterator _iter109;
+    for (_iter109 = this->changes.begin(); _iter109 != this->changes.end(); ++_iter109)
     {
-      xfer += (*_iter67).write(oprot);
+      xfer += (*_iter109).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1881,21 +2313,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Feed::Feed(const Feed& other68) {
-  from_revision = other68.from_revision;
-  to_revision = other68.to_revision;
-  changes = other68.changes;
-  echo_ms = other68.echo_ms;
-  proof_age_ms = other68.proof_age_ms;
-  __isset = other68.__isset;
-}
-Feed& Feed::operator=(const Feed& other69) {
-  from_revision = other69.from_revision;
-  to_revision = other69.to_revision;
-  changes = other69.changes;
-  echo_ms = other69.echo_ms;
-  proof_age_ms = other69.proof_age_ms;
-  __isset = other69.__isset;
+Feed::Feed(const Feed& other110) {
+  from_revision = other110.from_revision;
+  to_revision = other110.to_revision;
+  changes = other110.changes;
+  echo_ms = other110.echo_ms;
+  proof_age_ms = other110.proof_age_ms;
+  __isset = other110.__isset;
+}
+Feed& Feed::operator=(const Feed& other111) {
+  from_revision = other111.from_revision;
+  to_revision = other111.to_revision;
+  changes = other111.changes;
+  echo_ms = other111.echo_ms;
+  proof_age_ms = other111.proof_age_ms;
+  __isset = other111.__isset;
   return *this;
 }
 void Feed::printTo(std::ostream& out) const {
--- a/src/network/gen/peer_types.h
+++ b/src/network/gen/peer_types.h
@@ -37,6 +37,8 @@
 
 class Pulse;
 
+class Digest;
+
 class FeedChange;
 
 class Feed;
@@ -547,7 +549,7 @@
   int64_t number;
   bool taking;
   std::map<std::string, int32_t>  running;
-  std::map<std::string, int32_t>  demand;
+  std::map<std::string, double>  demand;
   std::map<std::string, int32_t>  suspects_ms;
   int64_t clock_ms;
   int64_t held_revision;
@@ -565,7 +567,7 @@
 
   void __set_running(const std::map<std::string, int32_t> & val);
 
-  void __set_demand(const std::map<std::string, int32_t> & val);
+  void __set_demand(const std::map<std::string, double> & val);
 
   void __set_suspects_ms(const std::map<std::string, int32_t> & val);
 
@@ -615,6 +617,121 @@
 
 std::ostream& operator<<(std::ostream& out, const Pulse& obj);
 
+typedef struct _Digest__isset {
+  _Digest__isset() : zone(false), node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), heard_ms(false), clock_ms(false), held_revision(false), relayed(false) {}
+  bool zone :1;
+  bool node :1;
+  bool life :1;
+  bool number :1;
+  bool taking :1;
+  bool running :1;
+  bool demand :1;
+  bool suspects_ms :1;
+  bool heard_ms :1;
+  bool clock_ms :1;
+  bool held_revision :1;
+  bool relayed :1;
+} _Digest__isset;
+
+class Digest : public virtual ::apache::thrift::TBase {
+ public:
+
+  Digest(const Digest&);
+  Digest& operator=(const Digest&);
+  Digest() noexcept
+         : zone(),
+           node(),
+           life(0),
+           number(0),
+           clock_ms(0),
+           held_revision(0),
+           relayed(0) {
+  }
+
+  virtual ~Digest() noexcept;
+  std::string zone;
+  std::string node;
+  int64_t life;
+  int64_t number;
+  std::map<std::string, bool>  taking;
+  std::map<std::string, int32_t>  running;
+  std::map<std::string, double>  demand;
+  std::map<std::string, int32_t>  suspects_ms;
+  std::map<std::string, int32_t>  heard_ms;
+  int64_t clock_ms;
+  int64_t held_revision;
+  bool relayed;
+
+  _Digest__isset __isset;
+
+  void __set_zone(const std::string& val);
+
+  void __set_node(const std::string& val);
+
+  void __set_life(const int64_t val);
+
+  void __set_number(const int64_t val);
+
+  void __set_taking(const std::map<std::string, bool> & val);
+
+  void __set_running(const std::map<std::string, int32_t> & val);
+
+  void __set_demand(const std::map<std::string, double> & val);
+
+  void __set_suspects_ms(const std::map<std::string, int32_t> & val);
+
+  void __set_heard_ms(const std::map<std::string, int32_t> & val);
+
+  void __set_clock_ms(const int64_t val);
+
+  void __set_held_revision(const int64_t val);
+
+  void __set_relayed(const bool val);
+
+  bool operator == (const Digest & rhs) const
+  {
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(node == rhs.node))
+      return false;
+    if (!(life == rhs.life))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    if (!(taking == rhs.taking))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    if (!(demand == rhs.demand))
+      return false;
+    if (!(suspects_ms == rhs.suspects_ms))
+      return false;
+    if (!(heard_ms == rhs.heard_ms))
+      return false;
+    if (!(clock_ms == rhs.clock_ms))
+      return false;
+    if (!(held_revision == rhs.held_revision))
+      return false;
+    if (!(relayed == rhs.relayed))
+      return false;
+    return true;
+  }
+  bool operator != (const Digest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Digest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Digest &a, Digest &b);
+
+std::ostream& operator<<(std::ostream& out, const Digest& obj);
+
 typedef struct _FeedChange__isset {
   _FeedChange__isset() : key(false), revision(false), deleted(false), value(false) {}
   bool key :1;
--- a/src/network/peer.thrift
+++ b/src/network/peer.thrift
@@ -54,20 +54,36 @@
   2: CallOutcome outcome
 }
 
-// Sent as a datagram: what a node takes on, several times a second.
+// Sent as a datagram within a zone: what a node takes on, several times a second.
 struct Pulse {
   1: string node
   2: i64 life
   3: i64 number
   4: bool taking
   5: map<string, i32> running
-  6: map<string, i32> demand
+  6: map<string, double> demand
   7: map<string, i32> suspects_ms
   8: i64 clock_ms
   9: i64 held_revision
   10: map<string, i32> heard_ms
 }
 
+// Sent as a datagram by one node of a zone to the other zones: the sum of its zone's pulses.
+struct Digest {
+  1: string zone
+  2: string node
+  3: i64 life
+  4: i64 number
+  5: map<string, bool> taking
+  6: map<string, i32> running
+  7: map<string, double> demand
+  8: map<string, i32> suspects_ms
+  9: map<string, i32> heard_ms
+  10: i64 clock_ms
+  11: i64 held_revision
+  12: bool relayed
+}
+
 struct FeedChange {
   1: string key
   2: i64 revision
@@ -75,7 +91,7 @@
   4: binary value
 }
 
-// Sent as a datagram by the node that watches the store for its zone.
+// Sent as a datagram: changes of the store, from the node that watches it or passes them on.
 struct Feed {
   1: i64 from_revision
   2: i64 to_revision
--- a/src/network/pulse_socket.cpp
+++ b/src/network/pulse_socket.cpp
@@ -24,6 +24,7 @@
 /// The first byte of a datagram tells what it is.
 constexpr char pulseTag = 'P';
 constexpr char feedTag = 'F';
+constexpr char digestTag = 'D';
 /// Datagrams read in one turn, so that a flood cannot hold the loop.
 constexpr int maxReadsPerTurn = 64;
 
@@ -87,6 +88,57 @@
     return feed;
 }
 
+using WireCounts = std::map<std::string, std::int32_t>;
+using WireDemand = std::map<std::string, double>;
+
+WireCounts toWire(const RunningCounts &running)
+{
+    WireCounts wire;
+    for (const auto &[server, count] : running)
+        wire[server.value()] = static_cast<std::int32_t>(count);
+    return wire;
+}
+
+WireCounts toWire(const std::map<VmId, Duration> &durations)
+{
+    WireCounts wire;
+    for (const auto &[server, duration] : durations)
+        wire[server.value()] = static_cast<std::int32_t>(duration.count());
+    return wire;
+}
+
+WireDemand toWire(const std::map<ModelId, double> &demand)
+{
+    WireDemand wire;
+    for (const auto &[model, slots] : demand)
+        wire[model.value()] = slots;
+    return wire;
+}
+
+RunningCounts toRunning(const WireCounts &wire)
+{
+    RunningCounts running;
+    for (const auto &[server, count] : wire)
+        running[VmId(server)] = static_cast<std::uint32_t>(count);
+    return running;
+}
+
+std::map<VmId, Duration> toDurations(const WireCounts &wire)
+{
+    std::map<VmId, Duration> durations;
+    for (const auto &[server, duration] : wire)
+        durations[VmId(server)] = Duration(duration);
+    return durations;
+}
+
+std::map<ModelId, double> toDemand(const WireDemand &wire)
+{
+    std::map<ModelId, double> demand;
+    for (const auto &[model, slots] : wire)
+        demand[ModelId(model)] = slots;
+    return demand;
+}
+
 std::string serialize(const Pulse &pulse)
 {
     peer::Pulse wire;
@@ -94,14 +146,10 @@
     wire.life = pulse.life;
     wire.number = pulse.number;
     wire.taking = pulse.taking;
-    for (const auto &[server, count] : pulse.running)
-        wire.running[server.value()] = static_cast<std::int32_t>(count);
-    for (const auto &[model, count] : pulse.demand)
-        wire.demand[model.value()] = static_cast<std::int32_t>(count);
-    for (const auto &[server, left] : pulse.suspects)
-        wire.suspects_ms[server.value()] = static_cast<std::int32_t>(left.count());
-    for (const auto &[server, ago] : pulse.heard)
-        wire.heard_ms[server.value()] = static_cast<std::int32_t>(ago.count());
+    wire.running = toWire(pulse.running);
+    wire.demand = toWire(pulse.demand);
+    wire.suspects_ms = toWire(pulse.suspects);
+    wire.heard_ms = toWire(pulse.heard);
     wire.clock_ms = milliseconds(pulse.clock);
     wire.held_revision = pulse.held.value();
     return toBytes(pulseTag, wire);
@@ -114,19 +162,53 @@
     pulse.life = wire.life;
     pulse.number = wire.number;
     pulse.taking = wire.taking;
-    for (const auto &[server, count] : wire.running)
-        pulse.running[VmId(server)] = static_cast<std::uint32_t>(count);
-    for (const auto &[model, count] : wire.demand)
-        pulse.demand[ModelId(model)] = static_cast<std::uint32_t>(count);
-    for (const auto &[server, left] : wire.suspects_ms)
-        pulse.suspects[VmId(server)] = Duration(left);
-    for (const auto &[server, ago] : wire.heard_ms)
-        pulse.heard[VmId(server)] = Duration(ago);
+    pulse.running = toRunning(wire.running);
+    pulse.demand = toDemand(wire.demand);
+    pulse.suspects = toDurations(wire.suspects_ms);
+    pulse.heard = toDurations(wire.heard_ms);
     pulse.clock = timePoint(wire.clock_ms);
     pulse.held = Revision(wire.held_revision);
     return pulse;
 }
 
+std::string serialize(const ZoneDigest &digest)
+{
+    peer::Digest wire;
+    wire.zone = digest.zone.value();
+    wire.node = digest.node.value();
+    wire.life = digest.life;
+    wire.number = digest.number;
+    for (const auto &[node, taking] : digest.taking)
+        wire.taking[node.value()] = taking;
+    wire.running = toWire(digest.running);
+    wire.demand = toWire(digest.demand);
+    wire.suspects_ms = toWire(digest.suspects);
+    wire.heard_ms = toWire(digest.heard);
+    wire.clock_ms = milliseconds(digest.clock);
+    wire.held_revision = digest.held.value();
+    wire.relayed = digest.relayed;
+    return toBytes(digestTag, wire);
+}
+
+ZoneDigest toDigest(const peer::Digest &wire)
+{
+    ZoneDigest digest;
+    digest.zone = ZoneId(wire.zone);
+    digest.node = NodeId(wire.node);
+    digest.life = wire.life;
+    digest.number = wire.number;
+    for (const auto &[node, taking] : wire.taking)
+        digest.taking[NodeId(node)] = taking;
+    digest.running = toRunning(wire.running);
+    digest.demand = toDemand(wire.demand);
+    digest.suspects = toDurations(wire.suspects_ms);
+    digest.heard = toDurations(wire.heard_ms);
+    digest.clock = timePoint(wire.clock_ms);
+    digest.held = Revision(wire.held_revision);
+    digest.relayed = wire.relayed;
+    return digest;
+}
+
 } // namespace
 
 PulseSocket::PulseSocket(EventLoop &loop, const Address &address, PulseHooks hooks)
@@ -153,6 +235,13 @@
         sendBytes(bytes, address);
 }
 
+void PulseSocket::send(const ZoneDigest &digest, const std::vector<Address> &addresses)
+{
+    const std::string bytes = serialize(digest);
+    for (const Address &address : addresses)
+        sendBytes(bytes, address);
+}
+
 void PulseSocket::send(const StoreFeed &feed, const Address &address)
 {
     sendBytes(serialize(feed), address);
@@ -177,6 +266,8 @@
             const auto size = static_cast<std::size_t>(length) - 1;
             if (bytes[0] == feedTag)
                 socket->m_hooks.feed(toFeed(fromBytes<peer::Feed>(bytes.data() + 1, size)));
+            else if (bytes[0] == digestTag)
+                socket->m_hooks.digest(toDigest(fromBytes<peer::Digest>(bytes.data() + 1, size)));
             else
                 socket->m_hooks.pulse(toPulse(fromBytes<peer::Pulse>(bytes.data() + 1, size)));
         } catch (const apache::thrift::TException &) {
--- a/src/network/pulse_socket.h
+++ b/src/network/pulse_socket.h
@@ -13,10 +13,11 @@
 struct PulseHooks
 {
     std::function<void(const Pulse &)> pulse;
+    std::function<void(const ZoneDigest &)> digest;
     std::function<void(const StoreFeed &)> feed;
 };
 
-/// Sends and receives pulses and feeds as datagrams in Thrift's compact form.
+/// Sends and receives pulses, digests and feeds as datagrams in Thrift's compact form.
 class PulseSocket
 {
 public:
@@ -28,6 +29,7 @@
 
     /// Sends to each address; a datagram that cannot be sent is left out, the next one follows.
     void send(const Pulse &pulse, const std::vector<Address> &addresses);
+    void send(const ZoneDigest &digest, const std::vector<Address> &addresses);
     void send(const StoreFeed &feed, const Address &address);
     /// Datagrams that could not be read, since the start.
     std::uint64_t unreadable() const { return m_unreadable; }
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -14,13 +14,16 @@
 constexpr Duration tickInterval {25};
 constexpr Duration pulseInterval {150};
 constexpr Duration sweepInterval {100};
-/// Other zones need to know only who lives and how busy servers are, and traffic there is paid for.
-/// The interval grows with the nodes, so that a node sends a bounded number of datagrams there.
-constexpr Duration pulseFarPerNode {16};
+/// Digests come as often as pulses, but the node that passes those of other zones on sends one to
+/// each node of its zone: its interval grows with them.
+constexpr Duration digestPerNode {15};
 /// Changes that a node was told and does not hold after so long are told again.
 constexpr Duration feedRepeat {600};
-/// Without a proof this recent from the node that watches for the zone, a node watches itself.
-constexpr Duration staleProof {1'900};
+/// Without a proof this recent a node that speaks for its zone watches the store itself...
+constexpr Duration staleProofOfFeeder {1'200};
+/// ...and any other a little later, as its zone's may do so first. Both are within the two seconds
+/// in which a change has to be in force.
+constexpr Duration staleProof {1'700};
 constexpr Duration leaseTime {10'000};
 constexpr Duration leaseRenewInterval {3'000}; ///< Three tries within a lease.
 constexpr Duration orderTimeLimit {1'500};
@@ -57,6 +60,12 @@
     return std::to_string(duration.count());
 }
 
+/// The counts of another zone stand beside those of single nodes under a name that no node has.
+NodeId zoneCounts(const ZoneId &zone)
+{
+    return NodeId("zone/" + zone.value());
+}
+
 } // namespace
 
 ServingDaemon::ServingDaemon(EventLoop &loop, ServingOptions options, ServingDialect dialect,
@@ -86,6 +95,7 @@
     m_pulses = std::make_unique<PulseSocket>(
         m_loop, m_options.pulse,
         PulseHooks {[this](const Pulse &pulse) { pulseCame(pulse); },
+                    [this](const ZoneDigest &digest) { digestCame(digest); },
                     [this](const StoreFeed &feed) { m_mirror.take(feed, m_loop.now()); }});
     m_relay.callers().listen(m_options.front);
     m_sideServer.listen(m_options.ready);
@@ -310,13 +320,10 @@
         m_sweptAt = now;
         m_relay.sweep(now);
         dropVanished(now);
-        for (const NodeId &silent : m_presence.takeSilent(now)) {
-            m_backends.setPeerRunning(silent, {});
-            logLine(LogLevel::Info, "node_silent", {{"peer", silent.value()}});
-        }
+        noteSilence(now);
         renewLease(now);
     }
-    m_mirror.setWatching(m_presence.isFeeder(now) || now - m_mirror.provenAt() > staleProof);
+    m_mirror.setWatching(mustWatch(now));
     noteReadiness(now);
     form(now);
     m_relay.tick(now);
@@ -339,22 +346,30 @@
     own.heard = m_backends.heard(now);
     own.clock = now;
     own.held = m_mirror.held();
-    const NodeShare share = m_presence.share(now);
-    const Duration farInterval = std::max(pulseInterval, pulseFarPerNode * share.count);
-    const bool far = now - m_pulsedFarAt >= farInterval || own.taking != m_toldTaking;
-    if (far)
-        m_pulsedFarAt = now;
-    m_toldTaking = own.taking;
-    m_pulses->send(own, m_presence.peers(far));
+    m_pulses->send(own, m_presence.zonePeers());
+    const Duration interval =
+        std::max(pulseInterval, digestPerNode * static_cast<Duration::rep>(m_presence.zoneSize()));
+    if (now - m_digestAt >= interval && m_presence.isFeeder(now)) {
+        m_digestAt = now;
+        m_pulses->send(m_presence.digest(own, now), m_presence.farFeeders(now));
+    }
     feedPeers(now);
-    m_requests.setNodes(share);
+    m_requests.setNodes(m_presence.share(now));
+}
+
+bool ServingDaemon::mustWatch(TimePoint now) const
+{
+    if (m_presence.isWatcher(now))
+        return true;
+    const Duration stale = m_presence.isFeeder(now) ? staleProofOfFeeder : staleProof;
+    return now - m_mirror.provenAt() > stale;
 }
 
 void ServingDaemon::feedPeers(TimePoint now)
 {
     if (!m_mirror.complete() || !m_presence.isFeeder(now))
         return;
-    for (const PresenceTable::Fed &fed : m_presence.fed(now)) {
+    for (const PresenceTable::Fed &fed : m_presence.fed(mustWatch(now), now)) {
         SentFeed &sent = m_sentFeeds[fed.node];
         const bool underWay = now - sent.at < feedRepeat;
         std::optional<StoreFeed> feed =
@@ -378,6 +393,33 @@
     m_backends.addHeard(pulse.heard, now);
 }
 
+void ServingDaemon::digestCame(const ZoneDigest &digest)
+{
+    const TimePoint now = m_loop.now();
+    if (!m_presence.digestCame(digest, now))
+        return;
+    m_backends.setPeerRunning(zoneCounts(digest.zone), digest.running);
+    m_backends.addSuspects(digest.suspects, now);
+    m_backends.addHeard(digest.heard, now);
+    if (digest.relayed)
+        return;
+    ZoneDigest relayed = digest;
+    relayed.relayed = true;
+    m_pulses->send(relayed, m_presence.zonePeers());
+}
+
+void ServingDaemon::noteSilence(TimePoint now)
+{
+    for (const NodeId &silent : m_presence.takeSilent(now)) {
+        m_backends.setPeerRunning(silent, {});
+        logLine(LogLevel::Info, "node_silent", {{"peer", silent.value()}});
+    }
+    for (const ZoneId &silent : m_presence.takeSilentZones(now)) {
+        m_backends.setPeerRunning(zoneCounts(silent), {});
+        logLine(LogLevel::Info, "zone_silent", {{"zone", silent.value()}});
+    }
+}
+
 void ServingDaemon::renewLease(TimePoint now)
 {
     if (m_leaseBusy || m_stopping || !m_mirror.complete() || now - m_leaseAt < leaseRenewInterval)
@@ -426,8 +468,8 @@
         return;
     m_formation.setNodes(m_presence.live(now));
     std::map<ModelId, double> demand = m_presence.demand(now);
-    for (const auto &[model, requests] : m_requests.demand())
-        demand[model] += requests;
+    for (const auto &[model, slots] : m_requests.demand())
+        demand[model] += slots;
     m_formation.setDemand(demand, now);
     FormationActions actions;
     m_formation.tick(now, actions);
--- a/src/network/serving_daemon.h
+++ b/src/network/serving_daemon.h
@@ -83,6 +83,11 @@
     void pulse(TimePoint now);
     void feedPeers(TimePoint now);
     void pulseCame(const Pulse &pulse);
+    void digestCame(const ZoneDigest &digest);
+    void noteSilence(TimePoint now);
+    /// Whether this node watches the store: as the one that does for all, or as what it is fed has
+    /// become too old.
+    bool mustWatch(TimePoint now) const;
     void renewLease(TimePoint now);
     void writeRecord();
     void form(TimePoint now);
@@ -123,7 +128,7 @@
     std::int64_t m_life = 0;
     std::int64_t m_pulseNumber = 0;
     TimePoint m_pulsedAt;
-    TimePoint m_pulsedFarAt;
+    TimePoint m_digestAt;
     struct SentFeed
     {
         Revision to;
@@ -137,7 +142,6 @@
     bool m_leaseBusy = false;
     TimePoint m_leaseAt;
     bool m_ready = false;
-    bool m_toldTaking = false; ///< What the last pulse said.
     bool m_stopping = false;
     TimePoint m_stopAt;
     std::uint64_t m_tableVersion = 0;
--- a/src/platform/platform_configuration.cpp
+++ b/src/platform/platform_configuration.cpp
@@ -74,6 +74,8 @@
     engine.stride = item.value("stride", 1U);
     engine.stepMs = item.value("step_ms", 0.0);
     engine.perSequenceMs = item.value("per_seq_ms", 0.0);
+    engine.contextMsPerThousand = item.value("context_per_k", 0.0);
+    engine.msPerMillionPairs = item.value("pairs_per_m", 0.0);
     engine.promptTokensPerMs = item.value("read_per_s", 1'000.0) / millisecondsPerSecond;
     if (item.contains("usual")) {
         engine.usualPromptTokens = item["usual"].value("prompt", 0.0);
--- a/src/platform/platform_dialect.cpp
+++ b/src/platform/platform_dialect.cpp
@@ -21,6 +21,7 @@
 constexpr const char *lastEventHeader = "Last-Event-Id";
 constexpr const char *modelHeader = "X-Model-Name";
 constexpr const char *tokensHeader = "X-Token-Count"; // Prompt and most answer tokens.
+constexpr const char *lengthHeader = "X-Length-Hint"; // Answer tokens as the caller expects.
 constexpr const char *notExecutedHeader = "X-Not-Executed";
 constexpr const char *faultyServerHeader = "At-Server";
 constexpr std::string_view bearer = "Bearer ";
@@ -72,6 +73,8 @@
     const std::string tokens = head.value(tokensHeader);
     arrival.promptTokens = numberAt(tokens, 0);
     arrival.answerTokens = numberAt(tokens, 1);
+    if (const std::string *expected = head.find(lengthHeader))
+        arrival.answerTokens = std::min(numberAt(*expected, 0), arrival.answerTokens);
     if (const std::string *limit = head.find(deadlineHeader)) {
         const double value = numberAt(*limit, 0);
         if (value > 0)
--- /dev/null
+++ b/src/request/engine_model.cpp
@@ -0,0 +1,53 @@
+#include "request/engine_model.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bramleypitch {
+
+namespace {
+
+/// Share of its slots that a group usually has in use.
+constexpr double usualUse = 0.6;
+constexpr double tokensPerThousand = 1'000;
+constexpr double pairsPerMillion = 1'000'000;
+
+double usualWriting(const EngineSpec &engine)
+{
+    return usualUse * engine.slots;
+}
+
+} // namespace
+
+double passMs(const EngineSpec &engine, const ServedModel &model, double writing)
+{
+    const double context = engine.usualPromptTokens + engine.usualAnswerTokens;
+    const double perSequence =
+        engine.perSequenceMs + engine.contextMsPerThousand * context / tokensPerThousand;
+    return engine.stride * (engine.stepMs + writing * perSequence) * model.pace;
+}
+
+double prefillMs(const EngineSpec &engine, const ServedModel &model, double promptTokens)
+{
+    const double pairs = promptTokens * promptTokens / 2 / pairsPerMillion;
+    return (promptTokens / std::max(engine.promptTokensPerMs, 1.0)
+            + pairs * engine.msPerMillionPairs)
+        * model.pace;
+}
+
+double firstEventMs(const EngineSpec &engine, const ServedModel &model, double promptTokens)
+{
+    const double pass = passMs(engine, model, usualWriting(engine));
+    return pass / 2 + prefillMs(engine, model, promptTokens) + pass;
+}
+
+double slotsNeeded(const EngineSpec &engine, const ServedModel &model, const GenerationSize &size)
+{
+    const double prefill = prefillMs(engine, model, size.promptTokens);
+    const double pass = passMs(engine, model, usualWriting(engine));
+    const double passes =
+        std::max(std::ceil(size.answerTokens / std::max<std::uint32_t>(engine.stride, 1)), 1.0);
+    return 1 + engine.slots * prefill / (prefill + passes * pass);
+}
+
+} // namespace bramleypitch
--- a/src/request/presence_base.cpp
+++ b/src/request/presence_base.cpp
@@ -3,12 +3,26 @@
 #include "core/rendezvous_func.h"
 
 #include <algorithm>
+#include <set>
 
 namespace bramleypitch {
 
 namespace {
 
 const std::string feederKey = "feeder/";
+const std::string watcherKey = "watcher";
+
+std::string_view nameOf(const PresenceRecord &record)
+{
+    return record.node.value();
+}
+
+template<typename Key, typename Value>
+void addTo(std::map<Key, Value> &sum, const std::map<Key, Value> &part)
+{
+    for (const auto &[key, value] : part)
+        sum[key] += value;
+}
 
 } // namespace
 
@@ -40,15 +54,53 @@
     if (pulse.life == peer.pulse.life && pulse.number <= peer.pulse.number)
         return false;
     peer.pulse = pulse;
-    peer.pulseAt = now;
+    peer.seenAt = now;
+    peer.taking = pulse.taking;
     peer.counted = true;
     return true;
 }
 
+bool PresenceTable::digestCame(const ZoneDigest &digest, TimePoint now)
+{
+    if (digest.zone == m_options.own.zone)
+        return false;
+    Zone &zone = m_zones[digest.zone];
+    const ZoneDigest &last = zone.digest;
+    if (digest.node == last.node && digest.life == last.life && digest.number <= last.number)
+        return false;
+    zone.digest = digest;
+    zone.digestAt = now;
+    zone.counted = true;
+    for (const auto &[node, taking] : digest.taking) {
+        Peer &peer = m_peers[node];
+        peer.seenAt = now;
+        peer.taking = taking;
+        peer.counted = true;
+    }
+    for (auto &[node, peer] : m_peers) {
+        if (peer.record && peer.record->zone == digest.zone && !digest.taking.count(node))
+            peer.taking = false;
+    }
+    return true;
+}
+
+bool PresenceTable::isNear(const Peer &peer) const
+{
+    return peer.record && peer.record->zone == m_options.own.zone;
+}
+
 bool PresenceTable::alive(const Peer &peer, TimePoint now) const
 {
-    return now - peer.pulseAt < m_options.silence
-        || (peer.record && now - peer.recordAt < m_options.newcomer);
+    const Duration silence = isNear(peer) ? m_options.silence : m_options.zoneSilence;
+    if (peer.record && now - peer.recordAt < m_options.newcomer)
+        return true;
+    if (now - peer.seenAt >= silence)
+        return false;
+    if (!peer.record || isNear(peer))
+        return true;
+    // Its zone speaks, but does not name it any more.
+    const auto zone = m_zones.find(peer.record->zone);
+    return zone == m_zones.end() || zone->second.digestAt <= peer.seenAt;
 }
 
 bool PresenceTable::isLive(const NodeId &node, TimePoint now) const
@@ -74,7 +126,7 @@
 {
     std::vector<NodeId> silent;
     for (auto &[node, peer] : m_peers) {
-        if (peer.counted && now - peer.pulseAt >= m_options.silence) {
+        if (peer.counted && !alive(peer, now)) {
             peer.counted = false;
             silent.push_back(node);
         }
@@ -82,38 +134,132 @@
     return silent;
 }
 
-std::vector<Address> PresenceTable::peers(bool otherZones) const
+std::vector<ZoneId> PresenceTable::takeSilentZones(TimePoint now)
+{
+    std::vector<ZoneId> silent;
+    for (auto &[id, zone] : m_zones) {
+        if (zone.counted && now - zone.digestAt >= m_options.zoneSilence) {
+            zone.counted = false;
+            silent.push_back(id);
+        }
+    }
+    return silent;
+}
+
+std::vector<Address> PresenceTable::zonePeers() const
 {
     std::vector<Address> addresses;
     for (const auto &[node, peer] : m_peers) {
-        if (peer.record && (otherZones || peer.record->zone == m_options.own.zone))
+        if (isNear(peer))
             addresses.push_back(peer.record->peer);
     }
     return addresses;
 }
 
+std::vector<ZoneId> PresenceTable::zones() const
+{
+    std::set<ZoneId> named {m_options.own.zone};
+    for (const auto &[node, peer] : m_peers) {
+        if (peer.record)
+            named.insert(peer.record->zone);
+    }
+    return {named.begin(), named.end()};
+}
+
+std::optional<PresenceRecord> PresenceTable::feederOf(const ZoneId &zone, TimePoint now) const
+{
+    std::vector<PresenceRecord> known;
+    std::vector<PresenceRecord> living;
+    if (zone == m_options.own.zone)
+        living.push_back(m_options.own);
+    for (const auto &[node, peer] : m_peers) {
+        if (!peer.record || peer.record->zone != zone)
+            continue;
+        known.push_back(*peer.record);
+        if (alive(peer, now))
+            living.push_back(*peer.record);
+    }
+    const std::vector<PresenceRecord> &candidates = living.empty() ? known : living;
+    const PresenceRecord *first = rendezvousFirst(feederKey + zone.value(), candidates, nameOf);
+    return first ? std::optional(*first) : std::nullopt;
+}
+
 bool PresenceTable::isFeeder(TimePoint now) const
 {
-    const ZoneId &zone = m_options.own.zone;
-    std::vector<NodeId> nodes {m_options.own.node};
+    return feederOf(m_options.own.zone, now)->node == m_options.own.node;
+}
+
+bool PresenceTable::isWatcher(TimePoint now) const
+{
+    if (!isFeeder(now))
+        return false;
+    std::vector<PresenceRecord> feeders;
+    for (const ZoneId &zone : zones()) {
+        if (std::optional<PresenceRecord> feeder = feederOf(zone, now))
+            feeders.push_back(*feeder);
+    }
+    return rendezvousFirst(watcherKey, feeders, nameOf)->node == m_options.own.node;
+}
+
+std::vector<Address> PresenceTable::farFeeders(TimePoint now) const
+{
+    std::vector<Address> addresses;
+    for (const ZoneId &zone : zones()) {
+        if (zone == m_options.own.zone)
+            continue;
+        if (const std::optional<PresenceRecord> feeder = feederOf(zone, now))
+            addresses.push_back(feeder->peer);
+    }
+    return addresses;
+}
+
+ZoneDigest PresenceTable::digest(const Pulse &own, TimePoint now) const
+{
+    ZoneDigest sum;
+    sum.zone = m_options.own.zone;
+    sum.node = own.node;
+    sum.life = own.life;
+    sum.number = own.number;
+    sum.clock = own.clock;
+    sum.held = own.held;
+    const auto add = [&](const Pulse &pulse, Duration age) {
+        sum.taking[pulse.node] = pulse.taking;
+        for (const auto &[server, count] : pulse.running)
+            sum.running[server] += count;
+        addTo(sum.demand, pulse.demand);
+        for (const auto &[server, left] : pulse.suspects) {
+            if (left > age)
+                sum.suspects[server] = std::max(sum.suspects[server], left - age);
+        }
+        for (const auto &[server, ago] : pulse.heard) {
+            const auto known = sum.heard.try_emplace(server, ago + age).first;
+            known->second = std::min(known->second, ago + age);
+        }
+    };
+    add(own, Duration(0));
     for (const auto &[node, peer] : m_peers) {
-        if (peer.record && peer.record->zone == zone && alive(peer, now))
-            nodes.push_back(node);
+        if (isNear(peer) && now - peer.seenAt < m_options.silence)
+            add(peer.pulse, now - peer.seenAt);
     }
-    const NodeId *first = rendezvousFirst(feederKey + zone.value(), nodes, [](const NodeId &node) {
-        return std::string_view(node.value());
-    });
-    return *first == m_options.own.node;
+    return sum;
 }
 
-std::vector<PresenceTable::Fed> PresenceTable::fed(TimePoint now) const
+std::vector<PresenceTable::Fed> PresenceTable::fed(bool watches, TimePoint now) const
 {
     std::vector<Fed> fed;
     for (const auto &[node, peer] : m_peers) {
-        if (peer.record && peer.record->zone == m_options.own.zone
-            && now - peer.pulseAt < m_options.silence && peer.pulse.held != Revision())
+        if (isNear(peer) && now - peer.seenAt < m_options.silence && peer.pulse.held != Revision())
             fed.push_back({peer.record->peer, node, peer.pulse.held, peer.pulse.clock});
     }
+    if (!watches)
+        return fed;
+    for (const auto &[id, zone] : m_zones) {
+        const auto author = m_peers.find(zone.digest.node);
+        if (now - zone.digestAt < m_options.silence && zone.digest.held != Revision()
+            && author != m_peers.end() && author->second.record)
+            fed.push_back({author->second.record->peer, zone.digest.node, zone.digest.held,
+                           zone.digest.clock});
+    }
     return fed;
 }
 
@@ -121,7 +267,7 @@
 {
     NodeShare share;
     for (const auto &[node, peer] : m_peers) {
-        const TimePoint seen = std::max(peer.pulseAt, peer.recordAt);
+        const TimePoint seen = std::max(peer.seenAt, peer.recordAt);
         if (!peer.record && now - seen >= m_options.boundMemory)
             continue;
         ++share.count;
@@ -130,6 +276,14 @@
     return share;
 }
 
+std::size_t PresenceTable::zoneSize() const
+{
+    return 1
+        + static_cast<std::size_t>(
+               std::count_if(m_peers.begin(), m_peers.end(),
+                             [this](const auto &entry) { return isNear(entry.second); }));
+}
+
 std::vector<Address> PresenceTable::entries(const ZoneId &zone, std::size_t least,
                                             TimePoint now) const
 {
@@ -143,7 +297,8 @@
     if (m_taking)
         add(m_options.own);
     for (const auto &[node, peer] : m_peers) {
-        if (peer.record && peer.pulse.taking && now - peer.pulseAt < m_options.silence)
+        const Duration silence = isNear(peer) ? m_options.silence : m_options.zoneSilence;
+        if (peer.record && peer.taking && now - peer.seenAt < silence)
             add(*peer.record);
     }
     return near.size() >= least ? near : all;
@@ -153,10 +308,12 @@
 {
     std::map<ModelId, double> sum;
     for (const auto &[node, peer] : m_peers) {
-        if (now - peer.pulseAt >= m_options.silence)
-            continue;
-        for (const auto &[model, requests] : peer.pulse.demand)
-            sum[model] += requests;
+        if (isNear(peer) && now - peer.seenAt < m_options.silence)
+            addTo(sum, peer.pulse.demand);
+    }
+    for (const auto &[id, zone] : m_zones) {
+        if (now - zone.digestAt < m_options.zoneSilence)
+            addTo(sum, zone.digest.demand);
     }
     return sum;
 }
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -1,6 +1,7 @@
 #include "request/request_system.h"
 
 #include "core/rendezvous_func.h"
+#include "request/engine_model.h"
 
 #include <algorithm>
 
@@ -49,19 +50,6 @@
     return route.services.back();
 }
 
-/// Time from dispatch to the first event, by the engine's published figures.
-Duration expectedStart(const ServingConfiguration &configuration, const ServiceId &service,
-                       const RequestArrival &arrival)
-{
-    const EngineSpec *engine = configuration.engineOf(service);
-    const ServedModel *model = configuration.findModel(service, arrival.model);
-    if (!engine || !model)
-        return Duration(0);
-    const double prefill = arrival.promptTokens / std::max(engine->promptTokensPerMs, 1.0);
-    const double pass = engine->stride * (engine->stepMs + engine->slots * engine->perSequenceMs);
-    return Duration(static_cast<Duration::rep>((prefill + 2 * pass) * model->pace));
-}
-
 } // namespace
 
 RequestSystem::RequestSystem(RequestOptions options, BackendTable &backends)
@@ -88,12 +76,12 @@
     return sum;
 }
 
-std::map<ModelId, std::uint32_t> RequestSystem::demand() const
+std::map<ModelId, double> RequestSystem::demand() const
 {
-    std::map<ModelId, std::uint32_t> sum;
+    std::map<ModelId, double> sum;
     for (const auto &[id, request] : m_requests) {
         if (!request.arrival.model.value().empty())
-            ++sum[request.arrival.model];
+            sum[request.arrival.model] += request.slotsNeeded;
     }
     return sum;
 }
@@ -153,8 +141,15 @@
     request.service = pickService(route, arrival.traceId).service;
     const Duration limit = std::min(route.timeout, arrival.timeLimit.value_or(route.timeout));
     request.deadline = now + limit;
-    request.onTimeUntil =
-        now + route.targetLatency - expectedStart(*m_configuration, request.service, arrival);
+    request.onTimeUntil = now + route.targetLatency;
+    const EngineSpec *engine = m_configuration->engineOf(request.service);
+    const ServedModel *model = m_configuration->findModel(request.service, arrival.model);
+    if (engine && model) {
+        const auto start = firstEventMs(*engine, *model, arrival.promptTokens);
+        request.onTimeUntil -= Duration(static_cast<Duration::rep>(start));
+        request.slotsNeeded =
+            slotsNeeded(*engine, *model, {arrival.promptTokens, arrival.answerTokens});
+    }
     retries(request.service).requestArrived(now);
     wait(request, now);
     const TargetKey key {request.service, arrival.model};
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -78,8 +78,8 @@
     const ServingConfigurationPtr &configuration() const { return m_configuration; }
     std::size_t open() const { return m_requests.size(); }
     std::size_t waiting() const;
-    /// Requests running or waiting, by model.
-    std::map<ModelId, std::uint32_t> demand() const;
+    /// Slots that the requests running or waiting need, by model.
+    std::map<ModelId, double> demand() const;
 
 private:
     struct Request
@@ -94,6 +94,7 @@
         TimePoint onTimeUntil;
         std::uint32_t maxAttempts = 1;
         int priority = 0;
+        double slotsNeeded = 1; ///< Of a group; plain services do not count them.
         bool running = false; ///< An attempt is under way.
         AttemptNumber attempt; ///< The newest.
         VmId server; ///< Of the newest attempt.
--- a/src/request/request_type.h
+++ b/src/request/request_type.h
@@ -20,7 +20,7 @@
     std::string key; ///< The caller's API key; empty without one.
     ModelId model; ///< Empty for plain services.
     double promptTokens = 0;
-    double answerTokens = 0; ///< At most, by the caller.
+    double answerTokens = 0; ///< As the caller expects, or at most.
     std::optional<Duration> timeLimit; ///< How long the caller waits.
 };
 
--- a/src/request/serving_type.h
+++ b/src/request/serving_type.h
@@ -67,6 +67,8 @@
     std::uint32_t stride = 1; ///< Steps in a pass.
     double stepMs = 0;
     double perSequenceMs = 0; ///< Added to a step for each writing request.
+    double contextMsPerThousand = 0; ///< The same for each thousand tokens of its context.
+    double msPerMillionPairs = 0; ///< Added to reading, by pairs of a token and an earlier one.
     double promptTokensPerMs = 1;
     double usualPromptTokens = 0;
     double usualAnswerTokens = 0;
--- a/src/tests/relay_test.cpp
+++ b/src/tests/relay_test.cpp
@@ -231,6 +231,81 @@
     EXPECT_EQ(feeders, 1);
 }
 
+/// Nodes of some zones that know of each other by their records.
+std::map<NodeId, PresenceTable> nodesOf(int zones, int nodesPerZone, TimePoint now)
+{
+    std::vector<PresenceRecord> records;
+    for (int i = 0; i < zones * nodesPerZone; ++i) {
+        const std::string name = "n" + std::to_string(i);
+        records.push_back({NodeId(name), ZoneId("z" + std::to_string(i % zones)),
+                           Address(name + ":1"), Address(name + ":2")});
+    }
+    std::map<NodeId, PresenceTable> tables;
+    for (const PresenceRecord &own : records) {
+        PresenceTable table({own});
+        for (const PresenceRecord &record : records)
+            table.setRecord(record, now);
+        tables.emplace(own.node, std::move(table));
+    }
+    return tables;
+}
+
+TEST(PresenceTest, OneNodeWatchesTheStoreForAllZones)
+{
+    const TimePoint now = timePoint(1'000'000);
+    int watchers = 0;
+    int feeders = 0;
+    for (const auto &[node, table] : nodesOf(4, 5, now)) {
+        watchers += table.isWatcher(now) ? 1 : 0;
+        feeders += table.isFeeder(now) ? 1 : 0;
+        EXPECT_EQ(table.farFeeders(now).size(), 3U);
+        EXPECT_EQ(table.zonePeers().size(), 4U);
+    }
+    EXPECT_EQ(watchers, 1);
+    EXPECT_EQ(feeders, 4);
+}
+
+TEST(PresenceTest, ADigestStandsForItsZone)
+{
+    TimePoint now = timePoint(1'000'000);
+    std::map<NodeId, PresenceTable> tables = nodesOf(2, 2, now);
+    PresenceTable &author = tables.at(NodeId("n1"));
+    PresenceTable &receiver = tables.at(NodeId("n0"));
+    now += Duration(1'200); // Records alone stand for nobody any more.
+    EXPECT_FALSE(receiver.isLive(NodeId("n3"), now));
+    Pulse pulse;
+    pulse.node = NodeId("n3");
+    pulse.life = 1;
+    pulse.number = 1;
+    pulse.taking = true;
+    pulse.running[VmId("s")] = 2;
+    pulse.suspects[VmId("t")] = Duration(500);
+    author.pulseCame(pulse, now);
+    Pulse own = pulse;
+    own.node = NodeId("n1");
+    own.running[VmId("s")] = 1;
+    own.suspects.clear();
+    own.taking = false;
+    const ZoneDigest digest = author.digest(own, now + Duration(100));
+    EXPECT_EQ(digest.running.at(VmId("s")), 3U);
+    EXPECT_EQ(digest.suspects.at(VmId("t")), Duration(400));
+    EXPECT_TRUE(receiver.digestCame(digest, now));
+    EXPECT_FALSE(receiver.digestCame(digest, now)); // It may come twice, also passed on.
+    EXPECT_TRUE(receiver.isLive(NodeId("n3"), now));
+    EXPECT_EQ(receiver.entries(ZoneId("z1"), 1, now), std::vector<Address> {Address("n3:1")});
+    // A node that its zone does not name any more is gone at once.
+    ZoneDigest next = digest;
+    next.number = 2;
+    next.taking.erase(NodeId("n3"));
+    receiver.digestCame(next, now + Duration(200));
+    EXPECT_FALSE(receiver.isLive(NodeId("n3"), now + Duration(200)));
+    EXPECT_EQ(receiver.takeSilent(now + Duration(200)), std::vector<NodeId> {NodeId("n3")});
+    // Without any digest the zone counts as gone in the end.
+    EXPECT_TRUE(receiver.takeSilentZones(now + Duration(2'900)).empty());
+    EXPECT_EQ(receiver.takeSilentZones(now + Duration(3'300)), std::vector<ZoneId> {ZoneId("z1")});
+    EXPECT_FALSE(receiver.isLive(NodeId("n1"), now + Duration(3'300)));
+}
+
 TEST(PresenceTest, CallersAreNotSentToNodesThatFellSilent)
 {
     const TimePoint now = timePoint(1'000'000);
--- a/src/tests/request_test.cpp
+++ b/src/tests/request_test.cpp
@@ -1,5 +1,6 @@
 // The way of one request: routes, keys, choice of a server, attempts, resumption, refusals.
 
+#include "request/engine_model.h"
 #include "request/request_system.h"
 
 #include <gtest/gtest.h>
@@ -395,6 +396,25 @@
     EXPECT_EQ(nextToStart({late, onTime, begun}, m_now), 2U);
 }
 
+TEST(EngineModelTest, LongPromptsAndShortAnswersNeedMoreSlots)
+{
+    EngineSpec engine;
+    engine.slots = 15;
+    engine.stride = 6;
+    engine.stepMs = 7.8;
+    engine.perSequenceMs = 0.0947;
+    engine.promptTokensPerMs = 45.9;
+    ServedModel model;
+    const double usual = slotsNeeded(engine, model, {1'420, 174});
+    const double shortAnswer = slotsNeeded(engine, model, {1'960, 24});
+    const double shortPrompt = slotsNeeded(engine, model, {674, 180});
+    EXPECT_GT(shortAnswer, 2 * usual * 0.9);
+    EXPECT_GT(usual, shortPrompt);
+    EXPECT_GE(shortPrompt, 1);
+    // 1,420 tokens at 45.9 a millisecond, and one and a half passes of six steps of 8.7 ms.
+    EXPECT_NEAR(firstEventMs(engine, model, 1'420), 109, 5);
+}
+
 RC_GTEST_PROP(RetryAllowance, NodesTogetherKeepTheSharedLimit, ())
 {
     // Each node counts on its own; the sum may not exceed ratio and slack in any window.
