--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -15,6 +15,8 @@
 constexpr double mostLoadTokens = 1;
 /// Slots in use below which the published shares say more than what is measured.
 constexpr double fewSlots = 20;
+/// Use of groups where it is not measured.
+constexpr double usualUse = 0.6;
 /// Weight of the measured work against the published shares.
 constexpr double measuredWeight = 0.7;
 /// A load takes longer while others run; after so many load times it counts as lost.
@@ -373,29 +375,34 @@
 std::vector<ModelDemand> FormationSystem::demand() const
 {
     const EngineSpec &engine = *engineService()->engine;
-    double measured = 0;
     double published = 0;
-    for (const auto &[model, slots] : m_demand)
-        measured += slots;
     for (const ServedModel &model : engine.models)
         published += publishedWork(model);
     std::vector<ModelDemand> all;
+    double slots = 0;
+    double groups = 0;
     for (const ServedModel &model : engine.models) {
         ModelDemand demand;
         demand.model = &model;
-        demand.work = published > 0 ? publishedWork(model) / published : 1;
         const auto found = m_demand.find(model.name);
-        const double slots = found == m_demand.end() ? 0 : found->second;
-        if (measured >= fewSlots)
-            demand.work = measuredWeight * slots / measured + (1 - measuredWeight) * demand.work;
+        slots += found == m_demand.end() ? 0 : found->second;
         for (const auto &[id, domain] : m_domains) {
             for (const PlannedGroup &group : domain.plan.groups)
                 demand.groups += !group.dissolving && group.model == model.name ? 1 : 0;
         }
-        if (demand.groups > 0)
-            demand.busy = slots / (demand.groups * engine.slots);
+        groups += demand.groups;
         all.push_back(demand);
     }
+    const bool isMeasured = slots >= fewSlots;
+    const double work = isMeasured ? slots / engine.slots : usualUse * std::max(groups, 1.0);
+    for (ModelDemand &demand : all) {
+        demand.work = work * (published > 0 ? publishedWork(*demand.model) / published : 1);
+        const auto found = m_demand.find(demand.model->name);
+        const double measured =
+            found == m_demand.end() ? 0 : found->second / static_cast<double>(engine.slots);
+        if (isMeasured)
+            demand.work = measuredWeight * measured + (1 - measuredWeight) * demand.work;
+    }
     return all;
 }
 
--- a/src/formation/formation_system.h
+++ b/src/formation/formation_system.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "formation/formation_func.h"
+#include "formation/weight_staging.h"
 
 #include <map>
 #include <optional>
@@ -19,7 +19,7 @@
     Duration orderTimeout {1'500}; ///< Before an order whose effect does not show is sent again.
     Duration refusedPause {250}; ///< Before an order that was refused is sent again.
     Duration writeTimeout {3'000}; ///< Before a write of a plan counts as lost.
-    Duration probeInterval {300}; ///< Between probes of the members of a suspected group.
+    Duration probeInterval {200}; ///< Between probes of the members of a suspected group.
     std::uint32_t probesUntilLost =
         2; ///< Unanswered in a row; a lost packet leaves one unanswered.
     Duration answerKeep {1'500}; ///< A member that answered is not probed again for so long.
--- /dev/null
+++ b/src/formation/group_choice.cpp
@@ -0,0 +1,318 @@
+#include "formation/group_choice.h"
+
+#include <algorithm>
+
+namespace bramleypitch {
+
+namespace {
+
+/// Of a model whose groups are used less, no group is formed of the last spares: a lost member is
+/// replaced from them within two seconds.
+constexpr double formUse = 0.55;
+/// Spares of a domain beyond which VMs are worth more in a group: members are lost one by one.
+constexpr std::size_t enoughSpares = 2;
+/// Use from which on waiting no longer grows like that of a queue, as requests are turned away.
+constexpr double fullUse = 0.9;
+/// Groups that are given up at most for one of another model.
+constexpr std::size_t mostGiven = 4;
+/// What giving a group up costs, as a share of the strain of all models: it takes no new requests
+/// while it empties, and its VMs none until the other group is ready.
+constexpr double giveCost = 0.03;
+/// The same where most members of the other group wait for the VMs of a single one.
+constexpr double repairCost = 0.01;
+
+/// How many of the other models a VM holds: those that hold none are used up first.
+std::size_t otherWeights(const Backend &backend, const ServedModel &model, const EngineSpec &engine)
+{
+    return static_cast<std::size_t>(
+        std::count_if(engine.models.begin(), engine.models.end(), [&](const ServedModel &other) {
+            return other.name != model.name && holdsWeights(backend, other.name);
+        }));
+}
+
+/// The VMs to build a group of: those with the weights first, of these the ones that are of the
+/// least use for other models, then by id.
+std::vector<const Backend *> pickMembers(std::vector<const Backend *> free,
+                                         const ServedModel &model, const EngineSpec &engine)
+{
+    std::stable_sort(free.begin(), free.end(), [&](const Backend *a, const Backend *b) {
+        const auto rank = [&](const Backend *vm) {
+            return std::pair(!holdsWeights(*vm, model.name), otherWeights(*vm, model, engine));
+        };
+        return rank(a) < rank(b);
+    });
+    free.resize(std::min<std::size_t>(free.size(), model.span));
+    return free;
+}
+
+std::size_t withWeights(const std::vector<const Backend *> &vms, const ServedModel &model)
+{
+    return static_cast<std::size_t>(std::count_if(
+        vms.begin(), vms.end(), [&](const Backend *vm) { return holdsWeights(*vm, model.name); }));
+}
+
+void addGroup(FormationPlan &plan, const DomainId &domain, const ServedModel &model,
+              const std::vector<const Backend *> &members)
+{
+    PlannedGroup group;
+    group.generation = Generation(plan.generation.value() + 1);
+    group.name = GroupId(domain.value() + "-" + std::to_string(group.generation.value()));
+    group.model = model.name;
+    for (const Backend *member : members)
+        group.members.push_back({member->report.id, member->report.startedAt});
+    plan.generation = group.generation;
+    plan.groups.push_back(std::move(group));
+}
+
+std::uint32_t groupsOf(const FormationPlan &plan, const ModelId &model)
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(plan.groups.begin(), plan.groups.end(), [&](const PlannedGroup &group) {
+            return !group.dissolving && group.model == model;
+        }));
+}
+
+/// What callers of a model suffer: its work, by the factor by which a queue lengthens their stay.
+double strain(const ModelDemand &demand)
+{
+    const double used = use(demand);
+    const double atFull = 1 / (1 - fullUse);
+    const double slope = atFull * atFull;
+    const double stay = used < fullUse ? 1 / (1 - used) : atFull + slope * (used - fullUse);
+    return demand.work * stay;
+}
+
+double strain(const std::vector<ModelDemand> &demand)
+{
+    double sum = 0;
+    for (const ModelDemand &one : demand)
+        sum += strain(one);
+    return sum;
+}
+
+using Vms = std::vector<const Backend *>;
+
+/// Groups of one model that are given up for one of another.
+struct Conversion
+{
+    std::vector<PlannedGroup *> given;
+    std::size_t receiver = 0;
+    bool isRepair = false; ///< The other group lacks only what a single one brings.
+    double gain = 0;
+};
+
+/// One look at a domain: what formGroups() still has at hand, and the plan that it changes.
+class Former
+{
+public:
+    Former(FormationPlan &plan, const DomainId &domain, FormInput input)
+        : m_plan(plan)
+        , m_domain(domain)
+        , m_input(std::move(input))
+    {
+    }
+
+    /// Before traffic: the first split from whatever VMs there are.
+    bool formWanted()
+    {
+        bool changed = false;
+        for (std::size_t i = 0; i < m_input.demand.size(); ++i) {
+            while (groupsOf(m_plan, model(i).name) < m_input.wanted[i]
+                   && m_input.free.size() >= model(i).span) {
+                form(i);
+                changed = true;
+            }
+        }
+        return changed;
+    }
+
+    bool formNeeded()
+    {
+        bool changed = false;
+        for (;;) {
+            if (formPromised()) {
+                changed = true;
+                continue;
+            }
+            if (!m_plan.promised.value().empty())
+                return changed; // What leaves completes the promised group.
+            const Conversion best = bestConversion();
+            if (!best.given.empty()) {
+                if (!best.isRepair && !m_input.mayConvert)
+                    return changed; // It soon is: until then nothing is built of what is needed.
+                give(best);
+                return true;
+            }
+            const std::optional<std::size_t> next = nextToForm(m_input.free, m_input.demand);
+            if (!next)
+                return changed;
+            form(*next);
+            changed = true;
+        }
+    }
+
+private:
+    const ServedModel &model(std::size_t i) const { return *m_input.demand[i].model; }
+
+    /// Of the models whose groups free VMs can form at once, the one that relieves callers most.
+    std::optional<std::size_t> nextToForm(const Vms &free,
+                                          const std::vector<ModelDemand> &demand) const
+    {
+        std::optional<std::size_t> best;
+        double most = 0;
+        for (std::size_t i = 0; i < demand.size(); ++i) {
+            const bool isWanted =
+                use(demand[i]) >= formUse || free.size() >= model(i).span + enoughSpares;
+            if (withWeights(free, model(i)) < model(i).span || !isWanted)
+                continue;
+            ModelDemand after = demand[i];
+            after.groups += 1;
+            const double relief = strain(demand[i]) - strain(after);
+            if (!best || relief > most) {
+                best = i;
+                most = relief;
+            }
+        }
+        return best;
+    }
+
+    void take(Vms &free, std::size_t i) const
+    {
+        for (const Backend *member : pickMembers(free, model(i), *m_input.engine))
+            std::erase(free, member);
+    }
+
+    /// The strain that is left once everything is formed that free VMs allow.
+    double strainAfterForming(Vms free, std::vector<ModelDemand> demand) const
+    {
+        while (const std::optional<std::size_t> next = nextToForm(free, demand)) {
+            take(free, *next);
+            demand[*next].groups += 1;
+        }
+        return strain(demand);
+    }
+
+    void form(std::size_t i)
+    {
+        addGroup(m_plan, m_domain, model(i), pickMembers(m_input.free, model(i), *m_input.engine));
+        take(m_input.free, i);
+        m_input.demand[i].groups += 1;
+        if (m_plan.promised == model(i).name)
+            m_plan.promised = ModelId();
+    }
+
+    bool formPromised()
+    {
+        if (m_plan.promised.value().empty())
+            return false;
+        for (std::size_t i = 0; i < m_input.demand.size(); ++i) {
+            if (model(i).name != m_plan.promised)
+                continue;
+            if (withWeights(m_input.free, model(i)) >= model(i).span) {
+                form(i);
+                return true;
+            }
+            if (m_input.free.size() + m_input.leaving >= model(i).span && m_input.leaving > 0)
+                return false;
+        }
+        m_plan.promised = ModelId(); // It cannot be kept any more.
+        return false;
+    }
+
+    void give(const Conversion &conversion)
+    {
+        for (PlannedGroup *group : conversion.given)
+            group->dissolving = true;
+        m_plan.promised = model(conversion.receiver).name;
+    }
+
+    /// The conversion that leaves callers better off by most, or one without groups.
+    Conversion bestConversion()
+    {
+        Conversion best;
+        const double base = strainAfterForming(m_input.free, m_input.demand);
+        for (std::size_t receiver = 0; receiver < m_input.demand.size(); ++receiver) {
+            for (std::size_t giver = 0; giver < m_input.demand.size(); ++giver) {
+                if (giver == receiver)
+                    continue;
+                Conversion next = conversion(giver, receiver, base);
+                if (!next.given.empty() && next.gain > best.gain)
+                    best = std::move(next);
+            }
+        }
+        return best;
+    }
+
+    /// The fewest groups of one model whose VMs complete a group of another, and what that brings.
+    Conversion conversion(std::size_t giver, std::size_t receiver, double base)
+    {
+        Conversion result;
+        result.receiver = receiver;
+        Vms free = m_input.free;
+        const std::size_t ready = withWeights(free, model(receiver));
+        if (ready == 0 || ready >= model(receiver).span)
+            return {};
+        for (PlannedGroup &group : m_plan.groups) {
+            if (group.dissolving || group.model != model(giver).name)
+                continue;
+            const Vms members = membersOf(group);
+            if (withWeights(members, model(receiver)) < members.size())
+                continue;
+            result.given.push_back(&group);
+            free.insert(free.end(), members.begin(), members.end());
+            if (withWeights(free, model(receiver)) >= model(receiver).span)
+                break;
+        }
+        if (withWeights(free, model(receiver)) < model(receiver).span
+            || result.given.size() > mostGiven)
+            return {};
+        const auto given = static_cast<double>(result.given.size());
+        result.isRepair = result.given.size() == 1 && 2 * ready >= model(receiver).span;
+        std::vector<ModelDemand> demand = m_input.demand;
+        demand[giver].groups -= given;
+        demand[receiver].groups += 1;
+        take(free, receiver);
+        const double cost = (result.isRepair ? repairCost : giveCost) * given * base;
+        result.gain = base - strainAfterForming(std::move(free), std::move(demand)) - cost;
+        return result;
+    }
+
+    Vms membersOf(const PlannedGroup &group) const
+    {
+        Vms members;
+        for (const PlannedMember &member : group.members) {
+            if (const Backend *backend = m_input.backends->find(member.vm))
+                members.push_back(backend);
+        }
+        return members;
+    }
+
+    FormationPlan &m_plan;
+    const DomainId &m_domain;
+    FormInput m_input;
+};
+
+} // namespace
+
+double use(const ModelDemand &demand)
+{
+    constexpr double nearlyNone = 0.1; // A model without a group is in the greatest need.
+    return demand.work / std::max(demand.groups, nearlyNone);
+}
+
+double urgency(const ModelDemand &demand)
+{
+    ModelDemand after = demand;
+    after.groups += demand.groups < 1 ? 0 : 1;
+    return use(after);
+}
+
+bool formGroups(FormationPlan &plan, const DomainId &domain, const FormInput &input)
+{
+    if (input.demand.empty())
+        return false;
+    Former former(plan, domain, input);
+    return input.wanted.empty() ? former.formNeeded() : former.formWanted();
+}
+
+} // namespace bramleypitch
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -27,7 +27,7 @@
 constexpr Duration leaseTime {10'000};
 constexpr Duration leaseRenewInterval {3'000}; ///< Three tries within a lease.
 constexpr Duration orderTimeLimit {1'500};
-constexpr Duration probeTimeLimit {250}; ///< Many times the way to a server and back.
+constexpr Duration probeTimeLimit {150}; ///< Many times the way to a server and back.
 /// Entries that lapsed as the store was away are back this long after its return, if the server
 /// lives: two seconds and one more for the way through the store.
 constexpr Duration lapsedKeep {3'000};
--- a/src/request/engine_model.cpp
+++ b/src/request/engine_model.cpp
@@ -9,6 +9,8 @@
 
 /// Share of its slots that a group usually has in use.
 constexpr double usualUse = 0.6;
+/// A prompt makes the events of all others wait, and the prompts behind it as well.
+constexpr double prefillWeight = 2;
 constexpr double tokensPerThousand = 1'000;
 constexpr double pairsPerMillion = 1'000'000;
 
@@ -47,7 +49,7 @@
     const double pass = passMs(engine, model, usualWriting(engine));
     const double passes =
         std::max(std::ceil(size.answerTokens / std::max<std::uint32_t>(engine.stride, 1)), 1.0);
-    return 1 + engine.slots * prefill / (prefill + passes * pass);
+    return 1 + prefillWeight * engine.slots * prefill / (prefill + passes * pass);
 }
 
 } // namespace bramleypitch
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -27,7 +27,7 @@
     /// After a stream fell silent, or no connection was accepted: until its entry lapses.
     Duration silentFor {4'000};
     /// A stream goes on elsewhere after so long without an event; passes last 0.3 s at most.
-    Duration streamSilence {700};
+    Duration streamSilence {600};
     /// The same before its first event: a pass for those before it, and one for its own prompt.
     Duration startSilence {1'200};
     Duration retryLater {1'000}; ///< Told to callers for whose requests there is no server.
