--- a/src/network/gen/peer_types.cpp
+++ b/src/network/gen/peer_types.cpp
@@ -1241,6 +1241,10 @@
 void Pulse::__set_heard_ms(const std::map<std::string, int32_t> & val) {
   this->heard_ms = val;
 }
+
+void Pulse::__set_settled(const bool val) {
+  this->settled = val;
+}
 std::ostream& operator<<(std::ostream& out, const Pulse& obj)
 {
   obj.printTo(out);
@@ -1409,6 +1413,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->settled);
+          this->__isset.settled = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1502,6 +1514,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("settled", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->settled);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1519,6 +1535,7 @@
   swap(a.clock_ms, b.clock_ms);
   swap(a.held_revision, b.held_revision);
   swap(a.heard_ms, b.heard_ms);
+  swap(a.settled, b.settled);
   swap(a.__isset, b.__isset);
 }
 
@@ -1533,6 +1550,7 @@
   clock_ms = other58.clock_ms;
   held_revision = other58.held_revision;
   heard_ms = other58.heard_ms;
+  settled = other58.settled;
   __isset = other58.__isset;
 }
 Pulse& Pulse::operator=(const Pulse& other59) {
@@ -1546,6 +1564,7 @@
   clock_ms = other59.clock_ms;
   held_revision = other59.held_revision;
   heard_ms = other59.heard_ms;
+  settled = other59.settled;
   __isset = other59.__isset;
   return *this;
 }
@@ -1562,6 +1581,7 @@
   out << ", " << "clock_ms=" << to_string(clock_ms);
   out << ", " << "held_revision=" << to_string(held_revision);
   out << ", " << "heard_ms=" << to_string(heard_ms);
+  out << ", " << "settled=" << to_string(settled);
   out << ")";
 }
 
--- a/src/network/gen/peer_types.h
+++ b/src/network/gen/peer_types.h
@@ -516,7 +516,7 @@
 std::ostream& operator<<(std::ostream& out, const LedgerReply& obj);
 
 typedef struct _Pulse__isset {
-  _Pulse__isset() : node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), clock_ms(false), held_revision(false), heard_ms(false) {}
+  _Pulse__isset() : node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), clock_ms(false), held_revision(false), heard_ms(false), settled(false) {}
   bool node :1;
   bool life :1;
   bool number :1;
@@ -527,6 +527,7 @@
   bool clock_ms :1;
   bool held_revision :1;
   bool heard_ms :1;
+  bool settled :1;
 } _Pulse__isset;
 
 class Pulse : public virtual ::apache::thrift::TBase {
@@ -540,7 +541,8 @@
           number(0),
           taking(0),
           clock_ms(0),
-          held_revision(0) {
+          held_revision(0),
+          settled(0) {
   }
 
   virtual ~Pulse() noexcept;
@@ -554,6 +556,7 @@
   int64_t clock_ms;
   int64_t held_revision;
   std::map<std::string, int32_t>  heard_ms;
+  bool settled;
 
   _Pulse__isset __isset;
 
@@ -577,6 +580,8 @@
 
   void __set_heard_ms(const std::map<std::string, int32_t> & val);
 
+  void __set_settled(const bool val);
+
   bool operator == (const Pulse & rhs) const
   {
     if (!(node == rhs.node))
@@ -599,6 +604,8 @@
       return false;
     if (!(heard_ms == rhs.heard_ms))
       return false;
+    if (!(settled == rhs.settled))
+      return false;
     return true;
   }
   bool operator != (const Pulse &rhs) const {
--- a/src/network/peer.thrift
+++ b/src/network/peer.thrift
@@ -66,6 +66,7 @@
   8: i64 clock_ms
   9: i64 held_revision
   10: map<string, i32> heard_ms
+  11: bool settled
 }
 
 // Sent as a datagram by one node of a zone to the other zones: the sum of its zone's pulses.
--- a/src/network/pulse_socket.cpp
+++ b/src/network/pulse_socket.cpp
@@ -146,6 +146,7 @@
     wire.life = pulse.life;
     wire.number = pulse.number;
     wire.taking = pulse.taking;
+    wire.settled = pulse.settled;
     wire.running = toWire(pulse.running);
     wire.demand = toWire(pulse.demand);
     wire.suspects_ms = toWire(pulse.suspects);
@@ -162,6 +163,7 @@
     pulse.life = wire.life;
     pulse.number = wire.number;
     pulse.taking = wire.taking;
+    pulse.settled = wire.settled;
     pulse.running = toRunning(wire.running);
     pulse.demand = toDemand(wire.demand);
     pulse.suspects = toDurations(wire.suspects_ms);
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -78,8 +78,8 @@
     , m_startedAt(loop.now())
     , m_requests(m_options.requests, m_backends)
     , m_formation(m_options.formation, m_backends, m_startedAt)
-    , m_presence(
-          PresenceOptions {{m_options.node, m_options.zone, m_options.front, m_options.pulse}})
+    , m_presence(PresenceOptions {
+          {m_options.node, m_options.zone, m_options.front, m_options.pulse}, m_startedAt})
     , m_relay(loop, m_requests, m_dialect.relay, relayHooks())
     , m_mirror(loop, store, mirrorHooks())
     , m_sideServer(loop, maxSideBody)
@@ -340,6 +340,7 @@
     own.life = m_life;
     own.number = ++m_pulseNumber;
     own.taking = m_ready && !m_stopping;
+    own.settled = m_presence.isSettled(now);
     own.running = m_backends.ownRunning();
     own.demand = m_requests.demand();
     own.suspects = m_backends.suspects(now);
--- a/src/request/presence_base.cpp
+++ b/src/request/presence_base.cpp
@@ -168,18 +168,31 @@
 
 std::optional<PresenceRecord> PresenceTable::feederOf(const ZoneId &zone, TimePoint now) const
 {
+    const auto spoken = m_zones.find(zone);
+    if (spoken != m_zones.end() && now - spoken->second.digestAt < m_options.silence) {
+        const auto author = m_peers.find(spoken->second.digest.node);
+        if (author != m_peers.end() && author->second.record)
+            return author->second.record;
+    }
     std::vector<PresenceRecord> known;
     std::vector<PresenceRecord> living;
+    std::vector<PresenceRecord> settled;
+    const auto add = [&](const PresenceRecord &record, bool isAlive, bool isSettled) {
+        known.push_back(record);
+        if (isAlive)
+            living.push_back(record);
+        if (isAlive && isSettled)
+            settled.push_back(record);
+    };
     if (zone == m_options.own.zone)
-        living.push_back(m_options.own);
+        add(m_options.own, true, isSettled(now));
     for (const auto &[node, peer] : m_peers) {
-        if (!peer.record || peer.record->zone != zone)
-            continue;
-        known.push_back(*peer.record);
-        if (alive(peer, now))
-            living.push_back(*peer.record);
+        if (peer.record && peer.record->zone == zone)
+            add(*peer.record, alive(peer, now), peer.pulse.settled);
     }
-    const std::vector<PresenceRecord> &candidates = living.empty() ? known : living;
+    const std::vector<PresenceRecord> &candidates = !settled.empty() ? settled
+        : !living.empty()                                            ? living
+                                                                     : known;
     const PresenceRecord *first = rendezvousFirst(feederKey + zone.value(), candidates, nameOf);
     return first ? std::optional(*first) : std::nullopt;
 }
--- a/src/request/presence_base.h
+++ b/src/request/presence_base.h
@@ -13,6 +13,7 @@
 struct PresenceOptions
 {
     PresenceRecord own;
+    TimePoint startedAt;
     Duration silence {
         1'500}; ///< Without a pulse for so long a node of the own zone counts as gone.
     /// Without a digest for so long another zone does: its author may have died, and the zone needs
@@ -35,6 +36,8 @@
     /// Takes another zone's digest in; false if it is older than one seen, or of the own zone.
     bool digestCame(const ZoneDigest &digest, TimePoint now);
     void setTaking(bool taking) { m_taking = taking; }
+    /// Whether this node has run for long enough to have heard of its whole zone.
+    bool isSettled(TimePoint now) const { return now - m_options.startedAt >= m_options.silence; }
 
     /// Whether a node is alive by pulses or digests or, just started, by its record.
     bool isLive(const NodeId &node, TimePoint now) const;
@@ -97,8 +100,9 @@
 
     bool isNear(const Peer &peer) const;
     bool alive(const Peer &peer, TimePoint now) const;
-    /// The node that speaks for a zone: the first by rendezvous of the live ones, or of all that
-    /// have a record while none is known to live. Null for a zone without nodes.
+    /// The node that speaks for a zone: of another zone the author of its last digest; else the
+    /// first by rendezvous of those that are settled, of the live ones or at least of those that
+    /// have a record. None for a zone without nodes.
     std::optional<PresenceRecord> feederOf(const ZoneId &zone, TimePoint now) const;
     std::vector<ZoneId> zones() const;
 
--- a/src/request/presence_type.h
+++ b/src/request/presence_type.h
@@ -24,6 +24,7 @@
     std::int64_t life = 0; ///< Differs between the lives of a node.
     std::int64_t number = 0; ///< Counts up within a life.
     bool taking = false; ///< It takes requests of callers.
+    bool settled = false; ///< It has run for long enough to have heard of its whole zone.
     RunningCounts running; ///< Its requests, by server.
     std::map<VmId, Duration> suspects; ///< Servers that fail its requests, for how much longer.
     std::map<VmId, Duration> heard; ///< Servers that sent it something, and how long ago.
--- a/src/tests/relay_test.cpp
+++ b/src/tests/relay_test.cpp
@@ -223,7 +223,7 @@
     }
     int feeders = 0;
     for (const PresenceRecord &own : records) {
-        PresenceTable table({own});
+        PresenceTable table(PresenceOptions {own, TimePoint()});
         for (const PresenceRecord &record : records)
             table.setRecord(record, now);
         feeders += table.isFeeder(now) ? 1 : 0;
@@ -242,7 +242,7 @@
     }
     std::map<NodeId, PresenceTable> tables;
     for (const PresenceRecord &own : records) {
-        PresenceTable table({own});
+        PresenceTable table(PresenceOptions {own, TimePoint()});
         for (const PresenceRecord &record : records)
             table.setRecord(record, now);
         tables.emplace(own.node, std::move(table));
@@ -265,6 +265,33 @@
     EXPECT_EQ(feeders, 4);
 }
 
+TEST(PresenceTest, ANodeThatHasJustStartedDoesNotSpeakForItsZone)
+{
+    // Found on a grown deployment: nodes that came back named hardly any other node of their zone,
+    // and the other zones took all the rest for gone.
+    TimePoint now = timePoint(1'000'000);
+    std::map<NodeId, PresenceTable> tables = nodesOf(1, 4, now);
+    now += Duration(10'000);
+    std::size_t feeders = 0;
+    for (auto &[node, table] : tables) {
+        for (const auto &[other, ignored] : tables) {
+            Pulse pulse;
+            pulse.node = other;
+            pulse.life = 1;
+            pulse.number = 1;
+            pulse.settled = other != NodeId("n2");
+            if (other != node)
+                table.pulseCame(pulse, now);
+        }
+    }
+    const PresenceTable fresh(
+        PresenceOptions {{NodeId("n2"), ZoneId("z0"), Address("n2:1"), Address("n2:2")}, now});
+    EXPECT_FALSE(fresh.isSettled(now));
+    for (const auto &[node, table] : tables)
+        feeders += node != NodeId("n2") && table.isFeeder(now) ? 1 : 0;
+    EXPECT_EQ(feeders, 1U);
+}
+
 TEST(PresenceTest, ADigestStandsForItsZone)
 {
     TimePoint now = timePoint(1'000'000);
@@ -311,7 +338,7 @@
     const TimePoint now = timePoint(1'000'000);
     const PresenceRecord own {NodeId("n1"), ZoneId("z"), Address("n1:1"), Address("n1:2")};
     const PresenceRecord other {NodeId("n2"), ZoneId("z"), Address("n2:1"), Address("n2:2")};
-    PresenceTable table({own});
+    PresenceTable table(PresenceOptions {own, TimePoint()});
     table.setTaking(true);
     table.setRecord(other, now);
     Pulse pulse;
