Fix: [Formation] VMs in groups fetch the other model's weights before traffic; Fix: [Request] A stopping node does not speak for its zone

VMs without a group were told to fetch weights and then joined one, which dropped them; they counted as fetching for 48 s. In the last seconds nodes that stopped named themselves as the only ones of their zone (31,484 "node_silent").

--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -19,6 +19,8 @@
 constexpr double usualUse = 0.6;
 /// Weight of the measured work against the published shares.
 constexpr double measuredWeight = 0.7;
+/// Before traffic loads are so many times faster.
+constexpr int startLoadsSpeed = 10;
 /// A load takes longer while others run; after so many load times it counts as lost.
 constexpr int stagingPatience = 3;
 
@@ -518,7 +520,8 @@
             if (!before && (underWay >= atOnce || domain.loadTokens < 1))
                 return;
             const MemberState state = backend->report.group.state;
-            const bool fits = free ? state == MemberState::None
+            // Before traffic VMs without a group are about to join one and load its weights anyway.
+            const bool fits = free ? state == MemberState::None && !before
                                    : state == MemberState::Ready || state == MemberState::Open;
             if (!fits || backend->listing != Listing::Listed || backend->report.draining
                 || backend->report.service != engineService()->name
@@ -529,7 +532,8 @@
                 continue;
             domain.loadTokens = std::max(0.0, domain.loadTokens - 1);
             ++underWay;
-            m_staging[backend->report.id] = {model->name, now + model->loadTime * stagingPatience};
+            const Duration usual = before ? model->loadTime / startLoadsSpeed : model->loadTime;
+            m_staging[backend->report.id] = {model->name, now + usual * stagingPatience};
             sendOrder(*backend, GroupOrderKind::Stage, GroupId(), domain.plan.generation,
                       model->name, {}, domain.plan.generation, now, actions);
         }
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -127,6 +127,7 @@
     m_stopAt = m_loop.now();
     m_relay.callers().setClosing();
     m_presence.setTaking(false);
+    m_presence.setLeaving();
     pulse(m_stopAt);
     if (m_lease != 0)
         m_store.revokeLease(m_lease, [] {});
--- a/src/request/presence_base.cpp
+++ b/src/request/presence_base.cpp
@@ -62,7 +62,8 @@
 
 bool PresenceTable::digestCame(const ZoneDigest &digest, TimePoint now)
 {
-    if (digest.zone == m_options.own.zone)
+    const auto author = m_peers.find(digest.node);
+    if (digest.zone == m_options.own.zone || author == m_peers.end() || !author->second.record)
         return false;
     Zone &zone = m_zones[digest.zone];
     const ZoneDigest &last = zone.digest;
@@ -199,7 +200,7 @@
 
 bool PresenceTable::isFeeder(TimePoint now) const
 {
-    return feederOf(m_options.own.zone, now)->node == m_options.own.node;
+    return !m_leaving && feederOf(m_options.own.zone, now)->node == m_options.own.node;
 }
 
 bool PresenceTable::isWatcher(TimePoint now) const
--- a/src/request/presence_base.h
+++ b/src/request/presence_base.h
@@ -33,11 +33,17 @@
     void eraseRecord(const NodeId &node);
     /// Takes a pulse in; false if it is older than one seen.
     bool pulseCame(const Pulse &pulse, TimePoint now);
-    /// Takes another zone's digest in; false if it is older than one seen, or of the own zone.
+    /// Takes another zone's digest in; false if it is older than one seen, of the own zone, or of a
+    /// node without a record, which leaves or is unknown and does not hear its zone any more.
     bool digestCame(const ZoneDigest &digest, TimePoint now);
     void setTaking(bool taking) { m_taking = taking; }
-    /// Whether this node has run for long enough to have heard of its whole zone.
-    bool isSettled(TimePoint now) const { return now - m_options.startedAt >= m_options.silence; }
+    /// This node is about to stop: it speaks for its zone no more.
+    void setLeaving() { m_leaving = true; }
+    /// Whether this node has run for long enough to have heard of its whole zone, and stays.
+    bool isSettled(TimePoint now) const
+    {
+        return !m_leaving && now - m_options.startedAt >= m_options.silence;
+    }
 
     /// Whether a node is alive by pulses or digests or, just started, by its record.
     bool isLive(const NodeId &node, TimePoint now) const;
@@ -110,6 +116,7 @@
     std::map<NodeId, Peer> m_peers;
     std::map<ZoneId, Zone> m_zones; ///< The other ones, by their digests.
     bool m_taking = false;
+    bool m_leaving = false;
 };
 
 } // namespace bramleypitch
--- a/src/tests/formation_test.cpp
+++ b/src/tests/formation_test.cpp
@@ -76,6 +76,7 @@
                 std::find(order.members.begin(), order.members.end(), order.vm)
                 - order.members.begin());
             report.model = order.model;
+            report.staged = {order.model}; // A load stages what it loads.
             members[order.group] = order.members;
             everReady.insert({order.vm, order.group});
             break;
@@ -396,6 +397,18 @@
         EXPECT_EQ(report.staged, std::vector<ModelId> {ModelId("small")}) << id.value();
 }
 
+TEST(FormationTest, BeforeTrafficVmsInGroupsFetchTheOtherModel)
+{
+    // Found on a grown deployment: VMs fetched weights before they had joined a group, lost them to
+    // its model, and were not told again until the day was half over.
+    Harness harness(Fleet(10, false), true);
+    harness.run(Duration(7'500));
+    for (const auto &[id, report] : harness.fleet().reports) {
+        ASSERT_EQ(report.staged.size(), 1U) << id.value();
+        EXPECT_NE(report.staged.front(), report.model) << id.value();
+    }
+}
+
 TEST(FormationTest, AMomentsDemandMovesNoGroup)
 {
     Harness harness(Fleet(10), true);
--- a/src/tests/relay_test.cpp
+++ b/src/tests/relay_test.cpp
@@ -223,7 +223,7 @@
     }
     int feeders = 0;
     for (const PresenceRecord &own : records) {
-        PresenceTable table(PresenceOptions {own, TimePoint()});
+        PresenceTable table(PresenceOptions {own, now});
         for (const PresenceRecord &record : records)
             table.setRecord(record, now);
         feeders += table.isFeeder(now) ? 1 : 0;
@@ -242,7 +242,7 @@
     }
     std::map<NodeId, PresenceTable> tables;
     for (const PresenceRecord &own : records) {
-        PresenceTable table(PresenceOptions {own, TimePoint()});
+        PresenceTable table(PresenceOptions {own, now});
         for (const PresenceRecord &record : records)
             table.setRecord(record, now);
         tables.emplace(own.node, std::move(table));
@@ -290,6 +290,11 @@
     for (const auto &[node, table] : tables)
         feeders += node != NodeId("n2") && table.isFeeder(now) ? 1 : 0;
     EXPECT_EQ(feeders, 1U);
+    // Nor does one that stops: nobody sends it pulses any more.
+    for (auto &[node, table] : tables)
+        table.setLeaving();
+    for (const auto &[node, table] : tables)
+        EXPECT_FALSE(table.isFeeder(now)) << node.value();
 }
 
 TEST(PresenceTest, ADigestStandsForItsZone)
@@ -313,6 +318,9 @@
     own.running[VmId("s")] = 1;
     own.suspects.clear();
     own.taking = false;
+    ZoneDigest stranger = author.digest(own, now);
+    stranger.node = NodeId("n9");
+    EXPECT_FALSE(receiver.digestCame(stranger, now));
     const ZoneDigest digest = author.digest(own, now + Duration(100));
     EXPECT_EQ(digest.running.at(VmId("s")), 3U);
     EXPECT_EQ(digest.suspects.at(VmId("t")), Duration(400));
@@ -338,7 +346,7 @@
     const TimePoint now = timePoint(1'000'000);
     const PresenceRecord own {NodeId("n1"), ZoneId("z"), Address("n1:1"), Address("n1:2")};
     const PresenceRecord other {NodeId("n2"), ZoneId("z"), Address("n2:1"), Address("n2:2")};
-    PresenceTable table(PresenceOptions {own, TimePoint()});
+    PresenceTable table(PresenceOptions {own, now});
     table.setTaking(true);
     table.setRecord(other, now);
     Pulse pulse;
