--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -90,11 +90,6 @@
     return first && *first == m_options.node;
 }
 
-bool FormationSystem::beforeTraffic(TimePoint now) const
-{
-    return m_firstStart && now - m_startedAt < m_options.startLoads;
-}
-
 void FormationSystem::planRead(const DomainId &id, const FormationPlan &plan, Revision revision)
 {
     Domain &domain = m_domains[id];
@@ -132,8 +127,11 @@
     const double weight =
         std::min(1.0, passed / static_cast<double>(m_options.demandSmoothing.count()));
     m_demandAt = now;
-    for (const auto &[model, count] : slots)
+    for (const auto &[model, count] : slots) {
         m_demand.try_emplace(model, count);
+        if (count > 0)
+            trafficBegan();
+    }
     for (auto &[model, smoothed] : m_demand) {
         const auto found = slots.find(model);
         smoothed += weight * ((found == slots.end() ? 0 : found->second) - smoothed);
@@ -174,7 +172,7 @@
         m_mostServers = m_backends.size();
         m_newServerAt = now;
     }
-    if (beforeTraffic(now) && now - m_newServerAt < m_options.settle)
+    if (m_beforeTraffic && now - m_newServerAt < m_options.settle)
         return; // Servers are still coming: what is left over by then would stay without a group.
     m_ownedCount = 0;
     for (const DomainId &id : m_backends.domains())
@@ -431,7 +429,7 @@
             input.leaving += group.dissolving && backend && !backend->report.draining ? 1 : 0;
         }
     }
-    if (beforeTraffic(now)) {
+    if (m_beforeTraffic) {
         std::map<DomainId, std::uint32_t> sizes;
         for (const DomainId &domain : m_backends.domains())
             sizes[domain] = static_cast<std::uint32_t>(m_backends.inDomain(domain).size());
@@ -510,7 +508,7 @@
 void FormationSystem::stageWeights(const DomainId &id, Domain &domain, TimePoint now,
                                    FormationActions &actions)
 {
-    const bool before = beforeTraffic(now);
+    const bool before = m_beforeTraffic;
     const auto atOnce = std::max<std::size_t>(
         engineService()->engine->loadsAtOnce / std::max<std::size_t>(m_domains.size(), 1), 1);
     std::uint32_t underWay = countStaging(id, now);
@@ -553,7 +551,7 @@
 
 bool FormationSystem::mayLoad(Domain &domain, const PlannedGroup &group, TimePoint now)
 {
-    if (beforeTraffic(now))
+    if (m_beforeTraffic)
         return true;
     if (joining(group.name) >= engineService()->engine->loadsAtOnce || domain.loadTokens < 1)
         return false;
--- a/src/formation/formation_system.h
+++ b/src/formation/formation_system.h
@@ -27,7 +27,6 @@
     Duration freeSettle {200}; ///< Without change of a domain's free VMs before they form groups.
     Duration conversionTurn {300}; ///< Domains take turns in giving groups up for other models.
     Duration demandSmoothing {2'000}; ///< Demand of a moment moves no group.
-    Duration startLoads {8'000}; ///< After the first start, until loads are counted.
 };
 
 /// Forms groups of VMs in the fabric domains that this node owns, opens them once every member is
@@ -41,8 +40,11 @@
     void setConfiguration(ServingConfigurationPtr configuration);
     /// The live nodes, this one included.
     void setNodes(std::vector<NodeId> nodes) { m_nodes = std::move(nodes); }
-    /// The system starts for the first time: loads are not counted yet.
-    void setFirstStart(bool firstStart) { m_firstStart = firstStart; }
+    /// The system starts for the first time: until the first request loads are fast and not
+    /// counted.
+    void setFirstStart(bool firstStart) { m_beforeTraffic = firstStart; }
+    /// A request has come, here or at another node.
+    void trafficBegan() { m_beforeTraffic = false; }
     /// Slots that requests running or waiting for each model need, of all nodes.
     void setDemand(const std::map<ModelId, double> &slots, TimePoint now);
     /// A plan as read from the store; `revision` 0 means that there is none.
@@ -128,7 +130,6 @@
     std::uint32_t joining(const GroupId &except) const;
     bool mayLoad(Domain &domain, const PlannedGroup &group, TimePoint now);
     void refillTokens(Domain &domain, TimePoint now);
-    bool beforeTraffic(TimePoint now) const;
 
     FormationOptions m_options;
     BackendTable &m_backends;
@@ -137,7 +138,7 @@
     std::vector<NodeId> m_nodes;
     std::map<ModelId, double> m_demand; ///< Slots needed, smoothed.
     TimePoint m_demandAt;
-    bool m_firstStart = false;
+    bool m_beforeTraffic = false;
     std::map<DomainId, Domain> m_domains;
     std::map<VmId, SentOrder> m_orders;
     std::map<VmId, Staging> m_staging;
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -473,6 +473,8 @@
     for (const auto &[model, slots] : m_requests.demand())
         demand[model] += slots;
     m_formation.setDemand(demand, now);
+    if (m_requests.hasArrivals())
+        m_formation.trafficBegan();
     FormationActions actions;
     m_formation.tick(now, actions);
     for (const FormationAction &action : actions)
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -118,6 +118,7 @@
 
 void RequestSystem::arrived(const RequestArrival &arrival, TimePoint now, RequestActions &actions)
 {
+    m_hasArrivals = true;
     Request &request = m_requests[arrival.request];
     request.arrival = arrival;
     request.arrivedAt = now;
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -77,6 +77,8 @@
     bool isCurrent(TimePoint now) const;
     const ServingConfigurationPtr &configuration() const { return m_configuration; }
     std::size_t open() const { return m_requests.size(); }
+    /// Whether any request has come since the start.
+    bool hasArrivals() const { return m_hasArrivals; }
     std::size_t waiting() const;
     /// Slots that the requests running or waiting need, by model.
     std::map<ModelId, double> demand() const;
@@ -154,6 +156,7 @@
     std::unordered_map<RequestId, Request> m_requests;
     std::map<TargetKey, Target> m_targets;
     std::map<ServiceId, RetryAllowance> m_retries;
+    bool m_hasArrivals = false;
     TimePoint m_ratesAt;
     TimePoint m_deadlinesAt;
 };
--- a/src/tests/formation_test.cpp
+++ b/src/tests/formation_test.cpp
@@ -152,10 +152,16 @@
         m_system->setConfiguration(configuration());
         m_system->setNodes({NodeId("n1")});
         m_system->setFirstStart(firstStart);
-        m_system->setDemand({{ModelId("large"), 30}, {ModelId("small"), 60}}, m_now);
+        if (!firstStart)
+            setUsualDemand();
         showAll();
     }
 
+    void setUsualDemand()
+    {
+        m_system->setDemand({{ModelId("large"), 30}, {ModelId("small"), 60}}, m_now);
+    }
+
     void run(Duration duration)
     {
         for (const TimePoint end = m_now + duration; m_now < end; m_now += Duration(50)) {
@@ -276,6 +282,7 @@
 {
     Harness harness(Fleet(10), true);
     harness.run(Duration(4'000));
+    harness.setUsualDemand();
     const auto group = std::find_if(harness.fleet().members.begin(), harness.fleet().members.end(),
                                     [](const auto &entry) { return entry.second.size() == 4; });
     ASSERT_NE(group, harness.fleet().members.end());
@@ -289,7 +296,8 @@
 TEST(FormationTest, ASilentMemberIsReplacedBeforeItsEntryLapses)
 {
     Harness harness(Fleet(10), true);
-    harness.run(Duration(9'000)); // Past the time before traffic.
+    harness.run(Duration(9'000));
+    harness.setUsualDemand();
     const auto group = std::find_if(harness.fleet().members.begin(), harness.fleet().members.end(),
                                     [](const auto &entry) { return entry.second.size() == 4; });
     ASSERT_NE(group, harness.fleet().members.end());
@@ -323,6 +331,7 @@
     // that they were a member of.
     Harness harness(Fleet(10), true);
     harness.run(Duration(9'000));
+    harness.setUsualDemand();
     const auto [name, members] = groupOf(harness.fleet(), 4);
     ASSERT_EQ(members.size(), 4U);
     harness.cutOff({members[2]});
@@ -343,6 +352,7 @@
 {
     Harness harness(Fleet(10), true);
     harness.run(Duration(9'000));
+    harness.setUsualDemand();
     const auto [name, members] = groupOf(harness.fleet(), 4);
     ASSERT_EQ(members.size(), 4U);
     harness.cutOff({members.front()});
@@ -359,6 +369,7 @@
     // lost their way to the store ran out.
     Harness harness(Fleet(10), true);
     harness.run(Duration(9'000));
+    harness.setUsualDemand();
     const auto [name, members] = groupOf(harness.fleet(), 4);
     ASSERT_EQ(members.size(), 4U);
     harness.cutOff({members[1]});
@@ -413,6 +424,7 @@
 {
     Harness harness(Fleet(10), true);
     harness.run(Duration(9'000));
+    harness.setUsualDemand();
     harness.sent.clear();
     harness.system().setDemand({{ModelId("large"), 90}, {ModelId("small"), 0}}, harness.now());
     harness.system().setDemand({{ModelId("large"), 30}, {ModelId("small"), 60}}, harness.now());
