Feature: [Request] A server that has just opened is filled step by step, by its own zone first

Besides, 24 of 216 VMs were spares, and domains without a free VM never gave a group up for the model in need.

Change: with many nodes, other zones leave a server alone for 0.6 s after it opened, and its own zone fills it over a second; one spare a domain; conversions also where no VM is free.

--- a/src/formation/group_choice.cpp
+++ b/src/formation/group_choice.cpp
@@ -10,7 +10,7 @@
 /// replaced from them within two seconds.
 constexpr double formUse = 0.55;
 /// Spares of a domain beyond which VMs are worth more in a group: members are lost one by one.
-constexpr std::size_t enoughSpares = 2;
+constexpr std::size_t enoughSpares = 1;
 /// Use from which on waiting no longer grows like that of a queue, as requests are turned away.
 constexpr double fullUse = 0.9;
 /// Groups that are given up at most for one of another model.
@@ -250,7 +250,7 @@
         result.receiver = receiver;
         Vms free = m_input.free;
         const std::size_t ready = withWeights(free, model(receiver));
-        if (ready == 0 || ready >= model(receiver).span)
+        if (ready >= model(receiver).span)
             return {};
         for (PlannedGroup &group : m_plan.groups) {
             if (group.dissolving || group.model != model(giver).name)
--- a/src/request/backend_base.cpp
+++ b/src/request/backend_base.cpp
@@ -42,6 +42,8 @@
         backend.lastModel = report.model;
     if (now >= backend.coldUntil)
         backend.coldSince = now;
+    if (report.group.state == MemberState::Open && backend.report.group.state != MemberState::Open)
+        backend.openSince = now;
     backend.report = report;
     backend.reportedAt = now;
     backend.coldUntil = now + report.coldFor;
--- a/src/request/backend_type.h
+++ b/src/request/backend_type.h
@@ -83,6 +83,7 @@
     TimePoint ownProgress; ///< The same, to this node.
     TimePoint ownRunningSince; ///< Since when this node has had requests on it all the time.
     double gapMs = 0; ///< Smoothed milliseconds between events of a stream; 0 before the first.
+    TimePoint openSince; ///< When this node saw it begin to take requests; epoch if it did before.
     TimePoint coldSince; ///< When this node learnt that it is cold.
     TimePoint coldDispatchAt; ///< When this node last sent it a request while it was cold.
 };
--- a/src/request/target_choice.cpp
+++ b/src/request/target_choice.cpp
@@ -26,6 +26,11 @@
 /// hears soon, and of the others.
 constexpr std::size_t nearLooks = 4;
 constexpr std::size_t farLooks = 2;
+/// With many nodes those of other zones leave a server that has just opened alone for so long: by
+/// then they have heard what its own zone sent there.
+constexpr Duration openToFarAfter {600};
+/// In so long after it opened a server is filled step by step.
+constexpr Duration fillTime {1'000};
 /// Pause after which a server with requests of this node counts as standing still for new ones.
 constexpr Duration quietAfter {400};
 /// A stream's pauses may be so many times those of its peers before the server counts as slow.
@@ -68,6 +73,20 @@
     return isQuiet || now < backend.suspectUntil ? Standing::Suspect : Standing::Good;
 }
 
+/// Requests of all nodes together that a server is given now. Requests that wait everywhere would
+/// all come to one that has just opened, and their prompts keep each other waiting.
+std::uint32_t roomOf(const Backend &backend, const ChoiceInput &input, TimePoint now)
+{
+    const std::uint32_t limit = concurrencyLimit(backend, *input.configuration);
+    const Duration open = now - backend.openSince;
+    if (input.nodes.count <= fewNodes || open >= fillTime)
+        return limit;
+    if (backend.report.zone != input.ownZone && open < openToFarAfter)
+        return 0;
+    const auto share = static_cast<double>(open.count()) / static_cast<double>(fillTime.count());
+    return std::max(static_cast<std::uint32_t>(share * limit), 1U);
+}
+
 void keepBestStanding(std::vector<Candidate> &candidates)
 {
     Standing best = Standing::Tried;
@@ -133,7 +152,7 @@
             continue;
         choice.outcome = TargetChoice::Outcome::Full;
         const std::uint32_t running = backend.ownRunning + backend.peersRunning;
-        if (running >= concurrencyLimit(backend, *input.configuration))
+        if (running >= roomOf(backend, input, now))
             continue;
         if (service != input.configuration->services.end()
             && !hasColdTurn(backend, service->second, input.nodes, now))
