--- a/src/formation/group_choice.cpp
+++ b/src/formation/group_choice.cpp
@@ -250,7 +250,8 @@
         result.receiver = receiver;
         Vms free = m_input.free;
         const std::size_t ready = withWeights(free, model(receiver));
-        if (ready >= model(receiver).span)
+        // Where no VM is free all stand in groups, and an exchange alone costs more than it brings.
+        if (ready == 0 || ready >= model(receiver).span)
             return {};
         for (PlannedGroup &group : m_plan.groups) {
             if (group.dissolving || group.model != model(giver).name)
