--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -560,7 +560,7 @@
     return count;
 }
 
-bool FormationSystem::mayLoad(Domain &domain, const PlannedGroup &group, TimePoint now)
+bool FormationSystem::mayLoad(Domain &domain, const PlannedGroup &group)
 {
     if (m_beforeTraffic)
         return true;
@@ -590,7 +590,7 @@
             && sent->second.kind == GroupOrderKind::Join;
         if (sentBefore && now < sent->second.retryAt)
             continue;
-        if (!sentBefore && !holdsWeights(*backend, group.model) && !mayLoad(domain, group, now))
+        if (!sentBefore && !holdsWeights(*backend, group.model) && !mayLoad(domain, group))
             continue;
         sendOrder(*backend, GroupOrderKind::Join, group.name, group.generation, group.model,
                   memberIds(group), domain.plan.generation, now, actions);
--- a/src/formation/formation_system.h
+++ b/src/formation/formation_system.h
@@ -132,7 +132,7 @@
     StageInput stageInput(const DomainId &id) const;
     /// VMs of other groups than `except` that are joining.
     std::uint32_t joining(const GroupId &except) const;
-    bool mayLoad(Domain &domain, const PlannedGroup &group, TimePoint now);
+    bool mayLoad(Domain &domain, const PlannedGroup &group);
     void refillTokens(Domain &domain, TimePoint now);
 
     FormationOptions m_options;
--- a/src/tests/formation_test.cpp
+++ b/src/tests/formation_test.cpp
@@ -350,9 +350,11 @@
     EXPECT_TRUE(harness.sent.empty());
     harness.deaf = {members[2]};
     harness.run(Duration(2'000));
-    const auto left = std::any_of(harness.sent.begin(), harness.sent.end(), [&](const auto &order) {
-        return order.kind == GroupOrderKind::Leave && order.vm == members.front();
-    });
+    const VmId &head = members.front();
+    const auto left =
+        std::any_of(harness.sent.begin(), harness.sent.end(), [&head](const SendGroupOrder &order) {
+            return order.kind == GroupOrderKind::Leave && order.vm == head;
+        });
     EXPECT_TRUE(left);
     EXPECT_TRUE(harness.fleet().breaches.empty());
 }
