Fix: [Formation] Groups stand while entries that lapsed with the store may come back

Cause, read out of the code before the landing: since a head's missing entry is a reason to take its group apart, an entry that lapsed while the store was away was one as well, so that on the store's return every group would have been dissolved before its entries were back. Such entries are now overdue, not missing.

--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -82,7 +82,7 @@
     ("draining_member_counts", "request/backend_base.cpp",
      "if (working && !backend.report.draining)", "if (working)"),
     ("missing_server_is_served", "request/backend_base.cpp",
-     "|| backend.listing == Listing::Missing", ""),
+     "|| backend.listing == Listing::Overdue\n        || backend.listing == Listing::Missing", ""),
     ("nodes_meet_at_one_server", "request/target_choice.cpp",
      "candidate.cost += spread(input, candidate.draw);", ""),
     ("many_nodes_look_at_all", "request/target_choice.cpp",
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -258,8 +258,9 @@
         const bool storeIsWell =
             m_mirror.isReachable() && now - m_mirror.reachableSince() >= lapsedKeep;
         if (!storeIsWell || now - vanished.at < vanished.keep) {
-            if (now - vanished.at >= lapsedServe)
-                m_backends.setListing(id, Listing::Missing);
+            const Backend *backend = m_backends.find(id);
+            if (backend && backend->listing == Listing::Lapsed && now - vanished.at >= lapsedServe)
+                m_backends.setListing(id, Listing::Overdue);
             ++entry;
             continue;
         }
--- a/src/request/backend_base.cpp
+++ b/src/request/backend_base.cpp
@@ -98,7 +98,8 @@
 bool BackendTable::isServable(const Backend &backend,
                               const ServingConfiguration &configuration) const
 {
-    if (backend.report.draining || backend.listing == Listing::Missing)
+    if (backend.report.draining || backend.listing == Listing::Overdue
+        || backend.listing == Listing::Missing)
         return false;
     const EngineSpec *engine = configuration.engineOf(backend.report.service);
     if (!engine)
--- a/src/request/backend_type.h
+++ b/src/request/backend_type.h
@@ -56,6 +56,7 @@
 enum class Listing {
     Listed,
     Lapsed, ///< Its entry vanished while the store was away and may come back: it still serves.
+    Overdue, ///< It lapsed longer ago than a leaving server may be sent work: nothing new is sent.
     Missing, ///< Its entry is gone: nothing is sent to it, but it may still serve its group's head.
 };
 
--- a/src/tests/formation_test.cpp
+++ b/src/tests/formation_test.cpp
@@ -374,6 +374,24 @@
     EXPECT_TRUE(harness.fleet().breaches.empty());
 }
 
+TEST(FormationTest, GroupsStandWhileEntriesThatLapsedWithTheStoreMayComeBack)
+{
+    // Read out of the code: on the return of the store every group whose head had lapsed would have
+    // been taken apart before the entries were back.
+    Harness harness(Fleet(10), true);
+    harness.run(Duration(9'000));
+    harness.setUsualDemand();
+    const auto [name, members] = groupOf(harness.fleet(), 4);
+    ASSERT_EQ(members.size(), 4U);
+    harness.cutOff(members);
+    for (const VmId &member : members)
+        harness.backends().setListing(member, Listing::Overdue);
+    harness.sent.clear();
+    harness.run(Duration(3'000));
+    EXPECT_TRUE(harness.sent.empty());
+    EXPECT_EQ(harness.fleet().open(ModelId("large")), 1U);
+}
+
 TEST(FormationTest, AnAnsweredLeaveCountsBeforeTheEntryTellsIt)
 {
     // Found on a grown deployment: groups stood dissolving until the entries of members that had
--- a/src/tests/request_test.cpp
+++ b/src/tests/request_test.cpp
@@ -334,14 +334,16 @@
     EXPECT_TRUE(actions.empty());
 }
 
-TEST_F(RequestTest, ALapsedServerServesOnUntilItCountsAsMissing)
+TEST_F(RequestTest, ALapsedServerServesOnUntilItIsOverdue)
 {
     // Found by a hunted day: an entry that a leaving server removed was taken for a lapsed one.
     m_backends.update(plainServer("s1"), m_now);
     m_backends.setListing(VmId("s1"), Listing::Lapsed);
     EXPECT_EQ(actionsOf<DispatchAttempt>(ask("/read/x")).size(), 1U);
-    m_backends.setListing(VmId("s1"), Listing::Missing);
-    EXPECT_TRUE(actionsOf<DispatchAttempt>(ask("/read/x")).empty());
+    for (const Listing listing : {Listing::Overdue, Listing::Missing}) {
+        m_backends.setListing(VmId("s1"), listing);
+        EXPECT_TRUE(actionsOf<DispatchAttempt>(ask("/read/x")).empty());
+    }
     m_backends.update(plainServer("s1"), m_now);
     EXPECT_EQ(actionsOf<DispatchAttempt>(ask("/read/x")).size(), 1U);
 }
