Codechange: [Formation] One place takes a plan; what staging weighs is gathered once a look

Read again before the landing: planRead and planWritten set the same three things, the input of the choice of weights was gathered anew for every VM of a domain ten times a second, and a server was looked up twice. Decisions stay as they are.

--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -92,16 +92,15 @@
 
 void FormationSystem::planRead(const DomainId &id, const FormationPlan &plan, Revision revision)
 {
-    Domain &domain = m_domains[id];
-    if (revision < domain.revision)
-        return;
-    domain.plan = plan;
-    domain.revision = revision;
-    tellDissolving(id, plan);
+    if (revision >= m_domains[id].revision)
+        takePlan(id, plan, revision);
 }
 
-void FormationSystem::tellDissolving(const DomainId &id, const FormationPlan &plan)
+void FormationSystem::takePlan(const DomainId &id, const FormationPlan &plan, Revision revision)
 {
+    Domain &domain = m_domains[id];
+    domain.plan = plan;
+    domain.revision = revision;
     std::set<FormationKey> groups;
     for (const PlannedGroup &group : plan.groups) {
         if (group.dissolving)
@@ -114,11 +113,8 @@
 {
     Domain &domain = m_domains[id];
     domain.writing = false;
-    if (revision > domain.revision) {
-        domain.plan = plan;
-        domain.revision = revision;
-        tellDissolving(id, plan);
-    }
+    if (revision > domain.revision)
+        takePlan(id, plan, revision);
 }
 
 void FormationSystem::setDemand(const std::map<ModelId, double> &slots, TimePoint now)
@@ -522,6 +518,7 @@
     const auto atOnce = std::max<std::size_t>(
         engineService()->engine->loadsAtOnce / std::max<std::size_t>(m_domains.size(), 1), 1);
     std::uint32_t underWay = countStaging(id, now);
+    StageInput input = stageInput(id);
     // VMs without a group bring capacity, those in groups only readiness for losses.
     for (const bool free : {true, false}) {
         for (const Backend *backend : m_backends.inDomain(id)) {
@@ -536,13 +533,14 @@
                 || m_staging.count(backend->report.id)
                 || (free && groupOf(domain.plan, backend->report.id)))
                 continue; // One that is about to join needs what it holds.
-            const ServedModel *model = modelToStage(*backend, stageInput(id));
+            const ServedModel *model = modelToStage(*backend, input);
             if (!model)
                 continue;
             domain.loadTokens = std::max(0.0, domain.loadTokens - 1);
             ++underWay;
             const Duration usual = before ? model->loadTime / startLoadsSpeed : model->loadTime;
             m_staging[backend->report.id] = {model->name, now + usual * stagingPatience};
+            input = stageInput(id); // One more VM holds or fetches that model now.
             sendOrder(*backend, GroupOrderKind::Stage, GroupId(), domain.plan.generation,
                       model->name, {}, domain.plan.generation, now, actions);
         }
--- a/src/formation/formation_system.h
+++ b/src/formation/formation_system.h
@@ -124,7 +124,8 @@
     bool isOut(const PlannedGroup &group) const;
     /// Whether a VM is known to belong to a group no more, by its entry or its answer.
     bool hasLeft(const PlannedMember &member, const PlannedGroup &group, TimePoint now) const;
-    void tellDissolving(const DomainId &id, const FormationPlan &plan);
+    /// A newer plan is in force here: requests leave the groups that it takes apart.
+    void takePlan(const DomainId &id, const FormationPlan &plan, Revision revision);
     bool hasTurn(const DomainId &id, TimePoint now) const;
     void stageWeights(const DomainId &id, Domain &domain, TimePoint now, FormationActions &actions);
     /// Stagings of a domain under way; those that are done or overdue are forgotten.
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -236,15 +236,15 @@
                      {"domain", report.domain.value()}});
         return;
     }
-    if (!m_backends.find(id))
+    const Backend *backend = m_backends.find(id);
+    if (!backend)
         return;
-    const Backend &backend = *m_backends.find(id);
     const bool storeWasAway = now - m_mirror.reachableSince() < lapsedKeep;
-    if (storeWasAway || backend.report.group.state != MemberState::None) {
+    if (storeWasAway || backend->report.group.state != MemberState::None) {
         m_backends.setListing(id, storeWasAway ? Listing::Lapsed : Listing::Missing);
         m_vanished[id] = {now, storeWasAway ? lapsedKeep : missingKeep};
         logLine(LogLevel::Info, storeWasAway ? "server_lapsed" : "server_missing",
-                {{"server", id.value()}, {"group", backend.report.group.name.value()}});
+                {{"server", id.value()}, {"group", backend->report.group.name.value()}});
         return;
     }
     m_backends.erase(id);
