Fix: [Formation] Split VMs between models over the whole fleet

Cause: the first split offered each domain only the groups that leave the fewest VMs spare. Later no group was converted, as a conversion needed a free VM, and as refused requests were not counted as demand.

Change: the split is a search over all domains (exact for one domain, given the others): first groups by published share, then VMs by share, then few spare VMs. Before the first request, groups that a better known fleet makes superfluous are dissolved. A model without any group gets one from groups that others can spare, and VMs fetch its weights in place of others. Refused requests count as demand for a second. With more than six domains, several share a turn to convert groups. The duration of a request without published engine figures is zero; its demand was not a number.

InitialSplitUsesAllVms... read an engine that was already destroyed; it now holds it.

--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -11,7 +11,7 @@
 DEFAULT_DIRECTORY = "src/coordination/"  # Directory of files that are given without a path.
 WORKERS = 4
 TESTS = ["ledger_test", "placement_test", "golden_test", "request_test", "formation_test",
-         "relay_test", "promises_test"]
+         "initial_split_test", "relay_test", "promises_test"]
 # Name, file, text to replace, replacement text.
 MUTANTS = [
     ("ledger_claim_skipped", "service_system.cpp",
@@ -137,6 +137,21 @@
     ("group_waits_for_a_load", "formation/group_choice.cpp",
      "if (countWithWeights(free, model(i)) < model(i).span || !isWanted)",
      "if (free.size() < model(i).span || !isWanted)"),
+    ("first_split_only_fills_domains", "formation/initial_split.cpp",
+     "return firstGroupValue * model.coverage() + std::min(supplied, vms)",
+     "return supplied + 0 * std::min(supplied, vms)"),
+    ("first_split_of_one_domain_at_a_time", "formation/initial_split.cpp",
+     "i < maxPerturbations(); ++i)", "i < 0; ++i)"),
+    ("unserved_model_waits_for_free_vms", "formation/group_choice.cpp",
+     "Conversion best = conversionForUnservedModel();", "Conversion best;"),
+    ("unserved_model_takes_any_group", "formation/group_choice.cpp",
+     "return demand.groups >= 1 && utilization(demand) < saturatedUtilization;", "return true;"),
+    ("unserved_model_gets_no_weights", "formation/weight_staging.cpp",
+     "if (unserved && input.unserved.holders", "if (false && input.unserved.holders"),
+    ("surplus_groups_stay_before_traffic", "formation/group_choice.cpp",
+     "changed = dissolveSurplus(i) || changed;", ""),
+    ("refused_requests_are_no_demand", "request/request_system.cpp",
+     "sum[model] = refusedSlots(refused, now);", "sum[model] = 0 * refusedSlots(refused, now);"),
     ("unsmoothed_demand_moves_groups", "formation/formation_system.cpp",
      "smoothed += weight *", "smoothed +="),
     ("weights_fetched_before_joining", "formation/formation_system.cpp",
--- a/src/formation/formation_func.h
+++ b/src/formation/formation_func.h
@@ -19,15 +19,6 @@
 /// to VM time, and a group occupies `span` VMs at once.
 double publishedWork(const ServedModel &model);
 
-/// Number of groups of each model, in the order of the models.
-using GroupCounts = std::vector<std::uint32_t>;
-
-/// Number of groups of each model in each domain at the first start. The split leaves as few VMs as
-/// possible without a group and, over all domains, best matches the published work of each model.
-/// The result is deterministic, so that all nodes that know the same VMs agree on it.
-std::map<DomainId, GroupCounts> initialSplit(const std::map<DomainId, std::uint32_t> &vmsByDomain,
-                                             const EngineSpec &engine);
-
 /// Whether the weights of a model are loaded or stored on the VM.
 bool holdsWeights(const Backend &backend, const ModelId &model);
 
--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -20,6 +20,9 @@
 constexpr double typicalUtilization = 0.6;
 /// Weight of the measured work relative to the published shares.
 constexpr double measuredWeight = 0.7;
+/// With more domains than turns, several domains share a turn to convert groups. Their conversions
+/// for the same demand are as small a part of the fleet as that of one domain in a small fleet.
+constexpr std::size_t maxConversionTurns = 6;
 /// Loads are faster by this factor before the first request.
 constexpr int initialLoadSpeedup = 10;
 /// Loads take longer while others run. A prefetch is considered lost after this many load times.
@@ -366,9 +369,7 @@
     std::vector<const Backend *> free;
     for (const Backend *backend : m_backends.serversInDomain(id)) {
         const BackendReport &report = backend->report;
-        if (backend->listing != Listing::Listed || report.draining
-            || report.service != engineService()->name || findGroup(plan, report.id)
-            || isLost(report.id, now))
+        if (!isUsable(*backend) || findGroup(plan, report.id) || isLost(report.id, now))
             continue;
         if (report.group.state != MemberState::None) {
             // The group is in no plan: an order of an earlier plan took effect late.
@@ -444,12 +445,8 @@
             input.leaving += group.dissolving && backend && !backend->report.draining ? 1 : 0;
         }
     }
-    if (m_beforeTraffic) {
-        std::map<DomainId, std::uint32_t> sizes;
-        for (const DomainId &domain : m_backends.domains())
-            sizes[domain] = static_cast<std::uint32_t>(m_backends.serversInDomain(domain).size());
-        input.initialCounts = initialSplit(sizes, *input.engine)[id];
-    }
+    if (m_beforeTraffic)
+        input.initialCounts = initialCounts(id);
     const FormationPlan previous = next;
     const std::size_t before = next.groups.size();
     if (!formGroups(next, id, input))
@@ -475,14 +472,36 @@
     return true;
 }
 
+const GroupCounts &FormationSystem::initialCounts(const DomainId &id)
+{
+    std::map<DomainId, std::uint32_t> sizes;
+    for (const DomainId &domain : m_backends.domains()) {
+        std::uint32_t &vms = sizes[domain];
+        for (const Backend *backend : m_backends.serversInDomain(domain))
+            vms += isUsable(*backend) ? 1 : 0;
+    }
+    if (sizes != m_splitSizes || m_splitConfiguration != m_configuration) {
+        m_split = initialSplit(sizes, *engineService()->engine);
+        m_splitSizes = std::move(sizes);
+        m_splitConfiguration = m_configuration;
+    }
+    return m_split.at(id);
+}
+
+bool FormationSystem::isUsable(const Backend &backend) const
+{
+    return backend.listing == Listing::Listed && !backend.report.draining
+        && backend.report.service == engineService()->name;
+}
+
 bool FormationSystem::hasConversionTurn(const DomainId &id, TimePoint now) const
 {
-    // The domains take turns, so that no two convert groups for the same demand.
     const auto turn =
         static_cast<std::size_t>(milliseconds(now) / m_options.conversionTurnTime.count());
     const auto index =
         static_cast<std::size_t>(std::distance(m_domains.begin(), m_domains.find(id)));
-    return turn % m_domains.size() == index;
+    const std::size_t turns = std::min(m_domains.size(), maxConversionTurns);
+    return turn % turns == index % turns;
 }
 
 std::uint32_t FormationSystem::countStaging(const DomainId &id, TimePoint now)
@@ -505,6 +524,7 @@
     StagingInput input;
     input.engine = &*engineService()->engine;
     input.demand = demand();
+    input.unserved = unservedModelOf(id, input.demand);
     for (const ModelDemand &modelDemand : input.demand) {
         std::size_t holders = 0;
         for (const Backend *backend : m_backends.serversInDomain(id)) {
@@ -521,6 +541,45 @@
     return input;
 }
 
+UnservedModel FormationSystem::unservedModelOf(const DomainId &id,
+                                               std::vector<ModelDemand> demand) const
+{
+    const auto unserved = std::find_if(demand.begin(), demand.end(), isUnserved);
+    if (unserved == demand.end())
+        return {};
+    const ServedModel &model = *unserved->model;
+    std::vector<DomainId> suitable;
+    for (const auto &[domain, state] : m_domains) {
+        if (m_backends.serversInDomain(domain).size() >= model.span)
+            suitable.push_back(domain);
+    }
+    const DomainId *first =
+        rendezvousFirst(model.name.value(), suitable,
+                        [](const DomainId &domain) { return std::string_view(domain.value()); });
+    if (!first || *first != id)
+        return {};
+    UnservedModel result;
+    result.model = &model;
+    const FormationPlan &plan = m_domains.at(id).plan;
+    for (const Backend *backend : m_backends.serversInDomain(id)) {
+        if (isUsable(*backend) && !findGroup(plan, backend->report.id)
+            && result.holders.size() < model.span)
+            result.holders.insert(backend->report.id);
+    }
+    for (const PlannedGroup &group : plan.groups) {
+        const auto owner = std::find_if(demand.begin(), demand.end(), [&](const auto &entry) {
+            return entry.model->name == group.model;
+        });
+        if (group.dissolving || owner == demand.end() || result.holders.size() >= model.span
+            || !canSpareGroup(*owner))
+            continue;
+        owner->groups -= 1;
+        for (const PlannedMember &member : group.members)
+            result.holders.insert(member.vm);
+    }
+    return result.holders.size() >= model.span ? result : UnservedModel();
+}
+
 void FormationSystem::stageWeights(const DomainId &id, Domain &domain, TimePoint now,
                                    FormationActions &actions)
 {
@@ -542,9 +601,7 @@
             const bool isCandidate = free
                 ? state == MemberState::None && !before
                 : state == MemberState::Ready || state == MemberState::Open;
-            if (!isCandidate || backend->listing != Listing::Listed || backend->report.draining
-                || backend->report.service != engineService()->name
-                || m_staging.count(backend->report.id)
+            if (!isCandidate || !isUsable(*backend) || m_staging.count(backend->report.id)
                 || (free && findGroup(domain.plan, backend->report.id)))
                 continue; // A VM that is about to join a group needs the weights that it holds.
             const ServedModel *model = chooseModelToStage(*backend, input);
--- a/src/formation/formation_system.h
+++ b/src/formation/formation_system.h
@@ -142,6 +142,10 @@
     bool hasLeft(const PlannedMember &member, const PlannedGroup &group, TimePoint now) const;
     /// Applies a newer plan. The groups that it dissolves get no new requests from now on.
     void applyPlan(const DomainId &id, const FormationPlan &plan, Revision revision);
+    /// The groups of a domain in the first split of all VMs that are known now.
+    const GroupCounts &initialCounts(const DomainId &id);
+    /// Whether a VM may be used for groups according to its entry.
+    bool isUsable(const Backend &backend) const;
     /// Whether a domain may convert groups at this time.
     bool hasConversionTurn(const DomainId &id, TimePoint now) const;
     /// Orders VMs to prefetch weights, within the limits of the weight store.
@@ -149,6 +153,8 @@
     /// Number of prefetches in progress in a domain. Removes those that are done or overdue.
     std::uint32_t countStaging(const DomainId &id, TimePoint now);
     StagingInput stagingInput(const DomainId &id) const;
+    /// The model without groups for which this domain is to provide the VMs, if any.
+    UnservedModel unservedModelOf(const DomainId &id, std::vector<ModelDemand> demand) const;
     /// Number of VMs in state Joining, not counting members of the group `except`.
     std::uint32_t countJoining(const GroupId &except) const;
     /// Whether a member of the group may start to load its weights. Takes a load token if so.
@@ -164,6 +170,9 @@
     std::map<ModelId, double> m_demand; ///< Slots needed by model, smoothed.
     TimePoint m_demandAt;
     bool m_beforeTraffic = false;
+    std::map<DomainId, GroupCounts> m_split; ///< The first split of the VMs in m_splitSizes.
+    std::map<DomainId, std::uint32_t> m_splitSizes;
+    ServingConfigurationPtr m_splitConfiguration;
     std::map<DomainId, Domain> m_domains;
     std::map<VmId, SentOrder> m_orders;
     std::map<VmId, Staging> m_staging;
--- a/src/formation/group_choice.cpp
+++ b/src/formation/group_choice.cpp
@@ -121,16 +121,43 @@
     {
     }
 
-    /// Forms the groups of the first split from the free VMs. Used before the first request.
+    /// Forms the groups of the first split from the free VMs. Used before the first request. The
+    /// split changes while the VMs of the fleet become known, so groups that are no longer part of
+    /// it are dissolved if the missing ones need their VMs. That costs little before the first
+    /// request.
     bool formInitial()
     {
         bool changed = false;
+        bool isIncomplete = false;
         for (std::size_t i = 0; i < m_input.demand.size(); ++i) {
             while (countGroups(m_plan, model(i).name) < m_input.initialCounts[i]
                    && m_input.free.size() >= model(i).span) {
                 formGroup(i);
                 changed = true;
             }
+            isIncomplete =
+                isIncomplete || countGroups(m_plan, model(i).name) < m_input.initialCounts[i];
+        }
+        if (!isIncomplete || m_input.leaving > 0)
+            return changed;
+        for (std::size_t i = 0; i < m_input.demand.size(); ++i)
+            changed = dissolveSurplus(i) || changed;
+        return changed;
+    }
+
+    /// Dissolves the groups of a model beyond the first split. Returns whether there were any.
+    bool dissolveSurplus(std::size_t i)
+    {
+        std::uint32_t count = countGroups(m_plan, model(i).name);
+        bool changed = false;
+        for (PlannedGroup &group : m_plan.groups) {
+            if (count <= m_input.initialCounts[i])
+                break;
+            if (group.dissolving || group.model != model(i).name)
+                continue;
+            group.dissolving = true;
+            --count;
+            changed = true;
         }
         return changed;
     }
@@ -146,7 +173,9 @@
             }
             if (!m_plan.promised.value().empty())
                 return changed; // VMs that are leaving will complete the promised group.
-            const Conversion best = bestConversion();
+            Conversion best = conversionForUnservedModel();
+            if (best.dissolved.empty())
+                best = bestConversion();
             if (!best.dissolved.empty()) {
                 if (!best.isRepair && !m_input.mayConvert)
                     return changed; // Keep the free VMs until this domain may convert groups.
@@ -164,24 +193,26 @@
 private:
     const ServedModel &model(std::size_t i) const { return *m_input.demand[i].model; }
 
-    /// The model for which a new group reduces the queueing cost most, among those for which the
-    /// free VMs can form a group immediately.
+    /// The model for which a new group is most useful, among those for which the free VMs can form
+    /// a group immediately: a model without any group comes first, then the one whose queueing cost
+    /// is reduced most.
     std::optional<std::size_t> nextToForm(const Vms &free,
                                           const std::vector<ModelDemand> &demand) const
     {
         std::optional<std::size_t> best;
-        double most = 0;
+        std::pair<bool, double> most;
         for (std::size_t i = 0; i < demand.size(); ++i) {
-            const bool isWanted = utilization(demand[i]) >= minUtilization
+            const bool isWanted = isUnserved(demand[i]) || utilization(demand[i]) >= minUtilization
                 || free.size() >= model(i).span + keptSpares;
             if (countWithWeights(free, model(i)) < model(i).span || !isWanted)
                 continue;
             ModelDemand after = demand[i];
             after.groups += 1;
-            const double relief = queueingCost(demand[i]) - queueingCost(after);
-            if (!best || relief > most) {
+            const std::pair benefit(isUnserved(demand[i]),
+                                    queueingCost(demand[i]) - queueingCost(after));
+            if (!best || benefit > most) {
                 best = i;
-                most = relief;
+                most = benefit;
             }
         }
         return best;
@@ -239,6 +270,70 @@
         m_plan.promised = model(conversion.receiver).name;
     }
 
+    /// The conversion that gives a group to the model with the most work among those that have none
+    /// anywhere, or one without groups if there is no such model or the others cannot spare groups.
+    /// Its requests are all refused, which outweighs the waiting times of the other models.
+    Conversion conversionForUnservedModel()
+    {
+        Conversion best;
+        if (!m_input.isZoneInService)
+            return best;
+        double mostWork = 0;
+        for (std::size_t receiver = 0; receiver < m_input.demand.size(); ++receiver) {
+            const ModelDemand &demand = m_input.demand[receiver];
+            if (!isUnserved(demand) || demand.work <= mostWork)
+                continue;
+            Conversion next = conversionOfSpareGroups(receiver);
+            if (next.dissolved.empty())
+                continue;
+            mostWork = demand.work;
+            best = std::move(next);
+        }
+        return best;
+    }
+
+    /// Selects groups of any other models to dissolve until their VMs and the free VMs can form a
+    /// group of the receiver, the least utilized model first. Every other model keeps a group and
+    /// is not saturated. Empty if that is not possible.
+    Conversion conversionOfSpareGroups(std::size_t receiver)
+    {
+        Conversion result;
+        result.receiver = receiver;
+        std::vector<ModelDemand> demand = m_input.demand;
+        std::size_t holders = countWithWeights(m_input.free, model(receiver));
+        while (holders < model(receiver).span) {
+            PlannedGroup *leastUtilized = nullptr;
+            std::size_t donor = 0;
+            for (PlannedGroup &group : m_plan.groups) {
+                const std::size_t owner = indexOf(group.model);
+                if (group.dissolving || owner == receiver || owner == demand.size()
+                    || !canSpareGroup(demand[owner])
+                    || std::count(result.dissolved.begin(), result.dissolved.end(), &group) > 0
+                    || countWithWeights(membersOf(group), model(receiver)) == 0)
+                    continue;
+                if (leastUtilized && utilization(demand[owner]) >= utilization(demand[donor]))
+                    continue;
+                leastUtilized = &group;
+                donor = owner;
+            }
+            if (!leastUtilized)
+                return {};
+            result.dissolved.push_back(leastUtilized);
+            demand[donor].groups -= 1;
+            holders += countWithWeights(membersOf(*leastUtilized), model(receiver));
+        }
+        return result;
+    }
+
+    /// Index of a model, or the number of models if it is unknown.
+    std::size_t indexOf(const ModelId &name) const
+    {
+        std::size_t i = 0;
+        while (i < m_input.demand.size() && model(i).name != name)
+            ++i;
+        return i;
+    }
+
     /// The conversion with the highest gain, or one without groups if none has a gain.
     Conversion bestConversion()
     {
@@ -319,6 +414,17 @@
     return demand.work / std::max(demand.groups, minGroupCount);
 }
 
+bool isUnserved(const ModelDemand &demand)
+{
+    return demand.groups < 1 && demand.work > 0;
+}
+
+bool canSpareGroup(ModelDemand demand)
+{
+    demand.groups -= 1;
+    return demand.groups >= 1 && utilization(demand) < saturatedUtilization;
+}
+
 double urgency(const ModelDemand &demand)
 {
     ModelDemand after = demand;
--- a/src/formation/group_choice.h
+++ b/src/formation/group_choice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "formation/formation_func.h"
+#include "formation/initial_split.h"
 
 namespace bramleypitch {
 
@@ -15,6 +16,12 @@
 /// Utilization of the groups of a model. Above 1 they cannot keep up with the requests.
 double utilization(const ModelDemand &demand);
 
+/// Whether a model has work but no group in any domain, so that all its requests are refused.
+bool isUnserved(const ModelDemand &demand);
+
+/// Whether a model keeps a group and is not saturated if one of its groups is dissolved.
+bool canSpareGroup(ModelDemand demand);
+
 /// How urgently a model needs one more group. A model without groups has the highest urgency.
 double urgency(const ModelDemand &demand);
 
@@ -28,7 +35,7 @@
     GroupCounts initialCounts; ///< The first split, before the first request. Empty afterwards.
     std::vector<ModelDemand> demand; ///< In the order of the models of the engine.
     bool isZoneInService = true; ///< The zone of the domain takes new requests.
-    /// Whether this domain may convert groups at this time. The domains take turns, so that no two
+    /// Whether this domain may convert groups at this time. The domains take turns, so that few
     /// convert groups for the same demand. Repairs do not wait for the turn.
     bool mayConvert = false;
 };
@@ -37,8 +44,9 @@
 /// spares. Groups are formed only of VMs that hold the weights, which takes less than two seconds:
 /// a group that waits for a load keeps all its other members idle. If the VMs of some groups would
 /// serve callers better in a group of another model, those groups are dissolved, and their VMs are
-/// reserved for the other model. This handles crashes, VMs that are added and removed, and shifts
-/// of traffic between models. Returns false if nothing changed.
+/// reserved for the other model. A model without any group gets one whenever others can spare
+/// theirs. This handles crashes, VMs that are added and removed, and shifts of traffic between
+/// models. Returns false if nothing changed.
 bool formGroups(FormationPlan &plan, const DomainId &domain, const FormationInput &input);
 
 } // namespace bramleypitch
--- a/src/formation/weight_staging.cpp
+++ b/src/formation/weight_staging.cpp
@@ -9,6 +9,10 @@
     const auto holds = [&](const ModelDemand &demand) {
         return holdsWeights(backend, demand.model->name);
     };
+    const ServedModel *unserved = input.unserved.model;
+    if (unserved && input.unserved.holders.count(backend.report.id)
+        && !holdsWeights(backend, unserved->name))
+        return unserved;
     const bool holdsNone = std::none_of(input.demand.begin(), input.demand.end(), holds);
     const std::vector<ModelId> &staged = backend.report.staged;
     const auto extraModels = static_cast<std::size_t>(
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -357,7 +357,7 @@
     own.taking = m_ready && !m_stopping;
     own.settled = m_membership.isSettled(now);
     own.running = m_backends.ownRunning();
-    own.demand = m_requests.demand();
+    own.demand = m_requests.demand(now);
     own.suspects = m_backends.suspects(now);
     own.recentProgress = m_backends.recentProgress(now);
     own.clock = now;
@@ -490,7 +490,7 @@
         return;
     m_formation.setNodes(m_membership.live(now));
     std::map<ModelId, double> demand = m_membership.demand(now);
-    for (const auto &[model, slots] : m_requests.demand())
+    for (const auto &[model, slots] : m_requests.demand(now))
         demand[model] += slots;
     m_formation.setDemand(demand, now);
     if (m_requests.hasArrivals())
--- a/src/request/engine_model.cpp
+++ b/src/request/engine_model.cpp
@@ -49,7 +49,8 @@
     const double pass = passMs(engine, model, typicalDecodingRequests(engine));
     const double passes =
         std::max(std::ceil(size.completionTokens / std::max<std::uint32_t>(engine.stride, 1)), 1.0);
-    return 1 + prefillWeight * engine.slots * prefill / (prefill + passes * pass);
+    const double duration = prefill + passes * pass;
+    return duration > 0 ? 1 + prefillWeight * engine.slots * prefill / duration : 1;
 }
 
 } // namespace bramleypitch
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -4,6 +4,7 @@
 #include "request/engine_model.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace bramleypitch {
 
@@ -14,6 +15,8 @@
 /// A request is refused if it would start later than this after its latency target: the caller
 /// learns this immediately, and the requests queued behind it are not delayed as well.
 constexpr Duration maxLateness {500};
+/// Time for which a refused request counts as demand, about the duration of a stream.
+constexpr Duration refusedDemandTime {1'000};
 constexpr Duration rateInterval {500}; ///< Between updates of the rate at which attempts end.
 constexpr double rateSmoothing = 0.5;
 constexpr double gapSmoothing = 0.1;
@@ -78,9 +81,11 @@
     return sum;
 }
 
-std::map<ModelId, double> RequestSystem::demand() const
+std::map<ModelId, double> RequestSystem::demand(TimePoint now) const
 {
     std::map<ModelId, double> sum;
+    for (const auto &[model, refused] : m_refusedDemand)
+        sum[model] = refusedSlots(refused, now);
     for (const auto &[id, request] : m_requests) {
         if (!request.arrival.model.value().empty())
             sum[request.arrival.model] += request.slotsNeeded;
@@ -88,6 +93,20 @@
     return sum;
 }
 
+double RequestSystem::refusedSlots(const RefusedDemand &refused, TimePoint now)
+{
+    const auto passed = static_cast<double>(elapsed(refused.at, now).count());
+    return refused.slots * std::exp(-passed / static_cast<double>(refusedDemandTime.count()));
+}
+
+void RequestSystem::addRefusedDemand(const Request &request, TimePoint now)
+{
+    if (!m_configuration->findModel(request.service, request.arrival.model))
+        return;
+    RefusedDemand &refused = m_refusedDemand[request.arrival.model];
+    refused = {refusedSlots(refused, now) + request.slotsNeeded, now};
+}
+
 RetryAllowance &RequestSystem::retries(const ServiceId &service)
 {
     return m_retries.try_emplace(service, m_options.retries).first->second;
@@ -165,9 +184,11 @@
         return;
     const TargetChoice choice = chooseTarget(m_backends, choiceInput(queued->second), now);
     if (choice.outcome == TargetChoice::Outcome::None) {
+        addRefusedDemand(queued->second, now);
         refuse(queued->second, ErrorCode::NoCapacity, m_options.defaultRetryAfter, "no_server", now,
                actions);
     } else if (const auto queueWait = excessiveQueueWait(queued->second, m_targets[key], now)) {
+        addRefusedDemand(queued->second, now);
         refuse(queued->second, ErrorCode::QueueFull, *queueWait, "queue", now, actions);
     }
 }
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -91,8 +91,9 @@
     /// Whether any request was received since the start.
     bool hasArrivals() const { return m_hasArrivals; }
     std::size_t waiting() const;
-    /// Slots needed by the running and waiting requests, by model.
-    std::map<ModelId, double> demand() const;
+    /// Slots needed by the running and waiting requests, by model, and by those that were refused a
+    /// short time ago because no server had room for them.
+    std::map<ModelId, double> demand(TimePoint now) const;
 
 private:
     /// A request that is waiting or running.
@@ -130,6 +131,12 @@
         ModelId model;
         auto operator<=>(const TargetKey &) const = default;
     };
+    /// Slots that refused requests would have needed. Decreases exponentially.
+    struct RefusedDemand
+    {
+        double slots = 0; ///< At the time `at`.
+        TimePoint at;
+    };
     /// Queue of the requests waiting for servers of one service and model.
     struct Target
     {
@@ -156,6 +163,9 @@
     /// has begun.
     void refuse(Request &request, ErrorCode code, std::optional<Duration> retryAfter,
                 const char *cause, TimePoint now, RequestActions &actions);
+    /// Counts a request in the demand that is refused because no server has room for it.
+    void addRefusedDemand(const Request &request, TimePoint now);
+    static double refusedSlots(const RefusedDemand &refused, TimePoint now);
     void endAttempt(Request &request);
     void finish(RequestId request);
     /// The expected waiting time if it is too long for the latency target, otherwise nothing.
@@ -177,6 +187,7 @@
     std::unordered_map<RequestId, Request> m_requests;
     std::map<TargetKey, Target> m_targets;
     std::map<ServiceId, RetryAllowance> m_retries;
+    std::map<ModelId, RefusedDemand> m_refusedDemand;
     bool m_hasArrivals = false;
     TimePoint m_ratesAt;
     TimePoint m_deadlinesAt;
--- a/src/tests/formation_test.cpp
+++ b/src/tests/formation_test.cpp
@@ -14,7 +14,17 @@
 
 namespace {
 
-ServingConfigurationPtr configuration()
+ServedModel servedModel(const char *name, std::uint32_t span, double share)
+{
+    ServedModel model;
+    model.name = ModelId(name);
+    model.span = span;
+    model.share = share;
+    model.loadTime = Duration(12'000);
+    return model;
+}
+
+ServingConfigurationPtr configuration(std::vector<ServedModel> models)
 {
     auto result = std::make_shared<ServingConfiguration>();
     result->version = 1;
@@ -25,21 +35,18 @@
     engine.slots = 17;
     engine.maxLoadsPerSecond = 5;
     engine.maxConcurrentLoads = 7;
-    ServedModel large;
-    large.name = ModelId("large");
-    large.span = 4;
-    large.share = 0.5;
-    large.loadTime = Duration(16'000);
-    ServedModel small;
-    small.name = ModelId("small");
-    small.span = 2;
-    small.share = 0.5;
-    small.loadTime = Duration(12'000);
-    engine.models = {large, small};
+    engine.models = std::move(models);
     result->services[service.name] = service;
     return result;
 }
 
+ServingConfigurationPtr configuration()
+{
+    ServedModel large = servedModel("large", 4, 0.5);
+    large.loadTime = Duration(16'000);
+    return configuration({large, servedModel("small", 2, 0.5)});
+}
+
 /// Simulates the VMs of the platform: applies group orders and keeps the reports that formation
 /// reads.
 class Fleet
@@ -148,13 +155,14 @@
 class Harness
 {
 public:
-    explicit Harness(Fleet fleet, bool firstStart = false)
+    explicit Harness(Fleet fleet, bool firstStart = false,
+                     const ServingConfigurationPtr &served = configuration())
         : m_fleet(std::move(fleet))
     {
         FormationOptions options;
         options.node = NodeId("n1");
         m_system = std::make_unique<FormationSystem>(options, m_backends, m_now);
-        m_system->setConfiguration(configuration());
+        m_system->setConfiguration(served);
         m_system->setNodes({NodeId("n1")});
         m_system->setFirstStart(firstStart);
         if (!firstStart)
@@ -185,6 +193,12 @@
         m_backends.erase(vm);
     }
 
+    void addVm(const BackendReport &report)
+    {
+        m_fleet.reports[report.id] = report;
+        updateBackends();
+    }
+
     void updateBackends()
     {
         for (const auto &[id, report] : m_fleet.reports) {
@@ -279,7 +293,8 @@
     std::map<DomainId, std::uint32_t> sizes;
     for (int i = 0; i < 6; ++i)
         sizes[DomainId("d" + std::to_string(i))] = 10;
-    const EngineSpec &engine = *configuration()->services.begin()->second.engine;
+    const ServingConfigurationPtr held = configuration();
+    const EngineSpec &engine = *held->services.begin()->second.engine;
     std::uint32_t large = 0;
     std::uint32_t small = 0;
     for (const auto &[domain, counts] : initialSplit(sizes, engine)) {
@@ -527,6 +542,73 @@
     EXPECT_LE(loadOrders, 5 * 5 + 3);
 }
 
+TEST(FormationTest, ModelWithoutGroupsGetsOneWhileOthersCanSpareTheirs)
+{
+    // Guards against a failure seen in a deployment: the VMs of each domain were all in groups of
+    // one model, no VM was free, and all requests for the other model were refused until a fault
+    // freed some VMs.
+    for (const double slots : {14.0, 20.0}) {
+        Harness harness(Fleet(9), true,
+                        configuration({servedModel("large", 4, 0), servedModel("small", 3, 1)}));
+        harness.run(Duration(6'000));
+        ASSERT_EQ(harness.fleet().countOpenGroups(ModelId("small")), 3U);
+        for (auto &[id, report] : harness.fleet().reports)
+            report.staged = {ModelId("large"), ModelId("small")};
+        harness.system().setDemand({{ModelId("large"), slots}, {ModelId("small"), 8}},
+                                   harness.now());
+        harness.run(Duration(2'000));
+        EXPECT_EQ(harness.fleet().countOpenGroups(ModelId("large")), 1U) << slots;
+        EXPECT_EQ(harness.fleet().countOpenGroups(ModelId("small")), 1U) << slots;
+        EXPECT_TRUE(harness.fleet().violations.empty());
+    }
+}
+
+TEST(FormationTest, ModelWithoutGroupsTakesNoneThatOthersNeed)
+{
+    Harness harness(Fleet(9), true,
+                    configuration({servedModel("large", 4, 0), servedModel("small", 3, 1)}));
+    harness.run(Duration(6'000));
+    for (auto &[id, report] : harness.fleet().reports)
+        report.staged = {ModelId("large"), ModelId("small")};
+    // Two of the three groups would be dissolved, and the last one could not take these requests.
+    harness.system().setDemand({{ModelId("large"), 2}, {ModelId("small"), 30}}, harness.now());
+    harness.run(Duration(4'000));
+    EXPECT_EQ(harness.fleet().countOpenGroups(ModelId("small")), 3U);
+}
+
+TEST(FormationTest, WeightsOfModelWithoutGroupsReplaceOthers)
+{
+    // Every VM has the weights of two of three models, and space for no more.
+    Harness harness(Fleet(8), true,
+                    configuration({servedModel("large", 4, 0.5), servedModel("small", 2, 0.5),
+                                   servedModel("rare", 2, 0)}));
+    harness.run(Duration(9'000));
+    harness.system().setDemand({{ModelId("large"), 8}, {ModelId("small"), 8}, {ModelId("rare"), 4}},
+                               harness.now());
+    harness.run(Duration(15'000));
+    EXPECT_EQ(harness.fleet().countOpenGroups(ModelId("rare")), 1U);
+    EXPECT_GE(harness.fleet().countOpenGroups(ModelId("large")), 1U);
+    EXPECT_GE(harness.fleet().countOpenGroups(ModelId("small")), 1U);
+}
+
+TEST(FormationTest, FirstSplitFollowsVmsThatAreKnownLate)
+{
+    // Half of the VMs were known when groups were first formed.
+    const ServingConfigurationPtr served =
+        configuration({servedModel("large", 8, 0.9), servedModel("small", 2, 0.1)});
+    Harness harness(Fleet(6), true, served);
+    harness.run(Duration(2'500));
+    EXPECT_EQ(harness.fleet().countOpenGroups(ModelId("small")), 3U);
+    for (const auto &[id, report] : Fleet(11).reports) {
+        if (!harness.fleet().reports.count(id))
+            harness.addVm(report);
+    }
+    harness.run(Duration(5'000));
+    EXPECT_EQ(harness.fleet().countOpenGroups(ModelId("large")), 1U);
+    EXPECT_EQ(harness.fleet().countOpenGroups(ModelId("small")), 1U);
+    EXPECT_TRUE(harness.fleet().violations.empty());
+}
+
 TEST(FormationTest, UnreadablePlansThrowFailure)
 {
     EXPECT_THROW(parsePlan("{"), Failure);
--- a/src/tests/request_test.cpp
+++ b/src/tests/request_test.cpp
@@ -213,6 +213,18 @@
     EXPECT_TRUE(actionsOf<DispatchAttempt>(sendRequest("/ask/x")).empty());
 }
 
+TEST_F(RequestTest, RefusedRequestsCountAsDemandForAWhile)
+{
+    // Guards against a failure seen in a deployment: a model without groups seemed to have no
+    // demand, because all its requests were refused, and so it got no group.
+    for (int i = 0; i < 10; ++i)
+        sendRequest("/ask/x");
+    EXPECT_GE(m_system.demand(m_now)[ModelId("m")], 10);
+    EXPECT_LT(m_system.demand(m_now + Duration(10'000))[ModelId("m")], 0.1);
+    sendRequest("/pay/x");
+    EXPECT_EQ(m_system.demand(m_now).size(), 1U);
+}
+
 TEST_F(RequestTest, ZoneTakenOutGetsNoRequests)
 {
     m_backends.update(serverReport("s1"), m_now);
