Fix: [Network] [Request] [Coordination] Mend faults found by code review

Each has a test that failed before: - A feed that came after a failed watch left the store unreachable for good on that node. - Wrong JSON types in records, leases and replies of the store, and invalid addresses in node records, threw through the event loop; they are logged and skipped. - After a resumed stream, X-Not-Executed and At-Server were read from the first response.

--- a/src/command/operator_store.cpp
+++ b/src/command/operator_store.cpp
@@ -25,6 +25,19 @@
     return digits.data();
 }
 
+/// Parses a stored audit record, whose key ends with its revision. Throws Failure if it is
+/// malformed.
+AcceptedChange parseAuditRecord(const SharedValue &value, const std::string &prefix)
+{
+    try {
+        return {Revision(std::stoll(value.key.substr(prefix.size()))),
+                parseAudit(nlohmann::json::parse(value.value))};
+    } catch (const std::exception &error) {
+        throw Failure(ErrorCode::PlatformProtocol,
+                      "the audit record " + value.key + " is unreadable: " + error.what());
+    }
+}
+
 } // namespace
 
 OperatorStore::OperatorStore(const Settings &settings)
@@ -116,9 +129,9 @@
     const StoredEnvelope current = read(stage);
     std::vector<AcceptedChange> changes;
     for (const SharedValue &value : readPrefix(prefix).values) {
-        const Revision revision(std::stoll(value.key.substr(prefix.size())));
-        if (revision < current.revision)
-            changes.push_back({revision, parseAudit(nlohmann::json::parse(value.value))});
+        const AcceptedChange change = parseAuditRecord(value, prefix);
+        if (change.revision < current.revision)
+            changes.push_back(change);
     }
     if (current.envelope)
         changes.push_back({current.revision, current.envelope->audit});
--- a/src/coordination/ledger_func.cpp
+++ b/src/coordination/ledger_func.cpp
@@ -198,6 +198,8 @@
         return 'c';
     case ClaimState::Done:
         return 'd';
+    case ClaimState::Abandoned:
+        return 'a';
     case ClaimState::Unknown:
         return 'u';
     }
@@ -230,6 +232,7 @@
     const auto state = json.at("s").get<std::string>();
     record.state = state == "c" ? ClaimState::Claimed
         : state == "d"          ? ClaimState::Done
+        : state == "a"          ? ClaimState::Abandoned
                                 : ClaimState::Unknown;
     if (record.state == ClaimState::Done) {
         json.at("st").get_to(record.outcome.status);
--- a/src/network/caller_api.cpp
+++ b/src/network/caller_api.cpp
@@ -137,7 +137,7 @@
     parsed.nodeEvent.maxTokens =
         parseBoundedInteger(body, "max_tokens", defaultMaxTokens, 1, maxTokensAllowed);
     parsed.nodeEvent.priority = parseBoundedInteger(body, "priority", 0, 0, maxPriority);
-    if (body.contains("first_token_deadline_ms"))
+    if (body.contains("first_token_deadline_ms") && !body["first_token_deadline_ms"].is_null())
         parsed.nodeEvent.firstTokenDeadline =
             Duration(parseBoundedInteger(body, "first_token_deadline_ms", 1, 1, maxDeadlineMs));
     if (body.contains("stream") && !body["stream"].is_boolean())
--- a/src/network/lease_keeper.cpp
+++ b/src/network/lease_keeper.cpp
@@ -1,5 +1,8 @@
 #include "network/lease_keeper.h"
 
+#include "network/address_func.h"
+#include "network/log.h"
+
 #include <nlohmann/json.hpp>
 
 namespace bramleypitch {
@@ -94,16 +97,21 @@
 {
     std::vector<NodeRecord> records;
     for (const SharedValue &value : read.values) {
-        const json body = json::parse(value.value, nullptr, false);
-        if (!body.is_object())
-            continue;
-        NodeRecord record;
-        record.node = NodeId(body.value("node", std::string()));
-        record.incarnation = Incarnation(value.revision.value());
-        record.entryAddress = Address(body.value("entry_address", std::string()));
-        record.peerAddress = Address(body.value("peer_address", std::string()));
-        record.zone = ZoneId(body.value("availability_zone", std::string()));
-        records.push_back(std::move(record));
+        try {
+            const json body = json::parse(value.value);
+            NodeRecord record;
+            record.node = NodeId(body.value("node", std::string()));
+            record.incarnation = Incarnation(value.revision.value());
+            record.entryAddress = Address(body.value("entry_address", std::string()));
+            record.peerAddress = Address(body.value("peer_address", std::string()));
+            record.zone = ZoneId(body.value("availability_zone", std::string()));
+            parseAddress(record.entryAddress);
+            parseAddress(record.peerAddress);
+            records.push_back(std::move(record));
+        } catch (const std::exception &error) {
+            logLine(LogLevel::Warning, "value_unreadable",
+                    {{"key", value.key}, {"reason", error.what()}});
+        }
     }
     return records;
 }
--- a/src/network/peer_convert.cpp
+++ b/src/network/peer_convert.cpp
@@ -1,5 +1,7 @@
 #include "network/peer_convert.h"
 
+#include "core/error_type.h"
+
 namespace bramleypitch {
 
 namespace {
@@ -24,6 +26,16 @@
     return outcome;
 }
 
+/// Converts the number of an enumerator. Throws Failure unless it is from 0 to `last`.
+template<typename Enum>
+Enum enumFromWire(std::int32_t number, Enum last)
+{
+    if (number < 0 || number > static_cast<std::int32_t>(last))
+        throw Failure(ErrorCode::MalformedRequest,
+                      "unknown value " + std::to_string(number) + " in a message of another node");
+    return static_cast<Enum>(number);
+}
+
 } // namespace
 
 peer::Heartbeat toWire(const Heartbeat &heartbeat)
@@ -84,7 +96,7 @@
 LedgerRequest fromWire(const peer::LedgerRequest &wire)
 {
     LedgerRequest request;
-    request.verb = static_cast<LedgerVerb>(wire.verb);
+    request.verb = enumFromWire(wire.verb, LedgerVerb::Abandon);
     request.key = LedgerKey(wire.key);
     request.digest = wire.digest;
     request.claim = ClaimId(wire.claim);
@@ -103,7 +115,7 @@
 
 LedgerReply fromWire(const peer::LedgerReply &wire)
 {
-    return {static_cast<LedgerAnswer>(wire.answer), outcomeFromWire(wire.outcome)};
+    return {enumFromWire(wire.answer, LedgerAnswer::Unavailable), outcomeFromWire(wire.outcome)};
 }
 
 peer::SharedValue toWire(const SharedValue &value)
--- a/src/network/platform_client.cpp
+++ b/src/network/platform_client.cpp
@@ -58,6 +58,31 @@
     return read;
 }
 
+/// The fields of the reply to a transaction.
+struct SwapReply
+{
+    bool readable = false; ///< Otherwise the outcome of the transaction is unknown.
+    bool succeeded = false;
+    Revision revision;
+};
+
+SwapReply parseSwapReply(const HttpResponse &response)
+{
+    if (response.status != statusOk)
+        return {};
+    try {
+        const json body = json::parse(response.body);
+        SwapReply reply;
+        reply.succeeded = body.value("succeeded", false);
+        if (reply.succeeded)
+            reply.revision = Revision(parseInteger(body.at("header"), "revision"));
+        reply.readable = true;
+        return reply;
+    } catch (const std::exception &) {
+        return {};
+    }
+}
+
 StoreLease parseLease(const HttpResponse &response)
 {
     StoreLease lease;
@@ -160,15 +185,12 @@
                      {"success", {{{"request_put", put}}}}};
     HttpHooks hooks;
     hooks.onResponse = [this, key, expected, value, done](const HttpResponse &response) {
-        const json reply = json::parse(response.body, nullptr, false);
-        const bool readable = response.status == statusOk && reply.is_object();
-        if (readable && reply.value("succeeded", false) && reply.contains("header")) {
-            done({StoreSwapOutcome::Written,
-                  Revision(parseInteger(reply["header"], "revision")),
-                  {}});
+        const SwapReply reply = parseSwapReply(response);
+        if (reply.readable && reply.succeeded) {
+            done({StoreSwapOutcome::Written, reply.revision, {}});
             return;
         }
-        readBack(key, expected, value, !readable, done);
+        readBack(key, expected, value, !reply.readable, done);
     };
     hooks.onFailure = [this, key, expected, value, done](const HttpFailure &failure) {
         if (!failure.sent) {
--- a/src/network/relay.cpp
+++ b/src/network/relay.cpp
@@ -13,6 +13,9 @@
 /// Reading from the server is paused when more unsent bytes than this wait for a slow caller, until
 /// all of them have been sent.
 constexpr std::size_t maxUnsentBytes = 128 * 1024;
+/// Limit on the body of a response that is not a stream. It is kept until it is complete, since an
+/// incomplete response may be replaced by that of another server.
+constexpr std::size_t maxBufferedBytes = 4 * 1024 * 1024;
 constexpr std::string_view eventStreamType = "text/event-stream";
 
 int toHttpStatus(ErrorCode code)
@@ -151,10 +154,9 @@
     const std::string type = head.value("content-type");
     exchange->isStream = head.status >= ok && head.status < firstRedirect
         && type.compare(0, eventStreamType.size(), eventStreamType) == 0;
+    exchange->attemptHead = head;
     if (!exchange->headSent)
         exchange->responseHead = head;
-    else if (!exchange->isStream)
-        exchange->responseHead.status = head.status;
     exchange->responseBody.clear();
     exchange->framing.reset();
 }
@@ -164,10 +166,20 @@
     Exchange *exchange = find(id, attempt);
     if (!exchange)
         return;
-    if (exchange->isStream)
+    if (exchange->isStream) {
         forwardEvents(id, *exchange, bytes);
-    else
-        exchange->responseBody += bytes;
+        return;
+    }
+    exchange->responseBody += bytes;
+    if (exchange->responseBody.size() <= maxBufferedBytes)
+        return;
+    m_hooks.decided({exchange->head.value(m_dialect.traceHeader),
+                     "response_too_large",
+                     {{"bytes", std::to_string(exchange->responseBody.size())},
+                      {"limit", std::to_string(maxBufferedBytes)}}});
+    exchange->responseBody.clear();
+    m_backends.abandon(exchange->handle);
+    handleAttemptFailure(id, attempt, true);
 }
 
 void Relay::startResponse(RequestId id, Exchange &exchange)
@@ -215,8 +227,8 @@
         m_exchanges.erase(id);
         m_requests.onStreamEnded(id, attempt, now, actions);
     } else {
-        const ResponseDetails details = m_dialect.readResponse(exchange->responseHead);
-        const int status = exchange->responseHead.status;
+        const ResponseDetails details = m_dialect.readResponse(exchange->attemptHead);
+        const int status = exchange->attemptHead.status;
         if (status == misdirectedRequest)
             m_requests.onAttemptFailed(id, attempt, AttemptFailure::Misdirected,
                                        details.faultyServer, now, actions);
--- a/src/network/relay.h
+++ b/src/network/relay.h
@@ -69,7 +69,8 @@
         TimePoint arrivedAt;
         AttemptNumber attempt;
         AttemptHandle handle;
-        MessageHead responseHead;
+        MessageHead attemptHead; ///< Head of the response to the current attempt.
+        MessageHead responseHead; ///< Head that the caller gets: of the first attempt with events.
         std::string responseBody;
         MessageHead lastResponseHead; ///< Of the last complete response, kept for DeliverResponse.
         std::string lastResponseBody;
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -1,5 +1,6 @@
 #include "network/serving_daemon.h"
 
+#include "network/address_func.h"
 #include "network/log.h"
 
 #include <nlohmann/json.hpp>
@@ -64,6 +65,25 @@
     return std::to_string(duration.count());
 }
 
+/// Parses the stored record of a node. Throws Failure if it is malformed.
+MembershipRecord parseMembershipRecord(const NodeId &node, const std::string &text)
+{
+    try {
+        const nlohmann::json json = nlohmann::json::parse(text);
+        MembershipRecord record;
+        record.node = node;
+        record.zone = json.at("zone").get<ZoneId>();
+        record.front = json.at("front").get<Address>();
+        record.peer = json.at("peer").get<Address>();
+        parseAddress(record.front);
+        parseAddress(record.peer);
+        return record;
+    } catch (const nlohmann::json::exception &error) {
+        throw Failure(ErrorCode::PlatformProtocol,
+                      std::string("invalid record of a node: ") + error.what());
+    }
+}
+
 /// Returns the id under which the request counts of another zone are stored next to those of single
 /// nodes. No node has such a name.
 NodeId zoneCountsId(const ZoneId &zone)
@@ -131,6 +151,7 @@
     m_stopping = true;
     m_stopAt = m_loop.now();
     m_relay.callers().setClosing();
+    m_requests.setStopDeadline(m_stopAt + m_options.stopTime - stopMargin);
     m_membership.setAccepting(false);
     m_membership.setLeaving();
     pulse(m_stopAt);
@@ -304,15 +325,7 @@
     }
     if (node == m_options.node)
         m_recordRevision = change.revision;
-    const nlohmann::json json = nlohmann::json::parse(change.value, nullptr, false);
-    if (!json.is_object())
-        throw Failure(ErrorCode::PlatformProtocol, "the record of a node is not a JSON object");
-    MembershipRecord record;
-    record.node = node;
-    record.zone = ZoneId(json.value("zone", std::string()));
-    record.front = Address(json.value("front", std::string()));
-    record.peer = Address(json.value("peer", std::string()));
-    m_membership.setRecord(record, m_loop.now());
+    m_membership.setRecord(parseMembershipRecord(node, change.value), m_loop.now());
 }
 
 void ServingDaemon::settled()
--- a/src/network/store_mirror.cpp
+++ b/src/network/store_mirror.cpp
@@ -79,7 +79,12 @@
     m_appliedRevision = std::max(m_appliedRevision, feed.to);
     // The sender held `to` as the newest revision `proofAge` before it sent the feed, which was
     // after this node sent the echoed pulse.
-    recordProof(std::min(feed.echo - feed.proofAge, now));
+    const TimePoint provenAt = std::min(feed.echo - feed.proofAge, now);
+    recordProof(provenAt);
+    // This node may not call the store again while feeds arrive, so it learns from them that the
+    // store is back.
+    if (!m_reachable && provenAt > m_failedAt)
+        onSuccess();
     if (changed)
         m_hooks.settled();
     return true;
@@ -217,6 +222,7 @@
         m_hooks.reachable(false, cause);
     m_reachable = false;
     m_reachableSince = TimePoint();
+    m_failedAt = m_loop.now();
     m_retryDelay =
         m_retryDelay == Duration(0) ? minRetryDelay : std::min(m_retryDelay * 2, maxRetryDelay);
     scheduleNext(m_retryDelay);
--- a/src/network/store_mirror.h
+++ b/src/network/store_mirror.h
@@ -48,8 +48,8 @@
     /// Whether a full read has been completed and its watches can continue from it.
     bool complete() const { return m_complete; }
     bool isReachable() const { return m_reachable; }
-    /// Start of the current period without failures of the store; the epoch while it is
-    /// unreachable.
+    /// Start of the current period without failures of the store, by this node's calls or by feeds
+    /// that prove later calls of other nodes; the epoch while it is unreachable.
     TimePoint reachableSince() const { return m_reachableSince; }
 
 private:
@@ -88,6 +88,7 @@
     bool m_complete = false;
     bool m_reachable = false;
     TimePoint m_reachableSince;
+    TimePoint m_failedAt; ///< When the last call of this node to the store failed.
 };
 
 } // namespace bramleypitch
--- a/src/platform/platform_dialect.cpp
+++ b/src/platform/platform_dialect.cpp
@@ -45,15 +45,20 @@
                        [&](std::string_view reserved) { return sameHeader(reserved, name); });
 }
 
-/// Parses the number at `index` of a comma-separated list, or the last one if the list is shorter.
-/// Returns 0 if that element is not a number.
+/// Parses the number at `index` of a comma-separated list. Returns 0 if there is no such element or
+/// if it is not a number from 0 to maxNumber.
 double parseNumberAt(std::string_view text, std::size_t index)
 {
-    for (; index > 0 && !text.empty(); --index)
-        text.remove_prefix(std::min(text.find(',') + 1, text.size()));
+    constexpr double maxNumber = 1e9; // Far above any number of tokens or milliseconds.
+    for (; index > 0; --index) {
+        const std::size_t comma = text.find(',');
+        if (comma == std::string_view::npos)
+            return 0;
+        text.remove_prefix(comma + 1);
+    }
     double value = 0;
     std::from_chars(text.data(), text.data() + text.size(), value);
-    return value;
+    return value >= 0 && value <= maxNumber ? value : 0; // Excludes values that are not finite.
 }
 
 /// Removes the port and converts the host name to lower case.
--- a/src/request/backend_base.cpp
+++ b/src/request/backend_base.cpp
@@ -34,6 +34,7 @@
         backend.eventGapMs = 0;
         backend.lastModel = ModelId();
         backend.suspectUntil = TimePoint();
+        backend.ownSuspectUntil = TimePoint();
     }
     if (backend.report != report || backend.listing != Listing::Listed)
         changed();
--- a/src/request/engine_model.cpp
+++ b/src/request/engine_model.cpp
@@ -43,13 +43,18 @@
     return pass / 2 + prefillMs(engine, model, promptTokens) + pass;
 }
 
-double slotsNeeded(const EngineSpec &engine, const ServedModel &model, const GenerationSize &size)
+double executionMs(const EngineSpec &engine, const ServedModel &model, const GenerationSize &size)
 {
-    const double prefill = prefillMs(engine, model, size.promptTokens);
     const double pass = passMs(engine, model, typicalDecodingRequests(engine));
     const double passes =
         std::max(std::ceil(size.completionTokens / std::max<std::uint32_t>(engine.stride, 1)), 1.0);
-    const double duration = prefill + passes * pass;
+    return prefillMs(engine, model, size.promptTokens) + passes * pass;
+}
+
+double slotsNeeded(const EngineSpec &engine, const ServedModel &model, const GenerationSize &size)
+{
+    const double prefill = prefillMs(engine, model, size.promptTokens);
+    const double duration = executionMs(engine, model, size);
     return duration > 0 ? 1 + prefillWeight * engine.slots * prefill / duration : 1;
 }
 
--- a/src/request/engine_model.h
+++ b/src/request/engine_model.h
@@ -25,6 +25,9 @@
 /// event.
 double firstEventMs(const EngineSpec &engine, const ServedModel &model, double promptTokens);
 
+/// Expected duration in milliseconds of the execution of a request on a group with typical load.
+double executionMs(const EngineSpec &engine, const ServedModel &model, const GenerationSize &size);
+
 /// Number of group slots that a request effectively needs: the slot that it occupies, plus the time
 /// for which its prefill blocks the other slots, averaged over the duration of the request. Models
 /// with long prompts or short completions need more groups than their request count suggests.
--- a/src/request/membership_base.cpp
+++ b/src/request/membership_base.cpp
@@ -51,7 +51,11 @@
 bool MembershipTable::onPulse(const Pulse &pulse, TimePoint now)
 {
     Peer &peer = m_peers[pulse.node];
-    if (pulse.life == peer.pulse.life && pulse.number <= peer.pulse.number)
+    // A pulse of an earlier run may still be under way when its node has restarted. The wall clock
+    // may also have been set back, so a lower number of the run is accepted after a silence.
+    const bool isOfEarlierRun =
+        pulse.life < peer.pulse.life && now - peer.seenAt < m_options.nodeTimeout;
+    if (isOfEarlierRun || (pulse.life == peer.pulse.life && pulse.number <= peer.pulse.number))
         return false;
     peer.pulse = pulse;
     peer.seenAt = now;
@@ -132,6 +136,11 @@
             silent.push_back(node);
         }
     }
+    std::erase_if(m_peers, [&](const auto &entry) {
+        const Peer &peer = entry.second;
+        return !peer.record && !peer.seenSinceReport
+            && now - std::max(peer.seenAt, peer.recordAt) >= m_options.nodeCountMemory;
+    });
     return silent;
 }
 
--- a/src/request/membership_base.h
+++ b/src/request/membership_base.h
@@ -97,6 +97,9 @@
     /// Slots needed by the running and waiting requests of all other live nodes, by model.
     std::map<ModelId, double> demand(TimePoint now) const;
 
+    /// Number of other nodes of which anything is known.
+    std::size_t known() const { return m_peers.size(); }
+
 private:
     struct Peer
     {
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -17,6 +17,10 @@
 constexpr Duration maxLateness {500};
 /// Time for which a refused request counts as demand, about the duration of a stream.
 constexpr Duration refusedDemandTime {1'000};
+/// Time within which plain services respond, apart from rare cases.
+constexpr Duration maxPlainDuration {1'000};
+/// A request may take this many times its expected duration, on a group that is slow or full.
+constexpr int durationMargin = 2;
 constexpr Duration rateInterval {500}; ///< Between updates of the rate at which attempts end.
 constexpr double rateSmoothing = 0.5;
 constexpr double gapSmoothing = 0.1;
@@ -171,8 +175,14 @@
     if (engine && model) {
         const auto start = firstEventMs(*engine, *model, arrival.promptTokens);
         request.latestStart -= Duration(static_cast<Duration::rep>(start));
-        request.slotsNeeded =
-            slotsNeeded(*engine, *model, {arrival.promptTokens, arrival.completionTokens});
+        const GenerationSize size {arrival.promptTokens, arrival.completionTokens};
+        request.slotsNeeded = slotsNeeded(*engine, *model, size);
+        request.expectedDuration =
+            Duration(static_cast<Duration::rep>(executionMs(*engine, *model, size)));
+    }
+    if (mayOutlastStop(request, now)) {
+        refuse(request, ErrorCode::NoCapacity, minRetryAfter, "stopping", now, actions);
+        return;
     }
     retries(request.service).onRequest(now);
     enqueue(request, now);
@@ -193,6 +203,15 @@
     }
 }
 
+bool RequestSystem::mayOutlastStop(const Request &request, TimePoint now) const
+{
+    if (!m_stopDeadline)
+        return false;
+    const Duration longest =
+        maxLateness + maxPlainDuration + durationMargin * request.expectedDuration;
+    return now + std::min(longest, request.deadline - now) > *m_stopDeadline;
+}
+
 std::optional<Duration> RequestSystem::excessiveQueueWait(const Request &request,
                                                           const Target &target, TimePoint now) const
 {
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -57,6 +57,9 @@
     void setConfigurationProof(TimePoint provenAt) { m_provenAt = std::max(m_provenAt, provenAt); }
     /// Sets the zones that take no new requests.
     void setZonesOut(std::set<ZoneId> zones) { m_zonesOut = std::move(zones); }
+    /// The node stops and ends at the given time. From now on requests that may take longer are
+    /// refused at once, so that callers can turn to another node.
+    void setStopDeadline(TimePoint deadline) { m_stopDeadline = deadline; }
     /// Sets the number of nodes that share the limits of the servers, and the index of this node.
     void setNodes(NodeShare nodes) { m_nodes = nodes; }
 
@@ -110,6 +113,7 @@
         std::uint32_t maxAttempts = 1;
         int priority = 0;
         double slotsNeeded = 1; ///< Group slots. Not used for plain services.
+        Duration expectedDuration {0}; ///< Of the execution on a group. 0 for plain services.
         bool running = false; ///< An attempt is in progress.
         AttemptNumber attempt; ///< Number of the latest attempt.
         VmId server; ///< Server of the latest attempt.
@@ -163,6 +167,8 @@
     /// has begun.
     void refuse(Request &request, ErrorCode code, std::optional<Duration> retryAfter,
                 const char *cause, TimePoint now, RequestActions &actions);
+    /// Whether a new request may not be answered before the node stops.
+    bool mayOutlastStop(const Request &request, TimePoint now) const;
     /// Counts a request in the demand that is refused because no server has room for it.
     void addRefusedDemand(const Request &request, TimePoint now);
     static double refusedSlots(const RefusedDemand &refused, TimePoint now);
@@ -189,6 +195,7 @@
     std::map<ServiceId, RetryAllowance> m_retries;
     std::map<ModelId, RefusedDemand> m_refusedDemand;
     bool m_hasArrivals = false;
+    std::optional<TimePoint> m_stopDeadline;
     TimePoint m_ratesAt;
     TimePoint m_deadlinesAt;
 };
--- a/src/tests/ledger_test.cpp
+++ b/src/tests/ledger_test.cpp
@@ -34,6 +34,19 @@
     return batch.replies.front().answer;
 }
 
+TEST(LedgerTest, AbandonedClaimStaysAbandonedInTheStore)
+{
+    // Guards against a failure found by code review: an abandoned claim was stored as one with an
+    // unknown outcome, and its key answered "in progress" until it expired.
+    SegmentHead head;
+    EXPECT_EQ(applyRequest(head, makeRequest(LedgerVerb::Claim, "k", "c1")), LedgerAnswer::Granted);
+    EXPECT_EQ(applyRequest(head, makeRequest(LedgerVerb::Abandon, "k", "c1")),
+              LedgerAnswer::Recorded);
+    SegmentHead stored = parseHead(serializeHead(head));
+    EXPECT_EQ(applyRequest(stored, makeRequest(LedgerVerb::Claim, "k", "c2")),
+              LedgerAnswer::Granted);
+}
+
 /// A store that executes the reads and writes of several owners, with conflicts and lost replies.
 class FakeStore
 {
--- a/src/tests/relay_test.cpp
+++ b/src/tests/relay_test.cpp
@@ -4,11 +4,14 @@
 #include "core/error_type.h"
 #include "network/event_framing.h"
 #include "network/http_message.h"
+#include "network/lease_keeper.h"
+#include "network/peer_convert.h"
 #include "network/store_mirror.h"
 #include "platform/platform_dialect.h"
 #include "platform/platform_settings.h"
 #include "request/membership_base.h"
 
+#include <event2/event.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -202,6 +205,27 @@
     EXPECT_EQ(m_provenAt, now - Duration(30'400));
 }
 
+TEST_F(MirrorTest, FeedAfterFailedCallShowsThatStoreIsReachable)
+{
+    // Guards against a failure found by code review: a feed arrived between a failed watch and its
+    // retry, the node then relied on feeds, and the store counted as unreachable for good.
+    event_base_loop(m_loop.base(), EVLOOP_ONCE);
+    ASSERT_TRUE(m_store.pendingWatch);
+    m_store.pendingWatch(StoreReply());
+    EXPECT_FALSE(m_mirror.isReachable());
+    StoreFeed earlier = feed(10, 10, {});
+    earlier.echo = m_loop.now() - Duration(1'000);
+    m_mirror.take(earlier, m_loop.now());
+    EXPECT_FALSE(m_mirror.isReachable());
+    const TimePoint later = m_loop.now() + Duration(1'000);
+    StoreFeed current = feed(10, 10, {});
+    current.echo = later;
+    m_mirror.take(current, later);
+    m_mirror.setWatching(false);
+    EXPECT_TRUE(m_mirror.isReachable());
+    EXPECT_NE(m_mirror.reachableSince(), TimePoint());
+}
+
 TEST_F(MirrorTest, ReceivedChangesCanBeForwarded)
 {
     const TimePoint now = m_loop.now();
@@ -363,6 +387,41 @@
     EXPECT_EQ(table.entryAddresses(ZoneId("z"), 1, now + Duration(2'000)).size(), 1U);
 }
 
+TEST(MembershipTest, PulseOfEarlierRunIsIgnoredWhileTheNodeIsHeard)
+{
+    const TimePoint now = timePoint(1'000'000);
+    const MembershipRecord own {NodeId("n1"), ZoneId("z"), Address("n1:1"), Address("n1:2")};
+    MembershipTable table(MembershipOptions {own, now});
+    Pulse pulse;
+    pulse.node = NodeId("n2");
+    pulse.life = 20;
+    pulse.number = 3;
+    EXPECT_TRUE(table.onPulse(pulse, now));
+    Pulse late = pulse;
+    late.life = 10;
+    late.number = 90;
+    EXPECT_FALSE(table.onPulse(late, now + Duration(100)));
+    // The node may have restarted after its wall clock was set back.
+    EXPECT_TRUE(table.onPulse(late, now + Duration(5'000)));
+}
+
+TEST(MembershipTest, NodesWithoutRecordAreForgotten)
+{
+    const TimePoint now = timePoint(1'000'000);
+    const MembershipRecord own {NodeId("n1"), ZoneId("z"), Address("n1:1"), Address("n1:2")};
+    MembershipTable table(MembershipOptions {own, now});
+    Pulse pulse;
+    pulse.number = 1;
+    for (int i = 0; i < 100; ++i) {
+        pulse.node = NodeId("gone" + std::to_string(i));
+        table.onPulse(pulse, now);
+    }
+    EXPECT_EQ(table.known(), 100U);
+    EXPECT_EQ(table.takeSilentNodes(now + Duration(5'000)).size(), 100U);
+    table.takeSilentNodes(now + Duration(60'000));
+    EXPECT_EQ(table.known(), 0U);
+}
+
 TEST(PlatformTest, SettingErrorsNameTheSetting)
 {
     const auto file = platform::SettingsFile::parse("a.b=5\nc=x\n");
@@ -428,6 +487,56 @@
     EXPECT_NE(head.find("X-Other: kept\r\n"), std::string::npos);
 }
 
+TEST(PlatformTest, UnusableNumbersOfCallersCountAsAbsent)
+{
+    const RelayDialect dialect = platform::relayDialect();
+    const auto arrivalWith = [&](const std::string &tokens, const std::string &deadline) {
+        MessageParser parser(MessageParser::Kind::Request);
+        parser.feed("POST /p/x HTTP/1.1\r\nHost: a\r\nX-Request-Id: r1\r\nX-Token-Count: " + tokens
+                    + "\r\nX-Request-Deadline: " + deadline + "\r\nContent-Length: 0\r\n\r\n");
+        return *dialect.readArrival(parser.head());
+    };
+    EXPECT_EQ(arrivalWith("700,90", "500").completionTokens, 90);
+    EXPECT_EQ(arrivalWith("700", "500").promptTokens, 700);
+    EXPECT_EQ(arrivalWith("700", "500").completionTokens, 0);
+    EXPECT_EQ(arrivalWith("-7,nan", "500").promptTokens, 0);
+    EXPECT_EQ(arrivalWith("-7,nan", "500").completionTokens, 0);
+    for (const char *deadline : {"inf", "nan", "-5", "1e300", "", "soon"})
+        EXPECT_FALSE(arrivalWith("1,1", deadline).timeLimit.has_value()) << deadline;
+}
+
+TEST(PeerTest, UnknownEnumeratorsAreRejected)
+{
+    peer::LedgerRequest request;
+    request.verb = 3;
+    EXPECT_THROW(fromWire(request), Failure);
+    request.verb = -1;
+    EXPECT_THROW(fromWire(request), Failure);
+    request.verb = 2;
+    EXPECT_EQ(fromWire(request).verb, LedgerVerb::Abandon);
+    peer::LedgerReply reply;
+    reply.answer = 99;
+    EXPECT_THROW(fromWire(reply), Failure);
+}
+
+TEST(NodeRecordTest, UnreadableRecordsAreSkipped)
+{
+    StoreRead read;
+    const auto add = [&](const std::string &text) {
+        SharedValue value;
+        value.value = text;
+        read.values.push_back(value);
+    };
+    add("{");
+    add("[]");
+    add(R"({"node": 5, "entry_address": "127.0.0.1:1", "peer_address": "127.0.0.1:2"})");
+    add(R"({"node": "n", "entry_address": "127.0.0.1:1", "peer_address": "nowhere"})");
+    add(R"({"node": "n2", "entry_address": "127.0.0.1:1", "peer_address": "127.0.0.1:2"})");
+    const std::vector<NodeRecord> records = parseNodeRecords(read);
+    ASSERT_EQ(records.size(), 1U);
+    EXPECT_EQ(records.front().node, NodeId("n2"));
+}
+
 } // namespace
 
 } // namespace bramleypitch
--- a/src/tests/request_test.cpp
+++ b/src/tests/request_test.cpp
@@ -213,6 +213,55 @@
     EXPECT_TRUE(actionsOf<DispatchAttempt>(sendRequest("/ask/x")).empty());
 }
 
+TEST_F(RequestTest, RequestThatMayOutlastTheStopIsRefusedAtOnce)
+{
+    // Guards against a failure seen in a hunt: a stream was taken 5.3 s after the start of a stop
+    // and was broken off when the node ended 2.2 s later.
+    addGroup("g");
+    ServingConfiguration configuration = validConfiguration();
+    configuration.services[ServiceId("engines")].engine->stepMs = 20;
+    m_system.setConfiguration(std::make_shared<ServingConfiguration>(configuration));
+    m_system.setStopDeadline(m_now + Duration(7'500));
+    RequestArrival arrival;
+    arrival.host = "shop.example";
+    arrival.path = "/ask/x";
+    arrival.key = apiKey;
+    arrival.model = ModelId("m");
+    arrival.completionTokens = 100;
+    const auto arriveAfter = [&](Duration duration) {
+        arrival.request = RequestId(arrival.request.value() + 1);
+        RequestActions actions;
+        m_system.setConfigurationProof(m_now + duration);
+        m_system.onRequestArrived(arrival, m_now + duration, actions);
+        return actions;
+    };
+    EXPECT_EQ(actionsOf<DispatchAttempt>(arriveAfter(Duration(1'000))).size(), 1U);
+    const RequestActions late = arriveAfter(Duration(5'300));
+    EXPECT_TRUE(actionsOf<DispatchAttempt>(late).empty());
+    const std::vector<RefuseRequest> refusals = actionsOf<RefuseRequest>(late);
+    ASSERT_EQ(refusals.size(), 1U);
+    EXPECT_EQ(refusals[0].run, RunOutcome::NotRun);
+    EXPECT_TRUE(refusals[0].retryAfter.has_value());
+    arrival.completionTokens = 1;
+    EXPECT_EQ(actionsOf<DispatchAttempt>(arriveAfter(Duration(5'300))).size(), 1U);
+    // A caller that gives up soon enough is served in any case.
+    arrival.completionTokens = 100;
+    arrival.timeLimit = Duration(900);
+    EXPECT_EQ(actionsOf<DispatchAttempt>(arriveAfter(Duration(6'500))).size(), 1U);
+}
+
+TEST_F(RequestTest, SuspicionEndsWithTheRunOfTheServer)
+{
+    addGroup("g");
+    Backend &backend = *m_backends.find(VmId("g-head"));
+    m_backends.suspect(backend, Suspicion::Silence, Duration(4'000), m_now);
+    EXPECT_EQ(m_backends.suspects(m_now).size(), 1U);
+    BackendReport restarted = memberReport("g-head", "g", 0);
+    restarted.startedAt = 99;
+    m_backends.update(restarted, m_now);
+    EXPECT_TRUE(m_backends.suspects(m_now).empty());
+}
+
 TEST_F(RequestTest, RefusedRequestsCountAsDemandForAWhile)
 {
     // Guards against a failure seen in a deployment: a model without groups seemed to have no
