Codechange: [Request] [Formation] Costs of a node that do not grow with the fleet

Cause: on 295 nodes and 760 servers each node received 390 pulses a second from 58 peers of its zone, every decision on a domain walked all servers, each tick copied the records of a zone, and each pass of formation hashed all nodes for every domain. Duties fell on nodes of 0.12 cores as often as on those of 0.5.

Change: servers are indexed by domain; a zone of more than 25 nodes sends pulses less often, so that no node receives more than 170 a second; representatives, the store's watcher and the owners of domains are chosen among the nodes with at least half of the largest processor share, which their records now state.

Tests: LargerNodesCarryTheDutiesOfTheFleet, DomainsFollowTheEntriesOfTheirServers, one mutant.

--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -159,6 +159,8 @@
     ("abandoned_claim_stored_as_unknown", "ledger_func.cpp", "return 'a';", "return 'u';"),
     ("pulse_of_earlier_run_accepted", "request/membership_base.cpp",
      "if (isOfEarlierRun", "if (false"),
+    ("small_nodes_carry_duties", "request/membership_base.cpp",
+     "std::erase_if(records, [most](const auto *record) { return 2 * record->cores < most; });", ""),
     ("unsmoothed_demand_moves_groups", "formation/formation_system.cpp",
      "smoothed += weight *", "smoothed +="),
     ("weights_fetched_before_joining", "formation/formation_system.cpp",
--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -176,7 +176,7 @@
     if (m_beforeTraffic && now - m_newServerAt < m_options.settleTime)
         return; // Servers are still being added. VMs left over now would stay without a group.
     m_ownedCount = 0;
-    for (const DomainId &id : m_backends.domains())
+    for (const auto &[id, servers] : m_backends.domains())
         m_domains.try_emplace(id);
     for (auto &[id, domain] : m_domains) {
         if (!owns(id)) {
@@ -475,10 +475,10 @@
 const GroupCounts &FormationSystem::initialCounts(const DomainId &id)
 {
     std::map<DomainId, std::uint32_t> sizes;
-    for (const DomainId &domain : m_backends.domains()) {
+    for (const auto &[domain, servers] : m_backends.domains()) {
         std::uint32_t &vms = sizes[domain];
-        for (const Backend *backend : m_backends.serversInDomain(domain))
-            vms += isUsable(*backend) ? 1 : 0;
+        for (const auto &[vm, index] : servers)
+            vms += isUsable(*m_backends.find(index)) ? 1 : 0;
     }
     if (sizes != m_splitSizes || m_splitConfiguration != m_configuration) {
         m_split = initialSplit(sizes, *engineService()->engine);
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -14,6 +14,10 @@
 
 constexpr Duration tickInterval {25};
 constexpr Duration pulseInterval {150};
+/// The interval of pulses per node of the zone, and its limit: three pulses in a row may be lost
+/// before a node counts as dead.
+constexpr Duration pulseIntervalPerNode {6};
+constexpr Duration maxPulseInterval {400};
 constexpr Duration sweepInterval {100};
 /// The interval of digests per node of the zone, with the pulse interval as its minimum. Each
 /// digest is relayed to every node of the receiving zone, so the interval grows with the size of
@@ -75,6 +79,7 @@
         record.zone = json.at("zone").get<ZoneId>();
         record.front = json.at("front").get<Address>();
         record.peer = json.at("peer").get<Address>();
+        record.cores = json.value("cores", 0.0);
         parseAddress(record.front);
         parseAddress(record.peer);
         return record;
@@ -104,7 +109,8 @@
     , m_requests(m_options.requests, m_backends)
     , m_formation(m_options.formation, m_backends, m_startedAt)
     , m_membership(MembershipOptions {
-          {m_options.node, m_options.zone, m_options.front, m_options.pulse}, m_startedAt})
+          {m_options.node, m_options.zone, m_options.front, m_options.pulse, m_options.cores},
+          m_startedAt})
     , m_relay(loop, m_requests, m_dialect.relay, relayHooks())
     , m_mirror(loop, store, mirrorHooks())
     , m_adminServer(loop, maxAdminRequestBody)
@@ -342,7 +348,10 @@
 void ServingDaemon::tick()
 {
     const TimePoint now = m_loop.now();
-    if (now - m_lastPulseAt >= pulseInterval)
+    // With more nodes in the zone each sends fewer pulses, so that none receives more of them.
+    const auto zoneSize = static_cast<Duration::rep>(m_membership.zoneSize());
+    if (now - m_lastPulseAt
+        >= std::clamp(pulseIntervalPerNode * zoneSize, pulseInterval, maxPulseInterval))
         pulse(now);
     if (now - m_lastSweepAt >= sweepInterval) {
         m_lastSweepAt = now;
@@ -487,6 +496,7 @@
     const nlohmann::json record {{"zone", m_options.zone},
                                  {"front", m_options.front},
                                  {"peer", m_options.pulse},
+                                 {"cores", m_options.cores},
                                  {"life", m_incarnation}};
     // The record of the previous run of this node may still exist under that run's lease, so the
     // write expects the revision last seen.
@@ -501,7 +511,7 @@
 {
     if (!m_mirror.complete() || m_stopping || !m_formation.isDue(now))
         return;
-    m_formation.setNodes(m_membership.live(now));
+    m_formation.setNodes(m_membership.dutyNodes(now));
     std::map<ModelId, double> demand = m_membership.demand(now);
     for (const auto &[model, slots] : m_requests.demand(now))
         demand[model] += slots;
--- a/src/network/serving_daemon.h
+++ b/src/network/serving_daemon.h
@@ -27,6 +27,7 @@
     Address pulse; ///< Receives pulses, digests and feeds of other nodes (UDP).
     std::optional<Address> metrics; ///< Serves the metrics page, if set.
     bool firstStart = false; ///< The system is started for the first time.
+    double cores = 0; ///< Processor share of this node, in cores. 0 if it is not known.
     Duration stopTime {8'000}; ///< From SIGTERM until the process is killed.
     Duration entryCacheTime {2'000}; ///< How long callers may cache the list of entry addresses.
     RequestOptions requests;
--- a/src/platform/platform_settings.cpp
+++ b/src/platform/platform_settings.cpp
@@ -97,6 +97,7 @@
     options.pulse = Address(ip + ":" + ports.substr(0, ports.find(',')));
     if (metricsPort != 0)
         options.metrics = Address(ip + ":" + std::to_string(metricsPort));
+    options.cores = file.number("limits.cpu_share", 0) * file.number("limits.cores", 1);
     options.firstStart = file.boolean("first_start", false);
     options.stopTime = milliseconds(file.number("bounds.grace_s", 8) * millisecondsPerSecond);
 
--- a/src/request/backend_base.cpp
+++ b/src/request/backend_base.cpp
@@ -25,7 +25,9 @@
             if (const auto count = running.find(report.id); count != running.end())
                 backend.peersRunning += count->second;
         }
-        m_byId.emplace(report.id, m_pool.insert(std::move(backend)));
+        const BackendIndex index = m_pool.insert(std::move(backend));
+        m_byId.emplace(report.id, index);
+        addToDomain(report, index);
         changed();
         return;
     }
@@ -45,6 +47,10 @@
         backend.coldSince = now;
     if (report.group.state == MemberState::Open && backend.report.group.state != MemberState::Open)
         backend.openedAt = now;
+    if (backend.report.domain != report.domain) {
+        removeFromDomain(backend.report);
+        addToDomain(report, found->second);
+    }
     backend.report = report;
     backend.reportReceivedAt = now;
     backend.coldUntil = now + report.coldTimeLeft;
@@ -55,6 +61,7 @@
     const auto found = m_byId.find(id);
     if (found == m_byId.end())
         return;
+    removeFromDomain(m_pool.find(found->second)->report);
     m_pool.erase(found->second);
     m_byId.erase(found);
     changed();
@@ -144,23 +151,28 @@
 std::vector<const Backend *> BackendTable::serversInDomain(const DomainId &domain) const
 {
     std::vector<const Backend *> members;
-    m_pool.forEach([&](BackendIndex, const Backend &backend) {
-        if (backend.report.domain == domain)
-            members.push_back(&backend);
-    });
-    std::sort(members.begin(), members.end(),
-              [](const Backend *a, const Backend *b) { return a->report.id < b->report.id; });
+    const auto found = m_domains.find(domain);
+    if (found == m_domains.end())
+        return members;
+    for (const auto &[id, index] : found->second)
+        members.push_back(m_pool.find(index));
     return members;
 }
 
-std::set<DomainId> BackendTable::domains() const
+void BackendTable::addToDomain(const BackendReport &report, BackendIndex index)
 {
-    std::set<DomainId> named;
-    m_pool.forEach([&](BackendIndex, const Backend &backend) {
-        if (!backend.report.domain.value().empty())
-            named.insert(backend.report.domain);
-    });
-    return named;
+    if (!report.domain.value().empty())
+        m_domains[report.domain][report.id] = index;
+}
+
+void BackendTable::removeFromDomain(const BackendReport &report)
+{
+    const auto found = m_domains.find(report.domain);
+    if (found == m_domains.end())
+        return;
+    found->second.erase(report.id);
+    if (found->second.empty())
+        m_domains.erase(found);
 }
 
 void BackendTable::setDissolving(const DomainId &domain, std::set<GroupKey> groups)
--- a/src/request/backend_base.h
+++ b/src/request/backend_base.h
@@ -47,8 +47,8 @@
     bool isServable(const Backend &backend, const ServingConfiguration &configuration) const;
     /// All servers of a fabric domain, sorted by id.
     std::vector<const Backend *> serversInDomain(const DomainId &domain) const;
-    /// All fabric domains that are named in server reports.
-    std::set<DomainId> domains() const;
+    /// The servers of all fabric domains that are named in server reports, by id.
+    const std::map<DomainId, std::map<VmId, BackendIndex>> &domains() const { return m_domains; }
 
     /// Sets the groups of a fabric domain that are being dissolved. They take no new requests.
     void setDissolving(const DomainId &domain, std::set<GroupKey> groups);
@@ -97,6 +97,8 @@
     };
 
     void changed() { ++m_version; }
+    void addToDomain(const BackendReport &report, BackendIndex index);
+    void removeFromDomain(const BackendReport &report);
     /// Updates the number of present members by group if the table has changed.
     void updateMemberCounts() const;
     /// Records progress of the server at time `at`. Ends a suspicion that was caused by silence.
@@ -104,6 +106,7 @@
 
     Pool<Backend, BackendIndex> m_pool;
     std::unordered_map<VmId, BackendIndex> m_byId;
+    std::map<DomainId, std::map<VmId, BackendIndex>> m_domains;
     std::map<TargetKey, TargetList> m_targets;
     std::map<NodeId, RunningCounts> m_peers;
     std::uint64_t m_version = 1;
--- a/src/request/membership_base.cpp
+++ b/src/request/membership_base.cpp
@@ -12,9 +12,20 @@
 const std::string representativeKey = "feeder/";
 const std::string watcherKey = "watcher";
 
-std::string_view nameOf(const MembershipRecord &record)
+using Records = std::vector<const MembershipRecord *>;
+
+std::string_view nameOf(const MembershipRecord *record)
+{
+    return record->node.value();
+}
+
+/// Removes the nodes with less than half of the processor share of the largest one.
+void keepLargest(Records &records)
 {
-    return record.node.value();
+    double most = 0;
+    for (const MembershipRecord *record : records)
+        most = std::max(most, record->cores);
+    std::erase_if(records, [most](const auto *record) { return 2 * record->cores < most; });
 }
 
 template<typename Key, typename Value>
@@ -116,13 +127,17 @@
     return found != m_peers.end() && alive(found->second, now);
 }
 
-std::vector<NodeId> MembershipTable::live(TimePoint now) const
+std::vector<NodeId> MembershipTable::dutyNodes(TimePoint now) const
 {
-    std::vector<NodeId> nodes {m_options.own.node};
+    Records records {&m_options.own};
     for (const auto &[node, peer] : m_peers) {
-        if (alive(peer, now))
-            nodes.push_back(node);
+        if (peer.record && alive(peer, now))
+            records.push_back(&*peer.record);
     }
+    keepLargest(records);
+    std::vector<NodeId> nodes;
+    for (const MembershipRecord *record : records)
+        nodes.push_back(record->node);
     std::sort(nodes.begin(), nodes.end());
     return nodes;
 }
@@ -176,24 +191,23 @@
     return {named.begin(), named.end()};
 }
 
-std::optional<MembershipRecord> MembershipTable::representativeOf(const ZoneId &zone,
-                                                                  TimePoint now) const
+const MembershipRecord *MembershipTable::representativeOf(const ZoneId &zone, TimePoint now) const
 {
     const auto lastDigest = m_zones.find(zone);
     if (lastDigest != m_zones.end() && now - lastDigest->second.digestAt < m_options.nodeTimeout) {
         const auto author = m_peers.find(lastDigest->second.digest.node);
         if (author != m_peers.end() && author->second.record)
-            return author->second.record;
+            return &*author->second.record;
     }
-    std::vector<MembershipRecord> known;
-    std::vector<MembershipRecord> liveNodes;
-    std::vector<MembershipRecord> settled;
+    Records known;
+    Records liveNodes;
+    Records settled;
     const auto add = [&](const MembershipRecord &record, bool isAlive, bool isSettled) {
-        known.push_back(record);
+        known.push_back(&record);
         if (isAlive)
-            liveNodes.push_back(record);
+            liveNodes.push_back(&record);
         if (isAlive && isSettled)
-            settled.push_back(record);
+            settled.push_back(&record);
     };
     if (zone == m_options.own.zone)
         add(m_options.own, true, isSettled(now));
@@ -201,12 +215,11 @@
         if (peer.record && peer.record->zone == zone)
             add(*peer.record, alive(peer, now), peer.pulse.settled);
     }
-    const std::vector<MembershipRecord> &candidates = !settled.empty() ? settled
-        : !liveNodes.empty()                                           ? liveNodes
-                                                                       : known;
-    const MembershipRecord *first =
+    Records candidates = !settled.empty() ? settled : !liveNodes.empty() ? liveNodes : known;
+    keepLargest(candidates);
+    const MembershipRecord *const *first =
         rendezvousFirst(representativeKey + zone.value(), candidates, nameOf);
-    return first ? std::optional(*first) : std::nullopt;
+    return first ? *first : nullptr;
 }
 
 bool MembershipTable::isZoneRepresentative(TimePoint now) const
@@ -218,12 +231,12 @@
 {
     if (!isZoneRepresentative(now))
         return false;
-    std::vector<MembershipRecord> representatives;
+    Records representatives;
     for (const ZoneId &zone : zones()) {
-        if (std::optional<MembershipRecord> representative = representativeOf(zone, now))
-            representatives.push_back(*representative);
+        if (const MembershipRecord *representative = representativeOf(zone, now))
+            representatives.push_back(representative);
     }
-    return rendezvousFirst(watcherKey, representatives, nameOf)->node == m_options.own.node;
+    return (*rendezvousFirst(watcherKey, representatives, nameOf))->node == m_options.own.node;
 }
 
 std::vector<Address> MembershipTable::otherZoneRepresentatives(TimePoint now) const
@@ -232,7 +245,7 @@
     for (const ZoneId &zone : zones()) {
         if (zone == m_options.own.zone)
             continue;
-        if (const std::optional<MembershipRecord> representative = representativeOf(zone, now))
+        if (const MembershipRecord *representative = representativeOf(zone, now))
             addresses.push_back(representative->peer);
     }
     return addresses;
--- a/src/request/membership_base.h
+++ b/src/request/membership_base.h
@@ -54,8 +54,9 @@
     /// Whether a node is alive, judged by pulses and digests or, if it has just started, by its
     /// record.
     bool isLive(const NodeId &node, TimePoint now) const;
-    /// The live nodes including this one, sorted by name.
-    std::vector<NodeId> live(TimePoint now) const;
+    /// The live nodes that share the duties of the fleet, sorted by name: those with at least half
+    /// of the processor share of the largest one. A small node has no share to spare for duties.
+    std::vector<NodeId> dutyNodes(TimePoint now) const;
     /// Nodes that became silent since the last call. The caller discards their running requests.
     std::vector<NodeId> takeSilentNodes(TimePoint now);
     /// Zones that became silent since the last call.
@@ -120,9 +121,9 @@
     bool isInOwnZone(const Peer &peer) const;
     bool alive(const Peer &peer, TimePoint now) const;
     /// The representative of a zone: the author of a recent digest if there is one, otherwise the
-    /// first node by rendezvous hashing. Settled nodes are preferred, then live ones, then any node
-    /// that has a record. Empty for a zone without nodes.
-    std::optional<MembershipRecord> representativeOf(const ZoneId &zone, TimePoint now) const;
+    /// first of its larger nodes by rendezvous hashing. Settled nodes are preferred, then live
+    /// ones, then any node that has a record. Null for a zone without nodes.
+    const MembershipRecord *representativeOf(const ZoneId &zone, TimePoint now) const;
     std::vector<ZoneId> zones() const;
 
     MembershipOptions m_options;
--- a/src/request/membership_type.h
+++ b/src/request/membership_type.h
@@ -13,6 +13,7 @@
     ZoneId zone;
     Address front; ///< Address to which callers connect.
     Address peer; ///< Address to which other nodes send their messages.
+    double cores = 0; ///< Processor share of the node, in cores. 0 if it is not known.
 
     bool operator==(const MembershipRecord &) const = default;
 };
--- a/src/tests/relay_test.cpp
+++ b/src/tests/relay_test.cpp
@@ -387,6 +387,35 @@
     EXPECT_EQ(table.entryAddresses(ZoneId("z"), 1, now + Duration(2'000)).size(), 1U);
 }
 
+TEST(MembershipTest, LargerNodesCarryTheDutiesOfTheFleet)
+{
+    // Three nodes of half a core and 56 of 0.12 cores in one zone.
+    const TimePoint now = timePoint(1'000'000);
+    std::vector<MembershipRecord> records;
+    for (int i = 0; i < 59; ++i) {
+        const std::string name = "n" + std::to_string(100 + i);
+        records.push_back({NodeId(name), ZoneId("z"), Address(name + ":1"), Address(name + ":2"),
+                           i % 20 == 7 ? 0.5 : 0.12});
+    }
+    std::size_t representatives = 0;
+    for (const MembershipRecord &own : records) {
+        MembershipTable table(MembershipOptions {own, now});
+        for (const MembershipRecord &record : records)
+            table.setRecord(record, now);
+        EXPECT_EQ(table.dutyNodes(now),
+                  (std::vector<NodeId> {NodeId("n107"), NodeId("n127"), NodeId("n147")}));
+        representatives += table.isZoneRepresentative(now) && own.cores > 0.4 ? 1 : 0;
+    }
+    EXPECT_EQ(representatives, 1U);
+    // When all larger nodes are lost, the others take over.
+    MembershipTable table(MembershipOptions {records.front(), now});
+    for (const MembershipRecord &record : records) {
+        if (record.cores < 0.4)
+            table.setRecord(record, now);
+    }
+    EXPECT_EQ(table.dutyNodes(now).size(), 56U);
+}
+
 TEST(MembershipTest, PulseOfEarlierRunIsIgnoredWhileTheNodeIsHeard)
 {
     const TimePoint now = timePoint(1'000'000);
--- a/src/tests/request_test.cpp
+++ b/src/tests/request_test.cpp
@@ -250,6 +250,30 @@
     EXPECT_EQ(actionsOf<DispatchAttempt>(arriveAfter(Duration(6'500))).size(), 1U);
 }
 
+TEST(BackendTableTest, DomainsFollowTheEntriesOfTheirServers)
+{
+    BackendTable table;
+    const TimePoint now = timePoint(1'000);
+    const auto update = [&](const std::string &id, const std::string &domain) {
+        BackendReport report = serverReport(id);
+        report.domain = DomainId(domain);
+        table.update(report, now);
+    };
+    update("s2", "d1");
+    update("s1", "d1");
+    update("s3", "d2");
+    update("s4", "");
+    EXPECT_EQ(table.domains().size(), 2U);
+    ASSERT_EQ(table.serversInDomain(DomainId("d1")).size(), 2U);
+    EXPECT_EQ(table.serversInDomain(DomainId("d1")).front()->report.id, VmId("s1"));
+    update("s1", "d2");
+    EXPECT_EQ(table.serversInDomain(DomainId("d1")).size(), 1U);
+    EXPECT_EQ(table.serversInDomain(DomainId("d2")).size(), 2U);
+    table.erase(VmId("s2"));
+    EXPECT_TRUE(table.serversInDomain(DomainId("d1")).empty());
+    EXPECT_EQ(table.domains().size(), 1U);
+}
+
 TEST_F(RequestTest, SuspicionEndsWithTheRunOfTheServer)
 {
     addGroup("g");
