Feature: [Request] Late requests leave room for those that can be on time

Change: a request that would be late starts only on a server with less than 0.8 of its slots in use.

--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -21,6 +21,9 @@
 constexpr Duration maxPlainDuration {1'000};
 /// A request may take this many times its expected duration, on a group that is slow or full.
 constexpr int durationMargin = 2;
+/// A late request starts only on a server with less than this share of its slots in use. It would
+/// occupy a slot for a second or more, which other requests need that can still be on time.
+constexpr double lateUtilization = 0.8;
 constexpr Duration rateInterval {500}; ///< Between updates of the rate at which attempts end.
 constexpr double rateSmoothing = 0.5;
 constexpr double gapSmoothing = 0.1;
@@ -265,7 +268,10 @@
     while (!target.waiting.empty() && m_configuration) {
         const std::size_t next = nextToDispatch(target.waiting, now);
         Request &request = m_requests.at(target.waiting[next].request);
-        const TargetChoice choice = chooseTarget(m_backends, choiceInput(request), now);
+        ChoiceInput input = choiceInput(request);
+        if (isTooLate(request, now))
+            input.maxUtilization = lateUtilization;
+        const TargetChoice choice = chooseTarget(m_backends, input, now);
         if (choice.outcome != TargetChoice::Outcome::Chosen)
             return;
         target.waiting.erase(target.waiting.begin() + static_cast<std::ptrdiff_t>(next));
@@ -282,6 +288,12 @@
     }
 }
 
+bool RequestSystem::isTooLate(const Request &request, TimePoint now) const
+{
+    return now > request.latestStart && !request.responseStarted
+        && m_configuration->engineOf(request.service);
+}
+
 void RequestSystem::dispatch(Request &request, BackendIndex server, TimePoint now,
                              RequestActions &actions)
 {
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -159,6 +159,8 @@
     void enqueue(Request &request, TimePoint now);
     /// Dispatches waiting requests for as long as a server can take them.
     void dispatchWaiting(Target &target, TimePoint now, RequestActions &actions);
+    /// Whether a request for a model would start too late to meet its latency target.
+    bool isTooLate(const Request &request, TimePoint now) const;
     void dispatch(Request &request, BackendIndex server, TimePoint now, RequestActions &actions);
     /// Queues the request for another attempt if that is permitted, otherwise ends it.
     void retryOrEnd(Request &request, bool mayRetry, const char *cause, TimePoint now,
--- a/src/request/target_choice.cpp
+++ b/src/request/target_choice.cpp
@@ -158,7 +158,7 @@
             continue;
         choice.outcome = TargetChoice::Outcome::Full;
         const std::uint32_t running = backend.ownRunning + backend.peersRunning;
-        if (running >= currentLimit(backend, input, now))
+        if (running >= input.maxUtilization * currentLimit(backend, input, now))
             continue;
         if (service != input.configuration->services.end()
             && !mayDispatchToCold(backend, service->second, input.nodes, now))
--- a/src/request/target_choice.h
+++ b/src/request/target_choice.h
@@ -18,6 +18,8 @@
     ModelId model;
     ZoneId ownZone;
     NodeShare nodes; ///< The nodes that send requests to the same servers.
+    /// Share of the requests that a server may run at most up to which it is considered.
+    double maxUtilization = 1;
 };
 
 /// The chosen server, or the reason why there is none.
