Feature: [Formation] VMs without a group prefetch weights before the first request

Change: once all groups of the first split are planned, the other VMs of the domain prefetch weights, too.

--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -488,6 +488,16 @@
     return m_split.at(id);
 }
 
+bool FormationSystem::hasAllGroups(const FormationPlan &plan, const GroupCounts &counts) const
+{
+    const std::vector<ServedModel> &models = engineService()->engine->models;
+    for (std::size_t i = 0; i < models.size(); ++i) {
+        if (countGroups(plan, models[i].name) < counts[i])
+            return false;
+    }
+    return true;
+}
+
 bool FormationSystem::isUsable(const Backend &backend) const
 {
     return backend.listing == Listing::Listed && !backend.report.draining
@@ -584,6 +594,7 @@
                                    FormationActions &actions)
 {
     const bool before = m_beforeTraffic;
+    const bool isSplitPlanned = before && hasAllGroups(domain.plan, initialCounts(id));
     const auto maxConcurrent = std::max<std::size_t>(
         engineService()->engine->maxConcurrentLoads / std::max<std::size_t>(m_domains.size(), 1),
         1);
@@ -596,10 +607,10 @@
             if (!before && (inProgress >= maxConcurrent || domain.loadTokens < 1))
                 return;
             const MemberState state = backend->report.group.state;
-            // Before the first request, VMs without a group are about to join one and load its
-            // weights anyway.
+            // Until the first groups are planned, VMs without a group are about to join one and
+            // load its weights anyway.
             const bool isCandidate = free
-                ? state == MemberState::None && !before
+                ? state == MemberState::None && (!before || isSplitPlanned)
                 : state == MemberState::Ready || state == MemberState::Open;
             if (!isCandidate || !isUsable(*backend) || m_staging.count(backend->report.id)
                 || (free && findGroup(domain.plan, backend->report.id)))
--- a/src/formation/group_choice.cpp
+++ b/src/formation/group_choice.cpp
@@ -69,14 +69,6 @@
     plan.groups.push_back(std::move(group));
 }
 
-std::uint32_t countGroups(const FormationPlan &plan, const ModelId &model)
-{
-    return static_cast<std::uint32_t>(
-        std::count_if(plan.groups.begin(), plan.groups.end(), [&](const PlannedGroup &group) {
-            return !group.dissolving && group.model == model;
-        }));
-}
-
 /// Queueing cost of a model: its work multiplied by the factor by which queueing lengthens the time
 /// that requests take.
 double queueingCost(const ModelDemand &demand)
@@ -408,6 +400,14 @@
 
 } // namespace
 
+std::uint32_t countGroups(const FormationPlan &plan, const ModelId &model)
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(plan.groups.begin(), plan.groups.end(), [&](const PlannedGroup &group) {
+            return !group.dissolving && group.model == model;
+        }));
+}
+
 double utilization(const ModelDemand &demand)
 {
     constexpr double minGroupCount = 0.1; // A model without a group must have the highest urgency.
--- a/src/formation/group_choice.h
+++ b/src/formation/group_choice.h
@@ -13,6 +13,9 @@
     double groups = 0; ///< Number of formed and planned groups.
 };
 
+/// Number of groups of a model in a plan that are not being dissolved.
+std::uint32_t countGroups(const FormationPlan &plan, const ModelId &model);
+
 /// Utilization of the groups of a model. Above 1 they cannot keep up with the requests.
 double utilization(const ModelDemand &demand);
 
