Fix: [Network] Proofs of the store stay recent in zones of many nodes

Cause: on 295 nodes in five zones the digests, which carry the echo for the proof of a feed, came every 0.9 s, and proofs had to be younger than 1.2 s and 1.7 s on all deployments. Representatives and then all nodes of their zones watched the store themselves, again and again.

Change: representatives exchange digests each 150 ms and relay those of other zones within their zone less often; the age of proofs follows the time within which a change has to take effect, up to 3 s.

--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -19,18 +19,21 @@
 constexpr Duration pulseIntervalPerNode {6};
 constexpr Duration maxPulseInterval {400};
 constexpr Duration sweepInterval {100};
-/// The interval of digests per node of the zone, with the pulse interval as its minimum. Each
-/// digest is relayed to every node of the receiving zone, so the interval grows with the size of
-/// the zone.
-constexpr Duration digestIntervalPerNode {15};
+/// Interval of the digests between the representatives of the zones, and of their feeds.
+constexpr Duration digestInterval {150};
+/// Minimum interval at which a digest of another zone is relayed, per node of the own zone. Each is
+/// sent to all of these nodes.
+constexpr Duration relayIntervalPerNode {15};
 /// Changes that were sent to a node are sent again if it does not report them within this time.
 constexpr Duration feedResendInterval {600};
 /// A node that represents its zone watches the store itself if its copy has not been proven up to
-/// date within this time. Other nodes wait a little longer, because their zone's representative may
-/// start to watch first. Both times are below the 2 s within which a change has to take effect.
-constexpr Duration maxRepresentativeProofAge {1'200};
+/// date within this share of the time within which a change has to take effect. Other nodes wait a
+/// little longer, because their zone's representative may start to watch first.
+constexpr double maxRepresentativeProofShare = 0.6;
 /// The same limit for a node that does not represent its zone.
-constexpr Duration maxProofAge {1'700};
+constexpr double maxProofShare = 0.85;
+/// Limit on that time. API keys are refused without a proof of the last few seconds.
+constexpr Duration maxChangeTime {3'000};
 constexpr Duration leaseDuration {10'000};
 constexpr Duration leaseRenewInterval {3'000}; ///< Allows three tries within the lease time.
 constexpr Duration orderTimeout {1'500};
@@ -353,6 +356,8 @@
     if (now - m_lastPulseAt
         >= std::clamp(pulseIntervalPerNode * zoneSize, pulseInterval, maxPulseInterval))
         pulse(now);
+    if (now - m_lastDigestAt >= digestInterval)
+        representZone(now);
     if (now - m_lastSweepAt >= sweepInterval) {
         m_lastSweepAt = now;
         m_relay.sweep(now);
@@ -369,9 +374,8 @@
         finishStop(now);
 }
 
-void ServingDaemon::pulse(TimePoint now)
+Pulse ServingDaemon::nextPulse(TimePoint now)
 {
-    m_lastPulseAt = now;
     Pulse own;
     own.node = m_options.node;
     own.life = m_incarnation;
@@ -384,25 +388,35 @@
     own.recentProgress = m_backends.recentProgress(now);
     own.clock = now;
     own.held = m_mirror.held();
-    m_pulseSocket->send(own, m_membership.ownZonePeers());
-    const Duration interval = std::max(
-        pulseInterval, digestIntervalPerNode * static_cast<Duration::rep>(m_membership.zoneSize()));
-    if (now - m_lastDigestAt >= interval && m_membership.isZoneRepresentative(now)) {
-        m_lastDigestAt = now;
-        m_pulseSocket->send(m_membership.digest(own, now),
-                            m_membership.otherZoneRepresentatives(now));
-    }
-    sendFeeds(now);
+    return own;
+}
+
+void ServingDaemon::pulse(TimePoint now)
+{
+    m_lastPulseAt = now;
+    m_pulseSocket->send(nextPulse(now), m_membership.ownZonePeers());
     m_requests.setNodes(m_membership.share(now));
 }
 
+void ServingDaemon::representZone(TimePoint now)
+{
+    m_lastDigestAt = now;
+    if (!m_membership.isZoneRepresentative(now))
+        return;
+    m_pulseSocket->send(m_membership.digest(nextPulse(now), now),
+                        m_membership.otherZoneRepresentatives(now));
+    sendFeeds(now);
+}
+
 bool ServingDaemon::mustWatch(TimePoint now) const
 {
     if (m_membership.isStoreWatcher(now))
         return true;
-    const Duration maxAge =
-        m_membership.isZoneRepresentative(now) ? maxRepresentativeProofAge : maxProofAge;
-    return now - m_mirror.provenAt() > maxAge;
+    const double share =
+        m_membership.isZoneRepresentative(now) ? maxRepresentativeProofShare : maxProofShare;
+    const auto changeTime =
+        static_cast<double>(std::min(m_options.changeTime, maxChangeTime).count());
+    return now - m_mirror.provenAt() > Duration(static_cast<Duration::rep>(share * changeTime));
 }
 
 void ServingDaemon::sendFeeds(TimePoint now)
@@ -442,8 +456,12 @@
     m_backends.setPeerRunning(zoneCountsId(digest.zone), digest.running);
     m_backends.mergeSuspects(digest.suspects, now);
     m_backends.mergeRecentProgress(digest.recentProgress, now);
-    if (digest.relayed)
+    TimePoint &relayedAt = m_relayedAt[digest.zone];
+    const Duration interval =
+        relayIntervalPerNode * static_cast<Duration::rep>(m_membership.zoneSize());
+    if (digest.relayed || now - relayedAt < interval)
         return;
+    relayedAt = now;
     ZoneDigest relayed = digest;
     relayed.relayed = true;
     m_pulseSocket->send(relayed, m_membership.ownZonePeers());
--- a/src/network/serving_daemon.h
+++ b/src/network/serving_daemon.h
@@ -28,6 +28,7 @@
     std::optional<Address> metrics; ///< Serves the metrics page, if set.
     bool firstStart = false; ///< The system is started for the first time.
     double cores = 0; ///< Processor share of this node, in cores. 0 if it is not known.
+    Duration changeTime {2'000}; ///< Within which changes of the store have to take effect.
     Duration stopTime {8'000}; ///< From SIGTERM until the process is killed.
     Duration entryCacheTime {2'000}; ///< How long callers may cache the list of entry addresses.
     RequestOptions requests;
@@ -86,9 +87,12 @@
     /// Removes servers whose entries did not reappear in time.
     void removeVanishedServers(TimePoint now);
     void tick();
-    /// Sends this node's pulse to its zone, and the zone's digest to other zones if this node
-    /// represents its zone.
+    /// The status message of this node, with the next sequence number.
+    Pulse nextPulse(TimePoint now);
+    /// Sends this node's pulse to its zone.
     void pulse(TimePoint now);
+    /// Sends the digest of the zone to other zones, and feeds, if this node represents its zone.
+    void representZone(TimePoint now);
     /// Sends the changes of the store to the nodes to which this node forwards them.
     void sendFeeds(TimePoint now);
     void onPulse(const Pulse &pulse);
@@ -144,6 +148,7 @@
     std::int64_t m_pulseNumber = 0;
     TimePoint m_lastPulseAt;
     TimePoint m_lastDigestAt;
+    std::map<ZoneId, TimePoint> m_relayedAt; ///< When a digest of another zone was last relayed.
     /// The last feed with changes sent to a node.
     struct SentFeed
     {
--- a/src/platform/platform_settings.cpp
+++ b/src/platform/platform_settings.cpp
@@ -99,6 +99,7 @@
         options.metrics = Address(ip + ":" + std::to_string(metricsPort));
     options.cores = file.number("limits.cpu_share", 0) * file.number("limits.cores", 1);
     options.firstStart = file.boolean("first_start", false);
+    options.changeTime = milliseconds(file.number("bounds.config_apply_ms", 2'000));
     options.stopTime = milliseconds(file.number("bounds.grace_s", 8) * millisecondsPerSecond);
 
     RequestOptions &requests = options.requests;
