Feature: [Request] Refuse at once what the queue would make late

Cause: a request was queued if it would start up to half a second after its latency target, and waited up to a second beyond it before it was refused.

Change: a request for a model is refused on arrival if the queue would make it late; one that waits is refused half a second after its target at the latest, with the time to come back.

--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -222,7 +222,9 @@
         return std::nullopt;
     const double seconds = static_cast<double>(target.waiting.size()) / target.departuresPerSecond;
     const Duration queueWait(static_cast<Duration::rep>(seconds * 1'000));
-    if (now + queueWait <= request.latestStart + maxLateness)
+    const Duration tolerance =
+        m_configuration->engineOf(request.service) ? Duration(0) : maxLateness;
+    if (now + queueWait <= request.latestStart + tolerance)
         return std::nullopt;
     return queueWait;
 }
@@ -581,7 +583,7 @@
     std::vector<std::pair<RequestId, AttemptNumber>> silent;
     for (const auto &[id, request] : m_requests) {
         const bool waitsTooLong = !request.running && !request.responseStarted
-            && now > request.latestStart + 2 * maxLateness;
+            && now > request.latestStart + maxLateness;
         if (now >= request.deadline || waitsTooLong) {
             expired.push_back(id);
         } else if (request.running && request.kind == RequestKind::ResumableStream
