Feature: [Network] Compress the changes of feeds

Cause: the entries of 760 servers that change at about the same time filled seven datagrams, sent 150 ms apart, and a configuration above 60 KB fitted into none. The proofs of all nodes grew too old meanwhile, and all of them read the store themselves: 257 of 295 nodes in the second after the first request.

Change: changes are compressed by zlib, once for all nodes that hold the same revision, 150 KB to a datagram. Feeds of earlier versions are still read.

--- a/scripts/install_packages.sh
+++ b/scripts/install_packages.sh
@@ -5,7 +5,7 @@
   g++ cmake ninja-build ccache clang-format clang-tidy curl python3
   libevent-dev libevhtp-dev libthrift-dev thrift-compiler libgflags-dev
   libboost-log-dev libboost-dev librapidcheck-dev nlohmann-json3-dev libssl-dev
-  libxxhash-dev libhttp-parser-dev libgtest-dev libbenchmark-dev
+  libxxhash-dev zlib1g-dev libhttp-parser-dev libgtest-dev libbenchmark-dev
 )
 missing=()
 for package in "${packages[@]}"; do
--- a/src/network/gen/peer_types.cpp
+++ b/src/network/gen/peer_types.cpp
@@ -2170,6 +2170,118 @@
 }
 
 
+FeedChanges::~FeedChanges() noexcept {
+}
+
+
+void FeedChanges::__set_changes(const std::vector<FeedChange> & val) {
+  this->changes = val;
+}
+std::ostream& operator<<(std::ostream& out, const FeedChanges& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FeedChanges::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->changes.clear();
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->changes.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
+            {
+              xfer += this->changes[_i108].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.changes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FeedChanges::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FeedChanges");
+
+  xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
+    std::vector<FeedChange> ::const_iterator _iter109;
+    for (_iter109 = this->changes.begin(); _iter109 != this->changes.end(); ++_iter109)
+    {
+      xfer += (*_iter109).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FeedChanges &a, FeedChanges &b) {
+  using ::std::swap;
+  swap(a.changes, b.changes);
+  swap(a.__isset, b.__isset);
+}
+
+FeedChanges::FeedChanges(const FeedChanges& other110) {
+  changes = other110.changes;
+  __isset = other110.__isset;
+}
+FeedChanges& FeedChanges::operator=(const FeedChanges& other111) {
+  changes = other111.changes;
+  __isset = other111.__isset;
+  return *this;
+}
+void FeedChanges::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FeedChanges(";
+  out << "changes=" << to_string(changes);
+  out << ")";
+}
+
+
 Feed::~Feed() noexcept {
 }
 
@@ -2193,6 +2305,10 @@
 void Feed::__set_proof_age_ms(const int64_t val) {
   this->proof_age_ms = val;
 }
+
+void Feed::__set_compressed_changes(const std::string& val) {
+  this->compressed_changes = val;
+}
 std::ostream& operator<<(std::ostream& out, const Feed& obj)
 {
   obj.printTo(out);
@@ -2241,14 +2357,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->changes.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size112;
+            ::apache::thrift::protocol::TType _etype115;
+            xfer += iprot->readListBegin(_etype115, _size112);
+            this->changes.resize(_size112);
+            uint32_t _i116;
+            for (_i116 = 0; _i116 < _size112; ++_i116)
             {
-              xfer += this->changes[_i108].read(iprot);
+              xfer += this->changes[_i116].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2273,6 +2389,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->compressed_changes);
+          this->__isset.compressed_changes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2301,10 +2425,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<FeedChange> ::const_iterator _iter109;
-    for (_iter109 = this->changes.begin(); _iter109 != this->changes.end(); ++_iter109)
+    std::vector<FeedChange> ::const_iterator _iter117;
+    for (_iter117 = this->changes.begin(); _iter117 != this->changes.end(); ++_iter117)
     {
-      xfer += (*_iter109).write(oprot);
+      xfer += (*_iter117).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2318,6 +2442,10 @@
   xfer += oprot->writeI64(this->proof_age_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("compressed_changes", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeBinary(this->compressed_changes);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2330,24 +2458,27 @@
   swap(a.changes, b.changes);
   swap(a.echo_ms, b.echo_ms);
   swap(a.proof_age_ms, b.proof_age_ms);
+  swap(a.compressed_changes, b.compressed_changes);
   swap(a.__isset, b.__isset);
 }
 
-Feed::Feed(const Feed& other110) {
-  from_revision = other110.from_revision;
-  to_revision = other110.to_revision;
-  changes = other110.changes;
-  echo_ms = other110.echo_ms;
-  proof_age_ms = other110.proof_age_ms;
-  __isset = other110.__isset;
-}
-Feed& Feed::operator=(const Feed& other111) {
-  from_revision = other111.from_revision;
-  to_revision = other111.to_revision;
-  changes = other111.changes;
-  echo_ms = other111.echo_ms;
-  proof_age_ms = other111.proof_age_ms;
-  __isset = other111.__isset;
+Feed::Feed(const Feed& other118) {
+  from_revision = other118.from_revision;
+  to_revision = other118.to_revision;
+  changes = other118.changes;
+  echo_ms = other118.echo_ms;
+  proof_age_ms = other118.proof_age_ms;
+  compressed_changes = other118.compressed_changes;
+  __isset = other118.__isset;
+}
+Feed& Feed::operator=(const Feed& other119) {
+  from_revision = other119.from_revision;
+  to_revision = other119.to_revision;
+  changes = other119.changes;
+  echo_ms = other119.echo_ms;
+  proof_age_ms = other119.proof_age_ms;
+  compressed_changes = other119.compressed_changes;
+  __isset = other119.__isset;
   return *this;
 }
 void Feed::printTo(std::ostream& out) const {
@@ -2358,6 +2489,7 @@
   out << ", " << "changes=" << to_string(changes);
   out << ", " << "echo_ms=" << to_string(echo_ms);
   out << ", " << "proof_age_ms=" << to_string(proof_age_ms);
+  out << ", " << "compressed_changes=" << to_string(compressed_changes);
   out << ")";
 }
 
--- a/src/network/gen/peer_types.h
+++ b/src/network/gen/peer_types.h
@@ -41,6 +41,8 @@
 
 class FeedChange;
 
+class FeedChanges;
+
 class Feed;
 
 typedef struct _MemberEntry__isset {
@@ -803,13 +805,56 @@
 
 std::ostream& operator<<(std::ostream& out, const FeedChange& obj);
 
+typedef struct _FeedChanges__isset {
+  _FeedChanges__isset() : changes(false) {}
+  bool changes :1;
+} _FeedChanges__isset;
+
+class FeedChanges : public virtual ::apache::thrift::TBase {
+ public:
+
+  FeedChanges(const FeedChanges&);
+  FeedChanges& operator=(const FeedChanges&);
+  FeedChanges() noexcept {
+  }
+
+  virtual ~FeedChanges() noexcept;
+  std::vector<FeedChange>  changes;
+
+  _FeedChanges__isset __isset;
+
+  void __set_changes(const std::vector<FeedChange> & val);
+
+  bool operator == (const FeedChanges & rhs) const
+  {
+    if (!(changes == rhs.changes))
+      return false;
+    return true;
+  }
+  bool operator != (const FeedChanges &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FeedChanges & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FeedChanges &a, FeedChanges &b);
+
+std::ostream& operator<<(std::ostream& out, const FeedChanges& obj);
+
 typedef struct _Feed__isset {
-  _Feed__isset() : from_revision(false), to_revision(false), changes(false), echo_ms(false), proof_age_ms(false) {}
+  _Feed__isset() : from_revision(false), to_revision(false), changes(false), echo_ms(false), proof_age_ms(false), compressed_changes(false) {}
   bool from_revision :1;
   bool to_revision :1;
   bool changes :1;
   bool echo_ms :1;
   bool proof_age_ms :1;
+  bool compressed_changes :1;
 } _Feed__isset;
 
 class Feed : public virtual ::apache::thrift::TBase {
@@ -821,7 +866,8 @@
        : from_revision(0),
          to_revision(0),
          echo_ms(0),
-         proof_age_ms(0) {
+         proof_age_ms(0),
+         compressed_changes() {
   }
 
   virtual ~Feed() noexcept;
@@ -830,6 +876,7 @@
   std::vector<FeedChange>  changes;
   int64_t echo_ms;
   int64_t proof_age_ms;
+  std::string compressed_changes;
 
   _Feed__isset __isset;
 
@@ -843,6 +890,8 @@
 
   void __set_proof_age_ms(const int64_t val);
 
+  void __set_compressed_changes(const std::string& val);
+
   bool operator == (const Feed & rhs) const
   {
     if (!(from_revision == rhs.from_revision))
@@ -855,6 +904,8 @@
       return false;
     if (!(proof_age_ms == rhs.proof_age_ms))
       return false;
+    if (!(compressed_changes == rhs.compressed_changes))
+      return false;
     return true;
   }
   bool operator != (const Feed &rhs) const {
--- a/src/network/peer.thrift
+++ b/src/network/peer.thrift
@@ -102,14 +102,19 @@
   4: binary value
 }
 
+struct FeedChanges {
+  1: list<FeedChange> changes
+}
+
 // Changes of the store, sent as a datagram by the node that watches the store or by a node that
 // forwards them.
 struct Feed {
   1: i64 from_revision // Exclusive: the receiver must hold all changes up to this revision.
   2: i64 to_revision // Inclusive.
-  3: list<FeedChange> changes
+  3: list<FeedChange> changes // Used by earlier versions only.
   4: i64 echo_ms // Pulse.clock_ms of the last pulse from the receiver.
   5: i64 proof_age_ms // Time since `to_revision` was known to be the newest revision.
+  6: binary compressed_changes // FeedChanges in the compact protocol, compressed by zlib.
 }
 
 service Peer {
--- a/src/network/pulse_socket.cpp
+++ b/src/network/pulse_socket.cpp
@@ -3,12 +3,11 @@
 #include "core/error_type.h"
 #include "network/address_func.h"
 #include "network/gen/peer_types.h"
+#include "network/thrift_bytes.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
 #include <unistd.h>
 
 #include <array>
@@ -17,13 +16,11 @@
 
 namespace {
 
-using apache::thrift::protocol::TCompactProtocol;
-using apache::thrift::transport::TMemoryBuffer;
-
 constexpr std::size_t maxDatagramSize = 60'000;
 /// The first byte of a datagram is the type of its message.
 constexpr char pulseTag = 'P';
-constexpr char feedTag = 'F';
+constexpr char feedTag = 'Z';
+constexpr char uncompressedFeedTag = 'F'; ///< Feeds of earlier versions.
 constexpr char digestTag = 'D';
 /// Limit on the datagrams read in one event loop iteration, so that a flood cannot starve other
 /// events.
@@ -43,50 +40,7 @@
 template<typename Wire>
 std::string toBytes(char tag, const Wire &wire)
 {
-    const auto buffer = std::make_shared<TMemoryBuffer>();
-    TCompactProtocol protocol(buffer);
-    wire.write(&protocol);
-    return tag + buffer->getBufferAsString();
-}
-
-template<typename Wire>
-Wire fromBytes(std::uint8_t *bytes, std::size_t length)
-{
-    const auto buffer = std::make_shared<TMemoryBuffer>(bytes, static_cast<std::uint32_t>(length));
-    TCompactProtocol protocol(buffer);
-    Wire wire;
-    wire.read(&protocol);
-    return wire;
-}
-
-std::string serialize(const StoreFeed &feed)
-{
-    peer::Feed wire;
-    wire.from_revision = feed.from.value();
-    wire.to_revision = feed.to.value();
-    wire.echo_ms = milliseconds(feed.echo);
-    wire.proof_age_ms = feed.proofAge.count();
-    for (const StoreChange &change : feed.changes) {
-        peer::FeedChange item;
-        item.key = change.key;
-        item.revision = change.revision.value();
-        item.deleted = change.deleted;
-        item.value = change.value;
-        wire.changes.push_back(std::move(item));
-    }
-    return toBytes(feedTag, wire);
-}
-
-StoreFeed toFeed(const peer::Feed &wire)
-{
-    StoreFeed feed;
-    feed.from = Revision(wire.from_revision);
-    feed.to = Revision(wire.to_revision);
-    feed.echo = timePoint(wire.echo_ms);
-    feed.proofAge = Duration(wire.proof_age_ms);
-    for (const peer::FeedChange &item : wire.changes)
-        feed.changes.push_back({item.key, Revision(item.revision), item.deleted, item.value});
-    return feed;
+    return tag + toThriftBytes(wire);
 }
 
 using WireCounts = std::map<std::string, std::int32_t>;
@@ -246,9 +200,13 @@
         sendBytes(bytes, address);
 }
 
-void PulseSocket::send(const StoreFeed &feed, const Address &address)
+bool PulseSocket::send(const StoreFeed &feed, const Address &address)
 {
-    sendBytes(serialize(feed), address);
+    const std::string bytes = feedTag + m_feedCodec.serialize(feed);
+    if (bytes.size() > maxDatagramSize)
+        return false;
+    sendBytes(bytes, address);
+    return true;
 }
 
 void PulseSocket::sendBytes(const std::string &bytes, const Address &address)
@@ -266,14 +224,19 @@
         const ssize_t length = recv(descriptor, bytes.data(), bytes.size(), MSG_DONTWAIT);
         if (length <= 0)
             return;
+        const std::string_view message(reinterpret_cast<const char *>(bytes.data()) + 1,
+                                       static_cast<std::size_t>(length) - 1);
         try {
-            const auto size = static_cast<std::size_t>(length) - 1;
-            if (bytes[0] == feedTag)
-                socket->m_hooks.feed(toFeed(fromBytes<peer::Feed>(bytes.data() + 1, size)));
+            if (bytes[0] == feedTag || bytes[0] == uncompressedFeedTag)
+                socket->m_hooks.feed(FeedCodec::parse(message));
             else if (bytes[0] == digestTag)
-                socket->m_hooks.digest(toDigest(fromBytes<peer::Digest>(bytes.data() + 1, size)));
+                socket->m_hooks.digest(toDigest(fromThriftBytes<peer::Digest>(message)));
+            else if (bytes[0] == pulseTag)
+                socket->m_hooks.pulse(toPulse(fromThriftBytes<peer::Pulse>(message)));
             else
-                socket->m_hooks.pulse(toPulse(fromBytes<peer::Pulse>(bytes.data() + 1, size)));
+                ++socket->m_malformedDatagrams;
+        } catch (const Failure &) {
+            ++socket->m_malformedDatagrams;
         } catch (const apache::thrift::TException &) {
             ++socket->m_malformedDatagrams;
         }
--- a/src/network/pulse_socket.h
+++ b/src/network/pulse_socket.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "network/event_loop.h"
-#include "network/store_client.h"
+#include "network/feed_codec.h"
 #include "request/membership_type.h"
 
 #include <functional>
@@ -32,7 +32,8 @@
     /// periodic message replaces it.
     void send(const Pulse &pulse, const std::vector<Address> &addresses);
     void send(const ZoneDigest &digest, const std::vector<Address> &addresses);
-    void send(const StoreFeed &feed, const Address &address);
+    /// Returns false if the feed is too large for a datagram.
+    bool send(const StoreFeed &feed, const Address &address);
     /// Number of malformed datagrams received since the socket was opened.
     std::uint64_t malformedDatagrams() const { return m_malformedDatagrams; }
 
@@ -43,6 +44,7 @@
     int m_descriptor;
     event *m_event;
     PulseHooks m_hooks;
+    FeedCodec m_feedCodec;
     std::uint64_t m_malformedDatagrams = 0;
 };
 
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -26,6 +26,10 @@
 constexpr Duration relayIntervalPerNode {15};
 /// Changes that were sent to a node are sent again if it does not report them within this time.
 constexpr Duration feedResendInterval {600};
+/// Limit on the changes in one datagram before their compression.
+constexpr std::size_t maxFeedBytes = 150'000;
+/// The same limit for changes that cannot be compressed to the size of a datagram.
+constexpr std::size_t maxUncompressibleFeedBytes = 40'000;
 /// A node that represents its zone watches the store itself if its copy has not been proven up to
 /// date within this share of the time within which a change has to take effect. Other nodes wait a
 /// little longer, because their zone's representative may start to watch first.
@@ -427,14 +431,18 @@
          m_membership.feedTargets(mustWatch(now), now)) {
         SentFeed &sent = m_lastFeeds[target.node];
         const bool recentlySent = now - sent.at < feedResendInterval;
-        std::optional<StoreFeed> feed =
-            m_mirror.feedSince(recentlySent ? std::max(sent.to, target.held) : target.held, now);
-        if (!feed)
-            continue; // The node is too far behind and will read the store itself.
-        feed->echo = target.clock;
-        m_pulseSocket->send(*feed, target.peer);
-        if (!feed->changes.empty())
-            sent = {feed->to, now};
+        const Revision from = recentlySent ? std::max(sent.to, target.held) : target.held;
+        for (const std::size_t maxBytes : {maxFeedBytes, maxUncompressibleFeedBytes}) {
+            std::optional<StoreFeed> feed = m_mirror.feedSince(from, maxBytes, now);
+            if (!feed)
+                break; // The node is too far behind and will read the store itself.
+            feed->echo = target.clock;
+            if (!m_pulseSocket->send(*feed, target.peer))
+                continue;
+            if (!feed->changes.empty())
+                sent = {feed->to, now};
+            break;
+        }
     }
 }
 
--- a/src/network/store_mirror.cpp
+++ b/src/network/store_mirror.cpp
@@ -18,7 +18,6 @@
 constexpr Duration maxRetryDelay {800};
 constexpr const char *allKeysPrefix = ""; ///< The prefix of all keys.
 constexpr std::size_t maxLoggedChanges = 2'000; ///< Limit on the changes kept for other nodes.
-constexpr std::size_t maxFeedBytes = 40'000; ///< Limit on the bytes of changes in one datagram.
 
 } // namespace
 
@@ -90,7 +89,8 @@
     return true;
 }
 
-std::optional<StoreFeed> StoreMirror::feedSince(Revision held, TimePoint now) const
+std::optional<StoreFeed> StoreMirror::feedSince(Revision held, std::size_t maxBytes,
+                                                TimePoint now) const
 {
     if (!m_complete || held < m_changeLogStart)
         return std::nullopt;
@@ -104,7 +104,7 @@
         [](Revision above, const auto &change) { return above < change.revision; });
     for (auto change = first; change != m_changeLog.end(); ++change) {
         bytes += change->key.size() + change->value.size();
-        if (bytes > maxFeedBytes && !feed.changes.empty()) {
+        if (bytes > maxBytes && !feed.changes.empty()) {
             // The rest is sent after this part has been acknowledged. A partial feed proves nothing
             // about freshness, hence the largest possible age.
             feed.to = feed.changes.back().revision;
--- a/src/network/store_mirror.h
+++ b/src/network/store_mirror.h
@@ -38,9 +38,9 @@
     /// Applies changes sent by another node. Returns false, without applying any, if the copy is
     /// not complete or changes before those of the feed are missing.
     bool take(const StoreFeed &feed, TimePoint now);
-    /// Returns the changes above the revision that another node holds, as many as fit into a
-    /// datagram; none if the change log does not reach back that far.
-    std::optional<StoreFeed> feedSince(Revision held, TimePoint now) const;
+    /// Returns the changes above the revision that another node holds, up to `maxBytes` but at
+    /// least one; none if the change log does not reach back that far.
+    std::optional<StoreFeed> feedSince(Revision held, std::size_t maxBytes, TimePoint now) const;
     /// The revision up to which the copy holds all changes; 0 before the initial read is complete.
     Revision held() const { return m_complete ? m_appliedRevision : Revision(); }
     /// The latest time for which the copy is proven to be up to date.
--- a/src/tests/relay_test.cpp
+++ b/src/tests/relay_test.cpp
@@ -3,6 +3,7 @@
 
 #include "core/error_type.h"
 #include "network/event_framing.h"
+#include "network/feed_codec.h"
 #include "network/http_message.h"
 #include "network/lease_keeper.h"
 #include "network/peer_convert.h"
@@ -231,11 +232,57 @@
     const TimePoint now = m_loop.now();
     m_mirror.take(feed(10, 14, {{"c", Revision(12), false, "x"}, {"b", Revision(14), true, ""}}),
                   now);
-    const std::optional<StoreFeed> forwarded = m_mirror.feedSince(Revision(12), now);
+    const std::optional<StoreFeed> forwarded = m_mirror.feedSince(Revision(12), 40'000, now);
     ASSERT_TRUE(forwarded.has_value());
     ASSERT_EQ(forwarded->changes.size(), 1U);
     EXPECT_EQ(forwarded->changes[0].key, "b");
-    EXPECT_FALSE(m_mirror.feedSince(Revision(5), now).has_value());
+    EXPECT_FALSE(m_mirror.feedSince(Revision(5), 40'000, now).has_value());
+}
+
+TEST(FeedCodecTest, ChangesOfManyServersFitIntoADatagram)
+{
+    // Guards against a failure seen in a deployment of 760 servers: their changes filled seven
+    // datagrams, or one value was larger than a datagram, and all nodes read the store themselves.
+    StoreFeed feed;
+    feed.from = Revision(5);
+    feed.to = Revision(400);
+    feed.echo = timePoint(77);
+    feed.proofAge = Duration(8);
+    std::size_t bytes = 0;
+    for (int i = 0; bytes < 150'000; ++i) {
+        StoreChange change;
+        change.key = "servers/i-" + std::to_string(1'000'003LL * i % 999'983);
+        change.revision = Revision(6 + i);
+        change.deleted = i % 10 == 0;
+        if (!change.deleted)
+            change.value = R"({"service":"engines","address":"10.1.)" + std::to_string(i % 250)
+                + R"(.7:8302","zone":"centro-a","state":"ready","seq_num":3,"models":[],"staged":["m"],)"
+                + R"("group":{"name":"centro-a-d)" + std::to_string(i % 40)
+                + R"(-2","epoch":2,"rank":1,"state":"joining"},"domain":"centro-a-d3","slots":14})";
+        bytes += change.key.size() + change.value.size();
+        feed.changes.push_back(std::move(change));
+    }
+    FeedCodec codec;
+    const std::string datagram = codec.serialize(feed);
+    EXPECT_LT(datagram.size(), 50'000U);
+    const StoreFeed parsed = FeedCodec::parse(datagram);
+    EXPECT_EQ(parsed.from, feed.from);
+    EXPECT_EQ(parsed.to, feed.to);
+    EXPECT_EQ(parsed.echo, feed.echo);
+    EXPECT_EQ(parsed.proofAge, feed.proofAge);
+    ASSERT_EQ(parsed.changes.size(), feed.changes.size());
+    EXPECT_EQ(parsed.changes[7].value, feed.changes[7].value);
+    EXPECT_TRUE(parsed.changes[10].deleted);
+    // The same changes with another proof, then other changes.
+    feed.proofAge = Duration(9);
+    EXPECT_EQ(FeedCodec::parse(codec.serialize(feed)).proofAge, Duration(9));
+    feed.changes.resize(1);
+    feed.to = Revision(6);
+    EXPECT_EQ(FeedCodec::parse(codec.serialize(feed)).changes.size(), 1U);
+    EXPECT_ANY_THROW(FeedCodec::parse(datagram.substr(0, datagram.size() / 2)));
+    std::string damaged = datagram;
+    damaged[damaged.size() / 2] = static_cast<char>(damaged[damaged.size() / 2] ^ 0x55);
+    EXPECT_ANY_THROW(FeedCodec::parse(damaged));
 }
 
 TEST(MembershipTest, OneNodeRepresentsAZone)
