--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -11,7 +11,7 @@
 DEFAULT_DIRECTORY = "src/coordination/"  # Directory of files that are given without a path.
 WORKERS = 4
 TESTS = ["ledger_test", "placement_test", "golden_test", "request_test", "formation_test",
-         "initial_split_test", "relay_test", "promises_test"]
+         "initial_split_test", "overload_test", "relay_test", "promises_test"]
 # Name, file, text to replace, replacement text.
 MUTANTS = [
     ("ledger_claim_skipped", "service_system.cpp",
@@ -161,6 +161,15 @@
      "if (isOfEarlierRun", "if (false"),
     ("small_nodes_carry_duties", "request/membership_base.cpp",
      "std::erase_if(records, [most](const auto *record) { return 2 * record->cores < most; });", ""),
+    ("late_requests_take_any_room", "request/request_system.cpp",
+     "input.maxUtilization = lateUtilization;", ""),
+    ("queue_accepts_what_it_makes_late", "request/request_system.cpp",
+     "if (now + queueWait <= request.latestStart + tolerance)",
+     "if (now + queueWait <= request.latestStart + 4 * maxLateness)"),
+    ("late_requests_wait_until_their_deadline", "request/request_system.cpp",
+     "&& now > request.latestStart + maxLateness;", "&& now > request.latestStart + 9 * maxLateness;"),
+    ("spares_get_no_weights_before_traffic", "formation/formation_system.cpp",
+     "(!before || isSplitPlanned)", "!before"),
     ("unsmoothed_demand_moves_groups", "formation/formation_system.cpp",
      "smoothed += weight *", "smoothed +="),
     ("weights_fetched_before_joining", "formation/formation_system.cpp",
--- a/src/tests/formation_test.cpp
+++ b/src/tests/formation_test.cpp
@@ -591,6 +591,17 @@
     EXPECT_GE(harness.fleet().countOpenGroups(ModelId("small")), 1U);
 }
 
+TEST(FormationTest, SpareVmsHaveWeightsWhenTrafficStarts)
+{
+    Harness harness(Fleet(7, false), true,
+                    configuration({servedModel("large", 4, 0.5), servedModel("small", 2, 0.5)}));
+    harness.run(Duration(7'500));
+    ASSERT_EQ(harness.fleet().countOpenGroups(ModelId("large")), 1U);
+    ASSERT_EQ(harness.fleet().countOpenGroups(ModelId("small")), 1U);
+    for (const auto &[id, report] : harness.fleet().reports)
+        EXPECT_FALSE(report.staged.empty()) << id.value();
+}
+
 TEST(FormationTest, FirstSplitFollowsVmsThatAreKnownLate)
 {
     // Half of the VMs were known when groups were first formed.
