--- a/src/formation/initial_split.cpp
+++ b/src/formation/initial_split.cpp
@@ -293,6 +293,7 @@
                                              const EngineSpec &engine)
 {
     std::vector<std::uint32_t> sizes;
+    sizes.reserve(vmsByDomain.size());
     for (const auto &[domain, vms] : vmsByDomain)
         sizes.push_back(vms);
     SplitSearch search(std::move(sizes), engine);
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -582,8 +582,8 @@
     std::vector<RequestId> expired;
     std::vector<std::pair<RequestId, AttemptNumber>> silent;
     for (const auto &[id, request] : m_requests) {
-        const bool waitsTooLong = !request.running && !request.responseStarted
-            && now > request.latestStart + maxLateness;
+        const bool waitsTooLong =
+            !request.running && !request.responseStarted && now > request.latestStart + maxLateness;
         if (now >= request.deadline || waitsTooLong) {
             expired.push_back(id);
         } else if (request.running && request.kind == RequestKind::ResumableStream
