Fix: [Formation] A domain may lose all its VMs before the first request

Cause: found by review; the split of a domain that is known without VMs was looked up with at(), which threw through the event loop. Test first: DomainMayLoseAllVmsBeforeTraffic.

--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -472,7 +472,7 @@
     return true;
 }
 
-const GroupCounts &FormationSystem::initialCounts(const DomainId &id)
+GroupCounts FormationSystem::initialCounts(const DomainId &id)
 {
     std::map<DomainId, std::uint32_t> sizes;
     for (const auto &[domain, servers] : m_backends.domains()) {
@@ -485,7 +485,10 @@
         m_splitSizes = std::move(sizes);
         m_splitConfiguration = m_configuration;
     }
-    return m_split.at(id);
+    // A domain remains known after its last VM has gone.
+    const auto found = m_split.find(id);
+    return found != m_split.end() ? found->second
+                                  : GroupCounts(engineService()->engine->models.size(), 0);
 }
 
 bool FormationSystem::hasAllGroups(const FormationPlan &plan, const GroupCounts &counts) const
--- a/src/formation/formation_system.h
+++ b/src/formation/formation_system.h
@@ -143,7 +143,7 @@
     /// Applies a newer plan. The groups that it dissolves get no new requests from now on.
     void applyPlan(const DomainId &id, const FormationPlan &plan, Revision revision);
     /// The groups of a domain in the first split of all VMs that are known now.
-    const GroupCounts &initialCounts(const DomainId &id);
+    GroupCounts initialCounts(const DomainId &id);
     /// Whether a plan has at least the given numbers of groups.
     bool hasAllGroups(const FormationPlan &plan, const GroupCounts &counts) const;
     /// Whether a VM may be used for groups according to its entry.
--- a/src/formation/initial_split.cpp
+++ b/src/formation/initial_split.cpp
@@ -92,7 +92,7 @@
 private:
     /// Value of `groups` groups of a model if it is to have a share of `vms` VMs. Concave, so that
     /// each further group is worth less.
-    static double value(const ModelShare &model, double vms, std::uint32_t groups)
+    static double valueOf(const ModelShare &model, double vms, std::uint32_t groups)
     {
         if (groups == 0 || vms <= 0)
             return groups == 0 ? -balanceWeight * vms : 0;
@@ -107,7 +107,7 @@
     {
         double sum = 0;
         for (std::size_t i = 0; i < m_models.size(); ++i)
-            sum += value(m_models[i], m_models[i].vms, m_totals[i]);
+            sum += valueOf(m_models[i], m_models[i].vms, m_totals[i]);
         return sum;
     }
 
@@ -254,7 +254,7 @@
             std::vector<double> values;
             for (std::uint32_t groups = 0; groups * model.span <= vms; ++groups)
                 values.push_back(
-                    value(model, model.vms * portion, m_totals[i] + minimum[i] + groups));
+                    valueOf(model, model.vms * portion, m_totals[i] + minimum[i] + groups));
             std::vector<double> next(vms + 1, 0);
             std::vector<std::uint32_t> counts(vms + 1, 0);
             for (std::uint32_t n = 0; n <= vms; ++n) {
--- a/src/tests/formation_test.cpp
+++ b/src/tests/formation_test.cpp
@@ -591,6 +591,25 @@
     EXPECT_GE(harness.fleet().countOpenGroups(ModelId("small")), 1U);
 }
 
+TEST(FormationTest, DomainMayLoseAllVmsBeforeTraffic)
+{
+    // Guards against a failure found by code review: the split of such a domain was looked up and
+    // not found.
+    Harness harness(Fleet(4), true);
+    harness.run(Duration(3'000));
+    EXPECT_EQ(harness.fleet().countOpenGroups(ModelId("large")), 1U);
+    std::vector<VmId> vms;
+    for (const auto &[id, report] : harness.fleet().reports)
+        vms.push_back(id);
+    for (const VmId &vm : vms)
+        harness.removeVm(vm);
+    harness.run(Duration(3'000));
+    EXPECT_TRUE(harness.backends().domains().empty());
+    harness.addVm(Fleet(1).reports.begin()->second);
+    harness.run(Duration(1'000));
+    EXPECT_TRUE(harness.fleet().violations.empty());
+}
+
 TEST(FormationTest, SpareVmsHaveWeightsWhenTrafficStarts)
 {
     Harness harness(Fleet(7, false), true,
