Fix: [Tests] Catch a split of one domain at a time; a mutant that did not build

DomainsAreChosenTogether fails without the perturbations of the split, which the properties show only with more cases than a run of the mutants plays.

--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -162,7 +162,7 @@
     ("small_nodes_carry_duties", "request/membership_base.cpp",
      "std::erase_if(records, [most](const auto *record) { return 2 * record->cores < most; });", ""),
     ("late_requests_take_any_room", "request/request_system.cpp",
-     "input.maxUtilization = lateUtilization;", ""),
+     "input.maxUtilization = lateUtilization;", "input.maxUtilization = 1;"),
     ("queue_accepts_what_it_makes_late", "request/request_system.cpp",
      "if (now + queueWait <= request.latestStart + tolerance)",
      "if (now + queueWait <= request.latestStart + 4 * maxLateness)"),
--- a/src/tests/initial_split_test.cpp
+++ b/src/tests/initial_split_test.cpp
@@ -253,6 +253,20 @@
     EXPECT_EQ(split(shape).front(), (GroupCounts {0, 1, 1}));
 }
 
+TEST(InitialSplit, DomainsAreChosenTogether)
+{
+    // Full domains of one model each serve all VMs. One domain alone would mix the models and leave
+    // a VM over.
+    Shape shape;
+    shape.domains = {6, 6};
+    shape.engine.models.resize(2);
+    shape.engine.models[0].span = 2;
+    shape.engine.models[0].share = 0.45;
+    shape.engine.models[1].span = 3;
+    shape.engine.models[1].share = 0.41;
+    EXPECT_EQ(totalsOf(split(shape), 2), (GroupCounts {3, 2}));
+}
+
 TEST(InitialSplit, NoDomainsAndDomainsThatAreTooSmallGetNoGroups)
 {
     Shape shape;
