--- a/src/tests/request_test.cpp
+++ b/src/tests/request_test.cpp
@@ -286,6 +286,20 @@
     EXPECT_TRUE(m_backends.suspects(m_now).empty());
 }
 
+TEST_F(RequestTest, WaitingRequestIsRefusedSoonAfterItsLatencyTarget)
+{
+    addGroup("g");
+    for (std::uint32_t i = 0; i < slots; ++i)
+        EXPECT_EQ(actionsOf<DispatchAttempt>(sendRequest("/ask/x")).size(), 1U);
+    EXPECT_TRUE(actionsOf<RefuseRequest>(sendRequest("/ask/x")).empty());
+    // The route's target is 400 ms. The servers stay full.
+    EXPECT_TRUE(actionsOf<RefuseRequest>(tickAfter(Duration(390))).empty());
+    const std::vector<RefuseRequest> refusals = actionsOf<RefuseRequest>(tickAfter(Duration(600)));
+    ASSERT_EQ(refusals.size(), 1U);
+    EXPECT_EQ(refusals[0].run, RunOutcome::NotRun);
+    EXPECT_TRUE(refusals[0].retryAfter.has_value());
+}
+
 TEST_F(RequestTest, RefusedRequestsCountAsDemandForAWhile)
 {
     // Guards against a failure seen in a deployment: a model without groups seemed to have no
