--- a/src/tests/request_test.cpp
+++ b/src/tests/request_test.cpp
@@ -286,6 +286,29 @@
     EXPECT_TRUE(m_backends.suspects(m_now).empty());
 }
 
+TEST_F(RequestTest, LateRequestLeavesTheLastSlotsToOthers)
+{
+    addGroup("g");
+    ServingConfiguration configuration = validConfiguration();
+    configuration.services[ServiceId("engines")].engine->slots = 10;
+    m_system.setConfiguration(std::make_shared<ServingConfiguration>(configuration));
+    for (int i = 0; i < 10; ++i)
+        EXPECT_EQ(actionsOf<DispatchAttempt>(sendRequest("/ask/x")).size(), 1U);
+    EXPECT_TRUE(actionsOf<DispatchAttempt>(sendRequest("/ask/x")).empty());
+    m_now += Duration(450); // Its target was 400 ms.
+    for (std::uint64_t ended = 1; ended <= 2; ++ended) {
+        RequestActions actions;
+        m_system.onStreamEnded(RequestId(ended), AttemptNumber(1), m_now, actions);
+        EXPECT_TRUE(actionsOf<DispatchAttempt>(actions).empty()) << ended;
+    }
+    // A request that can be on time gets one of the free slots.
+    EXPECT_EQ(actionsOf<DispatchAttempt>(sendRequest("/ask/x")).size(), 1U);
+    RequestActions actions;
+    m_system.onStreamEnded(RequestId(3), AttemptNumber(1), m_now, actions);
+    m_system.onStreamEnded(RequestId(4), AttemptNumber(1), m_now, actions);
+    EXPECT_EQ(actionsOf<DispatchAttempt>(actions).size(), 1U);
+}
+
 TEST_F(RequestTest, WaitingRequestIsRefusedSoonAfterItsLatencyTarget)
 {
     addGroup("g");
