Feature: [Network] Log responses whose end does not show that they are complete

The log could not tell the hypotheses on streams that ended as complete apart: request_answered says neither what ended a response nor what was left in the buffer of its events. The parser now states what marks the end of a body, and the relay logs response_end_doubtful for a body that ends with its connection and for an unfinished event.

--- a/src/network/backend_connections.cpp
+++ b/src/network/backend_connections.cpp
@@ -177,6 +177,7 @@
     connection.attempt = AttemptHandle();
     auto &idle = m_idle[connection.server];
     const MessageHead &head = connection.parser.head();
+    const BodyEnd end = connection.parser.bodyEnd();
     const bool reuse = connection.reusable && head.keepAlive
         && connection.socket->unsentBytes() == 0 && connection.socket->received().empty()
         && idle.size() < maxIdlePerServer;
@@ -185,7 +186,7 @@
         idle.push_back(&connection);
     else
         discard(connection);
-    hooks.onResponseEnd();
+    hooks.onResponseEnd(end);
 }
 
 void BackendConnections::fail(Connection &connection)
--- a/src/network/backend_connections.h
+++ b/src/network/backend_connections.h
@@ -33,7 +33,7 @@
 {
     std::function<void(const MessageHead &)> onResponseHead;
     std::function<void(std::string)> onResponseBody;
-    std::function<void()> onResponseEnd;
+    std::function<void(BodyEnd)> onResponseEnd;
     /// The attempt failed. With `sent`, part of the request may have reached the server.
     std::function<void(bool sent)> onFailure;
 };
--- a/src/network/http_message.cpp
+++ b/src/network/http_message.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+constexpr unsigned firstFinalStatus = 200;
+constexpr unsigned noContent = 204;
+constexpr unsigned notModified = 304;
 constexpr std::string_view headTerminator = "\r\n\r\n";
 constexpr std::array<std::string_view, 9> hopByHopHeaders {"connection",
                                                            "keep-alive",
@@ -102,6 +105,23 @@
     return false;
 }
 
+const char *bodyEndName(BodyEnd end)
+{
+    switch (end) {
+    case BodyEnd::Unknown:
+        return "unknown";
+    case BodyEnd::NoBody:
+        return "no_body";
+    case BodyEnd::Length:
+        return "length";
+    case BodyEnd::LastChunk:
+        return "last_chunk";
+    case BodyEnd::ConnectionClose:
+        return "connection_close";
+    }
+    return "unknown";
+}
+
 /// The parser and the parts of the message that its callbacks collect.
 struct MessageParser::State
 {
@@ -117,9 +137,24 @@
     bool withoutBody = false;
     bool inValue = false;
     std::optional<std::size_t> declaredBodyLength;
+    BodyEnd bodyEnd = BodyEnd::Unknown;
 
     static State &of(http_parser *parser) { return *static_cast<State *>(parser->data); }
 
+    static BodyEnd bodyEndOf(const http_parser &parser, const State &state)
+    {
+        const auto status = parser.status_code;
+        const bool isResponse = state.kind == Kind::Response;
+        if (state.withoutBody
+            || (isResponse
+                && (status < firstFinalStatus || status == noContent || status == notModified)))
+            return BodyEnd::NoBody;
+        if ((parser.flags & F_CHUNKED) != 0)
+            return BodyEnd::LastChunk;
+        if (state.declaredBodyLength)
+            return BodyEnd::Length;
+        return isResponse ? BodyEnd::ConnectionClose : BodyEnd::NoBody;
+    }
     static int onMessageBegin(http_parser *parser)
     {
         of(parser).begun = true;
@@ -160,6 +195,7 @@
         state.head.keepAlive = http_should_keep_alive(parser) != 0;
         if (parser->content_length != std::numeric_limits<std::uint64_t>::max())
             state.declaredBodyLength = parser->content_length;
+        state.bodyEnd = bodyEndOf(*parser, state);
         return state.withoutBody ? 1 : 0;
     }
     static int onBody(http_parser *parser, const char *at, std::size_t length)
@@ -202,6 +238,7 @@
     state.begun = state.headComplete = state.complete = state.failed = state.inValue = false;
     state.withoutBody = withoutBody;
     state.declaredBodyLength.reset();
+    state.bodyEnd = BodyEnd::Unknown;
 }
 
 std::size_t MessageParser::feed(std::string_view bytes)
@@ -257,6 +294,11 @@
     return m_state->declaredBodyLength;
 }
 
+BodyEnd MessageParser::bodyEnd() const
+{
+    return m_state->bodyEnd;
+}
+
 std::string MessageParser::takeBody()
 {
     return std::exchange(m_state->body, std::string());
--- a/src/network/http_message.h
+++ b/src/network/http_message.h
@@ -40,6 +40,18 @@
 /// and 5.2).
 bool hasAmbiguousLines(std::string_view bytes);
 
+/// What marks the end of a message's body (RFC 9112, 6.3).
+enum class BodyEnd {
+    Unknown, ///< The head is incomplete.
+    NoBody, ///< The message has no body, e.g. a response to HEAD or with status 204.
+    Length, ///< As many bytes as Content-Length states.
+    LastChunk, ///< The last chunk of a chunked body.
+    ConnectionClose, ///< Nothing in the message; the body lasts until the connection is closed.
+};
+
+/// The name of a BodyEnd for logs.
+const char *bodyEndName(BodyEnd end);
+
 /// Incremental parser for the HTTP messages of a connection, based on http_parser.
 class MessageParser
 {
@@ -66,6 +78,8 @@
     bool idle() const;
     /// The body length that the head declares, or none.
     std::optional<std::size_t> declaredLength() const;
+    /// What marks the end of the body.
+    BodyEnd bodyEnd() const;
     /// Returns the decoded body bytes that were parsed since the last call.
     std::string takeBody();
 
--- a/src/network/relay.cpp
+++ b/src/network/relay.cpp
@@ -159,6 +159,7 @@
         exchange->responseHead = head;
     exchange->responseBody.clear();
     exchange->framing.reset();
+    exchange->events = 0;
 }
 
 void Relay::onResponseBody(RequestId id, AttemptNumber attempt, const std::string &bytes)
@@ -202,6 +203,7 @@
     // The head is sent with the first complete event: until then the request can still be moved to
     // another server.
     startResponse(id, exchange);
+    exchange.events += batch.events;
     m_callers.sendChunk(toExchangeId(id), batch.bytes);
     if (!batch.lastEventId.empty())
         exchange.lastEvent = batch.lastEventId;
@@ -212,11 +214,27 @@
     }
 }
 
-void Relay::handleResponseEnd(RequestId id, AttemptNumber attempt)
+void Relay::logDoubtfulEnd(const Exchange &exchange, BodyEnd end)
+{
+    const std::size_t unfinished = exchange.isStream ? exchange.framing.remainder().size() : 0;
+    if (end != BodyEnd::ConnectionClose && unfinished == 0)
+        return;
+    m_hooks.decided({exchange.head.value(m_dialect.traceHeader),
+                     "response_end_doubtful",
+                     {{"server", exchange.server.value()},
+                      {"end", bodyEndName(end)},
+                      {"status", std::to_string(exchange.attemptHead.status)},
+                      {"stream", exchange.isStream ? "true" : "false"},
+                      {"events", std::to_string(exchange.events)},
+                      {"unfinished_bytes", std::to_string(unfinished)}}});
+}
+
+void Relay::handleResponseEnd(RequestId id, AttemptNumber attempt, BodyEnd end)
 {
     Exchange *exchange = find(id, attempt);
     if (!exchange)
         return;
+    logDoubtfulEnd(*exchange, end);
     RequestActions actions;
     const TimePoint now = m_loop.now();
     if (exchange->isStream) {
@@ -273,6 +291,7 @@
     const AttemptNumber attempt = dispatch.attempt;
     exchange.attempt = attempt;
     exchange.paused = false;
+    exchange.server = dispatch.server;
     BackendRequest request;
     request.address = dispatch.address;
     request.server = dispatch.server;
@@ -289,7 +308,7 @@
     hooks.onResponseBody = [this, id, attempt](const std::string &bytes) {
         onResponseBody(id, attempt, bytes);
     };
-    hooks.onResponseEnd = [this, id, attempt] { handleResponseEnd(id, attempt); };
+    hooks.onResponseEnd = [this, id, attempt](BodyEnd end) { handleResponseEnd(id, attempt, end); };
     hooks.onFailure = [this, id, attempt](bool sent) { handleAttemptFailure(id, attempt, sent); };
     exchange.handle = m_backends.send(std::move(request), std::move(hooks));
 }
--- a/src/network/relay.h
+++ b/src/network/relay.h
@@ -78,6 +78,8 @@
         bool headSent = false; ///< The head of the response was sent to the caller.
         bool paused = false; ///< Reading from the server is paused for a slow caller.
         EventFraming framing;
+        std::size_t events = 0; ///< Events of the current attempt's response.
+        VmId server; ///< Server of the current attempt.
         std::string lastEvent; ///< The id of the last event sent to the caller.
     };
 
@@ -88,7 +90,9 @@
     void onResponseBody(RequestId id, AttemptNumber attempt, const std::string &bytes);
     void forwardEvents(RequestId id, Exchange &exchange, const std::string &bytes);
     void startResponse(RequestId id, Exchange &exchange);
-    void handleResponseEnd(RequestId id, AttemptNumber attempt);
+    void handleResponseEnd(RequestId id, AttemptNumber attempt, BodyEnd end);
+    /// Logs a response whose completeness its framing does not show.
+    void logDoubtfulEnd(const Exchange &exchange, BodyEnd end);
     void handleAttemptFailure(RequestId id, AttemptNumber attempt, bool sent);
     /// Returns the exchange if `attempt` is its current attempt; null otherwise.
     Exchange *find(RequestId id, AttemptNumber attempt);
