Feature: [Tests] Break answers off at every place of their framing and their events

One node, and scripted servers that cut an answer at each place of its head, chunks and events and at seeded random bytes, by a quiet close, a reset, silence or bytes without end; with a length, chunks, neither, and a transfer coding other than chunked; for streams that may be resumed and that may not, repeatable requests and payments, first and resumed runs. An answer that looks complete to its caller must be complete.

--- /dev/null
+++ b/src/tests/response_end_test.py
@@ -0,0 +1,252 @@
+"""Every way in which the end of a server's answer can be seen or missed, seen from outside.
+
+Usage: response_end_test.py BUILD_DIR [unittest arguments]
+
+A scripted server breaks its answer off at each place of its framing and of its events, in each way
+in which a connection can end or stay open. An answer that reaches the caller as complete must be
+complete. RESPONSE_END_SEED selects the random places.
+"""
+
+import base64
+import json
+import os
+import sys
+import threading
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+
+from platform_system import System, wait_for  # noqa: E402
+from scripted_server import (Answer, ScriptedServer, call, reset, seeded, send_cut,  # noqa: E402
+                             send_endlessly, wait_for_close)
+
+BUILD_DIR = sys.argv.pop(1) if len(sys.argv) > 1 else "build"
+SEED = os.environ.get("RESPONSE_END_SEED", "1")
+EVENTS = 5
+CHUNK_SIZES = (1, 2, 1, 1)  # Events in each chunk of a chunked stream.
+SERVERS = 3
+RANDOM_CUTS = 6  # For each kind of request and framing.
+CONCURRENT_CALLS = 32
+CALLER_TIMEOUT_S = 12
+FILLER = b"x"  # Endless answers go on with it; it ends neither a line nor an event.
+MAX_ACCEPTED_BYTES = 24 * 1024 * 1024  # Of an endless answer: limits of the node, socket buffers.
+FRAMINGS = ("length", "chunked", "close", "identity")
+CLOSE_DELIMITED = ("close", "identity")
+WAYS = ("fin", "reset", "silence", "endless")
+STREAMS = ("resumable", "once")
+ROUTES = {
+    "resumable": {"route_type": "streaming", "resumable": True, "timeout_ms": 8000,
+                  "max_attempts": 4},
+    "once": {"route_type": "streaming", "timeout_ms": 2500, "max_attempts": 1},
+    "repeatable": {"route_type": "idempotent", "timeout_ms": 2500, "max_attempts": 3},
+    "payment": {"route_type": "non_idempotent", "timeout_ms": 2500, "max_attempts": 1}}
+
+
+class Case:
+    """One request. The first `breaks` runs of it are broken off, later ones are whole."""
+
+    def __init__(self, number, kind, framing, cut, way, breaks=1):
+        self.number, self.kind, self.framing, self.way, self.breaks = \
+            number, kind, framing, way, breaks
+        self.cut = cut  # The name of a place, or "random N".
+        self.lock = threading.Lock()
+        self.runs = []  # The id after which each run started.
+        self.accepted_bytes = 0
+
+    def __str__(self):
+        return (f"{self.kind}, {self.framing}, cut {self.cut}, {self.way}, "
+                f"{self.breaks} broken runs (case {self.number}, seed {SEED})")
+
+    def is_stream(self):
+        return self.kind in STREAMS
+
+    def event(self, number):
+        return f"id: {number}\ndata: case {self.number} event {number}\n\n".encode()
+
+    def whole_body(self):
+        if self.is_stream():
+            return b"".join(self.event(number) for number in range(1, EVENTS + 1))
+        return json.dumps({"case": self.number, "text": "w" * 300}).encode()
+
+    def answer_after(self, last_event, run):
+        """The answer of a run that starts after an event."""
+        headers = [("X-Request-Id", f"r{self.number}"), ("X-Server-Seal", f"run{run}")]
+        if not self.is_stream():
+            headers.append(("Content-Type", "application/json"))
+            return Answer(headers, [self.whole_body()], self.framing, [1])
+        headers.append(("Content-Type", "text/event-stream"))
+        events = [self.event(number) for number in range(last_event + 1, EVENTS + 1)]
+        return Answer(headers, events, self.framing,
+                      CHUNK_SIZES if last_event == 0 else [1] * len(events))
+
+    def is_broken(self):
+        """Whether a run that is cut does not reach the end that its framing shows."""
+        return self.cut != "complete" or self.framing in CLOSE_DELIMITED
+
+    def whole_bodies(self):
+        """The bodies that are whole by the framing of the server."""
+        bodies = [self.whole_body()]
+        if self.way == "endless" and self.framing == "length" and not self.is_stream():
+            answer = self.answer_after(0, 0)
+            received = answer.wire[answer.head_length:self.offset(answer, 0)]
+            bodies.append(received + FILLER * (len(answer.body) - len(received)))
+        return bodies
+
+    def offset(self, answer, run):
+        """Where the answer is cut; places that this answer does not have are drawn."""
+        if self.cut in answer.cuts:
+            return answer.cuts[self.cut]
+        return answer.random_cut(seeded(SEED, self.number, self.cut, run))
+
+    def serve(self, connection, head):
+        last_event = int(head.get("last-event-id", 0))
+        with self.lock:
+            run = len(self.runs)
+            self.runs.append(last_event)
+        answer = self.answer_after(last_event, run)
+        generator = seeded(SEED, self.number, run)
+        if run >= self.breaks or not self.is_broken() and self.way == "fin":
+            send_cut(connection, answer.wire, generator)
+            return self.framing not in CLOSE_DELIMITED
+        offset = self.offset(answer, run)
+        send_cut(connection, answer.wire[:offset], generator)
+        if self.way == "reset":
+            reset(connection)
+        elif self.way == "silence":
+            wait_for_close(connection)
+        elif self.way == "endless":
+            self.accepted_bytes = send_endlessly(connection, FILLER)
+        return False
+
+    def may_look_complete(self, run):
+        """Whether a broken run ends as a complete one without a length or chunks does: with its
+        connection, quietly, and, in a stream, after an event."""
+        if self.way != "fin" or self.framing not in CLOSE_DELIMITED:
+            return False
+        answer = self.answer_after(self.runs[run], run)
+        offset = self.offset(answer, run)
+        if offset < answer.head_length:
+            return False
+        return not self.is_stream() or (answer.is_at_piece_end(offset)
+                                        and self.runs[run] + answer.pieces_before(offset) > 0)
+
+    def violations(self, reply):
+        """What is wrong with the reply to the caller."""
+        found = []
+        broken_runs = self.runs[:self.breaks]
+        looks_complete = any(self.may_look_complete(run) for run in range(len(broken_runs)))
+        whole = reply.body in self.whole_bodies()
+        if reply.extra:
+            found.append(f"{len(reply.extra)} bytes after the answer")
+        if self.accepted_bytes > MAX_ACCEPTED_BYTES:
+            found.append(f"{self.accepted_bytes} bytes of an endless answer were read")
+        if reply.complete and reply.status == 200 and not whole and not looks_complete:
+            found.append(f"framed as complete after {reply.body[-30:]!r}, and is not")
+        if reply.status == 200 and not any(body.startswith(reply.body)
+                                           for body in self.whole_bodies()):
+            found.append("bytes that are not those of the answer")
+        if self.kind in ("once", "payment"):
+            if len(self.runs) != 1:
+                found.append(f"ran {len(self.runs)} times")
+            if reply.status not in (0, 200, 502, 504):
+                found.append(f"status {reply.status} although it has run")
+            if not self.is_broken() and not (reply.complete and whole):
+                found.append(f"a complete answer was not delivered: status {reply.status}")
+        elif not looks_complete and not (reply.complete and whole) and \
+                not (self.kind == "repeatable" and self.way == "silence" and reply.status == 504):
+            found.append(f"not served by another server: status {reply.status}, "
+                         f"complete {reply.complete}, runs after {self.runs}")
+        return found
+
+
+def named_cuts(kind, framing):
+    case = Case(0, kind, framing, "complete", "fin")
+    return list(case.answer_after(0, 0).cuts)
+
+
+def make_cases():
+    cases = []
+
+    def add(*arguments):
+        cases.append(Case(len(cases) + 1, *arguments))
+
+    for kind in ROUTES:
+        for framing in FRAMINGS:
+            cuts = named_cuts(kind, framing)
+            cuts += [f"random {number}" for number in range(RANDOM_CUTS)]
+            for position, cut in enumerate(cuts):
+                for way in WAYS:
+                    # Silence takes seconds, so it is played at every third place.
+                    if way == "silence" and position % 3 != 0:
+                        continue
+                    add(kind, framing, cut, way)
+    for framing in FRAMINGS:  # A resumed run is broken off as well.
+        for way in WAYS:
+            for number in range(RANDOM_CUTS):
+                add("resumable", framing, f"random {number}", way, 2)
+    return cases
+
+
+class EndsSystem(System):
+    """One node, and three scripted servers that are a service of their own for each case."""
+
+    def __init__(self, build, cases):
+        self.cases = {f"c{case.number}": case for case in cases}
+        self.servers = [ScriptedServer(f"127.0.6.{number + 1}:23300", self.answer)
+                        for number in range(SERVERS)]
+        super().__init__(build, engines=0, nodes=1)
+
+    def answer(self, _, connection, head, __):
+        return self.cases[head["start"].split("/")[1]].serve(connection, head)
+
+    def configure(self):
+        routes = [dict(ROUTES[case.kind], name=name, host="shop.example",
+                       path_prefix=f"/{name}/", service=name, target_latency_ms=400,
+                       priority=1, auth_exempt=True) for name, case in self.cases.items()]
+        config = {"version": 1, "routes": routes,
+                  "services": [{"name": name} for name in self.cases], "tenants": []}
+        self.put({"op/config": config})
+        entries = {}
+        for name in self.cases:
+            for number, server in enumerate(self.servers):
+                entries[f"servers/{name}-{number}"] = {
+                    "service": name, "address": server.address, "zone": "za", "version": "v1",
+                    "slots": 8, "state": "ready", "cold_remaining_ms": 0, "seq_num": 0,
+                    "born": 1, "models": [], "staged": []}
+        self.put(entries)
+
+    def put(self, values):
+        self.write({"expected": [], "remove": [],
+                    "puts": [{"key": key, "value": base64.b64encode(
+                        json.dumps(value).encode()).decode()} for key, value in values.items()]})
+
+    def play(self, case):
+        request = (f"POST /c{case.number}/x HTTP/1.1\r\nHost: shop.example\r\n"
+                   f"X-Request-Id: r{case.number}\r\nX-Request-Deadline: 9000\r\n"
+                   "Content-Length: 2\r\n\r\n{}")
+        reply = call(self.front_address(0), request.encode(), CALLER_TIMEOUT_S)
+        return [f"{case}: {violation}" for violation in case.violations(reply)]
+
+    def stop(self):
+        super().stop()
+        for server in self.servers:
+            server.stop()
+
+
+class ResponseEndTest(unittest.TestCase):
+
+    def test_broken_off_answer_does_not_reach_its_caller_as_complete(self):
+        cases = make_cases()
+        system = EndsSystem(BUILD_DIR, cases)
+        self.addCleanup(system.stop)
+        wait_for("node 0 to be ready", lambda: system.is_ready(0))
+        with ThreadPoolExecutor(CONCURRENT_CALLS) as pool:
+            violations = [line for lines in pool.map(system.play, cases) for line in lines]
+        self.assertIsNone(system.processes["n0"].poll(), "the node has ended")
+        print(f"{len(cases)} answers, {len(violations)} violations", file=sys.stderr)
+        self.assertEqual(violations, [], "\n" + "\n".join(violations))
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
