Fix: [Network] A stream that ends inside an event is broken off, not complete

Cause: the relay took the end of the body for the end of the answer. A body without a length or chunks ends with its connection, also where the server broke it off, and the relay then forwarded the rest of the event buffer and its own last chunk. The same held for a length that is reached inside an event.

Change: a stream is complete if its body has ended and no event is unfinished; one that ends by its connection alone also needs an event. Otherwise the attempt counts as broken: a resumable stream goes on at another server after its last complete event, any other is ended without its last chunk, or with 502 if nothing was sent yet. The event framing knows whether a stream may end where it is: it reads line by line, with each of the three line ends, and does not scan an unfinished event again.

Why it works: completeness is decided where both its parts are known, the framing of the message and that of the events, by one function for every way in which a body may end.

Left: an end between two events by the connection alone cannot be told from the end of the stream; it is logged and counted (response_end_doubtful).

--- a/src/network/event_framing.cpp
+++ b/src/network/event_framing.cpp
@@ -4,60 +4,69 @@
 
 namespace {
 
-/// Returns the value of the event's last id field, or an empty string if it has none.
-std::string_view eventId(std::string_view event)
+constexpr std::string_view idField = "id:";
+
+/// Returns the value of an id field, or an empty string if the line is another field.
+std::string_view eventId(std::string_view line)
 {
-    std::string_view id;
-    while (!event.empty()) {
-        const std::size_t end = std::min(event.find('\n'), event.size());
-        std::string_view line = event.substr(0, end);
-        event.remove_prefix(std::min(end + 1, event.size()));
-        if (!line.empty() && line.back() == '\r')
-            line.remove_suffix(1);
-        if (line.substr(0, 3) != "id:")
-            continue;
-        line.remove_prefix(3);
-        if (!line.empty() && line.front() == ' ')
-            line.remove_prefix(1);
-        id = line;
-    }
-    return id;
+    if (line.substr(0, idField.size()) != idField)
+        return {};
+    line.remove_prefix(idField.size());
+    if (!line.empty() && line.front() == ' ')
+        line.remove_prefix(1);
+    return line;
 }
 
-/// Returns the offset after the blank line that ends the event starting at `from`, or npos if the
-/// event is incomplete.
-std::size_t eventEnd(std::string_view bytes, std::size_t from)
+} // namespace
+
+std::optional<std::string_view> EventFraming::nextLine()
 {
-    for (std::size_t newline = bytes.find('\n', from); newline != std::string_view::npos;
-         newline = bytes.find('\n', newline + 1)) {
-        if (newline + 1 < bytes.size() && bytes[newline + 1] == '\n')
-            return newline + 2;
-        if (newline + 2 < bytes.size() && bytes[newline + 1] == '\r' && bytes[newline + 2] == '\n')
-            return newline + 3;
+    const std::size_t end = m_buffer.find_first_of("\r\n", m_scanned);
+    if (end == std::string::npos) {
+        m_scanned = m_buffer.size();
+        return std::nullopt;
     }
-    return std::string_view::npos;
+    m_scanned = end;
+    std::size_t next = end + 1;
+    if (m_buffer[end] == '\r') {
+        const bool isLast = next == m_buffer.size();
+        if (isLast && !m_bareCarriageReturns)
+            return std::nullopt; // A line feed may follow.
+        const bool beforeLineFeed = !isLast && m_buffer[next] == '\n';
+        next += beforeLineFeed ? 1 : 0;
+        m_bareCarriageReturns = !beforeLineFeed;
+    }
+    const std::string_view line = std::string_view(m_buffer).substr(m_lineBegin, end - m_lineBegin);
+    m_lineBegin = m_scanned = next;
+    return line;
 }
 
-} // namespace
-
 EventBatch EventFraming::take(std::string_view bytes)
 {
     m_buffer.append(bytes);
     EventBatch batch;
-    std::size_t eventBegin = 0;
-    const std::string_view buffered = m_buffer;
-    for (;;) {
-        const std::size_t end = eventEnd(buffered, eventBegin);
-        if (end == std::string_view::npos)
-            break;
-        const std::string_view id = eventId(buffered.substr(eventBegin, end - eventBegin));
-        if (!id.empty())
-            batch.lastEventId = id;
+    std::size_t complete = 0;
+    while (const auto line = nextLine()) {
+        if (!line->empty()) {
+            m_hasLine = true;
+            m_hasField = m_hasField || line->front() != ':';
+            if (const std::string_view id = eventId(*line); !id.empty())
+                m_id = id;
+            continue;
+        }
+        if (!m_hasLine)
+            continue;
         ++batch.events;
-        eventBegin = end;
+        if (!m_id.empty())
+            batch.lastEventId = std::move(m_id);
+        m_id.clear();
+        m_hasLine = m_hasField = false;
+        complete = m_lineBegin;
     }
-    batch.bytes = m_buffer.substr(0, eventBegin);
-    m_buffer.erase(0, eventBegin);
+    batch.bytes = m_buffer.substr(0, complete);
+    m_buffer.erase(0, complete);
+    m_lineBegin -= complete;
+    m_scanned -= complete;
     return batch;
 }
 
--- a/src/network/event_framing.h
+++ b/src/network/event_framing.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -14,18 +16,30 @@
 };
 
 /// Splits a text/event-stream (WHATWG HTML, 9.2.6) into complete events. Incomplete events are
-/// buffered, so that a stream that breaks off can be resumed after its last complete event.
+/// buffered, so that a stream that breaks off can be resumed after its last complete event. A block
+/// of comments counts as an event.
 class EventFraming
 {
 public:
     /// Appends received bytes and returns the events that are now complete.
     EventBatch take(std::string_view bytes);
-    /// The buffered bytes of an incomplete event.
+    /// The buffered bytes: an incomplete event, or comments and blank lines after the last event.
     const std::string &remainder() const { return m_buffer; }
-    void reset() { m_buffer.clear(); }
+    /// Whether a stream that ends here ends inside an event or a line, so that it was broken off.
+    bool isInsideEvent() const { return m_hasField || m_lineBegin < m_buffer.size(); }
+    void reset() { *this = EventFraming(); }
 
 private:
-    std::string m_buffer;
+    /// Returns the next complete line without its line end, and moves past it.
+    std::optional<std::string_view> nextLine();
+
+    std::string m_buffer; ///< Begins after the last complete event.
+    std::size_t m_lineBegin = 0; ///< Start of the first line that is not complete.
+    std::size_t m_scanned = 0; ///< The buffer contains no line end from m_lineBegin up to here.
+    bool m_hasLine = false; ///< The incomplete event has a complete line.
+    bool m_hasField = false; ///< One of these lines is a field, not a comment.
+    bool m_bareCarriageReturns = false; ///< The last line ended with a carriage return alone.
+    std::string m_id; ///< The id of the incomplete event.
 };
 
 } // namespace bramleypitch
--- a/src/network/relay.cpp
+++ b/src/network/relay.cpp
@@ -214,11 +214,18 @@
     }
 }
 
+bool Relay::isBrokenOff(const Exchange &exchange, BodyEnd end)
+{
+    const bool hasEvents = exchange.events > 0 || exchange.headSent;
+    return exchange.framing.isInsideEvent() || (end == BodyEnd::ConnectionClose && !hasEvents);
+}
+
 void Relay::logDoubtfulEnd(const Exchange &exchange, BodyEnd end)
 {
-    const std::size_t unfinished = exchange.isStream ? exchange.framing.remainder().size() : 0;
-    if (end != BodyEnd::ConnectionClose && unfinished == 0)
+    const bool isInsideEvent = exchange.isStream && exchange.framing.isInsideEvent();
+    if (end != BodyEnd::ConnectionClose && !isInsideEvent)
         return;
+    const std::size_t unfinished = isInsideEvent ? exchange.framing.remainder().size() : 0;
     m_hooks.decided({exchange.head.value(m_dialect.traceHeader),
                      "response_end_doubtful",
                      {{"server", exchange.server.value()},
@@ -235,6 +242,10 @@
     if (!exchange)
         return;
     logDoubtfulEnd(*exchange, end);
+    if (exchange->isStream && isBrokenOff(*exchange, end)) {
+        handleAttemptFailure(id, attempt, true);
+        return;
+    }
     RequestActions actions;
     const TimePoint now = m_loop.now();
     if (exchange->isStream) {
--- a/src/network/relay.h
+++ b/src/network/relay.h
@@ -91,6 +91,9 @@
     void forwardEvents(RequestId id, Exchange &exchange, const std::string &bytes);
     void startResponse(RequestId id, Exchange &exchange);
     void handleResponseEnd(RequestId id, AttemptNumber attempt, BodyEnd end);
+    /// Whether a stream whose body has ended was broken off: inside an event, or before its first
+    /// event by the end of the connection alone.
+    static bool isBrokenOff(const Exchange &exchange, BodyEnd end);
     /// Logs a response whose completeness its framing does not show.
     void logDoubtfulEnd(const Exchange &exchange, BodyEnd end);
     void handleAttemptFailure(RequestId id, AttemptNumber attempt, bool sent);
--- a/src/tests/relay_test.cpp
+++ b/src/tests/relay_test.cpp
@@ -100,6 +100,40 @@
     RC_ASSERT(framing.remainder() == partial);
 }
 
+RC_GTEST_PROP(EventFraming, StreamCutInsideAnEventIsDetected, ())
+{
+    // Guards against ORDER: a stream that broke off inside an event was forwarded as complete.
+    const std::string lineEnd =
+        *rc::gen::element(std::string("\n"), std::string("\r\n"), std::string("\r"));
+    std::string stream;
+    std::vector<std::size_t> ends {0}; // Offsets at which a stream may end.
+    const auto count = *rc::gen::inRange(1, 8);
+    for (int i = 1; i <= count; ++i) {
+        // A first carriage return may still be followed by a line feed.
+        if (i > 1 && *rc::gen::arbitrary<bool>()) {
+            stream += ": comment" + lineEnd;
+            ends.push_back(stream.size());
+        }
+        stream += "id: " + std::to_string(i) + lineEnd + "data: x" + lineEnd + lineEnd;
+        ends.push_back(stream.size());
+        if (*rc::gen::arbitrary<bool>()) {
+            stream += lineEnd;
+            ends.push_back(stream.size());
+        }
+    }
+    const auto cut = *rc::gen::inRange<std::size_t>(0, stream.size() + 1);
+    std::string bytes = stream.substr(0, cut);
+    EventFraming framing;
+    std::string forwarded;
+    while (!bytes.empty()) {
+        const auto size = *rc::gen::inRange<std::size_t>(1, bytes.size() + 1);
+        forwarded += framing.take(bytes.substr(0, size)).bytes;
+        bytes.erase(0, size);
+    }
+    RC_ASSERT(forwarded + framing.remainder() == stream.substr(0, cut));
+    RC_ASSERT(framing.isInsideEvent() == (std::count(ends.begin(), ends.end(), cut) == 0));
+}
+
 /// A store client that completes reads at once with `page` and keeps the callback of a watch.
 class FakeStore : public StoreClient
 {
