Fix: [Network] An event that never ends does not fill the memory of a node

Callers saw: nothing until the timeout of their route; the node read and kept whatever the server sent meanwhile, 52 MB for one stream in response_end_test.

Cause: bytes are kept until an event is complete, without a limit.

Change: an unfinished event of more than 1 MiB ends the attempt and its connection, as a whole answer of more than 4 MiB does; one function for both.

The test's own bound is halved to the sum of the limits.

--- a/src/network/relay.cpp
+++ b/src/network/relay.cpp
@@ -16,6 +16,8 @@
 /// Limit on the body of a response that is not a stream. It is kept until it is complete, since an
 /// incomplete response may be replaced by that of another server.
 constexpr std::size_t maxBufferedBytes = 4 * 1024 * 1024;
+/// Limit on an event of a stream, which is kept until it is complete.
+constexpr std::size_t maxEventBytes = 1024 * 1024;
 constexpr std::string_view eventStreamType = "text/event-stream";
 
 int toHttpStatus(ErrorCode code)
@@ -172,15 +174,21 @@
         return;
     }
     exchange->responseBody += bytes;
-    if (exchange->responseBody.size() <= maxBufferedBytes)
-        return;
-    m_hooks.decided({exchange->head.value(m_dialect.traceHeader),
+    if (exchange->responseBody.size() > maxBufferedBytes)
+        abandonTooLarge(id, *exchange, exchange->responseBody.size(), maxBufferedBytes);
+}
+
+void Relay::abandonTooLarge(RequestId id, Exchange &exchange, std::size_t bytes, std::size_t limit)
+{
+    m_hooks.decided({exchange.head.value(m_dialect.traceHeader),
                      "response_too_large",
-                     {{"bytes", std::to_string(exchange->responseBody.size())},
-                      {"limit", std::to_string(maxBufferedBytes)}}});
-    exchange->responseBody.clear();
-    m_backends.abandon(exchange->handle);
-    handleAttemptFailure(id, attempt, true);
+                     {{"server", exchange.server.value()},
+                      {"bytes", std::to_string(bytes)},
+                      {"limit", std::to_string(limit)}}});
+    exchange.responseBody.clear();
+    exchange.framing.reset();
+    m_backends.abandon(exchange.handle);
+    handleAttemptFailure(id, exchange.attempt, true);
 }
 
 void Relay::startResponse(RequestId id, Exchange &exchange)
@@ -198,8 +206,15 @@
 void Relay::forwardEvents(RequestId id, Exchange &exchange, const std::string &bytes)
 {
     const EventBatch batch = exchange.framing.take(bytes);
-    if (batch.events == 0)
-        return;
+    if (batch.events > 0)
+        sendEvents(id, exchange, batch);
+    const std::size_t unfinished = exchange.framing.remainder().size();
+    if (unfinished > maxEventBytes)
+        abandonTooLarge(id, exchange, unfinished, maxEventBytes);
+}
+
+void Relay::sendEvents(RequestId id, Exchange &exchange, const EventBatch &batch)
+{
     // The head is sent with the first complete event: until then the request can still be moved to
     // another server.
     startResponse(id, exchange);
--- a/src/network/relay.h
+++ b/src/network/relay.h
@@ -89,6 +89,9 @@
     void onResponseHead(RequestId id, AttemptNumber attempt, const MessageHead &head);
     void onResponseBody(RequestId id, AttemptNumber attempt, const std::string &bytes);
     void forwardEvents(RequestId id, Exchange &exchange, const std::string &bytes);
+    void sendEvents(RequestId id, Exchange &exchange, const EventBatch &batch);
+    /// Ends an attempt whose response exceeds a limit. Logs the size and the limit in bytes.
+    void abandonTooLarge(RequestId id, Exchange &exchange, std::size_t bytes, std::size_t limit);
     void startResponse(RequestId id, Exchange &exchange);
     void handleResponseEnd(RequestId id, AttemptNumber attempt, BodyEnd end);
     /// Whether a stream whose body has ended was broken off: inside an event, or before its first
--- a/src/tests/response_end_test.py
+++ b/src/tests/response_end_test.py
@@ -30,7 +30,8 @@
 CONCURRENT_CALLS = 32
 CALLER_TIMEOUT_S = 12
 FILLER = b"x"  # Endless answers go on with it; it ends neither a line nor an event.
-MAX_ACCEPTED_BYTES = 24 * 1024 * 1024  # Of an endless answer: limits of the node, socket buffers.
+# Of an endless answer: 4 MiB that a node keeps, 256 KiB read ahead, and the socket buffers.
+MAX_ACCEPTED_BYTES = 12 * 1024 * 1024
 FRAMINGS = ("length", "chunked", "close", "identity")
 CLOSE_DELIMITED = ("close", "identity")
 WAYS = ("fin", "reset", "silence", "endless")
