Fix: [Network] A transfer coding other than chunked does not mark the end of a response

A reply of the store, an engine or a service with such a coding and a lost connection would have counted as complete with any part of its body.

Cause: the client took the header Transfer-Encoding for a sign that the body has an end of its own. evhttp knows only chunked; it reads any other coding until the connection is closed.

Change: only chunked counts; without it, a length or a status without a body.

Evidence: HttpClientTest.ResponseThatItsFramingDoesNotEndIsAFailure cuts responses of seven framings at each byte, by a close and by a reset: 13 failures before, all with Transfer-Encoding: identity; none now.

--- a/src/network/http_client.cpp
+++ b/src/network/http_client.cpp
@@ -1,6 +1,7 @@
 #include "network/http_client.h"
 
 #include "network/address_func.h"
+#include "network/http_message.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -45,8 +46,9 @@
 bool hasExplicitEnd(evhttp_request *request)
 {
     evkeyvalq *headers = evhttp_request_get_input_headers(request);
+    if (const char *coding = evhttp_find_header(headers, "Transfer-Encoding"))
+        return sameHeader(coding, "chunked"); // evhttp reads any other coding until the close.
     return evhttp_find_header(headers, "Content-Length")
-        || evhttp_find_header(headers, "Transfer-Encoding")
         || evhttp_request_get_response_code(request) == HTTP_NOCONTENT;
 }
 
--- /dev/null
+++ b/src/tests/http_client_test.cpp
@@ -0,0 +1,159 @@
+// Tests of the HTTP client against a server whose responses end in every way.
+
+#include "network/event_loop.h"
+#include "network/http_client.h"
+#include "network/stream_socket.h"
+#include "platform/platform_store.h"
+
+#include <arpa/inet.h>
+#include <event2/listener.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace bramleypitch {
+
+namespace {
+
+/// How a scripted response ends.
+enum class Ending { Close, Reset, Silence };
+
+/// Sends the same bytes in response to each request, then ends the connection or stays silent.
+class ScriptedHttpServer
+{
+public:
+    explicit ScriptedHttpServer(EventLoop &loop)
+        : m_loop(loop)
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        m_listener = evconnlistener_new_bind(
+            loop.base(), onAccepted, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 16,
+            reinterpret_cast<sockaddr *>(&address), sizeof(address));
+        socklen_t length = sizeof(address);
+        getsockname(evconnlistener_get_fd(m_listener), reinterpret_cast<sockaddr *>(&address),
+                    &length);
+        m_address = Address("127.0.0.1:" + std::to_string(ntohs(address.sin_port)));
+    }
+    ~ScriptedHttpServer() { evconnlistener_free(m_listener); }
+    ScriptedHttpServer(const ScriptedHttpServer &) = delete;
+    ScriptedHttpServer &operator=(const ScriptedHttpServer &) = delete;
+
+    const Address &address() const { return m_address; }
+
+    std::string response;
+    Ending ending = Ending::Close;
+
+private:
+    struct Connection
+    {
+        std::unique_ptr<StreamSocket> socket;
+        int descriptor = -1;
+    };
+
+    static void onAccepted(evconnlistener *, evutil_socket_t descriptor, sockaddr *, int,
+                           void *self)
+    {
+        auto *server = static_cast<ScriptedHttpServer *>(self);
+        auto connection = std::make_shared<Connection>();
+        connection->descriptor = descriptor;
+        SocketHooks hooks;
+        hooks.onReadable = [server, connection = connection.get()] {
+            server->respond(*connection);
+        };
+        connection->socket =
+            std::make_unique<StreamSocket>(server->m_loop, descriptor, std::move(hooks));
+        server->m_connections.push_back(std::move(connection));
+    }
+
+    void respond(Connection &connection)
+    {
+        connection.socket->consume(connection.socket->received().size());
+        connection.socket->write(response);
+        if (ending == Ending::Close)
+            ::shutdown(connection.descriptor, SHUT_RDWR);
+        if (ending != Ending::Reset)
+            return;
+        const linger immediately {1, 0};
+        setsockopt(connection.descriptor, SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
+        connection.socket.reset();
+    }
+
+    EventLoop &m_loop;
+    evconnlistener *m_listener;
+    Address m_address;
+    std::vector<std::shared_ptr<Connection>> m_connections;
+};
+
+class HttpClientTest : public testing::Test
+{
+protected:
+    /// The response to a call, or nothing if the call failed.
+    std::optional<HttpResponse> call(const std::string &bytes, Ending ending)
+    {
+        m_server.response = bytes;
+        m_server.ending = ending;
+        std::optional<HttpResponse> result;
+        HttpCall call;
+        call.address = m_server.address();
+        call.timeLimit = Duration(150);
+        HttpHooks hooks;
+        hooks.onResponse = [&](const HttpResponse &response) {
+            result = response;
+            m_loop.stop();
+        };
+        hooks.onFailure = [&](const HttpFailure &) { m_loop.stop(); };
+        m_client.send(call, std::move(hooks));
+        m_loop.run();
+        return result;
+    }
+
+    EventLoop m_loop;
+    ScriptedHttpServer m_server {m_loop};
+    HttpClient m_client {m_loop};
+};
+
+TEST_F(HttpClientTest, ResponseThatItsFramingDoesNotEndIsAFailure)
+{
+    // Guards against ORDER: a body that ended with its connection counted as a complete response.
+    const std::vector<std::string> framings {
+        "Content-Length: 12\r\n",
+        "Transfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: identity\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked, gzip\r\n",
+        "",
+        "Connection: close\r\n",
+    };
+    const std::string body = "{\"rows\":[1]}";
+    for (std::size_t framing = 0; framing < framings.size(); ++framing) {
+        const bool isChunked = framing == 1;
+        const std::string wire = "HTTP/1.1 200 OK\r\n" + framings[framing] + "\r\n"
+            + (isChunked ? "c\r\n" + body + "\r\n0\r\n\r\n" : body);
+        for (std::size_t cut = 0; cut <= wire.size(); ++cut) {
+            for (const Ending ending : {Ending::Close, Ending::Reset}) {
+                // Every byte has arrived, and the framing tells so.
+                const bool isComplete = cut == wire.size() && framing <= 1;
+                const auto response = call(wire.substr(0, cut), ending);
+                if (!isComplete) {
+                    EXPECT_FALSE(response) << framings[framing] << " cut at " << cut;
+                } else if (ending == Ending::Close) {
+                    ASSERT_TRUE(response) << framings[framing];
+                    EXPECT_EQ(response->body, body);
+                }
+            }
+        }
+        if (framing <= 1) {
+            EXPECT_TRUE(call(wire, Ending::Silence)) << framings[framing];
+        }
+        EXPECT_FALSE(call(wire.substr(0, wire.size() - 1), Ending::Silence)) << framings[framing];
+    }
+}
+
+} // namespace
+
+} // namespace bramleypitch
