Fix: [Network] A broken completion is not framed as complete

What callers saw: a completion that failed after its first token got an error event and then the end of the chunked body.

Cause: the daemon ended the body in the same way after success and after failure.

Change: after the error event the connection is closed without the last chunk; the event is passed to the kernel first, as far as it takes it.

--- a/src/network/daemon.cpp
+++ b/src/network/daemon.cpp
@@ -317,10 +317,9 @@
     m_callers.erase(refuse.request);
     m_serviceCallArrivals.erase(refuse.request);
     if (started) {
-        // The status line has already been sent, so the error is reported by an error event and
-        // the absence of [DONE].
-        m_server.sendChunk(exchange, CompletionWriter::errorEvent(refuse));
-        m_server.endStream(exchange);
+        // The status line has already been sent, so the error is reported by an error event and by
+        // a body that is not ended.
+        m_server.breakStream(exchange, CompletionWriter::errorEvent(refuse));
         return;
     }
     const RefusalResponse text = formatRefusal(refuse);
--- a/src/network/http_server.cpp
+++ b/src/network/http_server.cpp
@@ -234,6 +234,20 @@
     evhtp_send_reply_chunk_end(exchange->request);
 }
 
+void HttpServer::breakStream(ExchangeId id, std::string_view lastPiece)
+{
+    sendChunk(id, lastPiece);
+    Exchange *exchange = find(id);
+    if (!exchange)
+        return;
+    exchange->answered = true;
+    bufferevent *socket = evhtp_request_get_bev(exchange->request);
+    evbuffer *output = bufferevent_get_output(socket);
+    evbuffer_unfreeze(output, 1); // A bufferevent keeps its output frozen for other writers.
+    evbuffer_write(output, bufferevent_getfd(socket));
+    evhtp_connection_free(evhtp_request_get_connection(exchange->request));
+}
+
 void HttpServer::abortConnection(ExchangeId id)
 {
     Exchange *exchange = find(id);
--- a/src/network/http_server.h
+++ b/src/network/http_server.h
@@ -64,6 +64,9 @@
     void sendChunk(ExchangeId exchange, std::string_view piece);
     /// Ends a chunked response.
     void endStream(ExchangeId exchange);
+    /// Sends a last piece of an incomplete stream as far as the kernel takes it, and closes the
+    /// caller's connection without ending the response.
+    void breakStream(ExchangeId exchange, std::string_view lastPiece);
     /// Closes the caller's connection without ending the response, so that the caller can detect
     /// that the response is incomplete.
     void abortConnection(ExchangeId exchange);
--- a/src/tests/process_test.py
+++ b/src/tests/process_test.py
@@ -218,6 +218,21 @@
         stream.join()
         self.assertEqual(self.read_streamed_text(stream.response), expected)
 
+    def test_broken_stream_is_not_framed_as_complete(self):
+        self.warm_up_groups()
+        before = self.cluster.metric("node-centro-a", "tokens_delivered_total")
+        stream = BackgroundCall(lambda: completion(self.entry(0), "key-a", "cut", 30_000,
+                                                   stream=True))
+        wait_for("the caller to receive tokens", lambda: self.cluster.metric(
+            "node-centro-a", "tokens_delivered_total") > before + 5)
+        for zone in ZONES:
+            self.cluster.kill(f"engines-{zone}")
+        stream.join()
+        self.assertIsInstance(stream.failure, http.client.IncompleteRead, stream.response)
+        received = stream.failure.partial.decode()
+        self.assertIn('"error"', received[-300:])
+        self.assertNotIn("[DONE]", received)
+
     def test_malformed_and_misdirected_frames(self):
         self.warm_up_groups()
         expected = self.expected_text("invoice", 20)
