Fix: [Network] A part of a feed ends between two revisions

A node that received such a part missed changes for good: a key, a server, or the rest of an operator's transaction.

Cause: a feed that does not fit into a datagram is cut after any change and says that it reaches that change's revision. A transaction writes several keys at one revision, and receivers skip what belongs to a revision that they hold.

Change: a part ends with a whole revision; one revision that is too large alone is sent as it is, and the receiver reads the store if it does not fit.

--- a/src/network/store_mirror.cpp
+++ b/src/network/store_mirror.cpp
@@ -99,14 +99,19 @@
     feed.to = m_appliedRevision;
     feed.proofAge = now - m_provenAt;
     std::size_t bytes = 0;
+    std::size_t revisionBegin = 0; // The first change of the newest revision in the feed.
     const auto first = std::upper_bound(
         m_changeLog.begin(), m_changeLog.end(), held,
         [](Revision above, const auto &change) { return above < change.revision; });
     for (auto change = first; change != m_changeLog.end(); ++change) {
         bytes += change->key.size() + change->value.size();
-        if (bytes > maxBytes && !feed.changes.empty()) {
-            // The rest is sent after this part has been acknowledged. A partial feed proves nothing
-            // about freshness, hence the largest possible age.
+        if (!feed.changes.empty() && change->revision != feed.changes.back().revision)
+            revisionBegin = feed.changes.size();
+        if (bytes > maxBytes && revisionBegin > 0) {
+            // The rest is sent after this part has been acknowledged, so the part ends between two
+            // revisions: a transaction writes several keys at one revision. A partial feed proves
+            // nothing about freshness, hence the largest possible age.
+            feed.changes.resize(revisionBegin);
             feed.to = feed.changes.back().revision;
             feed.proofAge = Duration(std::numeric_limits<std::int32_t>::max());
             break;
--- a/src/tests/relay_test.cpp
+++ b/src/tests/relay_test.cpp
@@ -273,6 +273,33 @@
     EXPECT_FALSE(m_mirror.feedSince(Revision(5), 40'000, now).has_value());
 }
 
+TEST_F(MirrorTest, PartOfAFeedEndsBetweenRevisions)
+{
+    // A transaction writes several keys at one revision. A receiver holds a revision as a whole, so
+    // that changes cut off from it would never reach it.
+    const TimePoint now = m_loop.now();
+    const std::string value(1'000, 'v');
+    m_mirror.take(feed(10, 13,
+                       {{"c", Revision(11), false, value},
+                        {"d", Revision(13), false, value},
+                        {"e", Revision(13), false, value},
+                        {"f", Revision(13), true, ""}}),
+                  now);
+    for (std::size_t maxBytes = 500; maxBytes < 5'000; maxBytes += 500) {
+        std::size_t received = 0;
+        Revision held(10);
+        while (held < Revision(13)) {
+            const std::optional<StoreFeed> part = m_mirror.feedSince(held, maxBytes, now);
+            if (!part)
+                break; // The receiver reads the store.
+            ASSERT_GT(part->to, held);
+            received += part->changes.size();
+            held = part->to;
+        }
+        EXPECT_TRUE(received == 4 || held < Revision(13)) << maxBytes;
+    }
+}
+
 TEST(FeedCodecTest, ChangesOfManyServersFitIntoADatagram)
 {
     // Guards against a failure seen in a deployment of 760 servers: their changes filled seven
