Fix: [Network] A page that is neither full nor the last does not end a read of the store

After such a page a node would have deleted every key that it had not read: routes, API keys, servers.

Cause: a page without entries was taken for the last one, although it says that more follow.

Change: it counts as a failed call; what is held stays, and the read starts again.

Evidence: MirrorTest.PageWithoutEntriesThatIsNotTheLastDeletesNothing failed before, with 0 of 2 keys left.

--- a/src/network/store_mirror.cpp
+++ b/src/network/store_mirror.cpp
@@ -145,6 +145,10 @@
         onFailure(reply.cause);
         return;
     }
+    if (reply.more && reply.changes.empty()) {
+        onFailure("incomplete page");
+        return;
+    }
     onSuccess();
     if (m_readStartRevision == Revision())
         m_readStartRevision = reply.storeRevision;
@@ -152,7 +156,7 @@
         m_keysRead[change.key] = change.revision;
         apply(change);
     }
-    if (reply.more && !reply.changes.empty()) {
+    if (reply.more) {
         readFrom(reply.changes.back().key, sentAt);
         return;
     }
--- a/src/tests/relay_test.cpp
+++ b/src/tests/relay_test.cpp
@@ -300,6 +300,19 @@
     }
 }
 
+TEST_F(MirrorTest, PageWithoutEntriesThatIsNotTheLastDeletesNothing)
+{
+    m_store.page.more = true;
+    m_store.page.changes.clear();
+    StoreReply compacted;
+    compacted.outcome = StoreReply::Outcome::Compacted;
+    event_base_loop(m_loop.base(), EVLOOP_ONCE);
+    ASSERT_TRUE(m_store.pendingWatch);
+    m_store.pendingWatch(compacted); // All keys are read again.
+    EXPECT_EQ(m_values.size(), 2U);
+    EXPECT_FALSE(m_mirror.isReachable());
+}
+
 TEST(FeedCodecTest, ChangesOfManyServersFitIntoADatagram)
 {
     // Guards against a failure seen in a deployment of 760 servers: their changes filled seven
