Fix: [Platform] A store reply without its fields is not a success

Cause: the status alone decided. A write without a revision counted as written at revision 0, a renewal without a time as an expired lease, a grant without an id as one, and a page that does not say whether more follow as the last.

Change: each reply counts only with the fields that make it one; a write without them has an unknown outcome.

--- a/src/platform/platform_store.cpp
+++ b/src/platform/platform_store.cpp
@@ -8,6 +8,7 @@
 
 #include <cstdlib>
 #include <memory>
+#include <optional>
 
 namespace bramleypitch::platform {
 
@@ -42,9 +43,12 @@
     return change;
 }
 
-/// Parses the response to a range read or a watch; `listField` is the name of its list.
-StoreReply parseReply(const HttpResponse &response, const char *listField)
+/// The calls that return a list. Only a range read comes in pages.
+enum class ListCall { Range, Watch };
+
+StoreReply parseReply(const HttpResponse &response, ListCall call)
 {
+    const bool isRange = call == ListCall::Range;
     StoreReply reply;
     if (response.status == statusGone) {
         reply.outcome = StoreReply::Outcome::Compacted;
@@ -56,10 +60,10 @@
     }
     try {
         const json body = json::parse(response.body);
-        for (const json &item : body.at(listField))
+        for (const json &item : body.at(isRange ? "entries" : "events"))
             reply.changes.push_back(parseChange(item));
         reply.storeRevision = Revision(body.at("as_of").get<std::int64_t>());
-        reply.more = body.value("more_pages", false);
+        reply.more = isRange && body.at("more_pages").get<bool>();
         reply.outcome = StoreReply::Outcome::Read;
     } catch (const json::exception &error) {
         reply = StoreReply();
@@ -71,11 +75,11 @@
     return reply;
 }
 
-HttpHooks replyHooks(const char *listField, const std::function<void(const StoreReply &)> &done)
+HttpHooks replyHooks(ListCall call, const std::function<void(const StoreReply &)> &done)
 {
     HttpHooks hooks;
-    hooks.onResponse = [listField, done](const HttpResponse &response) {
-        done(parseReply(response, listField));
+    hooks.onResponse = [call, done](const HttpResponse &response) {
+        done(parseReply(response, call));
     };
     hooks.onFailure = [done](const HttpFailure &failure) {
         StoreReply reply;
@@ -85,25 +89,37 @@
     return hooks;
 }
 
-std::int64_t integerField(const std::string &body, const char *name)
+std::optional<std::int64_t> integerField(const std::string &body, const char *name)
 {
     const json parsed = json::parse(body, nullptr, false);
-    return parsed.is_object() && parsed.contains(name) && parsed[name].is_number_integer()
-        ? parsed[name].get<std::int64_t>()
-        : 0;
+    if (!parsed.is_object() || !parsed.contains(name) || !parsed[name].is_number_integer())
+        return std::nullopt;
+    return parsed[name].get<std::int64_t>();
+}
+
+/// Parses the response to granting a lease (`knownLease` 0) or renewing one.
+StoreLease parseLease(const HttpResponse &response, std::int64_t knownLease)
+{
+    StoreLease lease;
+    if (response.status == statusNotFound) {
+        lease.ok = knownLease != 0;
+        return lease;
+    }
+    const auto id = knownLease != 0 ? knownLease : integerField(response.body, "lease");
+    const auto timeToLive = integerField(response.body, "ttl_ms");
+    if (response.status != statusOk || id.value_or(0) == 0 || !timeToLive)
+        return lease;
+    lease.ok = true;
+    lease.id = *id;
+    lease.timeToLive = Duration(*timeToLive);
+    return lease;
 }
 
 HttpHooks leaseHooks(std::int64_t knownLease, const std::function<void(const StoreLease &)> &done)
 {
     HttpHooks hooks;
     hooks.onResponse = [knownLease, done](const HttpResponse &response) {
-        StoreLease lease;
-        lease.ok = response.status == statusOk || response.status == statusNotFound;
-        if (response.status == statusOk) {
-            lease.id = knownLease != 0 ? knownLease : integerField(response.body, "lease");
-            lease.timeToLive = Duration(integerField(response.body, "ttl_ms"));
-        }
-        done(lease);
+        done(parseLease(response, knownLease));
     };
     hooks.onFailure = [done](const HttpFailure &) { done(StoreLease()); };
     return hooks;
@@ -137,7 +153,7 @@
     std::string path = "/v1/kv-range?path_prefix=" + encodeQueryValue(prefix);
     if (!after.empty())
         path += "&after=" + encodeQueryValue(after);
-    m_http.send(call("GET", path), replyHooks("entries", done));
+    m_http.send(call("GET", path), replyHooks(ListCall::Range, done));
 }
 
 void PlatformStore::watch(const std::string &prefix, Revision above, Duration wait,
@@ -148,7 +164,7 @@
              "/v1/kv-watch?path_prefix=" + encodeQueryValue(prefix) + "&after="
                  + std::to_string(above.value()) + "&wait_ms=" + std::to_string(wait.count()));
     request.timeLimit = wait + callTimeout;
-    m_http.send(request, replyHooks("events", done));
+    m_http.send(request, replyHooks(ListCall::Watch, done));
 }
 
 void PlatformStore::compareAndSwap(const std::string &key, Revision expected,
@@ -165,8 +181,11 @@
     hooks.onResponse = [done](const HttpResponse &response) {
         StoreSwapResult swap;
         if (response.status == statusOk) {
-            swap.outcome = StoreSwapOutcome::Written;
-            swap.revision = Revision(integerField(response.body, "revision"));
+            const std::int64_t revision = integerField(response.body, "revision").value_or(0);
+            if (revision > 0) {
+                swap.outcome = StoreSwapOutcome::Written;
+                swap.revision = Revision(revision);
+            }
         } else if (response.status == statusPreconditionFailed || response.status == statusNotFound
                    || response.status == statusTooManyRequests
                    || response.status == statusUnavailable) {
--- a/src/tests/http_client_test.cpp
+++ b/src/tests/http_client_test.cpp
@@ -154,6 +154,76 @@
     }
 }
 
+/// The bytes of a complete response.
+std::string okResponse(const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+class StoreReplyTest : public HttpClientTest
+{
+protected:
+    StoreReplyTest() { m_server.ending = Ending::Silence; }
+
+    StoreSwapOutcome swap(const std::string &body)
+    {
+        m_server.response = okResponse(body);
+        StoreSwapOutcome outcome = StoreSwapOutcome::Conflict;
+        m_store.compareAndSwap("k", Revision(1), "v", 0, [&](const StoreSwapResult &result) {
+            outcome = result.outcome;
+            m_loop.stop();
+        });
+        m_loop.run();
+        return outcome;
+    }
+    StoreLease lease(const std::string &body, bool grant)
+    {
+        m_server.response = okResponse(body);
+        StoreLease received;
+        const auto done = [&](const StoreLease &lease) {
+            received = lease;
+            m_loop.stop();
+        };
+        if (grant)
+            m_store.grantLease(Duration(9'000), done);
+        else
+            m_store.keepLeaseAlive(7, done);
+        m_loop.run();
+        return received;
+    }
+    StoreReply::Outcome page(const std::string &body)
+    {
+        m_server.response = okResponse(body);
+        StoreReply::Outcome outcome = StoreReply::Outcome::Compacted;
+        m_store.readPage("", "", [&](const StoreReply &reply) {
+            outcome = reply.outcome;
+            m_loop.stop();
+        });
+        m_loop.run();
+        return outcome;
+    }
+
+    platform::PlatformStore m_store {m_client, m_server.address()};
+};
+
+TEST_F(StoreReplyTest, SuccessWithoutItsFieldsIsUnknown)
+{
+    EXPECT_EQ(swap(R"({"revision":12})"), StoreSwapOutcome::Written);
+    EXPECT_EQ(lease(R"({"lease":7,"ttl_ms":9000})", true).id, 7);
+    EXPECT_EQ(lease(R"({"ttl_ms":9000})", false).timeToLive, Duration(9'000));
+    EXPECT_EQ(page(R"({"entries":[],"more_pages":false,"as_of":3})"), StoreReply::Outcome::Read);
+    for (const char *body :
+         {"", "{}", "[]", R"({"revision":"12","lease":"7","ttl_ms":null})",
+          R"({"revision":0,"lease":0,"ttl_ms":0})", R"({"entries":[],"as_of":3})"}) {
+        EXPECT_EQ(swap(body), StoreSwapOutcome::Unknown) << body;
+        EXPECT_FALSE(lease(body, true).ok) << body;
+        EXPECT_EQ(page(body), StoreReply::Outcome::Failed) << body;
+    }
+    // An unreadable renewal does not say that the lease has expired; one with no time left does.
+    EXPECT_FALSE(lease("{}", false).ok);
+    EXPECT_TRUE(lease(R"({"ttl_ms":0})", false).ok);
+}
+
 } // namespace
 
 } // namespace bramleypitch
