Fix: [Platform] A settings file that is being written is not applied

A node that read its settings file while it was written would have worked with a part of it: a missing bound at its default, a number at its first digits.

Cause: the file ends where the read ends; nothing marks that it is whole, and one read decided.

Change: a changed file counts once two reads, 50 ms apart, have found the same.

--- a/src/platform/platform_serve.cpp
+++ b/src/platform/platform_serve.cpp
@@ -8,6 +8,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <memory>
 
 namespace bramleypitch::platform {
 
@@ -15,6 +16,8 @@
 
 /// Interval between checks of the settings file, which may change without a signal.
 constexpr Duration settingsCheckInterval {2'000};
+/// Between two reads of a settings file that has changed. Must exceed the time for writing it.
+constexpr Duration secondReadDelay {50};
 constexpr std::uint16_t metricsPort = 7'354; ///< Must match the port in the deploy file.
 
 } // namespace
@@ -35,19 +38,21 @@
     HttpClient http(loop);
     PlatformStore store(http, storeAddress(file));
     ServingDaemon daemon(loop, options, servingDialect(), store, http);
-    SettingsFile currentSettings = file;
+    SettingsWatch settings(file);
+    std::unique_ptr<Timer> secondRead;
     const auto reload = [&](bool forced) {
         try {
-            SettingsFile newSettings = SettingsFile::read(path);
-            if (!forced && newSettings == currentSettings)
-                return;
-            daemon.reload(servingOptions(newSettings, metricsPort));
-            currentSettings = std::move(newSettings);
+            const bool changed = settings.take(SettingsFile::read(path));
+            if (settings.isUnsettled())
+                secondRead->startOnce(secondReadDelay);
+            else if (changed || forced)
+                daemon.reload(servingOptions(settings.current(), metricsPort));
         } catch (const Failure &failure) {
             logLine(LogLevel::Warning, "settings_unreadable",
                     {{"path", path}, {"reason", failure.what()}});
         }
     };
+    secondRead = std::make_unique<Timer>(loop, [&] { reload(false); });
     const SignalHandler terminate(loop, SIGTERM, [&] { daemon.stop(); });
     const SignalHandler interrupt(loop, SIGINT, [&] { daemon.stop(); });
     const SignalHandler hangUp(loop, SIGHUP, [&] { reload(true); });
--- a/src/platform/platform_settings.cpp
+++ b/src/platform/platform_settings.cpp
@@ -84,6 +84,16 @@
     return found->second == "true";
 }
 
+bool SettingsWatch::take(SettingsFile file)
+{
+    const bool isRepeated = file == m_lastRead;
+    m_lastRead = std::move(file);
+    if (!isRepeated || !isUnsettled())
+        return false;
+    m_current = m_lastRead;
+    return true;
+}
+
 ServingOptions servingOptions(const SettingsFile &file, std::uint16_t metricsPort)
 {
     ServingOptions options;
--- a/src/platform/platform_settings.h
+++ b/src/platform/platform_settings.h
@@ -34,6 +34,28 @@
     std::map<std::string, std::string> m_values;
 };
 
+/// Detects changes of the settings file. Nothing in the file marks its end, and it may be read
+/// while it is being written, so that a change counts once two reads in a row have found the same.
+class SettingsWatch
+{
+public:
+    explicit SettingsWatch(SettingsFile file)
+        : m_current(file)
+        , m_lastRead(std::move(file))
+    {
+    }
+
+    /// Takes the file as it was just read. Returns whether it has become the current one.
+    bool take(SettingsFile file);
+    /// Whether the last read differs from the current file, so that another one is due.
+    bool isUnsettled() const { return m_lastRead != m_current; }
+    const SettingsFile &current() const { return m_current; }
+
+private:
+    SettingsFile m_current;
+    SettingsFile m_lastRead;
+};
+
 /// Converts the settings file to the options of a node. A `metricsPort` of 0 disables the metrics
 /// page. Throws Failure with a message that names the missing or invalid setting.
 ServingOptions servingOptions(const SettingsFile &file, std::uint16_t metricsPort);
--- a/src/tests/relay_test.cpp
+++ b/src/tests/relay_test.cpp
@@ -586,6 +586,25 @@
     }
 }
 
+TEST(PlatformTest, SettingsFileThatIsBeingWrittenIsNotApplied)
+{
+    // Guards against ORDER in a document: a file that was read in part counted as complete.
+    const auto parse = platform::SettingsFile::parse;
+    platform::SettingsWatch watch(parse("a=1\nb=2000\n"));
+    EXPECT_FALSE(watch.take(parse("a=1\nb=2000\n")));
+    EXPECT_FALSE(watch.isUnsettled());
+    EXPECT_FALSE(watch.take(parse("a=3\nb=2")));
+    EXPECT_TRUE(watch.isUnsettled());
+    EXPECT_FALSE(watch.take(parse("a=3\nb=2000\n")));
+    EXPECT_EQ(watch.current().text("a"), "1");
+    EXPECT_TRUE(watch.take(parse("a=3\nb=2000\n")));
+    EXPECT_EQ(watch.current().text("a"), "3");
+    EXPECT_FALSE(watch.isUnsettled());
+    EXPECT_FALSE(watch.take(parse("")));
+    EXPECT_FALSE(watch.take(parse("a=3\nb=2000\n"))); // As before: nothing to apply.
+    EXPECT_FALSE(watch.isUnsettled());
+}
+
 TEST(PlatformTest, InvalidValuesThrowFailure)
 {
     EXPECT_THROW(platform::readConfiguration("{"), Failure);
