Fix: [Network] A change that a watch reports in two pieces is seen

A configuration could have come into force only with the next periodic read.

Cause: each piece of a watch was searched for the field of changes by itself.

Change: the end of a piece is searched again with the next one.

Evidence: HttpClientTest.WatchEventInTwoPiecesIsSeen failed at seven places before.

--- a/src/network/platform_client.cpp
+++ b/src/network/platform_client.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace bramleypitch {
 
 namespace {
@@ -13,6 +15,7 @@
 
 constexpr Duration callTimeout {1'500}; ///< A healthy store responds within milliseconds.
 constexpr Duration watchTimeout {300'000}; ///< A watch is restarted after this time.
+constexpr std::string_view eventsField = "\"events\""; ///< Occurs in messages with changes.
 constexpr int statusOk = 200;
 constexpr int millisecondsPerSecond = 1'000;
 
@@ -270,8 +273,12 @@
     call.timeLimit = watchTimeout;
     call.useNewConnection = true;
     HttpHooks hooks;
-    hooks.onChunk = [changed](std::string_view piece) {
-        if (piece.find("\"events\"") != std::string_view::npos)
+    hooks.onChunk = [changed, tail = std::string()](std::string_view piece) mutable {
+        tail.append(piece);
+        const bool hasEvents = tail.find(eventsField) != std::string::npos;
+        // The field's name may begin in this piece and end in the next one.
+        tail.erase(0, tail.size() - std::min(tail.size(), eventsField.size() - 1));
+        if (hasEvents)
             changed();
     };
     hooks.onResponse = [ended](const HttpResponse &) { ended(); };
--- a/src/tests/http_client_test.cpp
+++ b/src/tests/http_client_test.cpp
@@ -2,6 +2,7 @@
 
 #include "network/event_loop.h"
 #include "network/http_client.h"
+#include "network/platform_client.h"
 #include "network/stream_socket.h"
 #include "platform/platform_store.h"
 
@@ -12,6 +13,7 @@
 
 #include <memory>
 #include <optional>
+#include <sstream>
 #include <vector>
 
 namespace bramleypitch {
@@ -154,6 +156,26 @@
     }
 }
 
+TEST_F(HttpClientTest, WatchEventInTwoPiecesIsSeen)
+{
+    const std::string message = R"({"result":{"events":[{}]}})";
+    PlatformClient platform(m_loop, m_client, m_server.address(), m_server.address());
+    for (std::size_t cut = 1; cut < message.size(); ++cut) {
+        m_server.response = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        for (const std::string &piece : {message.substr(0, cut), message.substr(cut)}) {
+            std::ostringstream size;
+            size << std::hex << piece.size();
+            m_server.response += size.str() + "\r\n" + piece + "\r\n";
+        }
+        m_server.response += "0\r\n\r\n";
+        int changes = 0;
+        platform.watchPrefix(
+            "p", Revision(1), [&] { ++changes; }, [&] { m_loop.stop(); });
+        m_loop.run();
+        EXPECT_EQ(changes, 1) << "cut at " << cut;
+    }
+}
+
 /// The bytes of a complete response.
 std::string okResponse(const std::string &body)
 {
