--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -11,7 +11,11 @@
 DEFAULT_DIRECTORY = "src/coordination/"  # Directory of files that are given without a path.
 WORKERS = 4
 TESTS = ["ledger_test", "placement_test", "golden_test", "request_test", "formation_test",
-         "initial_split_test", "overload_test", "relay_test", "promises_test"]
+         "initial_split_test", "overload_test", "relay_test", "http_client_test", "promises_test"]
+# Tests that start the program, for mutants that no test above catches. They share ports.
+PROCESS_TESTS = [["response_end_test.py"], ["process_test.py", "CompletionTest"]]
+PROGRAMS = ["bramleypitch", "bramleypitch-standin"]
+process_test_lock = threading.Lock()
 # Name, file, text to replace, replacement text.
 MUTANTS = [
     ("ledger_claim_skipped", "service_system.cpp",
@@ -183,6 +187,23 @@
     ("outdated_feed_proves_currentness", "network/store_mirror.cpp",
      "recordProof(std::min(feed.echo - feed.proofAge, now));", "recordProof(now);"),
     ("key_goes_to_the_server", "platform/platform_dialect.cpp", '"authorization",', '"x-none",'),
+    ("stream_cut_inside_an_event_is_complete", "network/relay.cpp",
+     "return exchange.framing.isInsideEvent() ||", "return"),
+    ("stream_without_events_is_complete", "network/relay.cpp",
+     "|| (end == BodyEnd::ConnectionClose && !hasEvents);", "|| (false && hasEvents);"),
+    ("event_without_end_is_kept", "network/relay.cpp",
+     "if (unfinished > maxEventBytes)", "if (false)"),
+    ("any_coding_ends_a_response", "network/http_client.cpp",
+     'return sameHeader(coding, "chunked");', "return coding != nullptr;"),
+    ("broken_completion_is_framed_as_complete", "network/daemon.cpp",
+     "m_server.breakStream(exchange, CompletionWriter::errorEvent(refuse));",
+     "m_server.sendChunk(exchange, CompletionWriter::errorEvent(refuse));\n"
+     "        m_server.endStream(exchange);"),
+    ("feed_part_ends_inside_a_revision", "network/store_mirror.cpp",
+     "if (!feed.changes.empty() && change->revision != feed.changes.back().revision)",
+     "if (!feed.changes.empty())"),
+    ("settings_file_read_once", "platform/platform_settings.cpp",
+     "if (!isRepeated || !isUnsettled())", "if (!isUnsettled())"),
 ]
 RAPIDCHECK_PARAMETERS = "seed=20261203 max_success=25 max_size=14 noshrink=1"
 
@@ -194,7 +215,7 @@
 
 def build(tree):
     environment = dict(os.environ, CCACHE_BASEDIR=tree, CCACHE_NOHASHDIR="1")
-    return subprocess.run(["ninja", "-C", f"{tree}/build", *TESTS], env=environment,
+    return subprocess.run(["ninja", "-C", f"{tree}/build", *TESTS, *PROGRAMS], env=environment,
                           capture_output=True, text=True, check=False)
 
 
@@ -224,6 +245,13 @@
             r"|leaving server|planned stop|whole answer):", output, re.MULTILINE)))
         failed = re.findall(r"\[  FAILED  \] (\w+\.\w+)", output) or [f"{test} crashed"]
         return failed[0], guarantees
+    with process_test_lock:
+        for name, *cases in PROCESS_TESTS:
+            run = subprocess.run([sys.executable, f"{tree}/src/tests/{name}", f"{tree}/build", *cases],
+                                 capture_output=True, text=True, check=False, timeout=900)
+            failed = re.findall(r"^(?:FAIL|ERROR): (\w+)", run.stderr, re.MULTILINE)
+            if run.returncode != 0:
+                return f"{name} {failed[0] if failed else 'crashed'}", []
     return None, []
 
 
