--- a/src/network/backend_connections.cpp
+++ b/src/network/backend_connections.cpp
@@ -94,7 +94,7 @@
     if (isNew) {
         ++m_opened;
         SocketHooks socketHooks;
-        socketHooks.onConnected = [this, connection] { begin(*connection); };
+        socketHooks.onConnected = [this, connection] { onConnected(*connection); };
         socketHooks.onReadable = [this, connection] { onReadable(*connection); };
         socketHooks.onClosed = [this, connection](bool clean) { onClosed(*connection, clean); };
         connection->socket = std::make_unique<StreamSocket>(m_loop, connection->request.address,
@@ -105,6 +105,17 @@
     return connection->attempt;
 }
 
+void BackendConnections::onConnected(Connection &connection)
+{
+    if (!connection.hooks.mayWrite || connection.hooks.mayWrite()) {
+        begin(connection);
+        return;
+    }
+    const BackendHooks hooks = std::move(connection.hooks);
+    discard(connection);
+    hooks.onWithdrawn();
+}
+
 void BackendConnections::begin(Connection &connection)
 {
     connection.parser.reset(connection.request.isHeadRequest);
--- a/src/network/backend_connections.h
+++ b/src/network/backend_connections.h
@@ -28,12 +28,17 @@
 };
 
 /// Callbacks of an attempt: `onResponseHead` and `onResponseBody` as the response is received, then
-/// exactly one of `onResponseEnd` and `onFailure`. An abandoned attempt gets no further callbacks.
+/// exactly one of `onResponseEnd`, `onWithdrawn` and `onFailure`. An abandoned attempt gets no
+/// further callbacks.
 struct BackendHooks
 {
     std::function<void(const MessageHead &)> onResponseHead;
     std::function<void(std::string)> onResponseBody;
     std::function<void(BodyEnd)> onResponseEnd;
+    /// Whether the request may still be written once its connection is open; true if not set.
+    std::function<bool()> mayWrite;
+    /// The request may not be written any more. Nothing was sent.
+    std::function<void()> onWithdrawn;
     /// The attempt failed. With `sent`, part of the request may have reached the server.
     std::function<void(bool sent)> onFailure;
 };
--- a/src/network/gen/peer_types.cpp
+++ b/src/network/gen/peer_types.cpp
@@ -1245,6 +1245,10 @@
 void Pulse::__set_settled(const bool val) {
   this->settled = val;
 }
+
+void Pulse::__set_leaving(const std::map<std::string, int64_t> & val) {
+  this->leaving = val;
+}
 std::ostream& operator<<(std::ostream& out, const Pulse& obj)
 {
   obj.printTo(out);
@@ -1421,6 +1425,29 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->leaving.clear();
+            uint32_t _size54;
+            ::apache::thrift::protocol::TType _ktype55;
+            ::apache::thrift::protocol::TType _vtype56;
+            xfer += iprot->readMapBegin(_ktype55, _vtype56, _size54);
+            uint32_t _i58;
+            for (_i58 = 0; _i58 < _size54; ++_i58)
+            {
+              std::string _key59;
+              xfer += iprot->readString(_key59);
+              int64_t& _val60 = this->leaving[_key59];
+              xfer += iprot->readI64(_val60);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1457,11 +1484,11 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_MAP, 5);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->running.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter54;
-    for (_iter54 = this->running.begin(); _iter54 != this->running.end(); ++_iter54)
+    std::map<std::string, int32_t> ::const_iterator _iter61;
+    for (_iter61 = this->running.begin(); _iter61 != this->running.end(); ++_iter61)
     {
-      xfer += oprot->writeString(_iter54->first);
-      xfer += oprot->writeI32(_iter54->second);
+      xfer += oprot->writeString(_iter61->first);
+      xfer += oprot->writeI32(_iter61->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1470,11 +1497,11 @@
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_MAP, 6);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_DOUBLE, static_cast<uint32_t>(this->demand.size()));
-    std::map<std::string, double> ::const_iterator _iter55;
-    for (_iter55 = this->demand.begin(); _iter55 != this->demand.end(); ++_iter55)
+    std::map<std::string, double> ::const_iterator _iter62;
+    for (_iter62 = this->demand.begin(); _iter62 != this->demand.end(); ++_iter62)
     {
-      xfer += oprot->writeString(_iter55->first);
-      xfer += oprot->writeDouble(_iter55->second);
+      xfer += oprot->writeString(_iter62->first);
+      xfer += oprot->writeDouble(_iter62->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1483,11 +1510,11 @@
   xfer += oprot->writeFieldBegin("suspects_ms", ::apache::thrift::protocol::T_MAP, 7);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->suspects_ms.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter56;
-    for (_iter56 = this->suspects_ms.begin(); _iter56 != this->suspects_ms.end(); ++_iter56)
+    std::map<std::string, int32_t> ::const_iterator _iter63;
+    for (_iter63 = this->suspects_ms.begin(); _iter63 != this->suspects_ms.end(); ++_iter63)
     {
-      xfer += oprot->writeString(_iter56->first);
-      xfer += oprot->writeI32(_iter56->second);
+      xfer += oprot->writeString(_iter63->first);
+      xfer += oprot->writeI32(_iter63->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1504,11 +1531,11 @@
   xfer += oprot->writeFieldBegin("heard_ms", ::apache::thrift::protocol::T_MAP, 10);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->heard_ms.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter57;
-    for (_iter57 = this->heard_ms.begin(); _iter57 != this->heard_ms.end(); ++_iter57)
+    std::map<std::string, int32_t> ::const_iterator _iter64;
+    for (_iter64 = this->heard_ms.begin(); _iter64 != this->heard_ms.end(); ++_iter64)
     {
-      xfer += oprot->writeString(_iter57->first);
-      xfer += oprot->writeI32(_iter57->second);
+      xfer += oprot->writeString(_iter64->first);
+      xfer += oprot->writeI32(_iter64->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1518,6 +1545,19 @@
   xfer += oprot->writeBool(this->settled);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_MAP, 12);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leaving.size()));
+    std::map<std::string, int64_t> ::const_iterator _iter65;
+    for (_iter65 = this->leaving.begin(); _iter65 != this->leaving.end(); ++_iter65)
+    {
+      xfer += oprot->writeString(_iter65->first);
+      xfer += oprot->writeI64(_iter65->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1536,36 +1576,39 @@
   swap(a.held_revision, b.held_revision);
   swap(a.heard_ms, b.heard_ms);
   swap(a.settled, b.settled);
+  swap(a.leaving, b.leaving);
   swap(a.__isset, b.__isset);
 }
 
-Pulse::Pulse(const Pulse& other58) {
-  node = other58.node;
-  life = other58.life;
-  number = other58.number;
-  taking = other58.taking;
-  running = other58.running;
-  demand = other58.demand;
-  suspects_ms = other58.suspects_ms;
-  clock_ms = other58.clock_ms;
-  held_revision = other58.held_revision;
-  heard_ms = other58.heard_ms;
-  settled = other58.settled;
-  __isset = other58.__isset;
-}
-Pulse& Pulse::operator=(const Pulse& other59) {
-  node = other59.node;
-  life = other59.life;
-  number = other59.number;
-  taking = other59.taking;
-  running = other59.running;
-  demand = other59.demand;
-  suspects_ms = other59.suspects_ms;
-  clock_ms = other59.clock_ms;
-  held_revision = other59.held_revision;
-  heard_ms = other59.heard_ms;
-  settled = other59.settled;
-  __isset = other59.__isset;
+Pulse::Pulse(const Pulse& other66) {
+  node = other66.node;
+  life = other66.life;
+  number = other66.number;
+  taking = other66.taking;
+  running = other66.running;
+  demand = other66.demand;
+  suspects_ms = other66.suspects_ms;
+  clock_ms = other66.clock_ms;
+  held_revision = other66.held_revision;
+  heard_ms = other66.heard_ms;
+  settled = other66.settled;
+  leaving = other66.leaving;
+  __isset = other66.__isset;
+}
+Pulse& Pulse::operator=(const Pulse& other67) {
+  node = other67.node;
+  life = other67.life;
+  number = other67.number;
+  taking = other67.taking;
+  running = other67.running;
+  demand = other67.demand;
+  suspects_ms = other67.suspects_ms;
+  clock_ms = other67.clock_ms;
+  held_revision = other67.held_revision;
+  heard_ms = other67.heard_ms;
+  settled = other67.settled;
+  leaving = other67.leaving;
+  __isset = other67.__isset;
   return *this;
 }
 void Pulse::printTo(std::ostream& out) const {
@@ -1582,6 +1625,7 @@
   out << ", " << "held_revision=" << to_string(held_revision);
   out << ", " << "heard_ms=" << to_string(heard_ms);
   out << ", " << "settled=" << to_string(settled);
+  out << ", " << "leaving=" << to_string(leaving);
   out << ")";
 }
 
@@ -1637,6 +1681,10 @@
 void Digest::__set_relayed(const bool val) {
   this->relayed = val;
 }
+
+void Digest::__set_leaving(const std::map<std::string, int64_t> & val) {
+  this->leaving = val;
+}
 std::ostream& operator<<(std::ostream& out, const Digest& obj)
 {
   obj.printTo(out);
@@ -1701,17 +1749,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->taking.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _ktype61;
-            ::apache::thrift::protocol::TType _vtype62;
-            xfer += iprot->readMapBegin(_ktype61, _vtype62, _size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _ktype69;
+            ::apache::thrift::protocol::TType _vtype70;
+            xfer += iprot->readMapBegin(_ktype69, _vtype70, _size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              std::string _key65;
-              xfer += iprot->readString(_key65);
-              bool& _val66 = this->taking[_key65];
-              xfer += iprot->readBool(_val66);
+              std::string _key73;
+              xfer += iprot->readString(_key73);
+              bool& _val74 = this->taking[_key73];
+              xfer += iprot->readBool(_val74);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1724,17 +1772,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->running.clear();
-            uint32_t _size67;
-            ::apache::thrift::protocol::TType _ktype68;
-            ::apache::thrift::protocol::TType _vtype69;
-            xfer += iprot->readMapBegin(_ktype68, _vtype69, _size67);
-            uint32_t _i71;
-            for (_i71 = 0; _i71 < _size67; ++_i71)
+            uint32_t _size75;
+            ::apache::thrift::protocol::TType _ktype76;
+            ::apache::thrift::protocol::TType _vtype77;
+            xfer += iprot->readMapBegin(_ktype76, _vtype77, _size75);
+            uint32_t _i79;
+            for (_i79 = 0; _i79 < _size75; ++_i79)
             {
-              std::string _key72;
-              xfer += iprot->readString(_key72);
-              int32_t& _val73 = this->running[_key72];
-              xfer += iprot->readI32(_val73);
+              std::string _key80;
+              xfer += iprot->readString(_key80);
+              int32_t& _val81 = this->running[_key80];
+              xfer += iprot->readI32(_val81);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1747,17 +1795,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->demand.clear();
-            uint32_t _size74;
-            ::apache::thrift::protocol::TType _ktype75;
-            ::apache::thrift::protocol::TType _vtype76;
-            xfer += iprot->readMapBegin(_ktype75, _vtype76, _size74);
-            uint32_t _i78;
-            for (_i78 = 0; _i78 < _size74; ++_i78)
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _ktype83;
+            ::apache::thrift::protocol::TType _vtype84;
+            xfer += iprot->readMapBegin(_ktype83, _vtype84, _size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
             {
-              std::string _key79;
-              xfer += iprot->readString(_key79);
-              double& _val80 = this->demand[_key79];
-              xfer += iprot->readDouble(_val80);
+              std::string _key87;
+              xfer += iprot->readString(_key87);
+              double& _val88 = this->demand[_key87];
+              xfer += iprot->readDouble(_val88);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1770,17 +1818,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->suspects_ms.clear();
-            uint32_t _size81;
-            ::apache::thrift::protocol::TType _ktype82;
-            ::apache::thrift::protocol::TType _vtype83;
-            xfer += iprot->readMapBegin(_ktype82, _vtype83, _size81);
-            uint32_t _i85;
-            for (_i85 = 0; _i85 < _size81; ++_i85)
+            uint32_t _size89;
+            ::apache::thrift::protocol::TType _ktype90;
+            ::apache::thrift::protocol::TType _vtype91;
+            xfer += iprot->readMapBegin(_ktype90, _vtype91, _size89);
+            uint32_t _i93;
+            for (_i93 = 0; _i93 < _size89; ++_i93)
             {
-              std::string _key86;
-              xfer += iprot->readString(_key86);
-              int32_t& _val87 = this->suspects_ms[_key86];
-              xfer += iprot->readI32(_val87);
+              std::string _key94;
+              xfer += iprot->readString(_key94);
+              int32_t& _val95 = this->suspects_ms[_key94];
+              xfer += iprot->readI32(_val95);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1793,17 +1841,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->heard_ms.clear();
-            uint32_t _size88;
-            ::apache::thrift::protocol::TType _ktype89;
-            ::apache::thrift::protocol::TType _vtype90;
-            xfer += iprot->readMapBegin(_ktype89, _vtype90, _size88);
-            uint32_t _i92;
-            for (_i92 = 0; _i92 < _size88; ++_i92)
+            uint32_t _size96;
+            ::apache::thrift::protocol::TType _ktype97;
+            ::apache::thrift::protocol::TType _vtype98;
+            xfer += iprot->readMapBegin(_ktype97, _vtype98, _size96);
+            uint32_t _i100;
+            for (_i100 = 0; _i100 < _size96; ++_i100)
             {
-              std::string _key93;
-              xfer += iprot->readString(_key93);
-              int32_t& _val94 = this->heard_ms[_key93];
-              xfer += iprot->readI32(_val94);
+              std::string _key101;
+              xfer += iprot->readString(_key101);
+              int32_t& _val102 = this->heard_ms[_key101];
+              xfer += iprot->readI32(_val102);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1836,6 +1884,29 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->leaving.clear();
+            uint32_t _size103;
+            ::apache::thrift::protocol::TType _ktype104;
+            ::apache::thrift::protocol::TType _vtype105;
+            xfer += iprot->readMapBegin(_ktype104, _vtype105, _size103);
+            uint32_t _i107;
+            for (_i107 = 0; _i107 < _size103; ++_i107)
+            {
+              std::string _key108;
+              xfer += iprot->readString(_key108);
+              int64_t& _val109 = this->leaving[_key108];
+              xfer += iprot->readI64(_val109);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1872,11 +1943,11 @@
   xfer += oprot->writeFieldBegin("taking", ::apache::thrift::protocol::T_MAP, 5);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_BOOL, static_cast<uint32_t>(this->taking.size()));
-    std::map<std::string, bool> ::const_iterator _iter95;
-    for (_iter95 = this->taking.begin(); _iter95 != this->taking.end(); ++_iter95)
+    std::map<std::string, bool> ::const_iterator _iter110;
+    for (_iter110 = this->taking.begin(); _iter110 != this->taking.end(); ++_iter110)
     {
-      xfer += oprot->writeString(_iter95->first);
-      xfer += oprot->writeBool(_iter95->second);
+      xfer += oprot->writeString(_iter110->first);
+      xfer += oprot->writeBool(_iter110->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1885,11 +1956,11 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_MAP, 6);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->running.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter96;
-    for (_iter96 = this->running.begin(); _iter96 != this->running.end(); ++_iter96)
+    std::map<std::string, int32_t> ::const_iterator _iter111;
+    for (_iter111 = this->running.begin(); _iter111 != this->running.end(); ++_iter111)
     {
-      xfer += oprot->writeString(_iter96->first);
-      xfer += oprot->writeI32(_iter96->second);
+      xfer += oprot->writeString(_iter111->first);
+      xfer += oprot->writeI32(_iter111->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1898,11 +1969,11 @@
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_MAP, 7);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_DOUBLE, static_cast<uint32_t>(this->demand.size()));
-    std::map<std::string, double> ::const_iterator _iter97;
-    for (_iter97 = this->demand.begin(); _iter97 != this->demand.end(); ++_iter97)
+    std::map<std::string, double> ::const_iterator _iter112;
+    for (_iter112 = this->demand.begin(); _iter112 != this->demand.end(); ++_iter112)
     {
-      xfer += oprot->writeString(_iter97->first);
-      xfer += oprot->writeDouble(_iter97->second);
+      xfer += oprot->writeString(_iter112->first);
+      xfer += oprot->writeDouble(_iter112->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1911,11 +1982,11 @@
   xfer += oprot->writeFieldBegin("suspects_ms", ::apache::thrift::protocol::T_MAP, 8);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->suspects_ms.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter98;
-    for (_iter98 = this->suspects_ms.begin(); _iter98 != this->suspects_ms.end(); ++_iter98)
+    std::map<std::string, int32_t> ::const_iterator _iter113;
+    for (_iter113 = this->suspects_ms.begin(); _iter113 != this->suspects_ms.end(); ++_iter113)
     {
-      xfer += oprot->writeString(_iter98->first);
-      xfer += oprot->writeI32(_iter98->second);
+      xfer += oprot->writeString(_iter113->first);
+      xfer += oprot->writeI32(_iter113->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1924,11 +1995,11 @@
   xfer += oprot->writeFieldBegin("heard_ms", ::apache::thrift::protocol::T_MAP, 9);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->heard_ms.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter99;
-    for (_iter99 = this->heard_ms.begin(); _iter99 != this->heard_ms.end(); ++_iter99)
+    std::map<std::string, int32_t> ::const_iterator _iter114;
+    for (_iter114 = this->heard_ms.begin(); _iter114 != this->heard_ms.end(); ++_iter114)
     {
-      xfer += oprot->writeString(_iter99->first);
-      xfer += oprot->writeI32(_iter99->second);
+      xfer += oprot->writeString(_iter114->first);
+      xfer += oprot->writeI32(_iter114->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1946,6 +2017,19 @@
   xfer += oprot->writeBool(this->relayed);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_MAP, 13);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leaving.size()));
+    std::map<std::string, int64_t> ::const_iterator _iter115;
+    for (_iter115 = this->leaving.begin(); _iter115 != this->leaving.end(); ++_iter115)
+    {
+      xfer += oprot->writeString(_iter115->first);
+      xfer += oprot->writeI64(_iter115->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1965,38 +2049,41 @@
   swap(a.clock_ms, b.clock_ms);
   swap(a.held_revision, b.held_revision);
   swap(a.relayed, b.relayed);
+  swap(a.leaving, b.leaving);
   swap(a.__isset, b.__isset);
 }
 
-Digest::Digest(const Digest& other100) {
-  zone = other100.zone;
-  node = other100.node;
-  life = other100.life;
-  number = other100.number;
-  taking = other100.taking;
-  running = other100.running;
-  demand = other100.demand;
-  suspects_ms = other100.suspects_ms;
-  heard_ms = other100.heard_ms;
-  clock_ms = other100.clock_ms;
-  held_revision = other100.held_revision;
-  relayed = other100.relayed;
-  __isset = other100.__isset;
-}
-Digest& Digest::operator=(const Digest& other101) {
-  zone = other101.zone;
-  node = other101.node;
-  life = other101.life;
-  number = other101.number;
-  taking = other101.taking;
-  running = other101.running;
-  demand = other101.demand;
-  suspects_ms = other101.suspects_ms;
-  heard_ms = other101.heard_ms;
-  clock_ms = other101.clock_ms;
-  held_revision = other101.held_revision;
-  relayed = other101.relayed;
-  __isset = other101.__isset;
+Digest::Digest(const Digest& other116) {
+  zone = other116.zone;
+  node = other116.node;
+  life = other116.life;
+  number = other116.number;
+  taking = other116.taking;
+  running = other116.running;
+  demand = other116.demand;
+  suspects_ms = other116.suspects_ms;
+  heard_ms = other116.heard_ms;
+  clock_ms = other116.clock_ms;
+  held_revision = other116.held_revision;
+  relayed = other116.relayed;
+  leaving = other116.leaving;
+  __isset = other116.__isset;
+}
+Digest& Digest::operator=(const Digest& other117) {
+  zone = other117.zone;
+  node = other117.node;
+  life = other117.life;
+  number = other117.number;
+  taking = other117.taking;
+  running = other117.running;
+  demand = other117.demand;
+  suspects_ms = other117.suspects_ms;
+  heard_ms = other117.heard_ms;
+  clock_ms = other117.clock_ms;
+  held_revision = other117.held_revision;
+  relayed = other117.relayed;
+  leaving = other117.leaving;
+  __isset = other117.__isset;
   return *this;
 }
 void Digest::printTo(std::ostream& out) const {
@@ -2014,6 +2101,7 @@
   out << ", " << "clock_ms=" << to_string(clock_ms);
   out << ", " << "held_revision=" << to_string(held_revision);
   out << ", " << "relayed=" << to_string(relayed);
+  out << ", " << "leaving=" << to_string(leaving);
   out << ")";
 }
 
@@ -2144,19 +2232,19 @@
   swap(a.__isset, b.__isset);
 }
 
-FeedChange::FeedChange(const FeedChange& other102) {
-  key = other102.key;
-  revision = other102.revision;
-  deleted = other102.deleted;
-  value = other102.value;
-  __isset = other102.__isset;
+FeedChange::FeedChange(const FeedChange& other118) {
+  key = other118.key;
+  revision = other118.revision;
+  deleted = other118.deleted;
+  value = other118.value;
+  __isset = other118.__isset;
 }
-FeedChange& FeedChange::operator=(const FeedChange& other103) {
-  key = other103.key;
-  revision = other103.revision;
-  deleted = other103.deleted;
-  value = other103.value;
-  __isset = other103.__isset;
+FeedChange& FeedChange::operator=(const FeedChange& other119) {
+  key = other119.key;
+  revision = other119.revision;
+  deleted = other119.deleted;
+  value = other119.value;
+  __isset = other119.__isset;
   return *this;
 }
 void FeedChange::printTo(std::ostream& out) const {
@@ -2209,14 +2297,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->changes.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->changes.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
             {
-              xfer += this->changes[_i108].read(iprot);
+              xfer += this->changes[_i124].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2245,10 +2333,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<FeedChange> ::const_iterator _iter109;
-    for (_iter109 = this->changes.begin(); _iter109 != this->changes.end(); ++_iter109)
+    std::vector<FeedChange> ::const_iterator _iter125;
+    for (_iter125 = this->changes.begin(); _iter125 != this->changes.end(); ++_iter125)
     {
-      xfer += (*_iter109).write(oprot);
+      xfer += (*_iter125).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2265,13 +2353,13 @@
   swap(a.__isset, b.__isset);
 }
 
-FeedChanges::FeedChanges(const FeedChanges& other110) {
-  changes = other110.changes;
-  __isset = other110.__isset;
+FeedChanges::FeedChanges(const FeedChanges& other126) {
+  changes = other126.changes;
+  __isset = other126.__isset;
 }
-FeedChanges& FeedChanges::operator=(const FeedChanges& other111) {
-  changes = other111.changes;
-  __isset = other111.__isset;
+FeedChanges& FeedChanges::operator=(const FeedChanges& other127) {
+  changes = other127.changes;
+  __isset = other127.__isset;
   return *this;
 }
 void FeedChanges::printTo(std::ostream& out) const {
@@ -2357,14 +2445,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size112;
-            ::apache::thrift::protocol::TType _etype115;
-            xfer += iprot->readListBegin(_etype115, _size112);
-            this->changes.resize(_size112);
-            uint32_t _i116;
-            for (_i116 = 0; _i116 < _size112; ++_i116)
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _etype131;
+            xfer += iprot->readListBegin(_etype131, _size128);
+            this->changes.resize(_size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
             {
-              xfer += this->changes[_i116].read(iprot);
+              xfer += this->changes[_i132].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2425,10 +2513,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<FeedChange> ::const_iterator _iter117;
-    for (_iter117 = this->changes.begin(); _iter117 != this->changes.end(); ++_iter117)
+    std::vector<FeedChange> ::const_iterator _iter133;
+    for (_iter133 = this->changes.begin(); _iter133 != this->changes.end(); ++_iter133)
     {
-      xfer += (*_iter117).write(oprot);
+      xfer += (*_iter133).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2462,23 +2550,23 @@
   swap(a.__isset, b.__isset);
 }
 
-Feed::Feed(const Feed& other118) {
-  from_revision = other118.from_revision;
-  to_revision = other118.to_revision;
-  changes = other118.changes;
-  echo_ms = other118.echo_ms;
-  proof_age_ms = other118.proof_age_ms;
-  compressed_changes = other118.compressed_changes;
-  __isset = other118.__isset;
-}
-Feed& Feed::operator=(const Feed& other119) {
-  from_revision = other119.from_revision;
-  to_revision = other119.to_revision;
-  changes = other119.changes;
-  echo_ms = other119.echo_ms;
-  proof_age_ms = other119.proof_age_ms;
-  compressed_changes = other119.compressed_changes;
-  __isset = other119.__isset;
+Feed::Feed(const Feed& other134) {
+  from_revision = other134.from_revision;
+  to_revision = other134.to_revision;
+  changes = other134.changes;
+  echo_ms = other134.echo_ms;
+  proof_age_ms = other134.proof_age_ms;
+  compressed_changes = other134.compressed_changes;
+  __isset = other134.__isset;
+}
+Feed& Feed::operator=(const Feed& other135) {
+  from_revision = other135.from_revision;
+  to_revision = other135.to_revision;
+  changes = other135.changes;
+  echo_ms = other135.echo_ms;
+  proof_age_ms = other135.proof_age_ms;
+  compressed_changes = other135.compressed_changes;
+  __isset = other135.__isset;
   return *this;
 }
 void Feed::printTo(std::ostream& out) const {
--- a/src/network/gen/peer_types.h
+++ b/src/network/gen/peer_types.h
@@ -518,7 +518,7 @@
 std::ostream& operator<<(std::ostream& out, const LedgerReply& obj);
 
 typedef struct _Pulse__isset {
-  _Pulse__isset() : node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), clock_ms(false), held_revision(false), heard_ms(false), settled(false) {}
+  _Pulse__isset() : node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), clock_ms(false), held_revision(false), heard_ms(false), settled(false), leaving(false) {}
   bool node :1;
   bool life :1;
   bool number :1;
@@ -530,6 +530,7 @@
   bool held_revision :1;
   bool heard_ms :1;
   bool settled :1;
+  bool leaving :1;
 } _Pulse__isset;
 
 class Pulse : public virtual ::apache::thrift::TBase {
@@ -559,6 +560,7 @@
   int64_t held_revision;
   std::map<std::string, int32_t>  heard_ms;
   bool settled;
+  std::map<std::string, int64_t>  leaving;
 
   _Pulse__isset __isset;
 
@@ -584,6 +586,8 @@
 
   void __set_settled(const bool val);
 
+  void __set_leaving(const std::map<std::string, int64_t> & val);
+
   bool operator == (const Pulse & rhs) const
   {
     if (!(node == rhs.node))
@@ -608,6 +612,8 @@
       return false;
     if (!(settled == rhs.settled))
       return false;
+    if (!(leaving == rhs.leaving))
+      return false;
     return true;
   }
   bool operator != (const Pulse &rhs) const {
@@ -627,7 +633,7 @@
 std::ostream& operator<<(std::ostream& out, const Pulse& obj);
 
 typedef struct _Digest__isset {
-  _Digest__isset() : zone(false), node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), heard_ms(false), clock_ms(false), held_revision(false), relayed(false) {}
+  _Digest__isset() : zone(false), node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), heard_ms(false), clock_ms(false), held_revision(false), relayed(false), leaving(false) {}
   bool zone :1;
   bool node :1;
   bool life :1;
@@ -640,6 +646,7 @@
   bool clock_ms :1;
   bool held_revision :1;
   bool relayed :1;
+  bool leaving :1;
 } _Digest__isset;
 
 class Digest : public virtual ::apache::thrift::TBase {
@@ -670,6 +677,7 @@
   int64_t clock_ms;
   int64_t held_revision;
   bool relayed;
+  std::map<std::string, int64_t>  leaving;
 
   _Digest__isset __isset;
 
@@ -697,6 +705,8 @@
 
   void __set_relayed(const bool val);
 
+  void __set_leaving(const std::map<std::string, int64_t> & val);
+
   bool operator == (const Digest & rhs) const
   {
     if (!(zone == rhs.zone))
@@ -723,6 +733,8 @@
       return false;
     if (!(relayed == rhs.relayed))
       return false;
+    if (!(leaving == rhs.leaving))
+      return false;
     return true;
   }
   bool operator != (const Digest &rhs) const {
--- a/src/network/peer.thrift
+++ b/src/network/peer.thrift
@@ -75,6 +75,7 @@
   9: i64 held_revision // The store revision up to which the sender holds all changes, or 0.
   10: map<string, i32> heard_ms // Time since each server last sent something to this node.
   11: bool settled // Whether the node has run long enough to have heard from its whole zone.
+  12: map<string, i64> leaving // Servers that have announced that they leave: start of that run.
 }
 
 // The sum of a zone's pulses, sent as a datagram by one node of the zone to the other zones. The
@@ -92,6 +93,7 @@
   10: i64 clock_ms
   11: i64 held_revision
   12: bool relayed // Whether the digest has been forwarded within the receiver's zone.
+  13: map<string, i64> leaving // As in Pulse.
 }
 
 // A change of one key of the store.
--- a/src/network/pulse_socket.cpp
+++ b/src/network/pulse_socket.cpp
@@ -70,6 +70,22 @@
     return wire;
 }
 
+std::map<std::string, std::int64_t> toWire(const LeavingRuns &runs)
+{
+    std::map<std::string, std::int64_t> wire;
+    for (const auto &[server, startedAt] : runs)
+        wire[server.value()] = startedAt;
+    return wire;
+}
+
+LeavingRuns toLeaving(const std::map<std::string, std::int64_t> &wire)
+{
+    LeavingRuns runs;
+    for (const auto &[server, startedAt] : wire)
+        runs[VmId(server)] = startedAt;
+    return runs;
+}
+
 RunningCounts toRunning(const WireCounts &wire)
 {
     RunningCounts running;
@@ -108,6 +124,7 @@
     wire.heard_ms = toWire(pulse.recentProgress);
     wire.clock_ms = milliseconds(pulse.clock);
     wire.held_revision = pulse.held.value();
+    wire.leaving = toWire(pulse.leaving);
     return toBytes(pulseTag, wire);
 }
 
@@ -125,6 +142,7 @@
     pulse.recentProgress = toDurations(wire.heard_ms);
     pulse.clock = timePoint(wire.clock_ms);
     pulse.held = Revision(wire.held_revision);
+    pulse.leaving = toLeaving(wire.leaving);
     return pulse;
 }
 
@@ -143,6 +161,7 @@
     wire.heard_ms = toWire(digest.recentProgress);
     wire.clock_ms = milliseconds(digest.clock);
     wire.held_revision = digest.held.value();
+    wire.leaving = toWire(digest.leaving);
     wire.relayed = digest.relayed;
     return toBytes(digestTag, wire);
 }
@@ -162,6 +181,7 @@
     digest.recentProgress = toDurations(wire.heard_ms);
     digest.clock = timePoint(wire.clock_ms);
     digest.held = Revision(wire.held_revision);
+    digest.leaving = toLeaving(wire.leaving);
     digest.relayed = wire.relayed;
     return digest;
 }
--- a/src/network/relay.cpp
+++ b/src/network/relay.cpp
@@ -1,7 +1,6 @@
 #include "network/relay.h"
 
-#include <array>
-#include <cstdio>
+#include "network/retry_after_func.h"
 
 namespace bramleypitch {
 
@@ -38,15 +37,6 @@
     }
 }
 
-std::string formatSeconds(Duration duration)
-{
-    std::array<char, 32> text {};
-    constexpr double millisecondsPerSecond = 1'000;
-    std::snprintf(text.data(), text.size(), "%.3f",
-                  static_cast<double>(duration.count()) / millisecondsPerSecond);
-    return text.data();
-}
-
 ExchangeId toExchangeId(RequestId id)
 {
     return ExchangeId(id.value());
@@ -162,6 +152,17 @@
     exchange->responseBody.clear();
     exchange->framing.reset();
     exchange->events = 0;
+    exchange->details = m_dialect.readResponse(head);
+    const ResponseDetails &details = exchange->details;
+    if (details.invalidRetryAfterCause)
+        m_hooks.decided({exchange->head.value(m_dialect.traceHeader),
+                         "retry_after_invalid",
+                         {{"server", exchange->server.value()},
+                          {"value", details.invalidRetryAfter},
+                          {"cause", details.invalidRetryAfterCause}}});
+    RequestActions actions;
+    m_requests.onServerNotice(id, attempt, details.notice, m_loop.now(), actions);
+    perform(actions);
 }
 
 void Relay::onResponseBody(RequestId id, AttemptNumber attempt, const std::string &bytes)
@@ -188,7 +189,7 @@
     exchange.responseBody.clear();
     exchange.framing.reset();
     m_backends.abandon(exchange.handle);
-    handleAttemptFailure(id, exchange.attempt, true);
+    handleAttemptFailure(id, exchange.attempt, AttemptFailure::Broken);
 }
 
 void Relay::startResponse(RequestId id, Exchange &exchange)
@@ -258,7 +259,7 @@
         return;
     logDoubtfulEnd(*exchange, end);
     if (exchange->isStream && isBrokenOff(*exchange, end)) {
-        handleAttemptFailure(id, attempt, true);
+        handleAttemptFailure(id, attempt, AttemptFailure::Broken);
         return;
     }
     RequestActions actions;
@@ -271,13 +272,15 @@
         m_exchanges.erase(id);
         m_requests.onStreamEnded(id, attempt, now, actions);
     } else {
-        const ResponseDetails details = m_dialect.readResponse(exchange->attemptHead);
+        const ResponseDetails details = exchange->details;
         const int status = exchange->attemptHead.status;
         if (status == misdirectedRequest)
             m_requests.onAttemptFailed(id, attempt, AttemptFailure::Misdirected,
                                        details.faultyServer, now, actions);
         else if (details.notExecuted)
-            m_requests.onAttemptFailed(id, attempt, AttemptFailure::NotExecuted,
+            m_requests.onAttemptFailed(id, attempt,
+                                       details.notice.pause ? AttemptFailure::Paused
+                                                            : AttemptFailure::NotExecuted,
                                        details.faultyServer, now, actions);
         else if (exchange->headSent)
             m_requests.onAttemptFailed(id, attempt, AttemptFailure::Broken, details.faultyServer,
@@ -291,13 +294,12 @@
     perform(actions);
 }
 
-void Relay::handleAttemptFailure(RequestId id, AttemptNumber attempt, bool sent)
+void Relay::handleAttemptFailure(RequestId id, AttemptNumber attempt, AttemptFailure failure)
 {
     if (!find(id, attempt))
         return;
     RequestActions actions;
-    m_requests.onAttemptFailed(id, attempt, sent ? AttemptFailure::Broken : AttemptFailure::Unsent,
-                               VmId(), m_loop.now(), actions);
+    m_requests.onAttemptFailed(id, attempt, failure, VmId(), m_loop.now(), actions);
     perform(actions);
 }
 
@@ -335,7 +337,15 @@
         onResponseBody(id, attempt, bytes);
     };
     hooks.onResponseEnd = [this, id, attempt](BodyEnd end) { handleResponseEnd(id, attempt, end); };
-    hooks.onFailure = [this, id, attempt](bool sent) { handleAttemptFailure(id, attempt, sent); };
+    hooks.mayWrite = [this, id, attempt] {
+        return m_requests.mayStillSend(id, attempt, m_loop.now());
+    };
+    hooks.onWithdrawn = [this, id, attempt] {
+        handleAttemptFailure(id, attempt, AttemptFailure::Withdrawn);
+    };
+    hooks.onFailure = [this, id, attempt](bool sent) {
+        handleAttemptFailure(id, attempt, sent ? AttemptFailure::Broken : AttemptFailure::Unsent);
+    };
     exchange.handle = m_backends.send(std::move(request), std::move(hooks));
 }
 
@@ -368,7 +378,7 @@
     if (!traceId.empty())
         headers.emplace_back(m_dialect.traceHeader, traceId);
     if (refuse.retryAfter)
-        headers.emplace_back("Retry-After", formatSeconds(*refuse.retryAfter));
+        headers.emplace_back("Retry-After", formatRetryAfter(*refuse.retryAfter));
     m_exchanges.erase(found);
     m_hooks.refused(refuse.code);
     m_callers.reply(toExchangeId(refuse.request), toHttpStatus(refuse.code), headers,
--- a/src/network/relay.h
+++ b/src/network/relay.h
@@ -17,6 +17,9 @@
 {
     bool notExecuted = false; ///< The server states that it did not run the request.
     VmId faultyServer; ///< The server named as the cause of a failure; empty if none is.
+    ServerNotice notice;
+    std::string invalidRetryAfter; ///< A Retry-After that is not honoured as it is; else empty.
+    const char *invalidRetryAfterCause = nullptr;
 };
 
 /// Reads and writes the protocol-specific parts of requests and responses, such as header names. It
@@ -70,6 +73,7 @@
         AttemptNumber attempt;
         AttemptHandle handle;
         MessageHead attemptHead; ///< Head of the response to the current attempt.
+        ResponseDetails details; ///< Of the same response.
         MessageHead responseHead; ///< Head that the caller gets: of the first attempt with events.
         std::string responseBody;
         MessageHead lastResponseHead; ///< Of the last complete response, kept for DeliverResponse.
@@ -99,7 +103,7 @@
     static bool isBrokenOff(const Exchange &exchange, BodyEnd end);
     /// Logs a response whose completeness its framing does not show.
     void logDoubtfulEnd(const Exchange &exchange, BodyEnd end);
-    void handleAttemptFailure(RequestId id, AttemptNumber attempt, bool sent);
+    void handleAttemptFailure(RequestId id, AttemptNumber attempt, AttemptFailure failure);
     /// Returns the exchange if `attempt` is its current attempt; null otherwise.
     Exchange *find(RequestId id, AttemptNumber attempt);
 
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -390,6 +390,7 @@
     own.demand = m_requests.demand(now);
     own.suspects = m_backends.suspects(now);
     own.recentProgress = m_backends.recentProgress(now);
+    own.leaving = m_backends.recentlyLeaving(now);
     own.clock = now;
     own.held = m_mirror.held();
     return own;
@@ -454,6 +455,16 @@
     m_backends.setPeerRunning(pulse.node, pulse.running);
     m_backends.mergeSuspects(pulse.suspects, now);
     m_backends.mergeRecentProgress(pulse.recentProgress, now);
+    mergeLeaving(pulse.leaving, pulse.node, now);
+}
+
+void ServingDaemon::mergeLeaving(const LeavingRuns &runs, const NodeId &peer, TimePoint now)
+{
+    for (const auto &[server, startedAt] : m_backends.mergeLeaving(runs, now))
+        logLine(LogLevel::Info, "server_leaving",
+                {{"server", server.value()},
+                 {"started", std::to_string(startedAt)},
+                 {"peer", peer.value()}});
 }
 
 void ServingDaemon::onDigest(const ZoneDigest &digest)
@@ -464,6 +475,7 @@
     m_backends.setPeerRunning(zoneCountsId(digest.zone), digest.running);
     m_backends.mergeSuspects(digest.suspects, now);
     m_backends.mergeRecentProgress(digest.recentProgress, now);
+    mergeLeaving(digest.leaving, digest.node, now);
     TimePoint &relayedAt = m_relayedAt[digest.zone];
     const Duration interval =
         relayIntervalPerNode * static_cast<Duration::rep>(m_membership.zoneSize());
--- a/src/network/serving_daemon.h
+++ b/src/network/serving_daemon.h
@@ -97,6 +97,8 @@
     void sendFeeds(TimePoint now);
     void onPulse(const Pulse &pulse);
     void onDigest(const ZoneDigest &digest);
+    /// Adopts the servers that a peer reports as leaving.
+    void mergeLeaving(const LeavingRuns &runs, const NodeId &peer, TimePoint now);
     /// Drops the request counts of nodes and zones that have become silent.
     void handleSilentPeers(TimePoint now);
     /// Whether this node has to watch the store itself: either because it is the one that watches
--- a/src/platform/platform_dialect.cpp
+++ b/src/platform/platform_dialect.cpp
@@ -1,5 +1,7 @@
 #include "platform/platform_dialect.h"
 
+#include "network/retry_after_func.h"
+
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <nlohmann/json.hpp>
@@ -28,6 +30,11 @@
 constexpr const char *lengthHintHeader = "X-Length-Hint";
 constexpr const char *notExecutedHeader = "X-Not-Executed";
 constexpr const char *faultyServerHeader = "At-Server";
+constexpr const char *instanceHeader = "X-Instance-Id"; ///< The server that responded.
+constexpr const char *leavingHeader = "Server-Leaving"; ///< "1": the server that responded leaves.
+constexpr const char *retryAfterHeader = "Retry-After";
+constexpr int serviceUnavailable = 503;
+constexpr std::size_t maxLoggedValueBytes = 64;
 constexpr std::string_view bearerPrefix = "Bearer ";
 
 /// Headers of a caller's request that are not forwarded: they are consumed here or replaced.
@@ -125,6 +132,17 @@
     ResponseDetails details;
     details.notExecuted = head.find(notExecutedHeader) != nullptr;
     details.faultyServer = VmId(head.value(faultyServerHeader));
+    details.notice.server = VmId(head.value(instanceHeader));
+    details.notice.leaving = head.value(leavingHeader) == "1";
+    const std::string *retryAfter = head.find(retryAfterHeader);
+    if (head.status != serviceUnavailable || !retryAfter)
+        return details;
+    const RetryAfter parsed = parseRetryAfter(*retryAfter);
+    details.notice.pause = parsed.delay;
+    if (parsed.remark) {
+        details.invalidRetryAfter = retryAfter->substr(0, maxLoggedValueBytes);
+        details.invalidRetryAfterCause = parsed.remark;
+    }
     return details;
 }
 
--- a/src/request/backend_base.cpp
+++ b/src/request/backend_base.cpp
@@ -8,11 +8,20 @@
 
 /// Progress of a server within this time refutes a suspicion, and is reported to other nodes.
 constexpr Duration maxProgressAge {400};
+/// How long an announcement that a server leaves is remembered, so that an outdated entry does not
+/// bring it back. A leaving server has ended long before.
+constexpr Duration leavingMemory {600'000};
+constexpr std::size_t minKnownRuns = 256; ///< Runs of servers without an entry that are kept.
+/// How long an announcement is repeated to other nodes.
+constexpr Duration leavingReportTime {5'000};
 
 } // namespace
 
-void BackendTable::update(const BackendReport &report, TimePoint now)
+void BackendTable::update(const BackendReport &published, TimePoint now)
 {
+    recordRun(published, now);
+    BackendReport report = published;
+    report.draining = report.draining || isMarkedLeaving(report);
     const auto found = m_byId.find(report.id);
     if (found == m_byId.end()) {
         Backend backend;
@@ -21,6 +30,8 @@
         backend.coldUntil = now + report.coldTimeLeft;
         backend.coldSince = now;
         backend.lastModel = report.model;
+        if (const auto pause = m_pauses.find(report.id); pause != m_pauses.end())
+            backend.pausedUntil = pause->second;
         for (const auto &[peer, running] : m_peers) {
             if (const auto count = running.find(report.id); count != running.end())
                 backend.peersRunning += count->second;
@@ -56,6 +67,88 @@
     backend.coldUntil = now + report.coldTimeLeft;
 }
 
+void BackendTable::recordRun(const BackendReport &report, TimePoint now)
+{
+    KnownRun &run = m_newestRuns[report.id];
+    run = {std::max(run.startedAt, report.startedAt), now};
+    if (m_newestRuns.size() > minKnownRuns + 2 * m_byId.size()) {
+        std::erase_if(m_newestRuns, [&](const auto &entry) {
+            return now - entry.second.seenAt >= leavingMemory && !m_byId.count(entry.first);
+        });
+    }
+}
+
+std::int64_t BackendTable::newestStart(const VmId &id) const
+{
+    const auto run = m_newestRuns.find(id);
+    return run == m_newestRuns.end() ? 0 : run->second.startedAt;
+}
+
+bool BackendTable::isMarkedLeaving(const BackendReport &report) const
+{
+    const auto mark = m_leaving.find(report.id);
+    return mark != m_leaving.end() && report.startedAt <= mark->second.startedAt;
+}
+
+void BackendTable::forgetOldMarks(TimePoint now)
+{
+    std::erase_if(m_leaving, [now](const auto &entry) {
+        return now - entry.second.learnedAt >= leavingMemory;
+    });
+    std::erase_if(m_pauses, [now](const auto &entry) { return now >= entry.second; });
+}
+
+bool BackendTable::addLeavingMark(const VmId &id, std::int64_t startedAt, bool isOwn, TimePoint now)
+{
+    forgetOldMarks(now);
+    const auto known = m_leaving.find(id);
+    if (known != m_leaving.end() && known->second.startedAt >= startedAt) {
+        known->second.isOwn = known->second.isOwn || isOwn;
+        return false;
+    }
+    m_leaving[id] = {startedAt, now, isOwn};
+    if (Backend *backend = find(id);
+        backend && isMarkedLeaving(backend->report) && !backend->report.draining) {
+        backend->report.draining = true;
+        changed();
+    }
+    return true;
+}
+
+bool BackendTable::markLeaving(const VmId &id, std::int64_t startedAt, TimePoint now)
+{
+    return addLeavingMark(id, startedAt, true, now);
+}
+
+LeavingRuns BackendTable::mergeLeaving(const LeavingRuns &runs, TimePoint now)
+{
+    LeavingRuns added;
+    for (const auto &[id, startedAt] : runs) {
+        if (addLeavingMark(id, startedAt, false, now))
+            added[id] = startedAt;
+    }
+    return added;
+}
+
+LeavingRuns BackendTable::recentlyLeaving(TimePoint now) const
+{
+    LeavingRuns runs;
+    for (const auto &[id, mark] : m_leaving) {
+        if (mark.isOwn && now - mark.learnedAt < leavingReportTime)
+            runs[id] = mark.startedAt;
+    }
+    return runs;
+}
+
+void BackendTable::pause(const VmId &id, TimePoint until, TimePoint now)
+{
+    forgetOldMarks(now);
+    TimePoint &latest = m_pauses[id];
+    latest = std::max(latest, until);
+    if (Backend *backend = find(id))
+        backend->pausedUntil = latest;
+}
+
 void BackendTable::erase(const VmId &id)
 {
     const auto found = m_byId.find(id);
--- a/src/request/backend_base.h
+++ b/src/request/backend_base.h
@@ -20,6 +20,10 @@
     auto operator<=>(const GroupKey &) const = default;
 };
 
+/// The runs of servers that have announced in a response that they leave: the start of each run as
+/// in BackendReport::startedAt.
+using LeavingRuns = std::map<VmId, std::int64_t>;
+
 /// The backend servers of all services. Determines which of them can take requests for a model.
 class BackendTable
 {
@@ -50,6 +54,20 @@
     /// The servers of all fabric domains that are named in server reports, by id.
     const std::map<DomainId, std::map<VmId, BackendIndex>> &domains() const { return m_domains; }
 
+    /// Records that a run of a server has announced that it leaves. It counts as draining from now
+    /// on, whatever its reports say; a later run does not. Returns whether this is new.
+    bool markLeaving(const VmId &id, std::int64_t startedAt, TimePoint now);
+    /// Start of the newest run of a server that any of its reports named. An entry may be outdated,
+    /// so that the server is known to have started later. 0 if none is known.
+    std::int64_t newestStart(const VmId &id) const;
+    /// Adopts the runs that a peer node reports. Returns those that are new to this node.
+    LeavingRuns mergeLeaving(const LeavingRuns &runs, TimePoint now);
+    /// The runs that announced this to this node a short time ago, for the other nodes.
+    LeavingRuns recentlyLeaving(TimePoint now) const;
+    /// The server has asked this node for no requests until the given time. Holds across its runs
+    /// and while its entry is missing.
+    void pause(const VmId &id, TimePoint until, TimePoint now);
+
     /// Sets the groups of a fabric domain that are being dissolved. They take no new requests.
     void setDissolving(const DomainId &domain, std::set<GroupKey> groups);
 
@@ -96,7 +114,24 @@
         std::vector<BackendIndex> servers;
     };
 
+    struct LeavingMark
+    {
+        std::int64_t startedAt = 0; ///< The run that leaves.
+        TimePoint learnedAt;
+        bool isOwn = false; ///< This node received the response.
+    };
+
+    struct KnownRun
+    {
+        std::int64_t startedAt = 0;
+        TimePoint seenAt;
+    };
+
     void changed() { ++m_version; }
+    void recordRun(const BackendReport &report, TimePoint now);
+    bool addLeavingMark(const VmId &id, std::int64_t startedAt, bool isOwn, TimePoint now);
+    bool isMarkedLeaving(const BackendReport &report) const;
+    void forgetOldMarks(TimePoint now);
     void addToDomain(const BackendReport &report, BackendIndex index);
     void removeFromDomain(const BackendReport &report);
     /// Updates the number of present members by group if the table has changed.
@@ -109,6 +144,9 @@
     std::map<DomainId, std::map<VmId, BackendIndex>> m_domains;
     std::map<TargetKey, TargetList> m_targets;
     std::map<NodeId, RunningCounts> m_peers;
+    std::map<VmId, KnownRun> m_newestRuns; ///< Outlives the server's entry for a while.
+    std::map<VmId, LeavingMark> m_leaving;
+    std::map<VmId, TimePoint> m_pauses;
     std::uint64_t m_version = 1;
     std::map<DomainId, std::set<GroupKey>> m_dissolving;
     mutable std::map<GroupKey, std::uint32_t> m_memberCounts;
--- a/src/request/backend_type.h
+++ b/src/request/backend_type.h
@@ -91,6 +91,7 @@
     double eventGapMs = 0; ///< Smoothed milliseconds between stream events. 0 if not measured yet.
     TimePoint openedAt; ///< When it was seen to open its group. Epoch if it was open before.
     TimePoint coldSince; ///< When this node learnt of the current cold phase.
+    TimePoint pausedUntil; ///< The server asked this node for no requests until then.
     TimePoint lastColdDispatchAt; ///< When this node last sent a request to it while it was cold.
 };
 
--- a/src/request/membership_base.cpp
+++ b/src/request/membership_base.cpp
@@ -273,6 +273,10 @@
             const auto known = sum.recentProgress.try_emplace(server, ago + age).first;
             known->second = std::min(known->second, ago + age);
         }
+        for (const auto &[server, startedAt] : pulse.leaving) {
+            const auto known = sum.leaving.try_emplace(server, startedAt).first;
+            known->second = std::max(known->second, startedAt);
+        }
     };
     add(own, Duration(0));
     for (const auto &[node, peer] : m_peers) {
--- a/src/request/membership_type.h
+++ b/src/request/membership_type.h
@@ -35,6 +35,7 @@
     TimePoint clock;
     Revision held; ///< Store revision that the sender holds in full. 0 before that.
     std::map<ModelId, double> demand; ///< Slots needed by its running and waiting requests.
+    LeavingRuns leaving; ///< Servers that announced to it a short time ago that they leave.
 };
 
 /// Aggregate of the pulses of a zone, which one of its nodes sends to the other zones. The number
@@ -50,6 +51,7 @@
     std::map<ModelId, double> demand;
     std::map<VmId, Duration> suspects;
     std::map<VmId, Duration> recentProgress;
+    LeavingRuns leaving;
     TimePoint clock; ///< Send time by the clock of the author, as in a pulse.
     Revision held; ///< Store revision that the author holds in full.
     bool relayed = false; ///< It was already forwarded within the zone of the receiver.
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace bramleypitch {
 
@@ -32,6 +33,9 @@
 /// Retry-After is at most a third of the time left until the deadline, so that callers can retry
 /// in time.
 constexpr int retryAfterDivisor = 3;
+/// Callers of paused servers are asked to return within the pause divided by this after its end.
+constexpr int pauseSpreadDivisor = 2;
+constexpr Duration minPauseSpread {200};
 constexpr int minServerErrorStatus = 500;
 constexpr double weightResolution = 1'000'000; ///< Resolution of the choice by weight.
 
@@ -200,6 +204,8 @@
         addRefusedDemand(queued->second, now);
         refuse(queued->second, ErrorCode::NoCapacity, m_options.defaultRetryAfter, "no_server", now,
                actions);
+    } else if (choice.outcome == TargetChoice::Outcome::Paused) {
+        refuseWaiting(m_targets[key], choice.pausedUntil, now, actions);
     } else if (const auto queueWait = excessiveQueueWait(queued->second, m_targets[key], now)) {
         addRefusedDemand(queued->second, now);
         refuse(queued->second, ErrorCode::QueueFull, *queueWait, "queue", now, actions);
@@ -274,6 +280,8 @@
         if (isTooLate(request, now))
             input.maxUtilization = lateUtilization;
         const TargetChoice choice = chooseTarget(m_backends, input, now);
+        if (choice.outcome == TargetChoice::Outcome::Paused)
+            refuseWaiting(target, choice.pausedUntil, now, actions);
         if (choice.outcome != TargetChoice::Outcome::Chosen)
             return;
         target.waiting.erase(target.waiting.begin() + static_cast<std::ptrdiff_t>(next));
@@ -290,6 +298,32 @@
     }
 }
 
+void RequestSystem::refuseWaiting(Target &target, TimePoint pausedUntil, TimePoint now,
+                                  RequestActions &actions)
+{
+    std::vector<RequestId> refused;
+    for (const WaitingRequest &waiting : target.waiting) {
+        if (!waiting.responseStarted)
+            refused.push_back(waiting.request);
+    }
+    for (const RequestId id : refused) {
+        Request &request = m_requests.at(id);
+        addRefusedDemand(request, now);
+        refuse(request, ErrorCode::NoCapacity, retryAfterPause(request, pausedUntil, now), "paused",
+               now, actions);
+    }
+}
+
+Duration RequestSystem::retryAfterPause(const Request &request, TimePoint pausedUntil,
+                                        TimePoint now)
+{
+    const Duration left = elapsed(now, pausedUntil);
+    const Duration spread = std::max(left / pauseSpreadDivisor, minPauseSpread);
+    const auto draw = static_cast<Duration::rep>(stableHash(request.arrival.traceId)
+                                                 % static_cast<std::uint64_t>(spread.count()));
+    return left + Duration(draw);
+}
+
 bool RequestSystem::isTooLate(const Request &request, TimePoint now) const
 {
     return now > request.latestStart && !request.responseStarted
@@ -304,6 +338,7 @@
         retries(request.service).onRetry(now);
     request.attempt = AttemptNumber(request.attempt.value() + 1);
     request.server = backend.report.id;
+    request.serverStartedAt = m_backends.newestStart(backend.report.id);
     request.running = true;
     request.lastProgress = now;
     ++request.attemptsUsed;
@@ -402,7 +437,7 @@
     Request &request = found->second;
     if (request.running) {
         endAttempt(request);
-        actions.push_back(AbandonAttempt {id});
+        actions.emplace_back(AbandonAttempt {id});
     }
     actions.push_back(LogDecision {request.arrival.traceId,
                                    "caller_gone",
@@ -411,6 +446,52 @@
     finish(id);
 }
 
+bool RequestSystem::mayStillSend(RequestId id, AttemptNumber attempt, TimePoint now) const
+{
+    const auto found = m_requests.find(id);
+    if (found == m_requests.end() || !found->second.running || found->second.attempt != attempt)
+        return false;
+    const Request &request = found->second;
+    const Backend *backend = m_backends.find(request.server);
+    return backend && now >= backend->pausedUntil
+        && m_backends.newestStart(request.server) == request.serverStartedAt
+        && m_backends.isServable(*backend, *m_configuration);
+}
+
+void RequestSystem::onServerNotice(RequestId id, AttemptNumber attempt, const ServerNotice &notice,
+                                   TimePoint now, RequestActions &actions)
+{
+    const Request *request = find(id, attempt);
+    if (!request)
+        return;
+    const bool isAddressed = notice.server.value().empty() || notice.server == request->server;
+    const VmId server = isAddressed ? request->server : notice.server;
+    if (notice.leaving) {
+        // A server at an address that it has taken over may not have an entry yet. The mark then
+        // covers each run of it.
+        const Backend *backend = m_backends.find(server);
+        const std::int64_t startedAt = isAddressed ? request->serverStartedAt
+            : backend                              ? m_backends.newestStart(server)
+                                                   : std::numeric_limits<std::int64_t>::max();
+        if (m_backends.markLeaving(server, startedAt, now))
+            actions.push_back(
+                LogDecision {request->arrival.traceId,
+                             "server_leaving",
+                             {{"server", server.value()}, {"started", std::to_string(startedAt)}}});
+    }
+    if (notice.pause && *notice.pause > Duration(0)) {
+        m_backends.pause(server, now + *notice.pause, now);
+        actions.push_back(LogDecision {
+            request->arrival.traceId,
+            "server_paused",
+            {{"server", server.value()},
+             {"started", std::to_string(request->serverStartedAt)},
+             {"pause_ms", millisecondsText(*notice.pause)},
+             {"until_ms", std::to_string((now + *notice.pause).time_since_epoch().count())}}});
+        dispatchWaiting(m_targets[{request->service, request->arrival.model}], now, actions);
+    }
+}
+
 void RequestSystem::onStreamStarted(RequestId id, AttemptNumber attempt, TimePoint now)
 {
     if (Request *request = find(id, attempt)) {
@@ -501,12 +582,15 @@
     if (!request)
         return;
     endAttempt(*request);
-    request->tried.push_back(request->server);
+    if (failure != AttemptFailure::Withdrawn)
+        request->tried.push_back(request->server);
     Backend *backend = m_backends.find(request->server);
     const bool silent = failure == AttemptFailure::Unsent || failure == AttemptFailure::Silent;
+    const bool isAtFault =
+        failure != AttemptFailure::Withdrawn && failure != AttemptFailure::Paused;
     if (backend && silent)
         m_backends.suspect(*backend, Suspicion::Silence, m_options.silenceSuspicionTime, now);
-    else if (backend)
+    else if (backend && isAtFault)
         m_backends.suspect(*backend, Suspicion::Failure, m_options.failureSuspicionTime, now);
     if (Backend *faulty = m_backends.find(faultyServer))
         m_backends.suspect(*faulty, Suspicion::Silence, m_options.silenceSuspicionTime, now);
@@ -519,9 +603,17 @@
         ++request->unsentAttempts;
         --request->attemptsUsed;
         break;
+    case AttemptFailure::Withdrawn:
+        cause = "withdrawn";
+        ++request->unsentAttempts;
+        --request->attemptsUsed;
+        break;
     case AttemptFailure::NotExecuted:
         cause = "not_executed";
         break;
+    case AttemptFailure::Paused:
+        cause = "paused";
+        break;
     case AttemptFailure::Misdirected:
         cause = "misdirected";
         --request->attemptsUsed;
@@ -549,7 +641,9 @@
     const bool inTime = request.deadline - now >= m_options.minTimeLeft;
     const bool withinBudget = retries(request.service).permitsRetry(m_nodes.count, now);
     const TargetChoice choice = chooseTarget(m_backends, choiceInput(request), now);
-    const bool servable = choice.outcome != TargetChoice::Outcome::None;
+    const bool isPaused =
+        choice.outcome == TargetChoice::Outcome::Paused && !request.responseStarted;
+    const bool servable = choice.outcome != TargetChoice::Outcome::None && !isPaused;
     if (mayRetry && withinAttempts && inTime && withinBudget && servable) {
         actions.push_back(LogDecision {request.arrival.traceId,
                                        "request_retried",
@@ -561,7 +655,9 @@
         return;
     }
     const ErrorCode code = request.mayHaveRun ? ErrorCode::BackendFailed : ErrorCode::NoCapacity;
-    refuse(request, code, m_options.defaultRetryAfter / 2, cause, now, actions);
+    const Duration retryAfter = isPaused ? retryAfterPause(request, choice.pausedUntil, now)
+                                         : m_options.defaultRetryAfter / 2;
+    refuse(request, code, retryAfter, cause, now, actions);
 }
 
 bool RequestSystem::isStalled(const Request &request, TimePoint now) const
@@ -596,14 +692,14 @@
         if (request.running) {
             request.mayHaveRun = true;
             endAttempt(request);
-            actions.push_back(AbandonAttempt {id});
+            actions.emplace_back(AbandonAttempt {id});
         }
         refuse(request,
                request.mayHaveRun ? ErrorCode::DeadlineExceeded : ErrorCode::DeadlineUnreachable,
                m_options.defaultRetryAfter, "deadline", now, actions);
     }
     for (const auto &[id, attempt] : silent) {
-        actions.push_back(AbandonAttempt {id});
+        actions.emplace_back(AbandonAttempt {id});
         onAttemptFailed(id, attempt, AttemptFailure::Silent, VmId(), now, actions);
     }
 }
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -67,6 +67,14 @@
     void onRequestArrived(const RequestArrival &arrival, TimePoint now, RequestActions &actions);
     /// The caller disconnected. Ends the request and a running attempt.
     void onCallerDisconnected(RequestId request, TimePoint now, RequestActions &actions);
+    /// Whether an attempt that waited for its connection may be written now. Since it was chosen,
+    /// its server may have announced that it leaves, asked for a pause, started again, or stopped
+    /// taking requests.
+    bool mayStillSend(RequestId request, AttemptNumber attempt, TimePoint now) const;
+    /// The head of a response to the attempt was received. A server that leaves or asks for a pause
+    /// gets no further requests, or none until the pause ends.
+    void onServerNotice(RequestId request, AttemptNumber attempt, const ServerNotice &notice,
+                        TimePoint now, RequestActions &actions);
     /// The response header of a successful stream was received. From here on the response has
     /// begun.
     void onStreamStarted(RequestId request, AttemptNumber attempt, TimePoint now);
@@ -117,6 +125,7 @@
         bool running = false; ///< An attempt is in progress.
         AttemptNumber attempt; ///< Number of the latest attempt.
         VmId server; ///< Server of the latest attempt.
+        std::int64_t serverStartedAt = 0; ///< The newest known run of that server.
         std::vector<VmId> tried; ///< Servers where an attempt failed.
         std::uint32_t attemptsUsed = 0; ///< Attempts that count against maxAttempts.
         std::uint32_t unsentAttempts = 0; ///< Attempts of which nothing was sent.
@@ -162,6 +171,13 @@
     /// Whether a request for a model would start too late to meet its latency target.
     bool isTooLate(const Request &request, TimePoint now) const;
     void dispatch(Request &request, BackendIndex server, TimePoint now, RequestActions &actions);
+    /// Refuses the requests of a target whose servers have all asked for a pause. Started responses
+    /// go on waiting.
+    void refuseWaiting(Target &target, TimePoint pausedUntil, TimePoint now,
+                       RequestActions &actions);
+    /// Time after which a caller may return whose servers are paused. It is spread, so that not all
+    /// callers return when the pause ends.
+    static Duration retryAfterPause(const Request &request, TimePoint pausedUntil, TimePoint now);
     /// Queues the request for another attempt if that is permitted, otherwise ends it.
     void retryOrEnd(Request &request, bool mayRetry, const char *cause, TimePoint now,
                     RequestActions &actions);
--- a/src/request/request_type.h
+++ b/src/request/request_type.h
@@ -24,12 +24,22 @@
     std::optional<Duration> timeLimit; ///< How long the caller is willing to wait.
 };
 
+/// What a server states about itself in the head of any response.
+struct ServerNotice
+{
+    VmId server; ///< The server that responded; empty if the response does not name it.
+    bool leaving = false; ///< This run of the server leaves.
+    std::optional<Duration> pause; ///< It wants no requests of this node for this time.
+};
+
 /// How an attempt failed, classified by its possible effect on the server.
 enum class AttemptFailure {
     Unsent, ///< Nothing was sent.
     NotExecuted, ///< The server states that it did not execute the request.
     Misdirected, ///< The address belongs to another server, or the server is not a head.
     Silent, ///< It timed out without data from the server. It may have been executed.
+    Withdrawn, ///< Nothing was sent: the server takes no requests any more. It is not at fault.
+    Paused, ///< The server did not execute the request and asked for a pause. It is not at fault.
     Broken, ///< It ended without a complete response. It may have been executed.
 };
 
--- a/src/request/target_choice.cpp
+++ b/src/request/target_choice.cpp
@@ -31,8 +31,8 @@
 /// With many nodes, the nodes of other zones send nothing to a server for this time after it
 /// opened. After that they know the requests that nodes in its own zone sent to it.
 constexpr Duration otherZoneDelay {600};
-/// With many nodes, the limit of a server increases gradually to its full value in this time after
-/// it opened.
+/// The limit of a server increases gradually to its full value in this time after a pause and, with
+/// many nodes, after it opened.
 constexpr Duration rampUpTime {1'000};
 /// A server with requests of this node counts as suspected for new requests after this time without
 /// progress.
@@ -92,6 +92,20 @@
     return std::max(static_cast<std::uint32_t>(share * limit), 1U);
 }
 
+/// Whether a server that has asked this node for a pause has as many of its requests as it gets at
+/// this time after the pause. The limit increases gradually, as requests may have waited for its
+/// end.
+bool isReturningFromPause(const Backend &backend, const ChoiceInput &input, TimePoint now)
+{
+    const Duration sincePause = now - backend.pausedUntil;
+    if (sincePause >= rampUpTime)
+        return false;
+    const auto share =
+        static_cast<double>(sincePause.count()) / static_cast<double>(rampUpTime.count());
+    const double limit = share * concurrencyLimit(backend, *input.configuration);
+    return backend.ownRunning >= std::max(limit, 1.0);
+}
+
 void keepMostReliable(std::vector<Candidate> &candidates)
 {
     Reliability best = Reliability::Tried;
@@ -156,7 +170,17 @@
         const Backend &backend = *backends.find(index);
         if (input.zonesOut->count(backend.report.zone))
             continue;
+        if (now < backend.pausedUntil) {
+            choice.pausedUntil = choice.outcome == TargetChoice::Outcome::None
+                ? backend.pausedUntil
+                : std::min(choice.pausedUntil, backend.pausedUntil);
+            if (choice.outcome == TargetChoice::Outcome::None)
+                choice.outcome = TargetChoice::Outcome::Paused;
+            continue;
+        }
         choice.outcome = TargetChoice::Outcome::Full;
+        if (isReturningFromPause(backend, input, now))
+            continue;
         const std::uint32_t running = backend.ownRunning + backend.peersRunning;
         if (running >= input.maxUtilization * currentLimit(backend, input, now))
             continue;
--- a/src/request/target_choice.h
+++ b/src/request/target_choice.h
@@ -28,10 +28,12 @@
     enum class Outcome {
         Chosen,
         Full, ///< Servers exist, but none has capacity.
+        Paused, ///< All servers have asked this node for a pause.
         None, ///< No server takes requests for this service and model.
     };
     Outcome outcome = Outcome::None;
     BackendIndex server;
+    TimePoint pausedUntil; ///< With Paused: the earliest end of a pause.
 };
 
 /// Chooses the server that is expected to finish one more request soonest: the server with the
--- a/src/tests/relay_test.cpp
+++ b/src/tests/relay_test.cpp
@@ -7,6 +7,7 @@
 #include "network/http_message.h"
 #include "network/lease_keeper.h"
 #include "network/peer_convert.h"
+#include "network/retry_after_func.h"
 #include "network/store_mirror.h"
 #include "platform/platform_dialect.h"
 #include "platform/platform_settings.h"
@@ -656,6 +657,42 @@
     EXPECT_NE(head.find("X-Other: kept\r\n"), std::string::npos);
 }
 
+TEST(RetryAfterTest, OnlySecondsAreHonoured)
+{
+    EXPECT_EQ(parseRetryAfter("2").delay, Duration(2'000));
+    EXPECT_EQ(parseRetryAfter("0.0005").delay, Duration(1)); // Never shorter than asked for.
+    EXPECT_EQ(parseRetryAfter("1.25").delay, Duration(1'250));
+    EXPECT_EQ(parseRetryAfter("0").delay, Duration(0));
+    EXPECT_EQ(parseRetryAfter("2").remark, nullptr);
+    for (const char *value : {"601", "1000000000000", "99999999999999999999999999999999999999"}) {
+        EXPECT_EQ(parseRetryAfter(value).delay, maxRetryAfter) << value;
+        EXPECT_STREQ(parseRetryAfter(value).remark, "bounded") << value;
+    }
+    for (const char *value : {"", "-1", "+1", " 1", "1s", "1,5", "0x1", "1e2", "inf", "nan", ".5",
+                              "Fri, 04 Dec 2026 10:00:00 GMT"}) {
+        EXPECT_FALSE(parseRetryAfter(value).delay) << value;
+        EXPECT_STREQ(parseRetryAfter(value).remark, "not_seconds") << value;
+    }
+    EXPECT_EQ(parseRetryAfter(formatRetryAfter(Duration(1'234))).delay, Duration(1'234));
+}
+
+TEST(PlatformTest, NoticesOfServersAreRead)
+{
+    const auto readResponse = platform::relayDialect().readResponse;
+    MessageHead head;
+    head.status = 503;
+    head.headers = {{"server-leaving", "1"}, {"Retry-After", "1.5"}, {"X-Instance-Id", "i-1"}};
+    ResponseDetails details = readResponse(head);
+    EXPECT_TRUE(details.notice.leaving);
+    EXPECT_EQ(details.notice.server, VmId("i-1"));
+    EXPECT_EQ(details.notice.pause, Duration(1'500));
+    head.status = 429; // Only a 503 asks for a pause.
+    EXPECT_FALSE(readResponse(head).notice.pause);
+    head.status = 200;
+    head.headers = {{"Server-Leaving", "0"}};
+    EXPECT_FALSE(readResponse(head).notice.leaving);
+}
+
 TEST(PlatformTest, UnusableNumbersOfCallersCountAsAbsent)
 {
     const RelayDialect dialect = platform::relayDialect();
--- a/src/tests/request_test.cpp
+++ b/src/tests/request_test.cpp
@@ -730,6 +730,264 @@
     EXPECT_EQ(m_backends.find(VmId("s1"))->peersRunning, 0U);
 }
 
+TEST_F(RequestTest, ServerThatAnnouncedItsLeavingGetsNoRequests)
+{
+    BackendReport report = serverReport("s1");
+    report.startedAt = 7;
+    m_backends.update(report, m_now);
+    const auto attempt = actionsOf<DispatchAttempt>(sendRequest("/pay/x")).at(0);
+    RequestActions actions;
+    m_system.onServerNotice(attempt.request, attempt.attempt, {VmId(), true, std::nullopt}, m_now,
+                            actions);
+    EXPECT_EQ(actionsOf<LogDecision>(actions).at(0).event, "server_leaving");
+    EXPECT_EQ(m_backends.recentlyLeaving(m_now), (LeavingRuns {{VmId("s1"), 7}}));
+    // Neither its entry, nor its return to the store, nor an entry of an earlier run brings it
+    // back.
+    const auto expectRefused = [&] {
+        EXPECT_EQ(actionsOf<RefuseRequest>(sendRequest("/pay/x")).size(), 1U);
+    };
+    expectRefused();
+    m_backends.update(report, m_now);
+    expectRefused();
+    m_backends.erase(VmId("s1"));
+    m_backends.update(report, m_now);
+    expectRefused();
+    report.startedAt = 5;
+    m_backends.update(report, m_now);
+    expectRefused();
+    // A later run does, at once.
+    report.startedAt = 8;
+    m_backends.update(report, m_now);
+    EXPECT_EQ(actionsOf<DispatchAttempt>(sendRequest("/pay/x")).size(), 1U);
+}
+
+TEST_F(RequestTest, GroupWhoseHeadAnnouncedItsLeavingGetsNoRequests)
+{
+    addGroup("g1");
+    addGroup("g2");
+    m_backends.mergeLeaving({{VmId("g1-head"), 0}}, m_now);
+    for (int i = 0; i < 6; ++i) {
+        for (const auto &attempt : actionsOf<DispatchAttempt>(sendRequest("/ask/x")))
+            EXPECT_EQ(attempt.server, VmId("g2-head"));
+    }
+    m_backends.mergeLeaving({{VmId("g2-2"), 0}}, m_now); // A member: the group is not whole.
+    EXPECT_EQ(actionsOf<RefuseRequest>(sendRequest("/ask/x")).size(), 1U);
+}
+
+TEST_F(RequestTest, MarkOfAnotherServerAtTheAddressIsNotThatOfTheAddressedOne)
+{
+    m_backends.update(serverReport("s1"), m_now);
+    const auto attempt = actionsOf<DispatchAttempt>(sendRequest("/read/x")).at(0);
+    RequestActions actions;
+    m_system.onServerNotice(attempt.request, attempt.attempt, {VmId("s9"), true, std::nullopt},
+                            m_now, actions);
+    EXPECT_EQ(actionsOf<DispatchAttempt>(sendRequest("/read/x")).size(), 1U);
+    m_backends.update(serverReport("s9"), m_now);
+    EXPECT_TRUE(m_backends.find(VmId("s9"))->report.draining);
+}
+
+TEST_F(RequestTest, CallersOfPausedServersAreRefusedAtOnce)
+{
+    m_backends.update(serverReport("s1"), m_now);
+    const auto attempt = actionsOf<DispatchAttempt>(sendRequest("/pay/x")).at(0);
+    std::vector<RequestActions> waiting;
+    while (m_system.waiting() == 0)
+        waiting.push_back(sendRequest("/read/x"));
+    RequestActions actions;
+    m_system.onServerNotice(attempt.request, attempt.attempt, {VmId(), false, Duration(1'500)},
+                            m_now, actions);
+    auto refusals = actionsOf<RefuseRequest>(actions); // The waiting request.
+    ASSERT_EQ(refusals.size(), 1U);
+    for (const auto &refusal :
+         actionsOf<RefuseRequest>(failAttempt(attempt, AttemptFailure::Paused)))
+        refusals.push_back(refusal);
+    ASSERT_EQ(refusals.size(), 2U); // And the payment.
+    for (const RefuseRequest &refusal : refusals) {
+        EXPECT_EQ(refusal.run, RunOutcome::NotRun);
+        EXPECT_GE(refusal.retryAfter, Duration(1'500));
+        EXPECT_LE(refusal.retryAfter, Duration(2'250));
+    }
+    EXPECT_LE(m_backends.find(VmId("s1"))->suspectUntil, m_now);
+    EXPECT_EQ(actionsOf<RefuseRequest>(sendRequest("/read/x")).size(), 1U);
+    m_now += Duration(1'499);
+    EXPECT_EQ(actionsOf<RefuseRequest>(sendRequest("/read/x")).size(), 1U);
+}
+
+TEST_F(RequestTest, ServerIsFilledGraduallyAfterItsPause)
+{
+    m_backends.update(serverReport("s1"), m_now);
+    m_backends.pause(VmId("s1"), m_now + Duration(1'000), m_now);
+    m_now += Duration(1'000);
+    std::size_t sent = 0;
+    const std::uint32_t limit = 2 * slots; // A plain server queues as many requests as it runs.
+    for (std::uint32_t i = 0; i < limit; ++i)
+        sent += actionsOf<DispatchAttempt>(sendRequest("/read/x")).size();
+    EXPECT_EQ(sent, 1U);
+    sent += actionsOf<DispatchAttempt>(tickAfter(Duration(300))).size();
+    EXPECT_LE(sent, 3U);
+    m_now += Duration(700);
+    sent += actionsOf<DispatchAttempt>(tickAfter(Duration(0))).size();
+    EXPECT_EQ(sent, limit);
+}
+
+TEST_F(RequestTest, PausedServerLeavesTheWorkToOthers)
+{
+    m_backends.update(serverReport("s1"), m_now);
+    m_backends.update(serverReport("s2"), m_now);
+    const auto attempt = actionsOf<DispatchAttempt>(sendRequest("/read/x")).at(0);
+    RequestActions actions;
+    m_system.onServerNotice(attempt.request, attempt.attempt, {VmId(), false, Duration(1'500)},
+                            m_now, actions);
+    const auto retried = actionsOf<DispatchAttempt>(failAttempt(attempt, AttemptFailure::Paused));
+    ASSERT_EQ(retried.size(), 1U);
+    EXPECT_NE(retried[0].server, attempt.server);
+}
+
+TEST_F(RequestTest, AttemptThatWaitedForItsConnectionIsWithdrawn)
+{
+    m_backends.update(serverReport("s1"), m_now);
+    m_backends.update(serverReport("s2"), m_now);
+    const auto attempt = actionsOf<DispatchAttempt>(sendRequest("/pay/x")).at(0);
+    EXPECT_TRUE(m_system.mayStillSend(attempt.request, attempt.attempt, m_now));
+    m_backends.pause(attempt.server, m_now + Duration(1'000), m_now);
+    EXPECT_FALSE(m_system.mayStillSend(attempt.request, attempt.attempt, m_now));
+    // Nothing was sent, so that a payment may go elsewhere, and the server is not suspected.
+    const auto next = actionsOf<DispatchAttempt>(failAttempt(attempt, AttemptFailure::Withdrawn));
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_NE(next[0].server, attempt.server);
+    EXPECT_LE(m_backends.find(attempt.server)->suspectUntil, m_now);
+    m_backends.mergeLeaving({{next[0].server, 0}}, m_now);
+    EXPECT_FALSE(m_system.mayStillSend(next[0].request, next[0].attempt, m_now));
+}
+
+RC_GTEST_PROP(ServerNotices, NothingIsSentAgainstThem, ())
+{
+    // Servers announce that they leave, ask for pauses, restart and vanish in any order, while
+    // connections take time, the store shows outdated entries and the node freezes.
+    TimePoint now = timePoint(1'000'000);
+    BackendTable backends;
+    RequestOptions options;
+    options.zone = ZoneId("za");
+    options.retries.slack = 1'000;
+    RequestSystem system(options, backends);
+    system.setConfiguration(std::make_shared<ServingConfiguration>(validConfiguration()));
+    std::map<VmId, std::int64_t> startOf;
+    std::map<VmId, std::int64_t> leaving; // The newest run that has announced it, by server.
+    std::map<VmId, TimePoint> pausedUntil;
+    const std::vector<VmId> plain {VmId("s1"), VmId("s2"), VmId("s3")};
+    const std::vector<VmId> heads {VmId("a-head"), VmId("b-head")};
+    const auto publish = [&](const VmId &id, std::int64_t startedAt) {
+        const std::string &name = id.value();
+        const bool isHead = name.size() > 2;
+        BackendReport report =
+            isHead ? memberReport(name, name.substr(0, 1), 0) : serverReport(name);
+        report.startedAt = startedAt;
+        backends.update(report, now);
+        if (isHead)
+            backends.update(memberReport(name + "-2", name.substr(0, 1), 1), now);
+    };
+    std::vector<VmId> servers = plain;
+    servers.insert(servers.end(), heads.begin(), heads.end());
+    for (const VmId &id : servers)
+        publish(id, startOf[id] = 1);
+    std::vector<DispatchAttempt> connecting;
+    std::vector<DispatchAttempt> written;
+    std::uint64_t lastRequest = 0;
+    const auto take = [&](const RequestActions &actions) {
+        for (const auto &attempt : actionsOf<DispatchAttempt>(actions))
+            connecting.push_back(attempt);
+    };
+    const auto write = [&](const DispatchAttempt &attempt) {
+        RequestActions actions;
+        if (!system.mayStillSend(attempt.request, attempt.attempt, now)) {
+            system.onAttemptFailed(attempt.request, attempt.attempt, AttemptFailure::Withdrawn,
+                                   VmId(), now, actions);
+            take(actions);
+            return;
+        }
+        const auto mark = leaving.find(attempt.server);
+        RC_ASSERT(mark == leaving.end() || mark->second < startOf[attempt.server]);
+        RC_ASSERT(now >= pausedUntil[attempt.server]);
+        written.push_back(attempt);
+    };
+    const auto takeAny = [](std::vector<DispatchAttempt> &attempts) {
+        const auto index = *rc::gen::inRange<std::size_t>(0, attempts.size());
+        const DispatchAttempt attempt = attempts[index];
+        attempts.erase(attempts.begin() + static_cast<std::ptrdiff_t>(index));
+        return attempt;
+    };
+    const auto steps = *rc::gen::inRange(20, 200);
+    for (int step = 0; step < steps; ++step) {
+        RequestActions actions;
+        const VmId server = *rc::gen::elementOf(servers);
+        switch (*rc::gen::inRange(0, 9)) {
+        case 0:
+        case 1: {
+            RequestArrival arrival;
+            arrival.request = RequestId(++lastRequest);
+            arrival.traceId = "t" + std::to_string(lastRequest);
+            arrival.host = "shop.example";
+            arrival.path = *rc::gen::element(std::string("/ask/x"), std::string("/pay/x"),
+                                             std::string("/read/x"));
+            arrival.key = apiKey;
+            if (arrival.path == "/ask/x")
+                arrival.model = ModelId("m");
+            system.setConfigurationProof(now);
+            system.onRequestArrived(arrival, now, actions);
+            break;
+        }
+        case 2:
+        case 3:
+            if (!connecting.empty())
+                write(takeAny(connecting));
+            break;
+        case 4:
+        case 5: {
+            if (written.empty())
+                break;
+            const DispatchAttempt attempt = takeAny(written);
+            ServerNotice notice;
+            notice.leaving = *rc::gen::inRange(0, 4) == 0;
+            if (*rc::gen::inRange(0, 3) == 0)
+                notice.pause = Duration(*rc::gen::inRange(1, 3'000));
+            system.onServerNotice(attempt.request, attempt.attempt, notice, now, actions);
+            // Late answers of ended requests are not passed on, and bind nothing.
+            const bool isKnown = !actionsOf<LogDecision>(actions).empty();
+            if (isKnown && notice.leaving)
+                leaving[attempt.server] = startOf[attempt.server];
+            if (isKnown && notice.pause)
+                pausedUntil[attempt.server] =
+                    std::max(pausedUntil[attempt.server], now + *notice.pause);
+            if (notice.pause)
+                system.onAttemptFailed(attempt.request, attempt.attempt, AttemptFailure::Paused,
+                                       VmId(), now, actions);
+            else
+                system.onResponse(attempt.request, attempt.attempt, 200, now, actions);
+            break;
+        }
+        case 6: // The store shows an entry again, also an outdated one, or none.
+            if (*rc::gen::arbitrary<bool>())
+                backends.erase(server);
+            else
+                publish(server, *rc::gen::inRange<std::int64_t>(0, startOf[server] + 1));
+            break;
+        case 7: // A restart that the store shows before the server answers.
+            publish(server, ++startOf[server]);
+            written.erase(std::remove_if(written.begin(), written.end(),
+                                         [&](const auto &a) { return a.server == server; }),
+                          written.end());
+            break;
+        default:
+            now += Duration(*rc::gen::inRange(1, 400));
+            if (*rc::gen::inRange(0, 10) == 0)
+                now += Duration(5'000); // The node was frozen.
+            system.tick(now, actions);
+            break;
+        }
+        take(actions);
+    }
+}
+
 RC_GTEST_PROP(ColdServer, RequestsOfAllNodesStayWithinColdRate, ())
 {
     // Nodes learn that a server is cold within a few hundred milliseconds of each other. From some
--- a/src/tests/response_end_test.py
+++ b/src/tests/response_end_test.py
@@ -7,7 +7,6 @@
 complete. RESPONSE_END_SEED selects the random places.
 """
 
-import base64
 import json
 import os
 import sys
@@ -17,9 +16,10 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
-from platform_system import System, wait_for  # noqa: E402
-from scripted_server import (Answer, ScriptedServer, call, reset, seeded, send_cut,  # noqa: E402
+from platform_system import wait_for  # noqa: E402
+from scripted_server import (Answer, call, reset, seeded, send_cut,  # noqa: E402
                              send_endlessly, wait_for_close)
+from scripted_system import ScriptedSystem, service_of  # noqa: E402
 
 BUILD_DIR = sys.argv.pop(1) if len(sys.argv) > 1 else "build"
 SEED = os.environ.get("RESPONSE_END_SEED", "1")
@@ -189,38 +189,16 @@
     return cases
 
 
-class EndsSystem(System):
-    """One node, and three scripted servers that are a service of their own for each case."""
+class EndsSystem(ScriptedSystem):
+    """A service of its own for each case."""
 
     def __init__(self, build, cases):
         self.cases = {f"c{case.number}": case for case in cases}
-        self.servers = [ScriptedServer(f"127.0.6.{number + 1}:23300", self.answer)
-                        for number in range(SERVERS)]
-        super().__init__(build, engines=0, nodes=1)
-
-    def answer(self, _, connection, head, __):
-        return self.cases[head["start"].split("/")[1]].serve(connection, head)
-
-    def configure(self):
-        routes = [dict(ROUTES[case.kind], name=name, host="shop.example",
-                       path_prefix=f"/{name}/", service=name, target_latency_ms=400,
-                       priority=1, auth_exempt=True) for name, case in self.cases.items()]
-        config = {"version": 1, "routes": routes,
-                  "services": [{"name": name} for name in self.cases], "tenants": []}
-        self.put({"op/config": config})
-        entries = {}
-        for name in self.cases:
-            for number, server in enumerate(self.servers):
-                entries[f"servers/{name}-{number}"] = {
-                    "service": name, "address": server.address, "zone": "za", "version": "v1",
-                    "slots": 8, "state": "ready", "cold_remaining_ms": 0, "seq_num": 0,
-                    "born": 1, "models": [], "staged": []}
-        self.put(entries)
-
-    def put(self, values):
-        self.write({"expected": [], "remove": [],
-                    "puts": [{"key": key, "value": base64.b64encode(
-                        json.dumps(value).encode()).decode()} for key, value in values.items()]})
+        super().__init__(build, {name: ROUTES[case.kind] for name, case in self.cases.items()},
+                         SERVERS, self.answer)
+
+    def answer(self, _, connection, head):
+        return self.cases[service_of(head)].serve(connection, head)
 
     def play(self, case):
         request = (f"POST /c{case.number}/x HTTP/1.1\r\nHost: shop.example\r\n"
@@ -229,11 +207,6 @@
         reply = call(self.front_address(0), request.encode(), CALLER_TIMEOUT_S)
         return [f"{case}: {violation}" for violation in case.violations(reply)]
 
-    def stop(self):
-        super().stop()
-        for server in self.servers:
-            server.stop()
-
 
 class ResponseEndTest(unittest.TestCase):
 
--- a/src/tests/scripted_server.py
+++ b/src/tests/scripted_server.py
@@ -54,6 +54,7 @@
             connection.close()
 
     def stop(self):
+        self.listener.shutdown(socket.SHUT_RDWR)  # Ends the accept call of the other thread.
         self.listener.close()
 
 
