--- a/src/tests/relay_test.cpp
+++ b/src/tests/relay_test.cpp
@@ -115,7 +115,8 @@
             stream += ": comment" + lineEnd;
             ends.push_back(stream.size());
         }
-        stream += "id: " + std::to_string(i) + lineEnd + "data: x" + lineEnd + lineEnd;
+        stream.append("id: ").append(std::to_string(i)).append(lineEnd);
+        stream.append("data: x").append(lineEnd).append(lineEnd);
         ends.push_back(stream.size());
         if (*rc::gen::arbitrary<bool>()) {
             stream += lineEnd;
--- a/src/tests/request_test.cpp
+++ b/src/tests/request_test.cpp
@@ -928,7 +928,7 @@
     };
     const auto takeAny = [](std::vector<DispatchAttempt> &attempts) {
         const auto index = *rc::gen::inRange<std::size_t>(0, attempts.size());
-        const DispatchAttempt attempt = attempts[index];
+        DispatchAttempt attempt = attempts[index];
         attempts.erase(attempts.begin() + static_cast<std::ptrdiff_t>(index));
         return attempt;
     };
