--- /dev/null
+++ b/src/request/quarantine_type.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "core/strong_type.h"
+#include "core/time_type.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace bramleypitch {
+
+/// A part of prompts that requests may share, for the servers of one service: the hash of both.
+using PromptPart = StrongType<struct PromptPartTag, std::uint64_t>;
+using PromptParts = std::vector<PromptPart>;
+
+/// One start of a server.
+struct ServerRun
+{
+    VmId server;
+    std::int64_t startedAt = 0; ///< As in BackendReport::startedAt.
+
+    auto operator<=>(const ServerRun &) const = default;
+};
+
+/// A server ended while it began to answer a request with a part.
+struct CrashEvidence
+{
+    PromptPart part;
+    ServerRun run;
+    std::uint64_t request = 0; ///< Hash of the request's trace id.
+    Duration age {0}; ///< Since the attempt broke.
+
+    bool operator==(const CrashEvidence &) const = default;
+};
+
+/// A part that no request may contain.
+struct QuarantinedPart
+{
+    Duration timeLeft {0}; ///< Until requests with it are accepted again.
+    std::uint32_t times = 0; ///< How often it was quarantined; a later time lasts longer.
+
+    bool operator==(const QuarantinedPart &) const = default;
+};
+
+/// What nodes tell each other about parts of prompts. The sizes are limited by QuarantineLimits.
+struct QuarantineNews
+{
+    std::vector<CrashEvidence> crashes;
+    std::map<PromptPart, Duration> cleared; ///< Time since an answer showed that a part is sound.
+    std::map<PromptPart, QuarantinedPart> quarantined;
+
+    bool operator==(const QuarantineNews &) const = default;
+};
+
+/// Limits on the memory and the messages that the quarantine takes.
+struct QuarantineLimits
+{
+    static constexpr std::size_t reportedCrashes = 32; ///< In one message between nodes.
+    static constexpr std::size_t reportedParts = 32; ///< Cleared, and quarantined, in one message.
+    static constexpr std::size_t evidence = 1'024; ///< Kept by a node.
+    static constexpr std::size_t clearedParts = 8'192; ///< Kept by a node.
+    static constexpr std::size_t quarantinedParts = 256; ///< Kept by a node.
+};
+
+} // namespace bramleypitch
--- a/src/request/request_type.h
+++ b/src/request/request_type.h
@@ -2,6 +2,7 @@
 
 #include "core/error_type.h"
 #include "request/backend_type.h"
+#include "request/quarantine_type.h"
 
 #include <optional>
 #include <string>
@@ -22,6 +23,8 @@
     double promptTokens = 0;
     double completionTokens = 0; ///< Expected or maximum length of the completion.
     std::optional<Duration> timeLimit; ///< How long the caller is willing to wait.
+    /// Hashes of the names of the prompt's parts that other requests may share.
+    std::vector<std::uint64_t> promptParts;
 };
 
 /// What a server states about itself in the head of any response.
