--- a/src/tests/request_test.cpp
+++ b/src/tests/request_test.cpp
@@ -1,9 +1,8 @@
 // Tests of request handling: routes, API keys, server selection, attempts, resumption, refusals.
 
 #include "request/engine_model.h"
-#include "request/request_system.h"
+#include "request_fixture.h"
 
-#include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
@@ -12,143 +11,6 @@
 
 namespace {
 
-constexpr const char *apiKey = "key-1";
-constexpr std::uint32_t slots = 4;
-
-RouteSpec makeRoute(const std::string &prefix, RequestKind kind, const std::string &service)
-{
-    RouteSpec spec;
-    spec.name = RouteId("r" + prefix);
-    spec.host = "shop.example";
-    spec.pathPrefix = prefix;
-    spec.kind = kind;
-    spec.timeout = Duration(6'000);
-    spec.targetLatency = Duration(400);
-    spec.services = {{ServiceId(service), 1}};
-    spec.maxAttempts = kind == RequestKind::AtMostOnce ? 1 : 2;
-    return spec;
-}
-
-ServingConfiguration validConfiguration()
-{
-    ServingConfiguration configuration;
-    configuration.version = 1;
-    configuration.routes = {makeRoute("/ask/", RequestKind::ResumableStream, "engines"),
-                            makeRoute("/pay/", RequestKind::AtMostOnce, "till"),
-                            makeRoute("/read/", RequestKind::Repeatable, "till")};
-    ServedService engines;
-    engines.name = ServiceId("engines");
-    engines.maxColdRequestsPerSecond = 10;
-    engines.engine.emplace();
-    engines.engine->slots = slots;
-    ServedModel model;
-    model.name = ModelId("m");
-    model.span = 2;
-    engines.engine->models = {model};
-    configuration.services[engines.name] = engines;
-    ServedService till;
-    till.name = ServiceId("till");
-    configuration.services[till.name] = till;
-    configuration.organisations = {{OrganisationId("chain"), std::nullopt}};
-    configuration.keys[apiKey] = 0;
-    return configuration;
-}
-
-BackendReport serverReport(const std::string &id)
-{
-    BackendReport report;
-    report.id = VmId(id);
-    report.service = ServiceId("till");
-    report.address = Address("127.0.0.1:1");
-    report.zone = ZoneId("za");
-    report.slots = slots;
-    return report;
-}
-
-BackendReport memberReport(const std::string &id, const std::string &group, std::uint32_t rank)
-{
-    BackendReport report = serverReport(id);
-    report.service = ServiceId("engines");
-    report.model = ModelId("m");
-    report.group.name = GroupId(group);
-    report.group.generation = Generation(1);
-    report.group.rank = rank;
-    report.group.state = rank == 0 ? MemberState::Open : MemberState::Ready;
-    return report;
-}
-
-template<typename Action>
-std::vector<Action> actionsOf(const RequestActions &actions)
-{
-    std::vector<Action> matches;
-    for (const RequestAction &action : actions) {
-        if (const auto *match = std::get_if<Action>(&action))
-            matches.push_back(*match);
-    }
-    return matches;
-}
-
-class RequestTest : public testing::Test
-{
-protected:
-    RequestTest()
-        : m_system(options(), m_backends)
-    {
-        m_system.setConfiguration(std::make_shared<ServingConfiguration>(validConfiguration()));
-        m_system.setConfigurationProof(m_now);
-    }
-
-    static RequestOptions options()
-    {
-        RequestOptions options;
-        options.node = NodeId("n1");
-        options.zone = ZoneId("za");
-        options.retries.slack = 100;
-        return options;
-    }
-
-    void addGroup(const std::string &name)
-    {
-        m_backends.update(memberReport(name + "-head", name, 0), m_now);
-        m_backends.update(memberReport(name + "-2", name, 1), m_now);
-    }
-
-    RequestActions sendRequest(const std::string &path, const std::string &bearerToken = apiKey)
-    {
-        RequestArrival arrival;
-        arrival.request = RequestId(++m_lastRequestId);
-        arrival.traceId = "t" + std::to_string(m_lastRequestId);
-        arrival.host = "shop.example";
-        arrival.path = path;
-        arrival.key = bearerToken;
-        if (path.find("/ask/") == 0)
-            arrival.model = ModelId("m");
-        RequestActions actions;
-        m_system.onRequestArrived(arrival, m_now, actions);
-        return actions;
-    }
-
-    RequestActions failAttempt(const DispatchAttempt &attempt, AttemptFailure failure)
-    {
-        RequestActions actions;
-        m_system.onAttemptFailed(attempt.request, attempt.attempt, failure, VmId(), m_now, actions);
-        return actions;
-    }
-
-    RequestActions tickAfter(Duration duration)
-    {
-        m_now += duration;
-        RequestActions actions;
-        m_system.tick(m_now, actions);
-        return actions;
-    }
-
-    TimePoint m_now = timePoint(1'000'000);
-    BackendTable m_backends;
-    RequestSystem m_system;
-    std::uint64_t m_lastRequestId = 0;
-};
-
 TEST_F(RequestTest, LongestPrefixOfTheHostWins)
 {
     ServingConfiguration configuration = validConfiguration();
