Fix: [Request] Responses that have begun survive a change of the configuration (LOST)

Callers saw a stream cut off beside a change of the configuration, with neither an answer nor a refusal.

Cause: a stream that waited to be resumed after its server broke it off was checked against the configuration in force, as a new request is. If its route, key or service had changed meanwhile, or the proof of the configuration had become old, it was refused, which breaks a started response. The class: a response that has begun is given up on grounds that concern new requests.

Change: the check is for requests that nobody has begun to answer. What has begun was permitted when it arrived.

--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -285,7 +285,8 @@
         if (choice.outcome != TargetChoice::Outcome::Chosen)
             return;
         target.waiting.erase(target.waiting.begin() + static_cast<std::ptrdiff_t>(next));
-        if (!isStillPermitted(request, now)) {
+        // A response that has begun was permitted when its request arrived.
+        if (!request.responseStarted && !isStillPermitted(request, now)) {
             // The configuration changed while the request waited. A retry uses the new one.
             refuse(request, ErrorCode::ConfigurationStale, minRetryAfter, "changed", now, actions);
             continue;
