Fix: [Request] A repeat that may have run is never refused as not run

Callers of a request that may be repeated could get 503 with Retry-After although a server might have run it: after a broken attempt, when the configuration changed or the time ran out before the repeat.

Cause: the status of a refusal was chosen by each caller of refuse(), and two of them looked at the reason alone. Change: refuse() itself derives it from whether the request may have run.

--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -395,6 +395,10 @@
 {
     const RequestId id = request.arrival.request;
     const char *event = "request_refused";
+    // Only a request that never runs may be refused as not run.
+    if (request.mayHaveRun)
+        code = code == ErrorCode::DeadlineUnreachable ? ErrorCode::DeadlineExceeded
+                                                      : ErrorCode::BackendFailed;
     if (request.responseStarted) {
         event = "answer_broken";
         actions.push_back(BreakResponse {id});
@@ -655,10 +659,9 @@
         dispatchWaiting(m_targets[key], now, actions);
         return;
     }
-    const ErrorCode code = request.mayHaveRun ? ErrorCode::BackendFailed : ErrorCode::NoCapacity;
     const Duration retryAfter = isPaused ? retryAfterPause(request, choice.pausedUntil, now)
                                          : m_options.defaultRetryAfter / 2;
-    refuse(request, code, retryAfter, cause, now, actions);
+    refuse(request, ErrorCode::NoCapacity, retryAfter, cause, now, actions);
 }
 
 bool RequestSystem::isStalled(const Request &request, TimePoint now) const
@@ -695,9 +698,8 @@
             endAttempt(request);
             actions.emplace_back(AbandonAttempt {id});
         }
-        refuse(request,
-               request.mayHaveRun ? ErrorCode::DeadlineExceeded : ErrorCode::DeadlineUnreachable,
-               m_options.defaultRetryAfter, "deadline", now, actions);
+        refuse(request, ErrorCode::DeadlineUnreachable, m_options.defaultRetryAfter, "deadline",
+               now, actions);
     }
     for (const auto &[id, attempt] : silent) {
         actions.emplace_back(AbandonAttempt {id});
