Fix: [Request] [Network] An attempt ends on silence only when another one answers (LOST)

Callers saw streams end in the middle, or a request refused, although its server was sound and only silent for a second: neither an answer nor a refusal of what had been accepted.

Cause: a stream whose server sent nothing for 0.6 s (1.2 s before the first event) was first abandoned, and only then the node looked whether another attempt was possible. With no attempt, retry budget or other server left, or if the other server then failed, the response was broken off. The class: a decision that cannot be taken back (closing an attempt) rests on a guess (silence), before its replacement is certain.

Change: the request is sent to another server as well, if one takes it at once, and the silent attempt stays open. The first that delivers an event goes on and the other one is closed; if the new one fails, the node waits for the silent one again. Without another server the node waits as well. Only the deadline, the caller, or a run of the server that is known to be over ends an attempt. A server whose response is not read because its caller is slow no longer counts as silent. attempt_stalled, attempt_ended and attempt_resumed tell the cases apart in the log. AttemptFailure::Silent is gone.

Two tests of request_test asserted that the silent attempt is abandoned at once, which is the fault; they now assert that it ends with the first event of the other one, and not before.

--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -10,7 +10,8 @@
 
 DEFAULT_DIRECTORY = "src/coordination/"  # Directory of files that are given without a path.
 WORKERS = 4
-TESTS = ["ledger_test", "placement_test", "golden_test", "request_test", "formation_test",
+TESTS = ["ledger_test", "placement_test", "golden_test", "request_test", "attempt_test",
+         "formation_test",
          "initial_split_test", "overload_test", "relay_test", "http_client_test", "promises_test"]
 # Tests that start the program, for mutants that no test above catches. They share ports.
 PROCESS_TESTS = [["response_end_test.py"], ["process_test.py", "CompletionTest"]]
@@ -232,6 +233,20 @@
      "evhttp_connection_set_max_headers_size(call.connection, ResponseLimits::callHeadBytes);\n"
      "    evhttp_connection_set_max_body_size(call.connection,",
      "static_cast<void>(call.connection,"),
+    ("started_response_needs_permission", "src/request/request_system.cpp",
+     "if (!request.responseStarted && !isStillPermitted(request, now))",
+     "if (!isStillPermitted(request, now))"),
+    ("repeat_refused_as_not_run", "src/request/request_system.cpp",
+     "    if (request.mayHaveRun)\n        code = code ==", "    if (false)\n        code = code =="),
+    ("stalled_attempt_is_not_kept", "src/request/request_system.cpp",
+     "    request.stalled = request.current;\n", ""),
+    ("failed_replacement_ends_the_request", "src/request/request_system.cpp",
+     "    if (request->stalled) {\n        returnToStalled(*request, cause, now, actions);",
+     "    if (false) {\n        returnToStalled(*request, cause, now, actions);"),
+    ("both_attempts_may_answer", "src/request/request_system.cpp",
+     "    actions.emplace_back(AbandonAttempt {id, ended.number});\n", ""),
+    ("slow_caller_counts_as_silence", "src/request/request_system.cpp",
+     "    if (request.readingPaused)\n        return false;\n", ""),
 ]
 RAPIDCHECK_PARAMETERS = "seed=20261203 max_success=25 max_size=14 noshrink=1"
 
--- a/src/network/relay.cpp
+++ b/src/network/relay.cpp
@@ -90,12 +90,17 @@
     m_backends.sweep(now);
 }
 
-Relay::Exchange *Relay::find(RequestId id, AttemptNumber attempt)
+Relay::OpenAttempt Relay::find(RequestId id, AttemptNumber attempt)
 {
     const auto found = m_exchanges.find(id);
-    if (found == m_exchanges.end() || found->second.attempt != attempt)
-        return nullptr;
-    return &found->second;
+    if (found == m_exchanges.end())
+        return {};
+    Exchange &exchange = found->second;
+    if (exchange.current.number == attempt)
+        return {&exchange, &exchange.current};
+    if (exchange.stalled && exchange.stalled->number == attempt)
+        return {&exchange, &*exchange.stalled};
+    return {};
 }
 
 void Relay::onRequest(ExchangeId id, const MessageHead &head, std::string body)
@@ -130,30 +135,27 @@
     const auto found = m_exchanges.find(toRequestId(id));
     if (found == m_exchanges.end() || !found->second.paused)
         return;
-    found->second.paused = false;
-    m_backends.setReading(found->second.handle, true);
+    Exchange &exchange = found->second;
+    exchange.paused = false;
+    m_backends.setReading(exchange.current.handle, true);
+    m_requests.onReadingPaused(found->first, exchange.current.number, false, m_loop.now());
 }
 
 void Relay::onResponseHead(RequestId id, AttemptNumber attempt, const MessageHead &head)
 {
-    Exchange *exchange = find(id, attempt);
-    if (!exchange)
+    const OpenAttempt open = find(id, attempt);
+    if (!open)
         return;
     const std::string type = head.value("content-type");
-    exchange->isStream = head.status >= ok && head.status < firstRedirect
+    open.attempt->isStream = head.status >= ok && head.status < firstRedirect
         && type.compare(0, eventStreamType.size(), eventStreamType) == 0;
-    exchange->attemptHead = head;
-    if (!exchange->headSent)
-        exchange->responseHead = head;
-    exchange->responseBody.clear();
-    exchange->framing.reset();
-    exchange->events = 0;
-    exchange->details = m_dialect.readResponse(head);
-    const ResponseDetails &details = exchange->details;
+    open.attempt->head = head;
+    open.attempt->details = m_dialect.readResponse(head);
+    const ResponseDetails &details = open.attempt->details;
     if (details.invalidRetryAfterCause)
-        m_hooks.decided({exchange->head.value(m_dialect.traceHeader),
+        m_hooks.decided({open.exchange->head.value(m_dialect.traceHeader),
                          "retry_after_invalid",
-                         {{"server", exchange->server.value()},
+                         {{"server", open.attempt->server.value()},
                           {"value", details.invalidRetryAfter},
                           {"cause", details.invalidRetryAfterCause}}});
     RequestActions actions;
@@ -163,29 +165,32 @@
 
 void Relay::onResponseBody(RequestId id, AttemptNumber attempt, const std::string &bytes)
 {
-    Exchange *exchange = find(id, attempt);
-    if (!exchange)
+    const OpenAttempt open = find(id, attempt);
+    if (!open)
         return;
-    if (exchange->isStream) {
-        forwardEvents(id, *exchange, bytes);
+    if (open.attempt->isStream) {
+        forwardEvents(id, attempt, bytes);
         return;
     }
-    exchange->responseBody += bytes;
-    if (exchange->responseBody.size() > ResponseLimits::bodyBytes)
-        abandonTooLarge(id, *exchange, exchange->responseBody.size(), ResponseLimits::bodyBytes);
+    std::string &body = open.attempt->body;
+    body += bytes;
+    if (body.size() > ResponseLimits::bodyBytes)
+        abandonTooLarge(id, attempt, body.size(), ResponseLimits::bodyBytes);
 }
 
-void Relay::abandonTooLarge(RequestId id, Exchange &exchange, std::size_t bytes, std::size_t limit)
+void Relay::abandonTooLarge(RequestId id, AttemptNumber attempt, std::size_t bytes,
+                            std::size_t limit)
 {
-    m_hooks.decided({exchange.head.value(m_dialect.traceHeader),
+    const OpenAttempt open = find(id, attempt);
+    m_hooks.decided({open.exchange->head.value(m_dialect.traceHeader),
                      "response_too_large",
-                     {{"server", exchange.server.value()},
+                     {{"server", open.attempt->server.value()},
                       {"bytes", std::to_string(bytes)},
                       {"limit", std::to_string(limit)}}});
-    exchange.responseBody.clear();
-    exchange.framing.reset();
-    m_backends.abandon(exchange.handle);
-    handleAttemptFailure(id, exchange.attempt, AttemptFailure::Broken);
+    open.attempt->body.clear();
+    open.attempt->framing.reset();
+    m_backends.abandon(open.attempt->handle);
+    handleAttemptFailure(id, attempt, AttemptFailure::Broken);
 }
 
 void Relay::startResponse(RequestId id, Exchange &exchange)
@@ -195,19 +200,31 @@
     exchange.headSent = true;
     const TimePoint now = m_loop.now();
     m_hooks.firstEvent(now - exchange.arrivedAt);
-    m_callers.startChunkedResponse(toExchangeId(id), exchange.responseHead.status,
-                                   forwardedHeaders(exchange.responseHead));
-    m_requests.onStreamStarted(id, exchange.attempt, now);
+    m_callers.startChunkedResponse(toExchangeId(id), exchange.current.head.status,
+                                   forwardedHeaders(exchange.current.head));
+    m_requests.onStreamStarted(id, exchange.current.number, now);
 }
 
-void Relay::forwardEvents(RequestId id, Exchange &exchange, const std::string &bytes)
+Relay::Exchange &Relay::chooseAttempt(RequestId id, AttemptNumber attempt)
 {
-    const EventBatch batch = exchange.framing.take(bytes);
+    RequestActions actions;
+    m_requests.onAnswering(id, attempt, m_loop.now(), actions);
+    perform(actions);
+    return m_exchanges.at(id);
+}
+
+void Relay::forwardEvents(RequestId id, AttemptNumber attempt, const std::string &bytes)
+{
+    EventFraming &received = find(id, attempt).attempt->framing;
+    const EventBatch batch = received.take(bytes);
     if (batch.events > 0)
-        sendEvents(id, exchange, batch);
-    const std::size_t unfinished = exchange.framing.remainder().size();
+        sendEvents(id, chooseAttempt(id, attempt), batch);
+    const OpenAttempt open = find(id, attempt);
+    if (!open)
+        return;
+    const std::size_t unfinished = open.attempt->framing.remainder().size();
     if (unfinished > ResponseLimits::eventBytes)
-        abandonTooLarge(id, exchange, unfinished, ResponseLimits::eventBytes);
+        abandonTooLarge(id, attempt, unfinished, ResponseLimits::eventBytes);
 }
 
 void Relay::sendEvents(RequestId id, Exchange &exchange, const EventBatch &batch)
@@ -215,87 +232,96 @@
     // The head is sent with the first complete event: until then the request can still be moved to
     // another server.
     startResponse(id, exchange);
-    exchange.events += batch.events;
+    exchange.current.events += batch.events;
     m_callers.sendChunk(toExchangeId(id), batch.bytes);
     if (!batch.lastEventId.empty())
         exchange.lastEvent = batch.lastEventId;
-    m_requests.onEventForwarded(id, exchange.attempt, m_loop.now());
+    m_requests.onEventForwarded(id, exchange.current.number, m_loop.now());
     if (!exchange.paused && m_callers.unsentBytes(toExchangeId(id)) > maxUnsentBytes) {
         exchange.paused = true;
-        m_backends.setReading(exchange.handle, false);
+        m_backends.setReading(exchange.current.handle, false);
+        m_requests.onReadingPaused(id, exchange.current.number, true, m_loop.now());
     }
 }
 
-bool Relay::isBrokenOff(const Exchange &exchange, BodyEnd end)
+bool Relay::isBrokenOff(const Exchange &exchange, const Attempt &attempt, BodyEnd end)
 {
-    const bool hasEvents = exchange.events > 0 || exchange.headSent;
-    return exchange.framing.isInsideEvent() || (end == BodyEnd::ConnectionClose && !hasEvents);
+    const bool hasEvents = attempt.events > 0 || exchange.headSent;
+    return attempt.framing.isInsideEvent() || (end == BodyEnd::ConnectionClose && !hasEvents);
 }
 
-void Relay::logDoubtfulEnd(const Exchange &exchange, BodyEnd end)
+void Relay::logDoubtfulEnd(const Exchange &exchange, const Attempt &attempt, BodyEnd end)
 {
-    const bool isInsideEvent = exchange.isStream && exchange.framing.isInsideEvent();
+    const bool isInsideEvent = attempt.isStream && attempt.framing.isInsideEvent();
     if (end != BodyEnd::ConnectionClose && !isInsideEvent)
         return;
-    const std::size_t unfinished = isInsideEvent ? exchange.framing.remainder().size() : 0;
+    const std::size_t unfinished = isInsideEvent ? attempt.framing.remainder().size() : 0;
     m_hooks.decided({exchange.head.value(m_dialect.traceHeader),
                      "response_end_doubtful",
-                     {{"server", exchange.server.value()},
+                     {{"server", attempt.server.value()},
                       {"end", bodyEndName(end)},
-                      {"status", std::to_string(exchange.attemptHead.status)},
-                      {"stream", exchange.isStream ? "true" : "false"},
-                      {"events", std::to_string(exchange.events)},
+                      {"status", std::to_string(attempt.head.status)},
+                      {"stream", attempt.isStream ? "true" : "false"},
+                      {"events", std::to_string(attempt.events)},
                       {"unfinished_bytes", std::to_string(unfinished)}}});
 }
 
 void Relay::handleResponseEnd(RequestId id, AttemptNumber attempt, BodyEnd end)
 {
-    Exchange *exchange = find(id, attempt);
-    if (!exchange)
+    const OpenAttempt open = find(id, attempt);
+    if (!open)
         return;
-    logDoubtfulEnd(*exchange, end);
-    if (exchange->isStream && isBrokenOff(*exchange, end)) {
-        handleAttemptFailure(id, attempt, AttemptFailure::Broken);
+    logDoubtfulEnd(*open.exchange, *open.attempt, end);
+    if (open.attempt->isStream) {
+        handleStreamEnd(id, attempt, end);
         return;
     }
-    RequestActions actions;
-    const TimePoint now = m_loop.now();
-    if (exchange->isStream) {
-        startResponse(id, *exchange);
-        m_callers.sendChunk(toExchangeId(id), exchange->framing.remainder());
-        m_callers.endChunkedResponse(toExchangeId(id));
-        m_hooks.answered(now - exchange->arrivedAt);
-        m_exchanges.erase(id);
-        m_requests.onStreamEnded(id, attempt, now, actions);
+    const ResponseDetails details = open.attempt->details;
+    const int status = open.attempt->head.status;
+    if (status == misdirectedRequest) {
+        handleAttemptFailure(id, attempt, AttemptFailure::Misdirected, details.faultyServer);
+    } else if (details.notExecuted) {
+        handleAttemptFailure(id, attempt,
+                             details.notice.pause ? AttemptFailure::Paused
+                                                  : AttemptFailure::NotExecuted,
+                             details.faultyServer);
+    } else if (open.exchange->headSent) {
+        handleAttemptFailure(id, attempt, AttemptFailure::Broken, details.faultyServer);
     } else {
-        const ResponseDetails details = exchange->details;
-        const int status = exchange->attemptHead.status;
-        if (status == misdirectedRequest)
-            m_requests.onAttemptFailed(id, attempt, AttemptFailure::Misdirected,
-                                       details.faultyServer, now, actions);
-        else if (details.notExecuted)
-            m_requests.onAttemptFailed(id, attempt,
-                                       details.notice.pause ? AttemptFailure::Paused
-                                                            : AttemptFailure::NotExecuted,
-                                       details.faultyServer, now, actions);
-        else if (exchange->headSent)
-            m_requests.onAttemptFailed(id, attempt, AttemptFailure::Broken, details.faultyServer,
-                                       now, actions);
-        else {
-            exchange->lastResponseHead = exchange->responseHead;
-            exchange->lastResponseBody = std::move(exchange->responseBody);
-            m_requests.onResponse(id, attempt, status, now, actions);
-        }
+        open.exchange->lastResponseHead = open.attempt->head;
+        open.exchange->lastResponseBody = std::move(open.attempt->body);
+        RequestActions actions;
+        m_requests.onResponse(id, attempt, status, m_loop.now(), actions);
+        perform(actions);
+    }
+}
+
+void Relay::handleStreamEnd(RequestId id, AttemptNumber attempt, BodyEnd end)
+{
+    const OpenAttempt open = find(id, attempt);
+    if (isBrokenOff(*open.exchange, *open.attempt, end)) {
+        handleAttemptFailure(id, attempt, AttemptFailure::Broken);
+        return;
     }
+    Exchange &exchange = chooseAttempt(id, attempt);
+    const TimePoint now = m_loop.now();
+    startResponse(id, exchange);
+    m_callers.sendChunk(toExchangeId(id), exchange.current.framing.remainder());
+    m_callers.endChunkedResponse(toExchangeId(id));
+    m_hooks.answered(now - exchange.arrivedAt);
+    m_exchanges.erase(id);
+    RequestActions actions;
+    m_requests.onStreamEnded(id, attempt, now, actions);
     perform(actions);
 }
 
-void Relay::handleAttemptFailure(RequestId id, AttemptNumber attempt, AttemptFailure failure)
+void Relay::handleAttemptFailure(RequestId id, AttemptNumber attempt, AttemptFailure failure,
+                                 const VmId &faultyServer)
 {
     if (!find(id, attempt))
         return;
     RequestActions actions;
-    m_requests.onAttemptFailed(id, attempt, failure, VmId(), m_loop.now(), actions);
+    m_requests.onAttemptFailed(id, attempt, failure, faultyServer, m_loop.now(), actions);
     perform(actions);
 }
 
@@ -313,9 +339,12 @@
     Exchange &exchange = found->second;
     const RequestId id = dispatch.request;
     const AttemptNumber attempt = dispatch.attempt;
-    exchange.attempt = attempt;
+    if (dispatch.keepsPrevious)
+        exchange.stalled = std::move(exchange.current);
+    exchange.current = Attempt();
+    exchange.current.number = attempt;
+    exchange.current.server = dispatch.server;
     exchange.paused = false;
-    exchange.server = dispatch.server;
     BackendRequest request;
     request.address = dispatch.address;
     request.server = dispatch.server;
@@ -342,14 +371,23 @@
     hooks.onFailure = [this, id, attempt](bool sent) {
         handleAttemptFailure(id, attempt, sent ? AttemptFailure::Broken : AttemptFailure::Unsent);
     };
-    exchange.handle = m_backends.send(std::move(request), std::move(hooks));
+    exchange.current.handle = m_backends.send(std::move(request), std::move(hooks));
 }
 
 void Relay::perform(const AbandonAttempt &abandon)
 {
-    const auto found = m_exchanges.find(abandon.request);
-    if (found != m_exchanges.end())
-        m_backends.abandon(found->second.handle);
+    const OpenAttempt open = find(abandon.request, abandon.attempt);
+    if (!open)
+        return;
+    m_backends.abandon(open.attempt->handle);
+    Exchange &exchange = *open.exchange;
+    if (!exchange.stalled)
+        return;
+    if (exchange.current.number == abandon.attempt) {
+        exchange.current = std::move(*exchange.stalled);
+        exchange.paused = false;
+    }
+    exchange.stalled.reset();
 }
 
 void Relay::perform(const DeliverResponse &deliver)
--- a/src/network/relay.h
+++ b/src/network/relay.h
@@ -64,48 +64,64 @@
     std::uint64_t connectionsOpened() const { return m_backends.opened(); }
 
 private:
+    /// An attempt and what was received of its response.
+    struct Attempt
+    {
+        AttemptNumber number; ///< 0 before the first attempt.
+        AttemptHandle handle;
+        VmId server;
+        MessageHead head;
+        ResponseDetails details; ///< Read from the head.
+        std::string body; ///< Of a response that is not a stream.
+        bool isStream = false; ///< The response is a stream of events.
+        EventFraming framing;
+        std::size_t events = 0;
+    };
     /// A caller's request and the state of its response.
     struct Exchange
     {
         MessageHead head;
         std::string body;
         TimePoint arrivedAt;
-        AttemptNumber attempt;
-        AttemptHandle handle;
-        MessageHead attemptHead; ///< Head of the response to the current attempt.
-        ResponseDetails details; ///< Of the same response.
-        MessageHead responseHead; ///< Head that the caller gets: of the first attempt with events.
-        std::string responseBody;
+        Attempt current;
+        std::optional<Attempt> stalled; ///< Kept open beside the attempt that may replace it.
         MessageHead lastResponseHead; ///< Of the last complete response, kept for DeliverResponse.
         std::string lastResponseBody;
-        bool isStream = false; ///< The current attempt's response is a stream of events.
         bool headSent = false; ///< The head of the response was sent to the caller.
         bool paused = false; ///< Reading from the server is paused for a slow caller.
-        EventFraming framing;
-        std::size_t events = 0; ///< Events of the current attempt's response.
-        VmId server; ///< Server of the current attempt.
         std::string lastEvent; ///< The id of the last event sent to the caller.
     };
+    /// An open attempt with its exchange; null if there is none.
+    struct OpenAttempt
+    {
+        Exchange *exchange = nullptr;
+        Attempt *attempt = nullptr;
+        explicit operator bool() const { return attempt != nullptr; }
+    };
 
     void onRequest(ExchangeId id, const MessageHead &head, std::string body);
     void onCallerDisconnected(ExchangeId id);
     void onCallerDrained(ExchangeId id);
     void onResponseHead(RequestId id, AttemptNumber attempt, const MessageHead &head);
     void onResponseBody(RequestId id, AttemptNumber attempt, const std::string &bytes);
-    void forwardEvents(RequestId id, Exchange &exchange, const std::string &bytes);
+    void forwardEvents(RequestId id, AttemptNumber attempt, const std::string &bytes);
     void sendEvents(RequestId id, Exchange &exchange, const EventBatch &batch);
     /// Ends an attempt whose response exceeds a limit. Logs the size and the limit in bytes.
-    void abandonTooLarge(RequestId id, Exchange &exchange, std::size_t bytes, std::size_t limit);
+    void abandonTooLarge(RequestId id, AttemptNumber attempt, std::size_t bytes, std::size_t limit);
     void startResponse(RequestId id, Exchange &exchange);
+    /// The response to the attempt can be forwarded: ends the other attempt of the exchange, if
+    /// there is one. Returns the exchange, of which the attempt is now the current one.
+    Exchange &chooseAttempt(RequestId id, AttemptNumber attempt);
     void handleResponseEnd(RequestId id, AttemptNumber attempt, BodyEnd end);
+    void handleStreamEnd(RequestId id, AttemptNumber attempt, BodyEnd end);
     /// Whether a stream whose body has ended was broken off: inside an event, or before its first
     /// event by the end of the connection alone.
-    static bool isBrokenOff(const Exchange &exchange, BodyEnd end);
+    static bool isBrokenOff(const Exchange &exchange, const Attempt &attempt, BodyEnd end);
     /// Logs a response whose completeness its framing does not show.
-    void logDoubtfulEnd(const Exchange &exchange, BodyEnd end);
-    void handleAttemptFailure(RequestId id, AttemptNumber attempt, AttemptFailure failure);
-    /// Returns the exchange if `attempt` is its current attempt; null otherwise.
-    Exchange *find(RequestId id, AttemptNumber attempt);
+    void logDoubtfulEnd(const Exchange &exchange, const Attempt &attempt, BodyEnd end);
+    void handleAttemptFailure(RequestId id, AttemptNumber attempt, AttemptFailure failure,
+                              const VmId &faultyServer = VmId());
+    OpenAttempt find(RequestId id, AttemptNumber attempt);
 
     void perform(const RequestActions &actions);
     void perform(const DispatchAttempt &dispatch);
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -126,7 +126,17 @@
 RequestSystem::Request *RequestSystem::find(RequestId request, AttemptNumber attempt)
 {
     const auto found = m_requests.find(request);
-    if (found == m_requests.end() || !found->second.running || found->second.attempt != attempt)
+    if (found == m_requests.end() || !found->second.running
+        || found->second.current.number != attempt)
+        return nullptr;
+    return &found->second;
+}
+
+RequestSystem::Request *RequestSystem::findStalled(RequestId request, AttemptNumber attempt)
+{
+    const auto found = m_requests.find(request);
+    if (found == m_requests.end() || !found->second.stalled
+        || found->second.stalled->number != attempt)
         return nullptr;
     return &found->second;
 }
@@ -335,32 +345,34 @@
                              RequestActions &actions)
 {
     Backend &backend = *m_backends.find(server);
-    if (request.attempt.value() > request.unsentAttempts)
+    if (request.lastAttempt.value() > request.unsentAttempts)
         retries(request.service).onRetry(now);
-    request.attempt = AttemptNumber(request.attempt.value() + 1);
-    request.server = backend.report.id;
-    request.serverStartedAt = m_backends.newestStart(backend.report.id);
+    request.lastAttempt = AttemptNumber(request.lastAttempt.value() + 1);
+    request.current = {request.lastAttempt, backend.report.id,
+                       m_backends.newestStart(backend.report.id)};
     request.running = true;
     request.lastProgress = now;
+    request.readingPaused = false;
+    request.stallLogged = false;
     ++request.attemptsUsed;
-    request.hasEventSinceDispatch = false;
     m_backends.onDispatched(backend, now);
     if (now < backend.coldUntil)
         backend.lastColdDispatchAt = now;
     DispatchAttempt action;
     action.request = request.arrival.request;
-    action.attempt = request.attempt;
+    action.attempt = request.current.number;
     action.server = backend.report.id;
     action.address = backend.report.address;
     action.organisation = request.organisation;
     action.timeLeft = request.deadline - now;
-    action.needsNewConnection = request.attempt.value() > 1;
+    action.needsNewConnection = request.lastAttempt.value() > 1;
+    action.keepsPrevious = request.stalled.has_value();
     actions.push_back(action);
     actions.push_back(
         LogDecision {request.arrival.traceId,
                      "request_dispatched",
                      {{"server", backend.report.id.value()},
-                      {"attempt", std::to_string(request.attempt.value())},
+                      {"attempt", std::to_string(request.lastAttempt.value())},
                       {"waited_ms", millisecondsText(elapsed(request.arrivedAt, now))},
                       {"left_ms", millisecondsText(action.timeLeft)},
                       {"running", std::to_string(backend.ownRunning)},
@@ -369,14 +381,33 @@
                       {"version", std::to_string(m_configuration->version)}}});
 }
 
-void RequestSystem::endAttempt(Request &request)
+void RequestSystem::releaseServer(const Request &request, const Attempt &attempt)
 {
-    request.running = false;
-    if (Backend *backend = m_backends.find(request.server); backend && backend->ownRunning > 0)
+    if (Backend *backend = m_backends.find(attempt.server); backend && backend->ownRunning > 0)
         --backend->ownRunning;
     ++m_targets[{request.service, request.arrival.model}].departures;
 }
 
+void RequestSystem::endAttempts(Request &request)
+{
+    request.running = false;
+    releaseServer(request, request.current);
+    if (request.stalled)
+        releaseServer(request, *request.stalled);
+    request.stalled.reset();
+}
+
+void RequestSystem::abandonAttempts(Request &request, RequestActions &actions)
+{
+    if (!request.running)
+        return;
+    const RequestId id = request.arrival.request;
+    if (request.stalled)
+        actions.emplace_back(AbandonAttempt {id, request.stalled->number});
+    actions.emplace_back(AbandonAttempt {id, request.current.number});
+    endAttempts(request);
+}
+
 void RequestSystem::finish(RequestId id)
 {
     const auto found = m_requests.find(id);
@@ -426,7 +457,7 @@
          {"route", request.route.value()},
          {"service", request.service.value()},
          {"model", request.arrival.model.value()},
-         {"attempts", std::to_string(request.attempt.value())},
+         {"attempts", std::to_string(request.lastAttempt.value())},
          {"may_have_run", request.mayHaveRun ? "true" : "false"},
          {"age_ms", millisecondsText(elapsed(request.arrivedAt, now))},
          {"version", m_configuration ? std::to_string(m_configuration->version) : "none"},
@@ -440,26 +471,24 @@
     if (found == m_requests.end())
         return;
     Request &request = found->second;
-    if (request.running) {
-        endAttempt(request);
-        actions.emplace_back(AbandonAttempt {id});
-    }
+    abandonAttempts(request, actions);
     actions.push_back(LogDecision {request.arrival.traceId,
                                    "caller_gone",
                                    {{"age_ms", millisecondsText(elapsed(request.arrivedAt, now))},
-                                    {"server", request.server.value()}}});
+                                    {"server", request.current.server.value()}}});
     finish(id);
 }
 
 bool RequestSystem::mayStillSend(RequestId id, AttemptNumber attempt, TimePoint now) const
 {
     const auto found = m_requests.find(id);
-    if (found == m_requests.end() || !found->second.running || found->second.attempt != attempt)
+    if (found == m_requests.end() || !found->second.running
+        || found->second.current.number != attempt)
         return false;
-    const Request &request = found->second;
-    const Backend *backend = m_backends.find(request.server);
+    const Attempt &current = found->second.current;
+    const Backend *backend = m_backends.find(current.server);
     return backend && now >= backend->pausedUntil
-        && m_backends.newestStart(request.server) == request.serverStartedAt
+        && m_backends.newestStart(current.server) == current.serverStartedAt
         && m_backends.isServable(*backend, *m_configuration);
 }
 
@@ -467,15 +496,18 @@
                                    TimePoint now, RequestActions &actions)
 {
     const Request *request = find(id, attempt);
-    if (!request)
+    const Request *stalled = findStalled(id, attempt);
+    if (!request && !stalled)
         return;
-    const bool isAddressed = notice.server.value().empty() || notice.server == request->server;
-    const VmId server = isAddressed ? request->server : notice.server;
+    const Attempt &addressed = request ? request->current : *stalled->stalled;
+    request = request ? request : stalled;
+    const bool isAddressed = notice.server.value().empty() || notice.server == addressed.server;
+    const VmId server = isAddressed ? addressed.server : notice.server;
     if (notice.leaving) {
         // A server at an address that it has taken over may not have an entry yet. The mark then
         // covers each run of it.
         const Backend *backend = m_backends.find(server);
-        const std::int64_t startedAt = isAddressed ? request->serverStartedAt
+        const std::int64_t startedAt = isAddressed ? addressed.serverStartedAt
             : backend                              ? m_backends.newestStart(server)
                                                    : std::numeric_limits<std::int64_t>::max();
         if (m_backends.markLeaving(server, startedAt, now))
@@ -490,13 +522,45 @@
             request->arrival.traceId,
             "server_paused",
             {{"server", server.value()},
-             {"started", std::to_string(request->serverStartedAt)},
+             {"started", std::to_string(addressed.serverStartedAt)},
              {"pause_ms", millisecondsText(*notice.pause)},
              {"until_ms", std::to_string((now + *notice.pause).time_since_epoch().count())}}});
         dispatchWaiting(m_targets[{request->service, request->arrival.model}], now, actions);
     }
 }
 
+void RequestSystem::onAnswering(RequestId id, AttemptNumber attempt, TimePoint now,
+                                RequestActions &actions)
+{
+    Request *request = findStalled(id, attempt);
+    if (request) {
+        std::swap(request->current, *request->stalled);
+        request->lastProgress = now;
+        request->readingPaused = false;
+    } else {
+        request = find(id, attempt);
+    }
+    if (!request || !request->stalled)
+        return;
+    const Attempt ended = *request->stalled;
+    request->stalled.reset();
+    releaseServer(*request, ended);
+    actions.emplace_back(AbandonAttempt {id, ended.number});
+    actions.push_back(LogDecision {request->arrival.traceId,
+                                   "attempt_ended",
+                                   {{"server", ended.server.value()},
+                                    {"attempt", std::to_string(ended.number.value())},
+                                    {"answering", request->current.server.value()}}});
+}
+
+void RequestSystem::onReadingPaused(RequestId id, AttemptNumber attempt, bool paused, TimePoint now)
+{
+    if (Request *request = find(id, attempt)) {
+        request->readingPaused = paused;
+        request->lastProgress = now;
+    }
+}
+
 void RequestSystem::onStreamStarted(RequestId id, AttemptNumber attempt, TimePoint now)
 {
     if (Request *request = find(id, attempt)) {
@@ -516,7 +580,7 @@
     else
         request->firstEventAt = now;
     request->lastEventAt = now;
-    if (Backend *backend = m_backends.find(request->server)) {
+    if (Backend *backend = m_backends.find(request->current.server)) {
         const auto gap = static_cast<double>(elapsed(request->lastProgress, now).count());
         backend->eventGapMs = backend->eventGapMs > 0
             ? backend->eventGapMs + gapSmoothing * (gap - backend->eventGapMs)
@@ -524,7 +588,8 @@
         m_backends.onProgress(*backend, now);
     }
     request->lastProgress = now;
-    request->hasEventSinceDispatch = true;
+    request->stallLogged = false;
+    request->current.hasEvent = true;
 }
 
 void RequestSystem::onStreamEnded(RequestId id, AttemptNumber attempt, TimePoint now,
@@ -534,12 +599,12 @@
     if (!request)
         return;
     const TargetKey key {request->service, request->arrival.model};
-    endAttempt(*request);
+    endAttempts(*request);
     actions.push_back(LogDecision {
         request->arrival.traceId,
         "request_answered",
-        {{"server", request->server.value()},
-         {"attempts", std::to_string(request->attempt.value())},
+        {{"server", request->current.server.value()},
+         {"attempts", std::to_string(request->lastAttempt.value())},
          {"first_event_ms",
           millisecondsText(elapsed(request->arrivedAt, request->firstEventAt.value_or(now)))},
          {"longest_gap_ms", millisecondsText(request->longestGap)},
@@ -555,8 +620,7 @@
     if (!request)
         return;
     const TargetKey key {request->service, request->arrival.model};
-    endAttempt(*request);
-    if (Backend *backend = m_backends.find(request->server))
+    if (Backend *backend = m_backends.find(request->current.server))
         m_backends.onProgress(*backend, now);
     request->hasResponse = true;
     request->mayHaveRun = true;
@@ -564,14 +628,20 @@
         && (request->kind == RequestKind::Repeatable
             || (request->kind == RequestKind::ResumableStream && !request->responseStarted));
     if (mayRetry) {
-        request->tried.push_back(request->server);
-        retryOrEnd(*request, true, "server_error", now, actions);
+        request->tried.push_back(request->current.server);
+        if (request->stalled) {
+            returnToStalled(*request, "server_error", now, actions);
+        } else {
+            endAttempts(*request);
+            retryOrEnd(*request, true, "server_error", now, actions);
+        }
     } else {
+        endAttempts(*request);
         actions.push_back(DeliverResponse {id});
         actions.push_back(
             LogDecision {request->arrival.traceId,
                          "request_answered",
-                         {{"server", request->server.value()},
+                         {{"server", request->current.server.value()},
                           {"status", std::to_string(status)},
                           {"age_ms", millisecondsText(elapsed(request->arrivedAt, now))}}});
         finish(id);
@@ -579,26 +649,39 @@
     dispatchWaiting(m_targets[key], now, actions);
 }
 
-void RequestSystem::onAttemptFailed(RequestId id, AttemptNumber attempt, AttemptFailure failure,
-                                    const VmId &faultyServer, TimePoint now,
-                                    RequestActions &actions)
+void RequestSystem::suspectAfterFailure(const Attempt &attempt, AttemptFailure failure,
+                                        const VmId &faultyServer, TimePoint now)
 {
-    Request *request = find(id, attempt);
-    if (!request)
-        return;
-    endAttempt(*request);
-    if (failure != AttemptFailure::Withdrawn)
-        request->tried.push_back(request->server);
-    Backend *backend = m_backends.find(request->server);
-    const bool silent = failure == AttemptFailure::Unsent || failure == AttemptFailure::Silent;
+    Backend *backend = m_backends.find(attempt.server);
     const bool isAtFault =
         failure != AttemptFailure::Withdrawn && failure != AttemptFailure::Paused;
-    if (backend && silent)
+    if (backend && failure == AttemptFailure::Unsent)
         m_backends.suspect(*backend, Suspicion::Silence, m_options.silenceSuspicionTime, now);
     else if (backend && isAtFault)
         m_backends.suspect(*backend, Suspicion::Failure, m_options.failureSuspicionTime, now);
     if (Backend *faulty = m_backends.find(faultyServer))
         m_backends.suspect(*faulty, Suspicion::Silence, m_options.silenceSuspicionTime, now);
+}
+
+void RequestSystem::onAttemptFailed(RequestId id, AttemptNumber attempt, AttemptFailure failure,
+                                    const VmId &faultyServer, TimePoint now,
+                                    RequestActions &actions)
+{
+    if (Request *request = findStalled(id, attempt)) {
+        const Attempt failed = *request->stalled;
+        suspectAfterFailure(failed, failure, faultyServer, now);
+        request->stalled.reset();
+        releaseServer(*request, failed);
+        actions.emplace_back(AbandonAttempt {id, attempt});
+        return;
+    }
+    Request *request = find(id, attempt);
+    if (!request)
+        return;
+    if (failure != AttemptFailure::Withdrawn)
+        request->tried.push_back(request->current.server);
+    suspectAfterFailure(request->current, failure, faultyServer, now);
+    const Backend *backend = m_backends.find(request->current.server);
     const bool isServerUnlisted = !backend || backend->listing != Listing::Listed;
     bool mayRetry = true;
     const char *cause = "broken";
@@ -623,9 +706,6 @@
         cause = "misdirected";
         --request->attemptsUsed;
         break;
-    case AttemptFailure::Silent:
-        cause = "silent";
-        [[fallthrough]];
     case AttemptFailure::Broken:
         request->mayHaveRun = true;
         mayRetry = request->kind == RequestKind::Repeatable
@@ -634,27 +714,55 @@
             --request->attemptsUsed;
         break;
     }
+    if (request->stalled) {
+        returnToStalled(*request, cause, now, actions);
+        return;
+    }
+    endAttempts(*request);
     retryOrEnd(*request, mayRetry, cause, now, actions);
 }
 
+void RequestSystem::returnToStalled(Request &request, const char *cause, TimePoint now,
+                                    RequestActions &actions)
+{
+    const Attempt failed = request.current;
+    request.current = *request.stalled;
+    request.stalled.reset();
+    request.lastProgress = now;
+    request.readingPaused = false;
+    request.stallLogged = false;
+    releaseServer(request, failed);
+    actions.emplace_back(AbandonAttempt {request.arrival.request, failed.number});
+    actions.push_back(LogDecision {request.arrival.traceId,
+                                   "attempt_resumed",
+                                   {{"cause", cause},
+                                    {"failed", failed.server.value()},
+                                    {"server", request.current.server.value()},
+                                    {"attempt", std::to_string(request.current.number.value())}}});
+}
+
+bool RequestSystem::mayRepeat(const Request &request, TimePoint now)
+{
+    return request.attemptsUsed < request.maxAttempts && request.tried.size() < maxServersTried
+        && request.deadline - now >= m_options.minTimeLeft
+        && retries(request.service).permitsRetry(m_nodes.count, now);
+}
+
 void RequestSystem::retryOrEnd(Request &request, bool mayRetry, const char *cause, TimePoint now,
                                RequestActions &actions)
 {
     const TargetKey key {request.service, request.arrival.model};
-    const bool withinAttempts =
-        request.attemptsUsed < request.maxAttempts && request.tried.size() < maxServersTried;
-    const bool inTime = request.deadline - now >= m_options.minTimeLeft;
-    const bool withinBudget = retries(request.service).permitsRetry(m_nodes.count, now);
     const TargetChoice choice = chooseTarget(m_backends, choiceInput(request), now);
     const bool isPaused =
         choice.outcome == TargetChoice::Outcome::Paused && !request.responseStarted;
     const bool servable = choice.outcome != TargetChoice::Outcome::None && !isPaused;
-    if (mayRetry && withinAttempts && inTime && withinBudget && servable) {
-        actions.push_back(LogDecision {request.arrival.traceId,
-                                       "request_retried",
-                                       {{"cause", cause},
-                                        {"server", request.server.value()},
-                                        {"attempts", std::to_string(request.attempt.value())}}});
+    if (mayRetry && mayRepeat(request, now) && servable) {
+        actions.push_back(
+            LogDecision {request.arrival.traceId,
+                         "request_retried",
+                         {{"cause", cause},
+                          {"server", request.current.server.value()},
+                          {"attempts", std::to_string(request.lastAttempt.value())}}});
         enqueue(request, now);
         dispatchWaiting(m_targets[key], now, actions);
         return;
@@ -666,44 +774,82 @@
 
 bool RequestSystem::isStalled(const Request &request, TimePoint now) const
 {
-    const Backend *backend = m_backends.find(request.server);
+    if (request.readingPaused)
+        return false;
+    const Backend *backend = m_backends.find(request.current.server);
     if (!backend)
         return now - request.lastProgress > m_options.streamStallTimeout;
     // A stream may be queued behind long prompts before its first event. The short timeout for
     // pauses between events applies before that event only if the server is already suspected.
-    const bool isBetweenEvents = request.hasEventSinceDispatch || now < backend->suspectUntil;
+    const bool isBetweenEvents = request.current.hasEvent || now < backend->suspectUntil;
     const Duration silenceTimeout =
         isBetweenEvents ? m_options.streamStallTimeout : m_options.firstEventTimeout;
     return now - std::max(request.lastProgress, backend->lastProgress) > silenceTimeout;
 }
 
+void RequestSystem::replaceStalled(Request &request, TimePoint now, RequestActions &actions)
+{
+    if (Backend *backend = m_backends.find(request.current.server))
+        m_backends.suspect(*backend, Suspicion::Silence, m_options.silenceSuspicionTime, now);
+    ChoiceInput input = choiceInput(request);
+    std::vector<VmId> avoided = request.tried;
+    avoided.push_back(request.current.server);
+    input.tried = &avoided;
+    const TargetChoice choice = chooseTarget(m_backends, input, now);
+    const bool hasOther = choice.outcome == TargetChoice::Outcome::Chosen
+        && now >= m_backends.find(choice.server)->suspectUntil;
+    const bool replaced = hasOther && mayRepeat(request, now);
+    if (replaced || !request.stallLogged) {
+        actions.push_back(
+            LogDecision {request.arrival.traceId,
+                         "attempt_stalled",
+                         {{"server", request.current.server.value()},
+                          {"attempt", std::to_string(request.current.number.value())},
+                          {"silent_ms", millisecondsText(elapsed(request.lastProgress, now))},
+                          {"replaced", replaced ? "true" : "false"},
+                          {"other_server", hasOther ? "true" : "false"}}});
+        request.stallLogged = true;
+    }
+    if (!replaced)
+        return;
+    request.mayHaveRun = true;
+    request.tried.push_back(request.current.server);
+    request.stalled = request.current;
+    dispatch(request, choice.server, now, actions);
+}
+
 void RequestSystem::checkDeadlines(TimePoint now, RequestActions &actions)
 {
     std::vector<RequestId> expired;
-    std::vector<std::pair<RequestId, AttemptNumber>> silent;
+    std::vector<RequestId> silent;
     for (const auto &[id, request] : m_requests) {
         const bool waitsTooLong =
             !request.running && !request.responseStarted && now > request.latestStart + maxLateness;
         if (now >= request.deadline || waitsTooLong) {
             expired.push_back(id);
         } else if (request.running && request.kind == RequestKind::ResumableStream
-                   && isStalled(request, now)) {
-            silent.emplace_back(id, request.attempt);
+                   && !request.stalled && isStalled(request, now)) {
+            silent.push_back(id);
         }
     }
     for (const RequestId id : expired) {
         Request &request = m_requests.at(id);
-        if (request.running) {
-            request.mayHaveRun = true;
-            endAttempt(request);
-            actions.emplace_back(AbandonAttempt {id});
-        }
+        request.mayHaveRun = request.mayHaveRun || request.running;
+        abandonAttempts(request, actions);
         refuse(request, ErrorCode::DeadlineUnreachable, m_options.defaultRetryAfter, "deadline",
                now, actions);
     }
-    for (const auto &[id, attempt] : silent) {
-        actions.emplace_back(AbandonAttempt {id});
-        onAttemptFailed(id, attempt, AttemptFailure::Silent, VmId(), now, actions);
+    for (const RequestId id : silent) {
+        Request &request = m_requests.at(id);
+        const Attempt &current = request.current;
+        if (m_backends.newestStart(current.server) == current.serverStartedAt) {
+            replaceStalled(request, now, actions);
+            continue;
+        }
+        // The run of the server is over.
+        const AttemptNumber attempt = current.number;
+        actions.emplace_back(AbandonAttempt {id, attempt});
+        onAttemptFailed(id, attempt, AttemptFailure::Broken, VmId(), now, actions);
     }
 }
 
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -75,11 +75,18 @@
     /// gets no further requests, or none until the pause ends.
     void onServerNotice(RequestId request, AttemptNumber attempt, const ServerNotice &notice,
                         TimePoint now, RequestActions &actions);
-    /// The response header of a successful stream was received. From here on the response has
+    /// A part of the response to the attempt that can be forwarded was received. If another attempt
+    /// of the request is open, that one is ended.
+    void onAnswering(RequestId request, AttemptNumber attempt, TimePoint now,
+                     RequestActions &actions);
+    /// The response header of a successful stream was forwarded. From here on the response has
     /// begun.
     void onStreamStarted(RequestId request, AttemptNumber attempt, TimePoint now);
     /// A complete event was forwarded to the caller.
     void onEventForwarded(RequestId request, AttemptNumber attempt, TimePoint now);
+    /// The transport stopped reading the response to the attempt since its caller reads slowly, or
+    /// goes on reading.
+    void onReadingPaused(RequestId request, AttemptNumber attempt, bool paused, TimePoint now);
     /// The stream of the attempt ended completely.
     void onStreamEnded(RequestId request, AttemptNumber attempt, TimePoint now,
                        RequestActions &actions);
@@ -107,6 +114,14 @@
     std::map<ModelId, double> demand(TimePoint now) const;
 
 private:
+    /// A request that was sent to a server.
+    struct Attempt
+    {
+        AttemptNumber number; ///< 0 before the first attempt.
+        VmId server;
+        std::int64_t serverStartedAt = 0; ///< The newest known run of that server.
+        bool hasEvent = false; ///< It has delivered an event.
+    };
     /// A request that is waiting or running.
     struct Request
     {
@@ -123,9 +138,11 @@
         double slotsNeeded = 1; ///< Group slots. Not used for plain services.
         Duration expectedDuration {0}; ///< Of the execution on a group. 0 for plain services.
         bool running = false; ///< An attempt is in progress.
-        AttemptNumber attempt; ///< Number of the latest attempt.
-        VmId server; ///< Server of the latest attempt.
-        std::int64_t serverStartedAt = 0; ///< The newest known run of that server.
+        Attempt current; ///< The latest attempt, unless that failed and a stalled one is left.
+        /// The attempt before, whose server is silent but may go on. It is kept until one of the
+        /// two answers, so that nothing is lost if the current attempt fails.
+        std::optional<Attempt> stalled;
+        AttemptNumber lastAttempt; ///< Number of the latest attempt.
         std::vector<VmId> tried; ///< Servers where an attempt failed.
         std::uint32_t attemptsUsed = 0; ///< Attempts that count against maxAttempts.
         std::uint32_t unsentAttempts = 0; ///< Attempts of which nothing was sent.
@@ -133,7 +150,8 @@
         bool responseStarted = false; ///< A part of the response was forwarded to the caller.
         bool hasResponse = false; ///< A complete response is kept as a fallback.
         TimePoint lastProgress;
-        bool hasEventSinceDispatch = false; ///< The current attempt has delivered an event.
+        bool readingPaused = false; ///< Its caller reads slowly.
+        bool stallLogged = false; ///< The present stall was logged.
         std::optional<TimePoint> firstEventAt; ///< When the first event was forwarded.
         TimePoint lastEventAt; ///< When the latest event was forwarded.
         Duration longestGap {0}; ///< Longest time between two forwarded events.
@@ -158,8 +176,10 @@
         std::uint32_t departures = 0; ///< Ended attempts since the last update of the rate.
     };
 
-    /// The request, or null unless the given attempt is in progress.
+    /// The request, or null unless the given attempt is the current one and in progress.
     Request *find(RequestId request, AttemptNumber attempt);
+    /// The request, or null unless the given attempt is its stalled one.
+    Request *findStalled(RequestId request, AttemptNumber attempt);
     /// Why the configuration in force does not permit the request now, or nothing if it does.
     std::optional<ErrorCode> denial(const RequestArrival &arrival, TimePoint now) const;
     /// Whether the configuration in force still allows the request on its chosen service.
@@ -171,6 +191,8 @@
     /// Whether a request for a model would start too late to meet its latency target.
     bool isTooLate(const Request &request, TimePoint now) const;
     void dispatch(Request &request, BackendIndex server, TimePoint now, RequestActions &actions);
+    /// Whether a further attempt is permitted: attempts, time and the retry budget are left.
+    bool mayRepeat(const Request &request, TimePoint now);
     /// Refuses the requests of a target whose servers have all asked for a pause. Started responses
     /// go on waiting.
     void refuseWaiting(Target &target, TimePoint pausedUntil, TimePoint now,
@@ -190,13 +212,26 @@
     /// Counts a request in the demand that is refused because no server has room for it.
     void addRefusedDemand(const Request &request, TimePoint now);
     static double refusedSlots(const RefusedDemand &refused, TimePoint now);
-    void endAttempt(Request &request);
+    /// Ends all attempts of the request.
+    void endAttempts(Request &request);
+    /// Frees the slot that an attempt took on its server.
+    void releaseServer(const Request &request, const Attempt &attempt);
+    /// Closes the connections of all attempts of the request, and ends them.
+    void abandonAttempts(Request &request, RequestActions &actions);
+    /// Suspects the server of a failed attempt, and the one named as the cause.
+    void suspectAfterFailure(const Attempt &attempt, AttemptFailure failure,
+                             const VmId &faultyServer, TimePoint now);
+    /// Makes the stalled attempt the current one after the attempt that should replace it failed.
+    void returnToStalled(Request &request, const char *cause, TimePoint now,
+                         RequestActions &actions);
     void finish(RequestId request);
     /// The expected waiting time if it is too long for the latency target, otherwise nothing.
     std::optional<Duration> excessiveQueueWait(const Request &request, const Target &target,
                                                TimePoint now) const;
     /// Whether the current attempt of a stream has stalled.
     bool isStalled(const Request &request, TimePoint now) const;
+    /// Sends a request whose server is silent to another one as well, if that is possible at once.
+    void replaceStalled(Request &request, TimePoint now, RequestActions &actions);
     /// Ends requests that are past their deadline and resumes stalled streams elsewhere.
     void checkDeadlines(TimePoint now, RequestActions &actions);
     ChoiceInput choiceInput(const Request &request) const;
--- a/src/request/request_type.h
+++ b/src/request/request_type.h
@@ -40,7 +40,6 @@
     Unsent, ///< Nothing was sent.
     NotExecuted, ///< The server states that it did not execute the request.
     Misdirected, ///< The address belongs to another server, or the server is not a head.
-    Silent, ///< It timed out without data from the server. It may have been executed.
     Withdrawn, ///< Nothing was sent: the server takes no requests any more. It is not at fault.
     Paused, ///< The server did not execute the request and asked for a pause. It is not at fault.
     Broken, ///< It ended without a complete response. It may have been executed.
@@ -57,12 +56,16 @@
     Duration timeLeft {0};
     /// Requires a new connection. A reused one could be closed while the request is being sent.
     bool needsNewConnection = false;
+    /// The attempt before this one stays open: its server is silent, but may go on.
+    bool keepsPrevious = false;
 };
 
-/// Action: close the connection of the current attempt.
+/// Action: close the connection of an attempt if it is still open. If the other one of two attempts
+/// is left, it is the current one again.
 struct AbandonAttempt
 {
     RequestId request;
+    AttemptNumber attempt;
 };
 
 /// Action: forward the complete response that was received to the caller.
--- a/src/tests/request_test.cpp
+++ b/src/tests/request_test.cpp
@@ -282,11 +282,18 @@
     m_system.onStreamStarted(firstAttempt.request, firstAttempt.attempt, m_now);
     m_system.onEventForwarded(firstAttempt.request, firstAttempt.attempt, m_now);
     const RequestActions actions = tickAfter(Duration(800));
-    EXPECT_EQ(actionsOf<AbandonAttempt>(actions).size(), 1U);
     const auto newAttempts = actionsOf<DispatchAttempt>(actions);
     ASSERT_EQ(newAttempts.size(), 1U);
     EXPECT_NE(newAttempts[0].server, firstAttempt.server);
+    EXPECT_TRUE(newAttempts[0].keepsPrevious);
     EXPECT_EQ(m_backends.suspects(m_now).count(firstAttempt.server), 1U);
+    // The silent attempt ends as soon as the other one answers, and not before.
+    EXPECT_TRUE(actionsOf<AbandonAttempt>(actions).empty());
+    RequestActions answering;
+    m_system.onAnswering(newAttempts[0].request, newAttempts[0].attempt, m_now, answering);
+    const auto ended = actionsOf<AbandonAttempt>(answering);
+    ASSERT_EQ(ended.size(), 1U);
+    EXPECT_EQ(ended[0].attempt, firstAttempt.attempt);
     // Guards against a failure seen in an incident: the second attempt went to the same silent
     // server because it was the only one left.
     m_backends.erase(newAttempts[0].server);
@@ -521,9 +528,9 @@
     addGroup("g");
     addGroup("h");
     const auto firstAttempt = actionsOf<DispatchAttempt>(sendRequest("/ask/x")).at(0);
-    EXPECT_TRUE(actionsOf<AbandonAttempt>(tickAfter(Duration(1'000))).empty());
+    EXPECT_TRUE(actionsOf<DispatchAttempt>(tickAfter(Duration(1'000))).empty());
     EXPECT_TRUE(m_backends.suspects(m_now).empty());
-    EXPECT_EQ(actionsOf<AbandonAttempt>(tickAfter(Duration(300))).size(), 1U);
+    EXPECT_EQ(actionsOf<DispatchAttempt>(tickAfter(Duration(300))).size(), 1U);
     EXPECT_EQ(m_backends.suspects(m_now).count(firstAttempt.server), 1U);
 }
 
@@ -534,7 +541,7 @@
     const auto firstAttempt = actionsOf<DispatchAttempt>(sendRequest("/ask/x")).at(0);
     for (int i = 0; i < 10; ++i) {
         m_backends.mergeRecentProgress({{firstAttempt.server, Duration(100)}}, m_now);
-        EXPECT_TRUE(actionsOf<AbandonAttempt>(tickAfter(Duration(300))).empty());
+        EXPECT_TRUE(actionsOf<DispatchAttempt>(tickAfter(Duration(300))).empty());
     }
 }
 
