--- a/src/tests/scripted_server.py
+++ b/src/tests/scripted_server.py
@@ -12,13 +12,15 @@
 class ScriptedServer:
     """Accepts connections and passes each request to `answer(server, socket, head, body)`.
 
-    `answer` returns whether the connection may carry another request.
+    `answer` returns whether the connection may carry another request. If `answers_early(head)` is
+    true, it is called before the body is read, and the body is read afterwards.
     """
 
-    def __init__(self, address, answer):
+    def __init__(self, address, answer, answers_early=None):
         host, port = address.rsplit(":", 1)
         self.address = address
         self.answer = answer
+        self.answers_early = answers_early or (lambda head: False)
         self.listener = socket.create_server((host, int(port)), backlog=512)
         threading.Thread(target=self.accept_loop, daemon=True).start()
 
@@ -43,10 +45,16 @@
                 raw_head, received = received.split(b"\r\n\r\n", 1)
                 head = parse_head(raw_head)
                 length = int(head.get("content-length", 0))
+                is_early = self.answers_early(head)
+                if is_early and not self.answer(self, connection, head, b""):
+                    return
                 while len(received) < length:
-                    received += connection.recv(65536)
+                    data = connection.recv(65536)
+                    if not data:
+                        return
+                    received += data
                 body, received = received[:length], received[length:]
-                if not self.answer(self, connection, head, body):
+                if not is_early and not self.answer(self, connection, head, body):
                     return
         except OSError:
             pass  # The caller closed the connection.
--- a/src/tests/scripted_system.py
+++ b/src/tests/scripted_system.py
@@ -15,15 +15,33 @@
 class ScriptedSystem(System):
     """Each service has a route of its name and consists of all scripted servers."""
 
-    def __init__(self, build, routes, servers, answer):
+    def __init__(self, build, routes, servers, answer, slot=0, settings=None, answers_early=None):
         """`routes` maps services to the properties of their routes. `answer(server, connection,
-        head)` serves a request and returns whether its connection may carry another one."""
+        head)` serves a request and returns whether its connection may carry another one.
+        `settings` replace lines of the node's settings file. The servers answer a request before
+        they read its body if `answers_early(head)` is true."""
         self.routes = routes
-        self.servers = [ScriptedServer(f"127.0.6.{number + 1}:23300",
+        self.settings = settings or {}
+        self.settings_path = None
+        self.servers = [ScriptedServer(f"127.{slot}.6.{number + 1}:23300",
                                        lambda server, connection, head, _:
-                                       answer(server, connection, head))
+                                       answer(server, connection, head), answers_early)
                         for number in range(servers)]
-        super().__init__(build, engines=0, nodes=1)
+        super().__init__(build, engines=0, nodes=1, slot=slot)
+
+    def start(self, name, arguments, **options):
+        if "BRAMLEYPITCH_BOOT" in options.get("env", {}):
+            self.settings_path = options["env"]["BRAMLEYPITCH_BOOT"]
+            self.change_settings(self.settings)
+        super().start(name, arguments, **options)
+
+    def change_settings(self, settings):
+        """Replaces lines of the node's settings file, which must exist."""
+        with open(self.settings_path, encoding="utf-8") as file:
+            values = dict(line.rstrip("\n").split("=", 1) for line in file)
+        values.update(settings)
+        with open(self.settings_path, "w", encoding="utf-8") as file:
+            file.writelines(f"{name}={value}\n" for name, value in values.items())
 
     def configure(self):
         routes = [dict(properties, name=name, host="shop.example", path_prefix=f"/{name}/",
