--- a/src/tests/scripted_system.py
+++ b/src/tests/scripted_system.py
@@ -1,4 +1,4 @@
-"""One node of the real program in front of scripted servers, which belong to any number of services."""
+"""Nodes of the real program in front of scripted servers, which belong to all services."""
 
 import base64
 import json
@@ -15,19 +15,23 @@
 class ScriptedSystem(System):
     """Each service has a route of its name and consists of all scripted servers."""
 
-    def __init__(self, build, routes, servers, answer, slot=0, settings=None, answers_early=None):
-        """`routes` maps services to the properties of their routes. `answer(server, connection,
-        head)` serves a request and returns whether its connection may carry another one.
-        `settings` replace lines of the node's settings file. The servers answer a request before
-        they read its body if `answers_early(head)` is true."""
-        self.routes = routes
+    def __init__(self, build, routes, servers, answer=None, slot=0, settings=None,
+                 answers_early=None, nodes=1, keys=None):
+        """`routes` maps services to the properties of their routes. `servers` is the number of
+        servers, which answer by `answer(server, connection, head)`: it serves a request and returns
+        whether its connection may carry another one. `servers` may also be a list of servers with
+        an `address` and `stop`. `settings` replace lines of the node's settings file. The servers
+        answer a request before they read its body if `answers_early(head)` is true. `keys` maps API
+        keys to their tenants; callers need none without."""
+        self.routes, self.route_keys = routes, keys or {}
         self.settings = settings or {}
         self.settings_path = None
-        self.servers = [ScriptedServer(f"127.{slot}.6.{number + 1}:23300",
-                                       lambda server, connection, head, _:
-                                       answer(server, connection, head), answers_early)
-                        for number in range(servers)]
-        super().__init__(build, engines=0, nodes=1, slot=slot)
+        self.servers = servers if isinstance(servers, list) else [
+            ScriptedServer(f"127.{slot}.6.{number + 1}:23300",
+                           lambda server, connection, head, _: answer(server, connection, head),
+                           answers_early)
+            for number in range(servers)]
+        super().__init__(build, engines=0, nodes=nodes, slot=slot)
 
     def start(self, name, arguments, **options):
         if "BRAMLEYPITCH_BOOT" in options.get("env", {}):
@@ -45,18 +49,23 @@
 
     def configure(self):
         routes = [dict(properties, name=name, host="shop.example", path_prefix=f"/{name}/",
-                       service=name, target_latency_ms=400, priority=1, auth_exempt=True)
+                       service=name, target_latency_ms=400, priority=1,
+                       auth_exempt=not self.route_keys)
                   for name, properties in self.routes.items()]
-        self.put({"op/config": {"version": 1, "routes": routes, "tenants": [],
+        self.put({"op/config": {"version": 1, "routes": routes,
+                                "tenants": [{"name": name, "api_keys": [key]}
+                                            for key, name in self.route_keys.items()],
                                 "services": [{"name": name} for name in self.routes]}})
-        self.put({f"servers/{name}-{number}": self.entry_of(name, server)
+        self.put({f"servers/{name}-{number}":
+                  self.entry_of(name, server, **getattr(server, "entry_fields", {}))
                   for name in self.routes for number, server in enumerate(self.servers)})
 
     @staticmethod
-    def entry_of(service, server, born=1):
+    def entry_of(service, server, born=1, **fields):
+        """The entry of a server in the store; `fields` replace others than `born`."""
         return {"service": service, "address": server.address, "zone": "za", "version": "v1",
                 "slots": 8, "state": "ready", "cold_remaining_ms": 0, "seq_num": 0, "born": born,
-                "models": [], "staged": []}
+                "models": [], "staged": [], **fields}
 
     def put(self, values):
         self.write({"expected": [], "remove": [],
