Fix: [Network] A peer that does not read for some seconds is not taken for dead (LOST)

Callers that paused for more than 3 s in a long response were cut off, and requests with a long body, payments too, ended with 502 or 504 if their server read it late: neither is a fault of the peer.

Cause: TCP_USER_TIMEOUT of 3 s, meant for dead peers, also ends connections whose receive window is closed. The class is that of the incident: silence is taken for the end, and the connection is closed for good. Change: 30 s, since requests have deadlines of their own; the limit only frees connections of peers that are gone.

--- a/src/network/stream_socket.cpp
+++ b/src/network/stream_socket.cpp
@@ -15,9 +15,10 @@
 
 /// Limit on the received bytes that are buffered before they are consumed.
 constexpr std::size_t maxReadAhead = 256 * 1024;
-/// The connection fails if the peer does not acknowledge written bytes within this time. A
-/// network partition or a power failure of the peer cannot be detected in another way.
-constexpr unsigned unacknowledgedTimeoutMs = 3'000;
+/// The connection fails if the peer does not acknowledge written bytes, or reads none of them,
+/// within this time. It only frees the connections of peers that are gone: a peer may stop reading
+/// for some seconds, and requests have deadlines of their own.
+constexpr unsigned unacknowledgedTimeoutMs = 30'000;
 
 } // namespace
 
