--- a/src/network/caller_connections.cpp
+++ b/src/network/caller_connections.cpp
@@ -237,6 +237,15 @@
     return found == m_exchanges.end() ? nullptr : found->second;
 }
 
+bool CallerConnections::isLastResponse(const Connection &connection) const
+{
+    // RFC 9112, 9.6: no further request may be processed after a response has announced the close.
+    // Line ends before a request are not a part of it.
+    const bool hasNext =
+        connection.socket->received().find_first_not_of(lineEnd) != std::string_view::npos;
+    return connection.closeAfterResponse || (m_closing && !hasNext);
+}
+
 std::string CallerConnections::formatHead(const Connection &connection, int status,
                                           const HttpHeaders &headers) const
 {
@@ -254,7 +263,7 @@
     Connection *connection = find(exchange);
     if (!connection)
         return;
-    connection->closeAfterResponse = connection->closeAfterResponse || m_closing;
+    connection->closeAfterResponse = isLastResponse(*connection);
     std::string text = formatHead(*connection, status, headers);
     text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
     if (!connection->isHeadRequest)
@@ -269,7 +278,7 @@
     Connection *connection = find(exchange);
     if (!connection)
         return;
-    connection->closeAfterResponse = connection->closeAfterResponse || m_closing;
+    connection->closeAfterResponse = isLastResponse(*connection);
     connection->socket->write(formatHead(*connection, status, headers)
                               + "Transfer-Encoding: chunked\r\n\r\n");
 }
--- a/src/network/caller_connections.h
+++ b/src/network/caller_connections.h
@@ -42,7 +42,8 @@
     /// Throws Failure(InvalidSetting) if the address cannot be bound.
     void listen(const Address &address);
     void setLimits(const CallerLimits &limits) { m_limits = limits; }
-    /// From now on, closes each connection after its next response.
+    /// From now on, closes each connection after its next response, unless bytes of a next request
+    /// have already been received. That request is answered first.
     void setClosing() { m_closing = true; }
     /// Accepts no more connections and closes those without a request in progress.
     void stopListening();
@@ -78,6 +79,8 @@
     void dispatch(Connection &connection);
     /// Answers an invalid request with an error and closes the connection afterwards.
     void reject(Connection &connection, int status, const char *cause);
+    /// Whether the response that starts now is the last one of its connection.
+    bool isLastResponse(const Connection &connection) const;
     /// Closes the connection after a response or prepares it for the next request.
     void finishResponse(Connection &connection);
     /// Handles the end of a connection by the caller or by a socket error.
