Fix: [Network] A response that its caller is still reading is not cut off as idle (LOST)

Callers that read a large response slowly got only a part of it when the idle timeout passed (also one that a new configuration shortened), or when their node stopped.

Cause: a connection counted as idle from the moment at which its response was written, although most of it waited for the caller; closing it dropped the rest.

Change: a connection is idle once its response has been passed to the kernel, and the idle timeout starts then.

--- a/src/network/caller_connections.cpp
+++ b/src/network/caller_connections.cpp
@@ -74,7 +74,8 @@
     bool closeWhenDrained = false; ///< Close as soon as everything written has been sent.
     bool continueSent = false; ///< 100 (Continue) was sent for the current request.
     bool isHeadRequest = false; ///< The method is HEAD, so the response has no body.
-    TimePoint timeoutStart; ///< End of the last response, or first byte of the request in progress.
+    /// When the last response was sent, or the first byte of the request in progress received.
+    TimePoint timeoutStart;
     bool requestStarted = false; ///< At least one byte of the current request was received.
     bool processingInput = false; ///< The loop over received bytes is on the call stack.
 };
@@ -121,6 +122,8 @@
     hooks.onDrained = [connections, connection] {
         if (connection->closeWhenDrained)
             connections->close(*connection);
+        else if (connection->reading && !connection->requestStarted)
+            connection->timeoutStart = connections->m_loop.now();
         else if (!connection->reading && connections->m_hooks.onDrained)
             connections->m_hooks.onDrained(connection->exchange);
     };
@@ -367,6 +370,12 @@
     m_discard.startOnce(Duration(0));
 }
 
+bool CallerConnections::isIdle(const Connection &connection)
+{
+    return connection.reading && !connection.requestStarted
+        && connection.socket->unsentBytes() == 0;
+}
+
 void CallerConnections::stopListening()
 {
     if (m_listener)
@@ -374,7 +383,7 @@
     m_listener = nullptr;
     std::vector<Connection *> idle;
     for (const auto &[id, connection] : m_connections) {
-        if (connection->reading && !connection->requestStarted)
+        if (isIdle(*connection))
             idle.push_back(connection.get());
     }
     for (Connection *connection : idle)
@@ -394,7 +403,7 @@
             : m_limits.headerTimeout;
         if (connection->requestStarted && age > maxAge)
             slow.push_back(connection.get());
-        else if (!connection->requestStarted && age > m_limits.idleTimeout)
+        else if (isIdle(*connection) && age > m_limits.idleTimeout)
             idle.push_back(connection.get());
     }
     for (Connection *connection : idle)
--- a/src/network/caller_connections.h
+++ b/src/network/caller_connections.h
@@ -45,7 +45,8 @@
     /// From now on, closes each connection after its next response, unless bytes of a next request
     /// have already been received. That request is answered first.
     void setClosing() { m_closing = true; }
-    /// Accepts no more connections and closes those without a request in progress.
+    /// Accepts no more connections and closes those without a request in progress, except those
+    /// whose last response is still being sent.
     void stopListening();
     /// Number of open connections.
     std::size_t open() const { return m_connections.size(); }
@@ -83,6 +84,8 @@
     bool isLastResponse(const Connection &connection) const;
     /// Closes the connection after a response or prepares it for the next request.
     void finishResponse(Connection &connection);
+    /// Whether no request is in progress and the last response was passed to the kernel.
+    static bool isIdle(const Connection &connection);
     /// Handles the end of a connection by the caller or by a socket error.
     void onClosed(Connection &connection);
     void close(Connection &connection);
--- a/src/tests/attempt_review_test.cpp
+++ b/src/tests/attempt_review_test.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr const char *request = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+constexpr std::size_t largeBody = 8 * 1024 * 1024; // More than the buffers of the kernel.
 
 /// A listening server of callers and one caller, which reads only what a test takes.
 class CallerTest : public testing::Test
@@ -142,6 +143,40 @@
     EXPECT_EQ(m_callers.open(), 0U);
 }
 
+TEST_F(CallerTest, IdleTimeoutDoesNotCutOffAResponseThatIsBeingRead)
+{
+    // Guards against LOST: the connection counted as idle from the end of the response, although
+    // its caller had not received all of it.
+    send(request);
+    run();
+    ASSERT_EQ(m_requests.size(), 1U);
+    m_callers.reply(m_requests[0], 200, {}, std::string(largeBody, 'x'));
+    run();
+    const Duration longTime(60'000);
+    m_callers.sweep(m_loop.now() + longTime);
+    run();
+    EXPECT_GT(receive().size(), largeBody);
+    EXPECT_EQ(m_callers.open(), 1U);
+    m_callers.sweep(m_loop.now() + longTime);
+    EXPECT_EQ(m_callers.open(), 0U);
+}
+
+TEST_F(CallerTest, StopDoesNotCutOffAResponseThatIsBeingRead)
+{
+    send(request);
+    run();
+    ASSERT_EQ(m_requests.size(), 1U);
+    m_callers.reply(m_requests[0], 200, {}, std::string(largeBody, 'x'));
+    m_callers.setClosing();
+    run();
+    m_callers.stopListening();
+    run();
+    EXPECT_EQ(m_callers.open(), 1U);
+    EXPECT_GT(receive().size(), largeBody);
+    m_callers.stopListening();
+    EXPECT_EQ(m_callers.open(), 0U);
+}
+
 } // namespace
 
 } // namespace bramleypitch
