--- a/src/network/caller_connections.cpp
+++ b/src/network/caller_connections.cpp
@@ -77,6 +77,10 @@
     /// When the last response was sent, or the first byte of the request in progress received.
     TimePoint timeoutStart;
     bool requestStarted = false; ///< At least one byte of the current request was received.
+    /// Those in force when the connection was opened or last answered. A caller may still rely on
+    /// them.
+    Duration idleTimeout {0};
+    Duration headerTimeout {0};
     bool processingInput = false; ///< The loop over received bytes is on the call stack.
 };
 
@@ -115,7 +119,7 @@
     auto owned = std::make_unique<Connection>();
     Connection *connection = owned.get();
     connection->id = ++connections->m_lastId;
-    connection->timeoutStart = connections->m_loop.now();
+    connections->startTimeout(*connection);
     connections->m_connections.emplace(connection->id, std::move(owned));
     SocketHooks hooks;
     hooks.onReadable = [connections, connection] { connections->onReadable(*connection); };
@@ -123,7 +127,7 @@
         if (connection->closeWhenDrained)
             connections->close(*connection);
         else if (connection->reading && !connection->requestStarted)
-            connection->timeoutStart = connections->m_loop.now();
+            connections->startTimeout(*connection);
         else if (!connection->reading && connections->m_hooks.onDrained)
             connections->m_hooks.onDrained(connection->exchange);
     };
@@ -313,7 +317,7 @@
 {
     m_exchanges.erase(connection.exchange);
     connection.exchange = ExchangeId();
-    connection.timeoutStart = m_loop.now();
+    startTimeout(connection);
     if (connection.closeAfterResponse) {
         connection.closeWhenDrained = true;
         if (connection.socket->unsentBytes() == 0)
@@ -370,6 +374,13 @@
     m_discard.startOnce(Duration(0));
 }
 
+void CallerConnections::startTimeout(Connection &connection) const
+{
+    connection.timeoutStart = m_loop.now();
+    connection.idleTimeout = m_limits.idleTimeout;
+    connection.headerTimeout = m_limits.headerTimeout;
+}
+
 bool CallerConnections::isIdle(const Connection &connection)
 {
     return connection.reading && !connection.requestStarted
@@ -398,12 +409,13 @@
         if (!connection->reading)
             continue;
         const Duration age = now - connection->timeoutStart;
-        const Duration maxAge = connection->parser.headComplete()
-            ? m_limits.headerTimeout + m_limits.idleTimeout
-            : m_limits.headerTimeout;
+        const Duration idleTimeout = std::max(connection->idleTimeout, m_limits.idleTimeout);
+        const Duration headerTimeout = std::max(connection->headerTimeout, m_limits.headerTimeout);
+        const Duration maxAge =
+            connection->parser.headComplete() ? headerTimeout + idleTimeout : headerTimeout;
         if (connection->requestStarted && age > maxAge)
             slow.push_back(connection.get());
-        else if (isIdle(*connection) && age > m_limits.idleTimeout)
+        else if (isIdle(*connection) && age > idleTimeout)
             idle.push_back(connection.get());
     }
     for (Connection *connection : idle)
--- a/src/network/caller_connections.h
+++ b/src/network/caller_connections.h
@@ -82,6 +82,8 @@
     void reject(Connection &connection, int status, const char *cause);
     /// Whether the response that starts now is the last one of its connection.
     bool isLastResponse(const Connection &connection) const;
+    /// The connection waits for its next request from now on.
+    void startTimeout(Connection &connection) const;
     /// Closes the connection after a response or prepares it for the next request.
     void finishResponse(Connection &connection);
     /// Whether no request is in progress and the last response was passed to the kernel.
