--- a/src/tests/attempt_review_test.cpp
+++ b/src/tests/attempt_review_test.cpp
@@ -9,8 +9,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
+#include <functional>
 #include <thread>
 
 namespace bramleypitch {
@@ -177,6 +179,163 @@
     EXPECT_EQ(m_callers.open(), 0U);
 }
 
+constexpr Duration longSilence {1'300}; // A sound server may send nothing for a second or so.
+
+class AttemptReviewTest : public RequestTest
+{
+protected:
+    DispatchAttempt startStream()
+    {
+        const DispatchAttempt attempt = actionsOf<DispatchAttempt>(sendRequest("/ask/x")).at(0);
+        m_system.onStreamStarted(attempt.request, attempt.attempt, m_now);
+        m_system.onEventForwarded(attempt.request, attempt.attempt, m_now);
+        return attempt;
+    }
+
+    RequestActions pass(Duration duration)
+    {
+        RequestActions actions;
+        for (const TimePoint end = m_now + duration; m_now < end;) {
+            m_now += Duration(25);
+            m_system.setConfigurationProof(m_now);
+            m_system.tick(m_now, actions);
+        }
+        return actions;
+    }
+
+    void configure(const std::function<void(ServingConfiguration &)> &change)
+    {
+        ServingConfiguration configuration = *m_system.configuration();
+        ++configuration.version;
+        change(configuration);
+        m_system.setConfiguration(std::make_shared<ServingConfiguration>(configuration));
+    }
+
+    static bool abandons(const RequestActions &actions, AttemptNumber attempt)
+    {
+        const auto abandoned = actionsOf<AbandonAttempt>(actions);
+        return std::any_of(abandoned.begin(), abandoned.end(),
+                           [&](const auto &action) { return action.attempt == attempt; });
+    }
+};
+
+TEST_F(AttemptReviewTest, CompleteResponseOfTheSilentServerIsDelivered)
+{
+    addGroup("a");
+    addGroup("b");
+    const auto silent = actionsOf<DispatchAttempt>(sendRequest("/ask/x")).at(0);
+    const auto replacing = actionsOf<DispatchAttempt>(pass(longSilence));
+    ASSERT_EQ(replacing.size(), 1U);
+    RequestActions actions;
+    m_system.onResponse(silent.request, silent.attempt, 200, m_now, actions);
+    EXPECT_EQ(actionsOf<DeliverResponse>(actions).size(), 1U);
+    EXPECT_TRUE(abandons(actions, replacing[0].attempt));
+    EXPECT_TRUE(m_backends.ownRunning().empty());
+}
+
+TEST_F(AttemptReviewTest, RequestWhoseSilentServerHasRespondedDoesNotWaitForIt)
+{
+    // The response of the silent server is complete, so that nothing more follows on that attempt.
+    addGroup("a");
+    addGroup("b");
+    const auto silent = actionsOf<DispatchAttempt>(sendRequest("/ask/x")).at(0);
+    const auto replacing = actionsOf<DispatchAttempt>(pass(longSilence));
+    ASSERT_EQ(replacing.size(), 1U);
+    RequestActions actions;
+    m_system.onResponse(silent.request, silent.attempt, 500, m_now, actions);
+    const RequestActions failed = failAttempt(replacing[0], AttemptFailure::Broken);
+    actions.insert(actions.end(), failed.begin(), failed.end());
+    EXPECT_EQ(actionsOf<DeliverResponse>(actions).size()
+                  + actionsOf<DispatchAttempt>(actions).size(),
+              1U);
+}
+
+TEST_F(AttemptReviewTest, CompleteResponseEndsTheSilentAttemptAsWell)
+{
+    addGroup("a");
+    addGroup("b");
+    const auto silent = actionsOf<DispatchAttempt>(sendRequest("/ask/x")).at(0);
+    const auto replacing = actionsOf<DispatchAttempt>(pass(longSilence));
+    ASSERT_EQ(replacing.size(), 1U);
+    RequestActions actions;
+    m_system.onResponse(silent.request, replacing[0].attempt, 400, m_now, actions);
+    EXPECT_EQ(actionsOf<DeliverResponse>(actions).size(), 1U);
+    EXPECT_TRUE(abandons(actions, silent.attempt));
+}
+
+TEST_F(AttemptReviewTest, ServerThatFallsSilentRepeatedlyCountsOnceAsTried)
+{
+    // Only one of three attempts may have run when the server fails at last, and another is free.
+    configure([](ServingConfiguration &changed) {
+        changed.routes[0].maxAttempts = 3;
+        changed.routes[0].timeout = Duration(60'000);
+    });
+    for (const char *group : {"a", "b", "c", "d", "e"})
+        addGroup(group);
+    const DispatchAttempt silent = startStream();
+    for (int i = 0; i < 2; ++i) {
+        const auto replacing = actionsOf<DispatchAttempt>(pass(longSilence));
+        ASSERT_EQ(replacing.size(), 1U);
+        failAttempt(replacing[0], AttemptFailure::Unsent);
+        RequestActions actions;
+        m_system.onAnswering(silent.request, silent.attempt, m_now, actions);
+        m_system.onEventForwarded(silent.request, silent.attempt, m_now);
+    }
+    const RequestActions actions = failAttempt(silent, AttemptFailure::Broken);
+    EXPECT_TRUE(actionsOf<BreakResponse>(actions).empty());
+    EXPECT_EQ(actionsOf<DispatchAttempt>(actions).size(), 1U);
+}
+
+TEST_F(AttemptReviewTest, SilenceAfterALateEntryOfTheRunDoesNotBreakItsStream)
+{
+    // The server had started again before the request was sent to it, but its entry arrived later.
+    configure([](ServingConfiguration &changed) { changed.routes[0].maxAttempts = 1; });
+    addGroup("a");
+    const DispatchAttempt attempt = startStream();
+    BackendReport restarted = memberReport("a-head", "a", 0);
+    restarted.startedAt = 2;
+    m_backends.update(restarted, m_now);
+    for (int i = 0; i < 10; ++i) { // Its events still arrive.
+        m_system.onEventForwarded(attempt.request, attempt.attempt, m_now);
+        pass(Duration(100));
+    }
+    const RequestActions actions = pass(longSilence);
+    EXPECT_TRUE(actionsOf<BreakResponse>(actions).empty());
+    EXPECT_TRUE(actionsOf<AbandonAttempt>(actions).empty());
+}
+
+TEST_F(AttemptReviewTest, StreamIsResumedAtAHeadOfItsModelAfterItsServiceIsRemoved)
+{
+    addGroup("a");
+    BackendReport other = memberReport("o-head", "o", 0);
+    other.model = ModelId("other");
+    const DispatchAttempt attempt = startStream();
+    m_backends.update(other, m_now);
+    m_backends.update(memberReport("p-2", "p", 1), m_now);
+    configure([](ServingConfiguration &changed) {
+        changed.routes.erase(changed.routes.begin());
+        changed.services.erase(ServiceId("engines"));
+    });
+    RequestActions actions = failAttempt(attempt, AttemptFailure::Broken);
+    const RequestActions later = pass(Duration(1'500));
+    actions.insert(actions.end(), later.begin(), later.end());
+    for (const DispatchAttempt &resumed : actionsOf<DispatchAttempt>(actions))
+        EXPECT_EQ(resumed.server, VmId("a-head"));
+}
+
+TEST_F(AttemptReviewTest, StreamWaitsForAServerWhileItsTimeLasts)
+{
+    addGroup("a");
+    const DispatchAttempt attempt = startStream();
+    m_backends.erase(VmId("a-2")); // For a moment no group is complete.
+    RequestActions actions = failAttempt(attempt, AttemptFailure::Broken);
+    EXPECT_TRUE(actionsOf<BreakResponse>(actions).empty());
+    addGroup("b");
+    m_now += Duration(100);
+    m_system.tick(m_now, actions);
+    EXPECT_EQ(actionsOf<DispatchAttempt>(actions).size(), 1U);
+}
+
 } // namespace
 
 } // namespace bramleypitch
