Fix: [Formation] The group of a server that is silent for a second is kept (LOST)

A server that sends nothing for a second or so and goes on lost its group: its head got an order to leave, which ends the streams that the request system waits for.

Cause: the class of this incident, in the formation: an order that cannot be taken back rested on two probes of 150 ms each without an answer, about 0.4 s after the suspicion of silence.

Change: five probes in a row, so that at least 0.95 s pass between the suspicion (0.4 s of silence at the earliest) and the order. A member that is really dead is replaced 0.6 s later than before.

--- a/src/formation/formation_system.h
+++ b/src/formation/formation_system.h
@@ -20,9 +20,9 @@
     Duration refusedRetryDelay {250}; ///< Before a refused order is sent again.
     Duration writeTimeout {3'000}; ///< Before the write of a plan is considered lost.
     Duration probeInterval {200}; ///< Between probes of the members of a suspected group.
-    /// A member is lost after this many consecutive unanswered probes. A single lost packet may
-    /// leave one probe unanswered.
-    std::uint32_t maxUnansweredProbes = 2;
+    /// A member is lost after this many consecutive unanswered probes. A sound server may be silent
+    /// for a second or so, and the order to leave that follows ends its streams.
+    std::uint32_t maxUnansweredProbes = 5;
     Duration answerValidTime {1'500}; ///< Before a member that answered is probed again.
     Duration lostMemberTimeout {6'000}; ///< How long a member that answers no probe is not used.
     /// Groups are formed once the number of free VMs of a domain has been stable for this time.
--- a/src/tests/formation_test.cpp
+++ b/src/tests/formation_test.cpp
@@ -364,6 +364,28 @@
     return {};
 }
 
+TEST(FormationTest, GroupOfAServerThatIsSilentForASecondIsKept)
+{
+    // Guards against LOST: a sound server may send nothing for a second or so (here 1.3 s). It is
+    // suspected after 0.4 s at the earliest. An order to leave would end its streams.
+    Harness harness(Fleet(10), true);
+    harness.run(Duration(9'000));
+    harness.setTypicalDemand();
+    const auto [name, members] = findGroup(harness.fleet(), 4);
+    ASSERT_EQ(members.size(), 4U);
+    harness.sentOrders.clear();
+    harness.unresponsiveVms = {members.front()};
+    harness.backends().mergeSuspects({{members.front(), Duration(4'000)}}, harness.now());
+    // The time for which a probe is waited for, 150 ms, passes in the harness without delay.
+    harness.run(Duration(750));
+    harness.unresponsiveVms.clear();
+    harness.run(Duration(3'000));
+    EXPECT_TRUE(std::none_of(harness.sentOrders.begin(), harness.sentOrders.end(),
+                             [&](const SendGroupOrder &order) {
+                                 return order.group == name && order.kind != GroupOrderKind::Stage;
+                             }));
+}
+
 TEST(FormationTest, MemberWithoutEntryStaysWhileItAnswersProbes)
 {
     // Guards against a failure seen in a larger deployment: servers that only lost their connection
