Fix: [Coordination] A completion that has begun survives the removal of its model (LOST)

Callers of a completion whose stream broke off got a refusal in its middle if its model group had been removed from the configuration meanwhile.

Cause: the number of attempts was looked up in the configuration in force, and counted as 1 without an entry; the attempt would have been sent with an empty model name. The class: a response that has begun is judged again by the configuration for new requests.

Change: both are kept with the completion as they were when it was accepted.

--- a/src/coordination/completion_system.cpp
+++ b/src/coordination/completion_system.cpp
@@ -50,9 +50,11 @@
     completion.id = asked.request;
     completion.organisation = organisation->name;
     completion.model = asked.model;
+    completion.engineModel = model->model;
     completion.prompt = asked.prompt;
     completion.affinity = stableHash(std::string_view(asked.prompt).substr(0, affinityPrefixBytes));
     completion.maxTokens = asked.maxTokens;
+    completion.maxAttempts = model->maxAttempts;
     completion.priority = asked.priority;
     completion.dispatchDeadline =
         now + asked.firstTokenDeadline.value_or(model->firstTokenDeadline);
@@ -162,7 +164,6 @@
 {
     Group &group = *m_state.groups.find(index);
     const Vm &head = *m_state.vms.find(group.placed.members.front());
-    const ModelGroupSpec *spec = findModelGroup(m_state.envelope->environment, completion.model);
     completion.attempt = AttemptNumber(completion.attempt.value() + 1);
     completion.running = true;
     completion.group = group.placed.id;
@@ -183,7 +184,7 @@
     action.address = head.record.address;
     action.group = group.placed.id;
     action.generation = group.placed.generation;
-    action.model = spec ? spec->model : std::string();
+    action.model = completion.engineModel;
     action.prompt = completion.prompt;
     action.maxTokens = completion.maxTokens;
     action.resumeFrom = completion.delivered;
@@ -304,9 +305,7 @@
 
 void CompletionSystem::retryOrReject(Completion &completion, TimePoint now, Actions &actions)
 {
-    const ModelGroupSpec *spec = findModelGroup(m_state.envelope->environment, completion.model);
-    const std::uint32_t maxAttempts = spec ? spec->maxAttempts : 1;
-    if (completion.attempt.value() >= maxAttempts || now >= completion.deadline) {
+    if (completion.attempt.value() >= completion.maxAttempts || now >= completion.deadline) {
         rejectCompletion(completion, ErrorCode::BackendFailed, "all allowed attempts failed",
                          actions);
         return;
--- a/src/coordination/completion_system.h
+++ b/src/coordination/completion_system.h
@@ -15,9 +15,11 @@
     RequestId id;
     OrganisationId organisation;
     ModelGroupId model;
+    std::string engineModel; ///< Name of the model at the backend servers.
     std::string prompt;
     std::uint64_t affinity = 0; ///< Hash of the start of the prompt, used for routing.
     std::uint32_t maxTokens = 0;
+    std::uint32_t maxAttempts = 1; ///< As configured when it was accepted.
     std::uint32_t priority = 0;
     TimePoint dispatchDeadline; ///< Rejected if not dispatched by this time.
     TimePoint deadline; ///< The whole response must be complete by this time.
--- a/src/tests/attempt_review_test.cpp
+++ b/src/tests/attempt_review_test.cpp
@@ -1,8 +1,10 @@
 // Tests of further ways in which a request that was accepted could end without an answer.
 
+#include "coordination/environment_func.h"
 #include "network/caller_connections.h"
 #include "network/event_loop.h"
 #include "request_fixture.h"
+#include "session.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -336,6 +338,21 @@
     EXPECT_EQ(actionsOf<DispatchAttempt>(actions).size(), 1U);
 }
 
+TEST(CompletionTest, CompletionThatHasBegunIsResumedAfterItsModelIsRemoved)
+{
+    test::Session session;
+    session.startWithGroups();
+    session.requestCompletion(10, 1, "p");
+    session.at(20, EngineToken {RequestId(1), AttemptNumber(1), 0, "t0"});
+    SharedValue changed = test::Session::configuration(50, "[]");
+    Envelope envelope = parseEnvelope(changed.value);
+    envelope.environment.modelGroups[0].name = ModelGroupId("n");
+    changed.value = serializeEnvelope(envelope);
+    session.readShared(25, {changed});
+    session.at(30, AttemptFailed {RequestId(1), AttemptNumber(1), true, false});
+    EXPECT_EQ(session.text().find("< refuse request=1"), std::string::npos);
+}
+
 } // namespace
 
 } // namespace bramleypitch
