Fix: [Coordination] Silence ends an attempt of a completion only if another may follow (LOST)

Callers of a completion got a refusal in its middle when its server was silent for 0.5 s beside a missing member (10 s otherwise) and no attempt or retry budget was left, although the server could have gone on.

Cause: the same as in the request system: the attempt was cancelled on the silence, and only then the node looked whether another one was permitted.

Change: the node looks first. Without another attempt the silent one goes on until the deadline. An attempt that may be repeated is still cancelled before its replacement is certain; two open attempts would need more.

--- a/src/coordination/completion_system.cpp
+++ b/src/coordination/completion_system.cpp
@@ -364,6 +364,13 @@
     return gate == GateState::MemberMissing && silence >= m_state.options.memberMissingStallTimeout;
 }
 
+bool CompletionSystem::mayRepeat(const Completion &completion) const
+{
+    const auto organisation = m_organisations.find(completion.organisation);
+    return completion.attempt.value() < completion.maxAttempts
+        && organisation != m_organisations.end() && organisation->second.retries.permitsRetry();
+}
+
 void CompletionSystem::endIfExpired(Completion &completion, TimePoint now, Actions &actions)
 {
     if (!completion.running && completion.attempt.value() == 0
@@ -372,7 +379,8 @@
                          "no group had a free slot before the first-token deadline", actions);
         return;
     }
-    if (now < completion.deadline && isStalled(completion, now)) {
+    // If no other attempt may follow, the silent server is waited for: it may go on.
+    if (now < completion.deadline && isStalled(completion, now) && mayRepeat(completion)) {
         const RequestId request = completion.id;
         const AttemptNumber attempt = completion.attempt;
         actions.emplace_back(CancelAttempt {request, attempt});
--- a/src/coordination/completion_system.h
+++ b/src/coordination/completion_system.h
@@ -100,8 +100,10 @@
     /// Removes a completion and rejects it with an error.
     void rejectCompletion(Completion &completion, ErrorCode code, const std::string &message,
                           Actions &actions);
-    /// Ends a completion past its deadline, or its attempt if that has stalled.
+    /// Ends a completion past its deadline, or its attempt if that has stalled and may be repeated.
     void endIfExpired(Completion &completion, TimePoint now, Actions &actions);
+    /// Whether attempts and the retry budget are left for another attempt.
+    bool mayRepeat(const Completion &completion) const;
     /// Whether the running attempt has not produced a token for too long.
     bool isStalled(const Completion &completion, TimePoint now);
     /// Returns the completion if `attempt` is its running attempt, or null. Counts a dropped frame
--- a/src/coordination/retry_budget.h
+++ b/src/coordination/retry_budget.h
@@ -10,10 +10,11 @@
 public:
     /// Counts a first attempt, which adds a tenth of a retry to the budget.
     void addRequest() { m_tokens = std::min(maxTokens, m_tokens + retriesPerRequest); }
+    bool permitsRetry() const { return m_tokens >= 1; }
     /// Consumes one retry. Returns false if the budget is exhausted.
     bool tryConsume()
     {
-        if (m_tokens < 1)
+        if (!permitsRetry())
             return false;
         m_tokens -= 1;
         return true;
--- a/src/tests/attempt_review_test.cpp
+++ b/src/tests/attempt_review_test.cpp
@@ -338,6 +338,33 @@
     EXPECT_EQ(actionsOf<DispatchAttempt>(actions).size(), 1U);
 }
 
+TEST(CompletionTest, SilenceDoesNotBreakACompletionWhoseAttemptsAreUsedUp)
+{
+    test::Session session;
+    session.startWithGroups();
+    session.requestCompletion(10, 1, "p");
+    session.at(20, EngineToken {RequestId(1), AttemptNumber(1), 0, "t0"});
+    session.at(30, AttemptFailed {RequestId(1), AttemptNumber(1), true, false});
+    session.confirmAll(40);
+    session.at(45, AttemptFailed {RequestId(1), AttemptNumber(2), true, false});
+    session.confirmAll(50);
+    session.at(60, Tick {WallTime(1'060)});
+    ASSERT_NE(session.text().find("< dispatch_engine request=1/3"), std::string::npos);
+    // A member of each group does not answer a probe. The head of the third attempt goes on later.
+    ProbeDone failedProbe;
+    failedProbe.sentAt = timePoint(100'100);
+    for (const char *member : {"a2", "b2"}) {
+        failedProbe.vm = VmId(member);
+        session.at(110, failedProbe);
+    }
+    session.at(900, Tick {WallTime(1'900)});
+    EXPECT_EQ(session.text().find("< refuse request=1"), std::string::npos);
+    session.at(1'000, EngineToken {RequestId(1), AttemptNumber(3), 1, "t1"});
+    session.at(1'010, EngineToken {RequestId(1), AttemptNumber(3), 2, "t2"});
+    session.at(1'020, EngineEnd {RequestId(1), AttemptNumber(3), 3});
+    EXPECT_NE(session.text().find("< answer_end request=1 tokens=3"), std::string::npos);
+}
+
 TEST(CompletionTest, CompletionThatHasBegunIsResumedAfterItsModelIsRemoved)
 {
     test::Session session;
