--- a/src/tests/attempt_review_test.cpp
+++ b/src/tests/attempt_review_test.cpp
@@ -3,6 +3,8 @@
 #include "coordination/environment_func.h"
 #include "network/caller_connections.h"
 #include "network/event_loop.h"
+#include "network/relay.h"
+#include "platform/platform_dialect.h"
 #include "request_fixture.h"
 #include "session.h"
 
@@ -380,6 +382,148 @@
     EXPECT_EQ(session.text().find("< refuse request=1"), std::string::npos);
 }
 
+/// A relay between one caller and two servers. The test reads and writes the bytes of all three.
+class RelayTest : public testing::Test
+{
+protected:
+    RelayTest()
+        : m_requests(options(), m_backends)
+        , m_relay(m_loop, m_requests, platform::relayDialect(),
+                  RelayHooks {[](const LogDecision &) {}, [](Duration) {}, [](Duration) {},
+                              [](ErrorCode) {}})
+    {
+        m_requests.setConfiguration(std::make_shared<ServingConfiguration>(validConfiguration()));
+        for (const char *group : {"a", "b"}) {
+            sockaddr_in address {};
+            m_listeners.push_back(listenOn(address));
+            BackendReport head = memberReport(std::string(group) + "-head", group, 0);
+            head.address = toAddress(address);
+            m_backends.update(head, m_loop.now());
+            m_backends.update(memberReport(std::string(group) + "-2", group, 1), m_loop.now());
+        }
+        sockaddr_in front {};
+        ::close(listenOn(front));
+        m_relay.callers().listen(toAddress(front));
+        m_caller = socket(AF_INET, SOCK_STREAM, 0);
+        EXPECT_EQ(connect(m_caller, reinterpret_cast<sockaddr *>(&front), sizeof(front)), 0);
+    }
+    ~RelayTest() override
+    {
+        for (const int descriptor : m_listeners)
+            ::close(descriptor);
+        for (const int descriptor : m_servers)
+            ::close(descriptor);
+        ::close(m_caller);
+    }
+
+    static RequestOptions options()
+    {
+        RequestOptions options;
+        options.zone = ZoneId("za");
+        options.retries.slack = 100;
+        options.streamStallTimeout = Duration(100);
+        return options;
+    }
+
+    static int listenOn(sockaddr_in &address)
+    {
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof(address);
+        const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        EXPECT_EQ(bind(descriptor, reinterpret_cast<sockaddr *>(&address), length), 0);
+        EXPECT_EQ(::listen(descriptor, 4), 0);
+        getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &length);
+        return descriptor;
+    }
+
+    static Address toAddress(const sockaddr_in &address)
+    {
+        return Address("127.0.0.1:" + std::to_string(ntohs(address.sin_port)));
+    }
+
+    /// Handles events and the checks of the node, and collects what the caller receives.
+    void run(int rounds)
+    {
+        std::array<char, 4'096> part {};
+        for (int i = 0; i < rounds; ++i) {
+            m_requests.setConfigurationProof(m_loop.now());
+            event_base_loop(m_loop.base(), EVLOOP_NONBLOCK);
+            m_relay.tick(m_loop.now());
+            for (const int listener : m_listeners) {
+                if (const int server = accept(listener, nullptr, nullptr); server >= 0)
+                    m_servers.push_back(server);
+            }
+            if (const ssize_t size = recv(m_caller, part.data(), part.size(), MSG_DONTWAIT);
+                size > 0)
+                m_received.append(part.data(), static_cast<std::size_t>(size));
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+    }
+
+    static void send(int descriptor, const std::string &bytes)
+    {
+        EXPECT_EQ(::send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+                  static_cast<ssize_t>(bytes.size()));
+    }
+
+    EventLoop m_loop;
+    BackendTable m_backends;
+    RequestSystem m_requests;
+    Relay m_relay;
+    std::vector<int> m_listeners;
+    std::vector<int> m_servers; ///< Connections in the order of the attempts.
+    int m_caller = -1;
+    std::string m_received;
+};
+
+TEST_F(RelayTest, EndWithoutAnEventOfTheOtherServerDoesNotEndTheStream)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    send(m_caller,
+         "POST /ask/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: t\r\n"
+         "Authorization: Bearer key-1\r\nX-Model-Name: m\r\n\r\n");
+    run(50);
+    ASSERT_EQ(m_servers.size(), 1U);
+    send(m_servers[0], head + "id: 1\ndata: 1\n\n");
+    run(400);
+    ASSERT_EQ(m_servers.size(), 2U);
+    // The other server ends its connection after the head; the silent one goes on.
+    send(m_servers[1], head);
+    shutdown(m_servers[1], SHUT_WR);
+    run(50);
+    EXPECT_EQ(m_received.find("0\r\n\r\n"), std::string::npos);
+    ::send(m_servers[0], "id: 2\ndata: 2\n\n", 15, MSG_NOSIGNAL);
+    run(50);
+    EXPECT_NE(m_received.find("data: 2"), std::string::npos);
+}
+
+TEST_F(RelayTest, EventsOfTheSilentServerAreForwardedInOrder)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    send(m_caller,
+         "POST /ask/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: t\r\n"
+         "Authorization: Bearer key-1\r\nX-Model-Name: m\r\n\r\n");
+    run(50);
+    ASSERT_EQ(m_servers.size(), 1U);
+    send(m_servers[0], head + "id: 1\ndata: 1\n\nid: 2\nda");
+    run(400);
+    ASSERT_EQ(m_servers.size(), 2U);
+    send(m_servers[1], head + "id: 2\nda");
+    run(20);
+    send(m_servers[0], "ta: 2\n\n");
+    run(20);
+    ::send(m_servers[1], "ta: 2\n\n", 8, MSG_NOSIGNAL); // Its connection has been closed.
+    send(m_servers[0], "id: 3\ndata: 3\n\n");
+    shutdown(m_servers[0], SHUT_WR);
+    run(50);
+    EXPECT_EQ(count(m_received, "data: 1"), 1U);
+    EXPECT_EQ(count(m_received, "data: 2"), 1U);
+    EXPECT_EQ(count(m_received, "data: 3"), 1U);
+    EXPECT_EQ(count(m_received, "\r\n0\r\n\r\n"), 1U);
+    EXPECT_EQ(m_requests.open(), 0U);
+}
+
 } // namespace
 
 } // namespace bramleypitch
