--- a/src/network/relay.cpp
+++ b/src/network/relay.cpp
@@ -244,10 +244,10 @@
     }
 }
 
-bool Relay::isBrokenOff(const Exchange &exchange, const Attempt &attempt, BodyEnd end)
+bool Relay::isBrokenOff(const Attempt &attempt, BodyEnd end)
 {
-    const bool hasEvents = attempt.events > 0 || exchange.headSent;
-    return attempt.framing.isInsideEvent() || (end == BodyEnd::ConnectionClose && !hasEvents);
+    return attempt.framing.isInsideEvent()
+        || (end == BodyEnd::ConnectionClose && attempt.events == 0);
 }
 
 void Relay::logDoubtfulEnd(const Exchange &exchange, const Attempt &attempt, BodyEnd end)
@@ -299,7 +299,7 @@
 void Relay::handleStreamEnd(RequestId id, AttemptNumber attempt, BodyEnd end)
 {
     const OpenAttempt open = find(id, attempt);
-    if (isBrokenOff(*open.exchange, *open.attempt, end)) {
+    if (isBrokenOff(*open.attempt, end)) {
         handleAttemptFailure(id, attempt, AttemptFailure::Broken);
         return;
     }
--- a/src/network/relay.h
+++ b/src/network/relay.h
@@ -116,7 +116,7 @@
     void handleStreamEnd(RequestId id, AttemptNumber attempt, BodyEnd end);
     /// Whether a stream whose body has ended was broken off: inside an event, or before its first
     /// event by the end of the connection alone.
-    static bool isBrokenOff(const Exchange &exchange, const Attempt &attempt, BodyEnd end);
+    static bool isBrokenOff(const Attempt &attempt, BodyEnd end);
     /// Logs a response whose completeness its framing does not show.
     void logDoubtfulEnd(const Exchange &exchange, const Attempt &attempt, BodyEnd end);
     void handleAttemptFailure(RequestId id, AttemptNumber attempt, AttemptFailure failure,
