Fix: [Request] A stream is resumed by the configuration of its arrival if its service was removed (LOST)

A stream that had begun was resumed at a server of another model, or at a member that is no head, after its service was removed from the configuration: a service without an engine counts as plain. Change: servers for a response that has begun are chosen by the configuration in force when the request arrived, if its service or model is gone since.

--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -173,6 +173,7 @@
         return;
     }
     const RouteSpec &route = *m_configuration->findRoute(arrival.host, arrival.path);
+    request.configuration = m_configuration;
     request.route = route.name;
     request.kind = route.kind;
     request.maxAttempts = std::max<std::uint32_t>(route.maxAttempts, 1);
@@ -260,7 +261,7 @@
 ChoiceInput RequestSystem::choiceInput(const Request &request) const
 {
     ChoiceInput input;
-    input.configuration = m_configuration.get();
+    input.configuration = &configurationOf(request);
     input.zonesOut = &m_zonesOut;
     input.tried = &request.tried;
     input.traceId = request.arrival.traceId;
@@ -271,6 +272,16 @@
     return input;
 }
 
+const ServingConfiguration &RequestSystem::configurationOf(const Request &request) const
+{
+    const ServingConfiguration &present = *m_configuration;
+    const EngineSpec *engine = request.configuration->engineOf(request.service);
+    const bool isKnown = engine
+        ? present.findModel(request.service, request.arrival.model) != nullptr
+        : present.services.count(request.service) > 0;
+    return isKnown || !request.responseStarted ? present : *request.configuration;
+}
+
 bool RequestSystem::isStillPermitted(const Request &request, TimePoint now) const
 {
     if (denial(request.arrival, now))
@@ -489,7 +500,7 @@
     const Backend *backend = m_backends.find(current.server);
     return backend && now >= backend->pausedUntil
         && m_backends.newestStart(current.server) == current.serverStartedAt
-        && m_backends.isServable(*backend, *m_configuration);
+        && m_backends.isServable(*backend, configurationOf(found->second));
 }
 
 void RequestSystem::onServerNotice(RequestId id, AttemptNumber attempt, const ServerNotice &notice,
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -126,6 +126,7 @@
     struct Request
     {
         RequestArrival arrival;
+        ServingConfigurationPtr configuration; ///< In force when it arrived.
         RouteId route;
         RequestKind kind = RequestKind::AtMostOnce;
         ServiceId service;
@@ -184,6 +185,9 @@
     std::optional<ErrorCode> denial(const RequestArrival &arrival, TimePoint now) const;
     /// Whether the configuration in force still allows the request on its chosen service.
     bool isStillPermitted(const Request &request, TimePoint now) const;
+    /// The configuration by which a server of the request is chosen: the one in force, or that of
+    /// its arrival if the response has begun and its service or model was removed since.
+    const ServingConfiguration &configurationOf(const Request &request) const;
     /// Adds a request to the queue of its service and model.
     void enqueue(Request &request, TimePoint now);
     /// Dispatches waiting requests for as long as a server can take them.
