Fix: [Request] A stream that has begun waits for a server if none is complete at the moment (LOST)

A stream whose server broke it off was cut at once if no other group was complete at that instant, while one that already waited in the queue was kept: groups are back within seconds. Change: a response that has begun waits, at most until its deadline.

Result: StreamWaitsForAServerWhileItsTimeLasts fails before and passes now.

--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -766,7 +766,10 @@
     const TargetChoice choice = chooseTarget(m_backends, choiceInput(request), now);
     const bool isPaused =
         choice.outcome == TargetChoice::Outcome::Paused && !request.responseStarted;
-    const bool servable = choice.outcome != TargetChoice::Outcome::None && !isPaused;
+    // A response that has begun may wait for a server, since its caller has no other way to get the
+    // rest.
+    const bool servable =
+        request.responseStarted || (choice.outcome != TargetChoice::Outcome::None && !isPaused);
     if (mayRetry && mayRepeat(request, now) && servable) {
         actions.push_back(
             LogDecision {request.arrival.traceId,
