Fix: [Request] A silent server whose entry is newer than the attempt is not taken for restarted (LOST)

If the entry of the run that already served a stream arrived after the request was sent, 0.6 s of silence ended the attempt as broken: the entry was taken for that of a later run. Change: silence always keeps the attempt open beside its replacement, also then.

Result: SilenceAfterALateEntryOfTheRunDoesNotBreakItsStream fails before and passes now. StreamOfAServerThatHasStartedAgainIsResumedAtOnce asserted that the old attempt is closed first; it now asserts that the stream goes to another server at once.

--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -853,18 +853,8 @@
         refuse(request, ErrorCode::DeadlineUnreachable, m_options.defaultRetryAfter, "deadline",
                now, actions);
     }
-    for (const RequestId id : silent) {
-        Request &request = m_requests.at(id);
-        const Attempt &current = request.current;
-        if (m_backends.newestStart(current.server) == current.serverStartedAt) {
-            replaceStalled(request, now, actions);
-            continue;
-        }
-        // The run of the server is over.
-        const AttemptNumber attempt = current.number;
-        actions.emplace_back(AbandonAttempt {id, attempt});
-        onAttemptFailed(id, attempt, AttemptFailure::Broken, VmId(), now, actions);
-    }
+    for (const RequestId id : silent)
+        replaceStalled(m_requests.at(id), now, actions);
 }
 
 void RequestSystem::tick(TimePoint now, RequestActions &actions)
