Fix: [Request] Complete responses beside a second attempt are delivered, and end it (LOST)

With two attempts open, a complete response of the silent server was ignored (its caller waited until the time limit), one of the other server left the silent attempt open without its slot, and a server that fell silent repeatedly used up the number of servers that a request may try.

Change: onResponse() handles both attempts, a final response ends the other one, and a server counts once as tried.

--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -627,11 +627,13 @@
 void RequestSystem::onResponse(RequestId id, AttemptNumber attempt, int status, TimePoint now,
                                RequestActions &actions)
 {
-    Request *request = find(id, attempt);
+    Request *stalled = findStalled(id, attempt);
+    Request *request = stalled ? stalled : find(id, attempt);
     if (!request)
         return;
     const TargetKey key {request->service, request->arrival.model};
-    if (Backend *backend = m_backends.find(request->current.server))
+    const Attempt responding = stalled ? *request->stalled : request->current;
+    if (Backend *backend = m_backends.find(responding.server))
         m_backends.onProgress(*backend, now);
     request->hasResponse = true;
     request->mayHaveRun = true;
@@ -639,14 +641,19 @@
         && (request->kind == RequestKind::Repeatable
             || (request->kind == RequestKind::ResumableStream && !request->responseStarted));
     if (mayRetry) {
-        request->tried.push_back(request->current.server);
-        if (request->stalled) {
+        addTried(*request, responding.server);
+        if (stalled) {
+            request->stalled.reset();
+            releaseServer(*request, responding);
+            actions.emplace_back(AbandonAttempt {id, attempt});
+        } else if (request->stalled) {
             returnToStalled(*request, "server_error", now, actions);
         } else {
             endAttempts(*request);
             retryOrEnd(*request, true, "server_error", now, actions);
         }
     } else {
+        onAnswering(id, attempt, now, actions);
         endAttempts(*request);
         actions.push_back(DeliverResponse {id});
         actions.push_back(
@@ -690,7 +697,7 @@
     if (!request)
         return;
     if (failure != AttemptFailure::Withdrawn)
-        request->tried.push_back(request->current.server);
+        addTried(*request, request->current.server);
     suspectAfterFailure(request->current, failure, faultyServer, now);
     const Backend *backend = m_backends.find(request->current.server);
     const bool isServerUnlisted = !backend || backend->listing != Listing::Listed;
@@ -752,6 +759,12 @@
                                     {"attempt", std::to_string(request.current.number.value())}}});
 }
 
+void RequestSystem::addTried(Request &request, const VmId &server)
+{
+    if (std::find(request.tried.begin(), request.tried.end(), server) == request.tried.end())
+        request.tried.push_back(server);
+}
+
 bool RequestSystem::mayRepeat(const Request &request, TimePoint now)
 {
     return request.attemptsUsed < request.maxAttempts && request.tried.size() < maxServersTried
@@ -827,7 +840,7 @@
     if (!replaced)
         return;
     request.mayHaveRun = true;
-    request.tried.push_back(request.current.server);
+    addTried(request, request.current.server);
     request.stalled = request.current;
     dispatch(request, choice.server, now, actions);
 }
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -195,6 +195,8 @@
     /// Whether a request for a model would start too late to meet its latency target.
     bool isTooLate(const Request &request, TimePoint now) const;
     void dispatch(Request &request, BackendIndex server, TimePoint now, RequestActions &actions);
+    /// Records that an attempt failed on a server.
+    static void addTried(Request &request, const VmId &server);
     /// Whether a further attempt is permitted: attempts, time and the retry budget are left.
     bool mayRepeat(const Request &request, TimePoint now);
     /// Refuses the requests of a target whose servers have all asked for a pause. Started responses
