--- a/src/network/relay.cpp
+++ b/src/network/relay.cpp
@@ -244,10 +244,13 @@
     }
 }
 
-bool Relay::isBrokenOff(const Attempt &attempt, BodyEnd end)
+bool Relay::isBrokenOff(Exchange &exchange, const Attempt &attempt, BodyEnd end)
 {
-    return attempt.framing.isInsideEvent()
-        || (end == BodyEnd::ConnectionClose && attempt.events == 0);
+    if (attempt.framing.isInsideEvent())
+        return true;
+    if (end != BodyEnd::ConnectionClose || attempt.events > 0)
+        return false;
+    return !exchange.headSent || exchange.emptyEnds++ == 0;
 }
 
 void Relay::logDoubtfulEnd(const Exchange &exchange, const Attempt &attempt, BodyEnd end)
@@ -299,7 +302,7 @@
 void Relay::handleStreamEnd(RequestId id, AttemptNumber attempt, BodyEnd end)
 {
     const OpenAttempt open = find(id, attempt);
-    if (isBrokenOff(*open.attempt, end)) {
+    if (isBrokenOff(*open.exchange, *open.attempt, end)) {
         handleAttemptFailure(id, attempt, AttemptFailure::Broken);
         return;
     }
--- a/src/network/relay.h
+++ b/src/network/relay.h
@@ -84,7 +84,8 @@
         std::string body;
         TimePoint arrivedAt;
         Attempt current;
-        std::optional<Attempt> stalled; ///< Kept open beside the attempt that may replace it.
+        std::vector<Attempt> stalled; ///< Kept open beside the attempt that may replace them.
+        std::size_t emptyEnds = 0; ///< Attempts that resumed it and ended without an event.
         MessageHead lastResponseHead; ///< Of the last complete response, kept for DeliverResponse.
         std::string lastResponseBody;
         bool headSent = false; ///< The head of the response was sent to the caller.
@@ -115,8 +116,9 @@
     void handleResponseEnd(RequestId id, AttemptNumber attempt, BodyEnd end);
     void handleStreamEnd(RequestId id, AttemptNumber attempt, BodyEnd end);
     /// Whether a stream whose body has ended was broken off: inside an event, or before its first
-    /// event by the end of the connection alone.
-    static bool isBrokenOff(const Attempt &attempt, BodyEnd end);
+    /// event by the end of the connection alone. That a resumed stream has no further event must be
+    /// confirmed by a second server.
+    static bool isBrokenOff(Exchange &exchange, const Attempt &attempt, BodyEnd end);
     /// Logs a response whose completeness its framing does not show.
     void logDoubtfulEnd(const Exchange &exchange, const Attempt &attempt, BodyEnd end);
     void handleAttemptFailure(RequestId id, AttemptNumber attempt, AttemptFailure failure,
