--- a/src/network/relay.cpp
+++ b/src/network/relay.cpp
@@ -98,8 +98,10 @@
     Exchange &exchange = found->second;
     if (exchange.current.number == attempt)
         return {&exchange, &exchange.current};
-    if (exchange.stalled && exchange.stalled->number == attempt)
-        return {&exchange, &*exchange.stalled};
+    for (Attempt &stalled : exchange.stalled) {
+        if (stalled.number == attempt)
+            return {&exchange, &stalled};
+    }
     return {};
 }
 
@@ -343,7 +345,7 @@
     const RequestId id = dispatch.request;
     const AttemptNumber attempt = dispatch.attempt;
     if (dispatch.keepsPrevious)
-        exchange.stalled = std::move(exchange.current);
+        exchange.stalled.push_back(std::move(exchange.current));
     exchange.current = Attempt();
     exchange.current.number = attempt;
     exchange.current.server = dispatch.server;
@@ -384,13 +386,14 @@
         return;
     m_backends.abandon(open.attempt->handle);
     Exchange &exchange = *open.exchange;
-    if (!exchange.stalled)
-        return;
-    if (exchange.current.number == abandon.attempt) {
-        exchange.current = std::move(*exchange.stalled);
+    if (exchange.current.number != abandon.attempt) {
+        std::erase_if(exchange.stalled,
+                      [&](const Attempt &stalled) { return stalled.number == abandon.attempt; });
+    } else if (!exchange.stalled.empty()) {
+        exchange.current = std::move(exchange.stalled.back());
+        exchange.stalled.pop_back();
         exchange.paused = false;
     }
-    exchange.stalled.reset();
 }
 
 void Relay::perform(const DeliverResponse &deliver)
--- a/src/network/relay.h
+++ b/src/network/relay.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace bramleypitch {
 
@@ -110,8 +111,8 @@
     /// Ends an attempt whose response exceeds a limit. Logs the size and the limit in bytes.
     void abandonTooLarge(RequestId id, AttemptNumber attempt, std::size_t bytes, std::size_t limit);
     void startResponse(RequestId id, Exchange &exchange);
-    /// The response to the attempt can be forwarded: ends the other attempt of the exchange, if
-    /// there is one. Returns the exchange, of which the attempt is now the current one.
+    /// The response to the attempt can be forwarded: ends the other attempts of the exchange.
+    /// Returns the exchange, of which the attempt is now the current one.
     Exchange &chooseAttempt(RequestId id, AttemptNumber attempt);
     void handleResponseEnd(RequestId id, AttemptNumber attempt, BodyEnd end);
     void handleStreamEnd(RequestId id, AttemptNumber attempt, BodyEnd end);
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace bramleypitch {
 
@@ -135,10 +136,30 @@
 RequestSystem::Request *RequestSystem::findStalled(RequestId request, AttemptNumber attempt)
 {
     const auto found = m_requests.find(request);
-    if (found == m_requests.end() || !found->second.stalled
-        || found->second.stalled->number != attempt)
+    if (found == m_requests.end())
         return nullptr;
-    return &found->second;
+    const std::vector<Attempt> &stalled = found->second.stalled;
+    const bool isStalled = std::any_of(stalled.begin(), stalled.end(), [&](const Attempt &other) {
+        return other.number == attempt;
+    });
+    return isStalled ? &found->second : nullptr;
+}
+
+const RequestSystem::Attempt &RequestSystem::attemptOf(const Request &request,
+                                                       AttemptNumber attempt)
+{
+    const auto found = std::find_if(request.stalled.begin(), request.stalled.end(),
+                                    [&](const Attempt &other) { return other.number == attempt; });
+    return found == request.stalled.end() ? request.current : *found;
+}
+
+RequestSystem::Attempt RequestSystem::takeStalled(Request &request, AttemptNumber attempt)
+{
+    const auto found = std::find_if(request.stalled.begin(), request.stalled.end(),
+                                    [&](const Attempt &other) { return other.number == attempt; });
+    Attempt taken = *found;
+    request.stalled.erase(found);
+    return taken;
 }
 
 std::optional<ErrorCode> RequestSystem::denial(const RequestArrival &arrival, TimePoint now) const
@@ -377,7 +398,7 @@
     action.organisation = request.organisation;
     action.timeLeft = request.deadline - now;
     action.needsNewConnection = request.lastAttempt.value() > 1;
-    action.keepsPrevious = request.stalled.has_value();
+    action.keepsPrevious = !request.stalled.empty();
     actions.push_back(action);
     actions.push_back(
         LogDecision {request.arrival.traceId,
@@ -403,9 +424,9 @@
 {
     request.running = false;
     releaseServer(request, request.current);
-    if (request.stalled)
-        releaseServer(request, *request.stalled);
-    request.stalled.reset();
+    for (const Attempt &stalled : request.stalled)
+        releaseServer(request, stalled);
+    request.stalled.clear();
 }
 
 void RequestSystem::abandonAttempts(Request &request, RequestActions &actions)
@@ -413,8 +434,8 @@
     if (!request.running)
         return;
     const RequestId id = request.arrival.request;
-    if (request.stalled)
-        actions.emplace_back(AbandonAttempt {id, request.stalled->number});
+    for (const Attempt &stalled : request.stalled)
+        actions.emplace_back(AbandonAttempt {id, stalled.number});
     actions.emplace_back(AbandonAttempt {id, request.current.number});
     endAttempts(request);
 }
@@ -506,12 +527,11 @@
 void RequestSystem::onServerNotice(RequestId id, AttemptNumber attempt, const ServerNotice &notice,
                                    TimePoint now, RequestActions &actions)
 {
-    const Request *request = find(id, attempt);
     const Request *stalled = findStalled(id, attempt);
-    if (!request && !stalled)
+    const Request *request = stalled ? stalled : find(id, attempt);
+    if (!request)
         return;
-    const Attempt &addressed = request ? request->current : *stalled->stalled;
-    request = request ? request : stalled;
+    const Attempt &addressed = attemptOf(*request, attempt);
     const bool isAddressed = notice.server.value().empty() || notice.server == addressed.server;
     const VmId server = isAddressed ? addressed.server : notice.server;
     if (notice.leaving) {
@@ -545,23 +565,24 @@
 {
     Request *request = findStalled(id, attempt);
     if (request) {
-        std::swap(request->current, *request->stalled);
+        const Attempt answering = takeStalled(*request, attempt);
+        request->stalled.push_back(std::exchange(request->current, answering));
         request->lastProgress = now;
         request->readingPaused = false;
     } else {
         request = find(id, attempt);
     }
-    if (!request || !request->stalled)
+    if (!request)
         return;
-    const Attempt ended = *request->stalled;
-    request->stalled.reset();
-    releaseServer(*request, ended);
-    actions.emplace_back(AbandonAttempt {id, ended.number});
-    actions.push_back(LogDecision {request->arrival.traceId,
-                                   "attempt_ended",
-                                   {{"server", ended.server.value()},
-                                    {"attempt", std::to_string(ended.number.value())},
-                                    {"answering", request->current.server.value()}}});
+    for (const Attempt &ended : std::exchange(request->stalled, {})) {
+        releaseServer(*request, ended);
+        actions.emplace_back(AbandonAttempt {id, ended.number});
+        actions.push_back(LogDecision {request->arrival.traceId,
+                                       "attempt_ended",
+                                       {{"server", ended.server.value()},
+                                        {"attempt", std::to_string(ended.number.value())},
+                                        {"answering", request->current.server.value()}}});
+    }
 }
 
 void RequestSystem::onReadingPaused(RequestId id, AttemptNumber attempt, bool paused, TimePoint now)
@@ -632,8 +653,8 @@
     if (!request)
         return;
     const TargetKey key {request->service, request->arrival.model};
-    const Attempt responding = stalled ? *request->stalled : request->current;
-    if (Backend *backend = m_backends.find(responding.server))
+    const VmId server = attemptOf(*request, attempt).server;
+    if (Backend *backend = m_backends.find(server))
         m_backends.onProgress(*backend, now);
     request->hasResponse = true;
     request->mayHaveRun = true;
@@ -641,12 +662,11 @@
         && (request->kind == RequestKind::Repeatable
             || (request->kind == RequestKind::ResumableStream && !request->responseStarted));
     if (mayRetry) {
-        addTried(*request, responding.server);
+        addTried(*request, server);
         if (stalled) {
-            request->stalled.reset();
-            releaseServer(*request, responding);
+            releaseServer(*request, takeStalled(*request, attempt));
             actions.emplace_back(AbandonAttempt {id, attempt});
-        } else if (request->stalled) {
+        } else if (!request->stalled.empty()) {
             returnToStalled(*request, "server_error", now, actions);
         } else {
             endAttempts(*request);
@@ -686,9 +706,8 @@
                                     RequestActions &actions)
 {
     if (Request *request = findStalled(id, attempt)) {
-        const Attempt failed = *request->stalled;
+        const Attempt failed = takeStalled(*request, attempt);
         suspectAfterFailure(failed, failure, faultyServer, now);
-        request->stalled.reset();
         releaseServer(*request, failed);
         actions.emplace_back(AbandonAttempt {id, attempt});
         return;
@@ -732,7 +751,7 @@
             --request->attemptsUsed;
         break;
     }
-    if (request->stalled) {
+    if (!request->stalled.empty()) {
         returnToStalled(*request, cause, now, actions);
         return;
     }
@@ -744,8 +763,8 @@
                                     RequestActions &actions)
 {
     const Attempt failed = request.current;
-    request.current = *request.stalled;
-    request.stalled.reset();
+    request.current = request.stalled.back();
+    request.stalled.pop_back();
     request.lastProgress = now;
     request.readingPaused = false;
     request.stallLogged = false;
@@ -841,7 +860,7 @@
         return;
     request.mayHaveRun = true;
     addTried(request, request.current.server);
-    request.stalled = request.current;
+    request.stalled.push_back(request.current);
     dispatch(request, choice.server, now, actions);
 }
 
@@ -855,7 +874,7 @@
         if (now >= request.deadline || waitsTooLong) {
             expired.push_back(id);
         } else if (request.running && request.kind == RequestKind::ResumableStream
-                   && !request.stalled && isStalled(request, now)) {
+                   && isStalled(request, now)) {
             silent.push_back(id);
         }
     }
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -75,8 +75,8 @@
     /// gets no further requests, or none until the pause ends.
     void onServerNotice(RequestId request, AttemptNumber attempt, const ServerNotice &notice,
                         TimePoint now, RequestActions &actions);
-    /// A part of the response to the attempt that can be forwarded was received. If another attempt
-    /// of the request is open, that one is ended.
+    /// A part of the response to the attempt that can be forwarded was received. Other open
+    /// attempts of the request are ended.
     void onAnswering(RequestId request, AttemptNumber attempt, TimePoint now,
                      RequestActions &actions);
     /// The response header of a successful stream was forwarded. From here on the response has
@@ -140,9 +140,9 @@
         Duration expectedDuration {0}; ///< Of the execution on a group. 0 for plain services.
         bool running = false; ///< An attempt is in progress.
         Attempt current; ///< The latest attempt, unless that failed and a stalled one is left.
-        /// The attempt before, whose server is silent but may go on. It is kept until one of the
-        /// two answers, so that nothing is lost if the current attempt fails.
-        std::optional<Attempt> stalled;
+        /// Earlier attempts, whose servers are silent but may go on. They are kept until an attempt
+        /// answers, so that nothing is lost if the current one fails.
+        std::vector<Attempt> stalled;
         AttemptNumber lastAttempt; ///< Number of the latest attempt.
         std::vector<VmId> tried; ///< Servers where an attempt failed.
         std::uint32_t attemptsUsed = 0; ///< Attempts that count against maxAttempts.
@@ -179,8 +179,12 @@
 
     /// The request, or null unless the given attempt is the current one and in progress.
     Request *find(RequestId request, AttemptNumber attempt);
-    /// The request, or null unless the given attempt is its stalled one.
+    /// The request, or null unless the given attempt is one of its stalled ones.
     Request *findStalled(RequestId request, AttemptNumber attempt);
+    /// The current attempt of the request, or the stalled one with this number.
+    static const Attempt &attemptOf(const Request &request, AttemptNumber attempt);
+    /// Removes a stalled attempt, which must exist, from the request.
+    static Attempt takeStalled(Request &request, AttemptNumber attempt);
     /// Why the configuration in force does not permit the request now, or nothing if it does.
     std::optional<ErrorCode> denial(const RequestArrival &arrival, TimePoint now) const;
     /// Whether the configuration in force still allows the request on its chosen service.
@@ -227,7 +231,8 @@
     /// Suspects the server of a failed attempt, and the one named as the cause.
     void suspectAfterFailure(const Attempt &attempt, AttemptFailure failure,
                              const VmId &faultyServer, TimePoint now);
-    /// Makes the stalled attempt the current one after the attempt that should replace it failed.
+    /// Makes the latest stalled attempt the current one after the attempt that should replace it
+    /// failed.
     void returnToStalled(Request &request, const char *cause, TimePoint now,
                          RequestActions &actions);
     void finish(RequestId request);
--- a/src/request/request_type.h
+++ b/src/request/request_type.h
@@ -60,8 +60,8 @@
     bool keepsPrevious = false;
 };
 
-/// Action: close the connection of an attempt if it is still open. If the other one of two attempts
-/// is left, it is the current one again.
+/// Action: close the connection of an attempt if it is still open. If it was the current one, the
+/// latest one that is left is the current one again.
 struct AbandonAttempt
 {
     RequestId request;
