--- /dev/null
+++ b/src/request/quarantine_base.cpp
@@ -0,0 +1,664 @@
+#include "request/quarantine_base.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bramleypitch {
+
+namespace {
+
+/// A run that sends something this long after a break did not end with it.
+constexpr Duration livenessMargin {300};
+/// How long a break waits for a sign of life of its run before it counts.
+constexpr Duration confirmationTime {1'500};
+constexpr Duration evidenceAge {600'000};
+/// Older evidence is not passed on, so that nodes do not hand it back and forth.
+constexpr Duration maxReportedAge {540'000};
+/// Evidence of this age is reported first. Covers the loss of several messages.
+constexpr Duration reportTime {10'000};
+constexpr Duration doubtfulEndTime {5'000};
+constexpr Duration relatedBreakTime {1'000};
+/// Crashes of this time before the first one with a part also tell how common they are.
+constexpr Duration comparedTime {30'000};
+/// Stands for no part in reports of crashes, so that nodes know how common crashes are.
+const PromptPart noPart;
+constexpr std::size_t reportedRuns = 12; ///< Such reports in one message.
+constexpr std::size_t maxDoubtfulEnds = 256;
+
+/// Servers that end within this time may have a common cause, such as their rack.
+constexpr Duration crashGroupTime {300};
+constexpr std::size_t maxRunsOfGroup = 2;
+constexpr std::size_t decidingSum = 4;
+constexpr std::size_t decidingRuns = 4;
+constexpr std::size_t decidingRequests = 2;
+/// Decides against all parts that occur in the same requests only.
+constexpr std::size_t doubtfulCaseSum = 6;
+/// A part is blamed if the others crashed at most one in this many of its crashes...
+constexpr std::size_t crashesPerOtherCrash = 2;
+/// ... or if attempts break so rarely that chance explains its crashes with at most this
+/// probability.
+constexpr double chanceLimit = 1e-5;
+constexpr Duration answerCountTime {30'000};
+/// A node that starts learns first what the others know.
+constexpr Duration settlingTime {3'000};
+
+/// How long an answer protects its parts. Each further second with answers adds as much.
+constexpr Duration protectionTime {60'000};
+constexpr std::uint32_t maxCountedAnswers = 30;
+constexpr Duration countedAnswerInterval {1'000};
+constexpr std::size_t maxAccused = 256;
+
+constexpr Duration firstQuarantine {600'000};
+constexpr Duration longestQuarantine {7'200'000};
+
+Duration quarantineDuration(std::uint32_t times)
+{
+    Duration duration = firstQuarantine;
+    for (std::uint32_t i = 1; i < times && duration < longestQuarantine; ++i)
+        duration *= 2;
+    return std::min(duration, longestQuarantine);
+}
+
+Duration protection(std::uint32_t answers)
+{
+    return protectionTime * std::clamp<std::uint32_t>(answers, 1, maxCountedAnswers);
+}
+
+/// A start in a list that differs from message to message, so that all entries are sent in time.
+std::size_t rotatedStart(TimePoint now, std::size_t size)
+{
+    constexpr std::uint64_t factor = 0x9E3779B97F4A7C15U;
+    return size == 0 ? 0 : ((static_cast<std::uint64_t>(milliseconds(now)) * factor) >> 32U) % size;
+}
+
+/// Counts crashes, given their times in order. Those that come together count as few.
+std::size_t groupedCount(const std::vector<TimePoint> &times)
+{
+    std::size_t sum = 0;
+    std::size_t inGroup = 0;
+    std::optional<TimePoint> groupStart;
+    for (const TimePoint at : times) {
+        if (!groupStart || at - *groupStart > crashGroupTime) {
+            groupStart = at;
+            inGroup = 0;
+        }
+        if (inGroup < maxRunsOfGroup) {
+            ++inGroup;
+            ++sum;
+        }
+    }
+    return sum;
+}
+
+bool shareRun(const std::set<ServerRun> &left, const std::set<ServerRun> &right)
+{
+    return std::any_of(left.begin(), left.end(),
+                       [&](const ServerRun &run) { return right.count(run) > 0; });
+}
+
+} // namespace
+
+QuarantineTable::QuarantineTable(QuarantineHooks hooks)
+    : m_hooks(std::move(hooks))
+{
+}
+
+void QuarantineTable::onBroken(const PromptParts &parts, const ServerRun &run,
+                               std::uint64_t request, TimePoint now)
+{
+    recordBreak(parts, run, request, now, now);
+}
+
+void QuarantineTable::onDoubtfulEnd(const PromptParts &parts, const ServerRun &run,
+                                    std::uint64_t request, TimePoint now)
+{
+    if (m_doubtfulEnds.size() >= maxDoubtfulEnds)
+        m_doubtfulEnds.pop_front();
+    m_doubtfulEnds.push_back({parts, run, request, now});
+}
+
+void QuarantineTable::onSound(const PromptParts &parts, TimePoint now)
+{
+    ++m_answers;
+    for (const PromptPart part : parts)
+        clear(part, now, 1, true);
+}
+
+std::optional<TimePoint> QuarantineTable::quarantinedUntil(const PromptParts &parts,
+                                                           TimePoint now) const
+{
+    std::optional<TimePoint> until;
+    if (m_quarantines.empty())
+        return until;
+    for (const PromptPart part : parts) {
+        const auto found = m_quarantines.find(part);
+        if (found != m_quarantines.end() && found->second.until > now)
+            until = std::max(until.value_or(now), found->second.until);
+    }
+    return until;
+}
+
+bool QuarantineTable::isEmpty() const
+{
+    return m_quarantines.empty();
+}
+
+QuarantineNews QuarantineTable::news(TimePoint now) const
+{
+    struct Item
+    {
+        PromptPart part;
+        ServerRun run;
+        const Evidence *evidence;
+        std::size_t runs;
+    };
+    QuarantineNews news;
+    std::vector<Item> recent;
+    std::vector<Item> older;
+    for (const auto &[at, part, run] : m_evidenceOrder) {
+        const RunEvidence &runs = m_evidence.at(part);
+        const Item item {part, run, &runs.at(run), runs.size()};
+        if (item.evidence->isOwn && now - at < reportTime)
+            recent.push_back(item);
+        else if (now - at < maxReportedAge)
+            older.push_back(item);
+    }
+    const auto report = [&](const Item &item) {
+        news.crashes.push_back(
+            {item.part, item.run, item.evidence->request, now - item.evidence->at});
+    };
+    std::stable_sort(recent.begin(), recent.end(), [](const Item &left, const Item &right) {
+        return std::pair(std::min(left.runs, decidingRuns), left.evidence->at)
+            > std::pair(std::min(right.runs, decidingRuns), right.evidence->at);
+    });
+    for (std::size_t i = 0; i < recent.size() && i < QuarantineLimits::reportedCrashes; ++i)
+        report(recent[i]);
+    const std::size_t room = QuarantineLimits::reportedCrashes - news.crashes.size();
+    const std::size_t start = rotatedStart(now, older.size());
+    for (std::size_t i = 0; i < older.size() && i < room; ++i)
+        report(older[(start + i) % older.size()]);
+
+    std::set<ServerRun> reported;
+    for (const CrashEvidence &crash : news.crashes)
+        reported.insert(crash.run);
+    std::vector<CrashEvidence> others;
+    for (auto it = m_crashOrder.rbegin(); it != m_crashOrder.rend()
+         && now - it->first < comparedTime && others.size() < reportedRuns;
+         ++it) {
+        const Crash &crash = m_crashes.at(it->second);
+        if (crash.attempts > 0 && !crash.isExplained && !reported.count(it->second))
+            others.push_back({noPart, it->second, 0, now - it->first});
+    }
+    news.crashes.resize(
+        std::min(news.crashes.size(), QuarantineLimits::reportedCrashes - others.size()));
+    news.crashes.insert(news.crashes.end(), others.begin(), others.end());
+
+    for (const auto &[part, at] : m_accused) {
+        const auto found = m_clearings.find(part);
+        if (news.cleared.size() < QuarantineLimits::reportedParts && now - at < reportTime
+            && found != m_clearings.end() && found->second.ownAt
+            && now < *found->second.ownAt + protection(found->second.answers))
+            news.cleared[part] = now - *found->second.ownAt;
+    }
+
+    std::vector<PromptPart> quarantined;
+    for (const auto &[part, quarantine] : m_quarantines) {
+        if (quarantine.until <= now)
+            continue;
+        quarantined.push_back(part);
+        if (now - quarantine.since < reportTime
+            && news.quarantined.size() < QuarantineLimits::reportedParts / 2)
+            news.quarantined[part] = {quarantine.until - now, quarantine.times};
+    }
+    std::sort(quarantined.begin(), quarantined.end());
+    const std::size_t first = rotatedStart(now, quarantined.size());
+    for (std::size_t i = 0;
+         i < quarantined.size() && news.quarantined.size() < QuarantineLimits::reportedParts; ++i) {
+        const PromptPart part = quarantined[(first + i) % quarantined.size()];
+        const Quarantine &quarantine = m_quarantines.at(part);
+        news.quarantined[part] = {quarantine.until - now, quarantine.times};
+    }
+    return news;
+}
+
+void QuarantineTable::merge(const QuarantineNews &news, TimePoint now)
+{
+    for (const auto &[part, age] : news.cleared) {
+        // A peer reports an answer only as long as it protects the part.
+        const auto answers = 1 + std::max<std::int64_t>(0, age / protectionTime);
+        clear(part, now - std::max(age, Duration(0)),
+              static_cast<std::uint32_t>(std::min<std::int64_t>(answers, maxCountedAnswers)),
+              false);
+    }
+    for (const auto &[part, quarantine] : news.quarantined)
+        adopt(part, quarantine, now);
+    for (const CrashEvidence &crash : news.crashes) {
+        const TimePoint at = now - std::max(crash.age, Duration(0));
+        if (now - at >= evidenceAge)
+            continue;
+        if (isProtected(crash.part, at))
+            accuse(crash.part, now);
+        recordCrash(crash.run, at);
+        if (crash.part == noPart)
+            continue;
+        addEvidence(crash.part, crash.run, {at, crash.request, false}, now);
+    }
+}
+
+void QuarantineTable::restore(PromptPart part, const QuarantinedPart &quarantine, TimePoint now)
+{
+    adopt(part, quarantine, now);
+}
+
+std::vector<QuarantineDecision> QuarantineTable::tick(TimePoint now)
+{
+    eraseContradicted();
+    resolveDoubtfulEnds(now);
+    forgetOld(now);
+    if (!m_startedAt)
+        m_startedAt = now;
+    if (now - *m_startedAt >= settlingTime)
+        decide(now);
+    return std::exchange(m_decisions, {});
+}
+
+bool QuarantineTable::isLive(const ServerRun &run, TimePoint brokenAt) const
+{
+    const std::optional<TimePoint> alive = m_hooks.lastAlive(run);
+    return alive && *alive > brokenAt + livenessMargin;
+}
+
+bool QuarantineTable::isProtected(PromptPart part, TimePoint at) const
+{
+    const auto found = m_clearings.find(part);
+    return found != m_clearings.end() && at < found->second.at + protection(found->second.answers);
+}
+
+bool QuarantineTable::isQuarantined(PromptPart part, TimePoint now) const
+{
+    const auto found = m_quarantines.find(part);
+    return found != m_quarantines.end() && found->second.until > now;
+}
+
+const QuarantineTable::Quarantine *QuarantineTable::findQuarantine(PromptPart part) const
+{
+    const auto live = m_quarantines.find(part);
+    if (live != m_quarantines.end())
+        return &live->second;
+    const auto ended = m_endedQuarantines.find(part);
+    return ended != m_endedQuarantines.end() ? &ended->second : nullptr;
+}
+
+void QuarantineTable::recordBreak(const PromptParts &parts, const ServerRun &run,
+                                  std::uint64_t request, TimePoint at, TimePoint now)
+{
+    recordCrash(run, at);
+    if (const auto crash = m_crashes.find(run); crash != m_crashes.end())
+        ++crash->second.attempts;
+    if (std::any_of(parts.begin(), parts.end(),
+                    [&](PromptPart part) { return isQuarantined(part, now); })) {
+        explain(run);
+        return;
+    }
+    for (const PromptPart part : parts) {
+        if (part != noPart)
+            addEvidence(part, run, {at, request, true}, now);
+    }
+}
+
+void QuarantineTable::recordCrash(const ServerRun &run, TimePoint at)
+{
+    const auto [found, isNew] = m_crashes.try_emplace(run, Crash {at, false, 0});
+    if (!isNew) {
+        if (at <= found->second.at + livenessMargin || !isLive(run, found->second.at))
+            return;
+        m_crashOrder.erase({found->second.at, run});
+        found->second = {at, false, 0};
+    }
+    m_crashOrder.insert({at, run});
+    if (m_crashes.size() > QuarantineLimits::evidence)
+        eraseCrash(ServerRun(m_crashOrder.begin()->second));
+}
+
+void QuarantineTable::eraseCrash(const ServerRun &run)
+{
+    const auto found = m_crashes.find(run);
+    if (found == m_crashes.end())
+        return;
+    m_crashOrder.erase({found->second.at, run});
+    m_crashes.erase(found);
+}
+
+void QuarantineTable::addEvidence(PromptPart part, const ServerRun &run, const Evidence &evidence,
+                                  TimePoint now)
+{
+    if (isProtected(part, evidence.at) || isLive(run, evidence.at))
+        return;
+    if (isQuarantined(part, now)) {
+        explain(run);
+        return;
+    }
+    const auto crash = m_crashes.find(run);
+    if (crash != m_crashes.end() && crash->second.isExplained)
+        return;
+    const Quarantine *ended = findQuarantine(part);
+    if (ended && evidence.at >= ended->until) {
+        const std::uint32_t times = ended->times + 1;
+        startQuarantine(part, quarantineDuration(times), times, 1, 1, now);
+        explain(run);
+        return;
+    }
+    RunEvidence &runs = m_evidence[part];
+    const auto found = runs.find(run);
+    if (found != runs.end()) {
+        if (evidence.at <= found->second.at + livenessMargin || !isLive(run, found->second.at))
+            return;
+        m_evidenceOrder.erase({found->second.at, part, run});
+    }
+    runs[run] = evidence;
+    m_evidenceOrder.insert({evidence.at, part, run});
+    if (m_evidenceOrder.size() > QuarantineLimits::evidence) {
+        const auto [at, oldPart, oldRun] = *m_evidenceOrder.begin();
+        eraseEvidence(oldPart, oldRun);
+    }
+}
+
+void QuarantineTable::eraseEvidence(PromptPart part, const ServerRun &run)
+{
+    const auto found = m_evidence.find(part);
+    if (found == m_evidence.end())
+        return;
+    const auto item = found->second.find(run);
+    if (item == found->second.end())
+        return;
+    m_evidenceOrder.erase({item->second.at, part, run});
+    found->second.erase(item);
+    if (found->second.empty())
+        m_evidence.erase(found);
+}
+
+void QuarantineTable::eraseEvidenceUntil(PromptPart part, TimePoint until)
+{
+    const auto found = m_evidence.find(part);
+    if (found == m_evidence.end())
+        return;
+    std::vector<ServerRun> runs;
+    for (const auto &[run, evidence] : found->second) {
+        if (evidence.at <= until)
+            runs.push_back(run);
+    }
+    for (const ServerRun &run : runs)
+        eraseEvidence(part, run);
+}
+
+void QuarantineTable::explain(const ServerRun &run)
+{
+    const auto crash = m_crashes.find(run);
+    if (crash != m_crashes.end()) {
+        if (crash->second.isExplained)
+            return;
+        crash->second.isExplained = true;
+    }
+    std::vector<PromptPart> parts;
+    for (const auto &[part, runs] : m_evidence) {
+        if (runs.count(run))
+            parts.push_back(part);
+    }
+    for (const PromptPart part : parts)
+        eraseEvidence(part, run);
+}
+
+void QuarantineTable::clear(PromptPart part, TimePoint at, std::uint32_t answers, bool isOwn)
+{
+    const auto [found, isNew] = m_clearings.try_emplace(part);
+    Clearing &clearing = found->second;
+    if (isNew) {
+        clearing.at = at;
+        clearing.position = m_clearingOrder.insert(m_clearingOrder.end(), part);
+    } else {
+        m_clearingOrder.splice(m_clearingOrder.end(), m_clearingOrder, clearing.position);
+    }
+    if (!isOwn) {
+        clearing.answers = std::max(clearing.answers, answers);
+    } else if (clearing.answers == 0 || at - clearing.countedAt >= countedAnswerInterval) {
+        clearing.answers = std::min(clearing.answers + 1, maxCountedAnswers);
+        clearing.countedAt = at;
+    }
+    if (isOwn)
+        clearing.ownAt = at;
+    clearing.at = std::max(clearing.at, at);
+
+    if (!m_evidence.empty())
+        eraseEvidenceUntil(part, at);
+    const auto quarantine = m_quarantines.find(part);
+    if (quarantine != m_quarantines.end() && isProtected(part, quarantine->second.since))
+        m_quarantines.erase(quarantine);
+    if (!m_endedQuarantines.empty())
+        m_endedQuarantines.erase(part);
+    if (m_clearings.size() > QuarantineLimits::clearedParts) {
+        m_clearings.erase(m_clearingOrder.front());
+        m_clearingOrder.pop_front();
+    }
+}
+
+void QuarantineTable::accuse(PromptPart part, TimePoint now)
+{
+    m_accused[part] = now;
+    if (m_accused.size() > maxAccused) {
+        m_accused.erase(std::min_element(
+            m_accused.begin(), m_accused.end(),
+            [](const auto &left, const auto &right) { return left.second < right.second; }));
+    }
+}
+
+void QuarantineTable::startQuarantine(PromptPart part, Duration timeLeft, std::uint32_t times,
+                                      std::size_t runs, std::size_t requests, TimePoint now)
+{
+    const auto earliest = [](auto &quarantines) {
+        return std::min_element(quarantines.begin(), quarantines.end(),
+                                [](const auto &left, const auto &right) {
+                                    return left.second.until < right.second.until;
+                                });
+    };
+    if (!m_quarantines.count(part) && m_quarantines.size() >= QuarantineLimits::quarantinedParts)
+        m_quarantines.erase(earliest(m_quarantines));
+    m_endedQuarantines.erase(part);
+    const TimePoint until = now + timeLeft;
+    m_quarantines[part] = {until - quarantineDuration(times), until, times};
+    m_decisions.push_back({part, {timeLeft, times}, runs, requests});
+    // Bounded also if nobody calls tick().
+    if (m_decisions.size() > QuarantineLimits::quarantinedParts)
+        m_decisions.erase(m_decisions.begin());
+
+    const auto found = m_evidence.find(part);
+    if (found == m_evidence.end())
+        return;
+    std::vector<ServerRun> explained;
+    for (const auto &[run, evidence] : found->second)
+        explained.push_back(run);
+    for (const ServerRun &run : explained)
+        explain(run);
+}
+
+bool QuarantineTable::adopt(PromptPart part, const QuarantinedPart &quarantine, TimePoint now)
+{
+    std::uint32_t times = std::max<std::uint32_t>(quarantine.times, 1);
+    const Duration timeLeft = std::min(quarantine.timeLeft, quarantineDuration(times));
+    if (timeLeft <= Duration(0))
+        return false;
+    const TimePoint since = now + timeLeft - quarantineDuration(times);
+    if (isProtected(part, since)) {
+        accuse(part, now);
+        return false;
+    }
+    const Quarantine *known = findQuarantine(part);
+    if (known) {
+        // Of the same quarantine, the end that was learned first holds.
+        if (times <= known->times && since <= known->until)
+            return false;
+        times = std::max(times, known->times);
+    }
+    startQuarantine(part, timeLeft, times, 0, 0, now);
+    return true;
+}
+
+void QuarantineTable::resolveDoubtfulEnds(TimePoint now)
+{
+    for (auto end = m_doubtfulEnds.begin(); end != m_doubtfulEnds.end();) {
+        const auto crash = m_crashes.find(end->run);
+        if (isLive(end->run, end->at)) {
+            onSound(end->parts, now);
+        } else if (m_hooks.hasEnded(end->run)
+                   || (crash != m_crashes.end()
+                       && std::chrono::abs(crash->second.at - end->at) <= relatedBreakTime)) {
+            recordBreak(end->parts, end->run, end->request, end->at, now);
+        } else if (now - end->at < doubtfulEndTime) {
+            ++end;
+            continue;
+        }
+        end = m_doubtfulEnds.erase(end);
+    }
+}
+
+void QuarantineTable::forgetOld(TimePoint now)
+{
+    while (!m_evidenceOrder.empty()
+           && now - std::get<TimePoint>(*m_evidenceOrder.begin()) >= evidenceAge) {
+        const auto [at, part, run] = *m_evidenceOrder.begin();
+        eraseEvidence(part, run);
+    }
+    while (!m_crashOrder.empty() && now - m_crashOrder.begin()->first >= evidenceAge)
+        eraseCrash(ServerRun(m_crashOrder.begin()->second));
+    std::erase_if(m_accused, [&](const auto &item) { return now - item.second >= reportTime; });
+    if (now - m_answersSince >= answerCountTime) {
+        m_earlierAnswers = std::exchange(m_answers, 0);
+        m_answersSince = now;
+    }
+    for (auto it = m_quarantines.begin(); it != m_quarantines.end();) {
+        if (it->second.until > now) {
+            ++it;
+            continue;
+        }
+        m_endedQuarantines.insert_or_assign(it->first, it->second);
+        it = m_quarantines.erase(it);
+    }
+    while (m_endedQuarantines.size() > QuarantineLimits::quarantinedParts) {
+        m_endedQuarantines.erase(std::min_element(m_endedQuarantines.begin(),
+                                                  m_endedQuarantines.end(),
+                                                  [](const auto &left, const auto &right) {
+                                                      return left.second.until < right.second.until;
+                                                  }));
+    }
+}
+
+void QuarantineTable::eraseContradicted()
+{
+    std::map<ServerRun, TimePoint> alive;
+    for (const auto &[run, crash] : m_crashes) {
+        if (const std::optional<TimePoint> at = m_hooks.lastAlive(run))
+            alive[run] = *at;
+    }
+    std::vector<std::pair<PromptPart, ServerRun>> contradicted;
+    for (const auto &[at, part, run] : m_evidenceOrder) {
+        const auto found = alive.find(run);
+        if (found != alive.end() && found->second > at + livenessMargin)
+            contradicted.emplace_back(part, run);
+    }
+    for (const auto &[part, run] : contradicted)
+        eraseEvidence(part, run);
+    for (const auto &[run, at] : alive) {
+        if (at > m_crashes.at(run).at + livenessMargin)
+            eraseCrash(run);
+    }
+}
+
+bool QuarantineTable::isMature(const ServerRun &run, TimePoint brokenAt, TimePoint now) const
+{
+    return now - brokenAt >= confirmationTime || m_hooks.hasEnded(run);
+}
+
+bool QuarantineTable::isBeyondChance(const Case &suspected, TimePoint firstCrash,
+                                     TimePoint now) const
+{
+    std::vector<TimePoint> others;
+    std::uint64_t broken = 0;
+    for (auto it = m_crashOrder.lower_bound({firstCrash - comparedTime, ServerRun()});
+         it != m_crashOrder.end(); ++it) {
+        const Crash &crash = m_crashes.at(it->second);
+        if (crash.isExplained || suspected.runs.count(it->second)
+            || !isMature(it->second, it->first, now))
+            continue;
+        others.push_back(it->first);
+        broken += crash.attempts;
+    }
+    if (crashesPerOtherCrash * groupedCount(others) <= suspected.sum)
+        return true;
+    const double answered = static_cast<double>(m_answers + m_earlierAnswers);
+    const double breakProbability =
+        static_cast<double>(broken + 1) / (static_cast<double>(broken + 1) + answered);
+    return std::pow(breakProbability, static_cast<double>(suspected.sum)) <= chanceLimit;
+}
+
+std::vector<QuarantineTable::Case> QuarantineTable::cases(TimePoint now) const
+{
+    std::vector<Case> cases;
+    for (const auto &[part, runs] : m_evidence) {
+        if (runs.size() < decidingRuns || isProtected(part, now))
+            continue;
+        Case found;
+        found.part = part;
+        std::vector<TimePoint> times;
+        std::set<std::uint64_t> requests;
+        for (const auto &[run, evidence] : runs) {
+            if (!isMature(run, evidence.at, now))
+                continue;
+            found.runs.insert(run);
+            times.push_back(evidence.at);
+            requests.insert(evidence.request);
+        }
+        std::sort(times.begin(), times.end());
+        found.sum = groupedCount(times);
+        found.requests = requests.size();
+        if (found.sum < decidingSum || found.runs.size() < decidingRuns
+            || found.requests < decidingRequests)
+            continue;
+        if (isBeyondChance(found, times.front(), now))
+            cases.push_back(std::move(found));
+    }
+    std::sort(cases.begin(), cases.end(), [](const Case &left, const Case &right) {
+        return std::pair(right.sum, left.part) < std::pair(left.sum, right.part);
+    });
+    return cases;
+}
+
+void QuarantineTable::decide(TimePoint now)
+{
+    // Each quarantine explains runs, so that less remains for the other parts.
+    for (bool hasDecided = true; hasDecided;) {
+        hasDecided = false;
+        const std::vector<Case> found = cases(now);
+        for (auto it = found.begin(); it != found.end() && !hasDecided; ++it) {
+            const auto competes = [&](const Case &other) {
+                return other.part != it->part && other.sum >= it->sum
+                    && shareRun(other.runs, it->runs);
+            };
+            if (std::any_of(found.begin(), it, [&](const Case &other) {
+                    return other.sum > it->sum && shareRun(other.runs, it->runs);
+                }))
+                continue;
+            std::vector<const Case *> blamed {&*it};
+            for (const Case &other : found) {
+                if (competes(other))
+                    blamed.push_back(&other);
+            }
+            if (blamed.size() > 1 && it->sum < doubtfulCaseSum)
+                continue;
+            for (const Case *item : blamed)
+                startQuarantine(item->part, quarantineDuration(1), 1, item->runs.size(),
+                                item->requests, now);
+            hasDecided = true;
+        }
+    }
+}
+
+} // namespace bramleypitch
--- a/src/request/quarantine_base.h
+++ b/src/request/quarantine_base.h
@@ -3,9 +3,13 @@
 #include "request/quarantine_type.h"
 
 #include <functional>
+#include <list>
 #include <map>
 #include <optional>
+#include <set>
+#include <tuple>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace bramleypitch {
@@ -59,6 +63,107 @@
     /// Resolves doubtful ends, forgets what is old, and decides. Returns the parts that were
     /// quarantined since the last call.
     std::vector<QuarantineDecision> tick(TimePoint now);
+
+    std::size_t evidenceCount() const { return m_evidenceOrder.size(); }
+    std::size_t clearedCount() const { return m_clearings.size(); }
+    std::size_t quarantinedCount() const { return m_quarantines.size(); }
+
+private:
+    struct Evidence
+    {
+        TimePoint at; ///< When the attempt broke.
+        std::uint64_t request = 0;
+        bool isOwn = false; ///< The attempt was this node's.
+    };
+
+    struct Crash
+    {
+        TimePoint at;
+        bool isExplained = false; ///< A quarantined part was in a request to the run.
+        std::uint32_t attempts = 0; ///< Of this node, that broke.
+    };
+
+    struct Clearing
+    {
+        TimePoint at; ///< When an answer last showed that the part is sound.
+        TimePoint countedAt; ///< When `answers` last grew.
+        std::uint32_t answers = 0; ///< Seconds with such answers, up to maxCountedAnswers.
+        std::optional<TimePoint> ownAt; ///< The last one of them that was to this node.
+        std::list<PromptPart>::iterator position; ///< In m_clearingOrder.
+    };
+
+    struct Quarantine
+    {
+        TimePoint since;
+        TimePoint until; ///< Later entries of the past are kept to tell a repetition.
+        std::uint32_t times = 0;
+    };
+
+    struct DoubtfulEnd
+    {
+        PromptParts parts;
+        ServerRun run;
+        std::uint64_t request = 0;
+        TimePoint at;
+    };
+
+    /// The evidence against a part that may be counted.
+    struct Case
+    {
+        PromptPart part;
+        std::set<ServerRun> runs;
+        std::size_t requests = 0;
+        std::size_t sum = 0;
+    };
+
+    using RunEvidence = std::map<ServerRun, Evidence>;
+
+    bool isLive(const ServerRun &run, TimePoint brokenAt) const;
+    bool isProtected(PromptPart part, TimePoint at) const;
+    bool isQuarantined(PromptPart part, TimePoint now) const;
+    /// The latest quarantine of a part, live or ended.
+    const Quarantine *findQuarantine(PromptPart part) const;
+    void recordBreak(const PromptParts &parts, const ServerRun &run, std::uint64_t request,
+                     TimePoint at, TimePoint now);
+    void recordCrash(const ServerRun &run, TimePoint at);
+    void eraseCrash(const ServerRun &run);
+    void addEvidence(PromptPart part, const ServerRun &run, const Evidence &evidence,
+                     TimePoint now);
+    void eraseEvidence(PromptPart part, const ServerRun &run);
+    /// Drops the evidence against a part up to the given time.
+    void eraseEvidenceUntil(PromptPart part, TimePoint until);
+    /// Other parts are not blamed for the end of this run.
+    void explain(const ServerRun &run);
+    void clear(PromptPart part, TimePoint at, std::uint32_t answers, bool isOwn);
+    void accuse(PromptPart part, TimePoint now);
+    void startQuarantine(PromptPart part, Duration timeLeft, std::uint32_t times, std::size_t runs,
+                         std::size_t requests, TimePoint now);
+    bool adopt(PromptPart part, const QuarantinedPart &quarantine, TimePoint now);
+    void resolveDoubtfulEnds(TimePoint now);
+    void forgetOld(TimePoint now);
+    void eraseContradicted();
+    void decide(TimePoint now);
+    std::vector<Case> cases(TimePoint now) const;
+    /// Whether the crashes are too many for chance, given those without the part and the answers.
+    bool isBeyondChance(const Case &suspected, TimePoint firstCrash, TimePoint now) const;
+    bool isMature(const ServerRun &run, TimePoint brokenAt, TimePoint now) const;
+
+    QuarantineHooks m_hooks;
+    std::unordered_map<PromptPart, RunEvidence> m_evidence;
+    std::set<std::tuple<TimePoint, PromptPart, ServerRun>> m_evidenceOrder;
+    std::map<ServerRun, Crash> m_crashes;
+    std::set<std::pair<TimePoint, ServerRun>> m_crashOrder;
+    std::list<DoubtfulEnd> m_doubtfulEnds;
+    std::unordered_map<PromptPart, Clearing> m_clearings;
+    std::list<PromptPart> m_clearingOrder; ///< Least recently cleared first.
+    std::map<PromptPart, TimePoint> m_accused; ///< Protected parts that a peer last accused then.
+    std::unordered_map<PromptPart, Quarantine> m_quarantines; ///< Live ones.
+    std::unordered_map<PromptPart, Quarantine> m_endedQuarantines;
+    std::vector<QuarantineDecision> m_decisions; ///< Since the last tick.
+    std::uint64_t m_answers = 0; ///< Of this node, since m_answersSince.
+    std::uint64_t m_earlierAnswers = 0; ///< In the period before.
+    TimePoint m_answersSince;
+    std::optional<TimePoint> m_startedAt; ///< First call of tick().
 };
 
 } // namespace bramleypitch
--- /dev/null
+++ b/src/tests/quarantine_test.cpp
@@ -0,0 +1,978 @@
+// Tests of the quarantine: parts of prompts that crash servers are found, and no others.
+
+#include "request/quarantine_base.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <memory>
+#include <random>
+#include <set>
+
+namespace bramleypitch {
+
+namespace {
+
+const PromptPart harmful(1);
+
+ServerRun runOf(const std::string &server, std::int64_t startedAt = 1)
+{
+    return {VmId(server), startedAt};
+}
+
+/// One table with hooks that the test controls.
+class QuarantineTest : public testing::Test
+{
+protected:
+    QuarantineTest()
+        : m_table(hooks())
+    {
+    }
+
+    QuarantineHooks hooks()
+    {
+        return {[this](const ServerRun &run) -> std::optional<TimePoint> {
+                    const auto found = m_alive.find(run);
+                    return found == m_alive.end() ? std::nullopt : std::optional(found->second);
+                },
+                [this](const ServerRun &run) { return m_ended.count(run) > 0; }};
+    }
+
+    /// Ends one server each time, with the request that it began to answer.
+    void crash(const PromptParts &parts, int count = 1, Duration interval = Duration(2'000))
+    {
+        for (int i = 0; i < count; ++i) {
+            m_now += interval;
+            ++m_crashes;
+            m_table.onBroken(parts, runOf("s" + std::to_string(m_crashes)), m_crashes, m_now);
+            tick();
+        }
+    }
+
+    void pass(Duration duration)
+    {
+        for (Duration passed {0}; passed < duration; passed += Duration(500)) {
+            m_now += Duration(500);
+            tick();
+        }
+    }
+
+    void tick()
+    {
+        for (const QuarantineDecision &decision : m_table.tick(m_now))
+            m_decisions.push_back(decision);
+    }
+
+    bool isQuarantined(PromptPart part) const
+    {
+        return m_table.quarantinedUntil({part}, m_now).has_value();
+    }
+
+    TimePoint m_now = timePoint(1'000'000);
+    std::map<ServerRun, TimePoint> m_alive;
+    std::set<ServerRun> m_ended;
+    QuarantineTable m_table;
+    std::vector<QuarantineDecision> m_decisions;
+    std::uint64_t m_crashes = 0;
+};
+
+TEST_F(QuarantineTest, HarmfulPartIsQuarantinedAfterFewCrashes)
+{
+    EXPECT_TRUE(m_table.isEmpty());
+    crash({harmful}, 4);
+    pass(Duration(2'000));
+    EXPECT_FALSE(m_table.isEmpty());
+    ASSERT_EQ(m_decisions.size(), 1U);
+    EXPECT_EQ(m_decisions[0].part, harmful);
+    EXPECT_EQ(m_decisions[0].runs, 4U);
+    EXPECT_EQ(m_decisions[0].requests, 4U);
+    EXPECT_EQ(m_decisions[0].quarantine.times, 1U);
+    EXPECT_TRUE(m_table.quarantinedUntil({PromptPart(7), harmful}, m_now));
+    EXPECT_FALSE(m_table.quarantinedUntil({PromptPart(7)}, m_now));
+}
+
+TEST_F(QuarantineTest, ServersThatLiveDoNotBlameAPart)
+{
+    for (int i = 0; i < 8; ++i) {
+        crash({harmful}, 1, Duration(200));
+        m_alive[runOf("s" + std::to_string(m_crashes))] = m_now + Duration(900);
+    }
+    pass(Duration(5'000));
+    EXPECT_TRUE(m_table.isEmpty());
+}
+
+TEST_F(QuarantineTest, BreakAfterASignOfLifeReplacesTheEarlierOne)
+{
+    for (int i = 1; i <= 4; ++i) {
+        const ServerRun run = runOf("s" + std::to_string(i));
+        m_table.onBroken({harmful}, run, static_cast<std::uint64_t>(i), m_now);
+        m_alive[run] = m_now + Duration(900);
+        m_now += Duration(1'000);
+        m_table.onBroken({harmful}, run, static_cast<std::uint64_t>(i), m_now);
+        tick();
+    }
+    pass(Duration(2'000));
+    EXPECT_TRUE(isQuarantined(harmful));
+}
+
+TEST_F(QuarantineTest, ServersThatEndTogetherCountAsFew)
+{
+    crash({harmful}, 30, Duration(5));
+    pass(Duration(5'000));
+    EXPECT_TRUE(m_table.isEmpty());
+}
+
+TEST_F(QuarantineTest, RepeatsOfOneRequestDoNotBlameItsParts)
+{
+    for (int i = 0; i < 8; ++i) {
+        m_now += Duration(2'000);
+        m_table.onBroken({harmful}, runOf("s" + std::to_string(i)), 1, m_now);
+        tick();
+    }
+    pass(Duration(5'000));
+    EXPECT_TRUE(m_table.isEmpty());
+}
+
+TEST_F(QuarantineTest, OneRunIsCountedOnce)
+{
+    for (std::uint64_t i = 0; i < 12; ++i) {
+        m_now += Duration(1'000);
+        m_table.onBroken({harmful}, runOf("s" + std::to_string(i % 3)), i, m_now);
+        tick();
+    }
+    pass(Duration(5'000));
+    EXPECT_TRUE(m_table.isEmpty());
+}
+
+TEST_F(QuarantineTest, AnswerClearsAPart)
+{
+    crash({harmful}, 3);
+    m_table.onSound({harmful}, m_now);
+    crash({harmful}, 10);
+    pass(Duration(5'000));
+    EXPECT_TRUE(m_table.isEmpty());
+}
+
+TEST_F(QuarantineTest, ProtectionOfAnAnswerEnds)
+{
+    m_table.onSound({harmful}, m_now);
+    m_now += Duration(60'000);
+    crash({harmful}, 4);
+    pass(Duration(2'000));
+    EXPECT_TRUE(isQuarantined(harmful));
+}
+
+TEST_F(QuarantineTest, PartWithManyAnswersIsNotBlamedInALongOutage)
+{
+    for (int i = 0; i < 120; ++i) {
+        m_now += Duration(500);
+        m_table.onSound({PromptPart(2)}, m_now);
+    }
+    crash({PromptPart(2)}, 300);
+    EXPECT_TRUE(m_table.isEmpty());
+}
+
+TEST_F(QuarantineTest, AnswerEndsAQuarantine)
+{
+    crash({harmful}, 4);
+    pass(Duration(2'000));
+    ASSERT_TRUE(isQuarantined(harmful));
+    m_table.onSound({harmful}, m_now);
+    EXPECT_TRUE(m_table.isEmpty());
+}
+
+TEST_F(QuarantineTest, PartThatSharesSomeRequestsIsExplainedAway)
+{
+    crash({PromptPart(2), harmful}, 4, Duration(5'000));
+    EXPECT_TRUE(m_table.isEmpty()) << "both are equally suspect";
+    crash({harmful}, 1, Duration(5'000));
+    pass(Duration(2'000));
+    ASSERT_TRUE(isQuarantined(harmful));
+    crash({PromptPart(2)}, 3, Duration(5'000));
+    pass(Duration(5'000));
+    EXPECT_FALSE(isQuarantined(PromptPart(2))) << "its first crashes are explained";
+}
+
+TEST_F(QuarantineTest, RequestsWithAQuarantinedPartBlameNoOther)
+{
+    crash({harmful}, 4);
+    pass(Duration(2'000));
+    ASSERT_TRUE(isQuarantined(harmful));
+    crash({PromptPart(2), harmful}, 10);
+    pass(Duration(5'000));
+    EXPECT_FALSE(isQuarantined(PromptPart(2)));
+}
+
+TEST_F(QuarantineTest, PartsThatStayEqualAreBothQuarantined)
+{
+    crash({PromptPart(2), harmful}, 5);
+    pass(Duration(5'000));
+    EXPECT_TRUE(m_table.isEmpty());
+    crash({PromptPart(2), harmful});
+    pass(Duration(2'000));
+    EXPECT_TRUE(isQuarantined(harmful));
+    EXPECT_TRUE(isQuarantined(PromptPart(2)));
+}
+
+TEST_F(QuarantineTest, IndependentPartsDoNotWaitForEachOther)
+{
+    for (int i = 0; i < 300; ++i)
+        m_table.onSound({PromptPart(3)}, m_now); // Most of the fleet serves.
+    for (int i = 0; i < 4; ++i) {
+        crash({harmful});
+        crash({PromptPart(2)});
+    }
+    pass(Duration(2'000));
+    EXPECT_TRUE(isQuarantined(harmful));
+    EXPECT_TRUE(isQuarantined(PromptPart(2)));
+}
+
+TEST_F(QuarantineTest, PartInFewOfManyCrashesIsNotBlamed)
+{
+    for (std::uint64_t i = 0; i < 60; ++i)
+        crash({i % 5 == 0 ? harmful : PromptPart(100 + i)}, 1, Duration(400));
+    pass(Duration(5'000));
+    EXPECT_TRUE(m_table.isEmpty());
+}
+
+TEST_F(QuarantineTest, LaterQuarantinesLastLonger)
+{
+    crash({harmful}, 4);
+    pass(Duration(2'000));
+    ASSERT_TRUE(isQuarantined(harmful));
+    EXPECT_EQ(m_decisions.back().quarantine.timeLeft, Duration(600'000));
+    Duration expected {600'000};
+    for (std::uint32_t times = 2; times <= 8; ++times) {
+        m_now = *m_table.quarantinedUntil({harmful}, m_now);
+        EXPECT_FALSE(isQuarantined(harmful));
+        tick();
+        EXPECT_TRUE(m_table.isEmpty());
+        crash({harmful});
+        EXPECT_TRUE(isQuarantined(harmful)) << "one crash is enough after a quarantine";
+        expected = std::min(2 * expected, Duration(7'200'000));
+        EXPECT_EQ(m_decisions.back().quarantine.timeLeft, expected);
+        EXPECT_EQ(m_decisions.back().quarantine.times, times);
+    }
+}
+
+TEST_F(QuarantineTest, DoubtfulEndOfAnEndedRunCounts)
+{
+    for (std::uint64_t i = 1; i <= 4; ++i) {
+        const ServerRun run = runOf("s" + std::to_string(i));
+        m_table.onDoubtfulEnd({harmful}, run, i, m_now);
+        m_ended.insert(run);
+        pass(Duration(2'000));
+    }
+    EXPECT_TRUE(isQuarantined(harmful));
+}
+
+TEST_F(QuarantineTest, DoubtfulEndBesideABreakCounts)
+{
+    for (std::uint64_t i = 1; i <= 4; ++i) {
+        const ServerRun run = runOf("s" + std::to_string(i));
+        m_table.onDoubtfulEnd({harmful}, run, i, m_now);
+        m_table.onBroken({PromptPart(100 + i)}, run, 50 + i, m_now + Duration(500));
+        pass(Duration(2'000));
+    }
+    pass(Duration(2'000));
+    EXPECT_TRUE(isQuarantined(harmful));
+}
+
+TEST_F(QuarantineTest, DoubtfulEndOfALiveServerClears)
+{
+    crash({harmful}, 3);
+    const ServerRun run = runOf("alive");
+    m_table.onDoubtfulEnd({harmful}, run, 99, m_now);
+    m_alive[run] = m_now + Duration(400);
+    pass(Duration(2'000));
+    crash({harmful}, 3);
+    pass(Duration(5'000));
+    EXPECT_TRUE(m_table.isEmpty());
+}
+
+TEST_F(QuarantineTest, DoubtfulEndAloneIsForgotten)
+{
+    for (std::uint64_t i = 1; i <= 8; ++i) {
+        m_table.onDoubtfulEnd({harmful}, runOf("s" + std::to_string(i)), i, m_now);
+        pass(Duration(6'000));
+        m_ended.insert(runOf("s" + std::to_string(i)));
+    }
+    EXPECT_TRUE(m_table.isEmpty());
+}
+
+/// Two tables beside the one of the fixture.
+class QuarantineMergeTest : public QuarantineTest
+{
+protected:
+    QuarantineTable m_peer {hooks()};
+
+    void exchange()
+    {
+        const QuarantineNews news = m_table.news(m_now);
+        m_table.merge(m_peer.news(m_now), m_now);
+        m_peer.merge(news, m_now);
+        tick();
+        m_peer.tick(m_now);
+    }
+};
+
+TEST_F(QuarantineMergeTest, CrashesOfSeveralNodesAreAddedUp)
+{
+    crash({harmful}, 2);
+    for (std::uint64_t i = 1; i <= 2; ++i) {
+        m_now += Duration(2'000);
+        m_peer.onBroken({harmful}, runOf("p" + std::to_string(i)), 100 + i, m_now);
+    }
+    for (int i = 0; i < 5; ++i) {
+        exchange();
+        pass(Duration(500));
+    }
+    EXPECT_TRUE(isQuarantined(harmful));
+    EXPECT_TRUE(m_peer.quarantinedUntil({harmful}, m_now));
+}
+
+TEST_F(QuarantineMergeTest, QuarantineOfAPeerIsAdopted)
+{
+    crash({harmful}, 4);
+    pass(Duration(2'000));
+    ASSERT_TRUE(isQuarantined(harmful));
+    QuarantineNews news = m_table.news(m_now);
+    news.crashes.clear();
+    m_peer.merge(news, m_now);
+    EXPECT_EQ(m_peer.quarantinedUntil({harmful}, m_now),
+              m_table.quarantinedUntil({harmful}, m_now));
+    const auto decisions = m_peer.tick(m_now);
+    ASSERT_EQ(decisions.size(), 1U);
+    EXPECT_EQ(decisions[0].runs, 0U);
+    m_peer.merge(news, m_now);
+    EXPECT_TRUE(m_peer.tick(m_now).empty()) << "a repeated message changes nothing";
+}
+
+TEST_F(QuarantineMergeTest, NodesDoNotKeepAQuarantineAlive)
+{
+    crash({harmful}, 4);
+    pass(Duration(2'000));
+    const TimePoint end = *m_table.quarantinedUntil({harmful}, m_now);
+    while (m_now < end + Duration(30'000)) {
+        const QuarantineNews own = m_table.news(m_now);
+        const QuarantineNews other = m_peer.news(m_now);
+        m_now += Duration(400);
+        m_table.merge(other, m_now);
+        m_peer.merge(own, m_now);
+        tick();
+        m_peer.tick(m_now);
+        if (m_now > end + Duration(400)) {
+            ASSERT_TRUE(m_table.isEmpty());
+            ASSERT_TRUE(m_peer.isEmpty());
+        }
+    }
+}
+
+TEST_F(QuarantineMergeTest, NodesDoNotKeepEvidenceAlive)
+{
+    crash({harmful}, 3);
+    const TimePoint end = m_now + Duration(600'000);
+    while (m_now < end + Duration(1'000)) {
+        const QuarantineNews own = m_table.news(m_now);
+        const QuarantineNews other = m_peer.news(m_now);
+        m_now += Duration(400);
+        m_table.merge(other, m_now);
+        m_peer.merge(own, m_now);
+        tick();
+        m_peer.tick(m_now);
+    }
+    EXPECT_TRUE(m_table.news(m_now).crashes.empty());
+    EXPECT_TRUE(m_peer.news(m_now).crashes.empty());
+    crash({harmful});
+    pass(Duration(2'000));
+    EXPECT_TRUE(m_table.isEmpty());
+}
+
+TEST_F(QuarantineMergeTest, PartThatAPeerClearedIsNotBlamed)
+{
+    m_peer.onSound({harmful}, m_now);
+    crash({harmful}, 3, Duration(1'000));
+    exchange();
+    exchange();
+    crash({harmful}, 4, Duration(1'000));
+    pass(Duration(2'000));
+    EXPECT_TRUE(m_table.isEmpty());
+}
+
+TEST_F(QuarantineMergeTest, QuarantineOfAPartThatAPeerClearedEnds)
+{
+    m_peer.onSound({harmful}, m_now);
+    crash({harmful}, 4, Duration(1'000));
+    pass(Duration(2'000));
+    ASSERT_TRUE(isQuarantined(harmful));
+    exchange();
+    EXPECT_FALSE(m_peer.quarantinedUntil({harmful}, m_now));
+    exchange();
+    EXPECT_FALSE(isQuarantined(harmful));
+}
+
+TEST_F(QuarantineMergeTest, RestartedNodeLearnsWhatItForgot)
+{
+    crash({harmful}, 3, Duration(20'000));
+    for (int i = 0; i < 20; ++i) {
+        pass(Duration(1'000));
+        exchange();
+    }
+    QuarantineTable restarted(hooks());
+    for (int i = 0; i < 20; ++i) {
+        m_now += Duration(1'000);
+        restarted.merge(m_peer.news(m_now), m_now);
+        restarted.tick(m_now);
+    }
+    restarted.onBroken({harmful}, runOf("last"), 1'000, m_now);
+    m_now += Duration(2'000);
+    restarted.tick(m_now);
+    EXPECT_TRUE(restarted.quarantinedUntil({harmful}, m_now));
+}
+
+TEST_F(QuarantineMergeTest, QuarantineIsRestored)
+{
+    m_table.restore(harmful, {Duration(1'000), 3}, m_now);
+    EXPECT_EQ(m_table.quarantinedUntil({harmful}, m_now), m_now + Duration(1'000));
+    EXPECT_EQ(m_table.tick(m_now).size(), 1U);
+    m_now += Duration(1'000);
+    EXPECT_FALSE(isQuarantined(harmful));
+    crash({harmful});
+    EXPECT_EQ(m_decisions.back().quarantine.times, 4U);
+}
+
+TEST_F(QuarantineTest, FloodOfDistinctPartsStaysWithinLimits)
+{
+    std::uint64_t part = 1'000;
+    for (std::uint64_t i = 0; i < 300; ++i) {
+        PromptParts parts;
+        for (int j = 0; j < 40; ++j)
+            parts.push_back(PromptPart(++part));
+        m_now += Duration(100);
+        m_table.onBroken(parts, runOf("s" + std::to_string(i)), i, m_now);
+        m_table.onDoubtfulEnd(parts, runOf("t" + std::to_string(i)), i, m_now);
+        m_table.onSound({PromptPart(++part)}, m_now);
+        const QuarantineNews news = m_table.news(m_now);
+        ASSERT_LE(news.crashes.size(), QuarantineLimits::reportedCrashes);
+        ASSERT_LE(news.cleared.size(), QuarantineLimits::reportedParts);
+        ASSERT_LE(news.quarantined.size(), QuarantineLimits::reportedParts);
+    }
+    EXPECT_LE(m_table.evidenceCount(), QuarantineLimits::evidence);
+    for (std::uint64_t i = 0; i < 2 * QuarantineLimits::clearedParts; ++i)
+        m_table.onSound({PromptPart(++part)}, m_now);
+    EXPECT_LE(m_table.clearedCount(), QuarantineLimits::clearedParts);
+    QuarantineNews news;
+    for (std::uint64_t i = 0; i < 3 * QuarantineLimits::quarantinedParts; ++i)
+        news.quarantined[PromptPart(++part)] = {Duration(60'000), 1};
+    m_table.merge(news, m_now);
+    EXPECT_LE(m_table.quarantinedCount(), QuarantineLimits::quarantinedParts);
+    EXPECT_LE(m_table.news(m_now).quarantined.size(), QuarantineLimits::reportedParts);
+    EXPECT_LE(m_table.tick(m_now).size(), QuarantineLimits::quarantinedParts);
+}
+
+// A random fleet with nodes that exchange messages.
+
+enum class Trouble {
+    RackEnds,
+    ManyEnd,
+    ColdCrashes,
+    FewBreaks,
+    ManyBreaks,
+    FleetRestarts,
+    CrashLoop
+};
+
+struct Schedule
+{
+    unsigned seed = 1;
+    int nodes = 3;
+    int servers = 20;
+    Duration harmfulInterval {0}; ///< 0: no harmful requests.
+    std::set<Trouble> troubles;
+    double loss = 0.1;
+    bool nodesRestart = false;
+    int soundRate = 30; ///< Requests per second of the whole fleet.
+    Duration length {60'000};
+};
+
+std::ostream &operator<<(std::ostream &out, const Schedule &schedule)
+{
+    out << "seed " << schedule.seed << ", nodes " << schedule.nodes << ", servers "
+        << schedule.servers << ", harmful every " << schedule.harmfulInterval.count()
+        << " ms, loss " << schedule.loss << ", restarts " << schedule.nodesRestart << ", sound/s "
+        << schedule.soundRate << ", length " << schedule.length.count() << " ms, troubles";
+    for (const Trouble trouble : schedule.troubles)
+        out << ' ' << static_cast<int>(trouble);
+    return out;
+}
+
+constexpr Duration warmUp {20'000};
+
+class Simulation
+{
+public:
+    explicit Simulation(const Schedule &schedule)
+        : m_schedule(schedule)
+        , m_random(schedule.seed)
+    {
+        m_servers.resize(static_cast<std::size_t>(schedule.servers));
+        for (std::size_t i = 0; i < m_servers.size(); ++i)
+            start(i);
+        m_nodes.resize(static_cast<std::size_t>(schedule.nodes));
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            startNode(i);
+            every(Duration(100), m_start + Duration(pick(0, 99)), [this, i] { tickNode(i); });
+            every(Duration(500), m_start + Duration(pick(0, 499)), [this, i] { sendNews(i); });
+        }
+        every(Duration(1'000 / schedule.soundRate), m_start, [this] { sendSound(); });
+        if (schedule.harmfulInterval > Duration(0))
+            every(schedule.harmfulInterval, m_start + warmUp, [this] { sendHarmful(); });
+        if (schedule.nodesRestart && schedule.nodes > 1)
+            every(Duration(15'000), m_start + warmUp + Duration(pick(0, 15'000)),
+                  [this] { startNode(static_cast<std::size_t>(pick(0, m_schedule.nodes - 1))); });
+        for (const Trouble trouble : schedule.troubles)
+            cause(trouble);
+    }
+
+    void run(Duration duration)
+    {
+        const TimePoint end = m_now + duration;
+        while (!m_events.empty() && m_events.begin()->first <= end) {
+            auto event = m_events.extract(m_events.begin());
+            m_now = event.key();
+            event.mapped()();
+        }
+        m_now = end;
+    }
+
+    void run() { run(warmUp + m_schedule.length); }
+
+    /// Harmful requests that nodes sent 3 s after the fifth crash or later.
+    int lateHarmful() const { return m_lateHarmful; }
+    const std::set<PromptPart> &quarantined() const { return m_quarantined; }
+    const std::string &trace() const { return m_trace; }
+    void stopTraffic() { m_isTrafficStopped = true; }
+    void stopLoss() { m_schedule.loss = 0; }
+
+    /// What each node quarantines now.
+    std::vector<std::set<PromptPart>> views() const
+    {
+        std::vector<std::set<PromptPart>> views;
+        for (const Node &node : m_nodes) {
+            std::set<PromptPart> view;
+            for (const PromptPart part : m_quarantined) {
+                if (node.table->quarantinedUntil({part}, m_now))
+                    view.insert(part);
+            }
+            views.push_back(view);
+        }
+        return views;
+    }
+
+private:
+    struct Request
+    {
+        std::uint64_t id = 0;
+        std::size_t node = 0;
+        PromptParts parts;
+        TimePoint writingSince = TimePoint::max();
+        bool isHarmful = false;
+        bool isRepeat = false;
+        bool wasSound = false;
+    };
+
+    struct Server
+    {
+        std::int64_t startedAt = 0;
+        bool isUp = false;
+        std::map<std::uint64_t, Request> running;
+    };
+
+    struct Node
+    {
+        std::unique_ptr<QuarantineTable> table;
+        TimePoint upSince;
+    };
+
+    int pick(int low, int high) { return std::uniform_int_distribution<int>(low, high)(m_random); }
+    bool chance(double probability) { return std::bernoulli_distribution(probability)(m_random); }
+    void at(TimePoint time, std::function<void()> event)
+    {
+        m_events.emplace(time, std::move(event));
+    }
+    void after(Duration delay, std::function<void()> event) { at(m_now + delay, std::move(event)); }
+    void every(Duration interval, TimePoint first, const std::function<void()> &event)
+    {
+        at(first, [this, interval, first, event] {
+            event();
+            every(interval, first + interval, event);
+        });
+    }
+    void log(const std::string &text)
+    {
+        m_trace += std::to_string((m_now - m_start).count()) + " " + text + "\n";
+    }
+
+    ServerRun runOfServer(std::size_t index) const
+    {
+        return {VmId("s" + std::to_string(index)), m_servers[index].startedAt};
+    }
+
+    void start(std::size_t index)
+    {
+        Server &server = m_servers[index];
+        server.isUp = true;
+        const ServerRun earlier = runOfServer(index);
+        server.startedAt = std::max(server.startedAt + 1, milliseconds(m_now));
+        after(Duration(pick(50, 400)), [this, earlier] { m_ended.insert(earlier); });
+        reportAlive(index, server.startedAt);
+    }
+
+    /// Servers report each second.
+    void reportAlive(std::size_t index, std::int64_t startedAt)
+    {
+        if (!m_servers[index].isUp || m_servers[index].startedAt != startedAt)
+            return;
+        showAlive(index);
+        after(Duration(1'000), [this, index, startedAt] { reportAlive(index, startedAt); });
+    }
+
+    void showAlive(std::size_t index)
+    {
+        after(Duration(pick(50, 400)), [this, run = runOfServer(index), sentAt = m_now] {
+            TimePoint &alive = m_alive[run];
+            alive = std::max(alive, sentAt);
+        });
+    }
+
+    void startNode(std::size_t index)
+    {
+        Node &node = m_nodes[index];
+        node.table = std::make_unique<QuarantineTable>(QuarantineHooks {
+            [this](const ServerRun &run) -> std::optional<TimePoint> {
+                const auto found = m_alive.find(run);
+                return found == m_alive.end() ? std::nullopt : std::optional(found->second);
+            },
+            [this](const ServerRun &run) { return m_ended.count(run) > 0; }});
+        node.upSince = m_now;
+        log("node " + std::to_string(index) + " starts");
+    }
+
+    void tickNode(std::size_t index)
+    {
+        for (const QuarantineDecision &decision : m_nodes[index].table->tick(m_now)) {
+            m_quarantined.insert(decision.part);
+            log("node " + std::to_string(index) + " quarantines "
+                + std::to_string(decision.part.value()) + ", runs " + std::to_string(decision.runs)
+                + ", requests " + std::to_string(decision.requests));
+        }
+    }
+
+    void sendNews(std::size_t from)
+    {
+        const QuarantineNews news = m_nodes[from].table->news(m_now);
+        RC_ASSERT(news.crashes.size() <= QuarantineLimits::reportedCrashes);
+        RC_ASSERT(news.cleared.size() <= QuarantineLimits::reportedParts);
+        RC_ASSERT(news.quarantined.size() <= QuarantineLimits::reportedParts);
+        for (std::size_t to = 0; to < m_nodes.size(); ++to) {
+            if (to == from || chance(m_schedule.loss))
+                continue;
+            after(Duration(pick(50, 400)),
+                  [this, to, news] { m_nodes[to].table->merge(news, m_now); });
+        }
+    }
+
+    PromptParts commonParts()
+    {
+        PromptParts parts {PromptPart(10 + pick(0, 2)), PromptPart(20 + pick(0, 1))};
+        for (int i = pick(0, 4); i > 0; --i)
+            parts.push_back(PromptPart(30 + pick(0, 19)));
+        return parts;
+    }
+
+    void sendSound()
+    {
+        if (m_isTrafficStopped)
+            return;
+        Request request;
+        request.parts = commonParts();
+        if (chance(0.1)) // A rare part, in a few requests.
+            request.parts.push_back(PromptPart(1'000 + m_lastRequest / 60));
+        send(std::move(request));
+    }
+
+    void sendHarmful()
+    {
+        if (m_isTrafficStopped)
+            return;
+        Request request;
+        request.parts = commonParts();
+        if (chance(0.3))
+            request.parts.push_back(PromptPart(1'000 + m_lastRequest / 60));
+        request.parts.push_back(harmful);
+        request.isHarmful = true;
+        send(std::move(request));
+    }
+
+    void send(Request request)
+    {
+        if (!request.isRepeat)
+            request.id = ++m_lastRequest;
+        request.node = static_cast<std::size_t>(pick(0, m_schedule.nodes - 1));
+        dispatch(std::move(request));
+    }
+
+    void dispatch(Request request)
+    {
+        const Node &node = m_nodes[request.node];
+        if (node.table->quarantinedUntil(request.parts, m_now))
+            return;
+        std::vector<std::size_t> up;
+        for (std::size_t i = 0; i < m_servers.size(); ++i) {
+            if (m_servers[i].isUp)
+                up.push_back(i);
+        }
+        if (up.empty())
+            return;
+        const std::size_t index =
+            up[static_cast<std::size_t>(pick(0, static_cast<int>(up.size()) - 1))];
+        if (request.isHarmful && m_fifthCrash && m_now > *m_fifthCrash + Duration(3'000)
+            && m_now - node.upSince >= Duration(3'000)) {
+            ++m_lateHarmful;
+            log("late harmful request by node " + std::to_string(request.node));
+        }
+        const std::uint64_t key = ++m_lastAttempt;
+        request.writingSince = m_now + Duration(pick(0, 300));
+        const ServerRun run = runOfServer(index);
+        m_servers[index].running[key] = request;
+        if (request.isHarmful) {
+            at(request.writingSince + Duration(pick(50, 400)), [this, index, run] {
+                if (runOfServer(index) == run && m_servers[index].isUp) {
+                    if (++m_harmfulCrashes == 5) {
+                        m_fifthCrash = m_now;
+                        log("fifth crash");
+                    }
+                    crash(index, Duration(pick(2'000, 8'000)));
+                }
+            });
+            return;
+        }
+        at(request.writingSince + Duration(pick(200, 3'000)),
+           [this, index, run, key] { finish(index, run, key); });
+    }
+
+    void finish(std::size_t index, const ServerRun &run, std::uint64_t key)
+    {
+        Server &server = m_servers[index];
+        if (runOfServer(index) != run || !server.running.count(key))
+            return;
+        const Request request = server.running.at(key);
+        server.running.erase(key);
+        showAlive(index);
+        const double broken = m_breakProbability;
+        if (broken > 0 && m_now > m_start + warmUp && chance(broken)) {
+            endEarly(request, run);
+            return;
+        }
+        m_nodes[request.node].table->onSound(request.parts, m_now);
+    }
+
+    /// Tells the node that the attempt broke, and repeats the request once.
+    void endEarly(const Request &request, const ServerRun &run)
+    {
+        QuarantineTable &table = *m_nodes[request.node].table;
+        if (m_now - request.writingSince > Duration(1'000)) {
+            table.onSound(request.parts, m_now); // It had been writing for a while.
+        } else if (chance(0.2)) {
+            table.onDoubtfulEnd(request.parts, run, request.id, m_now);
+            return;
+        } else {
+            table.onBroken(request.parts, run, request.id, m_now);
+        }
+        if (request.isRepeat)
+            return;
+        Request repeat = request;
+        repeat.isRepeat = true;
+        after(Duration(pick(20, 200)), [this, repeat] { dispatch(repeat); });
+    }
+
+    void crash(std::size_t index, Duration downTime)
+    {
+        Server &server = m_servers[index];
+        if (!server.isUp)
+            return;
+        server.isUp = false;
+        const ServerRun run = runOfServer(index);
+        std::map<std::uint64_t, Request> running;
+        running.swap(server.running);
+        for (const auto &[key, request] : running) {
+            after(Duration(pick(1, 50)),
+                  [this, request = request, run] { endEarly(request, run); });
+        }
+        after(downTime, [this, index] { start(index); });
+    }
+
+    void cause(Trouble trouble)
+    {
+        const TimePoint begin = m_start + warmUp;
+        const auto ends = [this](double share) {
+            for (std::size_t i = 0; i < m_servers.size(); ++i) {
+                if (chance(share))
+                    after(Duration(pick(0, 200)),
+                          [this, i] { crash(i, Duration(pick(2'000, 8'000))); });
+            }
+        };
+        switch (trouble) {
+        case Trouble::RackEnds:
+            every(Duration(20'000), begin + Duration(3'000), [this] {
+                const std::size_t rack = static_cast<std::size_t>(pick(0, 3));
+                for (std::size_t i = rack; i < m_servers.size(); i += 4)
+                    crash(i, Duration(pick(2'000, 8'000)));
+            });
+            break;
+        case Trouble::ManyEnd:
+            every(Duration(15'000), begin + Duration(5'000), [ends] { ends(0.15); });
+            break;
+        case Trouble::ColdCrashes:
+            every(Duration(1'500), begin, [this] {
+                const std::size_t cold = m_servers.size() / 4;
+                crash(static_cast<std::size_t>(pick(0, static_cast<int>(cold))), Duration(3'000));
+            });
+            break;
+        case Trouble::FewBreaks:
+            m_breakProbability = std::max(m_breakProbability, 0.02);
+            break;
+        case Trouble::ManyBreaks:
+            m_breakProbability = std::max(m_breakProbability, 0.4);
+            break;
+        case Trouble::FleetRestarts:
+            at(begin + Duration(10'000), [ends] { ends(1); });
+            break;
+        case Trouble::CrashLoop:
+            for (std::size_t i = 0; i < m_servers.size(); ++i)
+                every(Duration(pick(3'000, 5'000)), begin + Duration(pick(0, 4'000)),
+                      [this, i] { crash(i, Duration(pick(500, 1'500))); });
+            break;
+        }
+    }
+
+    Schedule m_schedule;
+    std::mt19937 m_random;
+    TimePoint m_start = timePoint(1'000'000);
+    TimePoint m_now = m_start;
+    std::multimap<TimePoint, std::function<void()>> m_events;
+    std::vector<Server> m_servers;
+    std::vector<Node> m_nodes;
+    std::map<ServerRun, TimePoint> m_alive;
+    std::set<ServerRun> m_ended;
+    std::set<PromptPart> m_quarantined;
+    std::string m_trace;
+    std::optional<TimePoint> m_fifthCrash;
+    std::uint64_t m_lastRequest = 0;
+    std::uint64_t m_lastAttempt = 0;
+    double m_breakProbability = 0;
+    int m_harmfulCrashes = 0;
+    int m_lateHarmful = 0;
+    bool m_isTrafficStopped = false;
+};
+
+Schedule randomSchedule()
+{
+    Schedule schedule;
+    schedule.seed = *rc::gen::inRange(1U, 1'000'000U);
+    schedule.nodes = *rc::gen::inRange(1, 9);
+    schedule.servers = *rc::gen::inRange(6, 61);
+    schedule.loss = *rc::gen::element(0.0, 0.1, 0.3);
+    schedule.soundRate = *rc::gen::element(5, 20, 50);
+    schedule.nodesRestart = *rc::gen::arbitrary<bool>();
+    return schedule;
+}
+
+void addHarmful(Schedule &schedule)
+{
+    schedule.harmfulInterval = *rc::gen::element(Duration(150), Duration(500), Duration(2'000),
+                                                 Duration(7'000), Duration(20'000));
+    schedule.length = std::max(Duration(40'000), 12 * schedule.harmfulInterval);
+}
+
+void assertNothingQuarantined(const Schedule &schedule)
+{
+    Simulation simulation(schedule);
+    simulation.run();
+    if (!simulation.quarantined().empty())
+        RC_FAIL(simulation.trace());
+}
+
+RC_GTEST_PROP(Quarantine, HarmfulPartIsKeptFromServers, ())
+{
+    Schedule schedule = randomSchedule();
+    addHarmful(schedule);
+    RC_LOG() << schedule;
+    Simulation simulation(schedule);
+    simulation.run();
+    if (simulation.lateHarmful() > 3)
+        RC_FAIL(simulation.trace());
+}
+
+RC_GTEST_PROP(Quarantine, HarmfulSeriesBlamesNoSoundPart, ())
+{
+    Schedule schedule = randomSchedule();
+    addHarmful(schedule);
+    RC_LOG() << schedule;
+    Simulation simulation(schedule);
+    simulation.run();
+    for (const PromptPart part : simulation.quarantined()) {
+        if (part != harmful)
+            RC_FAIL(simulation.trace());
+    }
+}
+
+RC_GTEST_PROP(Quarantine, OrdinaryCrashesBlameNoSoundPart, ())
+{
+    Schedule schedule = randomSchedule();
+    schedule.troubles = {static_cast<Trouble>(*rc::gen::inRange(0, 7))};
+    RC_LOG() << schedule;
+    assertNothingQuarantined(schedule);
+}
+
+RC_GTEST_PROP(Quarantine, OrdinaryCrashesTogetherBlameNoSoundPart, ())
+{
+    Schedule schedule = randomSchedule();
+    for (int trouble = 0; trouble < 7; ++trouble) {
+        if (*rc::gen::arbitrary<bool>())
+            schedule.troubles.insert(static_cast<Trouble>(trouble));
+    }
+    RC_LOG() << schedule;
+    assertNothingQuarantined(schedule);
+}
+
+RC_GTEST_PROP(Quarantine, LongCrashLoopBlamesNoSoundPart, ())
+{
+    Schedule schedule = randomSchedule();
+    schedule.troubles = {Trouble::CrashLoop};
+    schedule.length = Duration(180'000);
+    RC_LOG() << schedule;
+    assertNothingQuarantined(schedule);
+}
+
+RC_GTEST_PROP(Quarantine, NodesConverge, ())
+{
+    Schedule schedule = randomSchedule();
+    addHarmful(schedule);
+    RC_LOG() << schedule;
+    Simulation simulation(schedule);
+    simulation.run();
+    simulation.stopTraffic();
+    simulation.stopLoss();
+    simulation.run(Duration(17'000));
+    const auto views = simulation.views();
+    for (const auto &view : views) {
+        if (view != views.front())
+            RC_FAIL(simulation.trace());
+    }
+}
+
+} // namespace
+
+} // namespace bramleypitch
