Feature: [Platform] Parts of prompts are read from requests

Cause: evidence against a part of prompts needs to know which parts a request shares with others. Change: all parts of X-Prompt-Prefix but the last, over all lines of the header, are hashed by their id alone; blanks, case and the number of tokens don't hide a part. Malformed entries are hashed as they are.

--- a/src/platform/platform_dialect.cpp
+++ b/src/platform/platform_dialect.cpp
@@ -1,5 +1,6 @@
 #include "platform/platform_dialect.h"
 
+#include "core/rendezvous_func.h"
 #include "network/retry_after_func.h"
 
 #include <event2/http.h>
@@ -9,6 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <unordered_set>
 
 namespace bramleypitch::platform {
 
@@ -28,6 +30,8 @@
 constexpr const char *tokenCountHeader = "X-Token-Count";
 /// Number of response tokens that the caller expects.
 constexpr const char *lengthHintHeader = "X-Length-Hint";
+/// The parts of the prompt in order: ID:TOKENS, comma-separated.
+constexpr const char *promptPartsHeader = "X-Prompt-Prefix";
 constexpr const char *notExecutedHeader = "X-Not-Executed";
 constexpr const char *faultyServerHeader = "At-Server";
 constexpr const char *instanceHeader = "X-Instance-Id"; ///< The server that responded.
@@ -77,6 +81,35 @@
     return host;
 }
 
+/// Hashes of the ids of all parts of the prompt but the last, which belongs to the request or to
+/// its session. None is left out, as a harmful part may come after many. A malformed entry is
+/// hashed like any other, as it is not known what servers make of it.
+std::vector<std::uint64_t> readPromptParts(const MessageHead &head)
+{
+    constexpr std::string_view blanks = " \t";
+    std::vector<std::uint64_t> parts;
+    for (const auto &[name, value] : head.headers) {
+        if (!sameHeader(name, promptPartsHeader))
+            continue;
+        for (std::size_t start = 0; start <= value.size();) {
+            const std::size_t end = std::min(value.find(',', start), value.size());
+            std::string id = value.substr(start, std::min(value.find(':', start), end) - start);
+            start = end + 1;
+            id.erase(0, std::min(id.find_first_not_of(blanks), id.size()));
+            id.erase(id.find_last_not_of(blanks) + 1);
+            std::transform(id.begin(), id.end(), id.begin(),
+                           [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+            parts.push_back(stableHash(id));
+        }
+    }
+    if (parts.empty())
+        return parts;
+    parts.pop_back();
+    std::unordered_set<std::uint64_t> seen;
+    std::erase_if(parts, [&](std::uint64_t part) { return !seen.insert(part).second; });
+    return parts;
+}
+
 std::optional<RequestArrival> readArrival(const MessageHead &head)
 {
     RequestArrival arrival;
@@ -89,6 +122,7 @@
     if (authorization.compare(0, bearerPrefix.size(), bearerPrefix) == 0)
         arrival.key = authorization.substr(bearerPrefix.size());
     arrival.model = ModelId(head.value(modelHeader));
+    arrival.promptParts = readPromptParts(head);
     const std::string tokens = head.value(tokenCountHeader);
     arrival.promptTokens = parseNumberAt(tokens, 0);
     arrival.completionTokens = parseNumberAt(tokens, 1);
