--- a/src/core/error_type.cpp
+++ b/src/core/error_type.cpp
@@ -65,6 +65,8 @@
         return "deadline_exceeded";
     case ErrorCode::NoCapacity:
         return "no_capacity";
+    case ErrorCode::PromptQuarantined:
+        return "prompt_quarantined";
     case ErrorCode::ConfigurationStale:
         return "configuration_stale";
     case ErrorCode::Stopping:
--- a/src/network/relay.cpp
+++ b/src/network/relay.cpp
@@ -43,6 +43,11 @@
     return RequestId(id.value());
 }
 
+ResponseEnd toResponseEnd(BodyEnd end)
+{
+    return end == BodyEnd::ConnectionClose ? ResponseEnd::ConnectionClose : ResponseEnd::Framed;
+}
+
 /// Returns the headers of a server's response that are forwarded to the caller.
 HttpHeaders forwardedHeaders(const MessageHead &head)
 {
@@ -296,7 +301,7 @@
         open.exchange->lastResponseHead = open.attempt->head;
         open.exchange->lastResponseBody = std::move(open.attempt->body);
         RequestActions actions;
-        m_requests.onResponse(id, attempt, status, m_loop.now(), actions);
+        m_requests.onResponse(id, attempt, status, m_loop.now(), actions, toResponseEnd(end));
         perform(actions);
     }
 }
@@ -316,7 +321,7 @@
     m_hooks.answered(now - exchange.arrivedAt);
     m_exchanges.erase(id);
     RequestActions actions;
-    m_requests.onStreamEnded(id, attempt, now, actions);
+    m_requests.onStreamEnded(id, attempt, now, actions, toResponseEnd(end));
     perform(actions);
 }
 
--- /dev/null
+++ b/src/request/quarantine_func.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "request/quarantine_type.h"
+
+#include <string>
+
+namespace bramleypitch {
+
+/// The parts of a prompt, given the hashes of their names, for the servers of one service: software
+/// differs between services.
+PromptParts promptParts(const std::vector<std::uint64_t> &names, const ServiceId &service);
+/// The name of a part in logs and in the store: its value in hexadecimal.
+std::string partName(PromptPart part);
+/// Parses such a name. Throws Failure(PlatformProtocol) if it is malformed.
+PromptPart parsePartName(const std::string &name);
+
+} // namespace bramleypitch
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -2,6 +2,7 @@
 
 #include "core/rendezvous_func.h"
 #include "request/engine_model.h"
+#include "request/quarantine_func.h"
 
 #include <algorithm>
 #include <cmath>
@@ -38,6 +39,9 @@
 constexpr int pauseSpreadDivisor = 2;
 constexpr Duration minPauseSpread {200};
 constexpr int minServerErrorStatus = 500;
+/// A server that has been writing a response for this time is not crashed by its prompt. One that
+/// completes a shorter response may still end.
+constexpr Duration soundWritingTime {1'000};
 constexpr double weightResolution = 1'000'000; ///< Resolution of the choice by weight.
 
 std::string millisecondsText(Duration duration)
@@ -71,9 +75,27 @@
 RequestSystem::RequestSystem(RequestOptions options, BackendTable &backends)
     : m_options(std::move(options))
     , m_backends(backends)
+    , m_quarantine(quarantineHooks())
 {
 }
 
+QuarantineHooks RequestSystem::quarantineHooks()
+{
+    QuarantineHooks hooks;
+    hooks.lastAlive = [this](const ServerRun &run) -> std::optional<TimePoint> {
+        const Backend *backend = m_backends.find(run.server);
+        if (!backend || m_backends.newestStart(run.server) != run.startedAt)
+            return std::nullopt;
+        return backend->lastProgress;
+    };
+    hooks.hasEnded = [this](const ServerRun &run) {
+        const Backend *backend = m_backends.find(run.server);
+        return !backend || m_backends.newestStart(run.server) != run.startedAt
+            || backend->unreachableAt > backend->lastProgress;
+    };
+    return hooks;
+}
+
 void RequestSystem::setConfiguration(ServingConfigurationPtr configuration)
 {
     m_configuration = std::move(configuration);
@@ -219,6 +241,11 @@
         request.expectedDuration =
             Duration(static_cast<Duration::rep>(executionMs(*engine, *model, size)));
     }
+    request.parts = promptParts(arrival.promptParts, request.service);
+    if (m_quarantine.quarantinedUntil(request.parts, now)) {
+        refuseQuarantined(request, now, actions);
+        return;
+    }
     if (mayOutlastStop(request, now)) {
         refuse(request, ErrorCode::NoCapacity, minRetryAfter, "stopping", now, actions);
         return;
@@ -333,6 +360,10 @@
             refuse(request, ErrorCode::ConfigurationStale, minRetryAfter, "changed", now, actions);
             continue;
         }
+        if (m_quarantine.quarantinedUntil(request.parts, now)) {
+            refuseQuarantined(request, now, actions);
+            continue;
+        }
         if (request.deadline - now < m_options.minTimeLeft) {
             refuse(request, ErrorCode::DeadlineUnreachable, std::nullopt, "deadline", now, actions);
             continue;
@@ -475,7 +506,10 @@
         refusal.run = request.mayHaveRun ? RunOutcome::MayHaveRun : RunOutcome::NotRun;
         if (retryAfter && !request.mayHaveRun) {
             const Duration maxRetryAfter = elapsed(now, request.deadline) / retryAfterDivisor;
-            refusal.retryAfter = request.deadline == TimePoint()
+            // The end of a quarantine does not depend on the caller's deadline.
+            const bool isExact =
+                request.deadline == TimePoint() || code == ErrorCode::PromptQuarantined;
+            refusal.retryAfter = isExact
                 ? *retryAfter
                 : std::clamp(*retryAfter, minRetryAfter, std::max(maxRetryAfter, minRetryAfter));
         }
@@ -519,7 +553,8 @@
         return false;
     const Attempt &current = found->second.current;
     const Backend *backend = m_backends.find(current.server);
-    return backend && now >= backend->pausedUntil
+    return backend && !m_quarantine.quarantinedUntil(found->second.parts, now)
+        && now >= backend->pausedUntil
         && m_backends.newestStart(current.server) == current.serverStartedAt
         && m_backends.isServable(*backend, configurationOf(found->second));
 }
@@ -621,15 +656,22 @@
     }
     request->lastProgress = now;
     request->stallLogged = false;
-    request->current.hasEvent = true;
+    Attempt &current = request->current;
+    if (!current.firstEventAt)
+        current.firstEventAt = now;
+    if (!current.isKnownSound && now - *current.firstEventAt >= soundWritingTime) {
+        current.isKnownSound = true;
+        m_quarantine.onSound(request->parts, now);
+    }
 }
 
 void RequestSystem::onStreamEnded(RequestId id, AttemptNumber attempt, TimePoint now,
-                                  RequestActions &actions)
+                                  RequestActions &actions, ResponseEnd end)
 {
     Request *request = find(id, attempt);
     if (!request)
         return;
+    recordEnd(*request, request->current, end, now);
     const TargetKey key {request->service, request->arrival.model};
     endAttempts(*request);
     actions.push_back(LogDecision {
@@ -646,12 +688,14 @@
 }
 
 void RequestSystem::onResponse(RequestId id, AttemptNumber attempt, int status, TimePoint now,
-                               RequestActions &actions)
+                               RequestActions &actions, ResponseEnd end)
 {
     Request *stalled = findStalled(id, attempt);
     Request *request = stalled ? stalled : find(id, attempt);
     if (!request)
         return;
+    if (status < minServerErrorStatus)
+        recordEnd(*request, attemptOf(*request, attempt), end, now);
     const TargetKey key {request->service, request->arrival.model};
     const VmId server = attemptOf(*request, attempt).server;
     if (Backend *backend = m_backends.find(server))
@@ -687,16 +731,78 @@
     dispatchWaiting(m_targets[key], now, actions);
 }
 
+void RequestSystem::recordBreak(const Request &request, const Attempt &attempt, TimePoint now)
+{
+    if (!request.parts.empty() && !attempt.isKnownSound)
+        m_quarantine.onBroken(request.parts, {attempt.server, attempt.serverStartedAt},
+                              stableHash(request.arrival.traceId), now);
+}
+
+void RequestSystem::recordEnd(const Request &request, const Attempt &attempt, ResponseEnd end,
+                              TimePoint now)
+{
+    if (request.parts.empty() || attempt.isKnownSound)
+        return;
+    const bool isLong = attempt.firstEventAt && now - *attempt.firstEventAt >= soundWritingTime;
+    if (end == ResponseEnd::Framed && isLong)
+        m_quarantine.onSound(request.parts, now);
+    else
+        m_quarantine.onDoubtfulEnd(request.parts, {attempt.server, attempt.serverStartedAt},
+                                   stableHash(request.arrival.traceId), now);
+}
+
+void RequestSystem::refuseQuarantined(Request &request, TimePoint now, RequestActions &actions)
+{
+    const std::optional<TimePoint> until = m_quarantine.quarantinedUntil(request.parts, now);
+    refuse(request, ErrorCode::PromptQuarantined, until.value_or(now) - now, "quarantined", now,
+           actions);
+}
+
+void RequestSystem::applyQuarantines(TimePoint now, RequestActions &actions)
+{
+    const std::vector<QuarantineDecision> decisions = m_quarantine.tick(now);
+    if (decisions.empty())
+        return;
+    for (const QuarantineDecision &decision : decisions) {
+        actions.push_back(
+            LogDecision {"",
+                         "prompt_part_quarantined",
+                         {{"part", partName(decision.part)},
+                          {"left_ms", millisecondsText(decision.quarantine.timeLeft)},
+                          {"times", std::to_string(decision.quarantine.times)},
+                          {"runs", std::to_string(decision.runs)},
+                          {"requests", std::to_string(decision.requests)},
+                          {"decided_by", decision.runs > 0 ? "this_node" : "other_node"}}});
+        if (m_onQuarantined && decision.runs > 0)
+            m_onQuarantined(decision);
+    }
+    std::vector<RequestId> affected;
+    for (const auto &[id, request] : m_requests) {
+        const bool isAnswered = request.responseStarted || request.hasResponse;
+        if (!isAnswered && m_quarantine.quarantinedUntil(request.parts, now))
+            affected.push_back(id);
+    }
+    for (const RequestId id : affected) {
+        Request &request = m_requests.at(id);
+        // Its server has not begun to answer, so that it may still be spared.
+        request.mayHaveRun = request.mayHaveRun || request.running;
+        abandonAttempts(request, actions);
+        refuseQuarantined(request, now, actions);
+    }
+}
+
 void RequestSystem::suspectAfterFailure(const Attempt &attempt, AttemptFailure failure,
                                         const VmId &faultyServer, TimePoint now)
 {
     Backend *backend = m_backends.find(attempt.server);
     const bool isAtFault =
         failure != AttemptFailure::Withdrawn && failure != AttemptFailure::Paused;
-    if (backend && failure == AttemptFailure::Unsent)
+    if (backend && failure == AttemptFailure::Unsent) {
+        backend->unreachableAt = now;
         m_backends.suspect(*backend, Suspicion::Silence, m_options.silenceSuspicionTime, now);
-    else if (backend && isAtFault)
+    } else if (backend && isAtFault) {
         m_backends.suspect(*backend, Suspicion::Failure, m_options.failureSuspicionTime, now);
+    }
     if (Backend *faulty = m_backends.find(faultyServer))
         m_backends.suspect(*faulty, Suspicion::Silence, m_options.silenceSuspicionTime, now);
 }
@@ -708,6 +814,8 @@
     if (Request *request = findStalled(id, attempt)) {
         const Attempt failed = takeStalled(*request, attempt);
         suspectAfterFailure(failed, failure, faultyServer, now);
+        if (failure == AttemptFailure::Broken)
+            recordBreak(*request, failed, now);
         releaseServer(*request, failed);
         actions.emplace_back(AbandonAttempt {id, attempt});
         return;
@@ -744,6 +852,7 @@
         --request->attemptsUsed;
         break;
     case AttemptFailure::Broken:
+        recordBreak(*request, request->current, now);
         request->mayHaveRun = true;
         mayRetry = request->kind == RequestKind::Repeatable
             || request->kind == RequestKind::ResumableStream;
@@ -788,6 +897,7 @@
 {
     return request.attemptsUsed < request.maxAttempts && request.tried.size() < maxServersTried
         && request.deadline - now >= m_options.minTimeLeft
+        && !m_quarantine.quarantinedUntil(request.parts, now)
         && retries(request.service).permitsRetry(m_nodes.count, now);
 }
 
@@ -813,6 +923,10 @@
         dispatchWaiting(m_targets[key], now, actions);
         return;
     }
+    if (m_quarantine.quarantinedUntil(request.parts, now)) {
+        refuseQuarantined(request, now, actions);
+        return;
+    }
     const Duration retryAfter = isPaused ? retryAfterPause(request, choice.pausedUntil, now)
                                          : m_options.defaultRetryAfter / 2;
     refuse(request, ErrorCode::NoCapacity, retryAfter, cause, now, actions);
@@ -827,7 +941,7 @@
         return now - request.lastProgress > m_options.streamStallTimeout;
     // A stream may be queued behind long prompts before its first event. The short timeout for
     // pauses between events applies before that event only if the server is already suspected.
-    const bool isBetweenEvents = request.current.hasEvent || now < backend->suspectUntil;
+    const bool isBetweenEvents = request.current.firstEventAt || now < backend->suspectUntil;
     const Duration silenceTimeout =
         isBetweenEvents ? m_options.streamStallTimeout : m_options.firstEventTimeout;
     return now - std::max(request.lastProgress, backend->lastProgress) > silenceTimeout;
@@ -904,6 +1018,7 @@
         dispatchWaiting(target, now, actions);
     if (now - m_deadlinesAt >= deadlineInterval) {
         m_deadlinesAt = now;
+        applyQuarantines(now, actions);
         checkDeadlines(now, actions);
     }
 }
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "request/backend_base.h"
+#include "request/quarantine_base.h"
 #include "request/queue_order.h"
 #include "request/request_type.h"
 #include "request/retry_allowance.h"
@@ -87,12 +88,12 @@
     /// The transport stopped reading the response to the attempt since its caller reads slowly, or
     /// goes on reading.
     void onReadingPaused(RequestId request, AttemptNumber attempt, bool paused, TimePoint now);
-    /// The stream of the attempt ended completely.
+    /// The stream of the attempt ended completely. `end` tells how its end is known.
     void onStreamEnded(RequestId request, AttemptNumber attempt, TimePoint now,
-                       RequestActions &actions);
+                       RequestActions &actions, ResponseEnd end = ResponseEnd::Framed);
     /// A complete response other than a stream was received.
     void onResponse(RequestId request, AttemptNumber attempt, int status, TimePoint now,
-                    RequestActions &actions);
+                    RequestActions &actions, ResponseEnd end = ResponseEnd::Framed);
     /// The attempt failed. `faultyServer` is the server that the response named as the cause, if
     /// any.
     void onAttemptFailed(RequestId request, AttemptNumber attempt, AttemptFailure failure,
@@ -101,6 +102,26 @@
     /// streams. Called periodically and after changes of servers or peers.
     void tick(TimePoint now, RequestActions &actions);
 
+    /// What this node knows of parts of prompts that crash servers, for the other nodes.
+    QuarantineNews quarantineNews(TimePoint now) const { return m_quarantine.news(now); }
+    /// Adopts what another node knows of parts of prompts. Takes effect on waiting requests with
+    /// the next tick.
+    void mergeQuarantine(const QuarantineNews &news, TimePoint now)
+    {
+        m_quarantine.merge(news, now);
+    }
+    /// Adopts a quarantine that is kept in the store.
+    void restoreQuarantine(PromptPart part, const QuarantinedPart &quarantine, TimePoint now)
+    {
+        m_quarantine.restore(part, quarantine, now);
+    }
+    /// Sets the callback for parts that this node quarantines.
+    void setQuarantineHook(std::function<void(const QuarantineDecision &)> hook)
+    {
+        m_onQuarantined = std::move(hook);
+    }
+    std::size_t quarantinedParts() const { return m_quarantine.quarantinedCount(); }
+
     /// Whether there is a configuration that was confirmed recently enough to accept API keys.
     bool isCurrent(TimePoint now) const;
     const ServingConfigurationPtr &configuration() const { return m_configuration; }
@@ -120,7 +141,8 @@
         AttemptNumber number; ///< 0 before the first attempt.
         VmId server;
         std::int64_t serverStartedAt = 0; ///< The newest known run of that server.
-        bool hasEvent = false; ///< It has delivered an event.
+        std::optional<TimePoint> firstEventAt; ///< When its first event was forwarded.
+        bool isKnownSound = false; ///< Its server writes for so long that no part crashes it.
     };
     /// A request that is waiting or running.
     struct Request
@@ -131,6 +153,7 @@
         RequestKind kind = RequestKind::AtMostOnce;
         ServiceId service;
         OrganisationId organisation;
+        PromptParts parts; ///< Parts of the prompt that other requests may share.
         TimePoint arrivedAt;
         TimePoint deadline;
         TimePoint latestStart; ///< Latest start that still meets the latency target.
@@ -201,7 +224,8 @@
     void dispatch(Request &request, BackendIndex server, TimePoint now, RequestActions &actions);
     /// Records that an attempt failed on a server.
     static void addTried(Request &request, const VmId &server);
-    /// Whether a further attempt is permitted: attempts, time and the retry budget are left.
+    /// Whether a further attempt is permitted: attempts, time and the retry budget are left, and no
+    /// part of the prompt is quarantined.
     bool mayRepeat(const Request &request, TimePoint now);
     /// Refuses the requests of a target whose servers have all asked for a pause. Started responses
     /// go on waiting.
@@ -231,6 +255,17 @@
     /// Suspects the server of a failed attempt, and the one named as the cause.
     void suspectAfterFailure(const Attempt &attempt, AttemptFailure failure,
                              const VmId &faultyServer, TimePoint now);
+    /// Records that an attempt that was sent broke off, unless its server had been writing for
+    /// long.
+    void recordBreak(const Request &request, const Attempt &attempt, TimePoint now);
+    /// Records how the complete response to an attempt ended.
+    void recordEnd(const Request &request, const Attempt &attempt, ResponseEnd end, TimePoint now);
+    /// Refuses a request with a quarantined part, with the end of the quarantine.
+    void refuseQuarantined(Request &request, TimePoint now, RequestActions &actions);
+    /// Acts on new quarantines: logs them, and refuses the requests that nobody has begun to
+    /// answer.
+    void applyQuarantines(TimePoint now, RequestActions &actions);
+    QuarantineHooks quarantineHooks();
     /// Makes the latest stalled attempt the current one after the attempt that should replace it
     /// failed.
     void returnToStalled(Request &request, const char *cause, TimePoint now,
@@ -258,6 +293,8 @@
     std::map<TargetKey, Target> m_targets;
     std::map<ServiceId, RetryAllowance> m_retries;
     std::map<ModelId, RefusedDemand> m_refusedDemand;
+    QuarantineTable m_quarantine;
+    std::function<void(const QuarantineDecision &)> m_onQuarantined;
     bool m_hasArrivals = false;
     std::optional<TimePoint> m_stopDeadline;
     TimePoint m_ratesAt;
--- a/src/request/request_type.h
+++ b/src/request/request_type.h
@@ -35,6 +35,12 @@
     std::optional<Duration> pause; ///< It wants no requests of this node for this time.
 };
 
+/// How the end of a complete response is known.
+enum class ResponseEnd {
+    Framed, ///< By its length or its last chunk.
+    ConnectionClose, ///< By the end of the connection alone. The server may have ended.
+};
+
 /// How an attempt failed, classified by its possible effect on the server.
 enum class AttemptFailure {
     Unsent, ///< Nothing was sent.
--- a/src/tests/request_test.cpp
+++ b/src/tests/request_test.cpp
@@ -1,6 +1,7 @@
 // Tests of request handling: routes, API keys, server selection, attempts, resumption, refusals.
 
 #include "request/engine_model.h"
+#include "request/quarantine_func.h"
 #include "request_fixture.h"
 
 #include <rapidcheck/gtest.h>
@@ -745,6 +746,169 @@
     EXPECT_FALSE(m_system.mayStillSend(next[0].request, next[0].attempt, m_now));
 }
 
+/// Requests whose prompts share a part that is quarantined.
+class QuarantineRequestTest : public RequestTest
+{
+protected:
+    static constexpr std::uint64_t harmful = 7;
+
+    RequestActions askWith(const std::vector<std::uint64_t> &names)
+    {
+        RequestArrival arrival;
+        arrival.request = RequestId(++m_lastRequestId);
+        arrival.traceId = "t" + std::to_string(m_lastRequestId);
+        arrival.host = "shop.example";
+        arrival.path = "/ask/x";
+        arrival.key = apiKey;
+        arrival.model = ModelId("m");
+        arrival.promptParts = names;
+        RequestActions actions;
+        m_system.onRequestArrived(arrival, m_now, actions);
+        return actions;
+    }
+
+    void quarantine()
+    {
+        const PromptParts parts = promptParts({harmful}, ServiceId("engines"));
+        m_system.restoreQuarantine(parts[0], {Duration(600'000), 1}, m_now);
+    }
+};
+
+TEST_F(QuarantineRequestTest, NewRequestIsRefusedAtOnceWithTheEndOfTheQuarantine)
+{
+    addGroup("a");
+    quarantine();
+    m_now += Duration(100'000);
+    m_system.setConfigurationProof(m_now);
+    const auto refusals = actionsOf<RefuseRequest>(askWith({1, harmful, 2}));
+    ASSERT_EQ(refusals.size(), 1U);
+    EXPECT_EQ(refusals[0].code, ErrorCode::PromptQuarantined);
+    EXPECT_EQ(refusals[0].run, RunOutcome::NotRun);
+    EXPECT_EQ(refusals[0].retryAfter, Duration(500'000));
+    EXPECT_EQ(actionsOf<DispatchAttempt>(askWith({1, 2})).size(), 1U);
+    m_now += Duration(500'001);
+    m_system.setConfigurationProof(m_now);
+    EXPECT_EQ(actionsOf<DispatchAttempt>(askWith({1, harmful, 2})).size(), 1U);
+}
+
+TEST_F(QuarantineRequestTest, WaitingRequestIsRefusedAsNotRun)
+{
+    addGroup("a");
+    for (std::uint32_t i = 0; i < slots; ++i)
+        askWith({1});
+    EXPECT_TRUE(actionsOf<DispatchAttempt>(askWith({1, harmful})).empty());
+    quarantine();
+    const auto refusals = actionsOf<RefuseRequest>(tickAfter(Duration(50)));
+    ASSERT_EQ(refusals.size(), 1U);
+    EXPECT_EQ(refusals[0].code, ErrorCode::PromptQuarantined);
+    EXPECT_EQ(refusals[0].run, RunOutcome::NotRun);
+}
+
+TEST_F(QuarantineRequestTest, AttemptThatWaitsForItsConnectionIsNotWritten)
+{
+    addGroup("a");
+    addGroup("b");
+    const auto attempt = actionsOf<DispatchAttempt>(askWith({1, harmful})).at(0);
+    quarantine();
+    EXPECT_FALSE(m_system.mayStillSend(attempt.request, attempt.attempt, m_now));
+    const RequestActions actions = failAttempt(attempt, AttemptFailure::Withdrawn);
+    EXPECT_TRUE(actionsOf<DispatchAttempt>(actions).empty());
+    EXPECT_EQ(actionsOf<RefuseRequest>(actions).at(0).code, ErrorCode::PromptQuarantined);
+}
+
+TEST_F(QuarantineRequestTest, RepeatIsNotSentAndNotReportedAsNotRun)
+{
+    addGroup("a");
+    addGroup("b");
+    const auto attempt = actionsOf<DispatchAttempt>(askWith({1, harmful})).at(0);
+    quarantine();
+    const RequestActions actions = failAttempt(attempt, AttemptFailure::Broken);
+    EXPECT_TRUE(actionsOf<DispatchAttempt>(actions).empty());
+    const auto refusals = actionsOf<RefuseRequest>(actions);
+    ASSERT_EQ(refusals.size(), 1U);
+    EXPECT_EQ(refusals[0].code, ErrorCode::BackendFailed);
+    EXPECT_EQ(refusals[0].run, RunOutcome::MayHaveRun);
+    EXPECT_FALSE(refusals[0].retryAfter.has_value());
+}
+
+TEST_F(QuarantineRequestTest, StreamIsNotResumed)
+{
+    addGroup("a");
+    addGroup("b");
+    const auto attempt = actionsOf<DispatchAttempt>(askWith({1, harmful})).at(0);
+    m_system.onStreamStarted(attempt.request, attempt.attempt, m_now);
+    m_system.onEventForwarded(attempt.request, attempt.attempt, m_now);
+    quarantine();
+    const RequestActions actions = failAttempt(attempt, AttemptFailure::Broken);
+    EXPECT_TRUE(actionsOf<DispatchAttempt>(actions).empty());
+    EXPECT_EQ(actionsOf<BreakResponse>(actions).size(), 1U);
+}
+
+TEST_F(QuarantineRequestTest, SilentStreamIsNotSentToAnotherServer)
+{
+    addGroup("a");
+    addGroup("b");
+    const auto attempt = actionsOf<DispatchAttempt>(askWith({1, harmful})).at(0);
+    m_system.onStreamStarted(attempt.request, attempt.attempt, m_now);
+    m_system.onEventForwarded(attempt.request, attempt.attempt, m_now);
+    quarantine();
+    EXPECT_TRUE(actionsOf<DispatchAttempt>(tickAfter(Duration(1'000))).empty());
+}
+
+TEST_F(QuarantineRequestTest, ServerThatHasNotBegunToAnswerIsSpared)
+{
+    addGroup("a");
+    addGroup("b");
+    const auto attempt = actionsOf<DispatchAttempt>(askWith({1, harmful})).at(0);
+    const auto sound = actionsOf<DispatchAttempt>(askWith({1})).at(0);
+    quarantine();
+    const RequestActions actions = tickAfter(Duration(50));
+    const auto abandoned = actionsOf<AbandonAttempt>(actions);
+    ASSERT_EQ(abandoned.size(), 1U);
+    EXPECT_EQ(abandoned[0].request, attempt.request);
+    EXPECT_NE(abandoned[0].request, sound.request);
+    EXPECT_EQ(actionsOf<RefuseRequest>(actions).at(0).run, RunOutcome::MayHaveRun);
+}
+
+TEST_F(QuarantineRequestTest, CrashesAreBlamedOnThePartThatTheyShare)
+{
+    // Requests with the part crash a server every 0.5 s, while others are answered.
+    for (int group = 0; group < 12; ++group)
+        addGroup("g" + std::to_string(group));
+    const auto step = [&](Duration duration) {
+        RequestActions actions;
+        for (const TimePoint end = m_now + duration; m_now < end;) {
+            m_now += Duration(50);
+            m_system.setConfigurationProof(m_now);
+            m_system.tick(m_now, actions);
+        }
+    };
+    step(Duration(4'000));
+    int sent = 0;
+    for (int round = 0; round < 20; ++round) {
+        const auto sound = actionsOf<DispatchAttempt>(askWith({1, 2}));
+        ASSERT_EQ(sound.size(), 1U) << "round " << round;
+        m_system.onStreamStarted(sound[0].request, sound[0].attempt, m_now);
+        m_system.onEventForwarded(sound[0].request, sound[0].attempt, m_now);
+        for (const DispatchAttempt &attempt :
+             actionsOf<DispatchAttempt>(askWith({1, harmful, 2}))) {
+            if (attempt.server == sound[0].server)
+                continue;
+            ++sent;
+            m_backends.erase(attempt.server);
+            failAttempt(attempt, AttemptFailure::Broken);
+        }
+        step(Duration(1'100));
+        RequestActions ended;
+        m_system.onEventForwarded(sound[0].request, sound[0].attempt, m_now);
+        m_system.onStreamEnded(sound[0].request, sound[0].attempt, m_now, ended);
+    }
+    EXPECT_EQ(m_system.quarantinedParts(), 1U);
+    EXPECT_LE(sent, 8); // Five, and those that were sent until 3 s after the fifth.
+    EXPECT_EQ(actionsOf<RefuseRequest>(askWith({harmful})).at(0).code,
+              ErrorCode::PromptQuarantined);
+}
+
 RC_GTEST_PROP(ServerNotices, NothingIsSentAgainstThem, ())
 {
     // Servers announce that they leave, ask for pauses, restart and vanish in any order, while
