--- a/src/network/gen/peer_types.cpp
+++ b/src/network/gen/peer_types.cpp
@@ -1198,6 +1198,494 @@
 }
 
 
+QuarantineCrash::~QuarantineCrash() noexcept {
+}
+
+
+void QuarantineCrash::__set_part(const int64_t val) {
+  this->part = val;
+}
+
+void QuarantineCrash::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void QuarantineCrash::__set_started(const int64_t val) {
+  this->started = val;
+}
+
+void QuarantineCrash::__set_request(const int64_t val) {
+  this->request = val;
+}
+
+void QuarantineCrash::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuarantineCrash& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuarantineCrash::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->part);
+          this->__isset.part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->started);
+          this->__isset.started = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->request);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuarantineCrash::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuarantineCrash");
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("started", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->started);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->request);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuarantineCrash &a, QuarantineCrash &b) {
+  using ::std::swap;
+  swap(a.part, b.part);
+  swap(a.server, b.server);
+  swap(a.started, b.started);
+  swap(a.request, b.request);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+QuarantineCrash::QuarantineCrash(const QuarantineCrash& other26) {
+  part = other26.part;
+  server = other26.server;
+  started = other26.started;
+  request = other26.request;
+  age_ms = other26.age_ms;
+  __isset = other26.__isset;
+}
+QuarantineCrash& QuarantineCrash::operator=(const QuarantineCrash& other27) {
+  part = other27.part;
+  server = other27.server;
+  started = other27.started;
+  request = other27.request;
+  age_ms = other27.age_ms;
+  __isset = other27.__isset;
+  return *this;
+}
+void QuarantineCrash::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuarantineCrash(";
+  out << "part=" << to_string(part);
+  out << ", " << "server=" << to_string(server);
+  out << ", " << "started=" << to_string(started);
+  out << ", " << "request=" << to_string(request);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
+QuarantinedPart::~QuarantinedPart() noexcept {
+}
+
+
+void QuarantinedPart::__set_left_ms(const int32_t val) {
+  this->left_ms = val;
+}
+
+void QuarantinedPart::__set_times(const int32_t val) {
+  this->times = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuarantinedPart& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuarantinedPart::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->left_ms);
+          this->__isset.left_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->times);
+          this->__isset.times = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuarantinedPart::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuarantinedPart");
+
+  xfer += oprot->writeFieldBegin("left_ms", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->left_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("times", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->times);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuarantinedPart &a, QuarantinedPart &b) {
+  using ::std::swap;
+  swap(a.left_ms, b.left_ms);
+  swap(a.times, b.times);
+  swap(a.__isset, b.__isset);
+}
+
+QuarantinedPart::QuarantinedPart(const QuarantinedPart& other28) noexcept {
+  left_ms = other28.left_ms;
+  times = other28.times;
+  __isset = other28.__isset;
+}
+QuarantinedPart& QuarantinedPart::operator=(const QuarantinedPart& other29) noexcept {
+  left_ms = other29.left_ms;
+  times = other29.times;
+  __isset = other29.__isset;
+  return *this;
+}
+void QuarantinedPart::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuarantinedPart(";
+  out << "left_ms=" << to_string(left_ms);
+  out << ", " << "times=" << to_string(times);
+  out << ")";
+}
+
+
+Quarantine::~Quarantine() noexcept {
+}
+
+
+void Quarantine::__set_crashes(const std::map<int32_t, QuarantineCrash> & val) {
+  this->crashes = val;
+}
+
+void Quarantine::__set_cleared_ms(const std::map<int64_t, int32_t> & val) {
+  this->cleared_ms = val;
+}
+
+void Quarantine::__set_parts(const std::map<int64_t, QuarantinedPart> & val) {
+  this->parts = val;
+}
+std::ostream& operator<<(std::ostream& out, const Quarantine& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Quarantine::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->crashes.clear();
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _ktype31;
+            ::apache::thrift::protocol::TType _vtype32;
+            xfer += iprot->readMapBegin(_ktype31, _vtype32, _size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
+            {
+              int32_t _key35;
+              xfer += iprot->readI32(_key35);
+              QuarantineCrash& _val36 = this->crashes[_key35];
+              xfer += _val36.read(iprot);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->cleared_ms.clear();
+            uint32_t _size37;
+            ::apache::thrift::protocol::TType _ktype38;
+            ::apache::thrift::protocol::TType _vtype39;
+            xfer += iprot->readMapBegin(_ktype38, _vtype39, _size37);
+            uint32_t _i41;
+            for (_i41 = 0; _i41 < _size37; ++_i41)
+            {
+              int64_t _key42;
+              xfer += iprot->readI64(_key42);
+              int32_t& _val43 = this->cleared_ms[_key42];
+              xfer += iprot->readI32(_val43);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.cleared_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->parts.clear();
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _ktype45;
+            ::apache::thrift::protocol::TType _vtype46;
+            xfer += iprot->readMapBegin(_ktype45, _vtype46, _size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
+            {
+              int64_t _key49;
+              xfer += iprot->readI64(_key49);
+              QuarantinedPart& _val50 = this->parts[_key49];
+              xfer += _val50.read(iprot);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Quarantine::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Quarantine");
+
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_MAP, 1);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I32, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::map<int32_t, QuarantineCrash> ::const_iterator _iter51;
+    for (_iter51 = this->crashes.begin(); _iter51 != this->crashes.end(); ++_iter51)
+    {
+      xfer += oprot->writeI32(_iter51->first);
+      xfer += _iter51->second.write(oprot);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cleared_ms", ::apache::thrift::protocol::T_MAP, 2);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I64, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->cleared_ms.size()));
+    std::map<int64_t, int32_t> ::const_iterator _iter52;
+    for (_iter52 = this->cleared_ms.begin(); _iter52 != this->cleared_ms.end(); ++_iter52)
+    {
+      xfer += oprot->writeI64(_iter52->first);
+      xfer += oprot->writeI32(_iter52->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_MAP, 3);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I64, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
+    std::map<int64_t, QuarantinedPart> ::const_iterator _iter53;
+    for (_iter53 = this->parts.begin(); _iter53 != this->parts.end(); ++_iter53)
+    {
+      xfer += oprot->writeI64(_iter53->first);
+      xfer += _iter53->second.write(oprot);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Quarantine &a, Quarantine &b) {
+  using ::std::swap;
+  swap(a.crashes, b.crashes);
+  swap(a.cleared_ms, b.cleared_ms);
+  swap(a.parts, b.parts);
+  swap(a.__isset, b.__isset);
+}
+
+Quarantine::Quarantine(const Quarantine& other54) {
+  crashes = other54.crashes;
+  cleared_ms = other54.cleared_ms;
+  parts = other54.parts;
+  __isset = other54.__isset;
+}
+Quarantine& Quarantine::operator=(const Quarantine& other55) {
+  crashes = other55.crashes;
+  cleared_ms = other55.cleared_ms;
+  parts = other55.parts;
+  __isset = other55.__isset;
+  return *this;
+}
+void Quarantine::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Quarantine(";
+  out << "crashes=" << to_string(crashes);
+  out << ", " << "cleared_ms=" << to_string(cleared_ms);
+  out << ", " << "parts=" << to_string(parts);
+  out << ")";
+}
+
+
 Pulse::~Pulse() noexcept {
 }
 
@@ -1249,6 +1737,10 @@
 void Pulse::__set_leaving(const std::map<std::string, int64_t> & val) {
   this->leaving = val;
 }
+
+void Pulse::__set_quarantine(const Quarantine& val) {
+  this->quarantine = val;
+}
 std::ostream& operator<<(std::ostream& out, const Pulse& obj)
 {
   obj.printTo(out);
@@ -1313,17 +1805,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->running.clear();
-            uint32_t _size26;
-            ::apache::thrift::protocol::TType _ktype27;
-            ::apache::thrift::protocol::TType _vtype28;
-            xfer += iprot->readMapBegin(_ktype27, _vtype28, _size26);
-            uint32_t _i30;
-            for (_i30 = 0; _i30 < _size26; ++_i30)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _ktype57;
+            ::apache::thrift::protocol::TType _vtype58;
+            xfer += iprot->readMapBegin(_ktype57, _vtype58, _size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              std::string _key31;
-              xfer += iprot->readString(_key31);
-              int32_t& _val32 = this->running[_key31];
-              xfer += iprot->readI32(_val32);
+              std::string _key61;
+              xfer += iprot->readString(_key61);
+              int32_t& _val62 = this->running[_key61];
+              xfer += iprot->readI32(_val62);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1336,17 +1828,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->demand.clear();
-            uint32_t _size33;
-            ::apache::thrift::protocol::TType _ktype34;
-            ::apache::thrift::protocol::TType _vtype35;
-            xfer += iprot->readMapBegin(_ktype34, _vtype35, _size33);
-            uint32_t _i37;
-            for (_i37 = 0; _i37 < _size33; ++_i37)
+            uint32_t _size63;
+            ::apache::thrift::protocol::TType _ktype64;
+            ::apache::thrift::protocol::TType _vtype65;
+            xfer += iprot->readMapBegin(_ktype64, _vtype65, _size63);
+            uint32_t _i67;
+            for (_i67 = 0; _i67 < _size63; ++_i67)
             {
-              std::string _key38;
-              xfer += iprot->readString(_key38);
-              double& _val39 = this->demand[_key38];
-              xfer += iprot->readDouble(_val39);
+              std::string _key68;
+              xfer += iprot->readString(_key68);
+              double& _val69 = this->demand[_key68];
+              xfer += iprot->readDouble(_val69);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1359,17 +1851,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->suspects_ms.clear();
-            uint32_t _size40;
-            ::apache::thrift::protocol::TType _ktype41;
-            ::apache::thrift::protocol::TType _vtype42;
-            xfer += iprot->readMapBegin(_ktype41, _vtype42, _size40);
-            uint32_t _i44;
-            for (_i44 = 0; _i44 < _size40; ++_i44)
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _ktype71;
+            ::apache::thrift::protocol::TType _vtype72;
+            xfer += iprot->readMapBegin(_ktype71, _vtype72, _size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
             {
-              std::string _key45;
-              xfer += iprot->readString(_key45);
-              int32_t& _val46 = this->suspects_ms[_key45];
-              xfer += iprot->readI32(_val46);
+              std::string _key75;
+              xfer += iprot->readString(_key75);
+              int32_t& _val76 = this->suspects_ms[_key75];
+              xfer += iprot->readI32(_val76);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1398,17 +1890,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->heard_ms.clear();
-            uint32_t _size47;
-            ::apache::thrift::protocol::TType _ktype48;
-            ::apache::thrift::protocol::TType _vtype49;
-            xfer += iprot->readMapBegin(_ktype48, _vtype49, _size47);
-            uint32_t _i51;
-            for (_i51 = 0; _i51 < _size47; ++_i51)
+            uint32_t _size77;
+            ::apache::thrift::protocol::TType _ktype78;
+            ::apache::thrift::protocol::TType _vtype79;
+            xfer += iprot->readMapBegin(_ktype78, _vtype79, _size77);
+            uint32_t _i81;
+            for (_i81 = 0; _i81 < _size77; ++_i81)
             {
-              std::string _key52;
-              xfer += iprot->readString(_key52);
-              int32_t& _val53 = this->heard_ms[_key52];
-              xfer += iprot->readI32(_val53);
+              std::string _key82;
+              xfer += iprot->readString(_key82);
+              int32_t& _val83 = this->heard_ms[_key82];
+              xfer += iprot->readI32(_val83);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1429,17 +1921,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->leaving.clear();
-            uint32_t _size54;
-            ::apache::thrift::protocol::TType _ktype55;
-            ::apache::thrift::protocol::TType _vtype56;
-            xfer += iprot->readMapBegin(_ktype55, _vtype56, _size54);
-            uint32_t _i58;
-            for (_i58 = 0; _i58 < _size54; ++_i58)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _ktype85;
+            ::apache::thrift::protocol::TType _vtype86;
+            xfer += iprot->readMapBegin(_ktype85, _vtype86, _size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              std::string _key59;
-              xfer += iprot->readString(_key59);
-              int64_t& _val60 = this->leaving[_key59];
-              xfer += iprot->readI64(_val60);
+              std::string _key89;
+              xfer += iprot->readString(_key89);
+              int64_t& _val90 = this->leaving[_key89];
+              xfer += iprot->readI64(_val90);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1448,6 +1940,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->quarantine.read(iprot);
+          this->__isset.quarantine = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1484,11 +1984,11 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_MAP, 5);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->running.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter61;
-    for (_iter61 = this->running.begin(); _iter61 != this->running.end(); ++_iter61)
+    std::map<std::string, int32_t> ::const_iterator _iter91;
+    for (_iter91 = this->running.begin(); _iter91 != this->running.end(); ++_iter91)
     {
-      xfer += oprot->writeString(_iter61->first);
-      xfer += oprot->writeI32(_iter61->second);
+      xfer += oprot->writeString(_iter91->first);
+      xfer += oprot->writeI32(_iter91->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1497,11 +1997,11 @@
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_MAP, 6);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_DOUBLE, static_cast<uint32_t>(this->demand.size()));
-    std::map<std::string, double> ::const_iterator _iter62;
-    for (_iter62 = this->demand.begin(); _iter62 != this->demand.end(); ++_iter62)
+    std::map<std::string, double> ::const_iterator _iter92;
+    for (_iter92 = this->demand.begin(); _iter92 != this->demand.end(); ++_iter92)
     {
-      xfer += oprot->writeString(_iter62->first);
-      xfer += oprot->writeDouble(_iter62->second);
+      xfer += oprot->writeString(_iter92->first);
+      xfer += oprot->writeDouble(_iter92->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1510,11 +2010,11 @@
   xfer += oprot->writeFieldBegin("suspects_ms", ::apache::thrift::protocol::T_MAP, 7);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->suspects_ms.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter63;
-    for (_iter63 = this->suspects_ms.begin(); _iter63 != this->suspects_ms.end(); ++_iter63)
+    std::map<std::string, int32_t> ::const_iterator _iter93;
+    for (_iter93 = this->suspects_ms.begin(); _iter93 != this->suspects_ms.end(); ++_iter93)
     {
-      xfer += oprot->writeString(_iter63->first);
-      xfer += oprot->writeI32(_iter63->second);
+      xfer += oprot->writeString(_iter93->first);
+      xfer += oprot->writeI32(_iter93->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1531,11 +2031,11 @@
   xfer += oprot->writeFieldBegin("heard_ms", ::apache::thrift::protocol::T_MAP, 10);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->heard_ms.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter64;
-    for (_iter64 = this->heard_ms.begin(); _iter64 != this->heard_ms.end(); ++_iter64)
+    std::map<std::string, int32_t> ::const_iterator _iter94;
+    for (_iter94 = this->heard_ms.begin(); _iter94 != this->heard_ms.end(); ++_iter94)
     {
-      xfer += oprot->writeString(_iter64->first);
-      xfer += oprot->writeI32(_iter64->second);
+      xfer += oprot->writeString(_iter94->first);
+      xfer += oprot->writeI32(_iter94->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1548,16 +2048,20 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_MAP, 12);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leaving.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter65;
-    for (_iter65 = this->leaving.begin(); _iter65 != this->leaving.end(); ++_iter65)
+    std::map<std::string, int64_t> ::const_iterator _iter95;
+    for (_iter95 = this->leaving.begin(); _iter95 != this->leaving.end(); ++_iter95)
     {
-      xfer += oprot->writeString(_iter65->first);
-      xfer += oprot->writeI64(_iter65->second);
+      xfer += oprot->writeString(_iter95->first);
+      xfer += oprot->writeI64(_iter95->second);
     }
     xfer += oprot->writeMapEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("quarantine", ::apache::thrift::protocol::T_STRUCT, 13);
+  xfer += this->quarantine.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1577,38 +2081,41 @@
   swap(a.heard_ms, b.heard_ms);
   swap(a.settled, b.settled);
   swap(a.leaving, b.leaving);
+  swap(a.quarantine, b.quarantine);
   swap(a.__isset, b.__isset);
 }
 
-Pulse::Pulse(const Pulse& other66) {
-  node = other66.node;
-  life = other66.life;
-  number = other66.number;
-  taking = other66.taking;
-  running = other66.running;
-  demand = other66.demand;
-  suspects_ms = other66.suspects_ms;
-  clock_ms = other66.clock_ms;
-  held_revision = other66.held_revision;
-  heard_ms = other66.heard_ms;
-  settled = other66.settled;
-  leaving = other66.leaving;
-  __isset = other66.__isset;
-}
-Pulse& Pulse::operator=(const Pulse& other67) {
-  node = other67.node;
-  life = other67.life;
-  number = other67.number;
-  taking = other67.taking;
-  running = other67.running;
-  demand = other67.demand;
-  suspects_ms = other67.suspects_ms;
-  clock_ms = other67.clock_ms;
-  held_revision = other67.held_revision;
-  heard_ms = other67.heard_ms;
-  settled = other67.settled;
-  leaving = other67.leaving;
-  __isset = other67.__isset;
+Pulse::Pulse(const Pulse& other96) {
+  node = other96.node;
+  life = other96.life;
+  number = other96.number;
+  taking = other96.taking;
+  running = other96.running;
+  demand = other96.demand;
+  suspects_ms = other96.suspects_ms;
+  clock_ms = other96.clock_ms;
+  held_revision = other96.held_revision;
+  heard_ms = other96.heard_ms;
+  settled = other96.settled;
+  leaving = other96.leaving;
+  quarantine = other96.quarantine;
+  __isset = other96.__isset;
+}
+Pulse& Pulse::operator=(const Pulse& other97) {
+  node = other97.node;
+  life = other97.life;
+  number = other97.number;
+  taking = other97.taking;
+  running = other97.running;
+  demand = other97.demand;
+  suspects_ms = other97.suspects_ms;
+  clock_ms = other97.clock_ms;
+  held_revision = other97.held_revision;
+  heard_ms = other97.heard_ms;
+  settled = other97.settled;
+  leaving = other97.leaving;
+  quarantine = other97.quarantine;
+  __isset = other97.__isset;
   return *this;
 }
 void Pulse::printTo(std::ostream& out) const {
@@ -1626,6 +2133,7 @@
   out << ", " << "heard_ms=" << to_string(heard_ms);
   out << ", " << "settled=" << to_string(settled);
   out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "quarantine=" << to_string(quarantine);
   out << ")";
 }
 
@@ -1685,6 +2193,10 @@
 void Digest::__set_leaving(const std::map<std::string, int64_t> & val) {
   this->leaving = val;
 }
+
+void Digest::__set_quarantine(const Quarantine& val) {
+  this->quarantine = val;
+}
 std::ostream& operator<<(std::ostream& out, const Digest& obj)
 {
   obj.printTo(out);
@@ -1749,17 +2261,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->taking.clear();
-            uint32_t _size68;
-            ::apache::thrift::protocol::TType _ktype69;
-            ::apache::thrift::protocol::TType _vtype70;
-            xfer += iprot->readMapBegin(_ktype69, _vtype70, _size68);
-            uint32_t _i72;
-            for (_i72 = 0; _i72 < _size68; ++_i72)
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _ktype99;
+            ::apache::thrift::protocol::TType _vtype100;
+            xfer += iprot->readMapBegin(_ktype99, _vtype100, _size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
             {
-              std::string _key73;
-              xfer += iprot->readString(_key73);
-              bool& _val74 = this->taking[_key73];
-              xfer += iprot->readBool(_val74);
+              std::string _key103;
+              xfer += iprot->readString(_key103);
+              bool& _val104 = this->taking[_key103];
+              xfer += iprot->readBool(_val104);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1772,17 +2284,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->running.clear();
-            uint32_t _size75;
-            ::apache::thrift::protocol::TType _ktype76;
-            ::apache::thrift::protocol::TType _vtype77;
-            xfer += iprot->readMapBegin(_ktype76, _vtype77, _size75);
-            uint32_t _i79;
-            for (_i79 = 0; _i79 < _size75; ++_i79)
+            uint32_t _size105;
+            ::apache::thrift::protocol::TType _ktype106;
+            ::apache::thrift::protocol::TType _vtype107;
+            xfer += iprot->readMapBegin(_ktype106, _vtype107, _size105);
+            uint32_t _i109;
+            for (_i109 = 0; _i109 < _size105; ++_i109)
             {
-              std::string _key80;
-              xfer += iprot->readString(_key80);
-              int32_t& _val81 = this->running[_key80];
-              xfer += iprot->readI32(_val81);
+              std::string _key110;
+              xfer += iprot->readString(_key110);
+              int32_t& _val111 = this->running[_key110];
+              xfer += iprot->readI32(_val111);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1795,17 +2307,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->demand.clear();
-            uint32_t _size82;
-            ::apache::thrift::protocol::TType _ktype83;
-            ::apache::thrift::protocol::TType _vtype84;
-            xfer += iprot->readMapBegin(_ktype83, _vtype84, _size82);
-            uint32_t _i86;
-            for (_i86 = 0; _i86 < _size82; ++_i86)
+            uint32_t _size112;
+            ::apache::thrift::protocol::TType _ktype113;
+            ::apache::thrift::protocol::TType _vtype114;
+            xfer += iprot->readMapBegin(_ktype113, _vtype114, _size112);
+            uint32_t _i116;
+            for (_i116 = 0; _i116 < _size112; ++_i116)
             {
-              std::string _key87;
-              xfer += iprot->readString(_key87);
-              double& _val88 = this->demand[_key87];
-              xfer += iprot->readDouble(_val88);
+              std::string _key117;
+              xfer += iprot->readString(_key117);
+              double& _val118 = this->demand[_key117];
+              xfer += iprot->readDouble(_val118);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1818,17 +2330,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->suspects_ms.clear();
-            uint32_t _size89;
-            ::apache::thrift::protocol::TType _ktype90;
-            ::apache::thrift::protocol::TType _vtype91;
-            xfer += iprot->readMapBegin(_ktype90, _vtype91, _size89);
-            uint32_t _i93;
-            for (_i93 = 0; _i93 < _size89; ++_i93)
+            uint32_t _size119;
+            ::apache::thrift::protocol::TType _ktype120;
+            ::apache::thrift::protocol::TType _vtype121;
+            xfer += iprot->readMapBegin(_ktype120, _vtype121, _size119);
+            uint32_t _i123;
+            for (_i123 = 0; _i123 < _size119; ++_i123)
             {
-              std::string _key94;
-              xfer += iprot->readString(_key94);
-              int32_t& _val95 = this->suspects_ms[_key94];
-              xfer += iprot->readI32(_val95);
+              std::string _key124;
+              xfer += iprot->readString(_key124);
+              int32_t& _val125 = this->suspects_ms[_key124];
+              xfer += iprot->readI32(_val125);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1841,17 +2353,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->heard_ms.clear();
-            uint32_t _size96;
-            ::apache::thrift::protocol::TType _ktype97;
-            ::apache::thrift::protocol::TType _vtype98;
-            xfer += iprot->readMapBegin(_ktype97, _vtype98, _size96);
-            uint32_t _i100;
-            for (_i100 = 0; _i100 < _size96; ++_i100)
+            uint32_t _size126;
+            ::apache::thrift::protocol::TType _ktype127;
+            ::apache::thrift::protocol::TType _vtype128;
+            xfer += iprot->readMapBegin(_ktype127, _vtype128, _size126);
+            uint32_t _i130;
+            for (_i130 = 0; _i130 < _size126; ++_i130)
             {
-              std::string _key101;
-              xfer += iprot->readString(_key101);
-              int32_t& _val102 = this->heard_ms[_key101];
-              xfer += iprot->readI32(_val102);
+              std::string _key131;
+              xfer += iprot->readString(_key131);
+              int32_t& _val132 = this->heard_ms[_key131];
+              xfer += iprot->readI32(_val132);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1888,17 +2400,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->leaving.clear();
-            uint32_t _size103;
-            ::apache::thrift::protocol::TType _ktype104;
-            ::apache::thrift::protocol::TType _vtype105;
-            xfer += iprot->readMapBegin(_ktype104, _vtype105, _size103);
-            uint32_t _i107;
-            for (_i107 = 0; _i107 < _size103; ++_i107)
+            uint32_t _size133;
+            ::apache::thrift::protocol::TType _ktype134;
+            ::apache::thrift::protocol::TType _vtype135;
+            xfer += iprot->readMapBegin(_ktype134, _vtype135, _size133);
+            uint32_t _i137;
+            for (_i137 = 0; _i137 < _size133; ++_i137)
             {
-              std::string _key108;
-              xfer += iprot->readString(_key108);
-              int64_t& _val109 = this->leaving[_key108];
-              xfer += iprot->readI64(_val109);
+              std::string _key138;
+              xfer += iprot->readString(_key138);
+              int64_t& _val139 = this->leaving[_key138];
+              xfer += iprot->readI64(_val139);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1907,6 +2419,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->quarantine.read(iprot);
+          this->__isset.quarantine = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1943,11 +2463,11 @@
   xfer += oprot->writeFieldBegin("taking", ::apache::thrift::protocol::T_MAP, 5);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_BOOL, static_cast<uint32_t>(this->taking.size()));
-    std::map<std::string, bool> ::const_iterator _iter110;
-    for (_iter110 = this->taking.begin(); _iter110 != this->taking.end(); ++_iter110)
+    std::map<std::string, bool> ::const_iterator _iter140;
+    for (_iter140 = this->taking.begin(); _iter140 != this->taking.end(); ++_iter140)
     {
-      xfer += oprot->writeString(_iter110->first);
-      xfer += oprot->writeBool(_iter110->second);
+      xfer += oprot->writeString(_iter140->first);
+      xfer += oprot->writeBool(_iter140->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1956,11 +2476,11 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_MAP, 6);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->running.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter111;
-    for (_iter111 = this->running.begin(); _iter111 != this->running.end(); ++_iter111)
+    std::map<std::string, int32_t> ::const_iterator _iter141;
+    for (_iter141 = this->running.begin(); _iter141 != this->running.end(); ++_iter141)
     {
-      xfer += oprot->writeString(_iter111->first);
-      xfer += oprot->writeI32(_iter111->second);
+      xfer += oprot->writeString(_iter141->first);
+      xfer += oprot->writeI32(_iter141->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1969,11 +2489,11 @@
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_MAP, 7);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_DOUBLE, static_cast<uint32_t>(this->demand.size()));
-    std::map<std::string, double> ::const_iterator _iter112;
-    for (_iter112 = this->demand.begin(); _iter112 != this->demand.end(); ++_iter112)
+    std::map<std::string, double> ::const_iterator _iter142;
+    for (_iter142 = this->demand.begin(); _iter142 != this->demand.end(); ++_iter142)
     {
-      xfer += oprot->writeString(_iter112->first);
-      xfer += oprot->writeDouble(_iter112->second);
+      xfer += oprot->writeString(_iter142->first);
+      xfer += oprot->writeDouble(_iter142->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1982,11 +2502,11 @@
   xfer += oprot->writeFieldBegin("suspects_ms", ::apache::thrift::protocol::T_MAP, 8);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->suspects_ms.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter113;
-    for (_iter113 = this->suspects_ms.begin(); _iter113 != this->suspects_ms.end(); ++_iter113)
+    std::map<std::string, int32_t> ::const_iterator _iter143;
+    for (_iter143 = this->suspects_ms.begin(); _iter143 != this->suspects_ms.end(); ++_iter143)
     {
-      xfer += oprot->writeString(_iter113->first);
-      xfer += oprot->writeI32(_iter113->second);
+      xfer += oprot->writeString(_iter143->first);
+      xfer += oprot->writeI32(_iter143->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1995,11 +2515,11 @@
   xfer += oprot->writeFieldBegin("heard_ms", ::apache::thrift::protocol::T_MAP, 9);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->heard_ms.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter114;
-    for (_iter114 = this->heard_ms.begin(); _iter114 != this->heard_ms.end(); ++_iter114)
+    std::map<std::string, int32_t> ::const_iterator _iter144;
+    for (_iter144 = this->heard_ms.begin(); _iter144 != this->heard_ms.end(); ++_iter144)
     {
-      xfer += oprot->writeString(_iter114->first);
-      xfer += oprot->writeI32(_iter114->second);
+      xfer += oprot->writeString(_iter144->first);
+      xfer += oprot->writeI32(_iter144->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2020,16 +2540,20 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_MAP, 13);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leaving.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter115;
-    for (_iter115 = this->leaving.begin(); _iter115 != this->leaving.end(); ++_iter115)
+    std::map<std::string, int64_t> ::const_iterator _iter145;
+    for (_iter145 = this->leaving.begin(); _iter145 != this->leaving.end(); ++_iter145)
     {
-      xfer += oprot->writeString(_iter115->first);
-      xfer += oprot->writeI64(_iter115->second);
+      xfer += oprot->writeString(_iter145->first);
+      xfer += oprot->writeI64(_iter145->second);
     }
     xfer += oprot->writeMapEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("quarantine", ::apache::thrift::protocol::T_STRUCT, 14);
+  xfer += this->quarantine.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2050,40 +2574,43 @@
   swap(a.held_revision, b.held_revision);
   swap(a.relayed, b.relayed);
   swap(a.leaving, b.leaving);
+  swap(a.quarantine, b.quarantine);
   swap(a.__isset, b.__isset);
 }
 
-Digest::Digest(const Digest& other116) {
-  zone = other116.zone;
-  node = other116.node;
-  life = other116.life;
-  number = other116.number;
-  taking = other116.taking;
-  running = other116.running;
-  demand = other116.demand;
-  suspects_ms = other116.suspects_ms;
-  heard_ms = other116.heard_ms;
-  clock_ms = other116.clock_ms;
-  held_revision = other116.held_revision;
-  relayed = other116.relayed;
-  leaving = other116.leaving;
-  __isset = other116.__isset;
-}
-Digest& Digest::operator=(const Digest& other117) {
-  zone = other117.zone;
-  node = other117.node;
-  life = other117.life;
-  number = other117.number;
-  taking = other117.taking;
-  running = other117.running;
-  demand = other117.demand;
-  suspects_ms = other117.suspects_ms;
-  heard_ms = other117.heard_ms;
-  clock_ms = other117.clock_ms;
-  held_revision = other117.held_revision;
-  relayed = other117.relayed;
-  leaving = other117.leaving;
-  __isset = other117.__isset;
+Digest::Digest(const Digest& other146) {
+  zone = other146.zone;
+  node = other146.node;
+  life = other146.life;
+  number = other146.number;
+  taking = other146.taking;
+  running = other146.running;
+  demand = other146.demand;
+  suspects_ms = other146.suspects_ms;
+  heard_ms = other146.heard_ms;
+  clock_ms = other146.clock_ms;
+  held_revision = other146.held_revision;
+  relayed = other146.relayed;
+  leaving = other146.leaving;
+  quarantine = other146.quarantine;
+  __isset = other146.__isset;
+}
+Digest& Digest::operator=(const Digest& other147) {
+  zone = other147.zone;
+  node = other147.node;
+  life = other147.life;
+  number = other147.number;
+  taking = other147.taking;
+  running = other147.running;
+  demand = other147.demand;
+  suspects_ms = other147.suspects_ms;
+  heard_ms = other147.heard_ms;
+  clock_ms = other147.clock_ms;
+  held_revision = other147.held_revision;
+  relayed = other147.relayed;
+  leaving = other147.leaving;
+  quarantine = other147.quarantine;
+  __isset = other147.__isset;
   return *this;
 }
 void Digest::printTo(std::ostream& out) const {
@@ -2102,6 +2629,7 @@
   out << ", " << "held_revision=" << to_string(held_revision);
   out << ", " << "relayed=" << to_string(relayed);
   out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "quarantine=" << to_string(quarantine);
   out << ")";
 }
 
@@ -2232,19 +2760,19 @@
   swap(a.__isset, b.__isset);
 }
 
-FeedChange::FeedChange(const FeedChange& other118) {
-  key = other118.key;
-  revision = other118.revision;
-  deleted = other118.deleted;
-  value = other118.value;
-  __isset = other118.__isset;
+FeedChange::FeedChange(const FeedChange& other148) {
+  key = other148.key;
+  revision = other148.revision;
+  deleted = other148.deleted;
+  value = other148.value;
+  __isset = other148.__isset;
 }
-FeedChange& FeedChange::operator=(const FeedChange& other119) {
-  key = other119.key;
-  revision = other119.revision;
-  deleted = other119.deleted;
-  value = other119.value;
-  __isset = other119.__isset;
+FeedChange& FeedChange::operator=(const FeedChange& other149) {
+  key = other149.key;
+  revision = other149.revision;
+  deleted = other149.deleted;
+  value = other149.value;
+  __isset = other149.__isset;
   return *this;
 }
 void FeedChange::printTo(std::ostream& out) const {
@@ -2297,14 +2825,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size120;
-            ::apache::thrift::protocol::TType _etype123;
-            xfer += iprot->readListBegin(_etype123, _size120);
-            this->changes.resize(_size120);
-            uint32_t _i124;
-            for (_i124 = 0; _i124 < _size120; ++_i124)
+            uint32_t _size150;
+            ::apache::thrift::protocol::TType _etype153;
+            xfer += iprot->readListBegin(_etype153, _size150);
+            this->changes.resize(_size150);
+            uint32_t _i154;
+            for (_i154 = 0; _i154 < _size150; ++_i154)
             {
-              xfer += this->changes[_i124].read(iprot);
+              xfer += this->changes[_i154].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2333,10 +2861,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<FeedChange> ::const_iterator _iter125;
-    for (_iter125 = this->changes.begin(); _iter125 != this->changes.end(); ++_iter125)
+    std::vector<FeedChange> ::const_iterator _iter155;
+    for (_iter155 = this->changes.begin(); _iter155 != this->changes.end(); ++_iter155)
     {
-      xfer += (*_iter125).write(oprot);
+      xfer += (*_iter155).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2353,13 +2881,13 @@
   swap(a.__isset, b.__isset);
 }
 
-FeedChanges::FeedChanges(const FeedChanges& other126) {
-  changes = other126.changes;
-  __isset = other126.__isset;
+FeedChanges::FeedChanges(const FeedChanges& other156) {
+  changes = other156.changes;
+  __isset = other156.__isset;
 }
-FeedChanges& FeedChanges::operator=(const FeedChanges& other127) {
-  changes = other127.changes;
-  __isset = other127.__isset;
+FeedChanges& FeedChanges::operator=(const FeedChanges& other157) {
+  changes = other157.changes;
+  __isset = other157.__isset;
   return *this;
 }
 void FeedChanges::printTo(std::ostream& out) const {
@@ -2445,14 +2973,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size128;
-            ::apache::thrift::protocol::TType _etype131;
-            xfer += iprot->readListBegin(_etype131, _size128);
-            this->changes.resize(_size128);
-            uint32_t _i132;
-            for (_i132 = 0; _i132 < _size128; ++_i132)
+            uint32_t _size158;
+            ::apache::thrift::protocol::TType _etype161;
+            xfer += iprot->readListBegin(_etype161, _size158);
+            this->changes.resize(_size158);
+            uint32_t _i162;
+            for (_i162 = 0; _i162 < _size158; ++_i162)
             {
-              xfer += this->changes[_i132].read(iprot);
+              xfer += this->changes[_i162].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2513,10 +3041,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<FeedChange> ::const_iterator _iter133;
-    for (_iter133 = this->changes.begin(); _iter133 != this->changes.end(); ++_iter133)
+    std::vector<FeedChange> ::const_iterator _iter163;
+    for (_iter163 = this->changes.begin(); _iter163 != this->changes.end(); ++_iter163)
     {
-      xfer += (*_iter133).write(oprot);
+      xfer += (*_iter163).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2550,23 +3078,23 @@
   swap(a.__isset, b.__isset);
 }
 
-Feed::Feed(const Feed& other134) {
-  from_revision = other134.from_revision;
-  to_revision = other134.to_revision;
-  changes = other134.changes;
-  echo_ms = other134.echo_ms;
-  proof_age_ms = other134.proof_age_ms;
-  compressed_changes = other134.compressed_changes;
-  __isset = other134.__isset;
-}
-Feed& Feed::operator=(const Feed& other135) {
-  from_revision = other135.from_revision;
-  to_revision = other135.to_revision;
-  changes = other135.changes;
-  echo_ms = other135.echo_ms;
-  proof_age_ms = other135.proof_age_ms;
-  compressed_changes = other135.compressed_changes;
-  __isset = other135.__isset;
+Feed::Feed(const Feed& other164) {
+  from_revision = other164.from_revision;
+  to_revision = other164.to_revision;
+  changes = other164.changes;
+  echo_ms = other164.echo_ms;
+  proof_age_ms = other164.proof_age_ms;
+  compressed_changes = other164.compressed_changes;
+  __isset = other164.__isset;
+}
+Feed& Feed::operator=(const Feed& other165) {
+  from_revision = other165.from_revision;
+  to_revision = other165.to_revision;
+  changes = other165.changes;
+  echo_ms = other165.echo_ms;
+  proof_age_ms = other165.proof_age_ms;
+  compressed_changes = other165.compressed_changes;
+  __isset = other165.__isset;
   return *this;
 }
 void Feed::printTo(std::ostream& out) const {
--- a/src/network/gen/peer_types.h
+++ b/src/network/gen/peer_types.h
@@ -35,6 +35,12 @@
 
 class LedgerReply;
 
+class QuarantineCrash;
+
+class QuarantinedPart;
+
+class Quarantine;
+
 class Pulse;
 
 class Digest;
@@ -517,8 +523,183 @@
 
 std::ostream& operator<<(std::ostream& out, const LedgerReply& obj);
 
+typedef struct _QuarantineCrash__isset {
+  _QuarantineCrash__isset() : part(false), server(false), started(false), request(false), age_ms(false) {}
+  bool part :1;
+  bool server :1;
+  bool started :1;
+  bool request :1;
+  bool age_ms :1;
+} _QuarantineCrash__isset;
+
+class QuarantineCrash : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuarantineCrash(const QuarantineCrash&);
+  QuarantineCrash& operator=(const QuarantineCrash&);
+  QuarantineCrash() noexcept
+                  : part(0),
+                    server(),
+                    started(0),
+                    request(0),
+                    age_ms(0) {
+  }
+
+  virtual ~QuarantineCrash() noexcept;
+  int64_t part;
+  std::string server;
+  int64_t started;
+  int64_t request;
+  int32_t age_ms;
+
+  _QuarantineCrash__isset __isset;
+
+  void __set_part(const int64_t val);
+
+  void __set_server(const std::string& val);
+
+  void __set_started(const int64_t val);
+
+  void __set_request(const int64_t val);
+
+  void __set_age_ms(const int32_t val);
+
+  bool operator == (const QuarantineCrash & rhs) const
+  {
+    if (!(part == rhs.part))
+      return false;
+    if (!(server == rhs.server))
+      return false;
+    if (!(started == rhs.started))
+      return false;
+    if (!(request == rhs.request))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const QuarantineCrash &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuarantineCrash & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuarantineCrash &a, QuarantineCrash &b);
+
+std::ostream& operator<<(std::ostream& out, const QuarantineCrash& obj);
+
+typedef struct _QuarantinedPart__isset {
+  _QuarantinedPart__isset() : left_ms(false), times(false) {}
+  bool left_ms :1;
+  bool times :1;
+} _QuarantinedPart__isset;
+
+class QuarantinedPart : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuarantinedPart(const QuarantinedPart&) noexcept;
+  QuarantinedPart& operator=(const QuarantinedPart&) noexcept;
+  QuarantinedPart() noexcept
+                  : left_ms(0),
+                    times(0) {
+  }
+
+  virtual ~QuarantinedPart() noexcept;
+  int32_t left_ms;
+  int32_t times;
+
+  _QuarantinedPart__isset __isset;
+
+  void __set_left_ms(const int32_t val);
+
+  void __set_times(const int32_t val);
+
+  bool operator == (const QuarantinedPart & rhs) const
+  {
+    if (!(left_ms == rhs.left_ms))
+      return false;
+    if (!(times == rhs.times))
+      return false;
+    return true;
+  }
+  bool operator != (const QuarantinedPart &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuarantinedPart & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuarantinedPart &a, QuarantinedPart &b);
+
+std::ostream& operator<<(std::ostream& out, const QuarantinedPart& obj);
+
+typedef struct _Quarantine__isset {
+  _Quarantine__isset() : crashes(false), cleared_ms(false), parts(false) {}
+  bool crashes :1;
+  bool cleared_ms :1;
+  bool parts :1;
+} _Quarantine__isset;
+
+class Quarantine : public virtual ::apache::thrift::TBase {
+ public:
+
+  Quarantine(const Quarantine&);
+  Quarantine& operator=(const Quarantine&);
+  Quarantine() noexcept {
+  }
+
+  virtual ~Quarantine() noexcept;
+  std::map<int32_t, QuarantineCrash>  crashes;
+  std::map<int64_t, int32_t>  cleared_ms;
+  std::map<int64_t, QuarantinedPart>  parts;
+
+  _Quarantine__isset __isset;
+
+  void __set_crashes(const std::map<int32_t, QuarantineCrash> & val);
+
+  void __set_cleared_ms(const std::map<int64_t, int32_t> & val);
+
+  void __set_parts(const std::map<int64_t, QuarantinedPart> & val);
+
+  bool operator == (const Quarantine & rhs) const
+  {
+    if (!(crashes == rhs.crashes))
+      return false;
+    if (!(cleared_ms == rhs.cleared_ms))
+      return false;
+    if (!(parts == rhs.parts))
+      return false;
+    return true;
+  }
+  bool operator != (const Quarantine &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Quarantine & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Quarantine &a, Quarantine &b);
+
+std::ostream& operator<<(std::ostream& out, const Quarantine& obj);
+
 typedef struct _Pulse__isset {
-  _Pulse__isset() : node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), clock_ms(false), held_revision(false), heard_ms(false), settled(false), leaving(false) {}
+  _Pulse__isset() : node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), clock_ms(false), held_revision(false), heard_ms(false), settled(false), leaving(false), quarantine(false) {}
   bool node :1;
   bool life :1;
   bool number :1;
@@ -531,6 +712,7 @@
   bool heard_ms :1;
   bool settled :1;
   bool leaving :1;
+  bool quarantine :1;
 } _Pulse__isset;
 
 class Pulse : public virtual ::apache::thrift::TBase {
@@ -561,6 +743,7 @@
   std::map<std::string, int32_t>  heard_ms;
   bool settled;
   std::map<std::string, int64_t>  leaving;
+  Quarantine quarantine;
 
   _Pulse__isset __isset;
 
@@ -588,6 +771,8 @@
 
   void __set_leaving(const std::map<std::string, int64_t> & val);
 
+  void __set_quarantine(const Quarantine& val);
+
   bool operator == (const Pulse & rhs) const
   {
     if (!(node == rhs.node))
@@ -614,6 +799,8 @@
       return false;
     if (!(leaving == rhs.leaving))
       return false;
+    if (!(quarantine == rhs.quarantine))
+      return false;
     return true;
   }
   bool operator != (const Pulse &rhs) const {
@@ -633,7 +820,7 @@
 std::ostream& operator<<(std::ostream& out, const Pulse& obj);
 
 typedef struct _Digest__isset {
-  _Digest__isset() : zone(false), node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), heard_ms(false), clock_ms(false), held_revision(false), relayed(false), leaving(false) {}
+  _Digest__isset() : zone(false), node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), heard_ms(false), clock_ms(false), held_revision(false), relayed(false), leaving(false), quarantine(false) {}
   bool zone :1;
   bool node :1;
   bool life :1;
@@ -647,6 +834,7 @@
   bool held_revision :1;
   bool relayed :1;
   bool leaving :1;
+  bool quarantine :1;
 } _Digest__isset;
 
 class Digest : public virtual ::apache::thrift::TBase {
@@ -678,6 +866,7 @@
   int64_t held_revision;
   bool relayed;
   std::map<std::string, int64_t>  leaving;
+  Quarantine quarantine;
 
   _Digest__isset __isset;
 
@@ -707,6 +896,8 @@
 
   void __set_leaving(const std::map<std::string, int64_t> & val);
 
+  void __set_quarantine(const Quarantine& val);
+
   bool operator == (const Digest & rhs) const
   {
     if (!(zone == rhs.zone))
@@ -735,6 +926,8 @@
       return false;
     if (!(leaving == rhs.leaving))
       return false;
+    if (!(quarantine == rhs.quarantine))
+      return false;
     return true;
   }
   bool operator != (const Digest &rhs) const {
--- a/src/network/peer.thrift
+++ b/src/network/peer.thrift
@@ -61,6 +61,29 @@
   2: CallOutcome outcome // Only for the answer Repeat.
 }
 
+// A server that ended while it began to answer a request with a part of a prompt.
+struct QuarantineCrash {
+  1: i64 part // Hash of the part and its service.
+  2: string server
+  3: i64 started // Start of the server's run that ended.
+  4: i64 request // Hash of the request's trace id.
+  5: i32 age_ms
+}
+
+// A part of prompts that no request may contain.
+struct QuarantinedPart {
+  1: i32 left_ms
+  2: i32 times // How often it was quarantined.
+}
+
+// Evidence against parts of prompts. At most 32 entries each; receivers drop further ones.
+struct Quarantine {
+  // By position, most recent first. A list of structs would be allocated by its stated size.
+  1: map<i32, QuarantineCrash> crashes
+  2: map<i64, i32> cleared_ms // Time since an answer showed that a part is sound.
+  3: map<i64, QuarantinedPart> parts
+}
+
 // The load and status of a node, sent as a datagram to the other nodes of its zone several times a
 // second.
 struct Pulse {
@@ -76,6 +99,7 @@
   10: map<string, i32> heard_ms // Time since each server last sent something to this node.
   11: bool settled // Whether the node has run long enough to have heard from its whole zone.
   12: map<string, i64> leaving // Servers that have announced that they leave: start of that run.
+  13: Quarantine quarantine // Earlier versions do not send it.
 }
 
 // The sum of a zone's pulses, sent as a datagram by one node of the zone to the other zones. The
@@ -94,6 +118,7 @@
   11: i64 held_revision
   12: bool relayed // Whether the digest has been forwarded within the receiver's zone.
   13: map<string, i64> leaving // As in Pulse.
+  14: Quarantine quarantine // As in Pulse.
 }
 
 // A change of one key of the store.
--- a/src/network/pulse_socket.cpp
+++ b/src/network/pulse_socket.cpp
@@ -10,7 +10,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <limits>
 
 namespace bramleypitch {
 
@@ -25,6 +27,11 @@
 /// Limit on the datagrams read in one event loop iteration, so that a flood cannot starve other
 /// events.
 constexpr int maxReadsPerTurn = 64;
+/// Evidence about servers with longer names is not exchanged, so that it fits into a datagram.
+constexpr std::size_t maxServerNameSize = 255;
+/// Limits on what another node may state about the quarantine of a part.
+constexpr Duration maxQuarantineTime {600'000};
+constexpr std::uint32_t maxQuarantineTimes = 1'000;
 
 sockaddr_in toSocketAddress(const Address &address)
 {
@@ -110,6 +117,75 @@
     return demand;
 }
 
+std::int32_t toWireMilliseconds(Duration duration)
+{
+    constexpr Duration::rep longest = std::numeric_limits<std::int32_t>::max();
+    return static_cast<std::int32_t>(std::clamp<Duration::rep>(duration.count(), 0, longest));
+}
+
+peer::Quarantine toWire(const QuarantineNews &news)
+{
+    peer::Quarantine wire;
+    for (const CrashEvidence &crash : news.crashes) {
+        if (wire.crashes.size() == QuarantineLimits::reportedCrashes)
+            break;
+        if (crash.run.server.value().size() > maxServerNameSize)
+            continue;
+        peer::QuarantineCrash &entry = wire.crashes[static_cast<int>(wire.crashes.size())];
+        entry.part = static_cast<std::int64_t>(crash.part.value());
+        entry.server = crash.run.server.value();
+        entry.started = crash.run.startedAt;
+        entry.request = static_cast<std::int64_t>(crash.request);
+        entry.age_ms = toWireMilliseconds(crash.age);
+    }
+    for (const auto &[part, age] : news.cleared) {
+        if (wire.cleared_ms.size() == QuarantineLimits::reportedParts)
+            break;
+        wire.cleared_ms[static_cast<std::int64_t>(part.value())] = toWireMilliseconds(age);
+    }
+    for (const auto &[part, quarantine] : news.quarantined) {
+        if (wire.parts.size() == QuarantineLimits::reportedParts)
+            break;
+        peer::QuarantinedPart &entry = wire.parts[static_cast<std::int64_t>(part.value())];
+        entry.left_ms = toWireMilliseconds(quarantine.timeLeft);
+        entry.times = static_cast<std::int32_t>(std::min(quarantine.times, maxQuarantineTimes));
+    }
+    return wire;
+}
+
+/// Takes what a correct node could have sent. Other entries are dropped, as evidence of the wrong
+/// age could keep requests away from all servers.
+QuarantineNews toNews(const peer::Quarantine &wire)
+{
+    QuarantineNews news;
+    for (const auto &[position, entry] : wire.crashes) {
+        if (news.crashes.size() == QuarantineLimits::reportedCrashes)
+            break;
+        if (entry.age_ms < 0 || entry.server.empty() || entry.server.size() > maxServerNameSize)
+            continue;
+        news.crashes.push_back({PromptPart(static_cast<std::uint64_t>(entry.part)),
+                                {VmId(entry.server), entry.started},
+                                static_cast<std::uint64_t>(entry.request),
+                                Duration(entry.age_ms)});
+    }
+    for (const auto &[part, age] : wire.cleared_ms) {
+        if (news.cleared.size() == QuarantineLimits::reportedParts)
+            break;
+        if (age >= 0)
+            news.cleared[PromptPart(static_cast<std::uint64_t>(part))] = Duration(age);
+    }
+    for (const auto &[part, entry] : wire.parts) {
+        if (news.quarantined.size() == QuarantineLimits::reportedParts)
+            break;
+        if (entry.left_ms <= 0 || entry.times <= 0)
+            continue;
+        news.quarantined[PromptPart(static_cast<std::uint64_t>(part))] = {
+            std::min(Duration(entry.left_ms), maxQuarantineTime),
+            std::min(static_cast<std::uint32_t>(entry.times), maxQuarantineTimes)};
+    }
+    return news;
+}
+
 std::string serialize(const Pulse &pulse)
 {
     peer::Pulse wire;
@@ -125,6 +201,7 @@
     wire.clock_ms = milliseconds(pulse.clock);
     wire.held_revision = pulse.held.value();
     wire.leaving = toWire(pulse.leaving);
+    wire.quarantine = toWire(pulse.quarantine);
     return toBytes(pulseTag, wire);
 }
 
@@ -143,6 +220,7 @@
     pulse.clock = timePoint(wire.clock_ms);
     pulse.held = Revision(wire.held_revision);
     pulse.leaving = toLeaving(wire.leaving);
+    pulse.quarantine = toNews(wire.quarantine);
     return pulse;
 }
 
@@ -162,6 +240,7 @@
     wire.clock_ms = milliseconds(digest.clock);
     wire.held_revision = digest.held.value();
     wire.leaving = toWire(digest.leaving);
+    wire.quarantine = toWire(digest.quarantine);
     wire.relayed = digest.relayed;
     return toBytes(digestTag, wire);
 }
@@ -182,6 +261,7 @@
     digest.clock = timePoint(wire.clock_ms);
     digest.held = Revision(wire.held_revision);
     digest.leaving = toLeaving(wire.leaving);
+    digest.quarantine = toNews(wire.quarantine);
     digest.relayed = wire.relayed;
     return digest;
 }
--- a/src/request/membership_base.cpp
+++ b/src/request/membership_base.cpp
@@ -3,6 +3,7 @@
 #include "core/rendezvous_func.h"
 
 #include <algorithm>
+#include <functional>
 #include <set>
 
 namespace bramleypitch {
@@ -35,6 +36,66 @@
         sum[key] += value;
 }
 
+/// Keeps the first entries of a map by an order of their values.
+template<typename Key, typename Value, typename Less>
+void keepFirst(std::map<Key, Value> &entries, std::size_t count, Less less)
+{
+    if (entries.size() <= count)
+        return;
+    std::vector<std::pair<Key, Value>> sorted(entries.begin(), entries.end());
+    std::stable_sort(sorted.begin(), sorted.end(),
+                     [&](const auto &a, const auto &b) { return less(a.second, b.second); });
+    sorted.resize(count);
+    entries = std::map<Key, Value>(sorted.begin(), sorted.end());
+}
+
+/// Joins the news of several nodes about parts of prompts.
+class NewsSum
+{
+public:
+    /// Adds news that were sent a while ago.
+    void add(const QuarantineNews &news, Duration age)
+    {
+        for (CrashEvidence crash : news.crashes) {
+            crash.age += age;
+            const auto known = m_crashes.try_emplace({crash.part, crash.run}, crash).first;
+            if (crash.age < known->second.age)
+                known->second = crash;
+        }
+        for (const auto &[part, ago] : news.cleared) {
+            const auto known = m_news.cleared.try_emplace(part, ago + age).first;
+            known->second = std::min(known->second, ago + age);
+        }
+        for (const auto &[part, quarantine] : news.quarantined) {
+            if (quarantine.timeLeft <= age)
+                continue;
+            QuarantinedPart &known = m_news.quarantined[part];
+            known.timeLeft = std::max(known.timeLeft, quarantine.timeLeft - age);
+            known.times = std::max(known.times, quarantine.times);
+        }
+    }
+
+    /// The sum, within QuarantineLimits: the most recent evidence, the longest quarantines.
+    QuarantineNews take()
+    {
+        for (auto &[key, crash] : m_crashes)
+            m_news.crashes.push_back(std::move(crash));
+        std::stable_sort(
+            m_news.crashes.begin(), m_news.crashes.end(),
+            [](const CrashEvidence &a, const CrashEvidence &b) { return a.age < b.age; });
+        if (m_news.crashes.size() > QuarantineLimits::reportedCrashes)
+            m_news.crashes.resize(QuarantineLimits::reportedCrashes);
+        keepFirst(m_news.cleared, QuarantineLimits::reportedParts, std::less<>());
+        keepFirst(m_news.quarantined, QuarantineLimits::reportedParts,
+                  [](const auto &a, const auto &b) { return a.timeLeft > b.timeLeft; });
+        return std::move(m_news);
+    }
+
+private:
+    std::map<std::pair<PromptPart, ServerRun>, CrashEvidence> m_crashes;
+    QuarantineNews m_news;
+};
+
 } // namespace
 
 MembershipTable::MembershipTable(MembershipOptions options)
@@ -260,6 +321,7 @@
     sum.number = own.number;
     sum.clock = own.clock;
     sum.held = own.held;
+    NewsSum quarantine;
     const auto add = [&](const Pulse &pulse, Duration age) {
         sum.taking[pulse.node] = pulse.taking;
         for (const auto &[server, count] : pulse.running)
@@ -277,12 +339,14 @@
             const auto known = sum.leaving.try_emplace(server, startedAt).first;
             known->second = std::max(known->second, startedAt);
         }
+        quarantine.add(pulse.quarantine, age);
     };
     add(own, Duration(0));
     for (const auto &[node, peer] : m_peers) {
         if (isInOwnZone(peer) && now - peer.seenAt < m_options.nodeTimeout)
             add(peer.pulse, now - peer.seenAt);
     }
+    sum.quarantine = quarantine.take();
     return sum;
 }
 
--- a/src/request/membership_type.h
+++ b/src/request/membership_type.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "request/backend_base.h"
+#include "request/quarantine_type.h"
 
 #include <map>
 
@@ -36,6 +37,7 @@
     Revision held; ///< Store revision that the sender holds in full. 0 before that.
     std::map<ModelId, double> demand; ///< Slots needed by its running and waiting requests.
     LeavingRuns leaving; ///< Servers that announced to it a short time ago that they leave.
+    QuarantineNews quarantine; ///< What it knows of parts of prompts.
 };
 
 /// Aggregate of the pulses of a zone, which one of its nodes sends to the other zones. The number
@@ -52,6 +54,7 @@
     std::map<VmId, Duration> suspects;
     std::map<VmId, Duration> recentProgress;
     LeavingRuns leaving;
+    QuarantineNews quarantine;
     TimePoint clock; ///< Send time by the clock of the author, as in a pulse.
     Revision held; ///< Store revision that the author holds in full.
     bool relayed = false; ///< It was already forwarded within the zone of the receiver.
