Feature: [Network] Quarantines outlive a restart of all nodes

Cause: what nodes tell each other is lost when all of them restart. Change: a node that decides a quarantine writes it to the store under a lease of the time left (at most 10 minutes, the store's limit), one write in 5 s, at most 32 waiting. A write that fails is tried once more. After a conflict, too, unless the key has been read in the meantime, as the client also reports 404, 429 and 503 as conflicts. Nodes restore what they read; the time left is limited by the one written, as clocks differ.

--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "network/address_func.h"
 #include "network/log.h"
+#include "request/quarantine_func.h"
 
 #include <nlohmann/json.hpp>
 
@@ -65,6 +66,7 @@
 constexpr int unavailable = 503;
 constexpr const char *formationKeyPrefix = "formation/";
 constexpr const char *nodesKeyPrefix = "nodes/";
+constexpr const char *quarantineKeyPrefix = "quarantine/";
 
 bool startsWith(const std::string &text, const std::string &prefix)
 {
@@ -120,11 +122,15 @@
           m_startedAt})
     , m_relay(loop, m_requests, m_dialect.relay, relayHooks())
     , m_mirror(loop, store, mirrorHooks())
+    , m_quarantineStore(store, m_dialect.ownPrefix + quarantineKeyPrefix)
     , m_adminServer(loop, maxAdminRequestBody)
     , m_tickTimer(loop, [this] { tick(); })
     , m_incarnation(loop.wallTime().value())
 {
     m_formation.setFirstStart(m_options.firstStart);
+    m_requests.setQuarantineHook([this](const QuarantineDecision &decision) {
+        m_quarantineStore.add(decision, m_loop.now());
+    });
     m_adminServer.setRequestHook([this](const HttpRequest &request) { onAdminRequest(request); });
 }
 
@@ -325,6 +331,15 @@
                                    parsePlan(change.value), change.revision);
         return;
     }
+    if (startsWith(key, quarantineKeyPrefix)) {
+        if (change.deleted)
+            return;
+        const PromptPart part = parsePartName(key.substr(std::string(quarantineKeyPrefix).size()));
+        const QuarantinedPart quarantine = parseQuarantine(change.value, m_loop.wallTime());
+        m_quarantineStore.onStored(part);
+        m_requests.restoreQuarantine(part, quarantine, m_loop.now());
+        return;
+    }
     if (!startsWith(key, nodesKeyPrefix))
         return;
     const NodeId node(key.substr(std::string(nodesKeyPrefix).size()));
@@ -368,6 +383,8 @@
         removeVanishedServers(now);
         handleSilentPeers(now);
         renewLease(now);
+        if (m_mirror.isReachable())
+            m_quarantineStore.tick(now, m_loop.wallTime());
     }
     m_mirror.setWatching(mustWatch(now));
     updateReadiness(now);
@@ -391,6 +408,7 @@
     own.suspects = m_backends.suspects(now);
     own.recentProgress = m_backends.recentProgress(now);
     own.leaving = m_backends.recentlyLeaving(now);
+    own.quarantine = m_requests.quarantineNews(now);
     own.clock = now;
     own.held = m_mirror.held();
     return own;
@@ -456,6 +474,7 @@
     m_backends.mergeSuspects(pulse.suspects, now);
     m_backends.mergeRecentProgress(pulse.recentProgress, now);
     mergeLeaving(pulse.leaving, pulse.node, now);
+    m_requests.mergeQuarantine(pulse.quarantine, now);
 }
 
 void ServingDaemon::mergeLeaving(const LeavingRuns &runs, const NodeId &peer, TimePoint now)
@@ -476,6 +495,7 @@
     m_backends.mergeSuspects(digest.suspects, now);
     m_backends.mergeRecentProgress(digest.recentProgress, now);
     mergeLeaving(digest.leaving, digest.node, now);
+    m_requests.mergeQuarantine(digest.quarantine, now);
     TimePoint &relayedAt = m_relayedAt[digest.zone];
     const Duration interval =
         relayIntervalPerNode * static_cast<Duration::rep>(m_membership.zoneSize());
@@ -670,6 +690,8 @@
     out << gaugeText({"waiting_requests", "Requests that wait for a server.",
                       static_cast<double>(m_requests.waiting())});
     out << gaugeText({"backend_servers", "Servers known.", static_cast<double>(m_backends.size())});
+    out << gaugeText({"quarantined_parts", "Parts of prompts that no request may contain.",
+                      static_cast<double>(m_requests.quarantinedParts())});
     out << gaugeText({"owned_domains", "Fabric domains that this node forms groups in.",
                       static_cast<double>(m_formation.owned())});
     out << gaugeText({"backend_connections_opened", "Connections opened since the start.",
--- a/src/network/serving_daemon.h
+++ b/src/network/serving_daemon.h
@@ -4,6 +4,7 @@
 #include "network/http_client.h"
 #include "network/metrics.h"
 #include "network/pulse_socket.h"
+#include "network/quarantine_store.h"
 #include "network/relay.h"
 #include "network/store_mirror.h"
 #include "request/membership_base.h"
@@ -135,6 +136,7 @@
     MembershipTable m_membership;
     Relay m_relay;
     StoreMirror m_mirror;
+    QuarantineStore m_quarantineStore;
     HttpServer m_adminServer; ///< Readiness, directory and metrics.
     std::unique_ptr<PulseSocket> m_pulseSocket; ///< Null until start().
     Timer m_tickTimer;
--- a/src/tests/relay_test.cpp
+++ b/src/tests/relay_test.cpp
@@ -2,20 +2,32 @@
 // membership of nodes, and the platform's formats.
 
 #include "core/error_type.h"
+#include "core/rendezvous_func.h"
 #include "network/event_framing.h"
 #include "network/feed_codec.h"
+#include "network/gen/peer_types.h"
 #include "network/http_message.h"
 #include "network/lease_keeper.h"
 #include "network/peer_convert.h"
+#include "network/pulse_socket.h"
+#include "network/quarantine_store.h"
 #include "network/retry_after_func.h"
 #include "network/store_mirror.h"
+#include "network/thrift_bytes.h"
 #include "platform/platform_dialect.h"
 #include "platform/platform_settings.h"
 #include "request/membership_base.h"
+#include "request/quarantine_func.h"
 
+#include <arpa/inet.h>
 #include <event2/event.h>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
 #include <rapidcheck/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <limits>
 
 namespace bramleypitch {
 
@@ -574,6 +586,444 @@
     EXPECT_EQ(table.known(), 0U);
 }
 
+/// News with the given number of entries of each kind. Each entry differs.
+QuarantineNews makeNews(std::size_t count, const std::string &serverPrefix = "i-7f3a91")
+{
+    constexpr std::uint64_t highestBit = 1ULL << 63U; // The wire has signed numbers only.
+    QuarantineNews news;
+    for (std::size_t i = 0; i < count; ++i) {
+        const PromptPart part(highestBit + i * 7'919);
+        news.crashes.push_back({part,
+                                {VmId(serverPrefix + std::to_string(i)),
+                                 1'764'000'000'000 + static_cast<std::int64_t>(i)},
+                                ~std::uint64_t(0) - i,
+                                Duration(i)});
+        news.cleared[PromptPart(i)] = Duration(100 + i);
+        news.quarantined[part] = {Duration(60'000 + i), static_cast<std::uint32_t>(i + 1)};
+    }
+    return news;
+}
+
+TEST(MembershipTest, DigestJoinsTheNewsOfItsZone)
+{
+    const TimePoint now = timePoint(1'000'000);
+    std::map<NodeId, MembershipTable> tables = makeMembershipTables(1, 2, now);
+    MembershipTable &author = tables.at(NodeId("n0"));
+    const ServerRun run {VmId("s"), 5};
+    const ServerRun laterRun {VmId("s"), 6};
+    const PromptPart a(1);
+    const PromptPart b(2);
+    const PromptPart c(3);
+    Pulse peer;
+    peer.node = NodeId("n1");
+    peer.life = 1;
+    peer.number = 1;
+    peer.quarantine.crashes = {{a, run, 11, Duration(50)}, {a, laterRun, 12, Duration(10)}};
+    peer.quarantine.cleared = {{b, Duration(30)}, {c, Duration(300)}};
+    peer.quarantine.quarantined = {
+        {a, {Duration(1'000), 2}}, {b, {Duration(100), 1}}, {c, {Duration(5'000), 1}}};
+    ASSERT_TRUE(author.onPulse(peer, now));
+    Pulse own;
+    own.node = NodeId("n0");
+    own.quarantine.crashes = {{a, run, 13, Duration(70)}, {b, run, 14, Duration(400)}};
+    own.quarantine.cleared = {{b, Duration(200)}, {c, Duration(200)}};
+    own.quarantine.quarantined = {{a, {Duration(950), 3}}, {c, {Duration(3'000), 1}}};
+    // The pulse is 100 ms old.
+    const QuarantineNews joined = author.digest(own, now + Duration(100)).quarantine;
+    EXPECT_EQ(joined.crashes,
+              (std::vector<CrashEvidence> {{a, run, 13, Duration(70)},
+                                           {a, laterRun, 12, Duration(110)},
+                                           {b, run, 14, Duration(400)}}));
+    EXPECT_EQ(joined.cleared,
+              (std::map<PromptPart, Duration> {{b, Duration(130)}, {c, Duration(200)}}));
+    EXPECT_EQ(joined.quarantined,
+              (std::map<PromptPart, QuarantinedPart> {{a, {Duration(950), 3}},
+                                                      {c, {Duration(4'900), 1}}}));
+    // A node that is silent has no say.
+    EXPECT_EQ(author.digest(own, now + Duration(60'000)).quarantine.crashes.size(), 2U);
+}
+
+TEST(MembershipTest, NewsInADigestAreLimited)
+{
+    const TimePoint now = timePoint(1'000'000);
+    std::map<NodeId, MembershipTable> tables = makeMembershipTables(1, 9, now);
+    MembershipTable &author = tables.at(NodeId("n0"));
+    Pulse pulse;
+    pulse.life = 1;
+    pulse.number = 1;
+    for (std::uint64_t i = 1; i <= 8; ++i) {
+        pulse.node = NodeId("n" + std::to_string(i));
+        pulse.quarantine = {};
+        for (std::uint64_t entry = 0; entry < 32; ++entry) {
+            const PromptPart part(100 * i + entry);
+            const Duration rank(10 * entry + i); // Smaller ones are more recent and last longer.
+            pulse.quarantine.crashes.push_back({part, {VmId("s"), 1}, 1, rank});
+            pulse.quarantine.cleared[part] = rank;
+            pulse.quarantine.quarantined[part] = {Duration(9'000) - rank, 1};
+        }
+        ASSERT_TRUE(author.onPulse(pulse, now));
+    }
+    Pulse own;
+    own.node = NodeId("n0");
+    const QuarantineNews joined = author.digest(own, now).quarantine;
+    ASSERT_EQ(joined.crashes.size(), QuarantineLimits::reportedCrashes);
+    ASSERT_EQ(joined.cleared.size(), QuarantineLimits::reportedParts);
+    ASSERT_EQ(joined.quarantined.size(), QuarantineLimits::reportedParts);
+    for (std::size_t i = 0; i < joined.crashes.size(); ++i)
+        EXPECT_EQ(joined.crashes[i].age, Duration(10 * (i / 8) + i % 8 + 1));
+    for (const auto &[part, age] : joined.cleared)
+        EXPECT_LE(age, Duration(38));
+    for (const auto &[part, quarantine] : joined.quarantined)
+        EXPECT_GE(quarantine.timeLeft, Duration(9'000 - 38));
+}
+
+/// Two nodes that send each other datagrams, and a plain socket that sends and receives any bytes.
+class PulseSocketTest : public testing::Test
+{
+protected:
+    PulseSocketTest()
+        : m_plain(socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0))
+        , m_plainAddress(bindToFreePort(m_plain))
+        , m_receiverAddress(freeAddress())
+        , m_receiver(m_loop, m_receiverAddress, hooks())
+        , m_sender(m_loop, freeAddress(), hooks())
+    {
+    }
+    ~PulseSocketTest() override { close(m_plain); }
+
+    PulseHooks hooks()
+    {
+        PulseHooks hooks;
+        hooks.pulse = [this](const Pulse &pulse) { m_pulses.push_back(pulse); };
+        hooks.digest = [this](const ZoneDigest &digest) { m_digests.push_back(digest); };
+        hooks.feed = [](const StoreFeed &) {};
+        return hooks;
+    }
+
+    static Address bindToFreePort(int descriptor)
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(address);
+        EXPECT_EQ(bind(descriptor, reinterpret_cast<sockaddr *>(&address), size), 0);
+        EXPECT_EQ(getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &size), 0);
+        return Address("127.0.0.1:" + std::to_string(ntohs(address.sin_port)));
+    }
+
+    static Address freeAddress()
+    {
+        const int descriptor = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+        const Address address = bindToFreePort(descriptor);
+        close(descriptor);
+        return address;
+    }
+
+    /// Sends bytes to the receiver and lets it handle them.
+    void sendPlain(const std::string &bytes)
+    {
+        sockaddr_in target {};
+        target.sin_family = AF_INET;
+        target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const std::string &text = m_receiverAddress.value();
+        target.sin_port =
+            htons(static_cast<std::uint16_t>(std::stoi(text.substr(text.find(':') + 1))));
+        ASSERT_EQ(sendto(m_plain, bytes.data(), bytes.size(), 0,
+                         reinterpret_cast<const sockaddr *>(&target), sizeof(target)),
+                  static_cast<ssize_t>(bytes.size()));
+        handle();
+    }
+    void sendPlain(const peer::Pulse &pulse) { sendPlain("P" + toThriftBytes(pulse)); }
+
+    /// Handles the datagrams that have arrived.
+    void handle() { event_base_loop(m_loop.base(), EVLOOP_NONBLOCK); }
+
+    /// The next datagram sent to the plain socket.
+    std::string receivePlain() const
+    {
+        std::string bytes(65'536, '\0');
+        const ssize_t size = recv(m_plain, bytes.data(), bytes.size(), MSG_DONTWAIT);
+        bytes.resize(size < 0 ? 0 : static_cast<std::size_t>(size));
+        return bytes;
+    }
+
+    EventLoop m_loop;
+    int m_plain;
+    Address m_plainAddress;
+    Address m_receiverAddress;
+    std::vector<Pulse> m_pulses;
+    std::vector<ZoneDigest> m_digests;
+    PulseSocket m_receiver;
+    PulseSocket m_sender;
+};
+
+TEST_F(PulseSocketTest, NewsOfTheQuarantineArriveUnchanged)
+{
+    Pulse pulse;
+    pulse.node = NodeId("n1");
+    pulse.quarantine = makeNews(QuarantineLimits::reportedCrashes);
+    m_sender.send(pulse, {m_receiverAddress});
+    ZoneDigest digest;
+    digest.zone = ZoneId("z");
+    digest.relayed = true;
+    digest.quarantine = makeNews(3);
+    m_sender.send(digest, {m_receiverAddress});
+    handle();
+    ASSERT_EQ(m_pulses.size(), 1U);
+    EXPECT_EQ(m_pulses[0].node, NodeId("n1"));
+    EXPECT_EQ(m_pulses[0].quarantine, pulse.quarantine);
+    ASSERT_EQ(m_digests.size(), 1U);
+    EXPECT_EQ(m_digests[0].quarantine, digest.quarantine);
+    EXPECT_TRUE(m_digests[0].relayed);
+}
+
+TEST_F(PulseSocketTest, FullNewsFitIntoADatagram)
+{
+    Pulse pulse;
+    pulse.node = NodeId("n1");
+    const std::string longName(250, 'x');
+    pulse.quarantine = makeNews(500, longName);
+    for (int i = 0; i < 760; ++i) {
+        const VmId server("i-7f3a9" + std::to_string(1'000 + i));
+        pulse.running[server] = 10;
+        pulse.recentProgress[server] = Duration(30'000);
+    }
+    m_sender.send(pulse, {m_plainAddress, m_receiverAddress});
+    const std::string bytes = receivePlain();
+    EXPECT_GT(bytes.size(), 32 * longName.size()); // The names are in it.
+    EXPECT_LT(bytes.size(), 60'000U);
+    handle();
+    ASSERT_EQ(m_pulses.size(), 1U);
+    EXPECT_EQ(m_pulses[0].running, pulse.running);
+    EXPECT_EQ(m_pulses[0].quarantine.crashes.size(), QuarantineLimits::reportedCrashes);
+    EXPECT_EQ(m_pulses[0].quarantine.cleared.size(), QuarantineLimits::reportedParts);
+    EXPECT_EQ(m_pulses[0].quarantine.quarantined.size(), QuarantineLimits::reportedParts);
+    EXPECT_EQ(m_pulses[0].quarantine.crashes[0], pulse.quarantine.crashes[0]);
+    // A name that no server can have would displace everything else.
+    pulse.quarantine = makeNews(2, std::string(30'000, 'x'));
+    m_sender.send(pulse, {m_plainAddress});
+    EXPECT_LT(receivePlain().size(), 60'000U);
+}
+
+TEST_F(PulseSocketTest, NewsOfABrokenPeerAreBounded)
+{
+    constexpr std::int32_t highest = std::numeric_limits<std::int32_t>::max();
+    constexpr std::int32_t lowest = std::numeric_limits<std::int32_t>::min();
+    peer::Pulse many;
+    for (int i = 0; i < 1'000; ++i) {
+        many.quarantine.crashes[i].server = "s";
+        many.quarantine.crashes[i].part = i;
+        many.quarantine.cleared_ms[i] = i;
+        many.quarantine.parts[i].left_ms = highest;
+        many.quarantine.parts[i].times = highest;
+    }
+    sendPlain(many);
+    ASSERT_EQ(m_pulses.size(), 1U);
+    const QuarantineNews &bounded = m_pulses[0].quarantine;
+    EXPECT_EQ(bounded.crashes.size(), QuarantineLimits::reportedCrashes);
+    EXPECT_EQ(bounded.cleared.size(), QuarantineLimits::reportedParts);
+    EXPECT_EQ(bounded.quarantined.size(), QuarantineLimits::reportedParts);
+    for (const auto &[part, quarantine] : bounded.quarantined) {
+        EXPECT_LE(quarantine.timeLeft, Duration(600'000));
+        EXPECT_LE(quarantine.times, 1'000U);
+    }
+
+    peer::Pulse absurd;
+    for (const std::int32_t value : {-1, lowest}) {
+        absurd.quarantine.crashes[value].server = "s";
+        absurd.quarantine.crashes[value].age_ms = value;
+        absurd.quarantine.cleared_ms[value] = value;
+        absurd.quarantine.parts[value].left_ms = value;
+        absurd.quarantine.parts[value].times = 1;
+        absurd.quarantine.parts[value - 10LL].left_ms = 1'000;
+        absurd.quarantine.parts[value - 10LL].times = value;
+    }
+    absurd.quarantine.crashes[1].server = "";
+    absurd.quarantine.crashes[2].server = std::string(20'000, 's');
+    absurd.quarantine.crashes[3].server = "sound";
+    sendPlain(absurd);
+    ASSERT_EQ(m_pulses.size(), 2U);
+    ASSERT_EQ(m_pulses[1].quarantine.crashes.size(), 1U);
+    EXPECT_EQ(m_pulses[1].quarantine.crashes[0].run.server, VmId("sound"));
+    EXPECT_TRUE(m_pulses[1].quarantine.cleared.empty());
+    EXPECT_TRUE(m_pulses[1].quarantine.quarantined.empty());
+
+    // Field 13, a struct, whose field 1 is a map that claims 2^31 - 1 structs and has none.
+    sendPlain(std::string("P\xdc\x1b\xff\xff\xff\xff\x07\x5c"));
+    EXPECT_EQ(m_pulses.size(), 2U);
+    EXPECT_EQ(m_receiver.malformedDatagrams(), 1U);
+}
+
+TEST_F(PulseSocketTest, VersionsWithoutTheQuarantineAreUnderstood)
+{
+    using namespace std::string_literals;
+    peer::Pulse pulse;
+    pulse.node = "n1";
+    pulse.leaving["s"] = 7;
+    const std::string bytes = "P" + toThriftBytes(pulse);
+    const std::string field = "\x1c\x1b\0\x1b\0\x1b\0\0"s; // The next field: three empty maps.
+    const std::string end = "\0"s;
+    ASSERT_EQ(bytes.substr(bytes.size() - field.size() - 1), field + end);
+    sendPlain(bytes.substr(0, bytes.size() - field.size() - 1) + end);
+    ASSERT_EQ(m_pulses.size(), 1U);
+    EXPECT_EQ(m_pulses[0].leaving.at(VmId("s")), 7);
+    EXPECT_EQ(m_pulses[0].quarantine, QuarantineNews());
+    // A version that knows a further field.
+    sendPlain(bytes.substr(0, bytes.size() - 1) + field + end);
+    ASSERT_EQ(m_pulses.size(), 2U);
+    EXPECT_EQ(m_pulses[1].leaving.at(VmId("s")), 7);
+
+    peer::Digest digest;
+    digest.zone = "z";
+    const std::string digestBytes = "D" + toThriftBytes(digest);
+    ASSERT_EQ(digestBytes.substr(digestBytes.size() - field.size() - 1), field + end);
+    sendPlain(digestBytes.substr(0, digestBytes.size() - field.size() - 1) + end);
+    ASSERT_EQ(m_digests.size(), 1U);
+    EXPECT_EQ(m_digests[0].zone, ZoneId("z"));
+    EXPECT_EQ(m_digests[0].quarantine, QuarantineNews());
+    EXPECT_EQ(m_receiver.malformedDatagrams(), 0U);
+}
+
+/// A store that records the writes of quarantines.
+class QuarantineFakeStore : public FakeStore
+{
+public:
+    void compareAndSwap(const std::string &key, Revision expected, const std::string &value,
+                        std::int64_t lease,
+                        const std::function<void(const StoreSwapResult &)> &done) override
+    {
+        EXPECT_EQ(expected, Revision());
+        EXPECT_EQ(lease, 77);
+        writes.emplace_back(key, value);
+        StoreSwapResult swap;
+        swap.outcome = outcome;
+        done(swap);
+    }
+    void grantLease(Duration timeToLive,
+                    const std::function<void(const StoreLease &)> &done) override
+    {
+        leases.push_back(timeToLive);
+        StoreLease lease;
+        lease.ok = isGranting;
+        lease.id = 77;
+        lease.timeToLive = timeToLive;
+        done(lease);
+    }
+
+    StoreSwapOutcome outcome = StoreSwapOutcome::Written;
+    bool isGranting = true;
+    std::vector<std::pair<std::string, std::string>> writes;
+    std::vector<Duration> leases;
+};
+
+class QuarantineStoreTest : public testing::Test
+{
+protected:
+    static QuarantineDecision decision(std::uint64_t part, Duration timeLeft, std::size_t runs = 3)
+    {
+        return {PromptPart(part), {timeLeft, 2}, runs, runs};
+    }
+    /// Lets time pass as the daemon does.
+    void pass(Duration duration)
+    {
+        for (const TimePoint end = m_now + duration; m_now < end; m_now += Duration(100))
+            m_quarantineStore.tick(m_now, WallTime(m_wallAtStart + milliseconds(m_now)));
+    }
+
+    static constexpr std::int64_t m_wallAtStart = 1'764'000'000'000;
+    QuarantineFakeStore m_store;
+    QuarantineStore m_quarantineStore {m_store, "own/quarantine/"};
+    TimePoint m_now = timePoint(100'000'000);
+};
+
+TEST_F(QuarantineStoreTest, DecisionIsStoredForItsTime)
+{
+    m_quarantineStore.add(decision(0xab, Duration(60'000)), m_now);
+    m_quarantineStore.add(decision(0xac, Duration(60'000), 0), m_now); // Another node decided.
+    pass(Duration(20'000));
+    ASSERT_EQ(m_store.writes.size(), 1U);
+    EXPECT_EQ(m_store.leases, std::vector<Duration> {Duration(60'000)});
+    EXPECT_EQ(m_store.writes[0].first, "own/quarantine/00000000000000ab");
+    const WallTime written(m_wallAtStart + 100'000'000);
+    EXPECT_EQ(parseQuarantine(m_store.writes[0].second, written),
+              (QuarantinedPart {Duration(60'000), 2}));
+    EXPECT_EQ(parseQuarantine(m_store.writes[0].second, WallTime(written.value() + 59'000)),
+              (QuarantinedPart {Duration(1'000), 2}));
+    // The clocks of other nodes may be wrong.
+    EXPECT_EQ(parseQuarantine(m_store.writes[0].second, WallTime(written.value() + 100'000)),
+              (QuarantinedPart {Duration(0), 2}));
+    EXPECT_EQ(parseQuarantine(m_store.writes[0].second, WallTime(0)),
+              (QuarantinedPart {Duration(60'000), 2}));
+    // A quarantine may last longer than a lease.
+    m_quarantineStore.add(decision(1, Duration(3'600'000)), m_now);
+    pass(Duration(1'000));
+    EXPECT_EQ(m_store.leases.back(), Duration(600'000));
+}
+
+TEST_F(QuarantineStoreTest, WritesAreLimited)
+{
+    for (std::uint64_t part = 0; part < 100; ++part)
+        m_quarantineStore.add(decision(part, Duration(600'000)), m_now);
+    pass(Duration(60'000));
+    EXPECT_EQ(m_store.writes.size(), 12U);
+    pass(Duration(300'000));
+    EXPECT_EQ(m_store.writes.size(), 32U);
+    // Those that end before their turn are not written.
+    for (std::uint64_t part = 0; part < 20; ++part)
+        m_quarantineStore.add(decision(part, Duration(9'000)), m_now);
+    pass(Duration(100'000));
+    EXPECT_EQ(m_store.writes.size(), 34U);
+}
+
+TEST_F(QuarantineStoreTest, FailedWriteIsTriedOnceMore)
+{
+    for (const StoreSwapOutcome outcome : {StoreSwapOutcome::Unknown, StoreSwapOutcome::Conflict}) {
+        m_store.outcome = outcome;
+        m_store.writes.clear();
+        m_quarantineStore.add(decision(1, Duration(600'000)), m_now);
+        pass(Duration(60'000));
+        EXPECT_EQ(m_store.writes.size(), 2U);
+    }
+    m_store.isGranting = false;
+    m_store.writes.clear();
+    m_store.leases.clear();
+    m_quarantineStore.add(decision(1, Duration(600'000)), m_now);
+    pass(Duration(60'000));
+    EXPECT_EQ(m_store.leases.size(), 2U);
+    EXPECT_TRUE(m_store.writes.empty());
+    // Another node has written the key.
+    m_store.isGranting = true;
+    m_quarantineStore.add(decision(1, Duration(600'000)), m_now);
+    pass(Duration(1'000));
+    EXPECT_EQ(m_store.writes.size(), 1U);
+    m_quarantineStore.onStored(PromptPart(1));
+    pass(Duration(60'000));
+    EXPECT_EQ(m_store.writes.size(), 1U);
+}
+
+TEST_F(QuarantineStoreTest, MalformedEntriesThrowFailure)
+{
+    for (const std::uint64_t part : {std::uint64_t(0), std::uint64_t(0xab), ~std::uint64_t(0)})
+        EXPECT_EQ(parsePartName(partName(PromptPart(part))), PromptPart(part));
+    for (const char *name : {"", "ab", "00000000000000ag", "0x000000000000ab", "-0000000000000ab",
+                             "00000000000000ab/", "000000000000000ab"})
+        EXPECT_THROW(parsePartName(name), Failure) << name;
+    const WallTime now(1'000'000);
+    for (const char *text : {"", "{", "[]", "5", "{}", R"({"left_ms": 5, "times": 1})",
+                             R"({"left_ms": "5", "times": 1, "until_wall_ms": 1000005})",
+                             R"({"left_ms": 5, "times": null, "until_wall_ms": 1000005})",
+                             R"({"left_ms": 5, "times": 1, "until_wall_ms": 1e300})"})
+        EXPECT_THROW(parseQuarantine(text, now), Failure) << text;
+    EXPECT_EQ(parseQuarantine(R"({"left_ms": 18446744073709551615, "times": -9223372036854775808,
+                                  "until_wall_ms": 9223372036854775807})",
+                              now),
+              (QuarantinedPart {Duration(600'000), 1}));
+    EXPECT_EQ(parseQuarantine(R"({"left_ms": -7, "times": 4294967297,
+                                  "until_wall_ms": -9223372036854775808})",
+                              now),
+              (QuarantinedPart {Duration(0), 1'000}));
+}
+
 TEST(PlatformTest, SettingErrorsNameTheSetting)
 {
     const auto file = platform::SettingsFile::parse("a.b=5\nc=x\n");
@@ -712,6 +1162,47 @@
         EXPECT_FALSE(arrivalWith("1,1", deadline).timeLimit.has_value()) << deadline;
 }
 
+TEST(PlatformTest, SharedPartsOfPromptsAreRead)
+{
+    const RelayDialect dialect = platform::relayDialect();
+    const auto partsOf = [&](const std::string &headers) {
+        MessageParser parser(MessageParser::Kind::Request);
+        parser.feed("POST /p/x HTTP/1.1\r\nHost: a\r\nX-Request-Id: r1\r\n" + headers
+                    + "Content-Length: 0\r\n\r\n");
+        EXPECT_TRUE(parser.complete());
+        return dialect.readArrival(parser.head())->promptParts;
+    };
+    const auto hashes = [](const std::vector<std::string> &ids) {
+        std::vector<std::uint64_t> hashed;
+        for (const std::string &id : ids)
+            hashed.push_back(stableHash(id));
+        return hashed;
+    };
+    const auto prefix = [](const std::string &value) {
+        return "X-Prompt-Prefix: " + value + "\r\n";
+    };
+    EXPECT_EQ(partsOf(prefix("5c1e07a2:800,91bd3f06:410,e4402b7d:250")),
+              hashes({"5c1e07a2", "91bd3f06"}));
+    EXPECT_TRUE(partsOf("").empty());
+    EXPECT_TRUE(partsOf(prefix("")).empty());
+    EXPECT_TRUE(partsOf(prefix("5c1e07a2:800")).empty()); // The request's own part.
+    // Neither blanks nor case nor the number of tokens hide a part.
+    EXPECT_EQ(partsOf(prefix(" \t5C1E07A2 :1 , 91bd3f06,e4402b7d:250")),
+              hashes({"5c1e07a2", "91bd3f06"}));
+    EXPECT_EQ(partsOf(prefix("aa:1,bb:2,aa:3,bb:2,cc:4")), hashes({"aa", "bb"}));
+    // Header lines are joined; the last part is that of the last line.
+    EXPECT_EQ(partsOf(prefix("aa:1,bb:2") + "x-prompt-prefix: cc:3,dd:4\r\n"),
+              hashes({"aa", "bb", "cc"}));
+    EXPECT_EQ(partsOf(prefix("not hex:1,,:5,a:b:c,dd:4")), hashes({"not hex", "", "a"}));
+    std::string many;
+    std::vector<std::string> ids;
+    for (int i = 0; i < 1'000; ++i) {
+        ids.push_back(std::to_string(i));
+        many += ids.back() + ":1,";
+    }
+    EXPECT_EQ(partsOf(prefix(many + "last:1")), hashes(ids));
+}
+
 TEST(PeerTest, UnknownEnumeratorsAreRejected)
 {
     peer::LedgerRequest request;
