--- a/src/request/quarantine_base.cpp
+++ b/src/request/quarantine_base.cpp
@@ -11,6 +11,7 @@
 constexpr Duration livenessMargin {300};
 /// How long a break waits for a sign of life of its run before it counts.
 constexpr Duration confirmationTime {1'500};
+constexpr Duration fullCheckInterval {1'000};
 constexpr Duration evidenceAge {600'000};
 /// Older evidence is not passed on, so that nodes do not hand it back and forth.
 constexpr Duration maxReportedAge {540'000};
@@ -31,14 +32,15 @@
 constexpr std::size_t decidingSum = 4;
 constexpr std::size_t decidingRuns = 4;
 constexpr std::size_t decidingRequests = 2;
-/// Decides against all parts that occur in the same requests only.
+/// Decides against all parts that occur in the same requests only, and beside many other crashes.
 constexpr std::size_t doubtfulCaseSum = 6;
 /// A part is blamed if the others crashed at most one in this many of its crashes...
 constexpr std::size_t crashesPerOtherCrash = 2;
 /// ... or if attempts break so rarely that chance explains its crashes with at most this
 /// probability.
 constexpr double chanceLimit = 1e-5;
-constexpr Duration answerCountTime {30'000};
+constexpr Duration answerCountInterval {1'000};
+constexpr std::size_t maxAnswerCounts = evidenceAge / answerCountInterval;
 /// A node that starts learns first what the others know.
 constexpr Duration settlingTime {3'000};
 
@@ -119,7 +121,11 @@
 
 void QuarantineTable::onSound(const PromptParts &parts, TimePoint now)
 {
-    ++m_answers;
+    if (m_answers.empty() || now - m_answers.back().first >= answerCountInterval)
+        m_answers.emplace_back(now, 0);
+    ++m_answers.back().second;
+    if (m_answers.size() > maxAnswerCounts)
+        m_answers.pop_front();
     for (const PromptPart part : parts)
         clear(part, now, 1, true);
 }
@@ -182,13 +188,19 @@
     for (const CrashEvidence &crash : news.crashes)
         reported.insert(crash.run);
     std::vector<CrashEvidence> others;
-    for (auto it = m_crashOrder.rbegin(); it != m_crashOrder.rend()
-         && now - it->first < comparedTime && others.size() < reportedRuns;
-         ++it) {
+    std::vector<CrashEvidence> olderOthers;
+    for (auto it = m_crashOrder.rbegin();
+         it != m_crashOrder.rend() && now - it->first < maxReportedAge; ++it) {
         const Crash &crash = m_crashes.at(it->second);
-        if (crash.attempts > 0 && !crash.isExplained && !reported.count(it->second))
-            others.push_back({noPart, it->second, 0, now - it->first});
+        if (crash.isExplained || reported.count(it->second))
+            continue;
+        const bool isRecent = crash.attempts > 0 && now - it->first < reportTime;
+        (isRecent && others.size() < reportedRuns / 2 ? others : olderOthers)
+            .push_back({noPart, it->second, 0, now - it->first});
     }
+    const std::size_t firstOther = rotatedStart(now, olderOthers.size());
+    for (std::size_t i = 0; i < olderOthers.size() && others.size() < reportedRuns; ++i)
+        others.push_back(olderOthers[(firstOther + i) % olderOthers.size()]);
     news.crashes.resize(
         std::min(news.crashes.size(), QuarantineLimits::reportedCrashes - others.size()));
     news.crashes.insert(news.crashes.end(), others.begin(), others.end());
@@ -252,7 +264,7 @@
 
 std::vector<QuarantineDecision> QuarantineTable::tick(TimePoint now)
 {
-    eraseContradicted();
+    eraseContradicted(now);
     resolveDoubtfulEnds(now);
     forgetOld(now);
     if (!m_startedAt)
@@ -530,10 +542,6 @@
     while (!m_crashOrder.empty() && now - m_crashOrder.begin()->first >= evidenceAge)
         eraseCrash(ServerRun(m_crashOrder.begin()->second));
     std::erase_if(m_accused, [&](const auto &item) { return now - item.second >= reportTime; });
-    if (now - m_answersSince >= answerCountTime) {
-        m_earlierAnswers = std::exchange(m_answers, 0);
-        m_answersSince = now;
-    }
     for (auto it = m_quarantines.begin(); it != m_quarantines.end();) {
         if (it->second.until > now) {
             ++it;
@@ -551,25 +559,34 @@
     }
 }
 
-void QuarantineTable::eraseContradicted()
+void QuarantineTable::eraseContradicted(TimePoint now)
 {
-    std::map<ServerRun, TimePoint> alive;
-    for (const auto &[run, crash] : m_crashes) {
-        if (const std::optional<TimePoint> at = m_hooks.lastAlive(run))
-            alive[run] = *at;
-    }
+    // Most signs of life come soon; a server that was unreachable may send one later.
+    TimePoint since = now - evidenceAge;
+    if (now - m_checkedAllAt >= fullCheckInterval)
+        m_checkedAllAt = now;
+    else
+        since = now - confirmationTime;
     std::vector<std::pair<PromptPart, ServerRun>> contradicted;
-    for (const auto &[at, part, run] : m_evidenceOrder) {
-        const auto found = alive.find(run);
-        if (found != alive.end() && found->second > at + livenessMargin)
+    std::map<ServerRun, std::optional<TimePoint>> alive;
+    for (auto it = m_evidenceOrder.lower_bound({since, PromptPart(), ServerRun()});
+         it != m_evidenceOrder.end(); ++it) {
+        const auto &[at, part, run] = *it;
+        const auto [found, isNew] = alive.try_emplace(run);
+        if (isNew)
+            found->second = m_hooks.lastAlive(run);
+        if (found->second && *found->second > at + livenessMargin)
             contradicted.emplace_back(part, run);
     }
     for (const auto &[part, run] : contradicted)
         eraseEvidence(part, run);
-    for (const auto &[run, at] : alive) {
-        if (at > m_crashes.at(run).at + livenessMargin)
-            eraseCrash(run);
+    std::vector<ServerRun> liveRuns;
+    for (auto it = m_crashOrder.lower_bound({since, ServerRun()}); it != m_crashOrder.end(); ++it) {
+        if (isLive(it->second, it->first))
+            liveRuns.push_back(it->second);
     }
+    for (const ServerRun &run : liveRuns)
+        eraseCrash(run);
 }
 
 bool QuarantineTable::isMature(const ServerRun &run, TimePoint brokenAt, TimePoint now) const
@@ -580,23 +597,38 @@
 bool QuarantineTable::isBeyondChance(const Case &suspected, TimePoint firstCrash,
                                      TimePoint now) const
 {
+    const auto isOther = [&](const std::pair<TimePoint, ServerRun> &item) {
+        return !m_crashes.at(item.second).isExplained && !suspected.runs.count(item.second)
+            && isMature(item.second, item.first, now);
+    };
     std::vector<TimePoint> others;
-    std::uint64_t broken = 0;
-    for (auto it = m_crashOrder.lower_bound({firstCrash - comparedTime, ServerRun()});
-         it != m_crashOrder.end(); ++it) {
-        const Crash &crash = m_crashes.at(it->second);
-        if (crash.isExplained || suspected.runs.count(it->second)
-            || !isMature(it->second, it->first, now))
-            continue;
-        others.push_back(it->first);
-        broken += crash.attempts;
+    const auto begin = m_crashOrder.lower_bound({firstCrash - comparedTime, ServerRun()});
+    for (auto it = begin; it != m_crashOrder.end(); ++it) {
+        if (isOther(*it))
+            others.push_back(it->first);
     }
     if (crashesPerOtherCrash * groupedCount(others) <= suspected.sum)
         return true;
-    const double answered = static_cast<double>(m_answers + m_earlierAnswers);
-    const double breakProbability =
-        static_cast<double>(broken + 1) / (static_cast<double>(broken + 1) + answered);
-    return std::pow(breakProbability, static_cast<double>(suspected.sum)) <= chanceLimit;
+    if (suspected.sum < doubtfulCaseSum)
+        return false;
+
+    // Breaks may have become common shortly before, so several periods are compared.
+    for (const Duration before : {Duration(0), comparedTime / 3, comparedTime}) {
+        const TimePoint since = firstCrash - before;
+        std::uint64_t broken = 1;
+        for (auto it = begin; it != m_crashOrder.end(); ++it) {
+            if (it->first >= since && isOther(*it))
+                broken += m_crashes.at(it->second).attempts;
+        }
+        std::uint64_t answered = 0;
+        for (auto it = m_answers.rbegin(); it != m_answers.rend() && it->first >= since; ++it)
+            answered += it->second;
+        const double breakProbability =
+            static_cast<double>(broken) / static_cast<double>(broken + answered);
+        if (std::pow(breakProbability, static_cast<double>(suspected.sum)) > chanceLimit)
+            return false;
+    }
+    return true;
 }
 
 std::vector<QuarantineTable::Case> QuarantineTable::cases(TimePoint now) const
--- a/src/request/quarantine_base.h
+++ b/src/request/quarantine_base.h
@@ -2,6 +2,7 @@
 
 #include "request/quarantine_type.h"
 
+#include <deque>
 #include <functional>
 #include <list>
 #include <map>
@@ -141,7 +142,7 @@
     bool adopt(PromptPart part, const QuarantinedPart &quarantine, TimePoint now);
     void resolveDoubtfulEnds(TimePoint now);
     void forgetOld(TimePoint now);
-    void eraseContradicted();
+    void eraseContradicted(TimePoint now);
     void decide(TimePoint now);
     std::vector<Case> cases(TimePoint now) const;
     /// Whether the crashes are too many for chance, given those without the part and the answers.
@@ -160,9 +161,9 @@
     std::unordered_map<PromptPart, Quarantine> m_quarantines; ///< Live ones.
     std::unordered_map<PromptPart, Quarantine> m_endedQuarantines;
     std::vector<QuarantineDecision> m_decisions; ///< Since the last tick.
-    std::uint64_t m_answers = 0; ///< Of this node, since m_answersSince.
-    std::uint64_t m_earlierAnswers = 0; ///< In the period before.
-    TimePoint m_answersSince;
+    /// Completed answers to this node, by the start of the interval in which they were counted.
+    std::deque<std::pair<TimePoint, std::uint64_t>> m_answers;
+    TimePoint m_checkedAllAt; ///< When all evidence was last compared with signs of life.
     std::optional<TimePoint> m_startedAt; ///< First call of tick().
 };
 
