--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -13,6 +13,8 @@
 TESTS = ["ledger_test", "placement_test", "golden_test", "request_test", "attempt_test",
          "formation_test",
          "initial_split_test", "overload_test", "relay_test", "http_client_test", "promises_test"]
+TESTS = ["ledger_test", "placement_test", "golden_test", "request_test", "formation_test",
+         "initial_split_test", "overload_test", "quarantine_test", "relay_test", "http_client_test", "promises_test"]
 # Tests that start the program, for mutants that no test above catches. They share ports.
 PROCESS_TESTS = [["response_end_test.py"], ["process_test.py", "CompletionTest"]]
 PROGRAMS = ["bramleypitch", "bramleypitch-standin"]
@@ -247,6 +249,33 @@
      "    actions.emplace_back(AbandonAttempt {id, ended.number});\n", ""),
     ("slow_caller_counts_as_silence", "request/request_system.cpp",
      "    if (request.readingPaused)\n        return false;\n", ""),
+    ("live_server_blames_a_part", "request/quarantine_base.cpp",
+     "return alive && *alive > brokenAt + livenessMargin;", "return false && alive;"),
+    ("live_server_is_checked_once", "request/quarantine_base.cpp",
+     "if (found->second && *found->second > at + livenessMargin)", "if (false)"),
+    ("servers_that_end_together_all_count", "request/quarantine_base.cpp",
+     "if (inGroup < maxRunsOfGroup)", "if (true)"),
+    ("answer_does_not_clear_a_part", "request/quarantine_base.cpp",
+     "eraseEvidenceUntil(part, at);", ""),
+    ("cleared_part_is_not_protected", "request/quarantine_base.cpp",
+     "&& at < found->second.at + protection(found->second.answers);", "&& false;"),
+    ("repeats_of_one_request_blame_a_part", "request/quarantine_base.cpp",
+     "|| found.requests < decidingRequests", ""),
+    ("explained_crash_blames_other_parts", "request/quarantine_base.cpp",
+     "for (const ServerRun &run : explained)\n        explain(run);", ""),
+    ("quarantine_of_a_peer_is_ignored", "request/quarantine_base.cpp",
+     "for (const auto &[part, quarantine] : news.quarantined)\n        adopt(part, quarantine, now);",
+     ""),
+    ("evidence_unbounded", "request/quarantine_base.cpp",
+     "if (m_evidenceOrder.size() > QuarantineLimits::evidence)", "if (false)"),
+    ("repeated_quarantine_lasts_no_longer", "request/quarantine_base.cpp",
+     "duration *= 2;", "duration *= 1;"),
+    ("nodes_keep_a_quarantine_alive", "request/quarantine_base.cpp",
+     "if (times <= known->times && since <= known->until)", "if (false)"),
+    ("common_crashes_are_ignored", "request/quarantine_base.cpp",
+     "if (isBeyondChance(found, times.front(), now))", "if (true)"),
+    ("equal_parts_are_blamed_at_once", "request/quarantine_base.cpp",
+     "if (blamed.size() > 1 && it->sum < doubtfulCaseSum)", "if (false)"),
 ]
 RAPIDCHECK_PARAMETERS = "seed=20261203 max_success=25 max_size=14 noshrink=1"
 
--- a/src/request/quarantine_base.cpp
+++ b/src/request/quarantine_base.cpp
@@ -617,14 +617,19 @@
         const TimePoint since = firstCrash - before;
         std::uint64_t broken = 1;
         for (auto it = begin; it != m_crashOrder.end(); ++it) {
-            if (it->first >= since && isOther(*it))
-                broken += m_crashes.at(it->second).attempts;
+            const Crash &crash = m_crashes.at(it->second);
+            if (it->first < since || crash.isExplained || crash.attempts == 0)
+                continue;
+            // If the part is sound, the others on its runs broke by chance, too.
+            broken += crash.attempts - (suspected.runs.count(it->second) ? 1 : 0);
         }
+        // Few breaks tell little: two standard deviations more may be usual.
+        const double usual =
+            static_cast<double>(broken) + 2 * std::sqrt(static_cast<double>(broken));
         std::uint64_t answered = 0;
         for (auto it = m_answers.rbegin(); it != m_answers.rend() && it->first >= since; ++it)
             answered += it->second;
-        const double breakProbability =
-            static_cast<double>(broken) / static_cast<double>(broken + answered);
+        const double breakProbability = usual / (usual + static_cast<double>(answered));
         if (std::pow(breakProbability, static_cast<double>(suspected.sum)) > chanceLimit)
             return false;
     }
