--- a/src/request/quarantine_base.cpp
+++ b/src/request/quarantine_base.cpp
@@ -9,8 +9,9 @@
 
 /// A run that sends something this long after a break did not end with it.
 constexpr Duration livenessMargin {300};
-/// How long a break waits for a sign of life of its run before it counts.
-constexpr Duration confirmationTime {1'500};
+/// How long a break waits for a sign of life of its run, and for the reports of other nodes on the
+/// same run, before it counts.
+constexpr Duration confirmationTime {2'000};
 constexpr Duration fullCheckInterval {1'000};
 constexpr Duration evidenceAge {600'000};
 /// Older evidence is not passed on, so that nodes do not hand it back and forth.
@@ -28,6 +29,8 @@
 
 /// Servers that end within this time may have a common cause, such as their rack.
 constexpr Duration crashGroupTime {300};
+/// Of a message between nodes.
+constexpr Duration messageDelay {400};
 constexpr std::size_t maxRunsOfGroup = 2;
 constexpr std::size_t decidingSum = 4;
 constexpr std::size_t decidingRuns = 4;
@@ -73,15 +76,30 @@
     return size == 0 ? 0 : ((static_cast<std::uint64_t>(milliseconds(now)) * factor) >> 32U) % size;
 }
 
-/// Counts crashes, given their times in order. Those that come together count as few.
-std::size_t groupedCount(const std::vector<TimePoint> &times)
+/// When a server ended. A peer's report is dated up to messageDelay late.
+struct CrashTime
 {
+    TimePoint earliest;
+    TimePoint latest;
+
+    auto operator<=>(const CrashTime &) const = default;
+};
+
+CrashTime crashTime(TimePoint at, bool isOwn)
+{
+    return {isOwn ? at : at - messageDelay, at};
+}
+
+/// Counts crashes. Those that may have come together count as few.
+std::size_t groupedCount(std::vector<CrashTime> times)
+{
+    std::sort(times.begin(), times.end());
     std::size_t sum = 0;
     std::size_t inGroup = 0;
     std::optional<TimePoint> groupStart;
-    for (const TimePoint at : times) {
-        if (!groupStart || at - *groupStart > crashGroupTime) {
-            groupStart = at;
+    for (const CrashTime &time : times) {
+        if (!groupStart || time.earliest > *groupStart + crashGroupTime) {
+            groupStart = time.latest;
             inGroup = 0;
         }
         if (inGroup < maxRunsOfGroup) {
@@ -363,7 +381,9 @@
     RunEvidence &runs = m_evidence[part];
     const auto found = runs.find(run);
     if (found != runs.end()) {
-        if (evidence.at <= found->second.at + livenessMargin || !isLive(run, found->second.at))
+        // Of several reports on one break, the earliest is the most exact.
+        if (evidence.at >= found->second.at
+            && (evidence.at <= found->second.at + livenessMargin || !isLive(run, found->second.at)))
             return;
         m_evidenceOrder.erase({found->second.at, part, run});
     }
@@ -589,9 +609,9 @@
         eraseCrash(run);
 }
 
-bool QuarantineTable::isMature(const ServerRun &run, TimePoint brokenAt, TimePoint now) const
+bool QuarantineTable::isMature(TimePoint brokenAt, TimePoint now)
 {
-    return now - brokenAt >= confirmationTime || m_hooks.hasEnded(run);
+    return now - brokenAt >= confirmationTime;
 }
 
 bool QuarantineTable::isBeyondChance(const Case &suspected, TimePoint firstCrash,
@@ -599,13 +619,13 @@
 {
     const auto isOther = [&](const std::pair<TimePoint, ServerRun> &item) {
         return !m_crashes.at(item.second).isExplained && !suspected.runs.count(item.second)
-            && isMature(item.second, item.first, now);
+            && isMature(item.first, now);
     };
-    std::vector<TimePoint> others;
+    std::vector<CrashTime> others;
     const auto begin = m_crashOrder.lower_bound({firstCrash - comparedTime, ServerRun()});
     for (auto it = begin; it != m_crashOrder.end(); ++it) {
         if (isOther(*it))
-            others.push_back(it->first);
+            others.push_back(crashTime(it->first, m_crashes.at(it->second).attempts > 0));
     }
     if (crashesPerOtherCrash * groupedCount(others) <= suspected.sum)
         return true;
@@ -644,22 +664,23 @@
             continue;
         Case found;
         found.part = part;
-        std::vector<TimePoint> times;
+        std::vector<CrashTime> times;
+        TimePoint firstCrash = now;
         std::set<std::uint64_t> requests;
         for (const auto &[run, evidence] : runs) {
-            if (!isMature(run, evidence.at, now))
+            if (!isMature(evidence.at, now))
                 continue;
             found.runs.insert(run);
-            times.push_back(evidence.at);
+            times.push_back(crashTime(evidence.at, evidence.isOwn));
+            firstCrash = std::min(firstCrash, evidence.at);
             requests.insert(evidence.request);
         }
-        std::sort(times.begin(), times.end());
         found.sum = groupedCount(times);
         found.requests = requests.size();
         if (found.sum < decidingSum || found.runs.size() < decidingRuns
             || found.requests < decidingRequests)
             continue;
-        if (isBeyondChance(found, times.front(), now))
+        if (isBeyondChance(found, firstCrash, now))
             cases.push_back(std::move(found));
     }
     std::sort(cases.begin(), cases.end(), [](const Case &left, const Case &right) {
--- a/src/request/quarantine_base.h
+++ b/src/request/quarantine_base.h
@@ -147,7 +147,7 @@
     std::vector<Case> cases(TimePoint now) const;
     /// Whether the crashes are too many for chance, given those without the part and the answers.
     bool isBeyondChance(const Case &suspected, TimePoint firstCrash, TimePoint now) const;
-    bool isMature(const ServerRun &run, TimePoint brokenAt, TimePoint now) const;
+    static bool isMature(TimePoint brokenAt, TimePoint now);
 
     QuarantineHooks m_hooks;
     std::unordered_map<PromptPart, RunEvidence> m_evidence;
