--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -256,7 +256,7 @@
     ("servers_that_end_together_all_count", "request/quarantine_base.cpp",
      "if (inGroup < maxRunsOfGroup)", "if (true)"),
     ("answer_does_not_clear_a_part", "request/quarantine_base.cpp",
-     "eraseEvidenceUntil(part, at);", ""),
+     "if (!m_evidence.empty())\n        eraseEvidenceUntil(part, at);", ""),
     ("cleared_part_is_not_protected", "request/quarantine_base.cpp",
      "&& at < found->second.at + protection(found->second.answers);", "&& false;"),
     ("repeats_of_one_request_blame_a_part", "request/quarantine_base.cpp",
