--- a/src/request/quarantine_base.cpp
+++ b/src/request/quarantine_base.cpp
@@ -31,6 +31,8 @@
 constexpr Duration crashGroupTime {300};
 /// Of a message between nodes.
 constexpr Duration messageDelay {400};
+/// Reports on one crash come within this time.
+constexpr Duration crashReportTime = messageDelay + livenessMargin;
 constexpr std::size_t maxRunsOfGroup = 2;
 constexpr std::size_t decidingSum = 4;
 constexpr std::size_t decidingRuns = 4;
@@ -76,46 +78,6 @@
     return size == 0 ? 0 : ((static_cast<std::uint64_t>(milliseconds(now)) * factor) >> 32U) % size;
 }
 
-/// When a server ended. A peer's report is dated up to messageDelay late.
-struct CrashTime
-{
-    TimePoint earliest;
-    TimePoint latest;
-
-    auto operator<=>(const CrashTime &) const = default;
-};
-
-CrashTime crashTime(TimePoint at, bool isOwn)
-{
-    return {isOwn ? at : at - messageDelay, at};
-}
-
-/// Counts crashes. Those that may have come together count as few.
-std::size_t groupedCount(std::vector<CrashTime> times)
-{
-    std::sort(times.begin(), times.end());
-    std::size_t sum = 0;
-    std::size_t inGroup = 0;
-    std::optional<TimePoint> groupStart;
-    for (const CrashTime &time : times) {
-        if (!groupStart || time.earliest > *groupStart + crashGroupTime) {
-            groupStart = time.latest;
-            inGroup = 0;
-        }
-        if (inGroup < maxRunsOfGroup) {
-            ++inGroup;
-            ++sum;
-        }
-    }
-    return sum;
-}
-
-bool shareRun(const std::set<ServerRun> &left, const std::set<ServerRun> &right)
-{
-    return std::any_of(left.begin(), left.end(),
-                       [&](const ServerRun &run) { return right.count(run) > 0; });
-}
-
 } // namespace
 
 QuarantineTable::QuarantineTable(QuarantineHooks hooks)
@@ -340,10 +302,17 @@
 {
     const auto [found, isNew] = m_crashes.try_emplace(run, Crash {at, false, 0});
     if (!isNew) {
-        if (at <= found->second.at + livenessMargin || !isLive(run, found->second.at))
-            return;
-        m_crashOrder.erase({found->second.at, run});
-        found->second = {at, false, 0};
+        Crash &crash = found->second;
+        if (at >= crash.at) {
+            if (at <= crash.at + livenessMargin || !isLive(run, crash.at))
+                return;
+            m_crashOrder.erase({crash.at, run});
+            crash = {at, false, 0};
+        } else {
+            // Of several reports on one crash, the earliest is the most exact.
+            m_crashOrder.erase({crash.at, run});
+            crash.at = at;
+        }
     }
     m_crashOrder.insert({at, run});
     if (m_crashes.size() > QuarantineLimits::evidence)
@@ -538,9 +507,10 @@
 {
     for (auto end = m_doubtfulEnds.begin(); end != m_doubtfulEnds.end();) {
         const auto crash = m_crashes.find(end->run);
-        if (isLive(end->run, end->at)) {
+        const std::optional<TimePoint> alive = m_hooks.lastAlive(end->run);
+        if (alive && *alive > end->at + livenessMargin) {
             onSound(end->parts, now);
-        } else if (m_hooks.hasEnded(end->run)
+        } else if (m_hooks.hasEnded(end->run) || (alive && isMature(end->at, now))
                    || (crash != m_crashes.end()
                        && std::chrono::abs(crash->second.at - end->at) <= relatedBreakTime)) {
             recordBreak(end->parts, end->run, end->request, end->at, now);
@@ -614,31 +584,88 @@
     return now - brokenAt >= confirmationTime;
 }
 
-bool QuarantineTable::isBeyondChance(const Case &suspected, TimePoint firstCrash,
-                                     TimePoint now) const
+QuarantineTable::CrashTime QuarantineTable::crashTime(const ServerRun &run,
+                                                      const Evidence &evidence) const
 {
-    const auto isOther = [&](const std::pair<TimePoint, ServerRun> &item) {
-        return !m_crashes.at(item.second).isExplained && !suspected.runs.count(item.second)
-            && isMature(item.first, now);
-    };
+    // All parts in one crash get its time as it is known best, so that they can be compared.
+    const auto crash = m_crashes.find(run);
+    if (crash == m_crashes.end() || evidence.at > crash->second.at + crashReportTime)
+        return {evidence.isOwn ? evidence.at : evidence.at - messageDelay, evidence.at};
+    const bool isExact = crash->second.attempts > 0;
+    return {isExact ? crash->second.at : crash->second.at - messageDelay, crash->second.at};
+}
+
+std::size_t QuarantineTable::groupedCount(std::vector<CrashTime> times)
+{
+    std::sort(times.begin(), times.end());
+    std::size_t sum = 0;
+    std::size_t inGroup = 0;
+    std::optional<TimePoint> groupStart;
+    for (const CrashTime &time : times) {
+        if (!groupStart || time.earliest > *groupStart + crashGroupTime) {
+            groupStart = time.latest;
+            inGroup = 0;
+        }
+        if (inGroup < maxRunsOfGroup) {
+            ++inGroup;
+            ++sum;
+        }
+    }
+    return sum;
+}
+
+bool QuarantineTable::shareRuns(const Case &left, const Case &right)
+{
+    return std::any_of(left.runs.begin(), left.runs.end(),
+                       [&](const auto &item) { return right.runs.count(item.first) > 0; });
+}
+
+std::weak_ordering QuarantineTable::compareExplained(const Case &left, const Case &right)
+{
+    if (!shareRuns(left, right))
+        return std::weak_ordering::equivalent;
+    std::vector<CrashTime> onlyLeft;
+    std::vector<CrashTime> onlyRight;
+    for (const auto &[run, time] : left.runs) {
+        if (!right.runs.count(run))
+            onlyLeft.push_back(time);
+    }
+    for (const auto &[run, time] : right.runs) {
+        if (!left.runs.count(run))
+            onlyRight.push_back(time);
+    }
+    const std::pair sizes {onlyLeft.size(), onlyRight.size()};
+    const std::weak_ordering order =
+        groupedCount(std::move(onlyLeft)) <=> groupedCount(std::move(onlyRight));
+    return order != 0 ? order : sizes.first <=> sizes.second;
+}
+
+bool QuarantineTable::isBeyondChance(const Case &suspected, std::size_t sum, TimePoint now) const
+{
+    TimePoint firstCrash = now;
+    for (const auto &[run, time] : suspected.runs)
+        firstCrash = std::min(firstCrash, time.latest);
     std::vector<CrashTime> others;
     const auto begin = m_crashOrder.lower_bound({firstCrash - comparedTime, ServerRun()});
-    for (auto it = begin; it != m_crashOrder.end(); ++it) {
-        if (isOther(*it))
-            others.push_back(crashTime(it->first, m_crashes.at(it->second).attempts > 0));
+    for (auto it = begin; it != m_crashOrder.end() && isMature(it->first, now); ++it) {
+        const Crash &crash = m_crashes.at(it->second);
+        if (!crash.isExplained && !suspected.runs.count(it->second))
+            others.push_back(
+                {crash.attempts > 0 ? it->first : it->first - messageDelay, it->first});
     }
-    if (crashesPerOtherCrash * groupedCount(others) <= suspected.sum)
+    if (crashesPerOtherCrash * groupedCount(std::move(others)) <= sum)
         return true;
-    if (suspected.sum < doubtfulCaseSum)
+    if (sum < doubtfulCaseSum)
         return false;
 
     // Breaks may have become common shortly before, so several periods are compared.
     for (const Duration before : {Duration(0), comparedTime / 3, comparedTime}) {
         const TimePoint since = firstCrash - before;
         std::uint64_t broken = 1;
-        for (auto it = begin; it != m_crashOrder.end(); ++it) {
+        for (auto it = m_crashOrder.lower_bound({since, ServerRun()}); it != m_crashOrder.end();
+             ++it) {
             const Crash &crash = m_crashes.at(it->second);
-            if (it->first < since || crash.isExplained || crash.attempts == 0)
+            if (crash.isExplained || crash.attempts == 0)
                 continue;
             // If the part is sound, the others on its runs broke by chance, too.
             broken += crash.attempts - (suspected.runs.count(it->second) ? 1 : 0);
@@ -650,7 +677,7 @@
         for (auto it = m_answers.rbegin(); it != m_answers.rend() && it->first >= since; ++it)
             answered += it->second;
         const double breakProbability = usual / (usual + static_cast<double>(answered));
-        if (std::pow(breakProbability, static_cast<double>(suspected.sum)) > chanceLimit)
+        if (std::pow(breakProbability, static_cast<double>(sum)) > chanceLimit)
             return false;
     }
     return true;
@@ -665,26 +692,35 @@
         Case found;
         found.part = part;
         std::vector<CrashTime> times;
-        TimePoint firstCrash = now;
+        std::vector<CrashTime> matureTimes;
         std::set<std::uint64_t> requests;
+        std::set<std::uint64_t> matureRequests;
         for (const auto &[run, evidence] : runs) {
-            if (!isMature(evidence.at, now))
-                continue;
-            found.runs.insert(run);
-            times.push_back(crashTime(evidence.at, evidence.isOwn));
-            firstCrash = std::min(firstCrash, evidence.at);
+            const CrashTime time = crashTime(run, evidence);
+            found.runs.emplace(run, time);
+            times.push_back(time);
             requests.insert(evidence.request);
+            if (!isMature(time.latest, now))
+                continue;
+            matureTimes.push_back(time);
+            matureRequests.insert(evidence.request);
         }
-        found.sum = groupedCount(times);
-        found.requests = requests.size();
-        if (found.sum < decidingSum || found.runs.size() < decidingRuns
-            || found.requests < decidingRequests)
+        if (requests.size() < decidingRequests)
             continue;
-        if (isBeyondChance(found, firstCrash, now))
-            cases.push_back(std::move(found));
+        found.matureRuns = matureTimes.size();
+        found.matureRequests = matureRequests.size();
+        found.sum = groupedCount(std::move(times));
+        found.matureSum = groupedCount(std::move(matureTimes));
+        if (found.sum < decidingSum || !isBeyondChance(found, found.sum, now))
+            continue;
+        found.isMature = found.matureSum >= decidingSum && found.matureRuns >= decidingRuns
+            && found.matureRequests >= decidingRequests
+            && isBeyondChance(found, found.matureSum, now);
+        cases.push_back(std::move(found));
     }
     std::sort(cases.begin(), cases.end(), [](const Case &left, const Case &right) {
-        return std::pair(right.sum, left.part) < std::pair(left.sum, right.part);
+        return std::tuple(right.sum, right.runs.size(), left.part)
+            < std::tuple(left.sum, left.runs.size(), right.part);
     });
     return cases;
 }
@@ -695,27 +731,36 @@
     for (bool hasDecided = true; hasDecided;) {
         hasDecided = false;
         const std::vector<Case> found = cases(now);
+        const auto blame = [&](const Case &item) {
+            startQuarantine(item.part, quarantineDuration(1), 1, item.matureRuns,
+                            item.matureRequests, now);
+            hasDecided = true;
+        };
+        const auto isBeaten = [&](const Case &item) {
+            return std::any_of(found.begin(), found.end(), [&](const Case &other) {
+                return compareExplained(other, item) > 0;
+            });
+        };
+        bool areAllBeaten = !found.empty();
         for (auto it = found.begin(); it != found.end() && !hasDecided; ++it) {
-            const auto competes = [&](const Case &other) {
-                return other.part != it->part && other.sum >= it->sum
-                    && shareRun(other.runs, it->runs);
-            };
-            if (std::any_of(found.begin(), it, [&](const Case &other) {
-                    return other.sum > it->sum && shareRun(other.runs, it->runs);
-                }))
+            if (isBeaten(*it))
+                continue;
+            areAllBeaten = false;
+            if (!it->isMature)
                 continue;
             std::vector<const Case *> blamed {&*it};
             for (const Case &other : found) {
-                if (competes(other))
+                if (&other != &*it && shareRuns(other, *it) && compareExplained(other, *it) == 0)
                     blamed.push_back(&other);
             }
-            if (blamed.size() > 1 && it->sum < doubtfulCaseSum)
+            if (blamed.size() > 1 && it->matureSum < doubtfulCaseSum)
                 continue;
             for (const Case *item : blamed)
-                startQuarantine(item->part, quarantineDuration(1), 1, item->runs.size(),
-                                item->requests, now);
-            hasDecided = true;
+                blame(*item);
         }
+        // Each may explain more than the next one, in a circle.
+        if (areAllBeaten && found.front().isMature)
+            blame(found.front());
     }
 }
 
--- a/src/request/quarantine_base.h
+++ b/src/request/quarantine_base.h
@@ -2,6 +2,7 @@
 
 #include "request/quarantine_type.h"
 
+#include <compare>
 #include <deque>
 #include <functional>
 #include <list>
@@ -108,13 +109,26 @@
         TimePoint at;
     };
 
+    /// When a server ended. A peer's report is dated late by up to the delay of its message.
+    struct CrashTime
+    {
+        TimePoint earliest;
+        TimePoint latest;
+
+        auto operator<=>(const CrashTime &) const = default;
+    };
+
     /// The evidence against a part that may be counted.
     struct Case
     {
         PromptPart part;
-        std::set<ServerRun> runs;
-        std::size_t requests = 0;
+        std::map<ServerRun, CrashTime> runs;
         std::size_t sum = 0;
+        std::size_t matureSum =
+            0; ///< Of the crashes whose signs of life and reports have had time to come.
+        std::size_t matureRuns = 0; ///< These crashes.
+        std::size_t matureRequests = 0;
+        bool isMature = false; ///< May be decided. Others may only be the better explanation.
     };
 
     using RunEvidence = std::map<ServerRun, Evidence>;
@@ -144,9 +158,16 @@
     void forgetOld(TimePoint now);
     void eraseContradicted(TimePoint now);
     void decide(TimePoint now);
+    /// All parts that may have caused crashes, those that are most suspect first.
     std::vector<Case> cases(TimePoint now) const;
+    CrashTime crashTime(const ServerRun &run, const Evidence &evidence) const;
     /// Whether the crashes are too many for chance, given those without the part and the answers.
-    bool isBeyondChance(const Case &suspected, TimePoint firstCrash, TimePoint now) const;
+    bool isBeyondChance(const Case &suspected, std::size_t sum, TimePoint now) const;
+    /// Counts crashes. Those that may have come together count as few.
+    static std::size_t groupedCount(std::vector<CrashTime> times);
+    static bool shareRuns(const Case &left, const Case &right);
+    /// Whether the left part explains more of the crashes with either part, fewer, or as many.
+    static std::weak_ordering compareExplained(const Case &left, const Case &right);
     static bool isMature(TimePoint brokenAt, TimePoint now);
 
     QuarantineHooks m_hooks;
