--- a/src/request/quarantine_base.cpp
+++ b/src/request/quarantine_base.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace bramleypitch {
 
@@ -12,7 +13,7 @@
 /// How long a break waits for a sign of life of its run, and for the reports of other nodes on the
 /// same run, before it counts.
 constexpr Duration confirmationTime {2'000};
-constexpr Duration fullCheckInterval {1'000};
+constexpr Duration fullCheckInterval {5'000};
 constexpr Duration evidenceAge {600'000};
 /// Older evidence is not passed on, so that nodes do not hand it back and forth.
 constexpr Duration maxReportedAge {540'000};
@@ -41,6 +42,8 @@
 constexpr std::size_t doubtfulCaseSum = 6;
 /// A part is blamed if the others crashed at most one in this many of its crashes...
 constexpr std::size_t crashesPerOtherCrash = 2;
+/// While its sum is below doubtfulCaseSum.
+constexpr std::size_t crashesPerOtherCrashAtFirst = 4;
 /// ... or if attempts break so rarely that chance explains its crashes with at most this
 /// probability.
 constexpr double chanceLimit = 1e-5;
@@ -134,56 +137,56 @@
     struct Item
     {
         PromptPart part;
-        ServerRun run;
+        const ServerRun *run;
         const Evidence *evidence;
         std::size_t runs;
     };
     QuarantineNews news;
     std::vector<Item> recent;
-    std::vector<Item> older;
-    for (const auto &[at, part, run] : m_evidenceOrder) {
-        const RunEvidence &runs = m_evidence.at(part);
-        const Item item {part, run, &runs.at(run), runs.size()};
-        if (item.evidence->isOwn && now - at < reportTime)
-            recent.push_back(item);
+    std::vector<std::pair<PromptPart, const ServerRun *>> older;
+    for (const auto &[key, evidence] : m_evidenceOrder) {
+        const auto &[at, part, run] = key;
+        if (evidence->isOwn && now - at < reportTime)
+            recent.push_back({part, &run, evidence, m_evidence.at(part).size()});
         else if (now - at < maxReportedAge)
-            older.push_back(item);
+            older.emplace_back(part, &run);
     }
-    const auto report = [&](const Item &item) {
-        news.crashes.push_back(
-            {item.part, item.run, item.evidence->request, now - item.evidence->at});
+    const auto report = [&](PromptPart part, const ServerRun &run, const Evidence &evidence) {
+        news.crashes.push_back({part, run, evidence.request, now - evidence.at});
     };
     std::stable_sort(recent.begin(), recent.end(), [](const Item &left, const Item &right) {
         return std::pair(std::min(left.runs, decidingRuns), left.evidence->at)
             > std::pair(std::min(right.runs, decidingRuns), right.evidence->at);
     });
     for (std::size_t i = 0; i < recent.size() && i < QuarantineLimits::reportedCrashes; ++i)
-        report(recent[i]);
+        report(recent[i].part, *recent[i].run, *recent[i].evidence);
     const std::size_t room = QuarantineLimits::reportedCrashes - news.crashes.size();
     const std::size_t start = rotatedStart(now, older.size());
-    for (std::size_t i = 0; i < older.size() && i < room; ++i)
-        report(older[(start + i) % older.size()]);
+    for (std::size_t i = 0; i < older.size() && i < room; ++i) {
+        const auto &[part, run] = older[(start + i) % older.size()];
+        report(part, *run, m_evidence.at(part).at(*run));
+    }
 
-    std::set<ServerRun> reported;
+    std::set<ServerRun, RunOrder> reported;
     for (const CrashEvidence &crash : news.crashes)
         reported.insert(crash.run);
-    std::vector<CrashEvidence> others;
-    std::vector<CrashEvidence> olderOthers;
+    std::vector<const std::pair<TimePoint, ServerRun> *> others;
+    std::vector<const std::pair<TimePoint, ServerRun> *> olderOthers;
     for (auto it = m_crashOrder.rbegin();
-         it != m_crashOrder.rend() && now - it->first < maxReportedAge; ++it) {
-        const Crash &crash = m_crashes.at(it->second);
-        if (crash.isExplained || reported.count(it->second))
+         it != m_crashOrder.rend() && now - it->first.first < maxReportedAge; ++it) {
+        const auto &[key, crash] = *it;
+        if (crash->isExplained || reported.count(key.second))
             continue;
-        const bool isRecent = crash.attempts > 0 && now - it->first < reportTime;
-        (isRecent && others.size() < reportedRuns / 2 ? others : olderOthers)
-            .push_back({noPart, it->second, 0, now - it->first});
+        const bool isRecent = crash->attempts > 0 && now - key.first < reportTime;
+        (isRecent && others.size() < reportedRuns / 2 ? others : olderOthers).push_back(&key);
     }
     const std::size_t firstOther = rotatedStart(now, olderOthers.size());
     for (std::size_t i = 0; i < olderOthers.size() && others.size() < reportedRuns; ++i)
         others.push_back(olderOthers[(firstOther + i) % olderOthers.size()]);
     news.crashes.resize(
         std::min(news.crashes.size(), QuarantineLimits::reportedCrashes - others.size()));
-    news.crashes.insert(news.crashes.end(), others.begin(), others.end());
+    for (const auto *crash : others)
+        news.crashes.push_back({noPart, crash->second, 0, now - crash->first});
 
     for (const auto &[part, at] : m_accused) {
         const auto found = m_clearings.find(part);
@@ -244,7 +247,11 @@
 
 std::vector<QuarantineDecision> QuarantineTable::tick(TimePoint now)
 {
-    eraseContradicted(now);
+    // Most signs of life come soon; a server that was unreachable may send one later.
+    const bool isCheckingAll = now - m_checkedAllAt >= fullCheckInterval;
+    if (isCheckingAll)
+        m_checkedAllAt = now;
+    eraseContradicted(now - (isCheckingAll ? evidenceAge : confirmationTime));
     resolveDoubtfulEnds(now);
     forgetOld(now);
     if (!m_startedAt)
@@ -285,8 +292,12 @@
                                   std::uint64_t request, TimePoint at, TimePoint now)
 {
     recordCrash(run, at);
-    if (const auto crash = m_crashes.find(run); crash != m_crashes.end())
-        ++crash->second.attempts;
+    if (const auto found = m_crashes.find(run); found != m_crashes.end()) {
+        Crash &crash = found->second;
+        ++crash.attempts;
+        if (at <= crash.at + crashReportTime)
+            crash.lastAt = std::max(crash.lastAt, at);
+    }
     if (std::any_of(parts.begin(), parts.end(),
                     [&](PromptPart part) { return isQuarantined(part, now); })) {
         explain(run);
@@ -300,23 +311,23 @@
 
 void QuarantineTable::recordCrash(const ServerRun &run, TimePoint at)
 {
-    const auto [found, isNew] = m_crashes.try_emplace(run, Crash {at, false, 0});
+    const auto [found, isNew] = m_crashes.try_emplace(run, Crash {at, at, false, 0});
     if (!isNew) {
         Crash &crash = found->second;
         if (at >= crash.at) {
             if (at <= crash.at + livenessMargin || !isLive(run, crash.at))
                 return;
             m_crashOrder.erase({crash.at, run});
-            crash = {at, false, 0};
+            crash = {at, at, false, 0};
         } else {
             // Of several reports on one crash, the earliest is the most exact.
             m_crashOrder.erase({crash.at, run});
             crash.at = at;
         }
     }
-    m_crashOrder.insert({at, run});
+    m_crashOrder.emplace(std::pair(at, run), &found->second);
     if (m_crashes.size() > QuarantineLimits::evidence)
-        eraseCrash(ServerRun(m_crashOrder.begin()->second));
+        eraseCrash(ServerRun(m_crashOrder.begin()->first.second));
 }
 
 void QuarantineTable::eraseCrash(const ServerRun &run)
@@ -356,10 +367,11 @@
             return;
         m_evidenceOrder.erase({found->second.at, part, run});
     }
-    runs[run] = evidence;
-    m_evidenceOrder.insert({evidence.at, part, run});
+    Evidence &kept = runs[run];
+    kept = evidence;
+    m_evidenceOrder.emplace(std::tuple(evidence.at, part, run), &kept);
     if (m_evidenceOrder.size() > QuarantineLimits::evidence) {
-        const auto [at, oldPart, oldRun] = *m_evidenceOrder.begin();
+        const auto [at, oldPart, oldRun] = m_evidenceOrder.begin()->first;
         eraseEvidence(oldPart, oldRun);
     }
 }
@@ -525,12 +537,12 @@
 void QuarantineTable::forgetOld(TimePoint now)
 {
     while (!m_evidenceOrder.empty()
-           && now - std::get<TimePoint>(*m_evidenceOrder.begin()) >= evidenceAge) {
-        const auto [at, part, run] = *m_evidenceOrder.begin();
+           && now - std::get<TimePoint>(m_evidenceOrder.begin()->first) >= evidenceAge) {
+        const auto [at, part, run] = m_evidenceOrder.begin()->first;
         eraseEvidence(part, run);
     }
-    while (!m_crashOrder.empty() && now - m_crashOrder.begin()->first >= evidenceAge)
-        eraseCrash(ServerRun(m_crashOrder.begin()->second));
+    while (!m_crashOrder.empty() && now - m_crashOrder.begin()->first.first >= evidenceAge)
+        eraseCrash(ServerRun(m_crashOrder.begin()->first.second));
     std::erase_if(m_accused, [&](const auto &item) { return now - item.second >= reportTime; });
     for (auto it = m_quarantines.begin(); it != m_quarantines.end();) {
         if (it->second.until > now) {
@@ -549,19 +561,13 @@
     }
 }
 
-void QuarantineTable::eraseContradicted(TimePoint now)
+void QuarantineTable::eraseContradicted(TimePoint since)
 {
-    // Most signs of life come soon; a server that was unreachable may send one later.
-    TimePoint since = now - evidenceAge;
-    if (now - m_checkedAllAt >= fullCheckInterval)
-        m_checkedAllAt = now;
-    else
-        since = now - confirmationTime;
     std::vector<std::pair<PromptPart, ServerRun>> contradicted;
-    std::map<ServerRun, std::optional<TimePoint>> alive;
+    std::map<ServerRun, std::optional<TimePoint>, RunOrder> alive;
     for (auto it = m_evidenceOrder.lower_bound({since, PromptPart(), ServerRun()});
          it != m_evidenceOrder.end(); ++it) {
-        const auto &[at, part, run] = *it;
+        const auto &[at, part, run] = it->first;
         const auto [found, isNew] = alive.try_emplace(run);
         if (isNew)
             found->second = m_hooks.lastAlive(run);
@@ -572,8 +578,9 @@
         eraseEvidence(part, run);
     std::vector<ServerRun> liveRuns;
     for (auto it = m_crashOrder.lower_bound({since, ServerRun()}); it != m_crashOrder.end(); ++it) {
-        if (isLive(it->second, it->first))
-            liveRuns.push_back(it->second);
+        const auto &[at, run] = it->first;
+        if (isLive(run, at))
+            liveRuns.push_back(run);
     }
     for (const ServerRun &run : liveRuns)
         eraseCrash(run);
@@ -591,13 +598,19 @@
     const auto crash = m_crashes.find(run);
     if (crash == m_crashes.end() || evidence.at > crash->second.at + crashReportTime)
         return {evidence.isOwn ? evidence.at : evidence.at - messageDelay, evidence.at};
-    const bool isExact = crash->second.attempts > 0;
-    return {isExact ? crash->second.at : crash->second.at - messageDelay, crash->second.at};
+    return crashTime(crash->second);
+}
+
+QuarantineTable::CrashTime QuarantineTable::crashTime(const Crash &crash)
+{
+    return {crash.attempts > 0 ? crash.at : crash.at - messageDelay, crash.lastAt};
 }
 
 std::size_t QuarantineTable::groupedCount(std::vector<CrashTime> times)
 {
-    std::sort(times.begin(), times.end());
+    std::sort(times.begin(), times.end(), [](const CrashTime &left, const CrashTime &right) {
+        return std::tie(left.latest, left.earliest) < std::tie(right.latest, right.earliest);
+    });
     std::size_t sum = 0;
     std::size_t inGroup = 0;
     std::optional<TimePoint> groupStart;
@@ -647,15 +660,18 @@
         firstCrash = std::min(firstCrash, time.latest);
     std::vector<CrashTime> others;
     const auto begin = m_crashOrder.lower_bound({firstCrash - comparedTime, ServerRun()});
-    for (auto it = begin; it != m_crashOrder.end() && isMature(it->first, now); ++it) {
-        const Crash &crash = m_crashes.at(it->second);
-        if (!crash.isExplained && !suspected.runs.count(it->second))
-            others.push_back(
-                {crash.attempts > 0 ? it->first : it->first - messageDelay, it->first});
-    }
-    if (crashesPerOtherCrash * groupedCount(std::move(others)) <= sum)
+    for (auto it = begin; it != m_crashOrder.end() && isMature(it->first.first, now); ++it) {
+        const auto &[at, run] = it->first;
+        const Crash &crash = *it->second;
+        if (!crash.isExplained && !suspected.runs.count(run))
+            others.push_back(crashTime(crash));
+    }
+    const bool isSumHigh = sum >= doubtfulCaseSum;
+    if ((isSumHigh ? crashesPerOtherCrash : crashesPerOtherCrashAtFirst)
+            * groupedCount(std::move(others))
+        <= sum)
         return true;
-    if (sum < doubtfulCaseSum)
+    if (!isSumHigh)
         return false;
 
     // Breaks may have become common shortly before, so several periods are compared.
@@ -664,11 +680,11 @@
         std::uint64_t broken = 1;
         for (auto it = m_crashOrder.lower_bound({since, ServerRun()}); it != m_crashOrder.end();
              ++it) {
-            const Crash &crash = m_crashes.at(it->second);
+            const Crash &crash = *it->second;
             if (crash.isExplained || crash.attempts == 0)
                 continue;
             // If the part is sound, the others on its runs broke by chance, too.
-            broken += crash.attempts - (suspected.runs.count(it->second) ? 1 : 0);
+            broken += crash.attempts - (suspected.runs.count(it->first.second) ? 1 : 0);
         }
         // Few breaks tell little: two standard deviations more may be usual.
         const double usual =
@@ -711,12 +727,14 @@
         found.matureRequests = matureRequests.size();
         found.sum = groupedCount(std::move(times));
         found.matureSum = groupedCount(std::move(matureTimes));
-        if (found.sum < decidingSum || !isBeyondChance(found, found.sum, now))
+        const bool isComplete = found.matureRuns == runs.size();
+        if ((isComplete && found.sum < decidingSum) || !isBeyondChance(found, found.sum, now))
             continue;
         found.isMature = found.matureSum >= decidingSum && found.matureRuns >= decidingRuns
             && found.matureRequests >= decidingRequests
-            && isBeyondChance(found, found.matureSum, now);
-        cases.push_back(std::move(found));
+            && (found.matureSum == found.sum || isBeyondChance(found, found.matureSum, now));
+        if (found.isMature || !isComplete)
+            cases.push_back(std::move(found));
     }
     std::sort(cases.begin(), cases.end(), [](const Case &left, const Case &right) {
         return std::tuple(right.sum, right.runs.size(), left.part)
@@ -741,6 +759,12 @@
                 return compareExplained(other, item) > 0;
             });
         };
+        const auto isContradicted = [&](const Case *item) {
+            const RunEvidence &runs = m_evidence.at(item->part);
+            return std::any_of(runs.begin(), runs.end(), [&](const auto &evidence) {
+                return isLive(evidence.first, evidence.second.at);
+            });
+        };
         bool areAllBeaten = !found.empty();
         for (auto it = found.begin(); it != found.end() && !hasDecided; ++it) {
             if (isBeaten(*it))
@@ -755,11 +779,16 @@
             }
             if (blamed.size() > 1 && it->matureSum < doubtfulCaseSum)
                 continue;
+            if (std::any_of(blamed.begin(), blamed.end(), isContradicted)) {
+                eraseContradicted(now - evidenceAge);
+                hasDecided = true;
+                break;
+            }
             for (const Case *item : blamed)
                 blame(*item);
         }
         // Each may explain more than the next one, in a circle.
-        if (areAllBeaten && found.front().isMature)
+        if (areAllBeaten && found.front().isMature && !isContradicted(&found.front()))
             blame(found.front());
     }
 }
--- a/src/request/quarantine_base.h
+++ b/src/request/quarantine_base.h
@@ -8,7 +8,6 @@
 #include <list>
 #include <map>
 #include <optional>
-#include <set>
 #include <tuple>
 #include <unordered_map>
 #include <utility>
@@ -71,6 +70,15 @@
     std::size_t quarantinedCount() const { return m_quarantines.size(); }
 
 private:
+    /// The starts differ mostly, and are compared faster than the servers.
+    struct RunOrder
+    {
+        bool operator()(const ServerRun &left, const ServerRun &right) const
+        {
+            return std::tie(left.startedAt, left.server) < std::tie(right.startedAt, right.server);
+        }
+    };
+
     struct Evidence
     {
         TimePoint at; ///< When the attempt broke.
@@ -80,7 +88,8 @@
 
     struct Crash
     {
-        TimePoint at;
+        TimePoint at; ///< First break.
+        TimePoint lastAt; ///< Last one of this node that may belong to the same crash.
         bool isExplained = false; ///< A quarantined part was in a request to the run.
         std::uint32_t attempts = 0; ///< Of this node, that broke.
     };
@@ -109,20 +118,19 @@
         TimePoint at;
     };
 
-    /// When a server ended. A peer's report is dated late by up to the delay of its message.
+    /// When a server ended. A peer's report is dated late by up to the delay of its message, and
+    /// an attempt may have broken shortly before.
     struct CrashTime
     {
         TimePoint earliest;
         TimePoint latest;
-
-        auto operator<=>(const CrashTime &) const = default;
     };
 
     /// The evidence against a part that may be counted.
     struct Case
     {
         PromptPart part;
-        std::map<ServerRun, CrashTime> runs;
+        std::map<ServerRun, CrashTime, RunOrder> runs;
         std::size_t sum = 0;
         std::size_t matureSum =
             0; ///< Of the crashes whose signs of life and reports have had time to come.
@@ -131,7 +139,7 @@
         bool isMature = false; ///< May be decided. Others may only be the better explanation.
     };
 
-    using RunEvidence = std::map<ServerRun, Evidence>;
+    using RunEvidence = std::map<ServerRun, Evidence, RunOrder>;
 
     bool isLive(const ServerRun &run, TimePoint brokenAt) const;
     bool isProtected(PromptPart part, TimePoint at) const;
@@ -156,11 +164,13 @@
     bool adopt(PromptPart part, const QuarantinedPart &quarantine, TimePoint now);
     void resolveDoubtfulEnds(TimePoint now);
     void forgetOld(TimePoint now);
-    void eraseContradicted(TimePoint now);
+    /// Drops what was recorded since then about runs that showed a sign of life later.
+    void eraseContradicted(TimePoint since);
     void decide(TimePoint now);
     /// All parts that may have caused crashes, those that are most suspect first.
     std::vector<Case> cases(TimePoint now) const;
     CrashTime crashTime(const ServerRun &run, const Evidence &evidence) const;
+    static CrashTime crashTime(const Crash &crash);
     /// Whether the crashes are too many for chance, given those without the part and the answers.
     bool isBeyondChance(const Case &suspected, std::size_t sum, TimePoint now) const;
     /// Counts crashes. Those that may have come together count as few.
@@ -172,9 +182,9 @@
 
     QuarantineHooks m_hooks;
     std::unordered_map<PromptPart, RunEvidence> m_evidence;
-    std::set<std::tuple<TimePoint, PromptPart, ServerRun>> m_evidenceOrder;
-    std::map<ServerRun, Crash> m_crashes;
-    std::set<std::pair<TimePoint, ServerRun>> m_crashOrder;
+    std::map<std::tuple<TimePoint, PromptPart, ServerRun>, const Evidence *> m_evidenceOrder;
+    std::map<ServerRun, Crash, RunOrder> m_crashes;
+    std::map<std::pair<TimePoint, ServerRun>, const Crash *> m_crashOrder;
     std::list<DoubtfulEnd> m_doubtfulEnds;
     std::unordered_map<PromptPart, Clearing> m_clearings;
     std::list<PromptPart> m_clearingOrder; ///< Least recently cleared first.
--- a/src/tests/quarantine_test.cpp
+++ b/src/tests/quarantine_test.cpp
@@ -9,6 +9,9 @@
 #include <memory>
 #include <random>
 #include <set>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
 
 namespace bramleypitch {
 
@@ -215,6 +218,19 @@
     EXPECT_TRUE(isQuarantined(PromptPart(2)));
 }
 
+TEST_F(QuarantineTest, PartInFewerCrashesOfTheSameTimeIsNotBlamed)
+{
+    // More than two crashes at a time count as two, so that the sums are equal.
+    for (int i = 0; i < 3; ++i) {
+        crash({PromptPart(2), harmful}, 1, Duration(2'000));
+        crash({PromptPart(2), harmful}, 1, Duration(100));
+        crash({harmful}, 1, Duration(100));
+    }
+    pass(Duration(3'000));
+    EXPECT_TRUE(isQuarantined(harmful));
+    EXPECT_FALSE(isQuarantined(PromptPart(2)));
+}
+
 TEST_F(QuarantineTest, IndependentPartsDoNotWaitForEachOther)
 {
     for (int i = 0; i < 6; ++i) {
@@ -267,6 +283,17 @@
     EXPECT_TRUE(isQuarantined(harmful));
 }
 
+TEST_F(QuarantineTest, DoubtfulEndOfASilentServerCounts)
+{
+    for (std::uint64_t i = 1; i <= 4; ++i) {
+        const ServerRun run = runOf("s" + std::to_string(i));
+        m_alive[run] = m_now;
+        m_table.onDoubtfulEnd({harmful}, run, i, m_now);
+        pass(Duration(3'000));
+    }
+    EXPECT_TRUE(isQuarantined(harmful));
+}
+
 TEST_F(QuarantineTest, DoubtfulEndBesideABreakCounts)
 {
     for (std::uint64_t i = 1; i <= 4; ++i) {
@@ -332,6 +359,28 @@
     EXPECT_TRUE(m_peer.quarantinedUntil({harmful}, m_now));
 }
 
+TEST_F(QuarantineMergeTest, PartIsNotBlamedBeforeAnotherInMoreCrashes)
+{
+    // This node sees one part first and hears of the other late.
+    const TimePoint start = m_now;
+    crash({PromptPart(2)}, 4, Duration(500));
+    QuarantineNews news;
+    for (std::uint64_t i = 1; i <= 6; ++i) {
+        const TimePoint at = start + i * Duration(500) + Duration(400);
+        news.crashes.push_back(
+            {harmful, runOf("s" + std::to_string(i)), 100 + i, start + Duration(3'500) - at});
+    }
+    m_now = start + Duration(3'500);
+    m_table.merge(news, m_now);
+    while (m_now < start + Duration(7'000)) {
+        m_now += Duration(100);
+        tick();
+    }
+    EXPECT_TRUE(isQuarantined(harmful));
+    ASSERT_EQ(m_decisions.size(), 1U);
+    EXPECT_EQ(m_decisions[0].part, harmful);
+}
+
 TEST_F(QuarantineMergeTest, QuarantineOfAPeerIsAdopted)
 {
     crash({harmful}, 4);
@@ -508,6 +557,17 @@
 }
 
 constexpr Duration warmUp {20'000};
+/// A server that writes for so long crashes by no part, as the node tells the table.
+constexpr Duration soundWriting {1'000};
+
+struct RunHash
+{
+    std::size_t operator()(const ServerRun &run) const
+    {
+        return std::hash<std::string>()(run.server.value())
+            ^ static_cast<std::size_t>(run.startedAt);
+    }
+};
 
 class Simulation
 {
@@ -597,6 +657,7 @@
     {
         std::unique_ptr<QuarantineTable> table;
         TimePoint upSince;
+        std::unordered_set<ServerRun, RunHash> ended; ///< Refused this node's connections.
     };
 
     int pick(int low, int high) { return std::uniform_int_distribution<int>(low, high)(m_random); }
@@ -658,8 +719,11 @@
                 const auto found = m_alive.find(run);
                 return found == m_alive.end() ? std::nullopt : std::optional(found->second);
             },
-            [this](const ServerRun &run) { return m_ended.count(run) > 0; }});
+            [this, index](const ServerRun &run) {
+                return m_ended.count(run) > 0 || m_nodes[index].ended.count(run) > 0;
+            }});
         node.upSince = m_now;
+        node.ended.clear();
         log("node " + std::to_string(index) + " starts");
     }
 
@@ -762,8 +826,14 @@
             });
             return;
         }
-        at(request.writingSince + Duration(pick(200, 3'000)),
-           [this, index, run, key] { finish(index, run, key); });
+        const Duration writing(pick(200, 3'000));
+        at(request.writingSince + writing, [this, index, run, key] { finish(index, run, key); });
+        if (writing <= soundWriting)
+            return;
+        at(request.writingSince + soundWriting, [this, index, run, key, request] {
+            if (runOfServer(index) == run && m_servers[index].running.count(key))
+                m_nodes[request.node].table->onSound(request.parts, m_now);
+        });
     }
 
     void finish(std::size_t index, const ServerRun &run, std::uint64_t key)
@@ -779,15 +849,20 @@
             endEarly(request, run);
             return;
         }
-        m_nodes[request.node].table->onSound(request.parts, m_now);
+        if (m_now - request.writingSince >= soundWriting)
+            return; // Told already.
+        if (chance(0.2)) // Ends with its connection.
+            m_nodes[request.node].table->onDoubtfulEnd(request.parts, run, request.id, m_now);
+        else
+            m_nodes[request.node].table->onSound(request.parts, m_now);
     }
 
     /// Tells the node that the attempt broke, and repeats the request once.
     void endEarly(const Request &request, const ServerRun &run)
     {
         QuarantineTable &table = *m_nodes[request.node].table;
-        if (m_now - request.writingSince > Duration(1'000)) {
-            table.onSound(request.parts, m_now); // It had been writing for a while.
+        if (m_now - request.writingSince >= soundWriting) {
+            // It had been writing for so long that no part is suspected.
         } else if (chance(0.2)) {
             table.onDoubtfulEnd(request.parts, run, request.id, m_now);
             return;
@@ -810,10 +885,16 @@
         const ServerRun run = runOfServer(index);
         std::map<std::uint64_t, Request> running;
         running.swap(server.running);
+        std::set<std::size_t> senders;
         for (const auto &[key, request] : running) {
             after(Duration(pick(1, 50)),
                   [this, request = request, run] { endEarly(request, run); });
+            senders.insert(request.node);
         }
+        // Nodes that send to a server are refused soon; others hear of it when it is back.
+        for (const std::size_t node : senders)
+            after(Duration(pick(100, 1'000)),
+                  [this, node, run] { m_nodes[node].ended.insert(run); });
         after(downTime, [this, index] { start(index); });
     }
 
@@ -868,8 +949,8 @@
     std::multimap<TimePoint, std::function<void()>> m_events;
     std::vector<Server> m_servers;
     std::vector<Node> m_nodes;
-    std::map<ServerRun, TimePoint> m_alive;
-    std::set<ServerRun> m_ended;
+    std::unordered_map<ServerRun, TimePoint, RunHash> m_alive;
+    std::unordered_set<ServerRun, RunHash> m_ended; ///< Started again, as all nodes know.
     std::set<PromptPart> m_quarantined;
     std::string m_trace;
     std::optional<TimePoint> m_fifthCrash;
