--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -260,7 +260,7 @@
     ("cleared_part_is_not_protected", "request/quarantine_base.cpp",
      "&& at < found->second.at + protection(found->second.answers);", "&& false;"),
     ("repeats_of_one_request_blame_a_part", "request/quarantine_base.cpp",
-     "|| found.requests < decidingRequests", ""),
+     "constexpr std::size_t decidingRequests = 2;", "constexpr std::size_t decidingRequests = 1;"),
     ("explained_crash_blames_other_parts", "request/quarantine_base.cpp",
      "for (const ServerRun &run : explained)\n        explain(run);", ""),
     ("quarantine_of_a_peer_is_ignored", "request/quarantine_base.cpp",
@@ -273,9 +273,15 @@
     ("nodes_keep_a_quarantine_alive", "request/quarantine_base.cpp",
      "if (times <= known->times && since <= known->until)", "if (false)"),
     ("common_crashes_are_ignored", "request/quarantine_base.cpp",
-     "if (isBeyondChance(found, firstCrash, now))", "if (true)"),
+     "const bool isSumHigh = sum >= doubtfulCaseSum;", "return true; const bool isSumHigh = false;"),
     ("equal_parts_are_blamed_at_once", "request/quarantine_base.cpp",
-     "if (blamed.size() > 1 && it->sum < doubtfulCaseSum)", "if (false)"),
+     "if (blamed.size() > 1 && it->matureSum < doubtfulCaseSum)", "if (false)"),
+    ("part_in_fewer_crashes_is_blamed", "request/quarantine_base.cpp",
+     "if (isBeaten(*it))\n                continue;", ""),
+    ("crashes_too_young_to_decide_are_not_compared", "request/quarantine_base.cpp",
+     "if (found.isMature || !isComplete)", "if (found.isMature)"),
+    ("silence_after_a_doubtful_end_is_ignored", "request/quarantine_base.cpp",
+     "|| (alive && isMature(end->at, now))", ""),
 ]
 RAPIDCHECK_PARAMETERS = "seed=20261203 max_success=25 max_size=14 noshrink=1"
 
--- a/src/request/quarantine_base.cpp
+++ b/src/request/quarantine_base.cpp
@@ -291,12 +291,13 @@
 void QuarantineTable::recordBreak(const PromptParts &parts, const ServerRun &run,
                                   std::uint64_t request, TimePoint at, TimePoint now)
 {
+    if (isLive(run, at))
+        return;
     recordCrash(run, at);
     if (const auto found = m_crashes.find(run); found != m_crashes.end()) {
         Crash &crash = found->second;
         ++crash.attempts;
-        if (at <= crash.at + crashReportTime)
-            crash.lastAt = std::max(crash.lastAt, at);
+        crash.lastAt = std::max(crash.lastAt, at);
     }
     if (std::any_of(parts.begin(), parts.end(),
                     [&](PromptPart part) { return isQuarantined(part, now); })) {
@@ -311,6 +312,8 @@
 
 void QuarantineTable::recordCrash(const ServerRun &run, TimePoint at)
 {
+    if (isLive(run, at))
+        return;
     const auto [found, isNew] = m_crashes.try_emplace(run, Crash {at, at, false, 0});
     if (!isNew) {
         Crash &crash = found->second;
@@ -323,6 +326,8 @@
             // Of several reports on one crash, the earliest is the most exact.
             m_crashOrder.erase({crash.at, run});
             crash.at = at;
+            if (crash.attempts == 0)
+                crash.lastAt = at;
         }
     }
     m_crashOrder.emplace(std::pair(at, run), &found->second);
@@ -582,8 +587,16 @@
         if (isLive(run, at))
             liveRuns.push_back(run);
     }
-    for (const ServerRun &run : liveRuns)
+    for (const ServerRun &run : liveRuns) {
+        const Crash crash = m_crashes.at(run);
         eraseCrash(run);
+        // An earlier break does not hide the crash.
+        if (crash.attempts > 0 && crash.lastAt > crash.at && !isLive(run, crash.lastAt)) {
+            recordCrash(run, crash.lastAt);
+            m_crashes.at(run).attempts = crash.attempts;
+            m_crashes.at(run).isExplained = crash.isExplained;
+        }
+    }
 }
 
 bool QuarantineTable::isMature(TimePoint brokenAt, TimePoint now)
@@ -603,7 +616,8 @@
 
 QuarantineTable::CrashTime QuarantineTable::crashTime(const Crash &crash)
 {
-    return {crash.attempts > 0 ? crash.at : crash.at - messageDelay, crash.lastAt};
+    return {crash.attempts > 0 ? crash.at : crash.at - messageDelay,
+            std::min(crash.lastAt, crash.at + crashReportTime)};
 }
 
 std::size_t QuarantineTable::groupedCount(std::vector<CrashTime> times)
--- a/src/request/quarantine_base.h
+++ b/src/request/quarantine_base.h
@@ -37,6 +37,11 @@
 /// Finds the parts of prompts that crash each server that begins to answer a request with them
 /// ("query of death", Beyer et al., "Site Reliability Engineering", 2016, chapter 22), and keeps
 /// requests with them from further servers.
+///
+/// A quarantine ends after its time also while requests with the part keep coming, as nothing else
+/// would show that the part is sound by now. Each node may then send requests with it until it
+/// learns of the first server that crashes, so that a harmful part crashes a few servers once in
+/// 10 minutes, later once in 2 hours.
 class QuarantineTable
 {
 public:
@@ -89,7 +94,7 @@
     struct Crash
     {
         TimePoint at; ///< First break.
-        TimePoint lastAt; ///< Last one of this node that may belong to the same crash.
+        TimePoint lastAt; ///< Last one, of this node if any was.
         bool isExplained = false; ///< A quarantined part was in a request to the run.
         std::uint32_t attempts = 0; ///< Of this node, that broke.
     };
