--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -253,6 +253,8 @@
      "return alive && *alive > brokenAt + livenessMargin;", "return false && alive;"),
     ("live_server_is_checked_once", "request/quarantine_base.cpp",
      "if (found->second && *found->second > at + livenessMargin)", "if (false)"),
+    ("late_sign_of_life_is_ignored", "request/quarantine_base.cpp",
+     "if (std::any_of(blamed.begin(), blamed.end(), isContradicted))", "if (false)"),
     ("servers_that_end_together_all_count", "request/quarantine_base.cpp",
      "if (inGroup < maxRunsOfGroup)", "if (true)"),
     ("answer_does_not_clear_a_part", "request/quarantine_base.cpp",
--- a/src/request/quarantine_base.cpp
+++ b/src/request/quarantine_base.cpp
@@ -795,8 +795,7 @@
                 continue;
             if (std::any_of(blamed.begin(), blamed.end(), isContradicted)) {
                 eraseContradicted(now - evidenceAge);
-                hasDecided = true;
-                break;
+                return;
             }
             for (const Case *item : blamed)
                 blame(*item);
--- a/src/tests/quarantine_test.cpp
+++ b/src/tests/quarantine_test.cpp
@@ -103,6 +103,17 @@
     }
     pass(Duration(5'000));
     EXPECT_TRUE(m_table.isEmpty());
+    EXPECT_EQ(m_table.evidenceCount(), 0U);
+}
+
+TEST_F(QuarantineTest, LateSignOfLifeIsSeenBeforeADecision)
+{
+    crash({harmful}, 4);
+    pass(Duration(1'500));
+    for (int i = 1; i <= 3; ++i) // Servers that were unreachable for a while.
+        m_alive[runOf("s" + std::to_string(i))] = m_now;
+    pass(Duration(3'000));
+    EXPECT_TRUE(m_decisions.empty());
 }
 
 TEST_F(QuarantineTest, BreakAfterASignOfLifeReplacesTheEarlierOne)
