--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -754,8 +754,8 @@
 void RequestSystem::refuseQuarantined(Request &request, TimePoint now, RequestActions &actions)
 {
     const std::optional<TimePoint> until = m_quarantine.quarantinedUntil(request.parts, now);
-    refuse(request, ErrorCode::PromptQuarantined, until.value_or(now) - now, "quarantined", now,
-           actions);
+    refuse(request, ErrorCode::PromptQuarantined, until.value_or(now) - now,
+           request.mayHaveRun ? "repeat_quarantined" : "quarantined", now, actions);
 }
 
 void RequestSystem::applyQuarantines(TimePoint now, RequestActions &actions)
