--- a/src/request/quarantine_base.cpp
+++ b/src/request/quarantine_base.cpp
@@ -32,6 +32,8 @@
 constexpr Duration crashGroupTime {300};
 /// Of a message between nodes.
 constexpr Duration messageDelay {400};
+/// All attempts at a server break within this time after its end.
+constexpr Duration breakSpread {100};
 /// Reports on one crash come within this time.
 constexpr Duration crashReportTime = messageDelay + livenessMargin;
 constexpr std::size_t maxRunsOfGroup = 2;
@@ -170,23 +172,27 @@
     std::set<ServerRun, RunOrder> reported;
     for (const CrashEvidence &crash : news.crashes)
         reported.insert(crash.run);
-    std::vector<const std::pair<TimePoint, ServerRun> *> others;
-    std::vector<const std::pair<TimePoint, ServerRun> *> olderOthers;
+    using CrashReport = decltype(m_crashOrder)::const_pointer;
+    std::vector<CrashReport> others;
+    std::vector<CrashReport> olderOthers;
     for (auto it = m_crashOrder.rbegin();
          it != m_crashOrder.rend() && now - it->first.first < maxReportedAge; ++it) {
         const auto &[key, crash] = *it;
-        if (crash->isExplained || reported.count(key.second))
+        // Nodes that blame other parts for the crash learn which one explains it.
+        if ((crash->isExplained && now - key.first >= reportTime) || reported.count(key.second))
             continue;
         const bool isRecent = crash->attempts > 0 && now - key.first < reportTime;
-        (isRecent && others.size() < reportedRuns / 2 ? others : olderOthers).push_back(&key);
+        (isRecent && others.size() < reportedRuns / 2 ? others : olderOthers).push_back(&*it);
     }
     const std::size_t firstOther = rotatedStart(now, olderOthers.size());
     for (std::size_t i = 0; i < olderOthers.size() && others.size() < reportedRuns; ++i)
         others.push_back(olderOthers[(firstOther + i) % olderOthers.size()]);
     news.crashes.resize(
         std::min(news.crashes.size(), QuarantineLimits::reportedCrashes - others.size()));
-    for (const auto *crash : others)
-        news.crashes.push_back({noPart, crash->second, 0, now - crash->first});
+    for (const CrashReport report : others) {
+        const auto &[key, crash] = *report;
+        news.crashes.push_back({crash->explainedBy, key.second, 0, now - key.first});
+    }
 
     for (const auto &[part, at] : m_accused) {
         const auto found = m_clearings.find(part);
@@ -299,9 +305,10 @@
         ++crash.attempts;
         crash.lastAt = std::max(crash.lastAt, at);
     }
-    if (std::any_of(parts.begin(), parts.end(),
-                    [&](PromptPart part) { return isQuarantined(part, now); })) {
-        explain(run);
+    const auto quarantined = std::find_if(
+        parts.begin(), parts.end(), [&](PromptPart part) { return isQuarantined(part, now); });
+    if (quarantined != parts.end()) {
+        explain(run, *quarantined);
         return;
     }
     for (const PromptPart part : parts) {
@@ -314,14 +321,14 @@
 {
     if (isLive(run, at))
         return;
-    const auto [found, isNew] = m_crashes.try_emplace(run, Crash {at, at, false, 0});
+    const auto [found, isNew] = m_crashes.try_emplace(run, Crash {at, at});
     if (!isNew) {
         Crash &crash = found->second;
         if (at >= crash.at) {
             if (at <= crash.at + livenessMargin || !isLive(run, crash.at))
                 return;
             m_crashOrder.erase({crash.at, run});
-            crash = {at, at, false, 0};
+            crash = {at, at};
         } else {
             // Of several reports on one crash, the earliest is the most exact.
             m_crashOrder.erase({crash.at, run});
@@ -350,7 +357,7 @@
     if (isProtected(part, evidence.at) || isLive(run, evidence.at))
         return;
     if (isQuarantined(part, now)) {
-        explain(run);
+        explain(run, part);
         return;
     }
     const auto crash = m_crashes.find(run);
@@ -360,7 +367,7 @@
     if (ended && evidence.at >= ended->until) {
         const std::uint32_t times = ended->times + 1;
         startQuarantine(part, quarantineDuration(times), times, 1, 1, now);
-        explain(run);
+        explain(run, part);
         return;
     }
     RunEvidence &runs = m_evidence[part];
@@ -409,13 +416,14 @@
         eraseEvidence(part, run);
 }
 
-void QuarantineTable::explain(const ServerRun &run)
+void QuarantineTable::explain(const ServerRun &run, PromptPart by)
 {
     const auto crash = m_crashes.find(run);
     if (crash != m_crashes.end()) {
         if (crash->second.isExplained)
             return;
         crash->second.isExplained = true;
+        crash->second.explainedBy = by;
     }
     std::vector<PromptPart> parts;
     for (const auto &[part, runs] : m_evidence) {
@@ -495,7 +503,7 @@
     for (const auto &[run, evidence] : found->second)
         explained.push_back(run);
     for (const ServerRun &run : explained)
-        explain(run);
+        explain(run, part);
 }
 
 bool QuarantineTable::adopt(PromptPart part, const QuarantinedPart &quarantine, TimePoint now)
@@ -595,6 +603,7 @@
             recordCrash(run, crash.lastAt);
             m_crashes.at(run).attempts = crash.attempts;
             m_crashes.at(run).isExplained = crash.isExplained;
+            m_crashes.at(run).explainedBy = crash.explainedBy;
         }
     }
 }
@@ -616,8 +625,11 @@
 
 QuarantineTable::CrashTime QuarantineTable::crashTime(const Crash &crash)
 {
-    return {crash.attempts > 0 ? crash.at : crash.at - messageDelay,
-            std::min(crash.lastAt, crash.at + crashReportTime)};
+    if (crash.attempts == 0)
+        return {crash.at - messageDelay, crash.at};
+    // A crash breaks all attempts; earlier ones broke for other reasons.
+    const TimePoint last = std::min(crash.lastAt, crash.at + crashReportTime);
+    return {std::max(crash.at, last - breakSpread), last};
 }
 
 std::size_t QuarantineTable::groupedCount(std::vector<CrashTime> times)
--- a/src/request/quarantine_base.h
+++ b/src/request/quarantine_base.h
@@ -96,6 +96,7 @@
         TimePoint at; ///< First break.
         TimePoint lastAt; ///< Last one, of this node if any was.
         bool isExplained = false; ///< A quarantined part was in a request to the run.
+        PromptPart explainedBy; ///< That part.
         std::uint32_t attempts = 0; ///< Of this node, that broke.
     };
 
@@ -161,7 +162,7 @@
     /// Drops the evidence against a part up to the given time.
     void eraseEvidenceUntil(PromptPart part, TimePoint until);
     /// Other parts are not blamed for the end of this run.
-    void explain(const ServerRun &run);
+    void explain(const ServerRun &run, PromptPart by);
     void clear(PromptPart part, TimePoint at, std::uint32_t answers, bool isOwn);
     void accuse(PromptPart part, TimePoint now);
     void startQuarantine(PromptPart part, Duration timeLeft, std::uint32_t times, std::size_t runs,
