--- a/src/tests/quarantine_test.cpp
+++ b/src/tests/quarantine_test.cpp
@@ -392,6 +392,22 @@
     EXPECT_EQ(m_decisions[0].part, harmful);
 }
 
+TEST_F(QuarantineMergeTest, CrashesThatAPeerExplainsBlameNoOtherPart)
+{
+    m_peer.tick(m_now);
+    for (std::uint64_t i = 1; i <= 4; ++i) {
+        crash({harmful});
+        m_peer.onBroken({PromptPart(2)}, runOf("s" + std::to_string(i)), 100 + i, m_now);
+    }
+    pass(Duration(3'000));
+    ASSERT_TRUE(isQuarantined(harmful));
+    exchange();
+    m_now += Duration(1'000);
+    m_peer.tick(m_now);
+    EXPECT_TRUE(m_peer.quarantinedUntil({harmful}, m_now));
+    EXPECT_FALSE(m_peer.quarantinedUntil({PromptPart(2)}, m_now));
+}
+
 TEST_F(QuarantineMergeTest, QuarantineOfAPeerIsAdopted)
 {
     crash({harmful}, 4);
