--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -266,7 +266,7 @@
     ("explained_crash_blames_other_parts", "request/quarantine_base.cpp",
      "for (const ServerRun &run : explained)\n        explain(run);", ""),
     ("explained_crashes_are_not_told", "request/quarantine_base.cpp",
-     "if ((crash->isExplained && now - key.first >= reportTime)", "if (crash->isExplained"),
+     "if (crash->isExplained && !isRecent)", "if (crash->isExplained)"),
     ("quarantine_of_a_peer_is_ignored", "request/quarantine_base.cpp",
      "for (const auto &[part, quarantine] : news.quarantined)\n        adopt(part, quarantine, now);",
      ""),
--- a/src/request/quarantine_base.cpp
+++ b/src/request/quarantine_base.cpp
@@ -178,15 +178,21 @@
     for (auto it = m_crashOrder.rbegin();
          it != m_crashOrder.rend() && now - it->first.first < maxReportedAge; ++it) {
         const auto &[key, crash] = *it;
+        const bool isRecent = now - key.first < reportTime;
         // Nodes that blame other parts for the crash learn which one explains it.
-        if ((crash->isExplained && now - key.first >= reportTime) || reported.count(key.second))
+        if (crash->isExplained && !isRecent)
             continue;
-        const bool isRecent = crash->attempts > 0 && now - key.first < reportTime;
-        (isRecent && others.size() < reportedRuns / 2 ? others : olderOthers).push_back(&*it);
+        if (!isRecent || crash->attempts == 0 || others.size() >= reportedRuns / 2)
+            olderOthers.push_back(&*it);
+        else if (!reported.count(key.second))
+            others.push_back(&*it);
     }
     const std::size_t firstOther = rotatedStart(now, olderOthers.size());
-    for (std::size_t i = 0; i < olderOthers.size() && others.size() < reportedRuns; ++i)
-        others.push_back(olderOthers[(firstOther + i) % olderOthers.size()]);
+    for (std::size_t i = 0; i < olderOthers.size() && others.size() < reportedRuns; ++i) {
+        const CrashReport other = olderOthers[(firstOther + i) % olderOthers.size()];
+        if (!reported.count(other->first.second))
+            others.push_back(other);
+    }
     news.crashes.resize(
         std::min(news.crashes.size(), QuarantineLimits::reportedCrashes - others.size()));
     for (const CrashReport report : others) {
@@ -319,14 +325,16 @@
 
 void QuarantineTable::recordCrash(const ServerRun &run, TimePoint at)
 {
+    const auto known = m_crashes.find(run);
+    if (known != m_crashes.end() && at >= known->second.at
+        && (at <= known->second.at + livenessMargin || !isLive(run, known->second.at)))
+        return;
     if (isLive(run, at))
         return;
     const auto [found, isNew] = m_crashes.try_emplace(run, Crash {at, at});
     if (!isNew) {
         Crash &crash = found->second;
         if (at >= crash.at) {
-            if (at <= crash.at + livenessMargin || !isLive(run, crash.at))
-                return;
             m_crashOrder.erase({crash.at, run});
             crash = {at, at};
         } else {
--- a/src/tests/quarantine_test.cpp
+++ b/src/tests/quarantine_test.cpp
@@ -168,6 +168,16 @@
     EXPECT_TRUE(m_table.isEmpty());
 }
 
+TEST_F(QuarantineTest, EvidenceBeforeAnAnswerIsDropped)
+{
+    crash({harmful}, 3);
+    m_table.onSound({harmful}, m_now);
+    pass(Duration(60'000));
+    crash({harmful});
+    pass(Duration(5'000));
+    EXPECT_TRUE(m_table.isEmpty());
+}
+
 TEST_F(QuarantineTest, ProtectionOfAnAnswerEnds)
 {
     m_table.onSound({harmful}, m_now);
