--- a/src/tests/quarantine_test.cpp
+++ b/src/tests/quarantine_test.cpp
@@ -252,6 +252,19 @@
     EXPECT_FALSE(isQuarantined(PromptPart(2)));
 }
 
+TEST_F(QuarantineTest, PartIsNotBlamedWhileNewerCrashesSpeakForAnother)
+{
+    crash({PromptPart(2), harmful}, 3, Duration(500));
+    crash({PromptPart(2)}, 1, Duration(500));
+    crash({harmful}, 3, Duration(600));
+    for (int i = 0; i < 50; ++i) {
+        m_now += Duration(100);
+        tick();
+    }
+    ASSERT_EQ(m_decisions.size(), 1U);
+    EXPECT_EQ(m_decisions[0].part, harmful);
+}
+
 TEST_F(QuarantineTest, IndependentPartsDoNotWaitForEachOther)
 {
     for (int i = 0; i < 6; ++i) {
