--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -11,10 +11,8 @@
 DEFAULT_DIRECTORY = "src/coordination/"  # Directory of files that are given without a path.
 WORKERS = 4
 TESTS = ["ledger_test", "placement_test", "golden_test", "request_test", "attempt_test",
-         "formation_test",
-         "initial_split_test", "overload_test", "relay_test", "http_client_test", "promises_test"]
-TESTS = ["ledger_test", "placement_test", "golden_test", "request_test", "formation_test",
-         "initial_split_test", "overload_test", "quarantine_test", "relay_test", "http_client_test", "promises_test"]
+         "attempt_review_test", "quarantine_test", "formation_test", "initial_split_test",
+         "overload_test", "relay_test", "http_client_test", "promises_test"]
 # Tests that start the program, for mutants that no test above catches. They share ports.
 PROCESS_TESTS = [["response_end_test.py"], ["process_test.py", "CompletionTest"]]
 PROGRAMS = ["bramleypitch", "bramleypitch-standin"]
@@ -286,6 +284,15 @@
      "if (found.isMature || !isComplete)", "if (found.isMature)"),
     ("silence_after_a_doubtful_end_is_ignored", "request/quarantine_base.cpp",
      "|| (alive && isMature(end->at, now))", ""),
+    ("quarantined_request_is_dispatched", "request/request_system.cpp",
+     "    if (m_quarantine.quarantinedUntil(request.parts, now)) {\n        refuseQuarantined(request, now, actions);\n        return;\n    }\n    if (mayOutlastStop",
+     "    if (mayOutlastStop"),
+    ("quarantined_request_is_written", "request/request_system.cpp",
+     "!m_quarantine.quarantinedUntil(found->second.parts, now)", "true"),
+    ("quarantined_request_is_repeated", "request/request_system.cpp",
+     "        && !m_quarantine.quarantinedUntil(request.parts, now)\n", ""),
+    ("waiting_request_outlives_quarantine", "request/request_system.cpp",
+     "            affected.push_back(id);\n", "            continue;\n"),
 ]
 RAPIDCHECK_PARAMETERS = "seed=20261203 max_success=25 max_size=14 noshrink=1"
 
