--- a/src/network/relay.cpp
+++ b/src/network/relay.cpp
@@ -1,8 +1,11 @@
 #include "network/relay.h"
 
+#include "core/rendezvous_func.h"
 #include "network/response_limits.h"
 #include "network/retry_after_func.h"
 
+#include <algorithm>
+
 namespace bramleypitch {
 
 namespace {
@@ -48,6 +51,13 @@
     return end == BodyEnd::ConnectionClose ? ResponseEnd::ConnectionClose : ResponseEnd::Framed;
 }
 
+/// Hash of what a caller asks for; never 0.
+std::uint64_t contentHash(const MessageHead &head, const std::string &body)
+{
+    const std::uint64_t hash = stableHash(body, stableHash(head.target, stableHash(head.method)));
+    return std::max<std::uint64_t>(hash, 1);
+}
+
 /// Returns the headers of a server's response that are forwarded to the caller.
 HttpHeaders forwardedHeaders(const MessageHead &head)
 {
@@ -124,6 +134,7 @@
         return;
     }
     arrival->request = request;
+    arrival->content = contentHash(exchange.head, exchange.body);
     RequestActions actions;
     m_requests.onRequestArrived(*arrival, now, actions);
     perform(actions);
--- a/src/platform/platform_dialect.cpp
+++ b/src/platform/platform_dialect.cpp
@@ -128,6 +128,10 @@
         arrival.key = authorization.substr(bearerPrefix.size());
     arrival.model = ModelId(head.value(modelHeader));
     arrival.promptParts = readPromptParts(head);
+    for (const auto &[name, value] : head.headers) {
+        if (sameHeader(name, promptPartsHeader))
+            arrival.prompt = stableHash(value, arrival.prompt);
+    }
     const std::string tokens = head.value(tokenCountHeader);
     arrival.promptTokens = parseNumberAt(tokens, 0);
     arrival.completionTokens = parseNumberAt(tokens, 1);
--- a/src/request/backend_type.h
+++ b/src/request/backend_type.h
@@ -61,6 +61,13 @@
     auto operator<=>(const ServerRun &) const = default;
 };
 
+/// How the end of the response to an attempt is known.
+enum class ResponseEnd {
+    Framed, ///< By its length or its last chunk.
+    ConnectionClose, ///< By the end of the connection alone. The server may have ended.
+    None, ///< The attempt was given up while its server was silent.
+};
+
 /// Whether the store lists a server, and whether it can be used if not.
 enum class Listing {
     Listed,
--- a/src/request/membership_base.cpp
+++ b/src/request/membership_base.cpp
@@ -80,9 +80,15 @@
     {
         for (auto &[key, crash] : m_crashes)
             m_news.crashes.push_back(std::move(crash));
-        std::stable_sort(
-            m_news.crashes.begin(), m_news.crashes.end(),
-            [](const CrashEvidence &a, const CrashEvidence &b) { return a.age < b.age; });
+        // The parts in most crashes first: they may soon be decided.
+        std::map<PromptPart, int> runs;
+        for (const CrashEvidence &crash : m_news.crashes)
+            ++runs[crash.part];
+        std::stable_sort(m_news.crashes.begin(), m_news.crashes.end(),
+                         [&](const CrashEvidence &a, const CrashEvidence &b) {
+                             const bool isMostInA = runs[a.part] > runs[b.part];
+                             return runs[a.part] == runs[b.part] ? a.age < b.age : isMostInA;
+                         });
         if (m_news.crashes.size() > QuarantineLimits::reportedCrashes)
             m_news.crashes.resize(QuarantineLimits::reportedCrashes);
         keepFirst(m_news.cleared, QuarantineLimits::reportedParts, std::less<>());
--- a/src/request/quarantine_base.cpp
+++ b/src/request/quarantine_base.cpp
@@ -26,7 +26,7 @@
 /// Stands for no part in reports of crashes, so that nodes know how common crashes are.
 const PromptPart noPart;
 constexpr std::size_t reportedRuns = 12; ///< Such reports in one message.
-constexpr std::size_t maxDoubtfulEnds = 256;
+constexpr std::size_t maxDoubtfulEnds = 1'024;
 
 /// Servers that end within this time may have a common cause, such as their rack.
 constexpr Duration crashGroupTime {300};
@@ -40,6 +40,12 @@
 constexpr std::size_t decidingSum = 4;
 constexpr std::size_t decidingRuns = 4;
 constexpr std::size_t decidingRequests = 2;
+/// Of a whole request, in any number of attempts.
+constexpr std::size_t decidingRunsOfRequest = 3;
+/// With so many, a whole request is not tried any more.
+constexpr std::size_t certainRunsOfRequest = 5;
+/// Longer than it takes to know how a trial ended.
+constexpr Duration trialInterval {3'000};
 /// Decides against all parts that occur in the same requests only, and beside many other crashes.
 constexpr std::size_t doubtfulCaseSum = 6;
 /// A part is blamed if the others crashed at most one in this many of its crashes...
@@ -97,11 +103,11 @@
 }
 
 void QuarantineTable::onDoubtfulEnd(const PromptParts &parts, const ServerRun &run,
-                                    std::uint64_t request, TimePoint now)
+                                    std::uint64_t request, TimePoint at, ResponseEnd end)
 {
     if (m_doubtfulEnds.size() >= maxDoubtfulEnds)
         m_doubtfulEnds.pop_front();
-    m_doubtfulEnds.push_back({parts, run, request, now});
+    m_doubtfulEnds.push_back({parts, run, request, at, end});
 }
 
 void QuarantineTable::onSound(const PromptParts &parts, TimePoint now)
@@ -115,25 +121,40 @@
         clear(part, now, 1, true);
 }
 
-std::optional<TimePoint> QuarantineTable::quarantinedUntil(const PromptParts &parts,
-                                                           TimePoint now) const
+bool QuarantineTable::onDispatched(const PromptParts &parts, TimePoint now)
+{
+    bool isTrial = false;
+    for (const PromptPart part : parts) {
+        const auto suspect = m_suspects.find(part);
+        if (suspect == m_suspects.end())
+            continue;
+        suspect->second = now + trialInterval;
+        isTrial = true;
+    }
+    return isTrial;
+}
+
+std::optional<TimePoint> QuarantineTable::quarantinedUntil(const PromptParts &parts, TimePoint now,
+                                                           bool isTrial) const
 {
     std::optional<TimePoint> until;
-    if (m_quarantines.empty())
+    if (m_quarantines.empty() && m_suspects.empty())
         return until;
     for (const PromptPart part : parts) {
-        const auto found = m_quarantines.find(part);
-        if (found != m_quarantines.end() && found->second.until > now)
+        if (const auto found = m_quarantines.find(part);
+            found != m_quarantines.end() && found->second.until > now)
             until = std::max(until.value_or(now), found->second.until);
+        const auto suspect = m_suspects.find(part);
+        if (isTrial || suspect == m_suspects.end())
+            continue;
+        if (now < suspect->second)
+            until = std::max(until.value_or(now), suspect->second);
+        else if (m_hooks.mayTry && !m_hooks.mayTry(part))
+            until = std::max(until.value_or(now), now + trialInterval);
     }
     return until;
 }
 
-bool QuarantineTable::isEmpty() const
-{
-    return m_quarantines.empty();
-}
-
 QuarantineNews QuarantineTable::news(TimePoint now) const
 {
     struct Item
@@ -197,7 +218,8 @@
         std::min(news.crashes.size(), QuarantineLimits::reportedCrashes - others.size()));
     for (const CrashReport report : others) {
         const auto &[key, crash] = *report;
-        news.crashes.push_back({crash->explainedBy, key.second, 0, now - key.first});
+        news.crashes.push_back(
+            {crash->explainedBy, key.second, crash->explainedRequest, now - key.first});
     }
 
     for (const auto &[part, at] : m_accused) {
@@ -314,7 +336,7 @@
     const auto quarantined = std::find_if(
         parts.begin(), parts.end(), [&](PromptPart part) { return isQuarantined(part, now); });
     if (quarantined != parts.end()) {
-        explain(run, *quarantined);
+        explain(run, *quarantined, request);
         return;
     }
     for (const PromptPart part : parts) {
@@ -365,17 +387,17 @@
     if (isProtected(part, evidence.at) || isLive(run, evidence.at))
         return;
     if (isQuarantined(part, now)) {
-        explain(run, part);
+        explain(run, part, evidence.request);
         return;
     }
     const auto crash = m_crashes.find(run);
-    if (crash != m_crashes.end() && crash->second.isExplained)
+    if (crash != m_crashes.end() && crash->second.explains(part, evidence.request))
         return;
     const Quarantine *ended = findQuarantine(part);
     if (ended && evidence.at >= ended->until) {
         const std::uint32_t times = ended->times + 1;
         startQuarantine(part, quarantineDuration(times), times, 1, 1, now);
-        explain(run, part);
+        explain(run, part, evidence.request);
         return;
     }
     RunEvidence &runs = m_evidence[part];
@@ -424,18 +446,27 @@
         eraseEvidence(part, run);
 }
 
-void QuarantineTable::explain(const ServerRun &run, PromptPart by)
+bool QuarantineTable::Crash::explains(PromptPart part, std::uint64_t request) const
 {
+    return isExplained
+        && (!isWholeRequest(explainedBy) || isWholeRequest(part) || request != explainedRequest);
+}
+
+void QuarantineTable::explain(const ServerRun &run, PromptPart by, std::uint64_t request)
+{
+    const Crash explained {{}, {}, true, by, request};
     const auto crash = m_crashes.find(run);
     if (crash != m_crashes.end()) {
-        if (crash->second.isExplained)
+        if (crash->second.explains(by, request))
             return;
         crash->second.isExplained = true;
         crash->second.explainedBy = by;
+        crash->second.explainedRequest = request;
     }
     std::vector<PromptPart> parts;
     for (const auto &[part, runs] : m_evidence) {
-        if (runs.count(run))
+        const auto evidence = runs.find(run);
+        if (evidence != runs.end() && explained.explains(part, evidence->second.request))
             parts.push_back(part);
     }
     for (const PromptPart part : parts)
@@ -507,11 +538,9 @@
     const auto found = m_evidence.find(part);
     if (found == m_evidence.end())
         return;
-    std::vector<ServerRun> explained;
-    for (const auto &[run, evidence] : found->second)
-        explained.push_back(run);
-    for (const ServerRun &run : explained)
-        explain(run, part);
+    const RunEvidence explained = found->second;
+    for (const auto &[run, evidence] : explained)
+        explain(run, part, evidence.request);
 }
 
 bool QuarantineTable::adopt(PromptPart part, const QuarantinedPart &quarantine, TimePoint now)
@@ -541,15 +570,20 @@
     for (auto end = m_doubtfulEnds.begin(); end != m_doubtfulEnds.end();) {
         const auto crash = m_crashes.find(end->run);
         const std::optional<TimePoint> alive = m_hooks.lastAlive(end->run);
+        const bool hasAnswer = end->end != ResponseEnd::None;
         if (alive && *alive > end->at + livenessMargin) {
-            onSound(end->parts, now);
-        } else if (m_hooks.hasEnded(end->run) || (alive && isMature(end->at, now))
+            if (hasAnswer)
+                onSound(end->parts, now);
+        } else if (m_hooks.hasEnded(end->run)
+                   || (end->end == ResponseEnd::ConnectionClose && alive && isMature(end->at, now))
                    || (crash != m_crashes.end()
                        && std::chrono::abs(crash->second.at - end->at) <= relatedBreakTime)) {
             recordBreak(end->parts, end->run, end->request, end->at, now);
         } else if (now - end->at < doubtfulEndTime) {
             ++end;
             continue;
+        } else if (end->end == ResponseEnd::Framed) {
+            onSound(end->parts, now);
         }
         end = m_doubtfulEnds.erase(end);
     }
@@ -612,6 +646,7 @@
             m_crashes.at(run).attempts = crash.attempts;
             m_crashes.at(run).isExplained = crash.isExplained;
             m_crashes.at(run).explainedBy = crash.explainedBy;
+            m_crashes.at(run).explainedRequest = crash.explainedRequest;
         }
     }
 }
@@ -737,7 +772,9 @@
 {
     std::vector<Case> cases;
     for (const auto &[part, runs] : m_evidence) {
-        if (runs.size() < decidingRuns || isProtected(part, now))
+        const bool isWhole = isWholeRequest(part);
+        if (runs.size() < (isWhole ? decidingRunsOfRequest : decidingRuns)
+            || isProtected(part, now))
             continue;
         Case found;
         found.part = part;
@@ -755,12 +792,17 @@
             matureTimes.push_back(time);
             matureRequests.insert(evidence.request);
         }
-        if (requests.size() < decidingRequests)
+        if (!isWhole && requests.size() < decidingRequests)
             continue;
         found.matureRuns = matureTimes.size();
         found.matureRequests = matureRequests.size();
         found.sum = groupedCount(std::move(times));
         found.matureSum = groupedCount(std::move(matureTimes));
+        if (isWhole) {
+            found.isMature = found.matureRuns >= decidingRunsOfRequest;
+            cases.push_back(std::move(found));
+            continue;
+        }
         const bool isComplete = found.matureRuns == runs.size();
         if ((isComplete && found.sum < decidingSum) || !isBeyondChance(found, found.sum, now))
             continue;
@@ -777,21 +819,83 @@
     return cases;
 }
 
+bool QuarantineTable::isDoubtful(const Case &item) const
+{
+    if (item.matureRuns >= certainRunsOfRequest)
+        return false;
+    return item.matureSum < decidingRunsOfRequest
+        || std::any_of(m_evidence.begin(), m_evidence.end(), [&](const auto &other) {
+               return isWholeRequest(other.first) && other.first != item.part
+                   && std::all_of(item.runs.begin(), item.runs.end(), [&](const auto &run) {
+                          return other.second.count(run.first) > 0;
+                      });
+           });
+}
+
+bool QuarantineTable::wasInRequest(PromptPart part, PromptPart wholeRequest) const
+{
+    const RunEvidence &runs = m_evidence.at(part);
+    const RunEvidence &runsOfRequest = m_evidence.at(wholeRequest);
+    return std::any_of(runs.begin(), runs.end(), [&](const auto &evidence) {
+        const auto other = runsOfRequest.find(evidence.first);
+        return other != runsOfRequest.end() && other->second.request == evidence.second.request;
+    });
+}
+
+bool QuarantineTable::decideWholeRequests(const std::vector<Case> &requests,
+                                          const std::vector<Case> &parts, TimePoint now)
+{
+    std::set<PromptPart> suspects;
+    for (const Case &item : requests) {
+        // A harmful part ends servers with different requests.
+        const bool isForItsPart = std::any_of(parts.begin(), parts.end(), [&](const Case &part) {
+            return compareExplained(part, item) > 0 && wasInRequest(part.part, item.part);
+        });
+        if (!item.isMature || isForItsPart)
+            continue;
+        if (!isDoubtful(item)) {
+            startQuarantine(item.part, quarantineDuration(1), 1, item.matureRuns,
+                            item.matureRequests, now);
+            return true;
+        }
+        suspects.insert(item.part);
+    }
+    std::erase_if(m_suspects, [&](const auto &suspect) { return !suspects.count(suspect.first); });
+    for (const PromptPart part : suspects)
+        m_suspects.try_emplace(part, now);
+    return false;
+}
+
 void QuarantineTable::decide(TimePoint now)
 {
     // Each quarantine explains runs, so that less remains for the other parts.
     for (bool hasDecided = true; hasDecided;) {
         hasDecided = false;
-        const std::vector<Case> found = cases(now);
+        std::vector<Case> requests = cases(now);
+        const auto firstPart =
+            std::stable_partition(requests.begin(), requests.end(),
+                                  [](const Case &item) { return isWholeRequest(item.part); });
+        const std::vector<Case> found(std::make_move_iterator(firstPart),
+                                      std::make_move_iterator(requests.end()));
+        requests.erase(firstPart, requests.end());
+        if (decideWholeRequests(requests, found, now)) {
+            hasDecided = true;
+            continue;
+        }
         const auto blame = [&](const Case &item) {
             startQuarantine(item.part, quarantineDuration(1), 1, item.matureRuns,
                             item.matureRequests, now);
             hasDecided = true;
         };
         const auto isBeaten = [&](const Case &item) {
-            return std::any_of(found.begin(), found.end(), [&](const Case &other) {
-                return compareExplained(other, item) > 0;
-            });
+            const bool isForRequest =
+                std::any_of(requests.begin(), requests.end(), [&](const Case &other) {
+                    return shareRuns(other, item) && compareExplained(other, item) >= 0
+                        && !wasInRequest(item.part, other.part);
+                });
+            return isForRequest || std::any_of(found.begin(), found.end(), [&](const Case &other) {
+                       return compareExplained(other, item) > 0;
+                   });
         };
         const auto isContradicted = [&](const Case *item) {
             const RunEvidence &runs = m_evidence.at(item->part);
--- a/src/request/quarantine_base.h
+++ b/src/request/quarantine_base.h
@@ -32,12 +32,19 @@
     /// Whether the run is known to have ended: its server started again, left, or refuses
     /// connections.
     std::function<bool(const ServerRun &)> hasEnded;
+    /// Whether this node, of all nodes, may send requests with the part while it is not certain
+    /// that it is harmful. Always if not set.
+    std::function<bool(PromptPart)> mayTry;
 };
 
-/// Finds the parts of prompts that crash each server that begins to answer a request with them
+/// Finds the requests, and parts of prompts, that crash each server that begins to answer them
 /// ("query of death", Beyer et al., "Site Reliability Engineering", 2016, chapter 22), and keeps
 /// requests with them from further servers.
 ///
+/// A whole request is quarantined if it ended three runs of servers and no other request was on all
+/// of them. If that is not certain, as these ended together or with another request, one node tries
+/// it once in a while: an answer clears it, a further crash is evidence against it alone.
+///
 /// A quarantine ends after its time also while requests with the part keep coming, as nothing else
 /// would show that the part is sound by now. Each node may then send requests with it until it
 /// learns of the first server that crashes, so that a harmful part crashes a few servers once in
@@ -51,15 +58,22 @@
     /// while the run of the server is not seen alive later.
     void onBroken(const PromptParts &parts, const ServerRun &run, std::uint64_t request,
                   TimePoint now);
-    /// An answer ended by the end of its connection alone, so that the server may have crashed.
+    /// An answer ended so that the server may have crashed with it, or an attempt without an answer
+    /// was given up. In that case `at` is the last time at which its server was known to live.
     void onDoubtfulEnd(const PromptParts &parts, const ServerRun &run, std::uint64_t request,
-                       TimePoint now);
+                       TimePoint at, ResponseEnd end = ResponseEnd::ConnectionClose);
     /// A server completed an answer, or has been writing it for a while: no part crashes it.
     void onSound(const PromptParts &parts, TimePoint now);
 
-    /// The end of the longest quarantine of any of the parts; nothing if there is none.
-    std::optional<TimePoint> quarantinedUntil(const PromptParts &parts, TimePoint now) const;
-    bool isEmpty() const;
+    /// A request is sent to a server. Returns whether it is one by which its suspected parts are
+    /// tried. The next such request waits until it is known how this one ended.
+    bool onDispatched(const PromptParts &parts, TimePoint now);
+
+    /// Until when requests with any of the parts are not sent; nothing if they may be sent now. A
+    /// request by which parts are tried is not held back by suspicions.
+    std::optional<TimePoint> quarantinedUntil(const PromptParts &parts, TimePoint now,
+                                              bool isTrial = false) const;
+    bool isEmpty() const { return m_quarantines.empty(); }
 
     /// What to tell the other nodes.
     QuarantineNews news(TimePoint now) const;
@@ -97,7 +111,12 @@
         TimePoint lastAt; ///< Last one, of this node if any was.
         bool isExplained = false; ///< A quarantined part was in a request to the run.
         PromptPart explainedBy; ///< That part.
+        std::uint64_t explainedRequest = 0; ///< The request that had it.
         std::uint32_t attempts = 0; ///< Of this node, that broke.
+
+        /// Whether the crash is no evidence against a part that was in the given request. What a
+        /// whole request explains may be the fault of one of its parts.
+        bool explains(PromptPart part, std::uint64_t request) const;
     };
 
     struct Clearing
@@ -122,6 +141,7 @@
         ServerRun run;
         std::uint64_t request = 0;
         TimePoint at;
+        ResponseEnd end = ResponseEnd::ConnectionClose;
     };
 
     /// When a server ended. A peer's report is dated late by up to the delay of its message, and
@@ -162,7 +182,7 @@
     /// Drops the evidence against a part up to the given time.
     void eraseEvidenceUntil(PromptPart part, TimePoint until);
     /// Other parts are not blamed for the end of this run.
-    void explain(const ServerRun &run, PromptPart by);
+    void explain(const ServerRun &run, PromptPart by, std::uint64_t request);
     void clear(PromptPart part, TimePoint at, std::uint32_t answers, bool isOwn);
     void accuse(PromptPart part, TimePoint now);
     void startQuarantine(PromptPart part, Duration timeLeft, std::uint32_t times, std::size_t runs,
@@ -173,6 +193,14 @@
     /// Drops what was recorded since then about runs that showed a sign of life later.
     void eraseContradicted(TimePoint since);
     void decide(TimePoint now);
+    /// Quarantines one of the whole requests that alone explain their crashes, or suspects those
+    /// for which that is not certain. Returns whether any was quarantined.
+    bool decideWholeRequests(const std::vector<Case> &requests, const std::vector<Case> &parts,
+                             TimePoint now);
+    /// Whether a part was in the whole request when it ended a server. Both have evidence.
+    bool wasInRequest(PromptPart part, PromptPart wholeRequest) const;
+    /// Whether another request was on all servers that this one ended, or these ended together.
+    bool isDoubtful(const Case &item) const;
     /// All parts that may have caused crashes, those that are most suspect first.
     std::vector<Case> cases(TimePoint now) const;
     CrashTime crashTime(const ServerRun &run, const Evidence &evidence) const;
@@ -197,6 +225,7 @@
     std::map<PromptPart, TimePoint> m_accused; ///< Protected parts that a peer last accused then.
     std::unordered_map<PromptPart, Quarantine> m_quarantines; ///< Live ones.
     std::unordered_map<PromptPart, Quarantine> m_endedQuarantines;
+    std::map<PromptPart, TimePoint> m_suspects; ///< When each may be tried again.
     std::vector<QuarantineDecision> m_decisions; ///< Since the last tick.
     /// Completed answers to this node, by the start of the interval in which they were counted.
     std::deque<std::pair<TimePoint, std::uint64_t>> m_answers;
--- a/src/request/quarantine_func.cpp
+++ b/src/request/quarantine_func.cpp
@@ -23,11 +23,21 @@
     for (const std::uint64_t name : names) {
         const std::string_view bytes(reinterpret_cast<const char *>(&name), sizeof(name));
         // 0 stands for no part.
-        parts.push_back(PromptPart(std::max<std::uint64_t>(stableHash(bytes, seed), 1)));
+        parts.push_back(
+            PromptPart(std::max<std::uint64_t>(stableHash(bytes, seed) & ~wholeRequestBit, 1)));
     }
     return parts;
 }
 
+PromptPart wholeRequest(std::uint64_t content, const std::string &host,
+                        const OrganisationId &organisation, const ServiceId &service)
+{
+    std::uint64_t hash = content;
+    for (const std::string &name : {host, organisation.value(), service.value()})
+        hash = stableHash(name, hash);
+    return PromptPart(hash | wholeRequestBit);
+}
+
 std::string partName(PromptPart part)
 {
     std::string digits(nameSize, '0');
--- a/src/request/quarantine_type.h
+++ b/src/request/quarantine_type.h
@@ -11,16 +11,24 @@
 
 namespace bramleypitch {
 
-/// A part of prompts that requests may share, for the servers of one service: the hash of both.
+/// What requests to the servers of one service are recognised by, as a hash: a part of their
+/// prompts, which different requests may share, or the whole request.
 using PromptPart = StrongType<struct PromptPartTag, std::uint64_t>;
 using PromptParts = std::vector<PromptPart>;
 
+constexpr std::uint64_t wholeRequestBit = 1ULL << 63; ///< Set in the hashes of whole requests.
+
+inline bool isWholeRequest(PromptPart part)
+{
+    return (part.value() & wholeRequestBit) != 0;
+}
+
 /// A server ended while it began to answer a request with a part.
 struct CrashEvidence
 {
     PromptPart part;
     ServerRun run;
-    std::uint64_t request = 0; ///< Hash of the request's trace id.
+    std::uint64_t request = 0; ///< Hash of the content of the request.
     Duration age {0}; ///< Since the attempt broke.
 
     bool operator==(const CrashEvidence &) const = default;
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -117,6 +117,9 @@
         return !backend || m_backends.newestStart(run.server) != run.startedAt
             || backend->unreachableAt > backend->lastProgress;
     };
+    hooks.mayTry = [this](PromptPart part) {
+        return part.value() % std::max<std::uint32_t>(m_nodes.count, 1) == m_nodes.nodeIndex;
+    };
     return hooks;
 }
 
@@ -266,6 +269,13 @@
             Duration(static_cast<Duration::rep>(executionMs(*engine, *model, size)));
     }
     request.parts = promptParts(arrival.promptParts, request.service);
+    request.identity = stableHash(arrival.traceId);
+    if (arrival.content != 0) {
+        const PromptPart whole =
+            wholeRequest(arrival.content, arrival.host, request.organisation, request.service);
+        request.parts.push_back(whole);
+        request.identity = whole.value() ^ arrival.prompt;
+    }
     if (m_quarantine.quarantinedUntil(request.parts, now)) {
         refuseQuarantined(request, now, actions);
         return;
@@ -529,6 +539,7 @@
     request.readingPaused = false;
     request.stallLogged = false;
     ++request.attemptsUsed;
+    request.current.isTrial = m_quarantine.onDispatched(request.parts, now);
     m_backends.onDispatched(backend, now);
     if (!m_limits.empty())
         request.current.permit =
@@ -653,6 +664,7 @@
     if (found == m_requests.end())
         return;
     Request &request = found->second;
+    recordGivenUp(request);
     abandonAttempts(request, actions);
     actions.push_back(LogDecision {request.arrival.traceId,
                                    "caller_gone",
@@ -672,8 +684,8 @@
     const bool isPermitted = current.permit
         ? PermitTable::isValid(*current.permit, now)
         : m_permits.mayTake({current.server, current.serverStartedAt}, now);
-    return backend && !m_quarantine.quarantinedUntil(found->second.parts, now) && isPermitted
-        && now >= backend->pausedUntil
+    return backend && !m_quarantine.quarantinedUntil(found->second.parts, now, current.isTrial)
+        && isPermitted && now >= backend->pausedUntil
         && m_backends.newestStart(current.server) == current.serverStartedAt
         && m_backends.isServable(*backend, configurationOf(found->second));
 }
@@ -874,7 +886,24 @@
 {
     if (!request.parts.empty() && !attempt.isKnownSound)
         m_quarantine.onBroken(request.parts, {attempt.server, attempt.serverStartedAt},
-                              stableHash(request.arrival.traceId), now);
+                              request.identity, now);
+}
+
+void RequestSystem::recordGivenUp(const Request &request)
+{
+    if (!request.running || request.parts.empty())
+        return;
+    std::vector<Attempt> attempts = request.stalled;
+    attempts.push_back(request.current);
+    for (const Attempt &attempt : attempts) {
+        const Backend *backend = m_backends.find(attempt.server);
+        if (!attempt.isWritten || attempt.isKnownSound)
+            continue;
+        m_quarantine.onDoubtfulEnd(
+            request.parts, {attempt.server, attempt.serverStartedAt}, request.identity,
+            std::max(attempt.sentAt, backend ? backend->lastProgress : attempt.sentAt),
+            ResponseEnd::None);
+    }
 }
 
 void RequestSystem::recordEnd(const Request &request, const Attempt &attempt, ResponseEnd end,
@@ -887,7 +916,7 @@
         m_quarantine.onSound(request.parts, now);
     else
         m_quarantine.onDoubtfulEnd(request.parts, {attempt.server, attempt.serverStartedAt},
-                                   stableHash(request.arrival.traceId), now);
+                                   request.identity, now, end);
 }
 
 void RequestSystem::refuseQuarantined(Request &request, TimePoint now, RequestActions &actions)
@@ -918,7 +947,7 @@
     std::vector<RequestId> affected;
     for (const auto &[id, request] : m_requests) {
         const bool isAnswered = request.responseStarted || request.hasResponse;
-        if (!isAnswered && m_quarantine.quarantinedUntil(request.parts, now))
+        if (!isAnswered && m_quarantine.quarantinedUntil(request.parts, now, true))
             affected.push_back(id);
     }
     for (const RequestId id : affected) {
@@ -1135,6 +1164,7 @@
     for (const RequestId id : expired) {
         Request &request = m_requests.at(id);
         request.mayHaveRun = request.mayHaveRun || request.running;
+        recordGivenUp(request);
         abandonAttempts(request, actions);
         refuse(request, ErrorCode::DeadlineUnreachable, m_options.defaultRetryAfter, "deadline",
                now, actions);
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -174,6 +174,7 @@
         bool isWritten = false;
         std::optional<Permit> permit; ///< If its server has a limit.
         std::optional<TimePoint> firstEventAt; ///< When its first event was forwarded.
+        bool isTrial = false; ///< A suspected request that is tried.
         bool isKnownSound = false; ///< Its server writes for so long that no part crashes it.
     };
     /// A request that is waiting or running.
@@ -185,7 +186,8 @@
         RequestKind kind = RequestKind::AtMostOnce;
         ServiceId service;
         OrganisationId organisation;
-        PromptParts parts; ///< Parts of the prompt that other requests may share.
+        PromptParts parts; ///< What it is recognised by if it comes again.
+        std::uint64_t identity = 0; ///< Hash of its content, including the parts of the prompt.
         TimePoint arrivedAt;
         TimePoint deadline;
         TimePoint latestStart; ///< Latest start that still meets the latency target.
@@ -298,6 +300,8 @@
     /// Records that an attempt that was sent broke off, unless its server had been writing for
     /// long.
     void recordBreak(const Request &request, const Attempt &attempt, TimePoint now);
+    /// Records that the attempts of the request are given up before their servers answered.
+    void recordGivenUp(const Request &request);
     /// Records how the complete response to an attempt ended.
     void recordEnd(const Request &request, const Attempt &attempt, ResponseEnd end, TimePoint now);
     /// Refuses a request with a quarantined part, with the end of the quarantine.
--- a/src/request/request_type.h
+++ b/src/request/request_type.h
@@ -26,6 +26,8 @@
     std::optional<Duration> timeLimit; ///< How long the caller is willing to wait.
     /// Hashes of the names of the prompt's parts that other requests may share.
     std::vector<std::uint64_t> promptParts;
+    std::uint64_t prompt = 0; ///< Hash of the names of all parts of the prompt.
+    std::uint64_t content = 0; ///< Hash of method, target and body; 0 if they are not known.
 };
 
 /// What a server states about itself in the head of any response.
@@ -38,12 +40,6 @@
     std::optional<LimitStatement> limit;
 };
 
-/// How the end of a complete response is known.
-enum class ResponseEnd {
-    Framed, ///< By its length or its last chunk.
-    ConnectionClose, ///< By the end of the connection alone. The server may have ended.
-};
-
 /// How an attempt failed, classified by its possible effect on the server.
 enum class AttemptFailure {
     Unsent, ///< Nothing was sent.
--- a/src/tests/quarantine_test.cpp
+++ b/src/tests/quarantine_test.cpp
@@ -19,6 +19,14 @@
 
 const PromptPart harmful(1);
 
+PromptPart whole(std::uint64_t number)
+{
+    return PromptPart(wholeRequestBit | number);
+}
+
+const PromptPart repeated = whole(1);
+const PromptPart popular = whole(2);
+
 ServerRun runOf(const std::string &server, std::int64_t startedAt = 1)
 {
     return {VmId(server), startedAt};
@@ -39,7 +47,17 @@
                     const auto found = m_alive.find(run);
                     return found == m_alive.end() ? std::nullopt : std::optional(found->second);
                 },
-                [this](const ServerRun &run) { return m_ended.count(run) > 0; }};
+                [this](const ServerRun &run) { return m_ended.count(run) > 0; },
+                [this](PromptPart part) { return m_triedElsewhere.count(part) == 0; }};
+    }
+
+    /// Ends servers that ran the given requests, each with one whole request.
+    void crashTogether(const PromptParts &requests)
+    {
+        ++m_crashes;
+        for (const PromptPart request : requests)
+            m_table.onBroken({request}, runOf("s" + std::to_string(m_crashes)), request.value(),
+                             m_now);
     }
 
     /// Ends one server each time, with the request that it began to answer.
@@ -53,6 +71,9 @@
         }
     }
 
+    /// Lets the table settle, as after the start of a node.
+    void settle() { pass(Duration(3'000)); }
+
     void pass(Duration duration)
     {
         for (Duration passed {0}; passed < duration; passed += Duration(500)) {
@@ -75,6 +96,7 @@
     TimePoint m_now = timePoint(1'000'000);
     std::map<ServerRun, TimePoint> m_alive;
     std::set<ServerRun> m_ended;
+    std::set<PromptPart> m_triedElsewhere; ///< By another node.
     QuarantineTable m_table;
     std::vector<QuarantineDecision> m_decisions;
     std::uint64_t m_crashes = 0;
@@ -363,6 +385,160 @@
 }
 
 /// Two tables beside the one of the fixture.
+TEST_F(QuarantineTest, WholeRequestIsQuarantinedAfterItsThirdCrash)
+{
+    for (int i = 1; i <= 3; ++i) {
+        EXPECT_FALSE(isQuarantined(repeated));
+        m_now += Duration(500);
+        crashTogether({repeated});
+        tick();
+    }
+    pass(Duration(2'500));
+    EXPECT_TRUE(isQuarantined(repeated));
+    ASSERT_EQ(m_decisions.size(), 1U);
+    EXPECT_EQ(m_decisions[0].runs, 3U);
+    EXPECT_EQ(m_decisions[0].requests, 1U);
+    EXPECT_FALSE(isQuarantined(whole(2)));
+}
+
+TEST_F(QuarantineTest, WholeRequestIsTriedIfServersEndedTogether)
+{
+    settle();
+    for (int i = 0; i < 3; ++i)
+        crashTogether({repeated});
+    pass(Duration(2'500));
+    EXPECT_TRUE(m_decisions.empty());
+    m_triedElsewhere = {repeated};
+    EXPECT_TRUE(isQuarantined(repeated));
+    m_triedElsewhere.clear();
+    EXPECT_FALSE(isQuarantined(repeated));
+    EXPECT_TRUE(m_table.onDispatched({repeated}, m_now));
+    EXPECT_TRUE(isQuarantined(repeated)); // One at a time.
+    EXPECT_FALSE(m_table.quarantinedUntil({repeated}, m_now, true));
+    m_now += Duration(200);
+    crashTogether({repeated});
+    pass(Duration(2'500));
+    EXPECT_EQ(m_decisions.size(), 1U);
+    EXPECT_TRUE(m_table.quarantinedUntil({repeated}, m_now, true));
+}
+
+TEST_F(QuarantineTest, AnswerClearsAWholeRequestThatIsTried)
+{
+    settle();
+    for (int i = 0; i < 3; ++i)
+        crashTogether({repeated});
+    pass(Duration(2'500));
+    m_table.onDispatched({repeated}, m_now);
+    EXPECT_TRUE(isQuarantined(repeated));
+    m_table.onSound({repeated}, m_now);
+    tick();
+    EXPECT_FALSE(isQuarantined(repeated));
+    EXPECT_FALSE(m_table.onDispatched({repeated}, m_now));
+}
+
+TEST_F(QuarantineTest, WholeRequestsOnTheSameServersAreTriedUntilOneIsCertain)
+{
+    settle();
+    const PromptPart other = whole(2);
+    for (int i = 0; i < 3; ++i) {
+        crashTogether({repeated, other});
+        m_now += Duration(500);
+    }
+    pass(Duration(2'500));
+    EXPECT_TRUE(m_decisions.empty());
+    EXPECT_TRUE(m_table.onDispatched({repeated}, m_now));
+    crashTogether({repeated});
+    pass(Duration(2'500));
+    ASSERT_EQ(m_decisions.size(), 1U);
+    EXPECT_EQ(m_decisions[0].part, repeated);
+    EXPECT_FALSE(isQuarantined(other)); // Its crashes are explained.
+    EXPECT_FALSE(m_table.onDispatched({other}, m_now));
+}
+
+TEST_F(QuarantineTest, WholeRequestsThatEndTooManyServersAreNotTriedAnyMore)
+{
+    settle();
+    for (int i = 0; i < 5; ++i) {
+        crashTogether({repeated, whole(2)});
+        m_now += Duration(500);
+    }
+    pass(Duration(2'500));
+    EXPECT_FALSE(m_decisions.empty());
+    EXPECT_TRUE(m_table.quarantinedUntil({repeated}, m_now, true)
+                || m_table.quarantinedUntil({whole(2)}, m_now, true));
+}
+
+TEST_F(QuarantineTest, PartThatExplainsMoreCrashesThanAWholeRequestIsBlamed)
+{
+    for (std::uint64_t request = 1; request <= 2; ++request) {
+        for (int attempt = 0; attempt < 3; ++attempt) {
+            m_now += Duration(150);
+            m_table.onBroken({harmful, whole(request)}, runOf("s" + std::to_string(++m_crashes)),
+                             request, m_now);
+            tick();
+        }
+    }
+    pass(Duration(3'000));
+    ASSERT_FALSE(m_decisions.empty());
+    EXPECT_EQ(m_decisions[0].part, harmful);
+    EXPECT_FALSE(isQuarantined(whole(1)));
+}
+
+TEST_F(QuarantineTest, QuarantinedWholeRequestHidesNoHarmfulPart)
+{
+    for (std::uint64_t request = 1; request <= 2; ++request) {
+        for (int attempt = 0; attempt < 3; ++attempt) {
+            m_now += Duration(400);
+            m_table.onBroken({harmful, whole(request)}, runOf("s" + std::to_string(++m_crashes)),
+                             request, m_now);
+        }
+        pass(Duration(6'000));
+    }
+    EXPECT_TRUE(isQuarantined(harmful));
+}
+
+TEST_F(QuarantineTest, PartsOfOneWholeRequestAreNotBlamed)
+{
+    for (int i = 0; i < 6; ++i) {
+        m_now += Duration(100);
+        m_table.onBroken({harmful, repeated}, runOf("s" + std::to_string(++m_crashes)), 1, m_now);
+    }
+    pass(Duration(5'000));
+    EXPECT_TRUE(isQuarantined(repeated));
+    EXPECT_FALSE(isQuarantined(harmful));
+}
+
+TEST_F(QuarantineTest, AttemptsThatWereGivenUpCountIfTheirServersEnded)
+{
+    for (int i = 1; i <= 3; ++i) {
+        m_now += Duration(600);
+        const ServerRun run = runOf("s" + std::to_string(i));
+        m_table.onDoubtfulEnd({repeated}, run, 1, m_now, ResponseEnd::None);
+        m_table.onDoubtfulEnd({whole(2)}, run, 2, m_now, ResponseEnd::None);
+        m_alive[run] = m_now;
+        tick();
+    }
+    pass(Duration(2'500));
+    EXPECT_EQ(m_table.evidenceCount(), 0U); // A silent server may be slow.
+    for (int i = 1; i <= 3; ++i)
+        m_ended.insert(runOf("s" + std::to_string(i)));
+    m_alive[runOf("s3")] = m_now; // This one goes on.
+    pass(Duration(500));
+    EXPECT_EQ(m_table.evidenceCount(), 4U);
+    EXPECT_EQ(m_table.clearedCount(), 0U);
+}
+
+TEST_F(QuarantineTest, WholeAnswerOfAServerThatFallsSilentIsSound)
+{
+    const ServerRun run = runOf("s1");
+    m_alive[run] = m_now;
+    m_table.onDoubtfulEnd({repeated}, run, 1, m_now, ResponseEnd::Framed);
+    pass(Duration(3'000));
+    EXPECT_EQ(m_table.evidenceCount(), 0U);
+    pass(Duration(3'000));
+    EXPECT_EQ(m_table.clearedCount(), 1U);
+}
+
 class QuarantineMergeTest : public QuarantineTest
 {
 protected:
@@ -588,6 +764,8 @@
     int nodes = 3;
     int servers = 20;
     Duration harmfulInterval {0}; ///< 0: no harmful requests.
+    Duration repeatedInterval {0}; ///< 0: no whole request that is harmful.
+    int repeatedAtOnce = 1;
     std::set<Trouble> troubles;
     double loss = 0.1;
     bool nodesRestart = false;
@@ -599,8 +777,10 @@
 {
     out << "seed " << schedule.seed << ", nodes " << schedule.nodes << ", servers "
         << schedule.servers << ", harmful every " << schedule.harmfulInterval.count()
-        << " ms, loss " << schedule.loss << ", restarts " << schedule.nodesRestart << ", sound/s "
-        << schedule.soundRate << ", length " << schedule.length.count() << " ms, troubles";
+        << " ms, repeated every " << schedule.repeatedInterval.count() << " ms, "
+        << schedule.repeatedAtOnce << " at once, loss " << schedule.loss << ", restarts "
+        << schedule.nodesRestart << ", sound/s " << schedule.soundRate << ", length "
+        << schedule.length.count() << " ms, troubles";
     for (const Trouble trouble : schedule.troubles)
         out << ' ' << static_cast<int>(trouble);
     return out;
@@ -638,6 +818,11 @@
         every(Duration(1'000 / schedule.soundRate), m_start, [this] { sendSound(); });
         if (schedule.harmfulInterval > Duration(0))
             every(schedule.harmfulInterval, m_start + warmUp, [this] { sendHarmful(); });
+        if (schedule.repeatedInterval > Duration(0))
+            every(schedule.repeatedInterval, m_start + warmUp, [this] {
+                for (int i = 0; i < m_schedule.repeatedAtOnce; ++i)
+                    sendRepeated();
+            });
         if (schedule.nodesRestart && schedule.nodes > 1)
             every(Duration(15'000), m_start + warmUp + Duration(pick(0, 15'000)), [this] {
                 // Nodes get time to converge after the last restart.
@@ -662,7 +847,8 @@
 
     void run() { run(warmUp + m_schedule.length); }
 
-    /// Harmful requests that nodes sent 3 s after the fifth crash or later.
+    /// Harmful requests that nodes sent 3 s after the fifth crash or later, or after the third one
+    /// of a whole request.
     int lateHarmful() const { return m_lateHarmful; }
     const std::set<PromptPart> &quarantined() const { return m_quarantined; }
     const std::string &trace() const { return m_trace; }
@@ -771,7 +957,8 @@
             },
             [this, index](const ServerRun &run) {
                 return m_ended.count(run) > 0 || m_nodes[index].ended.count(run) > 0;
-            }});
+            },
+            [this, index](PromptPart part) { return part.value() % m_nodes.size() == index; }});
         node.upSince = m_now;
         node.ended.clear();
         log("node " + std::to_string(index) + " starts");
@@ -817,6 +1004,18 @@
         request.parts = commonParts();
         if (chance(0.1)) // A rare part, in a few requests.
             request.parts.push_back(PromptPart(1'000 + m_lastRequest / 60));
+        // One of them comes again and again.
+        request.parts.push_back(chance(0.2) ? popular : whole(1'000 + m_lastRequest));
+        send(std::move(request));
+    }
+
+    void sendRepeated()
+    {
+        if (m_isTrafficStopped)
+            return;
+        Request request;
+        request.parts = {PromptPart(10), repeated};
+        request.isHarmful = true;
         send(std::move(request));
     }
 
@@ -829,6 +1028,7 @@
         if (chance(0.3))
             request.parts.push_back(PromptPart(1'000 + m_lastRequest / 60));
         request.parts.push_back(harmful);
+        request.parts.push_back(whole(1'000 + m_lastRequest));
         request.isHarmful = true;
         send(std::move(request));
     }
@@ -836,14 +1036,15 @@
     void send(Request request)
     {
         if (!request.isRepeat)
-            request.id = ++m_lastRequest;
+            ++m_lastRequest;
+        request.id = request.parts.back().value();
         request.node = static_cast<std::size_t>(pick(0, m_schedule.nodes - 1));
         dispatch(std::move(request));
     }
 
     void dispatch(Request request)
     {
-        const Node &node = m_nodes[request.node];
+        Node &node = m_nodes[request.node];
         if (node.table->quarantinedUntil(request.parts, m_now))
             return;
         std::vector<std::size_t> up;
@@ -855,6 +1056,7 @@
             return;
         const std::size_t index =
             up[static_cast<std::size_t>(pick(0, static_cast<int>(up.size()) - 1))];
+        node.table->onDispatched(request.parts, m_now);
         if (request.isHarmful && m_fifthCrash && m_now > *m_fifthCrash + Duration(3'000)
             && m_now - node.upSince >= Duration(3'000)) {
             ++m_lateHarmful;
@@ -867,9 +1069,9 @@
         if (request.isHarmful) {
             at(request.writingSince + Duration(pick(50, 400)), [this, index, run] {
                 if (runOfServer(index) == run && m_servers[index].isUp) {
-                    if (++m_harmfulCrashes == 5) {
+                    if (++m_harmfulCrashes == (m_schedule.repeatedInterval > Duration(0) ? 3 : 5)) {
                         m_fifthCrash = m_now;
-                        log("fifth crash");
+                        log("last crash before the bound");
                     }
                     crash(index, Duration(pick(2'000, 8'000)));
                 }
@@ -1063,6 +1265,26 @@
     }
 }
 
+RC_GTEST_PROP(Quarantine, HarmfulWholeRequestIsKeptFromServers, ())
+{
+    Schedule schedule = randomSchedule();
+    schedule.repeatedInterval =
+        *rc::gen::element(Duration(150), Duration(500), Duration(2'000), Duration(7'000));
+    schedule.repeatedAtOnce = *rc::gen::element(1, 1, 3, 12);
+    schedule.servers = *rc::gen::element(3, 6, 20);
+    if (*rc::gen::arbitrary<bool>())
+        schedule.troubles = {Trouble::ColdCrashes};
+    RC_LOG() << schedule;
+    Simulation simulation(schedule);
+    simulation.run();
+    if (simulation.lateHarmful() > 3)
+        RC_FAIL(simulation.trace());
+    for (const PromptPart part : simulation.quarantined()) {
+        if (part != repeated)
+            RC_FAIL(simulation.trace());
+    }
+}
+
 RC_GTEST_PROP(Quarantine, OrdinaryCrashesBlameNoSoundPart, ())
 {
     Schedule schedule = randomSchedule();
