--- a/src/tests/crashing_server.py
+++ b/src/tests/crashing_server.py
@@ -1,6 +1,7 @@
 """Backend servers on one event loop that crash, with all their connections, and come back."""
 
 import asyncio
+import os
 import socket
 import struct
 import threading
@@ -16,6 +17,8 @@
 ENTRY_REMOVED_S = (0.3, 1.0)  # From a crash to the removal of the entry.
 BACK_S = (2.0, 3.0)  # From a crash to the next start.
 COLD_S = 3.0
+# Connections end and new ones are reset, all go silent, or old ones live on and new ones are reset.
+LINK_CUTS = ("reset", "silent", "new")
 FRAMINGS = ("chunked", "close")
 WAYS = ("fin", "reset")
 
@@ -28,10 +31,14 @@
         self.seed = seed
         self.harmful_part = None  # The id of the part of a prompt that crashes servers.
         self.harmful_body = None  # The body of requests that crashes servers.
+        self.cuts = {}  # How the processes of callers are cut off, by process id; see LINK_CUTS.
+        self.silenced = set()  # Those of them whose connections are silent.
+        self.known_pids = ()  # The processes that may be cut off.
         self.plain_services = ()  # Their answers are no streams.
         self.ways = WAYS  # How connections to a crashed server end.
         self.broken_share = 0.0  # Of the answers, while the servers live.
         self.arrivals = []  # Time, request id and server of each request that a server read.
+        self.senders = {}  # The process that sent each request last, if it is known.
         self.crashes = []  # Time and server of each.
         self.cut_requests = 0  # Running at servers that crashed.
         self.publish = lambda server: None  # Writes the entry of a server to the store.
@@ -56,6 +63,20 @@
                 server.crash()
         self.run(crash_all())
 
+    def cut_links(self, pids, way):
+        """Cuts processes off from all servers, or connects them again if `way` is None."""
+        async def change():
+            for pid in pids:
+                self.cuts.pop(pid, None)
+                if way:
+                    self.cuts[pid] = way
+            for server in self.servers:
+                for writer, pid in list(server.pids.items()):
+                    if pid in pids and (way == "reset" or way is None and pid in self.silenced):
+                        cut(writer, "reset")
+            self.silenced = {pid for pid, cut_way in self.cuts.items() if cut_way == "silent"}
+        self.run(change())
+
     def stop(self):
         """Ends all servers. May be called again."""
         async def stop_all():
@@ -88,6 +109,7 @@
         self.started_at = None
         self.crash_is_due = False
         self.connections = set()
+        self.pids = {}  # The process at the other end of each connection.
         self.running = 0  # Requests.
         self.listener = None
         self.tasks = set()
@@ -142,11 +164,21 @@
             return
         life = self.life
         writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self.fleet.known_pids:
+            pid = process_of(writer.get_extra_info("peername"), self.fleet.known_pids)
+            if self.fleet.cuts.get(pid) in ("reset", "new"):
+                cut(writer, "reset")
+                return
+            self.pids[writer] = pid
         self.connections.add(writer)
         try:
             while True:
                 head = parse_head((await reader.readuntil(b"\r\n\r\n"))[:-4])
                 body = await reader.readexactly(int(head.get("content-length", 0)))
+                while self.pids.get(writer) in self.fleet.silenced:
+                    await asyncio.sleep(EVENT_INTERVAL_S)
+                if writer.is_closing():
+                    return
                 if self.life != life:
                     return
                 self.running += 1
@@ -161,12 +193,14 @@
             pass  # The caller closed the connection.
         finally:
             self.connections.discard(writer)
+            self.pids.pop(writer, None)
             writer.close()
 
     async def answer(self, writer, head, body, life):
         """Returns whether the connection may carry another request."""
         fleet, request = self.fleet, head["x-request-id"]
         fleet.arrivals.append((time.monotonic(), request, self))
+        fleet.senders[request] = self.pids.get(writer)
         attempt = fleet.attempts[request] = fleet.attempts.get(request, 0) + 1
         generator = seeded(fleet.seed, request, attempt)
         framing = generator.choice(FRAMINGS)
@@ -198,6 +232,8 @@
                 return False
             if number > last_event + 1:
                 await asyncio.sleep(EVENT_INTERVAL_S)
+            while self.pids.get(writer) in fleet.silenced:
+                await asyncio.sleep(EVENT_INTERVAL_S)
             if self.life != life or writer.is_closing():
                 return False
             stream.send_event(number)
@@ -253,6 +289,22 @@
             self.writer.write(b"0\r\n\r\n")
 
 
+def process_of(address, pids):
+    """The one of some processes that has a connection from an address; None if none has."""
+    host, port = address
+    name = f"{socket.inet_aton(host)[::-1].hex().upper()}:{port:04X}"
+    with open("/proc/net/tcp", encoding="ascii") as file:
+        inode = next((line.split()[9] for line in file if line.split()[1] == name), None)
+    for pid in pids:
+        try:
+            with os.scandir(f"/proc/{pid}/fd") as entries:
+                if any(os.readlink(entry.path) == f"socket:[{inode}]" for entry in entries):
+                    return pid
+        except OSError:
+            pass  # The process or the descriptor is gone.
+    return None
+
+
 def cut(writer, way):
     """Closes a connection so that its peer gets a reset or a quiet end."""
     if way == "reset":
