--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -11,7 +11,7 @@
 DEFAULT_DIRECTORY = "src/coordination/"  # Directory of files that are given without a path.
 WORKERS = 4
 TESTS = ["ledger_test", "placement_test", "golden_test", "request_test", "attempt_test",
-         "attempt_review_test", "quarantine_test", "limit_test", "formation_test", "initial_split_test",
+         "attempt_review_test", "quarantine_test", "limit_test", "links_test", "formation_test", "initial_split_test",
          "overload_test", "relay_test", "http_client_test", "promises_test"]
 # Tests that start the program, for mutants that no test above catches. They share ports.
 PROCESS_TESTS = [["response_end_test.py"], ["process_test.py", "CompletionTest"]]
@@ -346,6 +346,27 @@
      "(entry.refusalsOnly && !statement.isRefusal)", "false"),
     ("limits_are_not_told", "request/server_limit_base.cpp",
      "if (!next->second.isOwn)", "if (true)"),
+    ("one_silent_server_cuts_a_node_off", "request/server_links.cpp",
+     "constexpr std::size_t failedServersOfCut = 3;", "constexpr std::size_t failedServersOfCut = 1;"),
+    ("dead_rack_cuts_a_node_off", "request/server_links.cpp",
+     "return backend && backend->peerProgress > since;", "return backend;"),
+    ("old_connection_ends_a_cut", "request/server_links.cpp",
+     "if (openedAt < m_failingSince)\n        return;", ""),
+    ("cut_node_does_not_forward", "request/request_system.cpp",
+     "&& (isCut() || request.unsentAttempts >= unsentAttemptsBeforeForward);", "&& false;"),
+    ("cut_node_takes_forwarded_requests", "request/request_system.cpp",
+     "if (arrival.attemptsLeft && (isCut() || m_takenOver > maxTakenOver)) {",
+     "if (arrival.attemptsLeft && m_takenOver > maxTakenOver) {"),
+    ("forwarded_requests_unbounded", "request/request_system.cpp",
+     "count >= maxForwardedPerNode", "false"),
+    ("forwarded_request_is_forwarded_again", "request/request_system.cpp",
+     "return !request.arrival.attemptsLeft", "return true"),
+    ("forwarded_request_has_all_attempts", "request/request_system.cpp",
+     "arrival.attemptsLeft.value_or(route.maxAttempts)", "route.maxAttempts"),
+    ("forwarded_failure_is_repeated", "request/request_system.cpp",
+     "&& attemptOf(*request, attempt).node.value().empty()\n        &&", "&&"),
+    ("silence_cuts_a_node_off", "request/server_links.cpp",
+     "m_isCut = !m_failures.empty()", "m_isCut = m_isSilent || !m_failures.empty()"),
     ("limits_of_many_servers_in_one_message", "request/server_limit_base.cpp",
      "if (news.size() == LimitBounds::reportedByNode)", "if (false)"),
 ]
--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -244,6 +244,8 @@
 {
     ProbeState &probeState = m_probeStates[probed.vm];
     probeState.probing = false;
+    if (!probed.isConclusive)
+        return;
     if (probed.answered)
         probeState.lastAnswerAt = now;
     probeState.unanswered = probed.answered ? 0 : probeState.unanswered + 1;
--- a/src/formation/formation_type.h
+++ b/src/formation/formation_type.h
@@ -94,6 +94,7 @@
 {
     VmId vm;
     bool answered = false;
+    bool isConclusive = true; ///< Whether the links of this node are sound.
 };
 
 /// Action: write the plan of a domain if the stored one still has the expected revision.
--- a/src/network/backend_connections.cpp
+++ b/src/network/backend_connections.cpp
@@ -45,6 +45,7 @@
     AttemptHandle attempt; ///< 0 while the connection is idle.
     BackendRequest request;
     BackendHooks hooks;
+    bool hasAnswered = false; ///< Any response was received on it.
     bool headDelivered = false; ///< The head of the response was passed to the hooks.
     bool discardingResponse = false; ///< The response being received belongs to another request.
     int otherResponses = 0; ///< Responses before that to the attempt.
@@ -54,9 +55,10 @@
     TimePoint idleUntil;
 };
 
-BackendConnections::BackendConnections(EventLoop &loop, std::string traceHeader)
+BackendConnections::BackendConnections(EventLoop &loop, std::string traceHeader, LinkHooks hooks)
     : m_loop(loop)
     , m_traceHeader(std::move(traceHeader))
+    , m_linkHooks(std::move(hooks))
     , m_discard(loop, [this] { m_discarded.clear(); })
 {
 }
@@ -160,6 +162,9 @@
         const MessageHead &head = connection.parser.head();
         if (!connection.headDelivered && head.status >= firstFinalStatus) {
             connection.headDelivered = true;
+            if (!connection.hasAnswered && !connection.request.isToNode && m_linkHooks.onAnswered)
+                m_linkHooks.onAnswered(connection.openedAt);
+            connection.hasAnswered = true;
             const std::string *traceId = head.find(m_traceHeader);
             connection.discardingResponse = traceId && *traceId != connection.request.traceId;
             if (connection.discardingResponse)
@@ -222,6 +227,8 @@
 {
     const BackendHooks hooks = std::move(connection.hooks);
     const bool sent = connection.socket->isConnected();
+    if (!connection.hasAnswered && !connection.request.isToNode && m_linkHooks.onFailed)
+        m_linkHooks.onFailed(connection.server);
     discard(connection);
     hooks.onFailure(sent);
 }
--- a/src/network/backend_connections.h
+++ b/src/network/backend_connections.h
@@ -23,6 +23,7 @@
     std::string head; ///< Request line, headers and the blank line that ends them.
     std::string body;
     std::string traceId; ///< Responses that carry a different id are discarded.
+    bool isToNode = false; ///< The request is passed on to another node.
     bool isHeadRequest = false; ///< The method is HEAD, so the response has no body.
     bool needsNewConnection = false; ///< Open a new connection instead of reusing an idle one.
 };
@@ -44,6 +45,15 @@
     std::function<void(bool sent)> onFailure;
 };
 
+/// Callbacks for what connections show of the links to servers.
+struct LinkHooks
+{
+    /// A connection could not be opened, or ended without any answer.
+    std::function<void(const VmId &)> onFailed;
+    /// The first answer on a connection that was opened at the given time.
+    std::function<void(TimePoint openedAt)> onAnswered;
+};
+
 /// Pool of HTTP connections to backend servers, each of which carries one request at a time. A
 /// connection is not reused if it delivers bytes beyond the response, or the response before the
 /// whole request was sent.
@@ -52,7 +62,7 @@
 public:
     /// `traceHeader` is the name of the header that carries the request's id in requests and
     /// responses.
-    BackendConnections(EventLoop &loop, std::string traceHeader);
+    BackendConnections(EventLoop &loop, std::string traceHeader, LinkHooks hooks = {});
     ~BackendConnections();
     BackendConnections(const BackendConnections &) = delete;
     BackendConnections &operator=(const BackendConnections &) = delete;
@@ -88,6 +98,7 @@
 
     EventLoop &m_loop;
     std::string m_traceHeader;
+    LinkHooks m_linkHooks;
     std::map<std::uint64_t, std::unique_ptr<Connection>> m_connections;
     std::map<VmId, std::vector<Connection *>> m_idle;
     std::map<AttemptHandle, Connection *> m_attempts;
--- a/src/network/gen/peer_types.cpp
+++ b/src/network/gen/peer_types.cpp
@@ -2269,6 +2269,10 @@
 void Pulse::__set_limits(const std::map<std::string, ServerLimit> & val) {
   this->limits = val;
 }
+
+void Pulse::__set_cut(const bool val) {
+  this->cut = val;
+}
 std::ostream& operator<<(std::ostream& out, const Pulse& obj)
 {
   obj.printTo(out);
@@ -2499,6 +2503,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->cut);
+          this->__isset.cut = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2626,6 +2638,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("cut", ::apache::thrift::protocol::T_BOOL, 15);
+  xfer += oprot->writeBool(this->cut);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2647,6 +2663,7 @@
   swap(a.leaving, b.leaving);
   swap(a.quarantine, b.quarantine);
   swap(a.limits, b.limits);
+  swap(a.cut, b.cut);
   swap(a.__isset, b.__isset);
 }
 
@@ -2665,6 +2682,7 @@
   leaving = other148.leaving;
   quarantine = other148.quarantine;
   limits = other148.limits;
+  cut = other148.cut;
   __isset = other148.__isset;
 }
 Pulse& Pulse::operator=(const Pulse& other149) {
@@ -2682,6 +2700,7 @@
   leaving = other149.leaving;
   quarantine = other149.quarantine;
   limits = other149.limits;
+  cut = other149.cut;
   __isset = other149.__isset;
   return *this;
 }
@@ -2702,6 +2721,7 @@
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "quarantine=" << to_string(quarantine);
   out << ", " << "limits=" << to_string(limits);
+  out << ", " << "cut=" << to_string(cut);
   out << ")";
 }
 
@@ -2769,6 +2789,10 @@
 void Digest::__set_limits(const std::map<std::string, ServerLimit> & val) {
   this->limits = val;
 }
+
+void Digest::__set_cut(const std::set<std::string> & val) {
+  this->cut = val;
+}
 std::ostream& operator<<(std::ostream& out, const Digest& obj)
 {
   obj.printTo(out);
@@ -3022,6 +3046,27 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_SET) {
+          {
+            this->cut.clear();
+            uint32_t _size199;
+            ::apache::thrift::protocol::TType _etype202;
+            xfer += iprot->readSetBegin(_etype202, _size199);
+            uint32_t _i203;
+            for (_i203 = 0; _i203 < _size199; ++_i203)
+            {
+              std::string _elem204;
+              xfer += iprot->readString(_elem204);
+              this->cut.insert(_elem204);
+            }
+            xfer += iprot->readSetEnd();
+          }
+          this->__isset.cut = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3058,11 +3103,11 @@
   xfer += oprot->writeFieldBegin("taking", ::apache::thrift::protocol::T_MAP, 5);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_BOOL, static_cast<uint32_t>(this->taking.size()));
-    std::map<std::string, bool> ::const_iterator _iter199;
-    for (_iter199 = this->taking.begin(); _iter199 != this->taking.end(); ++_iter199)
+    std::map<std::string, bool> ::const_iterator _iter205;
+    for (_iter205 = this->taking.begin(); _iter205 != this->taking.end(); ++_iter205)
     {
-      xfer += oprot->writeString(_iter199->first);
-      xfer += oprot->writeBool(_iter199->second);
+      xfer += oprot->writeString(_iter205->first);
+      xfer += oprot->writeBool(_iter205->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -3071,11 +3116,11 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_MAP, 6);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->running.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter200;
-    for (_iter200 = this->running.begin(); _iter200 != this->running.end(); ++_iter200)
+    std::map<std::string, int32_t> ::const_iterator _iter206;
+    for (_iter206 = this->running.begin(); _iter206 != this->running.end(); ++_iter206)
     {
-      xfer += oprot->writeString(_iter200->first);
-      xfer += oprot->writeI32(_iter200->second);
+      xfer += oprot->writeString(_iter206->first);
+      xfer += oprot->writeI32(_iter206->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -3084,11 +3129,11 @@
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_MAP, 7);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_DOUBLE, static_cast<uint32_t>(this->demand.size()));
-    std::map<std::string, double> ::const_iterator _iter201;
-    for (_iter201 = this->demand.begin(); _iter201 != this->demand.end(); ++_iter201)
+    std::map<std::string, double> ::const_iterator _iter207;
+    for (_iter207 = this->demand.begin(); _iter207 != this->demand.end(); ++_iter207)
     {
-      xfer += oprot->writeString(_iter201->first);
-      xfer += oprot->writeDouble(_iter201->second);
+      xfer += oprot->writeString(_iter207->first);
+      xfer += oprot->writeDouble(_iter207->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -3097,11 +3142,11 @@
   xfer += oprot->writeFieldBegin("suspects_ms", ::apache::thrift::protocol::T_MAP, 8);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->suspects_ms.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter202;
-    for (_iter202 = this->suspects_ms.begin(); _iter202 != this->suspects_ms.end(); ++_iter202)
+    std::map<std::string, int32_t> ::const_iterator _iter208;
+    for (_iter208 = this->suspects_ms.begin(); _iter208 != this->suspects_ms.end(); ++_iter208)
     {
-      xfer += oprot->writeString(_iter202->first);
-      xfer += oprot->writeI32(_iter202->second);
+      xfer += oprot->writeString(_iter208->first);
+      xfer += oprot->writeI32(_iter208->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -3110,11 +3155,11 @@
   xfer += oprot->writeFieldBegin("heard_ms", ::apache::thrift::protocol::T_MAP, 9);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->heard_ms.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter203;
-    for (_iter203 = this->heard_ms.begin(); _iter203 != this->heard_ms.end(); ++_iter203)
+    std::map<std::string, int32_t> ::const_iterator _iter209;
+    for (_iter209 = this->heard_ms.begin(); _iter209 != this->heard_ms.end(); ++_iter209)
     {
-      xfer += oprot->writeString(_iter203->first);
-      xfer += oprot->writeI32(_iter203->second);
+      xfer += oprot->writeString(_iter209->first);
+      xfer += oprot->writeI32(_iter209->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -3135,11 +3180,11 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_MAP, 13);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leaving.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter204;
-    for (_iter204 = this->leaving.begin(); _iter204 != this->leaving.end(); ++_iter204)
+    std::map<std::string, int64_t> ::const_iterator _iter210;
+    for (_iter210 = this->leaving.begin(); _iter210 != this->leaving.end(); ++_iter210)
     {
-      xfer += oprot->writeString(_iter204->first);
-      xfer += oprot->writeI64(_iter204->second);
+      xfer += oprot->writeString(_iter210->first);
+      xfer += oprot->writeI64(_iter210->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -3152,16 +3197,28 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_MAP, 15);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::map<std::string, ServerLimit> ::const_iterator _iter205;
-    for (_iter205 = this->limits.begin(); _iter205 != this->limits.end(); ++_iter205)
+    std::map<std::string, ServerLimit> ::const_iterator _iter211;
+    for (_iter211 = this->limits.begin(); _iter211 != this->limits.end(); ++_iter211)
     {
-      xfer += oprot->writeString(_iter205->first);
-      xfer += _iter205->second.write(oprot);
+      xfer += oprot->writeString(_iter211->first);
+      xfer += _iter211->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("cut", ::apache::thrift::protocol::T_SET, 16);
+  {
+    xfer += oprot->writeSetBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->cut.size()));
+    std::set<std::string> ::const_iterator _iter212;
+    for (_iter212 = this->cut.begin(); _iter212 != this->cut.end(); ++_iter212)
+    {
+      xfer += oprot->writeString((*_iter212));
+    }
+    xfer += oprot->writeSetEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3184,44 +3241,47 @@
   swap(a.leaving, b.leaving);
   swap(a.quarantine, b.quarantine);
   swap(a.limits, b.limits);
+  swap(a.cut, b.cut);
   swap(a.__isset, b.__isset);
 }
 
-Digest::Digest(const Digest& other206) {
-  zone = other206.zone;
-  node = other206.node;
-  life = other206.life;
-  number = other206.number;
-  taking = other206.taking;
-  running = other206.running;
-  demand = other206.demand;
-  suspects_ms = other206.suspects_ms;
-  heard_ms = other206.heard_ms;
-  clock_ms = other206.clock_ms;
-  held_revision = other206.held_revision;
-  relayed = other206.relayed;
-  leaving = other206.leaving;
-  quarantine = other206.quarantine;
-  limits = other206.limits;
-  __isset = other206.__isset;
-}
-Digest& Digest::operator=(const Digest& other207) {
-  zone = other207.zone;
-  node = other207.node;
-  life = other207.life;
-  number = other207.number;
-  taking = other207.taking;
-  running = other207.running;
-  demand = other207.demand;
-  suspects_ms = other207.suspects_ms;
-  heard_ms = other207.heard_ms;
-  clock_ms = other207.clock_ms;
-  held_revision = other207.held_revision;
-  relayed = other207.relayed;
-  leaving = other207.leaving;
-  quarantine = other207.quarantine;
-  limits = other207.limits;
-  __isset = other207.__isset;
+Digest::Digest(const Digest& other213) {
+  zone = other213.zone;
+  node = other213.node;
+  life = other213.life;
+  number = other213.number;
+  taking = other213.taking;
+  running = other213.running;
+  demand = other213.demand;
+  suspects_ms = other213.suspects_ms;
+  heard_ms = other213.heard_ms;
+  clock_ms = other213.clock_ms;
+  held_revision = other213.held_revision;
+  relayed = other213.relayed;
+  leaving = other213.leaving;
+  quarantine = other213.quarantine;
+  limits = other213.limits;
+  cut = other213.cut;
+  __isset = other213.__isset;
+}
+Digest& Digest::operator=(const Digest& other214) {
+  zone = other214.zone;
+  node = other214.node;
+  life = other214.life;
+  number = other214.number;
+  taking = other214.taking;
+  running = other214.running;
+  demand = other214.demand;
+  suspects_ms = other214.suspects_ms;
+  heard_ms = other214.heard_ms;
+  clock_ms = other214.clock_ms;
+  held_revision = other214.held_revision;
+  relayed = other214.relayed;
+  leaving = other214.leaving;
+  quarantine = other214.quarantine;
+  limits = other214.limits;
+  cut = other214.cut;
+  __isset = other214.__isset;
   return *this;
 }
 void Digest::printTo(std::ostream& out) const {
@@ -3242,6 +3302,7 @@
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "quarantine=" << to_string(quarantine);
   out << ", " << "limits=" << to_string(limits);
+  out << ", " << "cut=" << to_string(cut);
   out << ")";
 }
 
@@ -3372,19 +3433,19 @@
   swap(a.__isset, b.__isset);
 }
 
-FeedChange::FeedChange(const FeedChange& other208) {
-  key = other208.key;
-  revision = other208.revision;
-  deleted = other208.deleted;
-  value = other208.value;
-  __isset = other208.__isset;
+FeedChange::FeedChange(const FeedChange& other215) {
+  key = other215.key;
+  revision = other215.revision;
+  deleted = other215.deleted;
+  value = other215.value;
+  __isset = other215.__isset;
 }
-FeedChange& FeedChange::operator=(const FeedChange& other209) {
-  key = other209.key;
-  revision = other209.revision;
-  deleted = other209.deleted;
-  value = other209.value;
-  __isset = other209.__isset;
+FeedChange& FeedChange::operator=(const FeedChange& other216) {
+  key = other216.key;
+  revision = other216.revision;
+  deleted = other216.deleted;
+  value = other216.value;
+  __isset = other216.__isset;
   return *this;
 }
 void FeedChange::printTo(std::ostream& out) const {
@@ -3437,14 +3498,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size210;
-            ::apache::thrift::protocol::TType _etype213;
-            xfer += iprot->readListBegin(_etype213, _size210);
-            this->changes.resize(_size210);
-            uint32_t _i214;
-            for (_i214 = 0; _i214 < _size210; ++_i214)
+            uint32_t _size217;
+            ::apache::thrift::protocol::TType _etype220;
+            xfer += iprot->readListBegin(_etype220, _size217);
+            this->changes.resize(_size217);
+            uint32_t _i221;
+            for (_i221 = 0; _i221 < _size217; ++_i221)
             {
-              xfer += this->changes[_i214].read(iprot);
+              xfer += this->changes[_i221].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3473,10 +3534,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<FeedChange> ::const_iterator _iter215;
-    for (_iter215 = this->changes.begin(); _iter215 != this->changes.end(); ++_iter215)
+    std::vector<FeedChange> ::const_iterator _iter222;
+    for (_iter222 = this->changes.begin(); _iter222 != this->changes.end(); ++_iter222)
     {
-      xfer += (*_iter215).write(oprot);
+      xfer += (*_iter222).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3493,13 +3554,13 @@
   swap(a.__isset, b.__isset);
 }
 
-FeedChanges::FeedChanges(const FeedChanges& other216) {
-  changes = other216.changes;
-  __isset = other216.__isset;
+FeedChanges::FeedChanges(const FeedChanges& other223) {
+  changes = other223.changes;
+  __isset = other223.__isset;
 }
-FeedChanges& FeedChanges::operator=(const FeedChanges& other217) {
-  changes = other217.changes;
-  __isset = other217.__isset;
+FeedChanges& FeedChanges::operator=(const FeedChanges& other224) {
+  changes = other224.changes;
+  __isset = other224.__isset;
   return *this;
 }
 void FeedChanges::printTo(std::ostream& out) const {
@@ -3585,14 +3646,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size218;
-            ::apache::thrift::protocol::TType _etype221;
-            xfer += iprot->readListBegin(_etype221, _size218);
-            this->changes.resize(_size218);
-            uint32_t _i222;
-            for (_i222 = 0; _i222 < _size218; ++_i222)
+            uint32_t _size225;
+            ::apache::thrift::protocol::TType _etype228;
+            xfer += iprot->readListBegin(_etype228, _size225);
+            this->changes.resize(_size225);
+            uint32_t _i229;
+            for (_i229 = 0; _i229 < _size225; ++_i229)
             {
-              xfer += this->changes[_i222].read(iprot);
+              xfer += this->changes[_i229].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3653,10 +3714,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<FeedChange> ::const_iterator _iter223;
-    for (_iter223 = this->changes.begin(); _iter223 != this->changes.end(); ++_iter223)
+    std::vector<FeedChange> ::const_iterator _iter230;
+    for (_iter230 = this->changes.begin(); _iter230 != this->changes.end(); ++_iter230)
     {
-      xfer += (*_iter223).write(oprot);
+      xfer += (*_iter230).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3690,23 +3751,23 @@
   swap(a.__isset, b.__isset);
 }
 
-Feed::Feed(const Feed& other224) {
-  from_revision = other224.from_revision;
-  to_revision = other224.to_revision;
-  changes = other224.changes;
-  echo_ms = other224.echo_ms;
-  proof_age_ms = other224.proof_age_ms;
-  compressed_changes = other224.compressed_changes;
-  __isset = other224.__isset;
-}
-Feed& Feed::operator=(const Feed& other225) {
-  from_revision = other225.from_revision;
-  to_revision = other225.to_revision;
-  changes = other225.changes;
-  echo_ms = other225.echo_ms;
-  proof_age_ms = other225.proof_age_ms;
-  compressed_changes = other225.compressed_changes;
-  __isset = other225.__isset;
+Feed::Feed(const Feed& other231) {
+  from_revision = other231.from_revision;
+  to_revision = other231.to_revision;
+  changes = other231.changes;
+  echo_ms = other231.echo_ms;
+  proof_age_ms = other231.proof_age_ms;
+  compressed_changes = other231.compressed_changes;
+  __isset = other231.__isset;
+}
+Feed& Feed::operator=(const Feed& other232) {
+  from_revision = other232.from_revision;
+  to_revision = other232.to_revision;
+  changes = other232.changes;
+  echo_ms = other232.echo_ms;
+  proof_age_ms = other232.proof_age_ms;
+  compressed_changes = other232.compressed_changes;
+  __isset = other232.__isset;
   return *this;
 }
 void Feed::printTo(std::ostream& out) const {
--- a/src/network/gen/peer_types.h
+++ b/src/network/gen/peer_types.h
@@ -861,7 +861,7 @@
 std::ostream& operator<<(std::ostream& out, const Permits& obj);
 
 typedef struct _Pulse__isset {
-  _Pulse__isset() : node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), clock_ms(false), held_revision(false), heard_ms(false), settled(false), leaving(false), quarantine(false), limits(false) {}
+  _Pulse__isset() : node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), clock_ms(false), held_revision(false), heard_ms(false), settled(false), leaving(false), quarantine(false), limits(false), cut(false) {}
   bool node :1;
   bool life :1;
   bool number :1;
@@ -876,6 +876,7 @@
   bool leaving :1;
   bool quarantine :1;
   bool limits :1;
+  bool cut :1;
 } _Pulse__isset;
 
 class Pulse : public virtual ::apache::thrift::TBase {
@@ -890,7 +891,8 @@
           taking(0),
           clock_ms(0),
           held_revision(0),
-          settled(0) {
+          settled(0),
+          cut(0) {
   }
 
   virtual ~Pulse() noexcept;
@@ -908,6 +910,7 @@
   std::map<std::string, int64_t>  leaving;
   Quarantine quarantine;
   std::map<std::string, ServerLimit>  limits;
+  bool cut;
 
   _Pulse__isset __isset;
 
@@ -939,6 +942,8 @@
 
   void __set_limits(const std::map<std::string, ServerLimit> & val);
 
+  void __set_cut(const bool val);
+
   bool operator == (const Pulse & rhs) const
   {
     if (!(node == rhs.node))
@@ -969,6 +974,8 @@
       return false;
     if (!(limits == rhs.limits))
       return false;
+    if (!(cut == rhs.cut))
+      return false;
     return true;
   }
   bool operator != (const Pulse &rhs) const {
@@ -988,7 +995,7 @@
 std::ostream& operator<<(std::ostream& out, const Pulse& obj);
 
 typedef struct _Digest__isset {
-  _Digest__isset() : zone(false), node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), heard_ms(false), clock_ms(false), held_revision(false), relayed(false), leaving(false), quarantine(false), limits(false) {}
+  _Digest__isset() : zone(false), node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), heard_ms(false), clock_ms(false), held_revision(false), relayed(false), leaving(false), quarantine(false), limits(false), cut(false) {}
   bool zone :1;
   bool node :1;
   bool life :1;
@@ -1004,6 +1011,7 @@
   bool leaving :1;
   bool quarantine :1;
   bool limits :1;
+  bool cut :1;
 } _Digest__isset;
 
 class Digest : public virtual ::apache::thrift::TBase {
@@ -1037,6 +1045,7 @@
   std::map<std::string, int64_t>  leaving;
   Quarantine quarantine;
   std::map<std::string, ServerLimit>  limits;
+  std::set<std::string>  cut;
 
   _Digest__isset __isset;
 
@@ -1070,6 +1079,8 @@
 
   void __set_limits(const std::map<std::string, ServerLimit> & val);
 
+  void __set_cut(const std::set<std::string> & val);
+
   bool operator == (const Digest & rhs) const
   {
     if (!(zone == rhs.zone))
@@ -1102,6 +1113,8 @@
       return false;
     if (!(limits == rhs.limits))
       return false;
+    if (!(cut == rhs.cut))
+      return false;
     return true;
   }
   bool operator != (const Digest &rhs) const {
--- a/src/network/peer.thrift
+++ b/src/network/peer.thrift
@@ -122,6 +122,7 @@
   12: map<string, i64> leaving // Servers that have announced that they leave: start of that run.
   13: Quarantine quarantine // Earlier versions do not send it.
   14: map<string, ServerLimit> limits // At most 16. Earlier versions do not send it.
+  15: bool cut // The node reaches no server. Earlier versions do not send it.
 }
 
 // The sum of a zone's pulses, sent as a datagram by one node of the zone to the other zones. The
@@ -142,6 +143,7 @@
   13: map<string, i64> leaving // As in Pulse.
   14: Quarantine quarantine // As in Pulse.
   15: map<string, ServerLimit> limits // At most 64.
+  16: set<string> cut // Those of the live nodes that reach no server.
 }
 
 // A change of one key of the store.
--- a/src/network/pulse_socket.cpp
+++ b/src/network/pulse_socket.cpp
@@ -296,6 +296,7 @@
     wire.leaving = toWire(pulse.leaving);
     wire.quarantine = toWire(pulse.quarantine);
     wire.limits = toWire(pulse.limits);
+    wire.cut = pulse.cut;
     return toBytes(pulseTag, wire);
 }
 
@@ -316,6 +317,7 @@
     pulse.leaving = toLeaving(wire.leaving);
     pulse.quarantine = toNews(wire.quarantine);
     pulse.limits = toLimits(wire.limits, LimitBounds::reportedByNode);
+    pulse.cut = wire.cut;
     return pulse;
 }
 
@@ -337,6 +339,8 @@
     wire.leaving = toWire(digest.leaving);
     wire.quarantine = toWire(digest.quarantine);
     wire.limits = toWire(digest.limits);
+    for (const NodeId &node : digest.cut)
+        wire.cut.insert(node.value());
     wire.relayed = digest.relayed;
     return toBytes(digestTag, wire);
 }
@@ -359,6 +363,8 @@
     digest.leaving = toLeaving(wire.leaving);
     digest.quarantine = toNews(wire.quarantine);
     digest.limits = toLimits(wire.limits, LimitBounds::reportedByZone);
+    for (const std::string &node : wire.cut)
+        digest.cut.insert(NodeId(node));
     digest.relayed = wire.relayed;
     return digest;
 }
--- a/src/network/relay.cpp
+++ b/src/network/relay.cpp
@@ -13,6 +13,7 @@
 constexpr int ok = 200;
 constexpr int firstRedirect = 300;
 constexpr int misdirectedRequest = 421;
+constexpr int unavailable = 503;
 /// Reading from the server is paused when more unsent bytes than this wait for a slow caller, until
 /// all of them have been sent.
 constexpr std::size_t maxUnsentBytes = 128 * 1024;
@@ -32,7 +33,7 @@
     case ErrorCode::DeadlineExceeded:
         return 504;
     default: // The request cannot be served now, e.g. for lack of capacity.
-        return 503;
+        return unavailable;
     }
 }
 
@@ -88,7 +89,10 @@
                                       "request_rejected",
                                       {{"status", std::to_string(status)}, {"cause", cause}}});
                              }})
-    , m_backends(loop, m_dialect.traceHeader)
+    , m_backends(
+          loop, m_dialect.traceHeader,
+          LinkHooks {[this](const VmId &server) { m_requests.onLinkFailed(server, m_loop.now()); },
+                     [this](TimePoint openedAt) { m_requests.onLinkAnswered(openedAt); }})
 {
 }
 
@@ -380,6 +384,7 @@
     request.traceId = exchange.head.value(m_dialect.traceHeader);
     request.isHeadRequest = exchange.head.method == "HEAD";
     request.needsNewConnection = dispatch.needsNewConnection;
+    request.isToNode = !dispatch.node.value().empty();
     BackendHooks hooks;
     hooks.onResponseHead = [this, id, attempt](const MessageHead &head) {
         onResponseHead(id, attempt, head);
@@ -441,6 +446,9 @@
         headers.emplace_back(m_dialect.traceHeader, traceId);
     if (refuse.retryAfter)
         headers.emplace_back("Retry-After", formatRetryAfter(*refuse.retryAfter));
+    const bool isForNode = found->second.head.find(m_dialect.forwardedHeader) != nullptr;
+    if (isForNode && refuse.run == RunOutcome::NotRun && toHttpStatus(refuse.code) == unavailable)
+        headers.emplace_back(m_dialect.notExecutedHeader, "1");
     m_exchanges.erase(found);
     m_hooks.refused(refuse.code);
     m_callers.reply(toExchangeId(refuse.request), toHttpStatus(refuse.code), headers,
--- a/src/network/relay.h
+++ b/src/network/relay.h
@@ -38,6 +38,8 @@
         writeAttempt;
     std::function<ResponseDetails(const MessageHead &)> readResponse;
     std::string traceHeader; ///< Name of the header with the request's id, in both directions.
+    std::string forwardedHeader; ///< Of requests that a node passes on to another one.
+    std::string notExecutedHeader; ///< Of responses to requests that did not run.
 };
 
 /// Callbacks for the log and the metrics of requests.
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -42,6 +42,7 @@
 constexpr Duration leaseDuration {10'000};
 constexpr Duration leaseRenewInterval {3'000}; ///< Allows three tries within the lease time.
 constexpr Duration orderTimeout {1'500};
+constexpr Duration linkProbeTimeout {400};
 constexpr Duration probeTimeout {150}; ///< Many times the round-trip time to a server.
 /// Entries that expired while the store was unreachable reappear within this time after it is
 /// reachable again, if the server is alive: 2 s, plus 1 s for the propagation through the store.
@@ -391,6 +392,7 @@
     updateReadiness(now);
     runFormation(now);
     m_relay.tick(now);
+    probeLinks(now);
     sendPermitMessages(now);
     flushLog();
     if (m_stopping)
@@ -407,11 +409,14 @@
     own.settled = m_membership.isSettled(now);
     own.running = m_backends.ownRunning();
     own.demand = m_requests.demand(now);
-    own.suspects = m_backends.suspects(now);
+    // A node without links suspects all servers.
+    if (!m_requests.areLinksInDoubt())
+        own.suspects = m_backends.suspects(now);
     own.recentProgress = m_backends.recentProgress(now);
     own.leaving = m_backends.recentlyLeaving(now);
     own.quarantine = m_requests.quarantineNews(now);
     own.limits = m_requests.limitNews(now);
+    own.cut = m_requests.isCut();
     own.clock = now;
     own.held = m_mirror.held();
     return own;
@@ -422,9 +427,30 @@
     m_lastPulseAt = now;
     m_pulseSocket->send(nextPulse(now), m_membership.ownZonePeers());
     m_requests.setNodes(m_membership.share(now));
+    m_requests.setPeers(m_membership.servingPeers(now));
     m_requests.setLimitNodes(m_membership.limitNodes(now), m_incarnation, m_startedAt, now);
 }
 
+void ServingDaemon::probeLinks(TimePoint now)
+{
+    if (m_membership.isCut() != m_requests.isCut()) {
+        m_membership.setCut(m_requests.isCut());
+        pulse(now);
+    }
+    for (const VmId &server : m_requests.takeLinkProbes(now)) {
+        HttpCall call = m_dialect.writeProbe({server, m_backends.find(server)->report.address});
+        call.timeLimit = linkProbeTimeout;
+        call.useNewConnection = true;
+        ++m_linkProbes;
+        HttpHooks hooks;
+        hooks.onResponse = [this, now](const HttpResponse &) { m_requests.onLinkAnswered(now); };
+        hooks.onFailure = [this, server](const HttpFailure &) {
+            m_requests.onLinkFailed(server, m_loop.now());
+        };
+        m_http.send(call, std::move(hooks));
+    }
+}
+
 void ServingDaemon::sendPermitMessages(TimePoint now)
 {
     for (const auto &[node, message] : m_requests.takePermitMessages(now)) {
@@ -645,7 +671,8 @@
         m_formation.onMemberProbed({vm, response.status == ok}, m_loop.now());
     };
     hooks.onFailure = [this, vm = probe.vm](const HttpFailure &) {
-        m_formation.onMemberProbed({vm, false}, m_loop.now());
+        m_requests.onLinkFailed(vm, m_loop.now());
+        m_formation.onMemberProbed({vm, false, !m_requests.areLinksInDoubt()}, m_loop.now());
     };
     m_http.send(call, std::move(hooks));
 }
@@ -733,6 +760,10 @@
     out << gaugeText({"backend_servers", "Servers known.", static_cast<double>(m_backends.size())});
     out << gaugeText({"quarantined_parts", "Parts of prompts that no request may contain.",
                       static_cast<double>(m_requests.quarantinedParts())});
+    out << gaugeText(
+        {"cut_off", "1 while this node reaches no server.", m_requests.isCut() ? 1.0 : 0.0});
+    out << gaugeText({"link_probes", "Connections opened to find out whether servers are reached.",
+                      static_cast<double>(m_linkProbes)});
     out << gaugeText({"limited_servers", "Servers that have named a limit on their request rate.",
                       static_cast<double>(m_requests.limitedServers(m_loop.now()))});
     out << gaugeText({"owned_domains", "Fabric domains that this node forms groups in.",
--- a/src/network/serving_daemon.h
+++ b/src/network/serving_daemon.h
@@ -101,6 +101,8 @@
     /// Adopts the servers that a peer reports as leaving.
     void mergeLeaving(const LeavingRuns &runs, const NodeId &peer, TimePoint now);
     void onPermitMessage(const PermitMessage &message);
+    /// Opens connections to servers if this node may have lost its links to them.
+    void probeLinks(TimePoint now);
     /// Sends what this node asks of other nodes for servers with a limit.
     void sendPermitMessages(TimePoint now);
     /// Adopts and logs what another node knows of the limits of servers.
@@ -171,6 +173,7 @@
     bool m_recordStored = false; ///< This node's record is stored under the lease.
     bool m_leaseCallInProgress = false; ///< A call for the lease is in progress.
     TimePoint m_lastLeaseCallAt; ///< Time of the last call for the lease.
+    std::uint64_t m_linkProbes = 0;
     bool m_ready = false;
     bool m_stopping = false;
     TimePoint m_stopAt;
--- a/src/platform/platform_dialect.cpp
+++ b/src/platform/platform_dialect.cpp
@@ -34,6 +34,8 @@
 /// The parts of the prompt in order: ID:TOKENS, comma-separated.
 constexpr const char *promptPartsHeader = "X-Prompt-Prefix";
 constexpr const char *notExecutedHeader = "X-Not-Executed";
+/// Between nodes: the attempts that are left, for a request that one passes on to another.
+constexpr const char *forwardedHeader = "X-Bramleypitch-Attempts";
 constexpr const char *faultyServerHeader = "At-Server";
 constexpr const char *instanceHeader = "X-Instance-Id"; ///< The server that responded.
 constexpr const char *leavingHeader = "Server-Leaving"; ///< "1": the server that responded leaves.
@@ -47,13 +49,14 @@
 constexpr std::string_view bearerPrefix = "Bearer ";
 
 /// Headers of a caller's request that are not forwarded: they are consumed here or replaced.
-constexpr std::array<std::string_view, 7> reservedHeaders {"authorization",
+constexpr std::array<std::string_view, 8> reservedHeaders {"authorization",
                                                            "x-tenant-id",
                                                            "x-expect-instance",
                                                            "x-request-deadline",
                                                            "x-request-priority",
                                                            "content-length",
-                                                           "expect"};
+                                                           "expect",
+                                                           "x-bramleypitch-attempts"};
 
 bool isReserved(std::string_view name)
 {
@@ -137,6 +140,8 @@
     arrival.completionTokens = parseNumberAt(tokens, 1);
     if (const std::string *expected = head.find(lengthHintHeader))
         arrival.completionTokens = std::min(parseNumberAt(*expected, 0), arrival.completionTokens);
+    if (const std::string *attempts = head.find(forwardedHeader))
+        arrival.attemptsLeft = static_cast<std::uint32_t>(parseNumberAt(*attempts, 0));
     if (const std::string *remainingTime = head.find(deadlineHeader)) {
         const double value = parseNumberAt(*remainingTime, 0);
         if (value > 0)
@@ -161,7 +166,14 @@
     if (!lastEvent.empty())
         add(lastEventIdHeader, lastEvent);
     add(deadlineHeader, std::to_string(dispatch.timeLeft.count()));
-    add(expectInstanceHeader, dispatch.server.value());
+    if (!dispatch.node.value().empty()) {
+        // The other node checks the key again, and chooses the server.
+        add(forwardedHeader, std::to_string(dispatch.attemptsLeft));
+        if (const std::string *key = head.find("authorization"))
+            add("Authorization", *key);
+    } else {
+        add(expectInstanceHeader, dispatch.server.value());
+    }
     if (!dispatch.organisation.value().empty())
         add(organisationHeader, dispatch.organisation.value());
     if (bodyLength > 0 || head.find("content-length") || head.find("transfer-encoding"))
@@ -303,6 +315,8 @@
     dialect.writeAttempt = writeAttempt;
     dialect.readResponse = readResponse;
     dialect.traceHeader = requestIdHeader;
+    dialect.forwardedHeader = forwardedHeader;
+    dialect.notExecutedHeader = notExecutedHeader;
     return dialect;
 }
 
--- a/src/request/backend_base.cpp
+++ b/src/request/backend_base.cpp
@@ -365,8 +365,10 @@
                                        TimePoint now)
 {
     for (const auto &[id, ago] : recentProgress) {
-        if (Backend *backend = find(id))
+        if (Backend *backend = find(id)) {
+            backend->peerProgress = std::max(backend->peerProgress, now - ago);
             recordProgress(*backend, now - ago);
+        }
     }
 }
 
--- a/src/request/backend_base.h
+++ b/src/request/backend_base.h
@@ -99,6 +99,11 @@
     {
         m_pool.forEach([&](BackendIndex index, Backend &backend) { visit(index, backend); });
     }
+    template<typename Visit>
+    void forEach(Visit visit) const
+    {
+        m_pool.forEach([&](BackendIndex index, const Backend &backend) { visit(index, backend); });
+    }
     std::size_t size() const { return m_byId.size(); }
 
 private:
--- a/src/request/backend_type.h
+++ b/src/request/backend_type.h
@@ -103,6 +103,7 @@
     TimePoint ownSuspectUntil; ///< The part of the suspicion that own requests caused.
     TimePoint lastProgress; ///< When it last sent an event or a response to any node.
     TimePoint unreachableAt; ///< When a connection of this node to it last failed.
+    TimePoint peerProgress; ///< When it last sent something to another node, as last reported.
     TimePoint ownProgress; ///< When it last sent an event or a response to this node.
     TimePoint ownRunningSince; ///< Start of the time with at least one own request running.
     double eventGapMs = 0; ///< Smoothed milliseconds between stream events. 0 if not measured yet.
--- a/src/request/membership_base.cpp
+++ b/src/request/membership_base.cpp
@@ -138,6 +138,7 @@
     peer.pulse = pulse;
     peer.seenAt = now;
     peer.taking = pulse.taking;
+    peer.cut = pulse.cut;
     peer.seenSinceReport = true;
     return true;
 }
@@ -158,6 +159,7 @@
         Peer &peer = m_peers[node];
         peer.seenAt = now;
         peer.taking = taking;
+        peer.cut = digest.cut.count(node) > 0;
         peer.seenSinceReport = true;
     }
     for (auto &[node, peer] : m_peers) {
@@ -196,11 +198,15 @@
 
 std::vector<NodeId> MembershipTable::dutyNodes(TimePoint now) const
 {
-    Records records {&m_options.own};
+    Records records;
+    Records cut;
+    (m_cut ? cut : records).push_back(&m_options.own);
     for (const auto &[node, peer] : m_peers) {
         if (peer.record && alive(peer, now))
-            records.push_back(&*peer.record);
+            (peer.cut ? cut : records).push_back(&*peer.record);
     }
+    if (records.empty())
+        records = cut;
     keepLargest(records);
     std::vector<NodeId> nodes;
     for (const MembershipRecord *record : records)
@@ -331,6 +337,8 @@
     std::vector<std::pair<VmId, ReportedLimit>> limits;
     const auto add = [&](const Pulse &pulse, Duration age) {
         sum.taking[pulse.node] = pulse.taking;
+        if (pulse.cut)
+            sum.cut.insert(pulse.node);
         for (const auto &[server, count] : pulse.running)
             sum.running[server] += count;
         addTo(sum.demand, pulse.demand);
@@ -409,6 +417,16 @@
     return std::move(nodes);
 }
 
+std::vector<PeerNode> MembershipTable::servingPeers(TimePoint now) const
+{
+    std::vector<PeerNode> peers;
+    for (const auto &[node, peer] : m_peers) {
+        if (peer.record && peer.taking && !peer.cut && alive(peer, now))
+            peers.push_back({node, peer.record->front, isInOwnZone(peer)});
+    }
+    return peers;
+}
+
 std::optional<Address> MembershipTable::peerAddress(const NodeId &node) const
 {
     const auto found = m_peers.find(node);
--- a/src/request/membership_base.h
+++ b/src/request/membership_base.h
@@ -2,6 +2,7 @@
 
 #include "request/cold_start_limit.h"
 #include "request/membership_type.h"
+#include "request/request_type.h"
 
 #include <optional>
 #include <string>
@@ -42,6 +43,9 @@
     bool onDigest(const ZoneDigest &digest, TimePoint now);
     /// Whether this node takes requests of callers.
     void setAccepting(bool taking) { m_accepting = taking; }
+    /// Whether this node reaches no server.
+    void setCut(bool cut) { m_cut = cut; }
+    bool isCut() const { return m_cut; }
     /// This node is about to stop and no longer represents its zone.
     void setLeaving() { m_leaving = true; }
     /// Whether this node has run long enough to have received a pulse of every live node of its
@@ -55,7 +59,8 @@
     /// record.
     bool isLive(const NodeId &node, TimePoint now) const;
     /// The live nodes that share the duties of the fleet, sorted by name: those with at least half
-    /// of the processor share of the largest one. A small node has no share to spare for duties.
+    /// of the processor share of the largest one. A small node has no share to spare for duties. A
+    /// node that reaches no server has none unless all are like that.
     std::vector<NodeId> dutyNodes(TimePoint now) const;
     /// Nodes that became silent since the last call. The caller discards their running requests.
     std::vector<NodeId> takeSilentNodes(TimePoint now);
@@ -93,6 +98,8 @@
     /// share(), without those that are silent if at least two thirds are not. A smaller part of the
     /// nodes may be cut off from the others, and must not take their shares.
     std::vector<NodeId> limitNodes(TimePoint now) const;
+    /// The other live nodes that take requests and reach servers.
+    std::vector<PeerNode> servingPeers(TimePoint now) const;
     /// Address to which messages for a node are sent; none if it has no record.
     std::optional<Address> peerAddress(const NodeId &node) const;
     /// Number of nodes of this node's zone that have a record, including this one.
@@ -115,6 +122,7 @@
         Pulse pulse; ///< The last pulse, for nodes of this node's zone.
         TimePoint seenAt; ///< When its last pulse, or the last digest that lists it, arrived.
         bool taking = false; ///< Whether it takes requests, by its last pulse or digest.
+        bool cut = false; ///< Whether it reaches no server, by the same.
         bool seenSinceReport = false; ///< It was not reported as silent since it was last seen.
     };
     struct Zone
@@ -139,6 +147,7 @@
     std::map<ZoneId, Zone> m_zones; ///< Other zones from which a digest arrived.
     bool m_accepting = false;
     bool m_leaving = false;
+    bool m_cut = false;
 };
 
 } // namespace bramleypitch
--- a/src/request/membership_type.h
+++ b/src/request/membership_type.h
@@ -5,6 +5,7 @@
 #include "request/server_limit_type.h"
 
 #include <map>
+#include <set>
 
 namespace bramleypitch {
 
@@ -40,6 +41,7 @@
     LeavingRuns leaving; ///< Servers that have announced that they leave.
     QuarantineNews quarantine; ///< What it knows of parts of prompts.
     LimitNews limits; ///< What answers told it of the limits of servers.
+    bool cut = false; ///< It reaches no server.
 };
 
 /// Aggregate of the pulses of a zone, which one of its nodes sends to the other zones. The number
@@ -58,6 +60,7 @@
     LeavingRuns leaving;
     QuarantineNews quarantine;
     LimitNews limits;
+    std::set<NodeId> cut; ///< Those of the live nodes that reach no server.
     TimePoint clock; ///< Send time by the clock of the author, as in a pulse.
     Revision held; ///< Store revision that the author holds in full.
     bool relayed = false; ///< It was already forwarded within the zone of the receiver.
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -9,6 +9,7 @@
 #include <cmath>
 #include <cstdio>
 #include <limits>
+#include <tuple>
 #include <utility>
 
 namespace bramleypitch {
@@ -43,6 +44,17 @@
 constexpr int retrySpreadDivisor = 2;
 constexpr Duration minRetrySpread {200};
 constexpr int minServerErrorStatus = 500;
+/// Requests that this node has passed on to one other node, and those that it takes from others.
+constexpr std::size_t maxForwardedPerNode = 64;
+constexpr std::size_t maxTakenOver = 256;
+/// A request that could not be sent to so many servers is passed on.
+constexpr std::uint32_t unsentAttemptsBeforeForward = 2;
+/// A node replaces stalled streams itself. Only one that is silent for longer is replaced.
+constexpr Duration nodeStallTimeout {2'000};
+constexpr Duration linkCheckInterval {100};
+/// An attempt without an answer for this time, while no server sends anything, is silent.
+constexpr Duration linkSilence {400};
+const std::string nodePrefix = "node/"; ///< No server has such a name.
 /// A server that has been writing a response for this time is not crashed by its prompt. One that
 /// completes a shorter response may still end.
 constexpr Duration soundWritingTime {1'000};
@@ -100,6 +112,7 @@
     : m_options(std::move(options))
     , m_backends(backends)
     , m_quarantine(quarantineHooks())
+    , m_links(backends)
 {
 }
 
@@ -115,7 +128,7 @@
     hooks.hasEnded = [this](const ServerRun &run) {
         const Backend *backend = m_backends.find(run.server);
         return !backend || m_backends.newestStart(run.server) != run.startedAt
-            || backend->unreachableAt > backend->lastProgress;
+            || (!areLinksInDoubt() && backend->unreachableAt > backend->lastProgress);
     };
     hooks.mayTry = [this](PromptPart part) {
         return part.value() % std::max<std::uint32_t>(m_nodes.count, 1) == m_nodes.nodeIndex;
@@ -148,7 +161,8 @@
     for (const auto &[model, refused] : m_refusedDemand)
         sum[model] = refusedSlots(refused, now);
     for (const auto &[id, request] : m_requests) {
-        if (!request.arrival.model.value().empty())
+        const bool isForwarded = request.running && !request.current.node.value().empty();
+        if (!request.arrival.model.value().empty() && !isForwarded)
             sum[request.arrival.model] += request.slotsNeeded;
     }
     return sum;
@@ -235,6 +249,12 @@
     Request &request = m_requests[arrival.request];
     request.arrival = arrival;
     request.arrivedAt = now;
+    if (arrival.attemptsLeft)
+        ++m_takenOver;
+    if (arrival.attemptsLeft && (isCut() || m_takenOver > maxTakenOver)) {
+        refuse(request, ErrorCode::NoCapacity, minRetryAfter, "forwarded", now, actions);
+        return;
+    }
     if (const std::optional<ErrorCode> denied = denial(arrival, now)) {
         const bool temporary = *denied == ErrorCode::ConfigurationStale;
         refuse(request, *denied,
@@ -246,7 +266,8 @@
     request.configuration = m_configuration;
     request.route = route.name;
     request.kind = route.kind;
-    request.maxAttempts = std::max<std::uint32_t>(route.maxAttempts, 1);
+    request.maxAttempts = std::max<std::uint32_t>(
+        std::min(route.maxAttempts, arrival.attemptsLeft.value_or(route.maxAttempts)), 1);
     request.priority = route.priority;
     if (!route.keyless) {
         if (const ServedOrganisation *organisation = m_configuration->findKey(arrival.key)) {
@@ -284,7 +305,8 @@
         refuse(request, ErrorCode::NoCapacity, minRetryAfter, "stopping", now, actions);
         return;
     }
-    retries(request.service).onRequest(now);
+    if (!arrival.attemptsLeft) // Counted by the node that took it from its caller.
+        retries(request.service).onRequest(now);
     enqueue(request, now);
     const TargetKey key {request.service, arrival.model};
     dispatchWaiting(m_targets[key], now, actions);
@@ -390,7 +412,12 @@
             refuseWaiting(target, choice.availableAt, now, actions);
         if (choice.outcome == TargetChoice::Outcome::Limited)
             refuseWithoutPermit(target, choice.availableAt, now, actions);
-        if (choice.outcome != TargetChoice::Outcome::Chosen)
+        // Servers that are full for this node by what it knows may have room for others.
+        const bool mayForward = mustForward(request)
+            && (choice.outcome == TargetChoice::Outcome::Chosen
+                || choice.outcome == TargetChoice::Outcome::Full);
+        const PeerNode *peer = mayForward ? choosePeer(request) : nullptr;
+        if (!peer && choice.outcome != TargetChoice::Outcome::Chosen)
             return;
         target.waiting.erase(target.waiting.begin() + static_cast<std::ptrdiff_t>(next));
         // A response that has begun was permitted when its request arrived.
@@ -399,6 +426,10 @@
             refuse(request, ErrorCode::ConfigurationStale, minRetryAfter, "changed", now, actions);
             continue;
         }
+        if (isCut() && request.arrival.attemptsLeft && !request.responseStarted) {
+            refuse(request, ErrorCode::NoCapacity, minRetryAfter, "forwarded", now, actions);
+            continue;
+        }
         if (m_quarantine.quarantinedUntil(request.parts, now)) {
             refuseQuarantined(request, now, actions);
             continue;
@@ -407,8 +438,85 @@
             refuse(request, ErrorCode::DeadlineUnreachable, std::nullopt, "deadline", now, actions);
             continue;
         }
-        dispatch(request, choice.server, now, actions);
+        if (peer)
+            forward(request, *peer, now, actions);
+        else
+            dispatch(request, choice.server, now, actions);
+    }
+}
+
+bool RequestSystem::mustForward(const Request &request) const
+{
+    return !request.arrival.attemptsLeft
+        && (isCut() || request.unsentAttempts >= unsentAttemptsBeforeForward);
+}
+
+const PeerNode *RequestSystem::choosePeer(const Request &request) const
+{
+    const PeerNode *best = nullptr;
+    std::tuple<std::size_t, bool, std::uint64_t> lowest;
+    for (const PeerNode &peer : m_peers) {
+        const VmId name(nodePrefix + peer.node.value());
+        const auto open = m_forwarded.find(peer.node);
+        const std::size_t count = open == m_forwarded.end() ? 0 : open->second;
+        const std::tuple rank {count, !peer.isOwnZone,
+                               rendezvousWeight(request.arrival.traceId, name.value())};
+        const bool isTried =
+            std::find(request.tried.begin(), request.tried.end(), name) != request.tried.end();
+        if (isTried || count >= maxForwardedPerNode || (best && rank >= lowest))
+            continue;
+        best = &peer;
+        lowest = rank;
+    }
+    return best;
+}
+
+void RequestSystem::forward(Request &request, const PeerNode &peer, TimePoint now,
+                            RequestActions &actions)
+{
+    DispatchAttempt action = startAttempt(request, VmId(nodePrefix + peer.node.value()), now);
+    request.current.node = peer.node;
+    ++m_forwarded[peer.node];
+    action.node = peer.node;
+    action.attemptsLeft =
+        request.maxAttempts - std::min(request.attemptsUsed - 1, request.maxAttempts - 1);
+    action.address = peer.front;
+    // The peer may be closing one that is open.
+    action.needsNewConnection =
+        action.needsNewConnection || request.kind == RequestKind::AtMostOnce;
+    actions.push_back(action);
+    actions.push_back(LogDecision {request.arrival.traceId,
+                                   "request_forwarded",
+                                   {{"peer", peer.node.value()},
+                                    {"attempt", std::to_string(request.lastAttempt.value())},
+                                    {"cut", isCut() ? "true" : "false"},
+                                    {"left_ms", millisecondsText(action.timeLeft)}}});
+}
+
+void RequestSystem::checkLinks(TimePoint now, RequestActions &actions)
+{
+    if (now - m_linksAt < linkCheckInterval)
+        return;
+    m_linksAt = now;
+    bool isSilent = false;
+    for (const auto &[id, request] : m_requests) {
+        const Attempt &current = request.current;
+        isSilent = isSilent
+            || (request.running && current.isWritten && current.node.value().empty()
+                && now - std::max(current.sentAt, request.lastProgress) > linkSilence);
     }
+    if (isSilent) {
+        m_backends.forEach([&](BackendIndex, const Backend &backend) {
+            isSilent = isSilent && now - backend.ownProgress > linkSilence;
+        });
+    }
+    if (!m_links.check(isSilent, now))
+        return;
+    actions.push_back(LogDecision {"",
+                                   isCut() ? "servers_unreachable" : "servers_reachable",
+                                   {{"servers", std::to_string(m_backends.size())},
+                                    {"peers", std::to_string(m_peers.size())},
+                                    {"open_requests", std::to_string(open())}}});
 }
 
 void RequestSystem::refuseWaiting(Target &target, TimePoint pausedUntil, TimePoint now,
@@ -529,16 +637,8 @@
                              RequestActions &actions)
 {
     Backend &backend = *m_backends.find(server);
-    if (request.lastAttempt.value() > request.unsentAttempts)
-        retries(request.service).onRetry(now);
-    request.lastAttempt = AttemptNumber(request.lastAttempt.value() + 1);
-    request.current = {request.lastAttempt, backend.report.id,
-                       m_backends.newestStart(backend.report.id), now};
-    request.running = true;
-    request.lastProgress = now;
-    request.readingPaused = false;
-    request.stallLogged = false;
-    ++request.attemptsUsed;
+    DispatchAttempt action = startAttempt(request, backend.report.id, now);
+    request.current.serverStartedAt = m_backends.newestStart(backend.report.id);
     request.current.isTrial = m_quarantine.onDispatched(request.parts, now);
     m_backends.onDispatched(backend, now);
     if (!m_limits.empty())
@@ -546,15 +646,8 @@
             m_permits.take({request.current.server, request.current.serverStartedAt}, now);
     if (now < backend.coldUntil)
         backend.lastColdDispatchAt = now;
-    DispatchAttempt action;
-    action.request = request.arrival.request;
-    action.attempt = request.current.number;
-    action.server = backend.report.id;
     action.address = backend.report.address;
     action.organisation = request.organisation;
-    action.timeLeft = request.deadline - now;
-    action.needsNewConnection = request.lastAttempt.value() > 1;
-    action.keepsPrevious = !request.stalled.empty();
     actions.push_back(action);
     actions.push_back(
         LogDecision {request.arrival.traceId,
@@ -569,8 +662,38 @@
                       {"version", std::to_string(m_configuration->version)}}});
 }
 
+DispatchAttempt RequestSystem::startAttempt(Request &request, const VmId &server, TimePoint now)
+{
+    if (request.lastAttempt.value() > request.unsentAttempts)
+        retries(request.service).onRetry(now);
+    request.lastAttempt = AttemptNumber(request.lastAttempt.value() + 1);
+    request.current = Attempt();
+    request.current.number = request.lastAttempt;
+    request.current.server = server;
+    request.current.sentAt = now;
+    request.running = true;
+    request.lastProgress = now;
+    request.readingPaused = false;
+    request.stallLogged = false;
+    ++request.attemptsUsed;
+    DispatchAttempt action;
+    action.request = request.arrival.request;
+    action.attempt = request.current.number;
+    action.server = server;
+    action.timeLeft = request.deadline - now;
+    action.needsNewConnection = request.lastAttempt.value() > 1;
+    action.keepsPrevious = !request.stalled.empty();
+    return action;
+}
+
 void RequestSystem::releaseServer(const Request &request, const Attempt &attempt)
 {
+    if (!attempt.node.value().empty()) {
+        if (const auto forwarded = m_forwarded.find(attempt.node);
+            forwarded != m_forwarded.end() && --forwarded->second == 0)
+            m_forwarded.erase(forwarded);
+        return;
+    }
     if (Backend *backend = m_backends.find(attempt.server); backend && backend->ownRunning > 0)
         --backend->ownRunning;
     if (attempt.permit && !attempt.isWritten)
@@ -608,6 +731,8 @@
                                     [&](const auto &other) { return other.request == id; });
     if (entry != waiting.end())
         waiting.erase(entry);
+    if (found->second.arrival.attemptsLeft)
+        --m_takenOver;
     m_requests.erase(found);
 }
 
@@ -680,6 +805,8 @@
         || found->second.current.number != attempt)
         return false;
     const Attempt &current = found->second.current;
+    if (!current.node.value().empty())
+        return !m_quarantine.quarantinedUntil(found->second.parts, now);
     const Backend *backend = m_backends.find(current.server);
     const bool isPermitted = current.permit
         ? PermitTable::isValid(*current.permit, now)
@@ -698,6 +825,8 @@
     Attempt &current = request->current;
     current.sentAt = now;
     current.isWritten = true;
+    if (!current.node.value().empty())
+        return;
     if (!current.permit && !m_limits.empty())
         current.permit = m_permits.take({current.server, current.serverStartedAt}, now);
     if (current.permit)
@@ -712,6 +841,9 @@
     if (!request)
         return;
     const Attempt &addressed = attemptOf(*request, attempt);
+    // Another node's refusals ask nothing of servers.
+    if (!addressed.node.value().empty() && notice.server.value().empty())
+        return;
     const ServerRun run = respondingRun(addressed, notice);
     const auto log = [&](LogDecision note) {
         note.traceId = request->arrival.traceId;
@@ -725,7 +857,7 @@
         if (const auto change = m_limits.onAnswer(run, *notice.limit, addressed.sentAt, now))
             log(limitNote(*change));
     }
-    if (notice.pause && *notice.pause > Duration(0)) {
+    if (notice.pause && *notice.pause > Duration(0) && addressed.node.value().empty()) {
         m_backends.pause(run.server, now + *notice.pause, now);
         log({"",
              "server_paused",
@@ -853,7 +985,9 @@
         m_backends.onProgress(*backend, now);
     request->hasResponse = true;
     request->mayHaveRun = true;
+    // Another node has made the repeats that are permitted itself.
     const bool mayRetry = status >= minServerErrorStatus
+        && attemptOf(*request, attempt).node.value().empty()
         && (request->kind == RequestKind::Repeatable
             || (request->kind == RequestKind::ResumableStream && !request->responseStarted));
     if (mayRetry) {
@@ -884,7 +1018,7 @@
 
 void RequestSystem::recordBreak(const Request &request, const Attempt &attempt, TimePoint now)
 {
-    if (!request.parts.empty() && !attempt.isKnownSound)
+    if (!request.parts.empty() && !attempt.isKnownSound && attempt.node.value().empty())
         m_quarantine.onBroken(request.parts, {attempt.server, attempt.serverStartedAt},
                               request.identity, now);
 }
@@ -897,7 +1031,7 @@
     attempts.push_back(request.current);
     for (const Attempt &attempt : attempts) {
         const Backend *backend = m_backends.find(attempt.server);
-        if (!attempt.isWritten || attempt.isKnownSound)
+        if (!attempt.isWritten || attempt.isKnownSound || !attempt.node.value().empty())
             continue;
         m_quarantine.onDoubtfulEnd(
             request.parts, {attempt.server, attempt.serverStartedAt}, request.identity,
@@ -909,7 +1043,7 @@
 void RequestSystem::recordEnd(const Request &request, const Attempt &attempt, ResponseEnd end,
                               TimePoint now)
 {
-    if (request.parts.empty() || attempt.isKnownSound)
+    if (request.parts.empty() || attempt.isKnownSound || !attempt.node.value().empty())
         return;
     const bool isLong = attempt.firstEventAt && now - *attempt.firstEventAt >= soundWritingTime;
     if (end == ResponseEnd::Framed && isLong)
@@ -995,7 +1129,8 @@
         addTried(*request, request->current.server);
     suspectAfterFailure(request->current, failure, faultyServer, now);
     const Backend *backend = m_backends.find(request->current.server);
-    const bool isServerUnlisted = !backend || backend->listing != Listing::Listed;
+    const bool isOfNode = !request->current.node.value().empty();
+    const bool isServerUnlisted = !isOfNode && (!backend || backend->listing != Listing::Listed);
     bool mayRetry = true;
     const char *cause = "broken";
     switch (failure) {
@@ -1010,10 +1145,12 @@
         --request->attemptsUsed;
         break;
     case AttemptFailure::NotExecuted:
-        cause = "not_executed";
-        break;
     case AttemptFailure::Paused:
-        cause = "paused";
+        cause = failure == AttemptFailure::Paused ? "paused" : "not_executed";
+        if (isOfNode) { // No server had it.
+            ++request->unsentAttempts;
+            --request->attemptsUsed;
+        }
         break;
     case AttemptFailure::Misdirected:
         cause = "misdirected";
@@ -1105,6 +1242,8 @@
 {
     if (request.readingPaused)
         return false;
+    if (!request.current.node.value().empty())
+        return now - request.lastProgress > nodeStallTimeout;
     const Backend *backend = m_backends.find(request.current.server);
     if (!backend)
         return now - request.lastProgress > m_options.streamStallTimeout;
@@ -1125,8 +1264,10 @@
     avoided.push_back(request.current.server);
     input.tried = &avoided;
     const TargetChoice choice = chooseTarget(m_backends, input, now);
-    const bool hasOther = choice.outcome == TargetChoice::Outcome::Chosen
-        && now >= m_backends.find(choice.server)->suspectUntil;
+    const PeerNode *peer = mustForward(request) ? choosePeer(request) : nullptr;
+    const bool hasOther = peer
+        || (choice.outcome == TargetChoice::Outcome::Chosen
+            && now >= m_backends.find(choice.server)->suspectUntil);
     const bool replaced = hasOther && mayRepeat(request, now);
     if (replaced || !request.stallLogged) {
         actions.push_back(
@@ -1144,7 +1285,10 @@
     request.mayHaveRun = true;
     addTried(request, request.current.server);
     request.stalled.push_back(request.current);
-    dispatch(request, choice.server, now, actions);
+    if (peer)
+        forward(request, *peer, now, actions);
+    else
+        dispatch(request, choice.server, now, actions);
 }
 
 void RequestSystem::checkDeadlines(TimePoint now, RequestActions &actions)
@@ -1184,6 +1328,7 @@
         }
         m_ratesAt = now;
     }
+    checkLinks(now, actions);
     for (auto &[key, target] : m_targets)
         dispatchWaiting(target, now, actions);
     if (!m_limits.empty())
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -6,6 +6,7 @@
 #include "request/request_type.h"
 #include "request/retry_allowance.h"
 #include "request/server_limit_base.h"
+#include "request/server_links.h"
 #include "request/server_permit_base.h"
 #include "request/target_choice.h"
 
@@ -65,6 +66,21 @@
     void setStopDeadline(TimePoint deadline) { m_stopDeadline = deadline; }
     /// Sets the number of nodes that share the limits of the servers, and the index of this node.
     void setNodes(NodeShare nodes) { m_nodes = nodes; }
+    /// Sets the other nodes to which requests are passed on while this one reaches no server.
+    void setPeers(std::vector<PeerNode> peers) { m_peers = std::move(peers); }
+    /// A connection to a server could not be opened, or had no answer.
+    void onLinkFailed(const VmId &server, TimePoint now) { m_links.onFailed(server, now); }
+    /// A server answered on a connection that was opened at the given time.
+    void onLinkAnswered(TimePoint openedAt) { m_links.onAnswered(openedAt); }
+    /// Servers to probe on new connections, as this node may have lost its links.
+    std::vector<VmId> takeLinkProbes(TimePoint now)
+    {
+        return m_peers.empty() && !m_links.isCut() ? std::vector<VmId>() : m_links.takeProbes(now);
+    }
+    /// Whether this node reaches no server.
+    bool isCut() const { return m_links.isCut(); }
+    /// Whether that several servers do not answer may be the fault of this node's links.
+    bool areLinksInDoubt() const { return m_links.isCut() || m_links.isInDoubt(); }
     /// Sets the nodes among which the limits of servers are divided, including this one, and the
     /// run of this node, which started at `startedAt`.
     void setLimitNodes(std::vector<NodeId> nodes, std::int64_t life, TimePoint startedAt,
@@ -168,7 +184,8 @@
     struct Attempt
     {
         AttemptNumber number; ///< 0 before the first attempt.
-        VmId server;
+        VmId server; ///< For a request that is passed on, a name that no server has.
+        NodeId node; ///< The node to which the request is passed on; empty for a server.
         std::int64_t serverStartedAt = 0; ///< The newest known run of that server.
         TimePoint sentAt; ///< When it was written to the connection of its server.
         bool isWritten = false;
@@ -256,6 +273,16 @@
     /// Whether a request for a model would start too late to meet its latency target.
     bool isTooLate(const Request &request, TimePoint now) const;
     void dispatch(Request &request, BackendIndex server, TimePoint now, RequestActions &actions);
+    /// Starts an attempt with a time left, and returns the action without its destination.
+    DispatchAttempt startAttempt(Request &request, const VmId &server, TimePoint now);
+    /// Passes the request on to another node, which has to serve it itself.
+    void forward(Request &request, const PeerNode &peer, TimePoint now, RequestActions &actions);
+    /// The node to which the request is passed on; null if there is none with a free place.
+    const PeerNode *choosePeer(const Request &request) const;
+    /// Whether the request is to be passed on: no server can be reached.
+    bool mustForward(const Request &request) const;
+    /// Finds out whether this node reaches the servers.
+    void checkLinks(TimePoint now, RequestActions &actions);
     /// Records that an attempt failed on a server.
     static void addTried(Request &request, const VmId &server);
     /// Whether a further attempt is permitted: attempts, time and the retry budget are left, and no
@@ -343,6 +370,11 @@
     QuarantineTable m_quarantine;
     LimitTable m_limits;
     PermitTable m_permits {m_limits};
+    ServerLinks m_links;
+    std::vector<PeerNode> m_peers;
+    std::map<NodeId, std::size_t> m_forwarded; ///< Open attempts at other nodes.
+    std::size_t m_takenOver = 0; ///< Open requests that other nodes passed on.
+    TimePoint m_linksAt;
     std::function<void(const QuarantineDecision &)> m_onQuarantined;
     bool m_hasArrivals = false;
     std::optional<TimePoint> m_stopDeadline;
--- a/src/request/request_type.h
+++ b/src/request/request_type.h
@@ -27,6 +27,8 @@
     /// Hashes of the names of the prompt's parts that other requests may share.
     std::vector<std::uint64_t> promptParts;
     std::uint64_t prompt = 0; ///< Hash of the names of all parts of the prompt.
+    /// Attempts that are left to this node; set if another node passed the request on.
+    std::optional<std::uint32_t> attemptsLeft;
     std::uint64_t content = 0; ///< Hash of method, target and body; 0 if they are not known.
 };
 
@@ -50,6 +52,14 @@
     Broken, ///< It ended without a complete response. It may have been executed.
 };
 
+/// Another node that takes requests and reaches servers.
+struct PeerNode
+{
+    NodeId node;
+    Address front; ///< Where it takes requests of callers.
+    bool isOwnZone = false;
+};
+
 /// Action: send an attempt to a server.
 struct DispatchAttempt
 {
@@ -58,6 +68,8 @@
     VmId server;
     Address address;
     OrganisationId organisation; ///< Empty on routes without API keys.
+    NodeId node; ///< If set, the request is passed on to this node, not sent to a server.
+    std::uint32_t attemptsLeft = 0; ///< For that node.
     Duration timeLeft {0};
     /// Requires a new connection. A reused one could be closed while the request is being sent.
     bool needsNewConnection = false;
--- a/src/tests/crashing_server.py
+++ b/src/tests/crashing_server.py
@@ -165,7 +165,8 @@
         life = self.life
         writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if self.fleet.known_pids:
-            pid = process_of(writer.get_extra_info("peername"), self.fleet.known_pids)
+            pid = process_of(writer.get_extra_info("peername"), writer.get_extra_info("sockname"),
+                             self.fleet.known_pids)
             if self.fleet.cuts.get(pid) in ("reset", "new"):
                 cut(writer, "reset")
                 return
@@ -198,6 +199,10 @@
 
     async def answer(self, writer, head, body, life):
         """Returns whether the connection may carry another request."""
+        if "x-request-id" not in head:  # A check by a node.
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+            await writer.drain()
+            return True
         fleet, request = self.fleet, head["x-request-id"]
         fleet.arrivals.append((time.monotonic(), request, self))
         fleet.senders[request] = self.pids.get(writer)
@@ -289,12 +294,12 @@
             self.writer.write(b"0\r\n\r\n")
 
 
-def process_of(address, pids):
-    """The one of some processes that has a connection from an address; None if none has."""
-    host, port = address
-    name = f"{socket.inet_aton(host)[::-1].hex().upper()}:{port:04X}"
+def process_of(address, target, pids):
+    """The one of some processes that has a connection between two addresses; None if none has."""
+    names = [f"{socket.inet_aton(host)[::-1].hex().upper()}:{port:04X}"
+             for host, port in (address, target)]
     with open("/proc/net/tcp", encoding="ascii") as file:
-        inode = next((line.split()[9] for line in file if line.split()[1] == name), None)
+        inode = next((line.split()[9] for line in file if line.split()[1:3] == names), None)
     for pid in pids:
         try:
             with os.scandir(f"/proc/{pid}/fd") as entries:
--- a/src/tests/relay_test.cpp
+++ b/src/tests/relay_test.cpp
@@ -862,17 +862,19 @@
     const std::string quarantine = "\x1c\x1b\0\x1b\0\x1b\0\0"s; // A field with three empty maps.
     const std::string limits = "\x1b\0"s; // The field after it, an empty map.
     const std::string end = "\0"s;
-    const std::size_t added = quarantine.size() + limits.size() + end.size();
+    const std::string cut = "\x12"s; // The field after it, false.
+    const std::string cutNodes = "\x1a\x08"s; // The same of a digest, an empty set.
+    std::size_t added = quarantine.size() + limits.size() + cut.size() + end.size();
     peer::Pulse pulse;
     pulse.node = "n1";
     pulse.leaving["s"] = 7;
     const std::string bytes = "P" + toThriftBytes(pulse);
-    ASSERT_EQ(bytes.substr(bytes.size() - added), quarantine + limits + end);
+    ASSERT_EQ(bytes.substr(bytes.size() - added), quarantine + limits + cut + end);
     const std::string known = bytes.substr(0, bytes.size() - added);
-    // Versions without both fields, without the limits, and with a further field.
+    // Versions without these fields, without the later ones, and with a further field.
     std::string later = quarantine;
-    later.append(limits).append(quarantine);
-    for (const std::string &fields : {std::string(), quarantine, later}) {
+    later.append(limits).append(cut).append(quarantine);
+    for (const std::string &fields : {std::string(), quarantine, quarantine + limits, later}) {
         m_pulses.clear();
         std::string received = known;
         received.append(fields).append(end);
@@ -881,13 +883,15 @@
         EXPECT_EQ(m_pulses[0].leaving.at(VmId("s")), 7);
         EXPECT_EQ(m_pulses[0].quarantine, QuarantineNews());
         EXPECT_TRUE(m_pulses[0].limits.empty());
+        EXPECT_FALSE(m_pulses[0].cut);
     }
 
+    added += cutNodes.size() - cut.size();
     peer::Digest digest;
     digest.zone = "z";
     const std::string digestBytes = "D" + toThriftBytes(digest);
-    ASSERT_EQ(digestBytes.substr(digestBytes.size() - added), quarantine + limits + end);
-    for (const std::string &fields : {std::string(), quarantine}) {
+    ASSERT_EQ(digestBytes.substr(digestBytes.size() - added), quarantine + limits + cutNodes + end);
+    for (const std::string &fields : {std::string(), quarantine, quarantine + limits}) {
         m_digests.clear();
         std::string received = digestBytes.substr(0, digestBytes.size() - added);
         received.append(fields).append(end);
@@ -896,6 +900,7 @@
         EXPECT_EQ(m_digests[0].zone, ZoneId("z"));
         EXPECT_EQ(m_digests[0].quarantine, QuarantineNews());
         EXPECT_TRUE(m_digests[0].limits.empty());
+        EXPECT_TRUE(m_digests[0].cut.empty());
     }
     EXPECT_EQ(m_receiver.malformedDatagrams(), 0U);
 }
