Feature: [Tests] The soak cuts nodes off from all servers

Change: proxies know the process at the other end; one node or two of three are cut off, by a reset, silence, or for new connections alone.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -4,7 +4,8 @@
     scripts/soak.sh --seeds 1-50 [--seconds 20] [--parallel 3]
 
 Faults: processes are killed, paused, stopped and restarted; loopback proxies delay, reset or stall
-connections to the store and to servers, in one direction or both; servers shed load, break
+connections to the store and to servers, in one direction or both; nodes are cut off from all servers,
+some or most at once, while callers, the store and the other nodes reach them; servers shed load, break
 connections, announce that they leave and start again, and ask for pauses; API keys are revoked and
 added again.
 
@@ -36,6 +37,7 @@
 ROOT = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..")
 sys.path.insert(0, os.path.join(ROOT, "src", "tests"))
 
+from crashing_server import LINK_CUTS, process_of  # noqa: E402
 from platform_standin import id_of  # noqa: E402
 from platform_system import KEYS, System, wait_for  # noqa: E402
 
@@ -51,10 +53,12 @@
 
 class Proxy:
     """TCP proxy with fault injection. Modes: "pass" forwards, "delay" adds 0.2 s to each chunk,
-    "reset" closes connections, "silence" stalls both directions, "out" and "back" stall one."""
+    "reset" closes connections, "silence" stalls both directions, "out" and "back" stall one.
+    `cuts` names processes that are cut off, and how."""
 
-    def __init__(self, address, target):
+    def __init__(self, address, target, known_pids=lambda: ()):
         self.address, self.target, self.mode = address, target, "pass"
+        self.known_pids, self.cuts = known_pids, {}
         host, port = address.rsplit(":", 1)
         self.listener = socket.create_server((host, int(port)), backlog=128)
         threading.Thread(target=self.accept, daemon=True).start()
@@ -62,9 +66,10 @@
     def accept(self):
         while True:
             try:
-                client = self.listener.accept()[0]
+                client, caller = self.listener.accept()
                 host, port = self.target.rsplit(":", 1)
-                if self.mode == "reset":
+                pid = process_of(caller, client.getsockname(), self.known_pids())
+                if self.mode == "reset" or self.cuts.get(pid) in ("reset", "new"):
                     client.close()
                     continue
                 server = socket.create_connection((host, int(port)), timeout=2)
@@ -75,17 +80,17 @@
                 client.close()
                 continue
             for source, sink, direction in ((client, server, "out"), (server, client, "back")):
-                threading.Thread(target=self.forward, args=(source, sink, direction),
+                threading.Thread(target=self.forward, args=(source, sink, direction, pid),
                                  daemon=True).start()
 
-    def forward(self, source, sink, direction):
+    def forward(self, source, sink, direction, pid):
         try:
             while data := source.recv(65536):
                 if self.mode == "delay":
                     time.sleep(0.2)
-                while self.mode == "silence" or self.mode == direction:
+                while self.mode in ("silence", direction) or self.cuts.get(pid) == "silent":
                     time.sleep(0.05)
-                if self.mode == "reset":
+                if self.mode == "reset" or self.cuts.get(pid) == "reset":
                     break
                 sink.sendall(data)
         except OSError:
@@ -113,15 +118,23 @@
             address: address.replace(f"127.{slot}.", f"127.{slot + 100}.")
             for address in engines + services}
         store_addresses = {n: f"127.{slot + 100}.1.{n + 1}:23000" for n in range(3)}
-        self.proxies = [Proxy(proxy_address, server_address)
+        self.system = None
+        self.cuts = {}  # Nodes that are cut off from all servers, by process id, and how.
+        self.proxies = [Proxy(proxy_address, server_address, self.node_pids)
                         for server_address, proxy_address in proxy_by_server.items()]
         self.proxies += [Proxy(address, f"127.{slot}.1.1:23000")
                          for address in store_addresses.values()]
         self.system = System(build, slot=slot, advertised_addresses=proxy_by_server,
                              store_addresses=store_addresses)
+        for proxy in self.proxies[:len(proxy_by_server)]:
+            proxy.cuts = self.cuts
         self.lock = threading.Lock()
         self.faulted = set()  # Names of the processes that have a fault.
 
+    def node_pids(self):
+        processes = self.system.processes if self.system else {}
+        return [processes[name].pid for name in ("n0", "n1", "n2") if name in processes]
+
     def run(self):
         self.system.wait_ready()
         threads = [threading.Thread(target=self.run_caller, args=(n,)) for n in range(CALLER_COUNT)]
@@ -132,7 +145,7 @@
         while time.monotonic() < end:
             fault = threading.Thread(target=self.random.choice([
                 self.kill_server, self.pause_server, self.kill_node, self.pause_node,
-                self.stop_node, self.pause_store, self.disturb_link, self.disturb_link,
+                self.stop_node, self.pause_store, self.disturb_link, self.disturb_link, self.cut_nodes,
                 self.degrade_server, self.replace_server, self.ask_for_pauses, self.change_keys]))
             fault.start()
             faults.append(fault)
@@ -209,6 +222,19 @@
         time.sleep(self.random.uniform(0.3, 4))
         proxy.mode = "pass"
 
+    def cut_nodes(self):
+        """Cuts one node or two off from all servers."""
+        way = self.random.choice(LINK_CUTS)
+        pids = {}
+        for number in self.random.sample(range(3), self.random.randrange(1, 3)):
+            name = f"n{number}"
+            self.disturbed.append((name, time.monotonic()))
+            pids[self.system.processes[name].pid] = way
+        self.cuts.update(pids)
+        time.sleep(self.random.uniform(0.3, 4))
+        for pid in pids:
+            self.cuts.pop(pid, None)
+
     def degrade_server(self):
         name = self.random_server()
         fault = {"break_after_run": self.random.uniform(0, 0.5), "shed": 0.3}
