Feature: [Request] Whole requests that crash servers are found in the logs

Cause: the lines on a break named the id of one attempt of a caller, so that repeats of one request could not be told from different requests. Change: request_retried and request_refused name the whole request, request_quarantined and request_suspected tell decisions, and a gauge counts suspected requests. Evidence: request_test, quarantine_test, links_test pass.

--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -760,6 +760,8 @@
     out << gaugeText({"backend_servers", "Servers known.", static_cast<double>(m_backends.size())});
     out << gaugeText({"quarantined_parts", "Parts of prompts that no request may contain.",
                       static_cast<double>(m_requests.quarantinedParts())});
+    out << gaugeText({"suspected_requests", "Whole requests that are tried, one at a time.",
+                      static_cast<double>(m_requests.suspectedRequests())});
     out << gaugeText(
         {"cut_off", "1 while this node reaches no server.", m_requests.isCut() ? 1.0 : 0.0});
     out << gaugeText({"link_probes", "Connections opened to find out whether servers are reached.",
--- a/src/request/quarantine_base.cpp
+++ b/src/request/quarantine_base.cpp
@@ -861,8 +861,11 @@
         suspects.insert(item.part);
     }
     std::erase_if(m_suspects, [&](const auto &suspect) { return !suspects.count(suspect.first); });
-    for (const PromptPart part : suspects)
-        m_suspects.try_emplace(part, now);
+    for (const PromptPart part : suspects) {
+        if (m_suspects.try_emplace(part, now).second
+            && m_newSuspects.size() < QuarantineLimits::quarantinedParts)
+            m_newSuspects.push_back(part);
+    }
     return false;
 }
 
--- a/src/request/quarantine_base.h
+++ b/src/request/quarantine_base.h
@@ -84,6 +84,10 @@
     /// quarantined since the last call.
     std::vector<QuarantineDecision> tick(TimePoint now);
 
+    /// Whole requests that are suspected since the last call.
+    std::vector<PromptPart> takeSuspected() { return std::exchange(m_newSuspects, {}); }
+
+    std::size_t suspectedCount() const { return m_suspects.size(); }
     std::size_t evidenceCount() const { return m_evidenceOrder.size(); }
     std::size_t clearedCount() const { return m_clearings.size(); }
     std::size_t quarantinedCount() const { return m_quarantines.size(); }
@@ -226,6 +230,7 @@
     std::unordered_map<PromptPart, Quarantine> m_quarantines; ///< Live ones.
     std::unordered_map<PromptPart, Quarantine> m_endedQuarantines;
     std::map<PromptPart, TimePoint> m_suspects; ///< When each may be tried again.
+    std::vector<PromptPart> m_newSuspects; ///< Not taken yet.
     std::vector<QuarantineDecision> m_decisions; ///< Since the last tick.
     /// Completed answers to this node, by the start of the interval in which they were counted.
     std::deque<std::pair<TimePoint, std::uint64_t>> m_answers;
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -772,6 +772,7 @@
         event,
         {{"error", errorName(code)},
          {"cause", cause},
+         {"part", wholeName(request)},
          {"route", request.route.value()},
          {"service", request.service.value()},
          {"model", request.arrival.model.value()},
@@ -1023,6 +1024,12 @@
                               request.identity, now);
 }
 
+std::string RequestSystem::wholeName(const Request &request)
+{
+    const bool isKnown = !request.parts.empty() && isWholeRequest(request.parts.back());
+    return isKnown ? partName(request.parts.back()) : "none";
+}
+
 void RequestSystem::recordGivenUp(const Request &request)
 {
     if (!request.running || request.parts.empty())
@@ -1063,18 +1070,20 @@
 void RequestSystem::applyQuarantines(TimePoint now, RequestActions &actions)
 {
     const std::vector<QuarantineDecision> decisions = m_quarantine.tick(now);
+    for (const PromptPart part : m_quarantine.takeSuspected())
+        actions.push_back(LogDecision {"", "request_suspected", {{"part", partName(part)}}});
     if (decisions.empty())
         return;
     for (const QuarantineDecision &decision : decisions) {
-        actions.push_back(
-            LogDecision {"",
-                         "prompt_part_quarantined",
-                         {{"part", partName(decision.part)},
-                          {"left_ms", millisecondsText(decision.quarantine.timeLeft)},
-                          {"times", std::to_string(decision.quarantine.times)},
-                          {"runs", std::to_string(decision.runs)},
-                          {"requests", std::to_string(decision.requests)},
-                          {"decided_by", decision.runs > 0 ? "this_node" : "other_node"}}});
+        actions.push_back(LogDecision {
+            "",
+            isWholeRequest(decision.part) ? "request_quarantined" : "prompt_part_quarantined",
+            {{"part", partName(decision.part)},
+             {"left_ms", millisecondsText(decision.quarantine.timeLeft)},
+             {"times", std::to_string(decision.quarantine.times)},
+             {"runs", std::to_string(decision.runs)},
+             {"requests", std::to_string(decision.requests)},
+             {"decided_by", decision.runs > 0 ? "this_node" : "other_node"}}});
         if (m_onQuarantined && decision.runs > 0)
             m_onQuarantined(decision);
     }
@@ -1224,6 +1233,7 @@
                          "request_retried",
                          {{"cause", cause},
                           {"server", request.current.server.value()},
+                          {"part", wholeName(request)},
                           {"attempts", std::to_string(request.lastAttempt.value())}}});
         enqueue(request, now);
         dispatchWaiting(m_targets[key], now, actions);
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -148,6 +148,7 @@
     {
         m_onQuarantined = std::move(hook);
     }
+    std::size_t suspectedRequests() const { return m_quarantine.suspectedCount(); }
     std::size_t quarantinedParts() const { return m_quarantine.quarantinedCount(); }
     /// What answers told this node of the limits of servers, for the other nodes.
     LimitNews limitNews(TimePoint now) { return m_limits.news(now); }
@@ -327,6 +328,8 @@
     /// Records that an attempt that was sent broke off, unless its server had been writing for
     /// long.
     void recordBreak(const Request &request, const Attempt &attempt, TimePoint now);
+    /// What the request as a whole is recognised by, for the log.
+    static std::string wholeName(const Request &request);
     /// Records that the attempts of the request are given up before their servers answered.
     void recordGivenUp(const Request &request);
     /// Records how the complete response to an attempt ended.
