--- a/src/request/quarantine_base.cpp
+++ b/src/request/quarantine_base.cpp
@@ -15,30 +15,19 @@
 constexpr Duration confirmationTime {2'000};
 constexpr Duration fullCheckInterval {5'000};
 constexpr Duration evidenceAge {600'000};
-/// Older evidence is not passed on, so that nodes do not hand it back and forth.
-constexpr Duration maxReportedAge {540'000};
-/// Evidence of this age is reported first. Covers the loss of several messages.
-constexpr Duration reportTime {10'000};
 constexpr Duration doubtfulEndTime {5'000};
 constexpr Duration relatedBreakTime {1'000};
 /// Crashes of this time before the first one with a part also tell how common they are.
 constexpr Duration comparedTime {30'000};
-/// Stands for no part in reports of crashes, so that nodes know how common crashes are.
-const PromptPart noPart;
-constexpr std::size_t reportedRuns = 12; ///< Such reports in one message.
 constexpr std::size_t maxDoubtfulEnds = 1'024;
 
-/// Servers that end within this time may have a common cause, such as their rack.
-constexpr Duration crashGroupTime {300};
 /// Of a message between nodes.
 constexpr Duration messageDelay {400};
 /// All attempts at a server break within this time after its end.
 constexpr Duration breakSpread {100};
 /// Reports on one crash come within this time.
 constexpr Duration crashReportTime = messageDelay + livenessMargin;
-constexpr std::size_t maxRunsOfGroup = 2;
 constexpr std::size_t decidingSum = 4;
-constexpr std::size_t decidingRuns = 4;
 constexpr std::size_t decidingRequests = 2;
 /// Of a whole request, in any number of attempts.
 constexpr std::size_t decidingRunsOfRequest = 3;
@@ -77,18 +66,6 @@
     return std::min(duration, longestQuarantine);
 }
 
-Duration protection(std::uint32_t answers)
-{
-    return protectionTime * std::clamp<std::uint32_t>(answers, 1, maxCountedAnswers);
-}
-
-/// A start in a list that differs from message to message, so that all entries are sent in time.
-std::size_t rotatedStart(TimePoint now, std::size_t size)
-{
-    constexpr std::uint64_t factor = 0x9E3779B97F4A7C15U;
-    return size == 0 ? 0 : ((static_cast<std::uint64_t>(milliseconds(now)) * factor) >> 32U) % size;
-}
-
 } // namespace
 
 QuarantineTable::QuarantineTable(QuarantineHooks hooks)
@@ -155,99 +132,9 @@
     return until;
 }
 
-QuarantineNews QuarantineTable::news(TimePoint now) const
+Duration QuarantineTable::protection(std::uint32_t answers)
 {
-    struct Item
-    {
-        PromptPart part;
-        const ServerRun *run;
-        const Evidence *evidence;
-        std::size_t runs;
-    };
-    QuarantineNews news;
-    std::vector<Item> recent;
-    std::vector<std::pair<PromptPart, const ServerRun *>> older;
-    for (const auto &[key, evidence] : m_evidenceOrder) {
-        const auto &[at, part, run] = key;
-        if (evidence->isOwn && now - at < reportTime)
-            recent.push_back({part, &run, evidence, m_evidence.at(part).size()});
-        else if (now - at < maxReportedAge)
-            older.emplace_back(part, &run);
-    }
-    const auto report = [&](PromptPart part, const ServerRun &run, const Evidence &evidence) {
-        news.crashes.push_back({part, run, evidence.request, now - evidence.at});
-    };
-    std::stable_sort(recent.begin(), recent.end(), [](const Item &left, const Item &right) {
-        return std::pair(std::min(left.runs, decidingRuns), left.evidence->at)
-            > std::pair(std::min(right.runs, decidingRuns), right.evidence->at);
-    });
-    for (std::size_t i = 0; i < recent.size() && i < QuarantineLimits::reportedCrashes; ++i)
-        report(recent[i].part, *recent[i].run, *recent[i].evidence);
-    const std::size_t room = QuarantineLimits::reportedCrashes - news.crashes.size();
-    const std::size_t start = rotatedStart(now, older.size());
-    for (std::size_t i = 0; i < older.size() && i < room; ++i) {
-        const auto &[part, run] = older[(start + i) % older.size()];
-        report(part, *run, m_evidence.at(part).at(*run));
-    }
-
-    std::set<ServerRun, RunOrder> reported;
-    for (const CrashEvidence &crash : news.crashes)
-        reported.insert(crash.run);
-    using CrashReport = decltype(m_crashOrder)::const_pointer;
-    std::vector<CrashReport> others;
-    std::vector<CrashReport> olderOthers;
-    for (auto it = m_crashOrder.rbegin();
-         it != m_crashOrder.rend() && now - it->first.first < maxReportedAge; ++it) {
-        const auto &[key, crash] = *it;
-        const bool isRecent = now - key.first < reportTime;
-        // Nodes that blame other parts for the crash learn which one explains it.
-        if (crash->isExplained && !isRecent)
-            continue;
-        if (!isRecent || crash->attempts == 0 || others.size() >= reportedRuns / 2)
-            olderOthers.push_back(&*it);
-        else if (!reported.count(key.second))
-            others.push_back(&*it);
-    }
-    const std::size_t firstOther = rotatedStart(now, olderOthers.size());
-    for (std::size_t i = 0; i < olderOthers.size() && others.size() < reportedRuns; ++i) {
-        const CrashReport other = olderOthers[(firstOther + i) % olderOthers.size()];
-        if (!reported.count(other->first.second))
-            others.push_back(other);
-    }
-    news.crashes.resize(
-        std::min(news.crashes.size(), QuarantineLimits::reportedCrashes - others.size()));
-    for (const CrashReport report : others) {
-        const auto &[key, crash] = *report;
-        news.crashes.push_back(
-            {crash->explainedBy, key.second, crash->explainedRequest, now - key.first});
-    }
-
-    for (const auto &[part, at] : m_accused) {
-        const auto found = m_clearings.find(part);
-        if (news.cleared.size() < QuarantineLimits::reportedParts && now - at < reportTime
-            && found != m_clearings.end() && found->second.ownAt
-            && now < *found->second.ownAt + protection(found->second.answers))
-            news.cleared[part] = now - *found->second.ownAt;
-    }
-
-    std::vector<PromptPart> quarantined;
-    for (const auto &[part, quarantine] : m_quarantines) {
-        if (quarantine.until <= now)
-            continue;
-        quarantined.push_back(part);
-        if (now - quarantine.since < reportTime
-            && news.quarantined.size() < QuarantineLimits::reportedParts / 2)
-            news.quarantined[part] = {quarantine.until - now, quarantine.times};
-    }
-    std::sort(quarantined.begin(), quarantined.end());
-    const std::size_t first = rotatedStart(now, quarantined.size());
-    for (std::size_t i = 0;
-         i < quarantined.size() && news.quarantined.size() < QuarantineLimits::reportedParts; ++i) {
-        const PromptPart part = quarantined[(first + i) % quarantined.size()];
-        const Quarantine &quarantine = m_quarantines.at(part);
-        news.quarantined[part] = {quarantine.until - now, quarantine.times};
-    }
-    return news;
+    return protectionTime * std::clamp<std::uint32_t>(answers, 1, maxCountedAnswers);
 }
 
 void QuarantineTable::merge(const QuarantineNews &news, TimePoint now)
@@ -656,8 +543,7 @@
     return now - brokenAt >= confirmationTime;
 }
 
-QuarantineTable::CrashTime QuarantineTable::crashTime(const ServerRun &run,
-                                                      const Evidence &evidence) const
+CrashTime QuarantineTable::crashTime(const ServerRun &run, const Evidence &evidence) const
 {
     // All parts in one crash get its time as it is known best, so that they can be compared.
     const auto crash = m_crashes.find(run);
@@ -666,7 +552,7 @@
     return crashTime(crash->second);
 }
 
-QuarantineTable::CrashTime QuarantineTable::crashTime(const Crash &crash)
+CrashTime QuarantineTable::crashTime(const Crash &crash)
 {
     if (crash.attempts == 0)
         return {crash.at - messageDelay, crash.at};
@@ -675,53 +561,6 @@
     return {std::max(crash.at, last - breakSpread), last};
 }
 
-std::size_t QuarantineTable::groupedCount(std::vector<CrashTime> times)
-{
-    std::sort(times.begin(), times.end(), [](const CrashTime &left, const CrashTime &right) {
-        return std::tie(left.latest, left.earliest) < std::tie(right.latest, right.earliest);
-    });
-    std::size_t sum = 0;
-    std::size_t inGroup = 0;
-    std::optional<TimePoint> groupStart;
-    for (const CrashTime &time : times) {
-        if (!groupStart || time.earliest > *groupStart + crashGroupTime) {
-            groupStart = time.latest;
-            inGroup = 0;
-        }
-        if (inGroup < maxRunsOfGroup) {
-            ++inGroup;
-            ++sum;
-        }
-    }
-    return sum;
-}
-
-bool QuarantineTable::shareRuns(const Case &left, const Case &right)
-{
-    return std::any_of(left.runs.begin(), left.runs.end(),
-                       [&](const auto &item) { return right.runs.count(item.first) > 0; });
-}
-
-std::weak_ordering QuarantineTable::compareExplained(const Case &left, const Case &right)
-{
-    if (!shareRuns(left, right))
-        return std::weak_ordering::equivalent;
-    std::vector<CrashTime> onlyLeft;
-    std::vector<CrashTime> onlyRight;
-    for (const auto &[run, time] : left.runs) {
-        if (!right.runs.count(run))
-            onlyLeft.push_back(time);
-    }
-    for (const auto &[run, time] : right.runs) {
-        if (!left.runs.count(run))
-            onlyRight.push_back(time);
-    }
-    const std::pair sizes {onlyLeft.size(), onlyRight.size()};
-    const std::weak_ordering order =
-        groupedCount(std::move(onlyLeft)) <=> groupedCount(std::move(onlyRight));
-    return order != 0 ? order : sizes.first <=> sizes.second;
-}
-
 bool QuarantineTable::isBeyondChance(const Case &suspected, std::size_t sum, TimePoint now) const
 {
     TimePoint firstCrash = now;
--- a/src/request/quarantine_base.h
+++ b/src/request/quarantine_base.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "request/quarantine_type.h"
+#include "request/quarantine_case.h"
 
 #include <compare>
 #include <deque>
@@ -93,14 +93,12 @@
     std::size_t quarantinedCount() const { return m_quarantines.size(); }
 
 private:
-    /// The starts differ mostly, and are compared faster than the servers.
-    struct RunOrder
-    {
-        bool operator()(const ServerRun &left, const ServerRun &right) const
-        {
-            return std::tie(left.startedAt, left.server) < std::tie(right.startedAt, right.server);
-        }
-    };
+    /// Evidence of this age is reported first. Covers the loss of several messages.
+    static constexpr Duration reportTime {10'000};
+    static constexpr std::size_t decidingRuns = 4; ///< Of servers that a part of prompts ended.
+
+    /// How long answers protect their parts.
+    static Duration protection(std::uint32_t answers);
 
     struct Evidence
     {
@@ -114,7 +112,7 @@
         TimePoint at; ///< First break.
         TimePoint lastAt; ///< Last one, of this node if any was.
         bool isExplained = false; ///< A quarantined part was in a request to the run.
-        PromptPart explainedBy; ///< That part.
+        PromptPart explainedBy {}; ///< That part.
         std::uint64_t explainedRequest = 0; ///< The request that had it.
         std::uint32_t attempts = 0; ///< Of this node, that broke.
 
@@ -148,27 +146,7 @@
         ResponseEnd end = ResponseEnd::ConnectionClose;
     };
 
-    /// When a server ended. A peer's report is dated late by up to the delay of its message, and
-    /// an attempt may have broken shortly before.
-    struct CrashTime
-    {
-        TimePoint earliest;
-        TimePoint latest;
-    };
-
-    /// The evidence against a part that may be counted.
-    struct Case
-    {
-        PromptPart part;
-        std::map<ServerRun, CrashTime, RunOrder> runs;
-        std::size_t sum = 0;
-        std::size_t matureSum =
-            0; ///< Of the crashes whose signs of life and reports have had time to come.
-        std::size_t matureRuns = 0; ///< These crashes.
-        std::size_t matureRequests = 0;
-        bool isMature = false; ///< May be decided. Others may only be the better explanation.
-    };
-
+    using Case = QuarantineCase;
     using RunEvidence = std::map<ServerRun, Evidence, RunOrder>;
 
     bool isLive(const ServerRun &run, TimePoint brokenAt) const;
@@ -211,11 +189,6 @@
     static CrashTime crashTime(const Crash &crash);
     /// Whether the crashes are too many for chance, given those without the part and the answers.
     bool isBeyondChance(const Case &suspected, std::size_t sum, TimePoint now) const;
-    /// Counts crashes. Those that may have come together count as few.
-    static std::size_t groupedCount(std::vector<CrashTime> times);
-    static bool shareRuns(const Case &left, const Case &right);
-    /// Whether the left part explains more of the crashes with either part, fewer, or as many.
-    static std::weak_ordering compareExplained(const Case &left, const Case &right);
     static bool isMature(TimePoint brokenAt, TimePoint now);
 
     QuarantineHooks m_hooks;
--- /dev/null
+++ b/src/request/quarantine_case.cpp
@@ -0,0 +1,64 @@
+#include "request/quarantine_case.h"
+
+#include <algorithm>
+#include <optional>
+#include <tuple>
+
+namespace bramleypitch {
+
+namespace {
+
+/// Servers that end within this time may have a common cause, such as their rack.
+constexpr Duration crashGroupTime {300};
+constexpr std::size_t maxRunsOfGroup = 2;
+
+} // namespace
+
+std::size_t groupedCount(std::vector<CrashTime> times)
+{
+    std::sort(times.begin(), times.end(), [](const CrashTime &left, const CrashTime &right) {
+        return std::tie(left.latest, left.earliest) < std::tie(right.latest, right.earliest);
+    });
+    std::size_t sum = 0;
+    std::size_t inGroup = 0;
+    std::optional<TimePoint> groupStart;
+    for (const CrashTime &time : times) {
+        if (!groupStart || time.earliest > *groupStart + crashGroupTime) {
+            groupStart = time.latest;
+            inGroup = 0;
+        }
+        if (inGroup < maxRunsOfGroup) {
+            ++inGroup;
+            ++sum;
+        }
+    }
+    return sum;
+}
+
+bool shareRuns(const QuarantineCase &left, const QuarantineCase &right)
+{
+    return std::any_of(left.runs.begin(), left.runs.end(),
+                       [&](const auto &item) { return right.runs.count(item.first) > 0; });
+}
+
+std::weak_ordering compareExplained(const QuarantineCase &left, const QuarantineCase &right)
+{
+    if (!shareRuns(left, right))
+        return std::weak_ordering::equivalent;
+    std::vector<CrashTime> onlyLeft;
+    std::vector<CrashTime> onlyRight;
+    for (const auto &[run, time] : left.runs) {
+        if (!right.runs.count(run))
+            onlyLeft.push_back(time);
+    }
+    for (const auto &[run, time] : right.runs) {
+        if (!left.runs.count(run))
+            onlyRight.push_back(time);
+    }
+    const std::pair sizes {onlyLeft.size(), onlyRight.size()};
+    const std::weak_ordering order =
+        groupedCount(std::move(onlyLeft)) <=> groupedCount(std::move(onlyRight));
+    return order != 0 ? order : sizes.first <=> sizes.second;
+}
+
+} // namespace bramleypitch
--- a/src/request/quarantine_type.h
+++ b/src/request/quarantine_type.h
@@ -16,6 +16,9 @@
 using PromptPart = StrongType<struct PromptPartTag, std::uint64_t>;
 using PromptParts = std::vector<PromptPart>;
 
+/// Stands for no part in reports of crashes, so that nodes know how common crashes are.
+inline const PromptPart noPart;
+
 constexpr std::uint64_t wholeRequestBit = 1ULL << 63; ///< Set in the hashes of whole requests.
 
 inline bool isWholeRequest(PromptPart part)
