Fix: [Request] Crashed servers beside others that answer cause no doubt of a node's links

What callers see: in ordinary crashes of servers fewer requests were served in time. Cause: two failed servers were enough to withhold suspicions from the other nodes, to take probes of dead members for inconclusive and to pass requests on. Change: doubt needs that no server has sent anything for 0.4 s, on any connection. The new test fails on the code before. links_test passes, 200 cases.

--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -354,7 +354,7 @@
     ("old_connection_ends_a_cut", "request/server_links.cpp",
      "if (openedAt < m_failingSince)\n        return;", ""),
     ("cut_node_does_not_forward", "request/request_system.cpp",
-     "&& (isCut() || request.unsentAttempts >= unsentAttemptsBeforeForward);", "&& false;"),
+     "return !request.arrival.attemptsLeft && (isCut()", "return !request.arrival.attemptsLeft && (false"),
     ("cut_node_takes_forwarded_requests", "request/request_system.cpp",
      "if (arrival.attemptsLeft && (isCut() || m_takenOver > maxTakenOver)) {",
      "if (arrival.attemptsLeft && m_takenOver > maxTakenOver) {"),
@@ -367,7 +367,7 @@
     ("forwarded_failure_is_repeated", "request/request_system.cpp",
      "&& attemptOf(*request, attempt).node.value().empty()\n        &&", "&&"),
     ("silence_cuts_a_node_off", "request/server_links.cpp",
-     "m_isCut = !m_failures.empty()", "m_isCut = m_isSilent || !m_failures.empty()"),
+     "m_isCut = !m_failures.empty()", "m_isCut = m_isWaiting || !m_failures.empty()"),
     ("limits_of_many_servers_in_one_message", "request/server_limit_base.cpp",
      "if (news.size() == LimitBounds::reportedByNode)", "if (false)"),
 ]
--- a/src/request/backend_base.cpp
+++ b/src/request/backend_base.cpp
@@ -302,6 +302,7 @@
 void BackendTable::onProgress(Backend &backend, TimePoint now)
 {
     backend.ownProgress = now;
+    m_lastHeard = now;
     recordProgress(backend, now);
 }
 
--- a/src/request/backend_base.h
+++ b/src/request/backend_base.h
@@ -76,6 +76,8 @@
     void onDispatched(Backend &backend, TimePoint now);
     /// Records that the server sent an event or a response to this node.
     void onProgress(Backend &backend, TimePoint now);
+    /// When any server last sent an event or a response to this node.
+    TimePoint lastHeard() const { return m_lastHeard; }
     /// Marks the server as suspected after a request of this node failed there. Other servers are
     /// preferred to it for `duration`.
     void suspect(Backend &backend, Suspicion reason, Duration duration, TimePoint now);
@@ -149,6 +151,7 @@
     std::map<DomainId, std::map<VmId, BackendIndex>> m_domains;
     std::map<TargetKey, TargetList> m_targets;
     std::map<NodeId, RunningCounts> m_peers;
+    TimePoint m_lastHeard;
     std::map<VmId, KnownRun> m_newestRuns; ///< Outlives the server's entry for a while.
     std::map<VmId, LeavingMark> m_leaving;
     std::map<VmId, TimePoint> m_pauses;
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -47,13 +47,12 @@
 /// Requests that this node has passed on to one other node, and those that it takes from others.
 constexpr std::size_t maxForwardedPerNode = 64;
 constexpr std::size_t maxTakenOver = 256;
-/// A request that could not be sent to so many servers is passed on.
+/// A request that could not be sent to so many servers is passed on while the links are in doubt.
 constexpr std::uint32_t unsentAttemptsBeforeForward = 2;
 /// A node replaces stalled streams itself. Only one that is silent for longer is replaced.
 constexpr Duration nodeStallTimeout {2'000};
 constexpr Duration linkCheckInterval {100};
-/// An attempt without an answer for this time, while no server sends anything, is silent.
-constexpr Duration linkSilence {400};
+constexpr Duration longWait {400}; ///< For an answer, while no server sends anything.
 const std::string nodePrefix = "node/"; ///< No server has such a name.
 /// A server that has been writing a response for this time is not crashed by its prompt. One that
 /// completes a shorter response may still end.
@@ -448,7 +447,8 @@
 bool RequestSystem::mustForward(const Request &request) const
 {
     return !request.arrival.attemptsLeft
-        && (isCut() || request.unsentAttempts >= unsentAttemptsBeforeForward);
+        && (isCut()
+            || (areLinksInDoubt() && request.unsentAttempts >= unsentAttemptsBeforeForward));
 }
 
 const PeerNode *RequestSystem::choosePeer(const Request &request) const
@@ -498,19 +498,13 @@
     if (now - m_linksAt < linkCheckInterval)
         return;
     m_linksAt = now;
-    bool isSilent = false;
-    for (const auto &[id, request] : m_requests) {
+    const bool isWaiting = std::any_of(m_requests.begin(), m_requests.end(), [&](const auto &item) {
+        const Request &request = item.second;
         const Attempt &current = request.current;
-        isSilent = isSilent
-            || (request.running && current.isWritten && current.node.value().empty()
-                && now - std::max(current.sentAt, request.lastProgress) > linkSilence);
-    }
-    if (isSilent) {
-        m_backends.forEach([&](BackendIndex, const Backend &backend) {
-            isSilent = isSilent && now - backend.ownProgress > linkSilence;
-        });
-    }
-    if (!m_links.check(isSilent, now))
+        return request.running && current.isWritten && current.node.value().empty()
+            && now - std::max(current.sentAt, request.lastProgress) > longWait;
+    });
+    if (!m_links.check(isWaiting, now))
         return;
     actions.push_back(LogDecision {"",
                                    isCut() ? "servers_unreachable" : "servers_reachable",
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -80,7 +80,7 @@
     /// Whether this node reaches no server.
     bool isCut() const { return m_links.isCut(); }
     /// Whether that several servers do not answer may be the fault of this node's links.
-    bool areLinksInDoubt() const { return m_links.isCut() || m_links.isInDoubt(); }
+    bool areLinksInDoubt() const { return m_links.isInDoubt(); }
     /// Sets the nodes among which the limits of servers are divided, including this one, and the
     /// run of this node, which started at `startedAt`.
     void setLimitNodes(std::vector<NodeId> nodes, std::int64_t life, TimePoint startedAt,
--- a/src/request/server_links.cpp
+++ b/src/request/server_links.cpp
@@ -9,6 +9,7 @@
 /// Failures at fewer servers may be the fault of these.
 constexpr std::size_t failedServersOfCut = 3;
 constexpr std::size_t failedServersOfDoubt = 2;
+constexpr Duration quietTime {400};
 constexpr Duration failureMemory {5'000};
 /// A server that other nodes heard from within this time lives.
 constexpr Duration recentlyHeard {1'000};
@@ -34,7 +35,8 @@
     if (openedAt < m_failingSince)
         return;
     m_failures.clear();
-    m_isSilent = false;
+    m_isQuiet = false;
+    m_isWaiting = false;
 }
 
 bool ServerLinks::isHeardElsewhere(const VmId &server, TimePoint since) const
@@ -43,14 +45,16 @@
     return backend && backend->peerProgress > since;
 }
 
-bool ServerLinks::isInDoubt() const
+bool ServerLinks::haveSeveralFailed() const
 {
-    return m_failures.size() >= std::min(failedServersOfDoubt, m_backends.size());
+    return !m_failures.empty()
+        && m_failures.size() >= std::min(failedServersOfDoubt, m_backends.size());
 }
 
-bool ServerLinks::check(bool isSilent, TimePoint now)
+bool ServerLinks::check(bool isWaiting, TimePoint now)
 {
-    m_isSilent = isSilent;
+    m_isQuiet = now - m_backends.lastHeard() > quietTime;
+    m_isWaiting = m_isQuiet && isWaiting;
     std::erase_if(m_failures, [&](const auto &item) {
         return now - item.second.lastAt >= failureMemory || !m_backends.find(item.first);
     });
@@ -66,7 +70,7 @@
 
 std::vector<VmId> ServerLinks::takeProbes(TimePoint now)
 {
-    const bool isNeeded = m_isCut || m_isSilent || (isInDoubt() && !m_failures.empty());
+    const bool isNeeded = m_isCut || m_isWaiting || haveSeveralFailed();
     if (!isNeeded || now - m_probedAt < (m_isCut ? probeInterval : 2 * probeInterval))
         return {};
     m_probedAt = now;
--- a/src/request/server_links.h
+++ b/src/request/server_links.h
@@ -20,14 +20,14 @@
     void onFailed(const VmId &server, TimePoint now);
     /// A server answered on a connection that was opened at the given time.
     void onAnswered(TimePoint openedAt);
-    /// Evaluates the failures. `isSilent` tells that no server has sent anything for a while
-    /// although it should have. Returns whether the result of isCut() changed.
-    bool check(bool isSilent, TimePoint now);
+    /// Evaluates the failures. `isWaiting` tells that a request has been without an answer for a
+    /// while. Returns whether the result of isCut() changed.
+    bool check(bool isWaiting, TimePoint now);
 
     /// This node reaches no server.
     bool isCut() const { return m_isCut; }
-    /// Whether several servers failed and none has answered since.
-    bool isInDoubt() const;
+    /// Whether several servers failed and none sends anything, on any connection.
+    bool isInDoubt() const { return m_isCut || (m_isQuiet && haveSeveralFailed()); }
     /// Servers to open a connection to now, to find out.
     std::vector<VmId> takeProbes(TimePoint now);
 
@@ -38,13 +38,15 @@
         TimePoint lastAt;
     };
 
+    bool haveSeveralFailed() const;
     /// Whether other nodes have heard from a server since the given time.
     bool isHeardElsewhere(const VmId &server, TimePoint since) const;
 
     const BackendTable &m_backends;
     std::map<VmId, Failures> m_failures; ///< Of servers that failed since that answer.
     TimePoint m_failingSince; ///< The first of these failures.
-    bool m_isSilent = false;
+    bool m_isQuiet = false; ///< No server has sent anything for a while.
+    bool m_isWaiting = false; ///< In that time one should have.
     bool m_isCut = false;
     TimePoint m_probedAt;
 };
--- a/src/tests/links_test.cpp
+++ b/src/tests/links_test.cpp
@@ -156,8 +156,26 @@
     EXPECT_EQ(m_system.open(), 0U);
 }
 
+// Nodes kept sending to servers that had crashed, as no node told the others its suspicions.
+TEST_F(LinksTest, CrashedServersBesideOthersThatAnswerCauseNoDoubt)
+{
+    failLinks(3);
+    for (int i = 0; i < 10; ++i) {
+        m_backends.onProgress(*m_backends.find(VmId("s6")), m_now);
+        pass(Duration(100));
+        EXPECT_FALSE(m_system.areLinksInDoubt());
+    }
+    DispatchAttempt attempt = attemptOf(sendRequest("/read/x"));
+    for (int i = 0; i < 2; ++i)
+        attempt = attemptOf(failAttempt(attempt, AttemptFailure::Unsent));
+    EXPECT_TRUE(attempt.node.value().empty());
+}
+
 TEST_F(LinksTest, RequestThatReachedNoServerTwiceIsForwarded)
 {
+    failLinks(2);
+    pass(Duration(500));
+    EXPECT_TRUE(m_system.areLinksInDoubt());
     DispatchAttempt attempt = attemptOf(sendRequest("/read/x"));
     attempt = attemptOf(failAttempt(attempt, AttemptFailure::Unsent));
     EXPECT_TRUE(attempt.node.value().empty());
