Fix: [Request] Evidence against parts goes before reports of crashes alone in a digest

Cause: the order by the number of crashes counted those without a part as one part, which is in most of them, so that they took all places of a digest and other zones learned no evidence. Change: they come last; further runs of a part count up to four, as in what a single node tells. Evidence: the new test finds 0 of 4 entries on the code before, and passes now; relay_test and quarantine_test with 200 cases, pass.

--- a/src/request/membership_base.cpp
+++ b/src/request/membership_base.cpp
@@ -80,14 +80,16 @@
     {
         for (auto &[key, crash] : m_crashes)
             m_news.crashes.push_back(std::move(crash));
-        // The parts in most crashes first: they may soon be decided.
-        std::map<PromptPart, int> runs;
-        for (const CrashEvidence &crash : m_news.crashes)
-            ++runs[crash.part];
+        // Evidence against parts in several crashes first, as it may soon decide; crashes without a
+        // part last.
+        std::map<PromptPart, std::size_t> runs;
+        for (const CrashEvidence &crash : m_news.crashes) {
+            if (crash.part != noPart)
+                runs[crash.part] = std::min(runs[crash.part] + 1, QuarantineLimits::rankedRuns);
+        }
         std::stable_sort(m_news.crashes.begin(), m_news.crashes.end(),
                          [&](const CrashEvidence &a, const CrashEvidence &b) {
-                             const bool isMostInA = runs[a.part] > runs[b.part];
-                             return runs[a.part] == runs[b.part] ? a.age < b.age : isMostInA;
+                             return std::pair(runs[b.part], a.age) < std::pair(runs[a.part], b.age);
                          });
         if (m_news.crashes.size() > QuarantineLimits::reportedCrashes)
             m_news.crashes.resize(QuarantineLimits::reportedCrashes);
--- a/src/request/quarantine_base.cpp
+++ b/src/request/quarantine_base.cpp
@@ -28,6 +28,7 @@
 /// Reports on one crash come within this time.
 constexpr Duration crashReportTime = messageDelay + livenessMargin;
 constexpr std::size_t decidingSum = 4;
+constexpr std::size_t decidingRuns = 4;
 constexpr std::size_t decidingRequests = 2;
 /// Of a whole request, in any number of attempts.
 constexpr std::size_t decidingRunsOfRequest = 3;
--- a/src/request/quarantine_base.h
+++ b/src/request/quarantine_base.h
@@ -95,7 +95,6 @@
 private:
     /// Evidence of this age is reported first. Covers the loss of several messages.
     static constexpr Duration reportTime {10'000};
-    static constexpr std::size_t decidingRuns = 4; ///< Of servers that a part of prompts ended.
 
     /// How long answers protect their parts.
     static Duration protection(std::uint32_t answers);
--- a/src/request/quarantine_news.cpp
+++ b/src/request/quarantine_news.cpp
@@ -11,7 +11,7 @@
 
 /// Older evidence is not passed on, so that nodes do not hand it back and forth.
 constexpr Duration maxReportedAge {540'000};
-constexpr std::size_t reportedRuns = 12; ///< Such reports in one message.
+constexpr std::size_t reportedRuns = 12; ///< Reports of crashes alone in one message.
 
 /// A start in a list that differs from message to message, so that all entries are sent in time.
 std::size_t rotatedStart(TimePoint now, std::size_t size)
@@ -45,8 +45,8 @@
         news.crashes.push_back({part, run, evidence.request, now - evidence.at});
     };
     std::stable_sort(recent.begin(), recent.end(), [](const Item &left, const Item &right) {
-        return std::pair(std::min(left.runs, decidingRuns), left.evidence->at)
-            > std::pair(std::min(right.runs, decidingRuns), right.evidence->at);
+        return std::pair(std::min(left.runs, QuarantineLimits::rankedRuns), left.evidence->at)
+            > std::pair(std::min(right.runs, QuarantineLimits::rankedRuns), right.evidence->at);
     });
     for (std::size_t i = 0; i < recent.size() && i < QuarantineLimits::reportedCrashes; ++i)
         report(recent[i].part, *recent[i].run, *recent[i].evidence);
--- a/src/request/quarantine_type.h
+++ b/src/request/quarantine_type.h
@@ -61,6 +61,8 @@
 {
     static constexpr std::size_t reportedCrashes = 32; ///< In one message between nodes.
     static constexpr std::size_t reportedParts = 32; ///< Cleared, and quarantined, in one message.
+    /// Evidence against a part is more urgent with each run that it ended, up to this number.
+    static constexpr std::size_t rankedRuns = 4;
     static constexpr std::size_t evidence = 1'024; ///< Kept by a node.
     static constexpr std::size_t clearedParts = 8'192; ///< Kept by a node.
     static constexpr std::size_t quarantinedParts = 256; ///< Kept by a node.
--- a/src/tests/relay_test.cpp
+++ b/src/tests/relay_test.cpp
@@ -643,6 +643,35 @@
     EXPECT_EQ(author.digest(own, now + Duration(60'000)).quarantine.crashes.size(), 2U);
 }
 
+// Reports of crashes without a part displaced the evidence against a part.
+TEST(MembershipTest, EvidenceGoesBeforeCrashesWithoutAPartInADigest)
+{
+    const TimePoint now = timePoint(1'000'000);
+    std::map<NodeId, MembershipTable> tables = makeMembershipTables(1, 5, now);
+    MembershipTable &author = tables.at(NodeId("n0"));
+    const PromptPart harmful(1);
+    Pulse pulse;
+    pulse.life = 1;
+    pulse.number = 1;
+    for (int node = 1; node <= 4; ++node) {
+        pulse.node = NodeId("n" + std::to_string(node));
+        pulse.quarantine = {};
+        for (int i = 0; i < 12; ++i)
+            pulse.quarantine.crashes.push_back(
+                {noPart, {VmId("s" + std::to_string(12 * node + i)), 1}, 0, Duration(10)});
+        pulse.quarantine.crashes.push_back(
+            {harmful, {VmId("h" + std::to_string(node)), 1}, 7, Duration(200)});
+        ASSERT_TRUE(author.onPulse(pulse, now));
+    }
+    Pulse own;
+    own.node = NodeId("n0");
+    const QuarantineNews joined = author.digest(own, now).quarantine;
+    EXPECT_EQ(joined.crashes.size(), QuarantineLimits::reportedCrashes);
+    EXPECT_EQ(std::count_if(joined.crashes.begin(), joined.crashes.end(),
+                            [&](const CrashEvidence &crash) { return crash.part == harmful; }),
+              4);
+}
+
 TEST(MembershipTest, NewsInADigestAreLimited)
 {
     const TimePoint now = timePoint(1'000'000);
