Fix: [Tests] A stand-in that cannot listen ends the test instead of leaving it to another process

Cause: stand-ins of a run that had been ended held its ports; the new ones ended at once, and the test went on with the old ones, whose ledger had the payment. Evidence: with such stand-ins the first run passes and the second fails with the same error (condition not met: the payment to run); without them it passes. Change: the cluster fails if its own process has ended. With a stand-in on the port the test now ends with 'platform has ended: another process listens'.

--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -12,6 +12,7 @@
 import time
 
 STATE_TIMEOUT_S = 30
+BIND_TIME_S = 0.1  # In which a process ends that cannot listen.
 ZONES = ["centro-a", "centro-b", "centro-c"]
 
 
@@ -86,7 +87,14 @@
 
     def start_platform(self):
         self.start_standin("platform", "platform", f"--listen={self.platform}")
-        wait_for("platform", lambda: send_request(self.platform, "GET", "/calls").status == 200)
+        self.wait_started("platform", self.platform, "/calls")
+
+    def wait_started(self, name, address, path):
+        """Waits until a process answers. Another one may answer at its address if it has ended."""
+        wait_for(address, lambda: send_request(address, "GET", path).status == 200)
+        time.sleep(BIND_TIME_S)
+        if self.processes[name].poll() is not None:
+            raise RuntimeError(f"{name} has ended: another process listens at {address}")
 
     def allocate_ports(self, count):
         first = self.next_port
@@ -99,20 +107,20 @@
         self.start_standin(name, "engine", f"--listen=127.0.0.1:{first}", f"--count={count}",
                            *arguments)
         addresses = [f"127.0.0.1:{first + i}" for i in range(count)]
+        self.wait_started(name, addresses[-1], "/state")
         for address in addresses:
             self.vms.append({"id": f"vm-{address.split(':')[1]}", "address": address,
                              "availability_zone": zone, "fabric_domain": domain})
-            wait_for(address, lambda a=address: send_request(a, "GET", "/state").status == 200)
         return addresses
 
     def start_services(self, name, count, zone, service):
         first = self.allocate_ports(count)
         self.start_standin(name, "service", f"--listen=127.0.0.1:{first}", f"--count={count}")
         addresses = [f"127.0.0.1:{first + i}" for i in range(count)]
+        self.wait_started(name, addresses[-1], "/state")
         for address in addresses:
             self.vms.append({"id": f"vm-{address.split(':')[1]}", "address": address,
                              "availability_zone": zone, "service": service})
-            wait_for(address, lambda a=address: send_request(a, "GET", "/state").status == 200)
         return addresses
 
     def publish_vms(self):
