Codechange: [Request] [Tests] One copy of what tests publish, one question for forwarded attempts, no copies of ids in probes

Change: ScriptedSystem publishes, withdraws and restarts, Attempt::isForwarded, pointers. Evidence: links_test, request_test, attempt_test, attempt_review_test and cut_nodes_test pass.

--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -366,7 +366,7 @@
     ("forwarded_request_has_all_attempts", "request/request_system.cpp",
      "arrival.attemptsLeft.value_or(route.maxAttempts)", "route.maxAttempts"),
     ("forwarded_failure_is_repeated", "request/request_system.cpp",
-     "&& attemptOf(*request, attempt).node.value().empty()\n        &&", "&&"),
+     "&& !attemptOf(*request, attempt).isForwarded()", ""),
     ("silence_cuts_a_node_off", "request/server_links.cpp",
      "m_isCut = !m_failures.empty()", "m_isCut = m_isWaiting || !m_failures.empty()"),
     ("limits_of_many_servers_in_one_message", "request/server_limit_base.cpp",
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -160,7 +160,7 @@
     for (const auto &[model, refused] : m_refusedDemand)
         sum[model] = refusedSlots(refused, now);
     for (const auto &[id, request] : m_requests) {
-        const bool isForwarded = request.running && !request.current.node.value().empty();
+        const bool isForwarded = request.running && request.current.isForwarded();
         if (!request.arrival.model.value().empty() && !isForwarded)
             sum[request.arrival.model] += request.slotsNeeded;
     }
@@ -501,7 +501,7 @@
     const bool isWaiting = std::any_of(m_requests.begin(), m_requests.end(), [&](const auto &item) {
         const Request &request = item.second;
         const Attempt &current = request.current;
-        return request.running && current.isWritten && current.node.value().empty()
+        return request.running && current.isWritten && !current.isForwarded()
             && now - std::max(current.sentAt, request.lastProgress) > longWait;
     });
     if (!m_links.check(isWaiting, now))
@@ -682,7 +682,7 @@
 
 void RequestSystem::releaseServer(const Request &request, const Attempt &attempt)
 {
-    if (!attempt.node.value().empty()) {
+    if (attempt.isForwarded()) {
         if (const auto forwarded = m_forwarded.find(attempt.node);
             forwarded != m_forwarded.end() && --forwarded->second == 0)
             m_forwarded.erase(forwarded);
@@ -800,7 +800,7 @@
         || found->second.current.number != attempt)
         return false;
     const Attempt &current = found->second.current;
-    if (!current.node.value().empty())
+    if (current.isForwarded())
         return !m_quarantine.quarantinedUntil(found->second.parts, now);
     const Backend *backend = m_backends.find(current.server);
     const bool isPermitted = current.permit
@@ -820,7 +820,7 @@
     Attempt &current = request->current;
     current.sentAt = now;
     current.isWritten = true;
-    if (!current.node.value().empty())
+    if (current.isForwarded())
         return;
     if (!current.permit && !m_limits.empty())
         current.permit = m_permits.take({current.server, current.serverStartedAt}, now);
@@ -837,7 +837,7 @@
         return;
     const Attempt &addressed = attemptOf(*request, attempt);
     // Another node's refusals ask nothing of servers.
-    if (!addressed.node.value().empty() && notice.server.value().empty())
+    if (addressed.isForwarded() && notice.server.value().empty())
         return;
     const ServerRun run = respondingRun(addressed, notice);
     const auto log = [&](LogDecision note) {
@@ -852,7 +852,7 @@
         if (const auto change = m_limits.onAnswer(run, *notice.limit, addressed.sentAt, now))
             log(limitNote(*change));
     }
-    if (notice.pause && *notice.pause > Duration(0) && addressed.node.value().empty()) {
+    if (notice.pause && *notice.pause > Duration(0) && !addressed.isForwarded()) {
         m_backends.pause(run.server, now + *notice.pause, now);
         log({"",
              "server_paused",
@@ -982,7 +982,7 @@
     request->mayHaveRun = true;
     // Another node has made the repeats that are permitted itself.
     const bool mayRetry = status >= minServerErrorStatus
-        && attemptOf(*request, attempt).node.value().empty()
+        && !attemptOf(*request, attempt).isForwarded()
         && (request->kind == RequestKind::Repeatable
             || (request->kind == RequestKind::ResumableStream && !request->responseStarted));
     if (mayRetry) {
@@ -1013,7 +1013,7 @@
 
 void RequestSystem::recordBreak(const Request &request, const Attempt &attempt, TimePoint now)
 {
-    if (!request.parts.empty() && !attempt.isKnownSound && attempt.node.value().empty())
+    if (!request.parts.empty() && !attempt.isKnownSound && !attempt.isForwarded())
         m_quarantine.onBroken(request.parts, {attempt.server, attempt.serverStartedAt},
                               request.identity, now);
 }
@@ -1032,7 +1032,7 @@
     attempts.push_back(request.current);
     for (const Attempt &attempt : attempts) {
         const Backend *backend = m_backends.find(attempt.server);
-        if (!attempt.isWritten || attempt.isKnownSound || !attempt.node.value().empty())
+        if (!attempt.isWritten || attempt.isKnownSound || attempt.isForwarded())
             continue;
         m_quarantine.onDoubtfulEnd(
             request.parts, {attempt.server, attempt.serverStartedAt}, request.identity,
@@ -1044,7 +1044,7 @@
 void RequestSystem::recordEnd(const Request &request, const Attempt &attempt, ResponseEnd end,
                               TimePoint now)
 {
-    if (request.parts.empty() || attempt.isKnownSound || !attempt.node.value().empty())
+    if (request.parts.empty() || attempt.isKnownSound || attempt.isForwarded())
         return;
     const bool isLong = attempt.firstEventAt && now - *attempt.firstEventAt >= soundWritingTime;
     if (end == ResponseEnd::Framed && isLong)
@@ -1132,7 +1132,7 @@
         addTried(*request, request->current.server);
     suspectAfterFailure(request->current, failure, faultyServer, now);
     const Backend *backend = m_backends.find(request->current.server);
-    const bool isOfNode = !request->current.node.value().empty();
+    const bool isOfNode = request->current.isForwarded();
     const bool isServerUnlisted = !isOfNode && (!backend || backend->listing != Listing::Listed);
     bool mayRetry = true;
     const char *cause = "broken";
@@ -1246,7 +1246,7 @@
 {
     if (request.readingPaused)
         return false;
-    if (!request.current.node.value().empty())
+    if (request.current.isForwarded())
         return now - request.lastProgress > nodeStallTimeout;
     const Backend *backend = m_backends.find(request.current.server);
     if (!backend)
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -194,6 +194,8 @@
         std::optional<TimePoint> firstEventAt; ///< When its first event was forwarded.
         bool isTrial = false; ///< A suspected request that is tried.
         bool isKnownSound = false; ///< Its server writes for so long that no part crashes it.
+
+        bool isForwarded() const { return !node.value().empty(); }
     };
     /// A request that is waiting or running.
     struct Request
--- a/src/request/server_links.cpp
+++ b/src/request/server_links.cpp
@@ -1,6 +1,7 @@
 #include "request/server_links.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace bramleypitch {
 
@@ -79,8 +80,7 @@
     {
         bool isQuiet = false;
         TimePoint failedAt;
-        VmId server;
-        auto operator<=>(const Candidate &) const = default;
+        const VmId *server;
     };
     std::vector<Candidate> candidates;
     m_backends.forEach([&](BackendIndex, const Backend &backend) {
@@ -89,15 +89,18 @@
         if (backend.listing == Listing::Listed)
             candidates.push_back({!isHeardElsewhere(server, now - recentlyHeard),
                                   failed == m_failures.end() ? TimePoint() : failed->second.lastAt,
-                                  server});
+                                  &server});
     });
     const std::size_t count =
         std::min(m_isCut ? std::size_t {1} : probesInDoubt, candidates.size());
     std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count),
-                      candidates.end());
+                      candidates.end(), [](const Candidate &left, const Candidate &right) {
+                          return std::tie(left.isQuiet, left.failedAt, *left.server)
+                              < std::tie(right.isQuiet, right.failedAt, *right.server);
+                      });
     std::vector<VmId> probes;
     for (std::size_t i = 0; i < count; ++i)
-        probes.push_back(candidates[i].server);
+        probes.push_back(*candidates[i].server);
     return probes;
 }
 
--- a/src/tests/quarantine_process_test.py
+++ b/src/tests/quarantine_process_test.py
@@ -83,8 +83,8 @@
                                      keys={KEY: "chain-a"})
         self.addCleanup(self.system.stop)
         self.addCleanup(self.fleet.stop)  # Before the store.
-        self.fleet.publish = self.publish
-        self.fleet.withdraw = self.withdraw
+        self.fleet.publish = self.system.publish
+        self.fleet.withdraw = self.system.withdraw
         # Taken after the start, so that no node counts as older than it is.
         self.node_starts = [[time.monotonic()] for _ in range(NODES)]
         for number in range(NODES):
@@ -97,16 +97,6 @@
             self.run_thread(self.send_sound_requests, caller)
         time.sleep(BEFORE_S)
 
-    def key_of(self, server):
-        return f"servers/{SERVICE}-{self.fleet.servers.index(server)}"
-
-    def publish(self, server):
-        entry = self.system.entry_of(SERVICE, server, **server.entry_fields)
-        self.system.put({self.key_of(server): entry})
-
-    def withdraw(self, server):
-        self.system.write({"expected": [], "puts": [], "remove": [self.key_of(server)]})
-
     def run_thread(self, function, *arguments):
         thread = threading.Thread(target=function, args=arguments, daemon=True)
         self.threads.append(thread)
@@ -178,11 +168,8 @@
 
     def restart_nodes(self, numbers):
         """Kills nodes at once and starts them again."""
+        self.system.restart_nodes(numbers, NODE_DOWN_S)
         for number in numbers:
-            self.system.kill(f"n{number}")
-        time.sleep(NODE_DOWN_S)
-        for number in numbers:
-            self.system.start_node(number)
             self.node_starts[number].append(time.monotonic())
 
     def sender_age(self, sent, now):
--- a/src/tests/repeated_request_test.py
+++ b/src/tests/repeated_request_test.py
@@ -62,8 +62,8 @@
                                      keys={KEY: "chain-a"})
         self.addCleanup(self.system.stop)
         self.addCleanup(self.fleet.stop)  # Before the store.
-        self.fleet.publish = self.publish
-        self.fleet.withdraw = self.withdraw
+        self.fleet.publish = self.system.publish
+        self.fleet.withdraw = self.system.withdraw
         self.node_starts = [[time.monotonic()] for _ in range(NODES)]
         for number in range(NODES):
             wait_for(f"node {number} to be ready", lambda n=number: self.system.is_ready(n))
@@ -73,18 +73,6 @@
             self.run_thread(self.send_sound_requests, caller)
         time.sleep(1.5)
 
-    def keys_of(self, server):
-        return {service: f"servers/{service}-{self.fleet.servers.index(server)}"
-                for service in ROUTES}
-
-    def publish(self, server):
-        self.system.put({key: self.system.entry_of(service, server, **server.entry_fields)
-                         for service, key in self.keys_of(server).items()})
-
-    def withdraw(self, server):
-        self.system.write({"expected": [], "puts": [],
-                           "remove": list(self.keys_of(server).values())})
-
     def run_thread(self, function, *arguments):
         thread = threading.Thread(target=function, args=arguments, daemon=True)
         self.threads.append(thread)
@@ -197,11 +185,8 @@
 
         def restart():
             for numbers in ([1], range(NODES)):
+                self.system.restart_nodes(numbers, NODE_DOWN_S)
                 for number in numbers:
-                    self.system.kill(f"n{number}")
-                time.sleep(NODE_DOWN_S)
-                for number in numbers:
-                    self.system.start_node(number)
                     self.node_starts[number].append(time.monotonic())
                 time.sleep(KNOWN_S + 1)
         self.play(0.4, during=restart)
--- a/src/tests/scripted_system.py
+++ b/src/tests/scripted_system.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import time
 
 from platform_system import System
 from scripted_server import ScriptedServer
@@ -67,6 +68,24 @@
                 "slots": 8, "state": "ready", "cold_remaining_ms": 0, "seq_num": 0, "born": born,
                 "models": [], "staged": [], **fields}
 
+    def publish(self, server):
+        """Writes the entries of a server, one for each service."""
+        self.put({f"servers/{name}-{self.servers.index(server)}":
+                  self.entry_of(name, server, **server.entry_fields) for name in self.routes})
+
+    def withdraw(self, server):
+        """Removes them."""
+        self.write({"expected": [], "puts": [], "remove": [
+            f"servers/{name}-{self.servers.index(server)}" for name in self.routes]})
+
+    def restart_nodes(self, numbers, down_s):
+        """Kills nodes at once and starts them again after a while."""
+        for number in numbers:
+            self.kill(f"n{number}")
+        time.sleep(down_s)
+        for number in numbers:
+            self.start_node(number)
+
     def put(self, values):
         self.write({"expected": [], "remove": [],
                     "puts": [{"key": key, "value": base64.b64encode(
