Fix: [Request] An attempt that was given up counts until its server is known to have ended, whatever its time limit

What callers see: a request under which servers end silently goes on to end them, on routes with more than 5 s. Cause: such an attempt is dated when its server was last known to live, and was forgotten 5 s after that date, that is at once. Change: it is forgotten 5 s after it was given up. Evidence: RepeatedRequestTest.RequestUnderWhichServersEndSilentlyIsRefused fails on the code before (no refusal) and passes now; request_test passes, 57.

--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -289,7 +289,7 @@
     ("trials_overlap", "request/quarantine_base.cpp",
      "suspect->second = now + trialInterval;", ""),
     ("silent_end_is_no_evidence", "request/request_system.cpp",
-     "recordGivenUp(request);\n        abandonAttempts(request, actions);\n        refuse(request, ErrorCode::DeadlineUnreachable",
+     "recordGivenUp(request, now);\n        abandonAttempts(request, actions);\n        refuse(request, ErrorCode::DeadlineUnreachable",
      "abandonAttempts(request, actions);\n        refuse(request, ErrorCode::DeadlineUnreachable"),
     ("whole_request_hides_its_part", "request/quarantine_base.cpp",
      "|| isWholeRequest(part) || request != explainedRequest", "|| true"),
--- a/src/request/quarantine_base.cpp
+++ b/src/request/quarantine_base.cpp
@@ -81,11 +81,13 @@
 }
 
 void QuarantineTable::onDoubtfulEnd(const PromptParts &parts, const ServerRun &run,
-                                    std::uint64_t request, TimePoint at, ResponseEnd end)
+                                    std::uint64_t request, TimePoint now, ResponseEnd end,
+                                    std::optional<TimePoint> aliveAt)
 {
     if (m_doubtfulEnds.size() >= maxDoubtfulEnds)
         m_doubtfulEnds.pop_front();
-    m_doubtfulEnds.push_back({parts, run, request, at, end});
+    m_doubtfulEnds.push_back(
+        {parts, run, request, aliveAt.value_or(now), now + doubtfulEndTime, end});
 }
 
 void QuarantineTable::onSound(const PromptParts &parts, TimePoint now)
@@ -467,7 +469,7 @@
                    || (crash != m_crashes.end()
                        && std::chrono::abs(crash->second.at - end->at) <= relatedBreakTime)) {
             recordBreak(end->parts, end->run, end->request, end->at, now);
-        } else if (now - end->at < doubtfulEndTime) {
+        } else if (now < end->forgottenAt) {
             ++end;
             continue;
         } else if (end->end == ResponseEnd::Framed) {
--- a/src/request/quarantine_base.h
+++ b/src/request/quarantine_base.h
@@ -59,9 +59,10 @@
     void onBroken(const PromptParts &parts, const ServerRun &run, std::uint64_t request,
                   TimePoint now);
     /// An answer ended so that the server may have crashed with it, or an attempt without an answer
-    /// was given up. In that case `at` is the last time at which its server was known to live.
+    /// was given up, whose server was last known to live at `aliveAt`.
     void onDoubtfulEnd(const PromptParts &parts, const ServerRun &run, std::uint64_t request,
-                       TimePoint at, ResponseEnd end = ResponseEnd::ConnectionClose);
+                       TimePoint now, ResponseEnd end = ResponseEnd::ConnectionClose,
+                       std::optional<TimePoint> aliveAt = std::nullopt);
     /// A server completed an answer, or has been writing it for a while: no part crashes it.
     void onSound(const PromptParts &parts, TimePoint now);
 
@@ -141,7 +142,8 @@
         PromptParts parts;
         ServerRun run;
         std::uint64_t request = 0;
-        TimePoint at;
+        TimePoint at; ///< A server that lives later did not end with it.
+        TimePoint forgottenAt;
         ResponseEnd end = ResponseEnd::ConnectionClose;
     };
 
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -784,7 +784,7 @@
     if (found == m_requests.end())
         return;
     Request &request = found->second;
-    recordGivenUp(request);
+    recordGivenUp(request, now);
     abandonAttempts(request, actions);
     actions.push_back(LogDecision {request.arrival.traceId,
                                    "caller_gone",
@@ -1024,7 +1024,7 @@
     return isKnown ? partName(request.parts.back()) : "none";
 }
 
-void RequestSystem::recordGivenUp(const Request &request)
+void RequestSystem::recordGivenUp(const Request &request, TimePoint now)
 {
     if (!request.running || request.parts.empty())
         return;
@@ -1035,9 +1035,9 @@
         if (!attempt.isWritten || attempt.isKnownSound || attempt.isForwarded())
             continue;
         m_quarantine.onDoubtfulEnd(
-            request.parts, {attempt.server, attempt.serverStartedAt}, request.identity,
-            std::max(attempt.sentAt, backend ? backend->lastProgress : attempt.sentAt),
-            ResponseEnd::None);
+            request.parts, {attempt.server, attempt.serverStartedAt}, request.identity, now,
+            ResponseEnd::None,
+            std::max(attempt.sentAt, backend ? backend->lastProgress : attempt.sentAt));
     }
 }
 
@@ -1312,7 +1312,7 @@
     for (const RequestId id : expired) {
         Request &request = m_requests.at(id);
         request.mayHaveRun = request.mayHaveRun || request.running;
-        recordGivenUp(request);
+        recordGivenUp(request, now);
         abandonAttempts(request, actions);
         refuse(request, ErrorCode::DeadlineUnreachable, m_options.defaultRetryAfter, "deadline",
                now, actions);
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -333,7 +333,7 @@
     /// What the request as a whole is recognised by, for the log.
     static std::string wholeName(const Request &request);
     /// Records that the attempts of the request are given up before their servers answered.
-    void recordGivenUp(const Request &request);
+    void recordGivenUp(const Request &request, TimePoint now);
     /// Records how the complete response to an attempt ended.
     void recordEnd(const Request &request, const Attempt &attempt, ResponseEnd end, TimePoint now);
     /// Refuses a request with a quarantined part, with the end of the quarantine.
--- a/src/tests/links_test.cpp
+++ b/src/tests/links_test.cpp
@@ -256,6 +256,16 @@
     EXPECT_EQ(actionsOf<RefuseRequest>(actions)[0].run, RunOutcome::NotRun);
 }
 
+TEST_F(LinksTest, ForwardedRequestHasTheAttemptsThatAreLeft)
+{
+    const DispatchAttempt last = attemptOf(takeOver("/read/x", 1));
+    m_system.onWriting(last.request, last.attempt, m_now);
+    EXPECT_TRUE(actionsOf<DispatchAttempt>(failAttempt(last, AttemptFailure::Broken)).empty());
+    const DispatchAttempt first = attemptOf(takeOver("/read/x", 2));
+    m_system.onWriting(first.request, first.attempt, m_now);
+    attemptOf(failAttempt(first, AttemptFailure::Broken));
+}
+
 TEST_F(LinksTest, CutNodeRefusesForwardedRequestsWhileItsServersAreFull)
 {
     for (int i = 0; i < 48; ++i)
--- a/src/tests/request_test.cpp
+++ b/src/tests/request_test.cpp
@@ -826,6 +826,60 @@
     EXPECT_EQ(actionsOf<DispatchAttempt>(askWith({1, harmful, 2})).size(), 1U);
 }
 
+class RepeatedRequestTest : public RequestTest
+{
+protected:
+    RepeatedRequestTest()
+    {
+        for (int i = 1; i <= 8; ++i)
+            m_backends.update(serverReport("s" + std::to_string(i)), m_now);
+        pass(Duration(4'000));
+    }
+
+    RequestActions sendContent(std::uint64_t content, const std::string &path = "/pay/x")
+    {
+        RequestArrival arrival;
+        arrival.request = RequestId(++m_lastRequestId);
+        arrival.traceId = "t" + std::to_string(m_lastRequestId);
+        arrival.host = "shop.example";
+        arrival.path = path;
+        arrival.key = apiKey;
+        arrival.content = content;
+        RequestActions actions;
+        m_system.onRequestArrived(arrival, m_now, actions);
+        return actions;
+    }
+};
+
+TEST_F(RepeatedRequestTest, RequestThatEndedThreeServersIsRefusedAndOthersAreNot)
+{
+    for (int i = 0; i < 3; ++i) {
+        const auto attempt = actionsOf<DispatchAttempt>(sendContent(7)).at(0);
+        m_system.onWriting(attempt.request, attempt.attempt, m_now);
+        pass(Duration(500));
+        failAttempt(attempt, AttemptFailure::Broken);
+    }
+    pass(Duration(2'500));
+    const auto refusals = actionsOf<RefuseRequest>(sendContent(7));
+    ASSERT_EQ(refusals.size(), 1U);
+    EXPECT_EQ(refusals[0].code, ErrorCode::PromptQuarantined);
+    EXPECT_EQ(refusals[0].run, RunOutcome::NotRun);
+    EXPECT_EQ(actionsOf<DispatchAttempt>(sendContent(8)).size(), 1U);
+}
+
+TEST_F(RepeatedRequestTest, RequestUnderWhichServersEndSilentlyIsRefused)
+{
+    for (int i = 0; i < 3; ++i) {
+        const auto attempt = actionsOf<DispatchAttempt>(sendContent(7)).at(0);
+        m_system.onWriting(attempt.request, attempt.attempt, m_now);
+        pass(Duration(6'100)); // Its deadline.
+        m_backends.erase(attempt.server);
+    }
+    pass(Duration(2'500));
+    EXPECT_EQ(actionsOf<RefuseRequest>(sendContent(7)).at(0).code, ErrorCode::PromptQuarantined);
+    EXPECT_EQ(actionsOf<DispatchAttempt>(sendContent(8)).size(), 1U);
+}
+
 TEST_F(QuarantineRequestTest, WaitingRequestIsRefusedAsNotRun)
 {
     addGroup("a");
