Fix: [Request] A part that suspected requests explain is not blamed as the first of several that beat each other

What callers see: requests with a rare sound part are refused beside a harmful request. Cause: a part that a suspected whole request explains counted as beaten, and where all parts are beaten the first one is blamed, as they may beat each other in a circle. Change: such a part is no case at all.

--- a/src/request/quarantine_base.cpp
+++ b/src/request/quarantine_base.cpp
@@ -720,27 +720,28 @@
         const auto firstPart =
             std::stable_partition(requests.begin(), requests.end(),
                                   [](const Case &item) { return isWholeRequest(item.part); });
-        const std::vector<Case> found(std::make_move_iterator(firstPart),
-                                      std::make_move_iterator(requests.end()));
+        std::vector<Case> found(std::make_move_iterator(firstPart),
+                                std::make_move_iterator(requests.end()));
         requests.erase(firstPart, requests.end());
         if (decideWholeRequests(requests, found, now)) {
             hasDecided = true;
             continue;
         }
+        std::erase_if(found, [&](const Case &item) {
+            return std::any_of(requests.begin(), requests.end(), [&](const Case &other) {
+                return shareRuns(other, item) && compareExplained(other, item) >= 0
+                    && !wasInRequest(item.part, other.part);
+            });
+        });
         const auto blame = [&](const Case &item) {
             startQuarantine(item.part, quarantineDuration(1), 1, item.matureRuns,
                             item.matureRequests, now);
             hasDecided = true;
         };
         const auto isBeaten = [&](const Case &item) {
-            const bool isForRequest =
-                std::any_of(requests.begin(), requests.end(), [&](const Case &other) {
-                    return shareRuns(other, item) && compareExplained(other, item) >= 0
-                        && !wasInRequest(item.part, other.part);
-                });
-            return isForRequest || std::any_of(found.begin(), found.end(), [&](const Case &other) {
-                       return compareExplained(other, item) > 0;
-                   });
+            return std::any_of(found.begin(), found.end(), [&](const Case &other) {
+                return compareExplained(other, item) > 0;
+            });
         };
         const auto isContradicted = [&](const Case *item) {
             const RunEvidence &runs = m_evidence.at(item->part);
--- a/src/tests/quarantine_test.cpp
+++ b/src/tests/quarantine_test.cpp
@@ -484,6 +484,21 @@
     EXPECT_FALSE(isQuarantined(whole(1)));
 }
 
+TEST_F(QuarantineTest, PartBesideSuspectedRequestsIsNotBlamed)
+{
+    const PromptPart rare = harmful;
+    for (std::uint64_t i = 1; i <= 4; ++i) {
+        m_now += Duration(500);
+        crashTogether({repeated, popular});
+        m_table.onBroken({rare, whole(10 + i)}, runOf("s" + std::to_string(m_crashes)), 10 + i,
+                         m_now);
+        tick();
+    }
+    pass(Duration(3'000));
+    EXPECT_TRUE(m_decisions.empty());
+    EXPECT_EQ(m_table.suspectedCount(), 2U);
+}
+
 TEST_F(QuarantineTest, QuarantinedWholeRequestHidesNoHarmfulPart)
 {
     for (std::uint64_t request = 1; request <= 2; ++request) {
