Codechange: [Request] The quarantine keeps evidence with the crash that it is about

Cause: evidence stood in three tables beside that of the crashes (by part, by time, by run), and each sign of life, answer and explanation was worked into all of them. Change: a crash holds what was in the requests to its run; what answers, signs of life and explanations say of it is looked up when a part is judged. Quarantines that have ended stand with the others. Decisions are taken ten times a second. SignOfLifeJustBeforeADecisionIsSeen is new, as the mutant late_sign_of_life_is_ignored lived by the regular check.

--- a/src/request/quarantine_base.cpp
+++ b/src/request/quarantine_base.cpp
@@ -2,7 +2,10 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <numeric>
 #include <set>
+#include <tuple>
 
 namespace bramleypitch {
 
@@ -13,7 +16,6 @@
 /// How long a break waits for a sign of life of its run, and for the reports of other nodes on the
 /// same run, before it counts.
 constexpr Duration confirmationTime {2'000};
-constexpr Duration fullCheckInterval {5'000};
 constexpr Duration evidenceAge {600'000};
 constexpr Duration doubtfulEndTime {5'000};
 constexpr Duration relatedBreakTime {1'000};
@@ -47,6 +49,8 @@
 constexpr double chanceLimit = 1e-5;
 constexpr Duration answerCountInterval {1'000};
 constexpr std::size_t maxAnswerCounts = evidenceAge / answerCountInterval;
+constexpr Duration decisionInterval {100};
+constexpr Duration crashCheckInterval {1'000};
 /// A node that starts learns first what the others know.
 constexpr Duration settlingTime {3'000};
 
@@ -67,6 +71,12 @@
     return std::min(duration, longestQuarantine);
 }
 
+/// Fewer runs are no case.
+std::size_t minRuns(PromptPart part)
+{
+    return isWholeRequest(part) ? decidingRunsOfRequest : decidingRuns;
+}
+
 } // namespace
 
 QuarantineTable::QuarantineTable(QuarantineHooks hooks)
@@ -150,41 +160,42 @@
               false);
     }
     for (const auto &[part, quarantine] : news.quarantined)
-        adopt(part, quarantine, now);
+        restore(part, quarantine, now);
     for (const CrashEvidence &crash : news.crashes) {
         const TimePoint at = now - std::max(crash.age, Duration(0));
         if (now - at >= evidenceAge)
             continue;
         if (isProtected(crash.part, at))
             accuse(crash.part, now);
-        recordCrash(crash.run, at);
-        if (crash.part == noPart)
-            continue;
-        addEvidence(crash.part, crash.run, {at, crash.request, false}, now);
+        Crash *found = recordCrash(crash.run, at);
+        if (found && crash.part != noPart)
+            addEvidence(*found, crash.part, {at, crash.request, false}, now);
     }
-}
-
-void QuarantineTable::restore(PromptPart part, const QuarantinedPart &quarantine, TimePoint now)
-{
-    adopt(part, quarantine, now);
+    limitCrashes();
 }
 
 std::vector<QuarantineDecision> QuarantineTable::tick(TimePoint now)
 {
-    // Most signs of life come soon; a server that was unreachable may send one later.
-    const bool isCheckingAll = now - m_checkedAllAt >= fullCheckInterval;
-    if (isCheckingAll)
-        m_checkedAllAt = now;
-    eraseContradicted(now - (isCheckingAll ? evidenceAge : confirmationTime));
-    resolveDoubtfulEnds(now);
-    forgetOld(now);
+    m_tickedAt = now;
     if (!m_startedAt)
         m_startedAt = now;
-    if (now - *m_startedAt >= settlingTime)
-        decide(now);
+    resolveDoubtfulEnds(now);
+    forget(now);
+    if (now - m_decidedAt >= decisionInterval) {
+        m_decidedAt = now;
+        if (now - *m_startedAt >= settlingTime)
+            decide(now);
+    }
     return std::exchange(m_decisions, {});
 }
 
+std::size_t QuarantineTable::evidenceCount() const
+{
+    return std::accumulate(
+        m_crashes.begin(), m_crashes.end(), std::size_t {0},
+        [](std::size_t sum, const auto &item) { return sum + item.second.parts.size(); });
+}
+
 bool QuarantineTable::isLive(const ServerRun &run, TimePoint brokenAt) const
 {
     const std::optional<TimePoint> alive = m_hooks.lastAlive(run);
@@ -203,164 +214,163 @@
     return found != m_quarantines.end() && found->second.until > now;
 }
 
-const QuarantineTable::Quarantine *QuarantineTable::findQuarantine(PromptPart part) const
+std::size_t QuarantineTable::quarantinedCount() const
 {
-    const auto live = m_quarantines.find(part);
-    if (live != m_quarantines.end())
-        return &live->second;
-    const auto ended = m_endedQuarantines.find(part);
-    return ended != m_endedQuarantines.end() ? &ended->second : nullptr;
+    return static_cast<std::size_t>(
+        std::count_if(m_quarantines.begin(), m_quarantines.end(),
+                      [this](const auto &item) { return item.second.until > m_tickedAt; }));
+}
+
+bool QuarantineTable::isCounted(const Crash &crash, PromptPart part, const Evidence &evidence) const
+{
+    return !crash.explains(part, evidence.request) && !isProtected(part, evidence.at);
+}
+
+std::unordered_map<PromptPart, std::size_t> QuarantineTable::runCounts() const
+{
+    std::vector<PromptPart> parts;
+    for (const auto &[run, crash] : m_crashes) {
+        for (const auto &[part, evidence] : crash.parts)
+            parts.push_back(part);
+    }
+    std::sort(parts.begin(), parts.end());
+    std::unordered_map<PromptPart, std::size_t> counts;
+    for (auto first = parts.begin(); first != parts.end();) {
+        const auto last = std::find_if(first, parts.end(),
+                                       [part = *first](PromptPart other) { return other != part; });
+        if (last - first > 1)
+            counts.emplace(*first, last - first);
+        first = last;
+    }
+    return counts;
 }
 
 void QuarantineTable::recordBreak(const PromptParts &parts, const ServerRun &run,
                                   std::uint64_t request, TimePoint at, TimePoint now)
 {
-    if (isLive(run, at))
+    Crash *crash = recordCrash(run, at);
+    if (!crash)
         return;
-    recordCrash(run, at);
-    if (const auto found = m_crashes.find(run); found != m_crashes.end()) {
-        Crash &crash = found->second;
-        ++crash.attempts;
-        crash.lastAt = std::max(crash.lastAt, at);
-    }
+    ++crash->attempts;
+    crash->lastAt = std::max(crash->lastAt, at);
     const auto quarantined = std::find_if(
         parts.begin(), parts.end(), [&](PromptPart part) { return isQuarantined(part, now); });
     if (quarantined != parts.end()) {
-        explain(run, *quarantined, request);
-        return;
-    }
-    for (const PromptPart part : parts) {
-        if (part != noPart)
-            addEvidence(part, run, {at, request, true}, now);
+        crash->explain(*quarantined, request);
+    } else {
+        for (const PromptPart part : parts) {
+            if (part != noPart)
+                addEvidence(*crash, part, {at, request, true}, now);
+        }
     }
+    limitCrashes();
 }
 
-void QuarantineTable::recordCrash(const ServerRun &run, TimePoint at)
+QuarantineTable::Crash *QuarantineTable::recordCrash(const ServerRun &run, TimePoint at)
 {
-    const auto known = m_crashes.find(run);
-    if (known != m_crashes.end() && at >= known->second.at
-        && (at <= known->second.at + livenessMargin || !isLive(run, known->second.at)))
-        return;
     if (isLive(run, at))
-        return;
-    const auto [found, isNew] = m_crashes.try_emplace(run, Crash {at, at});
-    if (!isNew) {
-        Crash &crash = found->second;
-        if (at >= crash.at) {
-            m_crashOrder.erase({crash.at, run});
-            crash = {at, at};
-        } else {
-            // Of several reports on one crash, the earliest is the most exact.
-            m_crashOrder.erase({crash.at, run});
-            crash.at = at;
-            if (crash.attempts == 0)
-                crash.lastAt = at;
-        }
+        return nullptr;
+    if (const auto known = m_crashes.find(run); known != m_crashes.end())
+        dropContradicted(known);
+    Crash &crash = m_crashes.try_emplace(run, Crash {at, at}).first->second;
+    if (at < crash.at) {
+        // Of several reports on one crash, the earliest is the most exact.
+        crash.at = at;
+        if (crash.attempts == 0)
+            crash.lastAt = at;
     }
-    m_crashOrder.emplace(std::pair(at, run), &found->second);
-    if (m_crashes.size() > QuarantineLimits::evidence)
-        eraseCrash(ServerRun(m_crashOrder.begin()->first.second));
+    return &crash;
 }
 
-void QuarantineTable::eraseCrash(const ServerRun &run)
+QuarantineTable::Crashes::iterator QuarantineTable::dropContradicted(Crashes::iterator found)
 {
-    const auto found = m_crashes.find(run);
-    if (found == m_crashes.end())
-        return;
-    m_crashOrder.erase({found->second.at, run});
-    m_crashes.erase(found);
+    auto &[run, crash] = *found;
+    const std::optional<TimePoint> alive = m_hooks.lastAlive(run);
+    if (!alive || *alive <= crash.at + livenessMargin)
+        return std::next(found);
+    const TimePoint since = *alive - livenessMargin; // Later breaks stand.
+    std::erase_if(crash.parts, [&](const auto &item) { return item.second.at < since; });
+    if (crash.lastAt < since)
+        crash.attempts = 0;
+    TimePoint at = crash.attempts > 0 ? crash.lastAt : TimePoint::max();
+    for (const auto &[part, evidence] : crash.parts)
+        at = std::min(at, evidence.at);
+    if (at == TimePoint::max())
+        return m_crashes.erase(found);
+    crash.at = at;
+    if (crash.attempts == 0)
+        crash.lastAt = at;
+    return std::next(found);
 }
 
-void QuarantineTable::addEvidence(PromptPart part, const ServerRun &run, const Evidence &evidence,
+void QuarantineTable::addEvidence(Crash &crash, PromptPart part, const Evidence &evidence,
                                   TimePoint now)
 {
-    if (isProtected(part, evidence.at) || isLive(run, evidence.at))
+    if (isProtected(part, evidence.at))
         return;
     if (isQuarantined(part, now)) {
-        explain(run, part, evidence.request);
+        crash.explain(part, evidence.request);
         return;
     }
-    const auto crash = m_crashes.find(run);
-    if (crash != m_crashes.end() && crash->second.explains(part, evidence.request))
+    if (crash.explains(part, evidence.request))
         return;
-    const Quarantine *ended = findQuarantine(part);
-    if (ended && evidence.at >= ended->until) {
-        const std::uint32_t times = ended->times + 1;
+    const auto ended = m_quarantines.find(part);
+    if (ended != m_quarantines.end() && evidence.at >= ended->second.until) {
+        const std::uint32_t times = ended->second.times + 1;
         startQuarantine(part, quarantineDuration(times), times, 1, 1, now);
-        explain(run, part, evidence.request);
+        crash.explain(part, evidence.request);
         return;
     }
-    RunEvidence &runs = m_evidence[part];
-    const auto found = runs.find(run);
-    if (found != runs.end()) {
+    const auto known = crash.parts.find(part);
+    if (known != crash.parts.end()) {
         // Of several reports on one break, the earliest is the most exact.
-        if (evidence.at >= found->second.at
-            && (evidence.at <= found->second.at + livenessMargin || !isLive(run, found->second.at)))
-            return;
-        m_evidenceOrder.erase({found->second.at, part, run});
+        if (evidence.at < known->second.at)
+            known->second = evidence;
+    } else if (crash.parts.size() < QuarantineLimits::partsOfCrash) {
+        crash.parts.emplace(part, evidence);
     }
-    Evidence &kept = runs[run];
-    kept = evidence;
-    m_evidenceOrder.emplace(std::tuple(evidence.at, part, run), &kept);
-    if (m_evidenceOrder.size() > QuarantineLimits::evidence) {
-        const auto [at, oldPart, oldRun] = m_evidenceOrder.begin()->first;
-        eraseEvidence(oldPart, oldRun);
+}
+
+void QuarantineTable::limitCrashes()
+{
+    std::size_t evidence = evidenceCount();
+    while (m_crashes.size() > QuarantineLimits::evidence || evidence > QuarantineLimits::evidence) {
+        const auto oldest = std::min_element(
+            m_crashes.begin(), m_crashes.end(),
+            [](const auto &left, const auto &right) { return left.second.at < right.second.at; });
+        evidence -= oldest->second.parts.size();
+        m_crashes.erase(oldest);
     }
 }
 
-void QuarantineTable::eraseEvidence(PromptPart part, const ServerRun &run)
+bool QuarantineTable::Crash::explains(PromptPart part, std::uint64_t request) const
 {
-    const auto found = m_evidence.find(part);
-    if (found == m_evidence.end())
-        return;
-    const auto item = found->second.find(run);
-    if (item == found->second.end())
-        return;
-    m_evidenceOrder.erase({item->second.at, part, run});
-    found->second.erase(item);
-    if (found->second.empty())
-        m_evidence.erase(found);
+    return isExplained()
+        && (!isWholeRequest(explainedBy) || isWholeRequest(part) || request != explainedRequest);
 }
 
-void QuarantineTable::eraseEvidenceUntil(PromptPart part, TimePoint until)
+void QuarantineTable::Crash::explain(PromptPart by, std::uint64_t request)
 {
-    const auto found = m_evidence.find(part);
-    if (found == m_evidence.end())
+    if (explains(by, request))
         return;
-    std::vector<ServerRun> runs;
-    for (const auto &[run, evidence] : found->second) {
-        if (evidence.at <= until)
-            runs.push_back(run);
-    }
-    for (const ServerRun &run : runs)
-        eraseEvidence(part, run);
+    explainedBy = by;
+    explainedRequest = request;
 }
 
-bool QuarantineTable::Crash::explains(PromptPart part, std::uint64_t request) const
+CrashTime QuarantineTable::Crash::time() const
 {
-    return isExplained
-        && (!isWholeRequest(explainedBy) || isWholeRequest(part) || request != explainedRequest);
+    if (attempts == 0)
+        return {at - messageDelay, at};
+    const TimePoint last = std::min(lastAt, at + crashReportTime);
+    return {std::max(at, last - breakSpread), last};
 }
 
-void QuarantineTable::explain(const ServerRun &run, PromptPart by, std::uint64_t request)
+CrashTime QuarantineTable::Crash::time(const Evidence &evidence) const
 {
-    const Crash explained {{}, {}, true, by, request};
-    const auto crash = m_crashes.find(run);
-    if (crash != m_crashes.end()) {
-        if (crash->second.explains(by, request))
-            return;
-        crash->second.isExplained = true;
-        crash->second.explainedBy = by;
-        crash->second.explainedRequest = request;
-    }
-    std::vector<PromptPart> parts;
-    for (const auto &[part, runs] : m_evidence) {
-        const auto evidence = runs.find(run);
-        if (evidence != runs.end() && explained.explains(part, evidence->second.request))
-            parts.push_back(part);
-    }
-    for (const PromptPart part : parts)
-        eraseEvidence(part, run);
+    // All parts in one crash get its time as it is known best, so that they can be compared.
+    if (evidence.at <= at + crashReportTime)
+        return time();
+    return {evidence.isOwn ? evidence.at : evidence.at - messageDelay, evidence.at};
 }
 
 void QuarantineTable::clear(PromptPart part, TimePoint at, std::uint32_t answers, bool isOwn)
@@ -383,13 +393,10 @@
         clearing.ownAt = at;
     clearing.at = std::max(clearing.at, at);
 
-    if (!m_evidence.empty())
-        eraseEvidenceUntil(part, at);
+    m_suspects.erase(part);
     const auto quarantine = m_quarantines.find(part);
     if (quarantine != m_quarantines.end() && isProtected(part, quarantine->second.since))
         m_quarantines.erase(quarantine);
-    if (!m_endedQuarantines.empty())
-        m_endedQuarantines.erase(part);
     if (m_clearings.size() > QuarantineLimits::clearedParts) {
         m_clearings.erase(m_clearingOrder.front());
         m_clearingOrder.pop_front();
@@ -409,15 +416,12 @@
 void QuarantineTable::startQuarantine(PromptPart part, Duration timeLeft, std::uint32_t times,
                                       std::size_t runs, std::size_t requests, TimePoint now)
 {
-    const auto earliest = [](auto &quarantines) {
-        return std::min_element(quarantines.begin(), quarantines.end(),
-                                [](const auto &left, const auto &right) {
-                                    return left.second.until < right.second.until;
-                                });
-    };
-    if (!m_quarantines.count(part) && m_quarantines.size() >= QuarantineLimits::quarantinedParts)
-        m_quarantines.erase(earliest(m_quarantines));
-    m_endedQuarantines.erase(part);
+    if (!m_quarantines.count(part) && m_quarantines.size() >= QuarantineLimits::quarantinedParts) {
+        m_quarantines.erase(std::min_element(m_quarantines.begin(), m_quarantines.end(),
+                                             [](const auto &left, const auto &right) {
+                                                 return left.second.until < right.second.until;
+                                             }));
+    }
     const TimePoint until = now + timeLeft;
     m_quarantines[part] = {until - quarantineDuration(times), until, times};
     m_decisions.push_back({part, {timeLeft, times}, runs, requests});
@@ -425,34 +429,37 @@
     if (m_decisions.size() > QuarantineLimits::quarantinedParts)
         m_decisions.erase(m_decisions.begin());
 
-    const auto found = m_evidence.find(part);
-    if (found == m_evidence.end())
-        return;
-    const RunEvidence explained = found->second;
-    for (const auto &[run, evidence] : explained)
-        explain(run, part, evidence.request);
+    for (auto &[run, crash] : m_crashes) {
+        const auto evidence = crash.parts.find(part);
+        if (evidence != crash.parts.end() && isCounted(crash, part, evidence->second))
+            crash.explain(part, evidence->second.request);
+    }
 }
 
-bool QuarantineTable::adopt(PromptPart part, const QuarantinedPart &quarantine, TimePoint now)
+void QuarantineTable::startQuarantine(const Case &item, TimePoint now)
+{
+    startQuarantine(item.part, quarantineDuration(1), 1, item.matureRuns, item.matureRequests, now);
+}
+
+void QuarantineTable::restore(PromptPart part, const QuarantinedPart &quarantine, TimePoint now)
 {
     std::uint32_t times = std::max<std::uint32_t>(quarantine.times, 1);
     const Duration timeLeft = std::min(quarantine.timeLeft, quarantineDuration(times));
     if (timeLeft <= Duration(0))
-        return false;
+        return;
     const TimePoint since = now + timeLeft - quarantineDuration(times);
     if (isProtected(part, since)) {
         accuse(part, now);
-        return false;
+        return;
     }
-    const Quarantine *known = findQuarantine(part);
-    if (known) {
+    const auto known = m_quarantines.find(part);
+    if (known != m_quarantines.end()) {
         // Of the same quarantine, the end that was learned first holds.
-        if (times <= known->times && since <= known->until)
-            return false;
-        times = std::max(times, known->times);
+        if (times <= known->second.times && since <= known->second.until)
+            return;
+        times = std::max(times, known->second.times);
     }
     startQuarantine(part, timeLeft, times, 0, 0, now);
-    return true;
 }
 
 void QuarantineTable::resolveDoubtfulEnds(TimePoint now)
@@ -479,66 +486,16 @@
     }
 }
 
-void QuarantineTable::forgetOld(TimePoint now)
+void QuarantineTable::forget(TimePoint now)
 {
-    while (!m_evidenceOrder.empty()
-           && now - std::get<TimePoint>(m_evidenceOrder.begin()->first) >= evidenceAge) {
-        const auto [at, part, run] = m_evidenceOrder.begin()->first;
-        eraseEvidence(part, run);
+    if (now - m_checkedCrashesAt >= crashCheckInterval) {
+        m_checkedCrashesAt = now;
+        std::erase_if(m_crashes,
+                      [&](const auto &item) { return now - item.second.at >= evidenceAge; });
+        for (auto crash = m_crashes.begin(); crash != m_crashes.end();)
+            crash = dropContradicted(crash);
     }
-    while (!m_crashOrder.empty() && now - m_crashOrder.begin()->first.first >= evidenceAge)
-        eraseCrash(ServerRun(m_crashOrder.begin()->first.second));
     std::erase_if(m_accused, [&](const auto &item) { return now - item.second >= reportTime; });
-    for (auto it = m_quarantines.begin(); it != m_quarantines.end();) {
-        if (it->second.until > now) {
-            ++it;
-            continue;
-        }
-        m_endedQuarantines.insert_or_assign(it->first, it->second);
-        it = m_quarantines.erase(it);
-    }
-    while (m_endedQuarantines.size() > QuarantineLimits::quarantinedParts) {
-        m_endedQuarantines.erase(std::min_element(m_endedQuarantines.begin(),
-                                                  m_endedQuarantines.end(),
-                                                  [](const auto &left, const auto &right) {
-                                                      return left.second.until < right.second.until;
-                                                  }));
-    }
-}
-
-void QuarantineTable::eraseContradicted(TimePoint since)
-{
-    std::vector<std::pair<PromptPart, ServerRun>> contradicted;
-    std::map<ServerRun, std::optional<TimePoint>, RunOrder> alive;
-    for (auto it = m_evidenceOrder.lower_bound({since, PromptPart(), ServerRun()});
-         it != m_evidenceOrder.end(); ++it) {
-        const auto &[at, part, run] = it->first;
-        const auto [found, isNew] = alive.try_emplace(run);
-        if (isNew)
-            found->second = m_hooks.lastAlive(run);
-        if (found->second && *found->second > at + livenessMargin)
-            contradicted.emplace_back(part, run);
-    }
-    for (const auto &[part, run] : contradicted)
-        eraseEvidence(part, run);
-    std::vector<ServerRun> liveRuns;
-    for (auto it = m_crashOrder.lower_bound({since, ServerRun()}); it != m_crashOrder.end(); ++it) {
-        const auto &[at, run] = it->first;
-        if (isLive(run, at))
-            liveRuns.push_back(run);
-    }
-    for (const ServerRun &run : liveRuns) {
-        const Crash crash = m_crashes.at(run);
-        eraseCrash(run);
-        // An earlier break does not hide the crash.
-        if (crash.attempts > 0 && crash.lastAt > crash.at && !isLive(run, crash.lastAt)) {
-            recordCrash(run, crash.lastAt);
-            m_crashes.at(run).attempts = crash.attempts;
-            m_crashes.at(run).isExplained = crash.isExplained;
-            m_crashes.at(run).explainedBy = crash.explainedBy;
-            m_crashes.at(run).explainedRequest = crash.explainedRequest;
-        }
-    }
 }
 
 bool QuarantineTable::isMature(TimePoint brokenAt, TimePoint now)
@@ -546,36 +503,16 @@
     return now - brokenAt >= confirmationTime;
 }
 
-CrashTime QuarantineTable::crashTime(const ServerRun &run, const Evidence &evidence) const
-{
-    // All parts in one crash get its time as it is known best, so that they can be compared.
-    const auto crash = m_crashes.find(run);
-    if (crash == m_crashes.end() || evidence.at > crash->second.at + crashReportTime)
-        return {evidence.isOwn ? evidence.at : evidence.at - messageDelay, evidence.at};
-    return crashTime(crash->second);
-}
-
-CrashTime QuarantineTable::crashTime(const Crash &crash)
-{
-    if (crash.attempts == 0)
-        return {crash.at - messageDelay, crash.at};
-    // A crash breaks all attempts; earlier ones broke for other reasons.
-    const TimePoint last = std::min(crash.lastAt, crash.at + crashReportTime);
-    return {std::max(crash.at, last - breakSpread), last};
-}
-
 bool QuarantineTable::isBeyondChance(const Case &suspected, std::size_t sum, TimePoint now) const
 {
     TimePoint firstCrash = now;
-    for (const auto &[run, time] : suspected.runs)
-        firstCrash = std::min(firstCrash, time.latest);
+    for (const auto &[run, item] : suspected.runs)
+        firstCrash = std::min(firstCrash, item.time.latest);
     std::vector<CrashTime> others;
-    const auto begin = m_crashOrder.lower_bound({firstCrash - comparedTime, ServerRun()});
-    for (auto it = begin; it != m_crashOrder.end() && isMature(it->first.first, now); ++it) {
-        const auto &[at, run] = it->first;
-        const Crash &crash = *it->second;
-        if (!crash.isExplained && !suspected.runs.count(run))
-            others.push_back(crashTime(crash));
+    for (const auto &[run, crash] : m_crashes) {
+        if (crash.at >= firstCrash - comparedTime && isMature(crash.at, now) && !crash.isExplained()
+            && !suspected.runs.count(run))
+            others.push_back(crash.time());
     }
     const bool isSumHigh = sum >= doubtfulCaseSum;
     if ((isSumHigh ? crashesPerOtherCrash : crashesPerOtherCrashAtFirst)
@@ -589,13 +526,11 @@
     for (const Duration before : {Duration(0), comparedTime / 3, comparedTime}) {
         const TimePoint since = firstCrash - before;
         std::uint64_t broken = 1;
-        for (auto it = m_crashOrder.lower_bound({since, ServerRun()}); it != m_crashOrder.end();
-             ++it) {
-            const Crash &crash = *it->second;
-            if (crash.isExplained || crash.attempts == 0)
+        for (const auto &[run, crash] : m_crashes) {
+            if (crash.at < since || crash.isExplained() || crash.attempts == 0)
                 continue;
             // If the part is sound, the others on its runs broke by chance, too.
-            broken += crash.attempts - (suspected.runs.count(it->first.second) ? 1 : 0);
+            broken += crash.attempts - (suspected.runs.count(run) ? 1 : 0);
         }
         // Few breaks tell little: two standard deviations more may be usual.
         const double usual =
@@ -612,47 +547,23 @@
 
 std::vector<QuarantineTable::Case> QuarantineTable::cases(TimePoint now) const
 {
-    std::vector<Case> cases;
-    for (const auto &[part, runs] : m_evidence) {
-        const bool isWhole = isWholeRequest(part);
-        if (runs.size() < (isWhole ? decidingRunsOfRequest : decidingRuns)
-            || isProtected(part, now))
-            continue;
-        Case found;
-        found.part = part;
-        std::vector<CrashTime> times;
-        std::vector<CrashTime> matureTimes;
-        std::set<std::uint64_t> requests;
-        std::set<std::uint64_t> matureRequests;
-        for (const auto &[run, evidence] : runs) {
-            const CrashTime time = crashTime(run, evidence);
-            found.runs.emplace(run, time);
-            times.push_back(time);
-            requests.insert(evidence.request);
-            if (!isMature(time.latest, now))
+    const auto counts = runCounts();
+    std::map<PromptPart, Case> byPart;
+    for (const auto &[run, crash] : m_crashes) {
+        for (const auto &[part, evidence] : crash.parts) {
+            const auto count = counts.find(part);
+            if (count == counts.end() || count->second < minRuns(part)
+                || !isCounted(crash, part, evidence) || isLive(run, evidence.at))
                 continue;
-            matureTimes.push_back(time);
-            matureRequests.insert(evidence.request);
+            Case &item = byPart[part];
+            item.part = part;
+            item.runs.emplace(run, Case::Run {crash.time(evidence), evidence.request});
         }
-        if (!isWhole && requests.size() < decidingRequests)
-            continue;
-        found.matureRuns = matureTimes.size();
-        found.matureRequests = matureRequests.size();
-        found.sum = groupedCount(std::move(times));
-        found.matureSum = groupedCount(std::move(matureTimes));
-        if (isWhole) {
-            found.isMature = found.matureRuns >= decidingRunsOfRequest;
-            cases.push_back(std::move(found));
-            continue;
-        }
-        const bool isComplete = found.matureRuns == runs.size();
-        if ((isComplete && found.sum < decidingSum) || !isBeyondChance(found, found.sum, now))
-            continue;
-        found.isMature = found.matureSum >= decidingSum && found.matureRuns >= decidingRuns
-            && found.matureRequests >= decidingRequests
-            && (found.matureSum == found.sum || isBeyondChance(found, found.matureSum, now));
-        if (found.isMature || !isComplete)
-            cases.push_back(std::move(found));
+    }
+    std::vector<Case> cases;
+    for (auto &[part, item] : byPart) {
+        if (item.runs.size() >= minRuns(part) && evaluate(item, now))
+            cases.push_back(std::move(item));
     }
     std::sort(cases.begin(), cases.end(), [](const Case &left, const Case &right) {
         return std::tuple(right.sum, right.runs.size(), left.part)
@@ -661,43 +572,59 @@
     return cases;
 }
 
-bool QuarantineTable::isDoubtful(const Case &item) const
+bool QuarantineTable::evaluate(Case &item, TimePoint now) const
 {
-    if (item.matureRuns >= certainRunsOfRequest)
+    std::vector<CrashTime> times;
+    std::vector<CrashTime> matureTimes;
+    std::set<std::uint64_t> requests;
+    std::set<std::uint64_t> matureRequests;
+    for (const auto &[run, evidence] : item.runs) {
+        times.push_back(evidence.time);
+        requests.insert(evidence.request);
+        if (!isMature(evidence.time.latest, now))
+            continue;
+        matureTimes.push_back(evidence.time);
+        matureRequests.insert(evidence.request);
+    }
+    item.matureRuns = matureTimes.size();
+    item.matureRequests = matureRequests.size();
+    item.sum = groupedCount(std::move(times));
+    item.matureSum = groupedCount(std::move(matureTimes));
+    if (isWholeRequest(item.part)) {
+        item.isMature = item.matureRuns >= decidingRunsOfRequest;
+        return true;
+    }
+    const bool isComplete = item.matureRuns == item.runs.size();
+    if (requests.size() < decidingRequests || (isComplete && item.sum < decidingSum)
+        || !isBeyondChance(item, item.sum, now))
         return false;
-    return item.matureSum < decidingRunsOfRequest
-        || std::any_of(m_evidence.begin(), m_evidence.end(), [&](const auto &other) {
-               return isWholeRequest(other.first) && other.first != item.part
-                   && std::all_of(item.runs.begin(), item.runs.end(), [&](const auto &run) {
-                          return other.second.count(run.first) > 0;
-                      });
-           });
-}
-
-bool QuarantineTable::wasInRequest(PromptPart part, PromptPart wholeRequest) const
-{
-    const RunEvidence &runs = m_evidence.at(part);
-    const RunEvidence &runsOfRequest = m_evidence.at(wholeRequest);
-    return std::any_of(runs.begin(), runs.end(), [&](const auto &evidence) {
-        const auto other = runsOfRequest.find(evidence.first);
-        return other != runsOfRequest.end() && other->second.request == evidence.second.request;
-    });
+    item.isMature = item.matureSum >= decidingSum && item.matureRuns >= decidingRuns
+        && item.matureRequests >= decidingRequests
+        && (item.matureSum == item.sum || isBeyondChance(item, item.matureSum, now));
+    return item.isMature || !isComplete;
 }
 
 bool QuarantineTable::decideWholeRequests(const std::vector<Case> &requests,
                                           const std::vector<Case> &parts, TimePoint now)
 {
+    // Its servers ended together, or another request was on all of them.
+    const auto isDoubtful = [&](const Case &item) {
+        return item.matureRuns < certainRunsOfRequest
+            && (item.matureSum < decidingRunsOfRequest
+                || std::any_of(requests.begin(), requests.end(), [&](const Case &other) {
+                       return other.part != item.part && wasOnAllRuns(other, item);
+                   }));
+    };
     std::set<PromptPart> suspects;
     for (const Case &item : requests) {
         // A harmful part ends servers with different requests.
         const bool isForItsPart = std::any_of(parts.begin(), parts.end(), [&](const Case &part) {
-            return compareExplained(part, item) > 0 && wasInRequest(part.part, item.part);
+            return compareExplained(part, item) > 0 && wasInRequest(part, item);
         });
         if (!item.isMature || isForItsPart)
             continue;
         if (!isDoubtful(item)) {
-            startQuarantine(item.part, quarantineDuration(1), 1, item.matureRuns,
-                            item.matureRequests, now);
+            startQuarantine(item, now);
             return true;
         }
         suspects.insert(item.part);
@@ -711,68 +638,53 @@
     return false;
 }
 
+bool QuarantineTable::decideParts(const std::vector<Case> &parts, TimePoint now)
+{
+    bool areAllBeaten = !parts.empty();
+    for (const Case &item : parts) {
+        if (std::any_of(parts.begin(), parts.end(),
+                        [&](const Case &other) { return compareExplained(other, item) > 0; }))
+            continue;
+        areAllBeaten = false;
+        std::vector<const Case *> blamed;
+        for (const Case &other : parts) {
+            if (shareRuns(other, item) && compareExplained(other, item) == 0)
+                blamed.push_back(&other);
+        }
+        if (!item.isMature || (blamed.size() > 1 && item.matureSum < doubtfulCaseSum))
+            continue;
+        for (const Case *other : blamed)
+            startQuarantine(*other, now);
+        return true;
+    }
+    // Each may explain more than the next one, in a circle.
+    if (!areAllBeaten || !parts.front().isMature)
+        return false;
+    startQuarantine(parts.front(), now);
+    return true;
+}
+
 void QuarantineTable::decide(TimePoint now)
 {
     // Each quarantine explains runs, so that less remains for the other parts.
     for (bool hasDecided = true; hasDecided;) {
-        hasDecided = false;
         std::vector<Case> requests = cases(now);
         const auto firstPart =
             std::stable_partition(requests.begin(), requests.end(),
                                   [](const Case &item) { return isWholeRequest(item.part); });
-        std::vector<Case> found(std::make_move_iterator(firstPart),
+        std::vector<Case> parts(std::make_move_iterator(firstPart),
                                 std::make_move_iterator(requests.end()));
         requests.erase(firstPart, requests.end());
-        if (decideWholeRequests(requests, found, now)) {
-            hasDecided = true;
+        hasDecided = decideWholeRequests(requests, parts, now);
+        if (hasDecided)
             continue;
-        }
-        std::erase_if(found, [&](const Case &item) {
+        std::erase_if(parts, [&](const Case &item) {
             return std::any_of(requests.begin(), requests.end(), [&](const Case &other) {
                 return shareRuns(other, item) && compareExplained(other, item) >= 0
-                    && !wasInRequest(item.part, other.part);
+                    && !wasInRequest(item, other);
             });
         });
-        const auto blame = [&](const Case &item) {
-            startQuarantine(item.part, quarantineDuration(1), 1, item.matureRuns,
-                            item.matureRequests, now);
-            hasDecided = true;
-        };
-        const auto isBeaten = [&](const Case &item) {
-            return std::any_of(found.begin(), found.end(), [&](const Case &other) {
-                return compareExplained(other, item) > 0;
-            });
-        };
-        const auto isContradicted = [&](const Case *item) {
-            const RunEvidence &runs = m_evidence.at(item->part);
-            return std::any_of(runs.begin(), runs.end(), [&](const auto &evidence) {
-                return isLive(evidence.first, evidence.second.at);
-            });
-        };
-        bool areAllBeaten = !found.empty();
-        for (auto it = found.begin(); it != found.end() && !hasDecided; ++it) {
-            if (isBeaten(*it))
-                continue;
-            areAllBeaten = false;
-            if (!it->isMature)
-                continue;
-            std::vector<const Case *> blamed {&*it};
-            for (const Case &other : found) {
-                if (&other != &*it && shareRuns(other, *it) && compareExplained(other, *it) == 0)
-                    blamed.push_back(&other);
-            }
-            if (blamed.size() > 1 && it->matureSum < doubtfulCaseSum)
-                continue;
-            if (std::any_of(blamed.begin(), blamed.end(), isContradicted)) {
-                eraseContradicted(now - evidenceAge);
-                return;
-            }
-            for (const Case *item : blamed)
-                blame(*item);
-        }
-        // Each may explain more than the next one, in a circle.
-        if (areAllBeaten && found.front().isMature && !isContradicted(&found.front()))
-            blame(found.front());
+        hasDecided = decideParts(parts, now);
     }
 }
 
--- a/src/request/quarantine_base.h
+++ b/src/request/quarantine_base.h
@@ -2,13 +2,11 @@
 
 #include "request/quarantine_case.h"
 
-#include <compare>
 #include <deque>
 #include <functional>
 #include <list>
 #include <map>
 #include <optional>
-#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -74,12 +72,12 @@
     /// request by which parts are tried is not held back by suspicions.
     std::optional<TimePoint> quarantinedUntil(const PromptParts &parts, TimePoint now,
                                               bool isTrial = false) const;
-    bool isEmpty() const { return m_quarantines.empty(); }
+    bool isEmpty() const { return quarantinedCount() == 0; }
 
     /// What to tell the other nodes.
     QuarantineNews news(TimePoint now) const;
     void merge(const QuarantineNews &news, TimePoint now);
-    /// Adopts a quarantine that is kept in the store.
+    /// Adopts a quarantine of another node, or one that is kept in the store.
     void restore(PromptPart part, const QuarantinedPart &quarantine, TimePoint now);
     /// Resolves doubtful ends, forgets what is old, and decides. Returns the parts that were
     /// quarantined since the last call.
@@ -89,9 +87,9 @@
     std::vector<PromptPart> takeSuspected() { return std::exchange(m_newSuspects, {}); }
 
     std::size_t suspectedCount() const { return m_suspects.size(); }
-    std::size_t evidenceCount() const { return m_evidenceOrder.size(); }
+    std::size_t evidenceCount() const;
     std::size_t clearedCount() const { return m_clearings.size(); }
-    std::size_t quarantinedCount() const { return m_quarantines.size(); }
+    std::size_t quarantinedCount() const;
 
 private:
     /// Evidence of this age is reported first. Covers the loss of several messages.
@@ -107,19 +105,27 @@
         bool isOwn = false; ///< The attempt was this node's.
     };
 
+    /// The end of a run of a server, with what was in the requests that it had begun to answer.
     struct Crash
     {
         TimePoint at; ///< First break.
         TimePoint lastAt; ///< Last one, of this node if any was.
-        bool isExplained = false; ///< A quarantined part was in a request to the run.
-        PromptPart explainedBy {}; ///< That part.
-        std::uint64_t explainedRequest = 0; ///< The request that had it.
         std::uint32_t attempts = 0; ///< Of this node, that broke.
+        PromptPart explainedBy = noPart; ///< A quarantined part that was in a request to the run.
+        std::uint64_t explainedRequest = 0; ///< The request that had it.
+        std::map<PromptPart, Evidence> parts;
 
+        bool isExplained() const { return explainedBy != noPart; }
         /// Whether the crash is no evidence against a part that was in the given request. What a
         /// whole request explains may be the fault of one of its parts.
         bool explains(PromptPart part, std::uint64_t request) const;
+        /// Other parts are not blamed for the crash.
+        void explain(PromptPart by, std::uint64_t request);
+        /// A crash breaks all attempts; earlier ones broke for other reasons.
+        CrashTime time() const;
+        CrashTime time(const Evidence &evidence) const;
     };
+    using Crashes = std::map<ServerRun, Crash, RunOrder>;
 
     struct Clearing
     {
@@ -133,7 +139,7 @@
     struct Quarantine
     {
         TimePoint since;
-        TimePoint until; ///< Later entries of the past are kept to tell a repetition.
+        TimePoint until; ///< An entry that has ended is kept to tell a repetition.
         std::uint32_t times = 0;
     };
 
@@ -148,67 +154,62 @@
     };
 
     using Case = QuarantineCase;
-    using RunEvidence = std::map<ServerRun, Evidence, RunOrder>;
 
     bool isLive(const ServerRun &run, TimePoint brokenAt) const;
     bool isProtected(PromptPart part, TimePoint at) const;
     bool isQuarantined(PromptPart part, TimePoint now) const;
-    /// The latest quarantine of a part, live or ended.
-    const Quarantine *findQuarantine(PromptPart part) const;
+    /// Whether the evidence counts: no answer and no other part speaks against it.
+    bool isCounted(const Crash &crash, PromptPart part, const Evidence &evidence) const;
+    /// On how many of the runs that ended each part was, without those that were on one alone.
+    std::unordered_map<PromptPart, std::size_t> runCounts() const;
     void recordBreak(const PromptParts &parts, const ServerRun &run, std::uint64_t request,
                      TimePoint at, TimePoint now);
-    void recordCrash(const ServerRun &run, TimePoint at);
-    void eraseCrash(const ServerRun &run);
-    void addEvidence(PromptPart part, const ServerRun &run, const Evidence &evidence,
-                     TimePoint now);
-    void eraseEvidence(PromptPart part, const ServerRun &run);
-    /// Drops the evidence against a part up to the given time.
-    void eraseEvidenceUntil(PromptPart part, TimePoint until);
-    /// Other parts are not blamed for the end of this run.
-    void explain(const ServerRun &run, PromptPart by, std::uint64_t request);
+    /// Returns null if the run showed a sign of life later.
+    Crash *recordCrash(const ServerRun &run, TimePoint at);
+    /// Drops what a later sign of life of the run contradicts. Returns the next crash.
+    Crashes::iterator dropContradicted(Crashes::iterator crash);
+    void addEvidence(Crash &crash, PromptPart part, const Evidence &evidence, TimePoint now);
+    /// Forgets the oldest crashes beyond the limits.
+    void limitCrashes();
     void clear(PromptPart part, TimePoint at, std::uint32_t answers, bool isOwn);
     void accuse(PromptPart part, TimePoint now);
     void startQuarantine(PromptPart part, Duration timeLeft, std::uint32_t times, std::size_t runs,
                          std::size_t requests, TimePoint now);
-    bool adopt(PromptPart part, const QuarantinedPart &quarantine, TimePoint now);
+    void startQuarantine(const Case &item, TimePoint now);
     void resolveDoubtfulEnds(TimePoint now);
-    void forgetOld(TimePoint now);
-    /// Drops what was recorded since then about runs that showed a sign of life later.
-    void eraseContradicted(TimePoint since);
+    /// Forgets what is old or contradicted.
+    void forget(TimePoint now);
     void decide(TimePoint now);
     /// Quarantines one of the whole requests that alone explain their crashes, or suspects those
     /// for which that is not certain. Returns whether any was quarantined.
     bool decideWholeRequests(const std::vector<Case> &requests, const std::vector<Case> &parts,
                              TimePoint now);
-    /// Whether a part was in the whole request when it ended a server. Both have evidence.
-    bool wasInRequest(PromptPart part, PromptPart wholeRequest) const;
-    /// Whether another request was on all servers that this one ended, or these ended together.
-    bool isDoubtful(const Case &item) const;
+    /// Quarantines a part that explains its crashes best, and those that explain the same ones as
+    /// well. Returns whether any was quarantined.
+    bool decideParts(const std::vector<Case> &parts, TimePoint now);
     /// All parts that may have caused crashes, those that are most suspect first.
     std::vector<Case> cases(TimePoint now) const;
-    CrashTime crashTime(const ServerRun &run, const Evidence &evidence) const;
-    static CrashTime crashTime(const Crash &crash);
+    /// Evaluates the runs of a case. Returns whether the part may have caused the crashes.
+    bool evaluate(Case &item, TimePoint now) const;
     /// Whether the crashes are too many for chance, given those without the part and the answers.
     bool isBeyondChance(const Case &suspected, std::size_t sum, TimePoint now) const;
     static bool isMature(TimePoint brokenAt, TimePoint now);
 
     QuarantineHooks m_hooks;
-    std::unordered_map<PromptPart, RunEvidence> m_evidence;
-    std::map<std::tuple<TimePoint, PromptPart, ServerRun>, const Evidence *> m_evidenceOrder;
-    std::map<ServerRun, Crash, RunOrder> m_crashes;
-    std::map<std::pair<TimePoint, ServerRun>, const Crash *> m_crashOrder;
+    Crashes m_crashes;
     std::list<DoubtfulEnd> m_doubtfulEnds;
     std::unordered_map<PromptPart, Clearing> m_clearings;
     std::list<PromptPart> m_clearingOrder; ///< Least recently cleared first.
     std::map<PromptPart, TimePoint> m_accused; ///< Protected parts that a peer last accused then.
-    std::unordered_map<PromptPart, Quarantine> m_quarantines; ///< Live ones.
-    std::unordered_map<PromptPart, Quarantine> m_endedQuarantines;
+    std::unordered_map<PromptPart, Quarantine> m_quarantines;
     std::map<PromptPart, TimePoint> m_suspects; ///< When each may be tried again.
     std::vector<PromptPart> m_newSuspects; ///< Not taken yet.
     std::vector<QuarantineDecision> m_decisions; ///< Since the last tick.
     /// Completed answers to this node, by the start of the interval in which they were counted.
     std::deque<std::pair<TimePoint, std::uint64_t>> m_answers;
-    TimePoint m_checkedAllAt; ///< When all evidence was last compared with signs of life.
+    TimePoint m_tickedAt;
+    TimePoint m_decidedAt;
+    TimePoint m_checkedCrashesAt; ///< When all were last compared with signs of life.
     std::optional<TimePoint> m_startedAt; ///< First call of tick().
 };
 
--- a/src/request/quarantine_case.cpp
+++ b/src/request/quarantine_case.cpp
@@ -41,19 +41,33 @@
                        [&](const auto &item) { return right.runs.count(item.first) > 0; });
 }
 
+bool wasOnAllRuns(const QuarantineCase &left, const QuarantineCase &right)
+{
+    return std::all_of(right.runs.begin(), right.runs.end(),
+                       [&](const auto &item) { return left.runs.count(item.first) > 0; });
+}
+
+bool wasInRequest(const QuarantineCase &part, const QuarantineCase &wholeRequest)
+{
+    return std::any_of(part.runs.begin(), part.runs.end(), [&](const auto &item) {
+        const auto other = wholeRequest.runs.find(item.first);
+        return other != wholeRequest.runs.end() && other->second.request == item.second.request;
+    });
+}
+
 std::weak_ordering compareExplained(const QuarantineCase &left, const QuarantineCase &right)
 {
     if (!shareRuns(left, right))
         return std::weak_ordering::equivalent;
     std::vector<CrashTime> onlyLeft;
     std::vector<CrashTime> onlyRight;
-    for (const auto &[run, time] : left.runs) {
+    for (const auto &[run, item] : left.runs) {
         if (!right.runs.count(run))
-            onlyLeft.push_back(time);
+            onlyLeft.push_back(item.time);
     }
-    for (const auto &[run, time] : right.runs) {
+    for (const auto &[run, item] : right.runs) {
         if (!left.runs.count(run))
-            onlyRight.push_back(time);
+            onlyRight.push_back(item.time);
     }
     const std::pair sizes {onlyLeft.size(), onlyRight.size()};
     const std::weak_ordering order =
--- a/src/request/quarantine_case.h
+++ b/src/request/quarantine_case.h
@@ -30,11 +30,17 @@
 /// The evidence against a part that may be counted.
 struct QuarantineCase
 {
+    struct Run
+    {
+        CrashTime time;
+        std::uint64_t request = 0; ///< That had the part.
+    };
+
     PromptPart part;
-    std::map<ServerRun, CrashTime, RunOrder> runs;
+    std::map<ServerRun, Run, RunOrder> runs;
     std::size_t sum = 0;
-    std::size_t matureSum =
-        0; ///< Of the crashes whose signs of life and reports have had time to come.
+    /// Of the crashes whose signs of life and reports have had time to come.
+    std::size_t matureSum = 0;
     std::size_t matureRuns = 0; ///< These crashes.
     std::size_t matureRequests = 0;
     bool isMature = false; ///< May be decided. Others may only be the better explanation.
@@ -44,6 +50,10 @@
 std::size_t groupedCount(std::vector<CrashTime> times);
 /// Whether both have a crash in common.
 bool shareRuns(const QuarantineCase &left, const QuarantineCase &right);
+/// Whether the left part was on all runs that the right one was on.
+bool wasOnAllRuns(const QuarantineCase &left, const QuarantineCase &right);
+/// Whether a part was in the whole request when a server ended with it.
+bool wasInRequest(const QuarantineCase &part, const QuarantineCase &wholeRequest);
 /// Whether the left part explains more of the crashes with either part, fewer, or as many.
 std::weak_ordering compareExplained(const QuarantineCase &left, const QuarantineCase &right);
 
--- a/src/request/quarantine_type.h
+++ b/src/request/quarantine_type.h
@@ -64,6 +64,7 @@
     /// Evidence against a part is more urgent with each run that it ended, up to this number.
     static constexpr std::size_t rankedRuns = 4;
     static constexpr std::size_t evidence = 1'024; ///< Kept by a node.
+    static constexpr std::size_t partsOfCrash = 256; ///< Kept of one crash.
     static constexpr std::size_t clearedParts = 8'192; ///< Kept by a node.
     static constexpr std::size_t quarantinedParts = 256; ///< Kept by a node.
 };
--- a/src/tests/quarantine_test.cpp
+++ b/src/tests/quarantine_test.cpp
@@ -138,6 +138,29 @@
     EXPECT_TRUE(m_decisions.empty());
 }
 
+TEST_F(QuarantineTest, SignOfLifeJustBeforeADecisionIsSeen)
+{
+    settle();
+    for (Duration offset {0}; offset < Duration(1'000); offset += Duration(100)) {
+        m_now += offset;
+        for (int i = 0; i < 4; ++i) {
+            m_now += Duration(2'000);
+            ++m_crashes;
+            m_table.onBroken({harmful}, runOf("s" + std::to_string(m_crashes)), m_crashes, m_now);
+        }
+        const TimePoint decision = m_now + Duration(2'000);
+        while (m_now < decision - Duration(100)) {
+            m_now += Duration(100);
+            tick();
+        }
+        for (std::uint64_t i = m_crashes - 3; i <= m_crashes; ++i)
+            m_alive[runOf("s" + std::to_string(i))] = m_now;
+        m_now = decision;
+        tick();
+        ASSERT_TRUE(m_decisions.empty());
+    }
+}
+
 TEST_F(QuarantineTest, BreakAfterASignOfLifeReplacesTheEarlierOne)
 {
     for (int i = 1; i <= 4; ++i) {
