Fix: [Request] A node that starts again is told what it had reported itself, also while its peers see many crashes

Cause: a node told evidence of its own first, and what it had learned from others only if a message had room left; what the node that started again had seen alone was never told back to it while its peers saw crashes. Change: after each two recent own pieces one from others, of those against parts in several crashes. Evidence: QuarantineMergeTest.RestartedNodeIsToldOfWhatItHadReported fails on the code before and passes now.

--- a/src/request/quarantine_news.cpp
+++ b/src/request/quarantine_news.cpp
@@ -12,17 +12,18 @@
 /// Older evidence is not passed on, so that nodes do not hand it back and forth.
 constexpr Duration maxReportedAge {540'000};
 constexpr std::size_t reportedRuns = 12; ///< Reports of crashes alone in one message.
+/// After so many reports of recent evidence comes one of other nodes, or of an older crash.
+constexpr std::size_t recentReportsInTurn = 2;
 
-/// Adds entries of a list, up to a size, from a start that differs from message to message, so that
-/// all are sent in time.
+/// Lets a list begin elsewhere in each message, so that all entries are sent in time.
 template<typename Entry>
-void appendRotated(std::vector<Entry> &to, const std::vector<Entry> &from, std::size_t size,
-                   TimePoint now)
+void rotate(std::vector<Entry> &list, TimePoint now)
 {
     constexpr std::uint64_t factor = 0x9E3779B97F4A7C15U;
-    const std::size_t start = (static_cast<std::uint64_t>(milliseconds(now)) * factor) >> 32U;
-    for (std::size_t i = 0; i < from.size() && to.size() < size; ++i)
-        to.push_back(from[(start + i) % from.size()]);
+    const std::uint64_t start = (static_cast<std::uint64_t>(milliseconds(now)) * factor) >> 32U;
+    if (!list.empty())
+        std::rotate(list.begin(), list.begin() + static_cast<std::ptrdiff_t>(start % list.size()),
+                    list.end());
 }
 
 } // namespace
@@ -32,6 +33,7 @@
     QuarantineNews news;
     const auto counts = runCounts();
     std::vector<std::pair<std::pair<std::size_t, TimePoint>, CrashEvidence>> recent;
+    std::vector<CrashEvidence> repeated; // Against parts that were in several crashes.
     std::vector<CrashEvidence> older;
     std::vector<const Crashes::value_type *> newestFirst;
     for (const auto &item : m_crashes) {
@@ -47,14 +49,26 @@
             if (evidence.isOwn && report.age < reportTime)
                 recent.push_back({{rank, evidence.at}, report});
             else if (report.age < maxReportedAge)
-                older.push_back(report);
+                (rank > 1 ? repeated : older).push_back(report);
         }
     }
     std::stable_sort(recent.begin(), recent.end(),
                      [](const auto &left, const auto &right) { return left.first > right.first; });
-    for (std::size_t i = 0; i < recent.size() && i < QuarantineLimits::reportedCrashes; ++i)
-        news.crashes.push_back(recent[i].second);
-    appendRotated(news.crashes, older, QuarantineLimits::reportedCrashes, now);
+    rotate(repeated, now);
+    rotate(older, now);
+    const auto report = [&](const CrashEvidence &evidence) {
+        if (news.crashes.size() < QuarantineLimits::reportedCrashes)
+            news.crashes.push_back(evidence);
+    };
+    // A node that starts again has forgotten also what it told the others.
+    auto next = repeated.begin();
+    for (std::size_t i = 1; i <= recent.size(); ++i) {
+        report(recent[i - 1].second);
+        if (i % recentReportsInTurn == 0 && next != repeated.end())
+            report(*next++);
+    }
+    std::for_each(next, repeated.end(), report);
+    std::for_each(older.begin(), older.end(), report);
 
     std::set<ServerRun, RunOrder> reported;
     for (const CrashEvidence &crash : news.crashes)
@@ -75,7 +89,9 @@
         (isUrgent ? others : olderOthers)
             .push_back({crash.explainedBy, run, crash.explainedRequest, now - crash.at});
     }
-    appendRotated(others, olderOthers, reportedRuns, now);
+    rotate(olderOthers, now);
+    olderOthers.resize(std::min(olderOthers.size(), reportedRuns - others.size()));
+    others.insert(others.end(), olderOthers.begin(), olderOthers.end());
     news.crashes.resize(
         std::min(news.crashes.size(), QuarantineLimits::reportedCrashes - others.size()));
     news.crashes.insert(news.crashes.end(), others.begin(), others.end());
@@ -98,7 +114,10 @@
         (isUrgent ? started : quarantined).push_back(part);
     }
     std::sort(quarantined.begin(), quarantined.end());
-    appendRotated(started, quarantined, QuarantineLimits::reportedParts, now);
+    rotate(quarantined, now);
+    quarantined.resize(
+        std::min(quarantined.size(), QuarantineLimits::reportedParts - started.size()));
+    started.insert(started.end(), quarantined.begin(), quarantined.end());
     for (const PromptPart part : started) {
         const Quarantine &quarantine = m_quarantines.at(part);
         news.quarantined[part] = {quarantine.until - now, quarantine.times};
--- a/src/tests/quarantine_test.cpp
+++ b/src/tests/quarantine_test.cpp
@@ -744,6 +744,28 @@
     EXPECT_TRUE(restarted.quarantinedUntil({harmful}, m_now));
 }
 
+TEST_F(QuarantineMergeTest, RestartedNodeIsToldOfWhatItHadReported)
+{
+    // The other node was in fewer of the crashes, and saw many others.
+    for (int i = 1; i <= 3; ++i) {
+        const ServerRun run = runOf("s" + std::to_string(i));
+        m_table.onBroken({repeated}, run, 1, m_now);
+        if (i < 3)
+            m_peer.onBroken({repeated}, run, 1, m_now);
+        m_now += Duration(500);
+    }
+    for (std::uint64_t i = 0; i < 60; ++i)
+        m_peer.onBroken({whole(100 + i)}, runOf("t" + std::to_string(i % 5)), i, m_now);
+    exchange();
+    QuarantineTable restarted(hooks());
+    for (int i = 0; i < 10; ++i) {
+        restarted.merge(m_peer.news(m_now), m_now);
+        m_now += Duration(500);
+        restarted.tick(m_now);
+    }
+    EXPECT_TRUE(restarted.quarantinedUntil({repeated}, m_now));
+}
+
 TEST_F(QuarantineMergeTest, QuarantineIsRestored)
 {
     m_table.restore(harmful, {Duration(1'000), 3}, m_now);
