Fix: [Request] [Network] New evidence against requests is told at once

What callers see: after a node started again within a few 0.1 s of the third crash, a request that crashes each server reached five servers more. Cause: what a node sees is told with its next message; if it ends before that, nobody knows it. Change: a pulse at the next tick (40 ms) if attempts broke, at most one more in each interval; the simulation sends its messages likewise. QuarantineMergeTest.OwnEvidenceIsToldEarlyOnce is new. quarantine_test, passes, 57; request_test 57, links_test 19, limit_test 28.

--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -374,8 +374,13 @@
     const TimePoint now = m_loop.now();
     // With more nodes in the zone each sends fewer pulses, so that none receives more of them.
     const auto zoneSize = static_cast<Duration::rep>(m_membership.zoneSize());
-    if (now - m_lastPulseAt
-        >= std::clamp(pulseIntervalPerNode * zoneSize, pulseInterval, maxPulseInterval))
+    const Duration interval =
+        std::clamp(pulseIntervalPerNode * zoneSize, pulseInterval, maxPulseInterval);
+    // Evidence is lost if this node ends before it has told it.
+    const bool isEarly = m_requests.takeNewEvidence() && now - m_lastEarlyPulseAt >= interval;
+    if (isEarly)
+        m_lastEarlyPulseAt = now;
+    if (isEarly || now - m_lastPulseAt >= interval)
         pulse(now);
     if (now - m_lastDigestAt >= digestInterval)
         representZone(now);
--- a/src/network/serving_daemon.h
+++ b/src/network/serving_daemon.h
@@ -158,6 +158,7 @@
     std::int64_t m_incarnation = 0; ///< Start time, which identifies this run of the process.
     std::int64_t m_pulseNumber = 0;
     TimePoint m_lastPulseAt;
+    TimePoint m_lastEarlyPulseAt; ///< Sent for new evidence.
     TimePoint m_lastDigestAt;
     std::map<ZoneId, TimePoint> m_relayedAt; ///< When a digest of another zone was last relayed.
     /// The last feed with changes sent to a node.
--- a/src/request/quarantine_base.cpp
+++ b/src/request/quarantine_base.cpp
@@ -328,6 +328,7 @@
             known->second = evidence;
     } else if (crash.parts.size() < QuarantineLimits::partsOfCrash) {
         crash.parts.emplace(part, evidence);
+        m_hasNewEvidence = m_hasNewEvidence || evidence.isOwn;
     }
 }
 
--- a/src/request/quarantine_base.h
+++ b/src/request/quarantine_base.h
@@ -83,6 +83,8 @@
     /// quarantined since the last call.
     std::vector<QuarantineDecision> tick(TimePoint now);
 
+    /// Whether there is evidence of this node's own since the last call.
+    bool takeNewEvidence() { return std::exchange(m_hasNewEvidence, false); }
     /// Whole requests that are suspected since the last call.
     std::vector<PromptPart> takeSuspected() { return std::exchange(m_newSuspects, {}); }
 
@@ -205,6 +207,7 @@
     std::map<PromptPart, TimePoint> m_suspects; ///< When each may be tried again.
     std::vector<PromptPart> m_newSuspects; ///< Not taken yet.
     std::vector<QuarantineDecision> m_decisions; ///< Since the last tick.
+    bool m_hasNewEvidence = false;
     /// Completed answers to this node, by the start of the interval in which they were counted.
     std::deque<std::pair<TimePoint, std::uint64_t>> m_answers;
     TimePoint m_tickedAt;
--- a/src/tests/quarantine_test.cpp
+++ b/src/tests/quarantine_test.cpp
@@ -766,6 +766,18 @@
     EXPECT_TRUE(restarted.quarantinedUntil({repeated}, m_now));
 }
 
+TEST_F(QuarantineMergeTest, OwnEvidenceIsToldEarlyOnce)
+{
+    m_table.onBroken({repeated}, runOf("s1"), 1, m_now);
+    EXPECT_TRUE(m_table.takeNewEvidence());
+    EXPECT_FALSE(m_table.takeNewEvidence());
+    m_table.onBroken({repeated}, runOf("s1"), 1, m_now);
+    EXPECT_FALSE(m_table.takeNewEvidence()) << "nothing new on the same crash";
+    exchange();
+    EXPECT_EQ(m_peer.evidenceCount(), 1U);
+    EXPECT_FALSE(m_peer.takeNewEvidence());
+}
+
 TEST_F(QuarantineMergeTest, QuarantineIsRestored)
 {
     m_table.restore(harmful, {Duration(1'000), 3}, m_now);
@@ -847,6 +859,7 @@
 }
 
 constexpr Duration warmUp {20'000};
+constexpr Duration newsInterval {500};
 /// A server that writes for so long crashes by no part, as the node tells the table.
 constexpr Duration soundWriting {1'000};
 
@@ -873,7 +886,7 @@
         for (std::size_t i = 0; i < m_nodes.size(); ++i) {
             startNode(i);
             every(Duration(100), m_start + Duration(pick(0, 99)), [this, i] { tickNode(i); });
-            every(Duration(500), m_start + Duration(pick(0, 499)), [this, i] { sendNews(i); });
+            every(newsInterval, m_start + Duration(pick(0, 499)), [this, i] { sendNews(i); });
         }
         every(Duration(1'000 / schedule.soundRate), m_start, [this] { sendSound(); });
         if (schedule.harmfulInterval > Duration(0))
@@ -954,6 +967,7 @@
         std::unique_ptr<QuarantineTable> table;
         TimePoint upSince;
         std::unordered_set<ServerRun, RunHash> ended; ///< Refused this node's connections.
+        TimePoint toldEarlyAt;
     };
 
     int pick(int low, int high) { return std::uniform_int_distribution<int>(low, high)(m_random); }
@@ -1026,6 +1040,11 @@
 
     void tickNode(std::size_t index)
     {
+        Node &node = m_nodes[index];
+        if (node.table->takeNewEvidence() && m_now - node.toldEarlyAt >= newsInterval) {
+            node.toldEarlyAt = m_now;
+            sendNews(index);
+        }
         for (const QuarantineDecision &decision : m_nodes[index].table->tick(m_now)) {
             m_quarantined.insert(decision.part);
             log("node " + std::to_string(index) + " quarantines "
