Fix: [Request] A stream under which servers end after they have been writing for a while is recognised, too

What callers see: a request under which each server ends more than a second after the head of its answer reaches servers without end, and all that runs there is cut. Cause: a server that had been writing for a second showed that the request was sound. Change: a request has a second feature in the same quarantine, for servers that end late under it. Writing clears the other features, a whole answer this one too. As a server may end for any cause in the time that a long stream takes, such crashes count only if they are too many for chance, beside those of other runs. RepeatedRequestTest.StreamUnderWhichServersEndLateIsRefused failed before and passes. quarantine_test passes, 59, with a property of its own; long streams in crash loops blame nothing (simulation).

--- a/src/request/quarantine_base.cpp
+++ b/src/request/quarantine_base.cpp
@@ -100,11 +100,11 @@
         {parts, run, request, aliveAt.value_or(now), now + doubtfulEndTime, end});
 }
 
-void QuarantineTable::onSound(const PromptParts &parts, TimePoint now)
+void QuarantineTable::onSound(const PromptParts &parts, TimePoint now, bool isCounted)
 {
     if (m_answers.empty() || now - m_answers.back().first >= answerCountInterval)
         m_answers.emplace_back(now, 0);
-    ++m_answers.back().second;
+    m_answers.back().second += isCounted ? 1 : 0;
     if (m_answers.size() > maxAnswerCounts)
         m_answers.pop_front();
     for (const PromptPart part : parts)
@@ -593,7 +593,7 @@
     item.matureSum = groupedCount(std::move(matureTimes));
     if (isWholeRequest(item.part)) {
         item.isMature = item.matureRuns >= decidingRunsOfRequest;
-        return true;
+        return !isLateBreak(item.part) || isBeyondChance(item, item.sum, now);
     }
     const bool isComplete = item.matureRuns == item.runs.size();
     if (requests.size() < decidingRequests || (isComplete && item.sum < decidingSum)
--- a/src/request/quarantine_base.h
+++ b/src/request/quarantine_base.h
@@ -41,7 +41,9 @@
 ///
 /// A whole request is quarantined if it ended three runs of servers and no other request was on all
 /// of them. If that is not certain, as these ended together or with another request, one node tries
-/// it once in a while: an answer clears it, a further crash is evidence against it alone.
+/// it once in a while: an answer clears it, a further crash is evidence against it alone. A server
+/// that has been writing for a while may end for any cause: such crashes count only if they are too
+/// many for chance, as those with a part of a prompt.
 ///
 /// A quarantine ends after its time also while requests with the part keep coming, as nothing else
 /// would show that the part is sound by now. Each node may then send requests with it until it
@@ -61,8 +63,9 @@
     void onDoubtfulEnd(const PromptParts &parts, const ServerRun &run, std::uint64_t request,
                        TimePoint now, ResponseEnd end = ResponseEnd::ConnectionClose,
                        std::optional<TimePoint> aliveAt = std::nullopt);
-    /// A server completed an answer, or has been writing it for a while: no part crashes it.
-    void onSound(const PromptParts &parts, TimePoint now);
+    /// A server completed an answer, or has been writing it for a while: the parts do not crash it.
+    /// `isCounted` is false if the same answer was reported before.
+    void onSound(const PromptParts &parts, TimePoint now, bool isCounted = true);
 
     /// A request is sent to a server. Returns whether it is one by which its suspected parts are
     /// tried. The next such request waits until it is known how this one ended.
--- a/src/request/quarantine_func.cpp
+++ b/src/request/quarantine_func.cpp
@@ -35,7 +35,7 @@
     std::uint64_t hash = content;
     for (const std::string &name : {host, organisation.value(), service.value()})
         hash = stableHash(name, hash);
-    return PromptPart(hash | wholeRequestBit);
+    return PromptPart((hash | wholeRequestBit) & ~lateBreakBit);
 }
 
 std::string partName(PromptPart part)
--- a/src/request/quarantine_type.h
+++ b/src/request/quarantine_type.h
@@ -20,12 +20,24 @@
 inline const PromptPart noPart;
 
 constexpr std::uint64_t wholeRequestBit = 1ULL << 63; ///< Set in the hashes of whole requests.
+/// Set besides if the evidence is of servers that ended after they had been writing for a while.
+constexpr std::uint64_t lateBreakBit = 1ULL << 62;
 
 inline bool isWholeRequest(PromptPart part)
 {
     return (part.value() & wholeRequestBit) != 0;
 }
 
+inline bool isLateBreak(PromptPart part)
+{
+    return isWholeRequest(part) && (part.value() & lateBreakBit) != 0;
+}
+
+inline PromptPart lateBreakOf(PromptPart wholeRequest)
+{
+    return PromptPart(wholeRequest.value() | lateBreakBit);
+}
+
 /// A server ended while it began to answer a request with a part.
 struct CrashEvidence
 {
@@ -65,7 +77,7 @@
     static constexpr std::size_t rankedRuns = 4;
     static constexpr std::size_t evidence = 1'024; ///< Kept by a node.
     static constexpr std::size_t partsOfCrash = 256; ///< Kept of one crash.
-    static constexpr std::size_t clearedParts = 8'192; ///< Kept by a node.
+    static constexpr std::size_t clearedParts = 16'384; ///< Kept by a node.
     static constexpr std::size_t quarantinedParts = 256; ///< Kept by a node.
 };
 
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -293,6 +293,7 @@
     if (arrival.content != 0) {
         const PromptPart whole =
             wholeRequest(arrival.content, arrival.host, request.organisation, request.service);
+        request.parts.push_back(lateBreakOf(whole));
         request.parts.push_back(whole);
         request.identity = whole.value() ^ arrival.prompt;
     }
@@ -938,8 +939,8 @@
     if (!current.firstEventAt)
         current.firstEventAt = now;
     if (!current.isKnownSound && now - *current.firstEventAt >= soundWritingTime) {
+        m_quarantine.onSound(partsAtStake(*request, current), now);
         current.isKnownSound = true;
-        m_quarantine.onSound(request->parts, now);
     }
 }
 
@@ -1013,9 +1014,18 @@
 
 void RequestSystem::recordBreak(const Request &request, const Attempt &attempt, TimePoint now)
 {
-    if (!request.parts.empty() && !attempt.isKnownSound && !attempt.isForwarded())
-        m_quarantine.onBroken(request.parts, {attempt.server, attempt.serverStartedAt},
-                              request.identity, now);
+    const PromptParts parts = partsAtStake(request, attempt);
+    if (!parts.empty() && !attempt.isForwarded())
+        m_quarantine.onBroken(parts, {attempt.server, attempt.serverStartedAt}, request.identity,
+                              now);
+}
+
+PromptParts RequestSystem::partsAtStake(const Request &request, const Attempt &attempt)
+{
+    PromptParts parts = request.parts;
+    std::erase_if(parts,
+                  [&](PromptPart part) { return isLateBreak(part) != attempt.isKnownSound; });
+    return parts;
 }
 
 std::string RequestSystem::wholeName(const Request &request)
@@ -1032,10 +1042,11 @@
     attempts.push_back(request.current);
     for (const Attempt &attempt : attempts) {
         const Backend *backend = m_backends.find(attempt.server);
-        if (!attempt.isWritten || attempt.isKnownSound || attempt.isForwarded())
+        const PromptParts parts = partsAtStake(request, attempt);
+        if (!attempt.isWritten || parts.empty() || attempt.isForwarded())
             continue;
         m_quarantine.onDoubtfulEnd(
-            request.parts, {attempt.server, attempt.serverStartedAt}, request.identity, now,
+            parts, {attempt.server, attempt.serverStartedAt}, request.identity, now,
             ResponseEnd::None,
             std::max(attempt.sentAt, backend ? backend->lastProgress : attempt.sentAt));
     }
@@ -1044,13 +1055,15 @@
 void RequestSystem::recordEnd(const Request &request, const Attempt &attempt, ResponseEnd end,
                               TimePoint now)
 {
-    if (request.parts.empty() || attempt.isKnownSound || attempt.isForwarded())
+    const PromptParts parts =
+        end == ResponseEnd::Framed ? request.parts : partsAtStake(request, attempt);
+    if (parts.empty() || attempt.isForwarded())
         return;
     const bool isLong = attempt.firstEventAt && now - *attempt.firstEventAt >= soundWritingTime;
     if (end == ResponseEnd::Framed && isLong)
-        m_quarantine.onSound(request.parts, now);
+        m_quarantine.onSound(parts, now, !attempt.isKnownSound);
     else
-        m_quarantine.onDoubtfulEnd(request.parts, {attempt.server, attempt.serverStartedAt},
+        m_quarantine.onDoubtfulEnd(parts, {attempt.server, attempt.serverStartedAt},
                                    request.identity, now, end);
 }
 
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -195,7 +195,7 @@
         std::optional<Permit> permit; ///< If its server has a limit.
         std::optional<TimePoint> firstEventAt; ///< When its first event was forwarded.
         bool isTrial = false; ///< A suspected request that is tried.
-        bool isKnownSound = false; ///< Its server writes for so long that no part crashes it.
+        bool isKnownSound = false; ///< Its server has been writing for a while.
 
         bool isForwarded() const { return !node.value().empty(); }
     };
@@ -332,6 +332,8 @@
     /// Records that an attempt that was sent broke off, unless its server had been writing for
     /// long.
     void recordBreak(const Request &request, const Attempt &attempt, TimePoint now);
+    /// Of what the request is recognised by, that for which the end of its server now is evidence.
+    static PromptParts partsAtStake(const Request &request, const Attempt &attempt);
     /// What the request as a whole is recognised by, for the log.
     static std::string wholeName(const Request &request);
     /// Records that the attempts of the request are given up before their servers answered.
--- a/src/tests/crashing_server.py
+++ b/src/tests/crashing_server.py
@@ -35,6 +35,8 @@
         self.silenced = set()  # Those of them whose connections are silent.
         self.known_pids = ()  # The processes that may be cut off.
         self.plain_services = ()  # Their answers are no streams.
+        self.crash_delay = CRASH_DELAY_S
+        self.writes_until_crash = False  # The answers to harmful requests go on until then.
         self.ways = WAYS  # How connections to a crashed server end.
         self.broken_share = 0.0  # Of the answers, while the servers live.
         self.arrivals = []  # Time, request id and server of each request that a server read.
@@ -223,13 +225,17 @@
             return await self.answer_plainly(writer, request, harmful, generator, life)
         stream.send_head(request, attempt)
         if harmful:
-            if generator.random() < 0.5:
+            if fleet.writes_until_crash or generator.random() < 0.5:
                 stream.send_event(last_event + 1)
             if not self.crash_is_due:
                 self.crash_is_due = True
-                fleet.loop.call_later(generator.uniform(*CRASH_DELAY_S), self.crash_in, life)
-            while self.life == life:
+                fleet.loop.call_later(generator.uniform(*fleet.crash_delay), self.crash_in, life)
+            number = last_event + 1
+            while self.life == life and not writer.is_closing():
                 await asyncio.sleep(EVENT_INTERVAL_S)
+                number += 1
+                if fleet.writes_until_crash and self.life == life:
+                    stream.send_event(number)
             return False
         for number in range(last_event + 1, EVENTS + 1):
             if cut_after == number - 1:
--- a/src/tests/quarantine_test.cpp
+++ b/src/tests/quarantine_test.cpp
@@ -424,6 +424,21 @@
     EXPECT_FALSE(isQuarantined(whole(2)));
 }
 
+TEST_F(QuarantineTest, LateBreaksAmongManyCrashesBlameNoRequest)
+{
+    for (int i = 0; i < 4; ++i) {
+        crash({lateBreakOf(repeated)});
+        crash({PromptPart(100 + m_crashes)}, 1, Duration(700));
+    }
+    pass(Duration(3'000));
+    EXPECT_TRUE(m_decisions.empty());
+    EXPECT_EQ(m_table.suspectedCount(), 0U);
+    pass(Duration(60'000));
+    crash({lateBreakOf(popular)}, 3);
+    pass(Duration(3'000));
+    EXPECT_TRUE(isQuarantined(lateBreakOf(popular)));
+}
+
 TEST_F(QuarantineTest, WholeRequestIsTriedIfServersEndedTogether)
 {
     settle();
@@ -838,6 +853,7 @@
     Duration harmfulInterval {0}; ///< 0: no harmful requests.
     Duration repeatedInterval {0}; ///< 0: no whole request that is harmful.
     int repeatedAtOnce = 1;
+    bool isHarmfulLate = false; ///< Servers end after they have been writing for a while.
     std::set<Trouble> troubles;
     double loss = 0.1;
     bool nodesRestart = false;
@@ -1124,7 +1140,9 @@
     void dispatch(Request request)
     {
         Node &node = m_nodes[request.node];
-        if (node.table->quarantinedUntil(request.parts, m_now))
+        PromptParts parts = request.parts;
+        parts.push_back(lateBreakOf(parts.back()));
+        if (node.table->quarantinedUntil(parts, m_now))
             return;
         std::vector<std::size_t> up;
         for (std::size_t i = 0; i < m_servers.size(); ++i) {
@@ -1135,7 +1153,7 @@
             return;
         const std::size_t index =
             up[static_cast<std::size_t>(pick(0, static_cast<int>(up.size()) - 1))];
-        node.table->onDispatched(request.parts, m_now);
+        node.table->onDispatched(parts, m_now);
         if (request.isHarmful && m_fifthCrash && m_now > *m_fifthCrash + Duration(3'000)
             && m_now - node.upSince >= Duration(3'000)) {
             ++m_lateHarmful;
@@ -1146,7 +1164,15 @@
         const ServerRun run = runOfServer(index);
         m_servers[index].running[key] = request;
         if (request.isHarmful) {
-            at(request.writingSince + Duration(pick(50, 400)), [this, index, run] {
+            const Duration crashAfter(m_schedule.isHarmfulLate ? pick(1'100, 3'000)
+                                                               : pick(50, 400));
+            if (crashAfter > soundWriting) {
+                at(request.writingSince + soundWriting, [this, index, run, key, request] {
+                    if (runOfServer(index) == run && m_servers[index].running.count(key))
+                        m_nodes[request.node].table->onSound(request.parts, m_now);
+                });
+            }
+            at(request.writingSince + crashAfter, [this, index, run] {
                 if (runOfServer(index) == run && m_servers[index].isUp) {
                     if (++m_harmfulCrashes == (m_schedule.repeatedInterval > Duration(0) ? 3 : 5)) {
                         m_fifthCrash = m_now;
@@ -1180,20 +1206,28 @@
             endEarly(request, run);
             return;
         }
-        if (m_now - request.writingSince >= soundWriting)
-            return; // Told already.
+        if (m_now - request.writingSince >= soundWriting) {
+            m_nodes[request.node].table->onSound(lateParts(request), m_now, false);
+            return;
+        }
         if (chance(0.2)) // Ends with its connection.
             m_nodes[request.node].table->onDoubtfulEnd(request.parts, run, request.id, m_now);
         else
             m_nodes[request.node].table->onSound(request.parts, m_now);
     }
 
+    /// What a request is recognised by after its server has been writing for a while.
+    static PromptParts lateParts(const Request &request)
+    {
+        return {lateBreakOf(request.parts.back())};
+    }
+
     /// Tells the node that the attempt broke, and repeats the request once.
     void endEarly(const Request &request, const ServerRun &run)
     {
         QuarantineTable &table = *m_nodes[request.node].table;
         if (m_now - request.writingSince >= soundWriting) {
-            // It had been writing for so long that no part is suspected.
+            table.onBroken(lateParts(request), run, request.id, m_now);
         } else if (chance(0.2)) {
             table.onDoubtfulEnd(request.parts, run, request.id, m_now);
             return;
@@ -1364,6 +1398,22 @@
     }
 }
 
+RC_GTEST_PROP(Quarantine, LateHarmfulWholeRequestIsKeptFromServers, ())
+{
+    Schedule schedule = randomSchedule();
+    schedule.repeatedInterval = *rc::gen::element(Duration(500), Duration(2'000), Duration(7'000));
+    schedule.isHarmfulLate = true;
+    RC_LOG() << schedule;
+    Simulation simulation(schedule);
+    simulation.run();
+    if (simulation.lateHarmful() > 3)
+        RC_FAIL(simulation.trace());
+    for (const PromptPart part : simulation.quarantined()) {
+        if (part != lateBreakOf(repeated))
+            RC_FAIL(simulation.trace());
+    }
+}
+
 RC_GTEST_PROP(Quarantine, OrdinaryCrashesBlameNoSoundPart, ())
 {
     Schedule schedule = randomSchedule();
--- a/src/tests/repeated_request_test.py
+++ b/src/tests/repeated_request_test.py
@@ -180,6 +180,12 @@
         self.start("stream", servers=9, service=STREAM)
         self.play(0.4)
 
+    def test_stream_under_which_servers_end_late_is_stopped(self):
+        """They have been writing its events for more than a second."""
+        self.start("late", servers=9, service=STREAM)
+        self.fleet.crash_delay, self.fleet.writes_until_crash = (1.2, 2.0), True
+        self.play(0.7)
+
     def test_nodes_that_start_again_know_the_request(self):
         self.start("restarts")
 
--- a/src/tests/request_test.cpp
+++ b/src/tests/request_test.cpp
@@ -844,6 +844,7 @@
         arrival.host = "shop.example";
         arrival.path = path;
         arrival.key = apiKey;
+        arrival.model = ModelId("m");
         arrival.content = content;
         RequestActions actions;
         m_system.onRequestArrived(arrival, m_now, actions);
@@ -880,6 +881,28 @@
     EXPECT_EQ(actionsOf<DispatchAttempt>(sendContent(8)).size(), 1U);
 }
 
+TEST_F(RepeatedRequestTest, StreamUnderWhichServersEndLateIsRefused)
+{
+    for (const std::string group : {"a", "b", "c", "d"})
+        addGroup(group);
+    for (int i = 0; i < 3; ++i) {
+        const auto attempt = actionsOf<DispatchAttempt>(sendContent(7, "/ask/x")).at(0);
+        m_system.onWriting(attempt.request, attempt.attempt, m_now);
+        m_system.onStreamStarted(attempt.request, attempt.attempt, m_now);
+        for (int event = 0; event < 15; ++event) {
+            m_system.onEventForwarded(attempt.request, attempt.attempt, m_now);
+            pass(Duration(100));
+        }
+        m_backends.erase(attempt.server);
+        failAttempt(attempt, AttemptFailure::Broken);
+    }
+    pass(Duration(2'500));
+    const auto refusals = actionsOf<RefuseRequest>(sendContent(7, "/ask/x"));
+    ASSERT_EQ(refusals.size(), 1U);
+    EXPECT_EQ(refusals[0].code, ErrorCode::PromptQuarantined);
+    EXPECT_TRUE(actionsOf<RefuseRequest>(sendContent(8, "/ask/x")).empty());
+}
+
 TEST_F(QuarantineRequestTest, WaitingRequestIsRefusedAsNotRun)
 {
     addGroup("a");
