Fix: [Request] A node that starts keeps suspected requests back from 2.5 s after its start on

What callers see: a node that started again sent three requests that had ended three servers, 3.05 s after its start. Cause: it waits 3 s from its first tick on before it decides, which is longer than the 3 s after which it is held to the bound. Change: 2.5 s, in which 6 to 16 pulses come.

--- a/src/request/quarantine_base.cpp
+++ b/src/request/quarantine_base.cpp
@@ -54,8 +54,9 @@
 constexpr std::size_t maxAnswerCounts = evidenceAge / answerCountInterval;
 constexpr Duration decisionInterval {100};
 constexpr Duration crashCheckInterval {1'000};
-/// A node that starts learns first what the others know.
-constexpr Duration settlingTime {3'000};
+/// A node that starts learns first what the others know. From 3 s after its start on it must keep
+/// quarantined requests back itself.
+constexpr Duration settlingTime {2'500};
 
 /// How long an answer protects its parts. Each further second with answers adds as much.
 constexpr Duration protectionTime {60'000};
