Fix: [Request] A refusal never names a Retry-After of zero

What callers see: a refused request is told to come back at once, by Retry-After 0.000, and is refused again. Cause: the time to the next permit, or to the end of a quarantine, was passed on as it is, also where it had just passed. Change: at least 0.1 s, as for other refusals.

--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -757,7 +757,7 @@
             const bool isExact = request.deadline == TimePoint()
                 || code == ErrorCode::PromptQuarantined || code == ErrorCode::ServersLimited;
             refusal.retryAfter = isExact
-                ? *retryAfter
+                ? std::max(*retryAfter, minRetryAfter)
                 : std::clamp(*retryAfter, minRetryAfter, std::max(maxRetryAfter, minRetryAfter));
         }
         actions.push_back(refusal);
--- a/src/tests/request_test.cpp
+++ b/src/tests/request_test.cpp
@@ -809,6 +809,16 @@
     }
 };
 
+TEST_F(QuarantineRequestTest, RetryAfterIsNeverZero)
+{
+    addGroup("a");
+    const PromptParts parts = promptParts({harmful}, ServiceId("engines"));
+    m_system.restoreQuarantine(parts[0], {Duration(1), 1}, m_now);
+    const auto refusals = actionsOf<RefuseRequest>(askWith({harmful}));
+    ASSERT_EQ(refusals.size(), 1U);
+    EXPECT_GE(refusals[0].retryAfter, Duration(100));
+}
+
 TEST_F(QuarantineRequestTest, NewRequestIsRefusedAtOnceWithTheEndOfTheQuarantine)
 {
     addGroup("a");
