--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# See claim.txt. TROUBLE=0 does the same without taking the key away.
+cd "$(dirname "$0")"
+exec python3 -B case.py
