--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,9 @@
-"""A key that is taken away some seconds after a drill of the store keeps working at some nodes."""
+"""An entry of another writer, whose address cannot be read, ends the processes of the nodes."""
 
+import json
 import os
 import sys
+import threading
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
@@ -9,51 +11,46 @@
 
 from standins import TROUBLE, CannotRun, run  # noqa: E402
 
-COPY_AGE_S = 8  # "a copy some seconds old"
-AWAY_S = 0.5  # "away for a moment"
-STABLE_S = 3.5  # Longer than stable_window_ms: the core is stable when the key is taken away.
-REVOKE_S = 5  # revoke_ms
-SKEW_S = 5  # max_skew_ms, added in full although the core is stable.
+ADDRESS = os.environ.get("ADDRESS", "")  # The field is there, and is a text, but names no address.
+LENGTH_S = 30
+RESTART_DELAY_S = 0.5
 
 
 def case(system):
     record = system.record
     system.wait_ready()
     time.sleep(4)
-    for node in range(3):
-        for key in ("key-a", "key-b"):
-            if system.call(node, "GET", "/balance/x", key)[1] != 200:
-                raise CannotRun("not served before the drill")
-    older = system.store.take_copy()
-    record("copy of the store")
-    time.sleep(COPY_AGE_S)
+    for node in range(6):
+        if system.call(node, "GET", "/balance/x", "key-a")[1] != 200:
+            raise CannotRun("not served before the entry is written")
     if TROUBLE:
-        system.store.go_away()
-        record("store away")
-        time.sleep(AWAY_S)
-        lost, back = system.store.come_back(older)
-        record("store back, era", system.store.era, "revision", lost, "->", back)
-    time.sleep(STABLE_S)
-    system.tenants["chain-a"] = []
-    acknowledged = system.configure()
-    record("revision", system.store.revision)
-    broken = 0
-    for second in range(15):
-        time.sleep(max(0, acknowledged + second + 1 - time.monotonic()))
-        for node in range(3):
-            sent = time.monotonic()
-            request, _ = system.call(node, "POST", "/pay/x", "key-a", b"{}")
-            late = sent - acknowledged > REVOKE_S + SKEW_S
-            if late and system.runs(request):
-                broken += 1
-                record("BROKEN: ran", request, f"sent {sent - acknowledged:.1f} s after the ack")
-    other = [system.call(node, "GET", "/balance/x", "key-b")[1] for node in range(3)]
-    record("the other key:", other)
-    if not TROUBLE and other != [200, 200, 200]:
-        raise CannotRun("the other key is not served")
-    record("requests with the key that was taken away that ran too late:", broken)
-    return broken > 0
+        entry = dict(system.servers[0].entry, address=ADDRESS, slots=64)
+        system.store.put("servers/i-0badbad0", json.dumps(entry).encode())
+        record("written by another writer: servers/i-0badbad0", json.dumps(entry))
+    end = time.monotonic() + LENGTH_S
+    unanswered = [0] * 6
+
+    def send(node):
+        while time.monotonic() < end:
+            unanswered[node] += system.call(node, "POST", "/pay/x", "key-a", b"{}")[1] == 0
+            time.sleep(0.1)
+
+    callers = [threading.Thread(target=send, args=(node,)) for node in range(6) for _ in range(3)]
+    for caller in callers:
+        caller.start()
+    while time.monotonic() < end:
+        time.sleep(RESTART_DELAY_S)
+        system.restart_ended()
+    for caller in callers:
+        caller.join()
+    ends = {name: len(statuses) for name, statuses in system.ends.items()}
+    record("requests without an answer, by node:", unanswered)
+    record("processes that ended by themselves, by machine:", json.dumps(ends))
+    if not TROUBLE and (ends or sum(unanswered)):
+        raise CannotRun("processes end, or requests are not answered, without the entry")
+    # FAULT: on a tenth of the machines, two at least, processes end by themselves three times.
+    return sum(1 for count in ends.values() if count >= 3) >= 2
 
 
 if __name__ == "__main__":
-    sys.exit(run(FOLDER, case))
+    sys.exit(run(FOLDER, case, nodes=6))
