--- a/review/standins.py
+++ b/review/standins.py
@@ -309,6 +309,120 @@
         return ServerHandler
 
 
+class Engine(PlainServer):
+    """A model server that joins groups. A stream makes one event of five tokens every EVENT_S."""
+
+    EVENT_S = 0.045
+    engines = {}
+
+    def __init__(self, store, number, service, zone, domain, record):
+        self.lock = threading.RLock()
+        self.group, self.members, self.seen, self.fence, self.orders = None, [], 0, 0, 0
+        super().__init__(store, number, service, zone, record)
+        Engine.engines[self.id] = self
+        with self.lock:
+            self.entry.update(domain=domain, slots=17, models=[], staged=[])
+        self.write_entry()
+
+    def write_entry(self):
+        with self.lock:
+            self.entry["group"] = dict(self.group) if self.group else None
+            return super().write_entry()
+
+    def set_state(self, group, before, after, delay_s):
+        def change():
+            time.sleep(delay_s)
+            with self.lock:
+                if self.group is group and group["state"] == before:
+                    group["state"] = after
+            self.write_entry()
+        threading.Thread(target=change, daemon=True).start()
+
+    def order(self, body):
+        with self.lock:
+            if body.get("fencing_token", 0) < self.fence:
+                return 412
+            self.fence = body.get("fencing_token", 0)
+            operation, group = body["operation"], self.group
+            if operation == "phase":
+                self.entry["staged"] = [body["model"]]
+                return 202
+            is_current = group and (group["name"], group["epoch"]) == (body["group"], body["epoch"])
+            if operation == "join":
+                if body["epoch"] < self.seen or (is_current and self.members != body["members"]):
+                    return 412
+                if is_current:
+                    return 200
+                self.seen, self.members = body["epoch"], body["members"]
+                self.group = {"name": body["group"], "epoch": body["epoch"],
+                              "rank": body["members"].index(self.id), "state": "joining"}
+                self.entry["models"] = [{"name": body["model"], "version": 1, "adapters": []}]
+                self.set_state(self.group, "joining", "ready", 0.2)
+                return 202
+            if not is_current:
+                return 409
+            if operation == "open":
+                if group["rank"] != 0 or group["state"] not in ("ready", "open"):
+                    return 409
+                self.set_state(group, "ready", "open", 0.3)
+            elif operation == "close":
+                self.set_state(group, "open", "ready", 0)
+            else:
+                self.group = None
+            return 202
+
+    def is_whole(self):
+        others = [Engine.engines[member].group for member in self.members]
+        return all(other and self.group and other["name"] == self.group["name"]
+                   and other["epoch"] == self.group["epoch"] for other in others)
+
+    def handler(server):  # pylint: disable=no-self-argument
+        class EngineHandler(Handler):
+            def do_GET(self):
+                self.reply(200, {"phase": "unified"})
+
+            def do_POST(self):
+                body = self.read_body()
+                echo = [("X-Instance-Id", server.id)]
+                if self.headers.get("X-Expect-Instance", server.id) != server.id:
+                    self.reply(421, b"", echo + [("X-Not-Executed", "1")])
+                elif self.path == "/v1/order":
+                    status = server.order(json.loads(body))
+                    server.write_entry()
+                    self.reply(status, b"", echo)
+                else:
+                    self.stream(json.loads(body)["events"], echo)
+
+            def stream(self, events, echo):
+                request = self.headers["X-Request-Id"]
+                echo.append(("X-Request-Id", request))
+                with server.lock:
+                    serves = server.group and server.group["state"] == "open" and server.is_whole()
+                if not serves:
+                    self.reply(421, b"", echo + [("X-Not-Executed", "1")])
+                    return
+                first = int(self.headers.get("Last-Event-Id") or 0) + 1
+                server.ran.append((request, time.monotonic()))
+                server.record("ran", request, "at", server.id, "events", first, "to", events)
+                self.send_response(200)
+                for name, value in echo + [("X-Server-Seal", server.id),
+                                           ("Content-Type", "text/event-stream"),
+                                           ("Transfer-Encoding", "chunked")]:
+                    self.send_header(name, value)
+                self.end_headers()
+                try:
+                    for number in range(first, events + 1):
+                        time.sleep(server.EVENT_S)
+                        event = f"id: {number}\ndata: {request} {number}\n\n".encode()
+                        self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+                    self.wfile.write(b"0\r\n\r\n")
+                except OSError:
+                    self.close_connection = True
+                    server.record("broken off by the caller:", request, "at event", number)
+
+        return EngineHandler
+
+
 class System:
     """A small deployment: the store, servers and nodes. Ends all that it started."""
 
