Fix: [Configuration] An empty list of organisations admits nobody

Callers with any key, also one that no configuration ever held, were served once the last key had been taken away together with its organisation, without the name of an organisation.

Cause: whether keys are required followed from the list of organisations being non-empty, so that an empty list was taken for none. The same default elsewhere: a list of another type (null, an object, a text) was read as empty or as its one element, an empty key matched requests without one, a route's services of weight 0 were used if they were last, and a service that the configuration does not list was served by servers that name it.

The configuration now keeps whether organisations are listed at all; the default requires keys. Lists of another type make a version unreadable, the empty key is never held, weights have to be positive, and only listed services have servers.

--- a/src/platform/platform_configuration.cpp
+++ b/src/platform/platform_configuration.cpp
@@ -18,6 +18,15 @@
     return Duration(static_cast<Duration::rep>(value * millisecondsPerSecond));
 }
 
+/// The list of that name. Throws Failure for a value of another type, which is not an empty list.
+const json &listAt(const json &object, const char *name)
+{
+    const json &list = object.at(name);
+    if (!list.is_array())
+        throw Failure(ErrorCode::PlatformProtocol, std::string(name) + ": is no list");
+    return list;
+}
+
 RequestKind readKind(const json &route)
 {
     const std::string kind = route.at("route_type").get<std::string>();
@@ -46,9 +55,12 @@
     route.maxAttempts = item.value("max_attempts", 1U);
     route.keyless = item.value("auth_exempt", false);
     if (item.contains("weighted_services")) {
-        for (const json &weighted : item.at("weighted_services"))
-            route.services.push_back({ServiceId(weighted.at("service").get<std::string>()),
-                                      weighted.at("weight").get<double>()});
+        for (const json &weighted : listAt(item, "weighted_services")) {
+            const auto weight = weighted.at("weight").get<double>();
+            if (weight > 0)
+                route.services.push_back(
+                    {ServiceId(weighted.at("service").get<std::string>()), weight});
+        }
     } else if (item.contains("service")) {
         route.services.push_back({ServiceId(item.at("service").get<std::string>()), 1});
     }
@@ -86,7 +98,7 @@
     // "cached_prefixes" is the number of models whose weights a host keeps.
     engine.maxKeptModels = std::max(item.value("cached_prefixes", 1U), 1U);
     if (item.contains("models")) {
-        for (const json &model : item["models"])
+        for (const json &model : listAt(item, "models"))
             engine.models.push_back(readModel(model));
     }
     return engine;
@@ -121,22 +133,23 @@
         const json body = json::parse(text);
         ServingConfiguration configuration;
         configuration.version = body.at("version").get<std::uint64_t>();
-        for (const json &route : body.at("routes"))
+        for (const json &route : listAt(body, "routes"))
             configuration.routes.push_back(readRoute(route));
-        for (const json &item : body.at("services")) {
+        for (const json &item : listAt(body, "services")) {
             ServedService service = readService(item);
             const ServiceId name = service.name;
             configuration.services.emplace(name, std::move(service));
         }
         if (body.contains("limits"))
             configuration.limits = readLimits(body["limits"]);
-        if (body.contains("tenants")) { // A tenant is an organisation.
-            for (const json &tenant : body["tenants"]) {
+        configuration.requiresKeys = body.contains("tenants"); // A tenant is an organisation.
+        if (configuration.requiresKeys) {
+            for (const json &tenant : listAt(body, "tenants")) {
                 ServedOrganisation organisation;
                 organisation.name = OrganisationId(tenant.at("name").get<std::string>());
                 if (tenant.contains("priority"))
                     organisation.priority = tenant["priority"].get<int>();
-                for (const json &key : tenant.at("api_keys"))
+                for (const json &key : listAt(tenant, "api_keys"))
                     configuration.keys[key.get<std::string>()] = configuration.organisations.size();
                 configuration.organisations.push_back(std::move(organisation));
             }
--- a/src/request/backend_base.cpp
+++ b/src/request/backend_base.cpp
@@ -208,6 +208,8 @@
     if (backend.report.draining || backend.listing == Listing::Overdue
         || backend.listing == Listing::Missing)
         return false;
+    if (configuration.services.count(backend.report.service) == 0)
+        return false;
     const EngineSpec *engine = configuration.engineOf(backend.report.service);
     if (!engine)
         return true;
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -232,7 +232,7 @@
     const RouteSpec *route = m_configuration->findRoute(arrival.host, arrival.path);
     if (!route || route->services.empty())
         return isRecentlyProven ? ErrorCode::UnknownPath : ErrorCode::ConfigurationStale;
-    if (route->keyless || m_configuration->organisations.empty())
+    if (route->keyless || !m_configuration->requiresKeys)
         return std::nullopt;
     if (!isCurrent(now))
         return ErrorCode::ConfigurationStale;
--- a/src/request/serving_func.cpp
+++ b/src/request/serving_func.cpp
@@ -18,7 +18,7 @@
 const ServedOrganisation *ServingConfiguration::findKey(const std::string &key) const
 {
     const auto found = keys.find(key);
-    return found == keys.end() ? nullptr : &organisations[found->second];
+    return key.empty() || found == keys.end() ? nullptr : &organisations[found->second];
 }
 
 const EngineSpec *ServingConfiguration::engineOf(const ServiceId &service) const
--- a/src/request/serving_type.h
+++ b/src/request/serving_type.h
@@ -44,7 +44,7 @@
     Duration targetLatency {0}; ///< Target time to the response, for streams to the first event.
     Duration targetGap {0}; ///< Target for the longest pause between two events.
     int priority = 0; ///< 0 is the most urgent.
-    std::vector<WeightedService> services;
+    std::vector<WeightedService> services; ///< All weights are positive.
     std::uint32_t maxAttempts = 1; ///< Number of servers to which one request may be sent.
     bool keyless = false; ///< Requests need no API key.
 };
@@ -111,6 +111,9 @@
     std::uint64_t version = 0;
     std::vector<RouteSpec> routes;
     std::map<ServiceId, ServedService> services;
+    /// Requests need an API key, unless their route is keyless. False only if the configuration does
+    /// not list organisations at all: an empty list admits nobody.
+    bool requiresKeys = true;
     std::vector<ServedOrganisation> organisations;
     std::unordered_map<std::string, std::size_t>
         keys; ///< Maps API keys to indexes of organisations.
@@ -118,7 +121,7 @@
 
     /// The route of `host` with the longest matching path prefix, or null.
     const RouteSpec *findRoute(const std::string &host, const std::string &path) const;
-    /// The organisation that holds a key, or null.
+    /// The organisation that holds a key, or null. None holds the empty key.
     const ServedOrganisation *findKey(const std::string &key) const;
     /// The engine figures of a service, or null for plain and unknown services.
     const EngineSpec *engineOf(const ServiceId &service) const;
--- a/src/tests/platform_test.py
+++ b/src/tests/platform_test.py
@@ -123,6 +123,16 @@
         self.assertEqual({response.status for _, response in responses} - {401, 503}, set())
         self.assertEqual(sum(system.count_runs(request) for request, _ in responses), 0)
 
+    def test_last_key_removed_with_its_organisation_opens_no_route(self):
+        system = self.system
+        system.keys.clear()
+        system.configure()
+        time.sleep(5)  # The limit within which every node rejects a removed key.
+        calls = [system.call(node, "POST", "/pay/x", b"{}", key)
+                 for node in range(3) for key in ("key-a", "key-never-held", "")]
+        self.assertEqual({response.status for _, response in calls}, {401})
+        self.assertEqual(sum(system.count_runs(request) for request, _ in calls), 0)
+
     def test_store_outage_refuses_requests_and_recovers(self):
         system = self.system
         system.signal("store", signal.SIGSTOP)
