Fix: [Messages] One strict grammar for the heads and chunks of callers and servers

A request hidden in the body of another one ran for an organisation of its own choice: "Transfer-Encoding : chunked" was used for the framing and passed on with its blank, so that a server that disregards the blank read a second request.

Cause: http_parser accepts what RFC 9112 lets recipients tolerate, and the checks beside it knew single cases. Now each head is checked as a whole before it is used: a start line of one method, path and version, fields of a token directly before the colon and a value without control bytes, one Host, one decimal Content-Length or the coding "chunked" in HTTP/1.1, nothing whose name only begins like these. Chunk sizes, extensions and trailers are bounded and end with CRLF. Callers get 400 and the end of the connection; from a server it is no response, and the attempt has failed. http_parser still does the parsing and has to come to the same framing.

--- a/src/network/caller_connections.cpp
+++ b/src/network/caller_connections.cpp
@@ -52,13 +52,6 @@
     }
 }
 
-std::size_t countHeader(const MessageHead &head, std::string_view name)
-{
-    return static_cast<std::size_t>(
-        std::count_if(head.headers.begin(), head.headers.end(),
-                      [&](const auto &header) { return sameHeader(header.first, name); }));
-}
-
 } // namespace
 
 /// A caller's connection and its current request.
@@ -176,13 +169,8 @@
         return false;
     connection.socket->consume(connection.parser.feed(bytes.substr(0, *length)));
     const MessageHead &head = connection.parser.head();
-    if (connection.parser.failed() || !connection.parser.headComplete()) {
-        reject(connection, badRequest, "malformed");
-        return false;
-    }
-    if (countHeader(head, "host") != 1 || countHeader(head, "transfer-encoding") > 1
-        || head.target.empty() || head.target.front() != '/') {
-        reject(connection, badRequest, "malformed");
+    if (connection.parser.failed()) {
+        reject(connection, badRequest, connection.parser.fault());
         return false;
     }
     if (connection.parser.declaredLength().value_or(0) > m_limits.maxBodyBytes) {
@@ -203,7 +191,7 @@
     const std::string_view bytes = connection.socket->received();
     connection.socket->consume(connection.parser.feed(bytes));
     if (connection.parser.failed()) {
-        reject(connection, badRequest, "malformed_body");
+        reject(connection, badRequest, connection.parser.fault());
         return false;
     }
     connection.body += connection.parser.takeBody();
--- a/src/network/http_message.cpp
+++ b/src/network/http_message.cpp
@@ -15,6 +15,7 @@
 constexpr unsigned noContent = 204;
 constexpr unsigned notModified = 304;
 constexpr std::string_view headTerminator = "\r\n\r\n";
+constexpr std::size_t maxHeadBytes = 80 * 1024;
 constexpr std::array<std::string_view, 9> hopByHopHeaders {"connection",
                                                            "keep-alive",
                                                            "proxy-authenticate",
@@ -136,8 +137,11 @@
     bool failed = false;
     bool withoutBody = false;
     bool inValue = false;
-    std::optional<std::size_t> declaredBodyLength;
     BodyEnd bodyEnd = BodyEnd::Unknown;
+    std::string headBytes; ///< The head as received, until it is complete.
+    HeadFraming framing;
+    ChunkChecker chunks;
+    const char *fault = "";
 
     static State &of(http_parser *parser) { return *static_cast<State *>(parser->data); }
 
@@ -149,9 +153,9 @@
             || (isResponse
                 && (status < firstFinalStatus || status == noContent || status == notModified)))
             return BodyEnd::NoBody;
-        if ((parser.flags & F_CHUNKED) != 0)
+        if (state.framing.isChunked)
             return BodyEnd::LastChunk;
-        if (state.declaredBodyLength)
+        if (state.framing.length)
             return BodyEnd::Length;
         return isResponse ? BodyEnd::ConnectionClose : BodyEnd::NoBody;
     }
@@ -187,16 +191,25 @@
     }
     static int onHeadersComplete(http_parser *parser)
     {
+        constexpr int error = -1;
+        constexpr int skipBody = 1;
         State &state = of(parser);
+        state.framing = checkHead(state.headBytes, state.kind);
+        const bool isChunked = (parser->flags & F_CHUNKED) != 0;
+        const std::uint64_t length =
+            state.framing.length.value_or(std::numeric_limits<std::uint64_t>::max());
+        if (!state.framing.fault
+            && (isChunked != state.framing.isChunked || length != parser->content_length))
+            state.framing.fault = "framing";
+        if (state.framing.fault)
+            return error;
         state.headComplete = true;
         state.head.status = static_cast<int>(parser->status_code);
         if (state.kind == Kind::Request)
             state.head.method = http_method_str(static_cast<http_method>(parser->method));
         state.head.keepAlive = http_should_keep_alive(parser) != 0;
-        if (parser->content_length != std::numeric_limits<std::uint64_t>::max())
-            state.declaredBodyLength = parser->content_length;
         state.bodyEnd = bodyEndOf(*parser, state);
-        return state.withoutBody ? 1 : 0;
+        return state.bodyEnd == BodyEnd::NoBody && state.kind == Kind::Response ? skipBody : 0;
     }
     static int onBody(http_parser *parser, const char *at, std::size_t length)
     {
@@ -237,21 +250,84 @@
     state.body.clear();
     state.begun = state.headComplete = state.complete = state.failed = state.inValue = false;
     state.withoutBody = withoutBody;
-    state.declaredBodyLength.reset();
     state.bodyEnd = BodyEnd::Unknown;
+    state.headBytes.clear();
+    state.framing = HeadFraming();
+    state.chunks = ChunkChecker();
+    state.fault = "";
 }
 
 std::size_t MessageParser::feed(std::string_view bytes)
 {
-    State &state = *m_state;
+    const State &state = *m_state;
     if (state.complete || state.failed || bytes.empty())
         return 0;
-    const std::size_t consumed =
-        http_parser_execute(&state.parser, &state.settings, bytes.data(), bytes.size());
+    std::size_t consumed = 0;
+    if (!state.headComplete) {
+        consumed = feedHead(bytes);
+        if (state.failed || state.complete || !state.headComplete || consumed == bytes.size())
+            return consumed;
+    }
+    return consumed + feedBody(bytes.substr(consumed));
+}
+
+std::size_t MessageParser::feedHead(std::string_view bytes)
+{
+    State &state = *m_state;
+    const std::size_t before = state.headBytes.size();
+    const std::size_t searchFrom = before - std::min(before, headTerminator.size() - 1);
+    state.headBytes.append(bytes);
+    const std::size_t end = state.headBytes.find(headTerminator, searchFrom);
+    const bool isWhole = end != std::string::npos;
+    if (isWhole)
+        state.headBytes.resize(end + headTerminator.size());
+    const std::size_t taken = state.headBytes.size() - before;
+    if (state.headBytes.size() > maxHeadBytes) {
+        fail("head_bytes");
+        return taken;
+    }
+    execute(bytes.substr(0, taken));
+    if (isWhole && !state.failed && !state.headComplete)
+        fail("head");
+    if (isWhole)
+        state.headBytes.clear();
+    return taken;
+}
+
+std::size_t MessageParser::feedBody(std::string_view bytes)
+{
+    State &state = *m_state;
+    std::size_t taken = bytes.size();
+    if (state.framing.isChunked) {
+        taken = state.chunks.feed(bytes);
+        if (state.chunks.failed()) {
+            fail("chunks");
+            return taken;
+        }
+    } else if (state.framing.length) {
+        taken = std::min<std::uint64_t>(taken, state.parser.content_length);
+    }
+    execute(bytes.substr(0, taken));
+    if (state.framing.isChunked && state.complete != state.chunks.complete())
+        fail("chunks");
+    return taken;
+}
+
+void MessageParser::execute(std::string_view bytes)
+{
+    State &state = *m_state;
+    http_parser_execute(&state.parser, &state.settings, bytes.data(), bytes.size());
     const http_errno error = HTTP_PARSER_ERRNO(&state.parser);
-    if ((error != HPE_OK && error != HPE_PAUSED) || state.parser.upgrade)
-        state.failed = true;
-    return consumed;
+    if (state.framing.fault)
+        fail(state.framing.fault);
+    else if ((error != HPE_OK && error != HPE_PAUSED) || state.parser.upgrade)
+        fail("syntax");
+}
+
+void MessageParser::fail(const char *fault)
+{
+    m_state->failed = true;
+    m_state->fault = fault;
 }
 
 void MessageParser::close()
@@ -261,7 +337,7 @@
         return;
     http_parser_execute(&state.parser, &state.settings, nullptr, 0);
     if (!state.complete)
-        state.failed = true;
+        fail("incomplete");
 }
 
 const MessageHead &MessageParser::head() const
@@ -284,6 +360,11 @@
     return m_state->failed;
 }
 
+const char *MessageParser::fault() const
+{
+    return m_state->fault;
+}
+
 bool MessageParser::idle() const
 {
     return !m_state->begun;
@@ -291,7 +372,7 @@
 
 std::optional<std::size_t> MessageParser::declaredLength() const
 {
-    return m_state->declaredBodyLength;
+    return m_state->framing.length;
 }
 
 BodyEnd MessageParser::bodyEnd() const
--- a/src/network/http_message.h
+++ b/src/network/http_message.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "network/message_grammar.h"
+
 #include <cstddef>
 #include <memory>
 #include <optional>
@@ -52,11 +54,12 @@
 /// The name of a BodyEnd for logs.
 const char *bodyEndName(BodyEnd end);
 
-/// Incremental parser for the HTTP messages of a connection, based on http_parser.
+/// Incremental parser for the HTTP messages of a connection, based on http_parser. It accepts only
+/// what checkHead() and ChunkChecker accept too.
 class MessageParser
 {
 public:
-    enum class Kind { Request, Response };
+    using Kind = MessageKind;
 
     explicit MessageParser(Kind kind);
     ~MessageParser();
@@ -74,6 +77,8 @@
     bool headComplete() const;
     bool complete() const;
     bool failed() const;
+    /// Why parsing failed, as a word for logs.
+    const char *fault() const;
     /// Whether no byte of the message has been parsed yet.
     bool idle() const;
     /// The body length that the head declares, or none.
@@ -85,6 +90,12 @@
 
 private:
     struct State;
+
+    std::size_t feedHead(std::string_view bytes);
+    std::size_t feedBody(std::string_view bytes);
+    void execute(std::string_view bytes);
+    void fail(const char *fault);
+
     std::unique_ptr<State> m_state;
 };
 
--- a/src/tests/platform_test.py
+++ b/src/tests/platform_test.py
@@ -208,6 +208,24 @@
                 data += client.recv(4096)
         self.assertLess(data.index(b"p1"), data.index(b"p2"))
 
+    def test_request_hidden_in_a_chunked_body_is_refused(self):
+        system = self.system
+        hidden = (b"POST /pay/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: hidden\r\n"
+                  b"X-Tenant-Id: chain-b\r\nContent-Length: 2\r\n\r\n{}")
+        head = (b"POST /pay/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: outer\r\n"
+                b"Authorization: Bearer key-a\r\n")
+        for framing in (b"Transfer-Encoding : chunked\r\n", b"Transfer-Encoding: xchunked\r\n",
+                        b"Transfer-Encoding:\x0bchunked\r\n", b"Content-Length : 5\r\n",
+                        b"Content-Length: +5\r\n", b"Transfer-Encoding+: chunked\r\n"):
+            with socket.create_connection((system.nodes[0], 8200), timeout=3) as client:
+                client.sendall(head + framing + b"\r\n0\r\n\r\n" + hidden)
+                data = b""
+                while piece := client.recv(4096):
+                    data += piece
+            self.assertTrue(data.startswith(b"HTTP/1.1 400 "), (framing, data))
+            self.assertEqual(data.count(b"HTTP/1.1"), 1, framing)
+        self.assertEqual((system.count_runs("hidden"), system.count_runs("outer")), (0, 0))
+
     def test_blocked_log_reader_does_not_delay_requests(self):
         system = self.system
         system.kill("n2")
