Fix: [Forwarding] A caller could pass for a node that passes a request on

A request with the header by which nodes pass requests on was limited to the attempts that it named, was not counted in the retry budget, was refused by nodes that were cut off themselves, and got the mark of requests that did not run.

Cause: nodes took the header from anybody. Each run of a node now has a key of 128 random bits in its record in the store, which the other nodes read and show with the requests that they pass on. Without the right key a request is the caller's own. Both headers are taken out of what is sent to servers. Side by side with builds that know no key: they show none, so that what they pass on is treated as a new request, and their records hold none, so that none is shown to them.

Before: the new case of platform_test finds the mark in the refusal of a caller's request. After: platform_test and cut_nodes_test, where nodes pass requests on, hold. Also formats one file and splits literals of framing_test.

--- a/src/network/relay.cpp
+++ b/src/network/relay.cpp
@@ -137,6 +137,10 @@
         perform(RefuseRequest {request, ErrorCode::MalformedRequest, RunOutcome::NotRun, {}});
         return;
     }
+    exchange.isOfNode =
+        arrival->attemptsLeft && !m_forwardKey.empty() && arrival->forwardKey == m_forwardKey;
+    if (!exchange.isOfNode)
+        arrival->attemptsLeft.reset();
     arrival->request = request;
     arrival->content = contentHash(exchange.head, exchange.body);
     RequestActions actions;
@@ -446,8 +450,8 @@
         headers.emplace_back(m_dialect.traceHeader, traceId);
     if (refuse.retryAfter)
         headers.emplace_back("Retry-After", formatRetryAfter(*refuse.retryAfter));
-    const bool isForNode = found->second.head.find(m_dialect.forwardedHeader) != nullptr;
-    if (isForNode && refuse.run == RunOutcome::NotRun && toHttpStatus(refuse.code) == unavailable)
+    if (found->second.isOfNode && refuse.run == RunOutcome::NotRun
+        && toHttpStatus(refuse.code) == unavailable)
         headers.emplace_back(m_dialect.notExecutedHeader, "1");
     m_exchanges.erase(found);
     m_hooks.refused(refuse.code);
--- a/src/network/relay.h
+++ b/src/network/relay.h
@@ -38,7 +38,6 @@
         writeAttempt;
     std::function<ResponseDetails(const MessageHead &)> readResponse;
     std::string traceHeader; ///< Name of the header with the request's id, in both directions.
-    std::string forwardedHeader; ///< Of requests that a node passes on to another one.
     std::string notExecutedHeader; ///< Of responses to requests that did not run.
 };
 
@@ -59,6 +58,9 @@
     Relay(EventLoop &loop, RequestSystem &requests, RelayDialect dialect, RelayHooks hooks);
 
     CallerConnections &callers() { return m_callers; }
+    /// Sets the key that other nodes show with the requests that they pass on to this one. Requests
+    /// without it are those of callers, whatever their headers say. Until it is set, all are.
+    void setForwardKey(std::string key) { m_forwardKey = std::move(key); }
     /// Re-evaluates waiting requests after time has passed or servers or configuration have
     /// changed.
     void tick(TimePoint now);
@@ -87,6 +89,7 @@
         MessageHead head;
         std::string body;
         TimePoint arrivedAt;
+        bool isOfNode = false; ///< Another node has passed it on.
         Attempt current;
         std::vector<Attempt> stalled; ///< Kept open beside the attempt that may replace them.
         std::size_t emptyEnds = 0; ///< Attempts that resumed it and ended without an event.
@@ -143,6 +146,7 @@
     RelayHooks m_hooks;
     CallerConnections m_callers;
     BackendConnections m_backends;
+    std::string m_forwardKey;
     std::map<RequestId, Exchange> m_exchanges;
 };
 
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -7,6 +7,8 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <iomanip>
+#include <random>
 #include <sstream>
 
 namespace bramleypitch {
@@ -62,6 +64,7 @@
 /// of one node must be tolerable.
 constexpr std::size_t minEntries = 2;
 constexpr std::size_t maxAdminRequestBody = 4'096;
+constexpr int forwardKeyWords = 4; ///< Words of 32 bits.
 constexpr int ok = 200;
 constexpr int notFound = 404;
 constexpr int unavailable = 503;
@@ -90,6 +93,7 @@
         record.front = json.at("front").get<Address>();
         record.peer = json.at("peer").get<Address>();
         record.cores = json.value("cores", 0.0);
+        record.forwardKey = json.value("forward_key", std::string());
         parseAddress(record.front);
         parseAddress(record.peer);
         return record;
@@ -99,6 +103,21 @@
     }
 }
 
+/// Returns a key that callers cannot guess, or an empty text if the system has no random numbers.
+std::string makeForwardKey()
+{
+    try {
+        std::random_device random;
+        std::ostringstream key;
+        for (int word = 0; word < forwardKeyWords; ++word)
+            key << std::hex << std::setw(8) << std::setfill('0') << random();
+        return key.str();
+    } catch (const std::exception &error) {
+        logLine(LogLevel::Warning, "forward_key_missing", {{"cause", error.what()}});
+        return {};
+    }
+}
+
 /// Returns the id under which the request counts of another zone are stored next to those of single
 /// nodes. No node has such a name.
 NodeId zoneCountsId(const ZoneId &zone)
@@ -127,7 +146,9 @@
     , m_adminServer(loop, maxAdminRequestBody)
     , m_tickTimer(loop, [this] { tick(); })
     , m_incarnation(loop.wallTime().value())
+    , m_forwardKey(makeForwardKey())
 {
+    m_relay.setForwardKey(m_forwardKey);
     m_formation.setFirstStart(m_options.firstStart);
     m_requests.setQuarantineHook([this](const QuarantineDecision &decision) {
         m_quarantineStore.add(decision, m_loop.now());
@@ -618,11 +639,9 @@
 
 void ServingDaemon::writeRecord()
 {
-    const nlohmann::json record {{"zone", m_options.zone},
-                                 {"front", m_options.front},
-                                 {"peer", m_options.pulse},
-                                 {"cores", m_options.cores},
-                                 {"life", m_incarnation}};
+    const nlohmann::json record {{"zone", m_options.zone},      {"front", m_options.front},
+                                 {"peer", m_options.pulse},     {"cores", m_options.cores},
+                                 {"forward_key", m_forwardKey}, {"life", m_incarnation}};
     // The record of the previous run of this node may still exist under that run's lease, so the
     // write expects the revision last seen.
     m_store.compareAndSwap(m_dialect.ownPrefix + nodesKeyPrefix + m_options.node.value(),
--- a/src/network/serving_daemon.h
+++ b/src/network/serving_daemon.h
@@ -156,6 +156,7 @@
     };
     std::map<VmId, VanishedServer> m_vanishedServers; ///< Servers whose entries may reappear.
     std::int64_t m_incarnation = 0; ///< Start time, which identifies this run of the process.
+    std::string m_forwardKey; ///< Shown by nodes that pass requests on to this run of the process.
     std::int64_t m_pulseNumber = 0;
     TimePoint m_lastPulseAt;
     TimePoint m_lastEarlyPulseAt; ///< Sent for new evidence.
--- a/src/platform/platform_dialect.cpp
+++ b/src/platform/platform_dialect.cpp
@@ -36,6 +36,9 @@
 constexpr const char *notExecutedHeader = "X-Not-Executed";
 /// Between nodes: the attempts that are left, for a request that one passes on to another.
 constexpr const char *forwardedHeader = "X-Bramleypitch-Attempts";
+/// Between nodes: shows that such a request comes from a node. Each node has its own key, which the
+/// others read in the store.
+constexpr const char *forwardKeyHeader = "X-Bramleypitch-Key";
 constexpr const char *faultyServerHeader = "At-Server";
 constexpr const char *instanceHeader = "X-Instance-Id"; ///< The server that responded.
 constexpr const char *leavingHeader = "Server-Leaving"; ///< "1": the server that responded leaves.
@@ -49,14 +52,15 @@
 constexpr std::string_view bearerPrefix = "Bearer ";
 
 /// Headers of a caller's request that are not forwarded: they are consumed here or replaced.
-constexpr std::array<std::string_view, 8> reservedHeaders {"authorization",
+constexpr std::array<std::string_view, 9> reservedHeaders {"authorization",
                                                            "x-tenant-id",
                                                            "x-expect-instance",
                                                            "x-request-deadline",
                                                            "x-request-priority",
                                                            "content-length",
                                                            "expect",
-                                                           "x-bramleypitch-attempts"};
+                                                           "x-bramleypitch-attempts",
+                                                           "x-bramleypitch-key"};
 
 bool isReserved(std::string_view name)
 {
@@ -140,8 +144,10 @@
     arrival.completionTokens = parseNumberAt(tokens, 1);
     if (const std::string *expected = head.find(lengthHintHeader))
         arrival.completionTokens = std::min(parseNumberAt(*expected, 0), arrival.completionTokens);
-    if (const std::string *attempts = head.find(forwardedHeader))
+    if (const std::string *attempts = head.find(forwardedHeader)) {
         arrival.attemptsLeft = static_cast<std::uint32_t>(parseNumberAt(*attempts, 0));
+        arrival.forwardKey = head.value(forwardKeyHeader);
+    }
     if (const std::string *remainingTime = head.find(deadlineHeader)) {
         const double value = parseNumberAt(*remainingTime, 0);
         if (value > 0)
@@ -169,6 +175,8 @@
     if (!dispatch.node.value().empty()) {
         // The other node checks the key again, and chooses the server.
         add(forwardedHeader, std::to_string(dispatch.attemptsLeft));
+        if (!dispatch.forwardKey.empty())
+            add(forwardKeyHeader, dispatch.forwardKey);
         if (const std::string *key = head.find("authorization"))
             add("Authorization", *key);
     } else {
@@ -315,7 +323,6 @@
     dialect.writeAttempt = writeAttempt;
     dialect.readResponse = readResponse;
     dialect.traceHeader = requestIdHeader;
-    dialect.forwardedHeader = forwardedHeader;
     dialect.notExecutedHeader = notExecutedHeader;
     return dialect;
 }
--- a/src/request/membership_base.cpp
+++ b/src/request/membership_base.cpp
@@ -424,7 +424,7 @@
     std::vector<PeerNode> peers;
     for (const auto &[node, peer] : m_peers) {
         if (peer.record && peer.taking && !peer.cut && alive(peer, now))
-            peers.push_back({node, peer.record->front, isInOwnZone(peer)});
+            peers.push_back({node, peer.record->front, isInOwnZone(peer), peer.record->forwardKey});
     }
     return peers;
 }
--- a/src/request/membership_type.h
+++ b/src/request/membership_type.h
@@ -17,6 +17,8 @@
     Address front; ///< Address to which callers connect.
     Address peer; ///< Address to which other nodes send their messages.
     double cores = 0; ///< Processor share of the node, in cores. 0 if it is not known.
+    /// Shown by nodes that pass requests on to this one. Empty for builds that ask for none.
+    std::string forwardKey;
 
     bool operator==(const MembershipRecord &) const = default;
 };
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -479,6 +479,7 @@
     request.current.node = peer.node;
     ++m_forwarded[peer.node];
     action.node = peer.node;
+    action.forwardKey = peer.forwardKey;
     action.attemptsLeft =
         request.maxAttempts - std::min(request.attemptsUsed - 1, request.maxAttempts - 1);
     action.address = peer.front;
--- a/src/request/request_type.h
+++ b/src/request/request_type.h
@@ -29,6 +29,7 @@
     std::uint64_t prompt = 0; ///< Hash of the names of all parts of the prompt.
     /// Attempts that are left to this node; set if another node passed the request on.
     std::optional<std::uint32_t> attemptsLeft;
+    std::string forwardKey; ///< What a node showed with a request that it passed on.
     std::uint64_t content = 0; ///< Hash of method, target and body; 0 if they are not known.
 };
 
@@ -58,6 +59,7 @@
     NodeId node;
     Address front; ///< Where it takes requests of callers.
     bool isOwnZone = false;
+    std::string forwardKey; ///< Shown with requests that are passed on to it. May be empty.
 };
 
 /// Action: send an attempt to a server.
@@ -70,6 +72,7 @@
     OrganisationId organisation; ///< Empty on routes without API keys.
     NodeId node; ///< If set, the request is passed on to this node, not sent to a server.
     std::uint32_t attemptsLeft = 0; ///< For that node.
+    std::string forwardKey; ///< Shown to that node. May be empty.
     Duration timeLeft {0};
     /// Requires a new connection. A reused one could be closed while the request is being sent.
     bool needsNewConnection = false;
--- a/src/request/serving_type.h
+++ b/src/request/serving_type.h
@@ -111,8 +111,8 @@
     std::uint64_t version = 0;
     std::vector<RouteSpec> routes;
     std::map<ServiceId, ServedService> services;
-    /// Requests need an API key, unless their route is keyless. False only if the configuration does
-    /// not list organisations at all: an empty list admits nobody.
+    /// Requests need an API key, unless their route is keyless. False only if the configuration
+    /// does not list organisations at all: an empty list admits nobody.
     bool requiresKeys = true;
     std::vector<ServedOrganisation> organisations;
     std::unordered_map<std::string, std::size_t>
--- a/src/tests/framing_test.cpp
+++ b/src/tests/framing_test.cpp
@@ -489,19 +489,20 @@
     for (const char *malformed :
          {"HTTP/1.1 200 OK\nContent-Length: 2\n\nok",
           "\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
-          "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok",
-          "HTTP/1.1 200 OK\r\n Content-Length: 2\r\n\r\nok",
-          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nok",
-          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: "
-          "chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
-          "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
-          "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok",
-          "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
-          "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2 \r\nok\r\n0\r\n\r\n",
-          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\nok\r\n0\r\n\r\n",
+          "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+          "HTTP/1.1 204 No\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
           "HTTP/1.1 20 OK\r\n\r\n", "HTTP/2 200 OK\r\n\r\n", "HTTP/1.1 200 O\x01K\r\n\r\n"})
         EXPECT_FALSE(isRead(malformed)) << malformed;
+    const std::string startLine = "HTTP/1.1 200 OK\r\n";
+    for (const char *malformed :
+         {"Content-Length : 2\r\n\r\nok", " Content-Length: 2\r\n\r\nok",
+          "Content-Length: 2\r\nContent-Length: 2\r\n\r\nok",
+          "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+          "Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+          "Transfer-Encoding: gzip\r\n\r\nok",
+          "Transfer-Encoding: chunked\r\n\r\n2 \r\nok\r\n0\r\n\r\n",
+          "Transfer-Encoding: chunked\r\n\r\n2\nok\r\n0\r\n\r\n"})
+        EXPECT_FALSE(isRead(startLine + malformed)) << malformed;
 }
 
 /// Prints the cost; it has no bound, as machines differ.
--- a/src/tests/platform_test.py
+++ b/src/tests/platform_test.py
@@ -226,6 +226,16 @@
             self.assertEqual(data.count(b"HTTP/1.1"), 1, framing)
         self.assertEqual((system.count_runs("hidden"), system.count_runs("outer")), (0, 0))
 
+    def test_caller_cannot_pass_for_a_node(self):
+        system = self.system
+        for till in system.till_servers:
+            system.kill(till)
+        for headers in ({"X-Bramleypitch-Attempts": "1"},
+                        {"X-Bramleypitch-Attempts": "1", "X-Bramleypitch-Key": "a guess"}):
+            response = system.call(0, "GET", "/read/x", headers=headers)[1]
+            self.assertEqual(response.status, 503)
+            self.assertNotIn("X-Not-Executed", response.headers)
+
     def test_blocked_log_reader_does_not_delay_requests(self):
         system = self.system
         system.kill("n2")
