Fix: [Serve] A signal during the start or the end ends the process by its default action

What operators saw: a node that got SIGTERM or SIGHUP right after its start ended by the signal, not with status 0.

Cause: handlers existed only while the event loop did. Before they were installed, and while the process was taken down after the loop, SIGTERM, SIGINT and SIGHUP had their default action.

Change: these signals are blocked first thing in `serve`, delivered while a SignalHandler exists, and blocked again when it goes. A signal that comes early is handled by the loop; one that comes late has no effect.

Signals before main(), while libraries are loaded, still have their default action.

--- a/src/command/serve_command.cpp
+++ b/src/command/serve_command.cpp
@@ -2,6 +2,7 @@
 
 #include "network/daemon.h"
 #include "network/log.h"
+#include "network/process_func.h"
 #include "platform/platform_serve.h"
 #include "settings/settings.h"
 
@@ -60,6 +61,7 @@
 
 void runServe(const std::vector<std::string> &arguments)
 {
+    prepareServerProcess();
     if (platform::isStartedByPlatform()) {
         platform::runPlatformServe();
         return;
@@ -78,7 +80,6 @@
     options.leaseTimeToLive = settings.milliseconds(Setting::LeaseMs);
     startLog(settings.text(Setting::LogFormat) == "json" ? LogFormat::Json : LogFormat::KeyValue,
              parseLogLevel(settings.text(Setting::LogLevel)), options.node.node.value());
-    std::signal(SIGPIPE, SIG_IGN);
     EventLoop loop;
     Daemon daemon(loop, std::move(options));
     const SignalHandler terminate(loop, SIGTERM, [&] { daemon.stop(); });
--- a/src/network/event_loop.cpp
+++ b/src/network/event_loop.cpp
@@ -2,6 +2,7 @@
 
 #include "core/error_type.h"
 
+#include <csignal>
 #include <ctime>
 
 namespace bramleypitch {
@@ -103,16 +104,27 @@
 
 SignalHandler::SignalHandler(EventLoop &loop, int signal, std::function<void()> callback)
     : m_callback(std::move(callback))
+    , m_signal(signal)
     , m_event(evsignal_new(loop.base(), signal, onTriggered, this))
 {
     event_add(m_event, nullptr);
+    setPending(m_signal, false);
 }
 
 SignalHandler::~SignalHandler()
 {
+    setPending(m_signal, true);
     event_free(m_event);
 }
 
+void SignalHandler::setPending(int signal, bool pending)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, signal);
+    pthread_sigmask(pending ? SIG_BLOCK : SIG_UNBLOCK, &signals, nullptr);
+}
+
 void SignalHandler::onTriggered(evutil_socket_t, short, void *self)
 {
     static_cast<SignalHandler *>(self)->m_callback();
--- a/src/network/event_loop.h
+++ b/src/network/event_loop.h
@@ -56,7 +56,9 @@
     Duration m_interval {0};
 };
 
-/// Calls a function on the event loop whenever the process receives a given signal.
+/// Calls a function on the event loop whenever the process receives a given signal. The signal is
+/// pending before and after the lifetime of the handler if prepareServerProcess() was called, and
+/// never has its default action, which would end the process.
 class SignalHandler
 {
 public:
@@ -65,10 +67,14 @@
     SignalHandler(const SignalHandler &) = delete;
     SignalHandler &operator=(const SignalHandler &) = delete;
 
+    /// Keeps a signal pending, or delivers it from now on.
+    static void setPending(int signal, bool pending);
+
 private:
     static void onTriggered(evutil_socket_t, short, void *self);
 
     std::function<void()> m_callback;
+    int m_signal;
     event *m_event;
 };
 
