--- a/src/tests/start_and_end_test.py
+++ b/src/tests/start_and_end_test.py
@@ -174,5 +174,46 @@
         self.assertEqual(self.system.end("n0")[0], 0)
 
 
+class OutputTest(StartAndEndTest):
+    """Nobody may read what a process logs."""
+
+    def check(self, **options):
+        self.system.start_again("again", 0, **options)
+        wait_for("the node to be ready", lambda: self.system.is_ready(0), START_LIMIT_S)
+        for _ in range(30):
+            self.system.signal("again", signal.SIGHUP)  # Each logs a line.
+            self.assertEqual(self.system.read().status, 200)
+        self.assert_running("again")
+        self.assertEqual(self.system.end("again")[0], 0)
+
+    def setUp(self):
+        self.start_nodes()
+        self.assertEqual(self.system.end("n0")[0], 0)
+
+    def test_closed_pipe_ends_the_node(self):
+        reader, writer = os.pipe()
+        os.close(reader)
+        self.addCleanup(os.close, writer)
+        self.check(stdout=writer)
+
+    def test_full_pipe_blocks_the_node(self):
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        os.set_blocking(writer, False)
+        try:
+            while os.write(writer, b"x" * 4096):
+                pass
+        except BlockingIOError:
+            os.set_blocking(writer, True)
+        self.check(stdout=writer)
+
+    def test_limit_on_the_size_of_files_ends_the_node(self):
+        self.check(preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_FSIZE, (2000, 2000)))
+
+    def test_log_without_an_output_goes_into_a_connection(self):
+        self.check(preexec_fn=lambda: [os.close(number) for number in (0, 1, 2)])
+
+
 if __name__ == "__main__":
     unittest.main(verbosity=2)
