Fix: [Serve] A node ends with status 2 if its addresses or its settings are not there yet

What operators saw: a process that does not start, or one that ends and is started again and again, with "cannot listen" or "must be given" as its only line.

Cause: the settings file was read once, and each address bound once; any failure ended the process. A successor that starts before the end of its predecessor cannot bind. A connection of any process may have the number of a listening port, and holds it for a minute after its end (TIME_WAIT, without SO_REUSEADDR). A file that is being written was taken as it was, with an address cut short.

Change: a start waits. Every 100 ms the process reads the settings file, takes it once two reads 50 ms apart are equal, as a running node does with changes, and tries to open its sockets; the reason of a delay is logged once. It is not ready and holds no address meanwhile, and a stop ends it at once with status 0. Callers' connections are accepted last, so that none is accepted and dropped. A failed PulseSocket closes its descriptor, and HttpServer all of its listeners, of which libevhtp knows only the last.

A start takes 50 ms longer. The interface of our own (`serve` without the platform's settings file) still ends with status 2.

--- a/src/command/main.cpp
+++ b/src/command/main.cpp
@@ -46,6 +46,7 @@
     case ErrorCode::MissingSetting:
     case ErrorCode::InvalidSetting:
     case ErrorCode::SettingOutOfBounds:
+    case ErrorCode::AddressUnavailable:
         return ExitCode::Usage;
     case ErrorCode::OutcomeUnknown:
         return ExitCode::OutcomeUnknown;
--- a/src/core/error_type.cpp
+++ b/src/core/error_type.cpp
@@ -11,6 +11,8 @@
         return "missing_setting";
     case ErrorCode::InvalidSetting:
         return "invalid_setting";
+    case ErrorCode::AddressUnavailable:
+        return "address_unavailable";
     case ErrorCode::SettingOutOfBounds:
         return "setting_out_of_bounds";
     case ErrorCode::DocumentInvalid:
--- a/src/core/error_type.h
+++ b/src/core/error_type.h
@@ -11,6 +11,7 @@
     UnknownFlag, ///< The flag is not declared in the settings table.
     MissingSetting, ///< A required setting was not given.
     InvalidSetting, ///< A setting's value cannot be parsed as its type.
+    AddressUnavailable, ///< A local address cannot be bound now.
     SettingOutOfBounds, ///< A setting's value is outside its declared bounds.
     DocumentInvalid, ///< The environment document failed validation.
     Conflict, ///< Another writer changed the value first.
--- a/src/network/address_func.cpp
+++ b/src/network/address_func.cpp
@@ -1,12 +1,11 @@
 #include "network/address_func.h"
 
-#include "core/error_type.h"
-
 #include <arpa/inet.h>
 #include <event2/util.h>
 
 #include <array>
 #include <charconv>
+#include <system_error>
 
 namespace bramleypitch {
 
@@ -57,4 +56,10 @@
     return address;
 }
 
+Failure bindFailure(const Address &address, int error)
+{
+    return {ErrorCode::AddressUnavailable,
+            "cannot bind " + address.value() + ": " + std::generic_category().message(error)};
+}
+
 } // namespace bramleypitch
--- a/src/network/address_func.h
+++ b/src/network/address_func.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/error_type.h"
 #include "core/strong_type.h"
 
 #include <cstdint>
@@ -21,4 +22,7 @@
 /// Failure(InvalidSetting) on any other text.
 Address parseUrl(const std::string &url);
 
+/// The failure to throw if a local address cannot be bound. `error` is the error number.
+Failure bindFailure(const Address &address, int error);
+
 } // namespace bramleypitch
--- a/src/network/caller_connections.cpp
+++ b/src/network/caller_connections.cpp
@@ -109,7 +109,7 @@
         m_loop.base(), onAccepted, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, listenBacklog,
         reinterpret_cast<sockaddr *>(&socketAddress), sizeof(socketAddress));
     if (!m_listener)
-        throw Failure(ErrorCode::InvalidSetting, "cannot listen on " + address.value());
+        throw bindFailure(address, errno);
 }
 
 void CallerConnections::onAccepted(evconnlistener *, evutil_socket_t descriptor, sockaddr *, int,
--- a/src/network/caller_connections.h
+++ b/src/network/caller_connections.h
@@ -39,7 +39,7 @@
     CallerConnections(const CallerConnections &) = delete;
     CallerConnections &operator=(const CallerConnections &) = delete;
 
-    /// Throws Failure(InvalidSetting) if the address cannot be bound.
+    /// Throws Failure(AddressUnavailable) if the address cannot be bound.
     void listen(const Address &address);
     void setLimits(const CallerLimits &limits) { m_limits = limits; }
     /// From now on, closes each connection after its next response, unless bytes of a next request
--- a/src/network/http_server.cpp
+++ b/src/network/http_server.cpp
@@ -164,8 +164,10 @@
 
 HttpServer::~HttpServer()
 {
-    if (m_bound)
-        evhtp_unbind_socket(m_evhtp);
+    // libevhtp only knows the last one.
+    for (evconnlistener *listener : m_listeners)
+        evconnlistener_free(listener);
+    m_evhtp->server = nullptr;
     evhtp_free(m_evhtp);
 }
 
@@ -175,8 +177,8 @@
     const std::string host = hostPort.host.find(':') == std::string::npos ? "ipv4:" + hostPort.host
                                                                           : "ipv6:" + hostPort.host;
     if (evhtp_bind_socket(m_evhtp, host.c_str(), hostPort.port, listenBacklog) != 0)
-        throw Failure(ErrorCode::InvalidSetting, "cannot listen on " + address.value());
-    m_bound = true;
+        throw bindFailure(address, errno);
+    m_listeners.push_back(m_evhtp->server);
 }
 
 HttpServer::Exchange *HttpServer::find(ExchangeId exchange)
--- a/src/network/http_server.h
+++ b/src/network/http_server.h
@@ -13,6 +13,7 @@
 
 struct evhtp;
 struct evhtp_request;
+struct evconnlistener;
 
 namespace bramleypitch {
 
@@ -52,7 +53,7 @@
 
     void setRequestHook(RequestHook hook) { m_requestHook = std::move(hook); }
     void setDisconnectHook(DisconnectHook hook) { m_disconnectHook = std::move(hook); }
-    /// Throws Failure(InvalidSetting) if the address cannot be bound.
+    /// Throws Failure(AddressUnavailable) if the address cannot be bound.
     void listen(const Address &address);
 
     /// Sends a complete response.
@@ -86,7 +87,7 @@
     /// Requests over the body limit, with the number of body bytes discarded.
     std::map<evhtp_request *, std::size_t> m_discardedBodyBytes;
     std::uint64_t m_lastId = 0;
-    bool m_bound = false;
+    std::vector<evconnlistener *> m_listeners;
 };
 
 } // namespace bramleypitch
--- a/src/network/log.cpp
+++ b/src/network/log.cpp
@@ -157,6 +157,11 @@
     logging::core::get()->set_filter(logging::expressions::attr<LogLevel>("Severity") >= minLevel);
 }
 
+void setLogNode(const std::string &node)
+{
+    logState().node = node;
+}
+
 void logLine(LogLevel level, const std::string &event, const LogFields &fields)
 {
     const std::string line = logState().format == LogFormat::Json
--- a/src/network/log.h
+++ b/src/network/log.h
@@ -21,6 +21,9 @@
 /// full, further lines are dropped and counted, so that logging never blocks.
 void startLog(LogFormat format, LogLevel minLevel, const std::string &node);
 
+/// Changes the name of the node in lines logged from now on.
+void setLogNode(const std::string &node);
+
 /// Logs one event, described by its fields.
 void logLine(LogLevel level, const std::string &event, const LogFields &fields);
 
--- a/src/network/peer_server.cpp
+++ b/src/network/peer_server.cpp
@@ -80,7 +80,7 @@
 {
     const HostPort hostPort = parseAddress(address);
     if (evhttp_bind_socket(m_http, hostPort.host.c_str(), hostPort.port) != 0)
-        throw Failure(ErrorCode::InvalidSetting, "cannot listen on " + address.value());
+        throw bindFailure(address, errno);
 }
 
 } // namespace bramleypitch
--- a/src/network/peer_server.h
+++ b/src/network/peer_server.h
@@ -37,7 +37,7 @@
     PeerServer(const PeerServer &) = delete;
     PeerServer &operator=(const PeerServer &) = delete;
 
-    /// Throws Failure(InvalidSetting) if the address cannot be bound.
+    /// Throws Failure(AddressUnavailable) if the address cannot be bound.
     void listen(const Address &address);
 
 private:
--- a/src/network/pulse_socket.cpp
+++ b/src/network/pulse_socket.cpp
@@ -372,17 +372,26 @@
 } // namespace
 
 PulseSocket::PulseSocket(EventLoop &loop, const Address &address, PulseHooks hooks)
-    : m_descriptor(socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
+    : m_descriptor(openSocket(address))
     , m_event(event_new(loop.base(), m_descriptor, EV_READ | EV_PERSIST, onReadable, this))
     , m_hooks(std::move(hooks))
 {
-    const sockaddr_in localAddress = toSocketAddress(address);
-    if (bind(m_descriptor, reinterpret_cast<const sockaddr *>(&localAddress), sizeof(localAddress))
-        != 0)
-        throw Failure(ErrorCode::InvalidSetting, "cannot bind UDP socket to " + address.value());
     event_add(m_event, nullptr);
 }
 
+int PulseSocket::openSocket(const Address &address)
+{
+    const sockaddr_in localAddress = toSocketAddress(address);
+    const int descriptor = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (bind(descriptor, reinterpret_cast<const sockaddr *>(&localAddress), sizeof(localAddress))
+        != 0) {
+        const int error = errno;
+        close(descriptor);
+        throw bindFailure(address, error);
+    }
+    return descriptor;
+}
+
 PulseSocket::~PulseSocket()
 {
     event_free(m_event);
--- a/src/network/pulse_socket.h
+++ b/src/network/pulse_socket.h
@@ -24,7 +24,7 @@
 class PulseSocket
 {
 public:
-    /// Throws Failure(InvalidSetting) if the address cannot be bound.
+    /// Throws Failure(AddressUnavailable) if the address cannot be bound.
     PulseSocket(EventLoop &loop, const Address &address, PulseHooks hooks);
     ~PulseSocket();
     PulseSocket(const PulseSocket &) = delete;
@@ -41,6 +41,7 @@
     std::uint64_t malformedDatagrams() const { return m_malformedDatagrams; }
 
 private:
+    static int openSocket(const Address &address);
     void sendBytes(const std::string &bytes, const Address &address);
     static void onReadable(evutil_socket_t descriptor, short, void *self);
 
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -143,11 +143,12 @@
                     [this](const ZoneDigest &digest) { onDigest(digest); },
                     [this](const StoreFeed &feed) { m_mirror.take(feed, m_loop.now()); },
                     [this](const PermitMessage &message) { onPermitMessage(message); }});
-    m_relay.callers().listen(m_options.front);
     m_adminServer.listen(m_options.ready);
     m_adminServer.listen(m_options.directory);
     if (m_options.metrics)
         m_adminServer.listen(*m_options.metrics);
+    // Callers are accepted only if nothing else can fail.
+    m_relay.callers().listen(m_options.front);
     m_mirror.start();
     m_tickTimer.startRepeating(tickInterval);
     logLine(LogLevel::Info, "started",
--- a/src/network/serving_daemon.h
+++ b/src/network/serving_daemon.h
@@ -68,7 +68,8 @@
     ServingDaemon(EventLoop &loop, ServingOptions options, ServingDialect dialect,
                   StoreClient &store, HttpClient &http);
 
-    /// Opens the sockets and starts serving. Throws Failure if an address cannot be bound.
+    /// Opens the sockets and starts serving. Throws Failure(AddressUnavailable) if an address
+    /// cannot be bound; the object has to be destroyed then.
     void start();
     /// Starts a graceful shutdown. The event loop is stopped once all requests have ended, or
     /// shortly before the stop time runs out.
--- a/src/platform/platform_serve.cpp
+++ b/src/platform/platform_serve.cpp
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <memory>
+#include <optional>
 
 namespace bramleypitch::platform {
 
@@ -18,8 +19,126 @@
 constexpr Duration settingsCheckInterval {2'000};
 /// Between two reads of a settings file that has changed. Must exceed the time for writing it.
 constexpr Duration secondReadDelay {50};
+/// Interval at which a start is tried again.
+constexpr Duration startRetryInterval {100};
 constexpr std::uint16_t metricsPort = 7'354; ///< Must match the port in the deploy file.
 
+/// A serving node and its settings file. The node starts as soon as the file is usable and its
+/// addresses can be bound; until then a start is tried again and again. An earlier process of the
+/// node, or a connection of any process, may still have the addresses.
+class PlatformNode
+{
+public:
+    explicit PlatformNode(std::string path);
+
+    /// Runs until the process is stopped by a signal.
+    void run();
+
+private:
+    /// Reads the settings file, and starts or reloads the node if the file has settled.
+    void readSettings();
+    /// Applies the settings file even if it has not changed.
+    void reload();
+    /// Throws Failure if the node cannot start now.
+    void start();
+    void stop();
+    /// Logs why the settings file does not take effect, unless that was the last line about it.
+    void logDelay(const Failure &failure);
+
+    std::string m_path;
+    EventLoop m_loop;
+    HttpClient m_http {m_loop};
+    SettingsWatch m_settings;
+    std::optional<PlatformStore> m_store;
+    std::unique_ptr<ServingDaemon> m_daemon; ///< Null until the node has started.
+    bool m_reloadRequested = false;
+    std::string m_delayReason; ///< Why the settings file does not take effect; empty if it does.
+    Timer m_settingsTimer;
+    SignalHandler m_terminate;
+    SignalHandler m_interrupt;
+    SignalHandler m_hangUp;
+};
+
+PlatformNode::PlatformNode(std::string path)
+    : m_path(std::move(path))
+    , m_settingsTimer(m_loop, [this] { readSettings(); })
+    , m_terminate(m_loop, SIGTERM, [this] { stop(); })
+    , m_interrupt(m_loop, SIGINT, [this] { stop(); })
+    , m_hangUp(m_loop, SIGHUP, [this] { reload(); })
+{
+}
+
+void PlatformNode::run()
+{
+    readSettings();
+    m_loop.run();
+}
+
+void PlatformNode::reload()
+{
+    m_reloadRequested = true;
+    if (!m_settings.isUnsettled())
+        readSettings();
+}
+
+void PlatformNode::readSettings()
+{
+    Duration nextRead = m_daemon ? settingsCheckInterval : startRetryInterval;
+    try {
+        const bool changed = m_settings.take(SettingsFile::read(m_path));
+        if (m_settings.isUnsettled()) {
+            nextRead = secondReadDelay;
+        } else {
+            if (!m_daemon)
+                start();
+            else if (changed || m_reloadRequested)
+                m_daemon->reload(servingOptions(m_settings.current(), metricsPort));
+            m_reloadRequested = false;
+            m_delayReason.clear();
+            nextRead = settingsCheckInterval;
+        }
+    } catch (const Failure &failure) {
+        logDelay(failure);
+    }
+    m_settingsTimer.startOnce(nextRead);
+    if (!m_daemon)
+        flushLog();
+}
+
+void PlatformNode::start()
+{
+    const SettingsFile &file = m_settings.current();
+    const ServingOptions options = servingOptions(file, metricsPort);
+    setLogNode(options.node.value());
+    m_store.emplace(m_http, storeAddress(file));
+    auto daemon =
+        std::make_unique<ServingDaemon>(m_loop, options, servingDialect(), *m_store, m_http);
+    daemon->start();
+    m_daemon = std::move(daemon);
+}
+
+void PlatformNode::stop()
+{
+    if (m_daemon) {
+        m_daemon->stop();
+        return;
+    }
+    logLine(LogLevel::Info, "stopped", {{"after_ms", "0"}});
+    flushLog();
+    m_loop.stop();
+}
+
+void PlatformNode::logDelay(const Failure &failure)
+{
+    if (m_delayReason == failure.what())
+        return;
+    m_delayReason = failure.what();
+    logLine(LogLevel::Warning,
+            failure.code() == ErrorCode::AddressUnavailable ? "address_unavailable"
+                                                            : "settings_unreadable",
+            {{"path", m_path}, {"reason", m_delayReason}});
+}
+
 } // namespace
 
 bool isStartedByPlatform()
@@ -29,37 +148,8 @@
 
 void runPlatformServe()
 {
-    const std::string path = std::getenv(settingsPathVariable);
-    const SettingsFile file = SettingsFile::read(path);
-    const ServingOptions options = servingOptions(file, metricsPort);
-    startLog(LogFormat::KeyValue, LogLevel::Info, options.node.value());
-    std::signal(SIGPIPE, SIG_IGN);
-    EventLoop loop;
-    HttpClient http(loop);
-    PlatformStore store(http, storeAddress(file));
-    ServingDaemon daemon(loop, options, servingDialect(), store, http);
-    SettingsWatch settings(file);
-    std::unique_ptr<Timer> secondRead;
-    const auto reload = [&](bool forced) {
-        try {
-            const bool changed = settings.take(SettingsFile::read(path));
-            if (settings.isUnsettled())
-                secondRead->startOnce(secondReadDelay);
-            else if (changed || forced)
-                daemon.reload(servingOptions(settings.current(), metricsPort));
-        } catch (const Failure &failure) {
-            logLine(LogLevel::Warning, "settings_unreadable",
-                    {{"path", path}, {"reason", failure.what()}});
-        }
-    };
-    secondRead = std::make_unique<Timer>(loop, [&] { reload(false); });
-    const SignalHandler terminate(loop, SIGTERM, [&] { daemon.stop(); });
-    const SignalHandler interrupt(loop, SIGINT, [&] { daemon.stop(); });
-    const SignalHandler hangUp(loop, SIGHUP, [&] { reload(true); });
-    Timer settingsTimer(loop, [&] { reload(false); });
-    settingsTimer.startRepeating(settingsCheckInterval);
-    daemon.start();
-    loop.run();
+    startLog(LogFormat::KeyValue, LogLevel::Info, "");
+    PlatformNode(std::getenv(settingsPathVariable)).run();
 }
 
 } // namespace bramleypitch::platform
--- a/src/platform/platform_settings.h
+++ b/src/platform/platform_settings.h
@@ -39,6 +39,7 @@
 class SettingsWatch
 {
 public:
+    SettingsWatch() = default;
     explicit SettingsWatch(SettingsFile file)
         : m_current(file)
         , m_lastRead(std::move(file))
--- a/src/tests/start_and_end_test.py
+++ b/src/tests/start_and_end_test.py
@@ -130,6 +130,134 @@
         self.assertEqual(self.system.end(name)[0], 0)
 
 
+class SuccessorTest(StartAndEndTest):
+    def test_successor_ends_while_its_predecessor_has_the_addresses(self):
+        self.start_nodes()
+        streams = []
+        thread = threading.Thread(
+            target=lambda: streams.append(self.system.call(0, "POST", "/stream/x", b"{}")[1]))
+        thread.start()
+        time.sleep(0.3)
+        self.system.signal("n0", signal.SIGTERM)
+        self.system.start_again("successor", 0)
+        self.assertEqual(self.system.processes["n0"].wait(10), 0)
+        thread.join()
+        self.assertTrue(streams[0].complete)
+        self.assertEqual(streams[0].events(), list(range(1, STREAM_EVENTS + 1)))
+        wait_for("the successor to be ready", lambda: self.system.is_ready(0), START_LIMIT_S)
+        self.assert_running("successor")
+        self.assertEqual(self.system.read().status, 200)
+        self.assertEqual(self.system.log("successor").count("event=address_unavailable"), 1)
+        self.assertEqual(self.system.end("successor")[0], 0)
+
+    def test_successor_disturbs_a_predecessor_that_goes_on(self):
+        self.start_nodes(nodes=3)
+        self.system.start_again("successor", 0)
+        end = time.monotonic() + WAITING_S
+        while time.monotonic() < end:
+            for number in range(3):
+                self.assertEqual(self.system.read(number).status, 200)
+        self.assert_running("successor")
+        status, seconds = self.system.end("successor")
+        self.assertEqual(status, 0, "a stop while it waits for its addresses")
+        self.assertLess(seconds, STOP_WHILE_WAITING_LIMIT_S)
+        self.assertEqual(self.system.read().status, 200)
+        self.assertEqual(self.system.log("n1").count("event=node_silent"), 0)
+
+    def test_node_ends_since_a_connection_has_its_address(self):
+        """A local port may belong to an outgoing connection of any process."""
+        self.start_nodes()
+        self.assertEqual(self.system.end("n0")[0], 0)
+        ip = self.system.nodes[0]
+        for number, (kind, port) in enumerate([
+                (socket.SOCK_STREAM, 8200), (socket.SOCK_STREAM, 8201), (socket.SOCK_STREAM, 8202),
+                (socket.SOCK_DGRAM, 7340)]):
+            with self.subTest(port=port), socket.socket(socket.AF_INET, kind) as taker:
+                taker.bind((ip, port))
+                if kind == socket.SOCK_STREAM:
+                    host, target = self.system.servers[0].address.rsplit(":", 1)
+                    taker.connect((host, int(target)))
+                name = f"again{number}"
+                self.system.start_again(name, 0)
+                release = reset if kind == socket.SOCK_STREAM else socket.socket.close
+                self.assert_waits_and_then_serves(
+                    name, lambda release=release, taker=taker: release(taker))
+
+
+class SettingsTest(StartAndEndTest):
+    def write(self, text):
+        with open(self.path, "w", encoding="utf-8") as file:
+            file.write(text)
+
+    def start_with(self, text):
+        """Starts a process with this text as its settings, or with no file."""
+        self.start_nodes()
+        self.assertEqual(self.system.end("n0")[0], 0)
+        self.path = self.system.settings_of(0)
+        with open(self.path, encoding="utf-8") as file:
+            self.whole = file.read()
+        os.remove(self.path)
+        if text is not None:
+            self.write(text(self.whole))
+        self.system.start_again("again", 0)
+
+    def check(self, text, event="settings_unreadable"):
+        self.start_with(text)
+        self.assert_waits_and_then_serves("again", lambda: self.write(self.whole))
+        self.assertEqual(self.system.log("again").count("event=" + event), 1)
+
+    def test_node_ends_without_a_settings_file(self):
+        self.check(None)
+
+    def test_node_ends_with_an_empty_settings_file(self):
+        self.check(lambda whole: "")
+
+    def test_node_ends_with_half_a_settings_file(self):
+        self.check(lambda whole: whole[:len(whole) // 2])
+
+    def test_node_ends_with_an_address_that_is_none(self):
+        self.check(lambda whole: whole.replace("listen.ready=", "listen.ready=:"))
+
+    def test_node_ends_with_an_address_of_another_machine(self):
+        self.check(lambda whole: whole.replace("listen.front=", "listen.front=192.0.2.1:1\nx="),
+                   "address_unavailable")
+
+    def test_node_ends_with_ports_that_are_none(self):
+        self.check(lambda whole: whole.replace("internal_ports=", "internal_ports=x"))
+
+    def test_stop_while_it_waits_for_settings_ends_the_node_by_a_signal(self):
+        self.start_with(None)
+        time.sleep(0.3)
+        self.assert_running("again")
+        self.system.signal("again", signal.SIGHUP)
+        time.sleep(0.2)
+        self.assert_running("again")
+        status, seconds = self.system.end("again")
+        self.assertEqual(status, 0)
+        self.assertLess(seconds, STOP_WHILE_WAITING_LIMIT_S)
+
+    def test_odd_numbers_end_the_node(self):
+        self.start_nodes()
+        names = ("limits.cpu_share", "limits.cores", "limits.memory_mb", "limits.max_fds",
+                 "bounds.grace_s", "bounds.retry_ratio", "bounds.retry_slack",
+                 "bounds.retry_window_s", "bounds.revoke_ms", "bounds.config_apply_ms")
+        name = "n0"
+        for value in ("0", "-1", "1e300", "-1e300", "nan", "inf", "-inf", "1e-300"):
+            with self.subTest(value=value):
+                self.system.change_settings({setting: value for setting in names})
+                self.system.signal(name, signal.SIGHUP)
+                time.sleep(0.3)
+                self.assert_running(name)
+                self.assertEqual(self.system.end(name)[0], 0)
+                name = "odd" + value
+                self.system.start_again(name, 0)
+                time.sleep(0.3)
+                self.assert_running(name)
+        self.system.change_settings({"bounds.grace_s": "8", "bounds.revoke_ms": "5000"})
+        self.system.signal(name, signal.SIGHUP)
+        wait_for("the node to be ready", lambda: self.system.is_ready(0), START_LIMIT_S)
+
+
 class SignalTest(StartAndEndTest):
     STARTS = 30
 
