Fix: [Connections] A node without a free descriptor uses all of its processor time

What operators saw: none of this yet; found by a test. A node with as many connections as it may have open does nothing else than try to accept the next one, and writes a line to standard error each time.

Cause: accept() fails with EMFILE, the connection stays in the queue, and the listener is readable at once again.

Change: a listener whose accept() fails is disabled for 100 ms, that of callers and those of readiness, directory and metrics.

--- a/src/network/caller_connections.cpp
+++ b/src/network/caller_connections.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr int listenBacklog = 1'024;
+constexpr Duration acceptPause {100}; ///< Without a free descriptor.
 constexpr int badRequest = 400;
 constexpr int requestTimeout = 408;
 constexpr int contentTooLarge = 413;
@@ -88,6 +89,10 @@
     : m_loop(loop)
     , m_hooks(std::move(hooks))
     , m_discard(loop, [this] { m_discarded.clear(); })
+    , m_acceptAgain(loop, [this] {
+        if (m_listener)
+            evconnlistener_enable(m_listener);
+    })
 {
 }
 
@@ -110,6 +115,13 @@
         reinterpret_cast<sockaddr *>(&socketAddress), sizeof(socketAddress));
     if (!m_listener)
         throw bindFailure(address, errno);
+    evconnlistener_set_error_cb(m_listener, onAcceptFailed);
+}
+
+void CallerConnections::onAcceptFailed(evconnlistener *listener, void *self)
+{
+    evconnlistener_disable(listener);
+    static_cast<CallerConnections *>(self)->m_acceptAgain.startOnce(acceptPause);
 }
 
 void CallerConnections::onAccepted(evconnlistener *, evutil_socket_t descriptor, sockaddr *, int,
--- a/src/network/caller_connections.h
+++ b/src/network/caller_connections.h
@@ -69,6 +69,9 @@
 private:
     struct Connection;
 
+    /// Stops accepting for a moment: no descriptor is left, and the listener would be called at
+    /// once again.
+    static void onAcceptFailed(evconnlistener *, void *self);
     static void onAccepted(evconnlistener *, evutil_socket_t descriptor, sockaddr *, int,
                            void *self);
     void onReadable(Connection &connection);
@@ -104,6 +107,7 @@
     std::map<ExchangeId, Connection *> m_exchanges;
     std::vector<std::unique_ptr<Connection>> m_discarded; ///< Freed by m_discard.
     Timer m_discard;
+    Timer m_acceptAgain;
     std::uint64_t m_lastId = 0;
     bool m_closing = false;
 };
--- a/src/network/http_server.cpp
+++ b/src/network/http_server.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr int listenBacklog = 1'024;
+constexpr Duration acceptPause {100}; ///< Without a free descriptor.
 /// Maximum number of unsent bytes that are buffered for a slow caller.
 constexpr std::size_t maxUnsentBytes = 4 * 1024 * 1024;
 
@@ -100,6 +101,15 @@
         return EVHTP_RES_OK;
     }
 
+    /// Stops accepting for a moment, as the listener would be called at once again. `self` is the
+    /// evhtp.
+    static void onAcceptFailed(evconnlistener *listener, void *self)
+    {
+        evconnlistener_disable(listener);
+        auto *server = static_cast<HttpServer *>(static_cast<evhtp_t *>(self)->arg);
+        server->m_acceptAgain.startOnce(acceptPause);
+    }
+
     static evhtp_res onRequestFinished(evhtp_request_t *request, void *self)
     {
         static_cast<HttpServer *>(self)->m_discardedBodyBytes.erase(request);
@@ -156,7 +166,12 @@
     : m_loop(loop)
     , m_maxBodyBytes(maxBodyBytes)
     , m_evhtp(evhtp_new(loop.base(), nullptr))
+    , m_acceptAgain(loop, [this] {
+        for (evconnlistener *listener : m_listeners)
+            evconnlistener_enable(listener);
+    })
 {
+    m_evhtp->arg = this;
     evhtp_enable_flag(m_evhtp, EVHTP_FLAG_ENABLE_NODELAY);
     evhtp_set_gencb(m_evhtp, Hooks::onRequest, this);
     evhtp_set_post_accept_cb(m_evhtp, Hooks::onConnected, this);
@@ -179,6 +194,7 @@
     if (evhtp_bind_socket(m_evhtp, host.c_str(), hostPort.port, listenBacklog) != 0)
         throw bindFailure(address, errno);
     m_listeners.push_back(m_evhtp->server);
+    evconnlistener_set_error_cb(m_evhtp->server, Hooks::onAcceptFailed);
 }
 
 HttpServer::Exchange *HttpServer::find(ExchangeId exchange)
--- a/src/network/http_server.h
+++ b/src/network/http_server.h
@@ -88,6 +88,7 @@
     std::map<evhtp_request *, std::size_t> m_discardedBodyBytes;
     std::uint64_t m_lastId = 0;
     std::vector<evconnlistener *> m_listeners;
+    Timer m_acceptAgain;
 };
 
 } // namespace bramleypitch
--- a/src/tests/start_and_end_test.py
+++ b/src/tests/start_and_end_test.py
@@ -218,7 +218,7 @@
     def test_node_ends_with_an_address_that_is_none(self):
         self.check(lambda whole: whole.replace("listen.ready=", "listen.ready=:"))
 
-    def test_node_ends_with_an_address_of_another_machine(self):
+    def test_node_ends_with_an_address_of_another_vm(self):
         self.check(lambda whole: whole.replace("listen.front=", "listen.front=192.0.2.1:1\nx="),
                    "address_unavailable")
 
@@ -343,5 +343,32 @@
         self.check(preexec_fn=lambda: [os.close(number) for number in (0, 1, 2)])
 
 
+class DescriptorTest(StartAndEndTest):
+    MAX_DESCRIPTORS = 48
+
+    def test_no_descriptor_is_left(self):
+        self.start_nodes()
+        self.assertEqual(self.system.end("n0")[0], 0)
+        limits = (self.MAX_DESCRIPTORS, self.MAX_DESCRIPTORS)
+        self.system.start_again(
+            "again", 0, preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, limits))
+        wait_for("the node to be ready", lambda: self.system.is_ready(0), START_LIMIT_S)
+        for address in (self.system.front_address(0), self.system.nodes[0] + ":8201"):
+            host, port = address.rsplit(":", 1)
+            used_before = self.system.processor_seconds("again")
+            callers = [socket.create_connection((host, int(port)), timeout=2)
+                       for _ in range(2 * self.MAX_DESCRIPTORS)]
+            seconds = 3
+            time.sleep(seconds)
+            self.assert_running("again")
+            used = self.system.processor_seconds("again") - used_before
+            self.assertLess(used, seconds / 4, "processor time while no descriptor is left")
+            for caller in callers:
+                reset(caller)
+            wait_for("the node to be ready again", lambda: self.system.is_ready(0), START_LIMIT_S)
+            self.assertEqual(self.system.read().status, 200)
+        self.assertEqual(self.system.end("again")[0], 0)
+
+
 if __name__ == "__main__":
     unittest.main(verbosity=2)
