Fix: [Settings] Odd numbers of the settings file have undefined results

Cause: numbers such as 1e300, nan or -1 were converted to durations as they are, which is undefined for those that do not fit, and negative limits were used.

Measured: PlatformTest.OddNumbersInSettingsAreBounded.

--- a/src/platform/platform_settings.cpp
+++ b/src/platform/platform_settings.cpp
@@ -2,7 +2,9 @@
 
 #include "core/error_type.h"
 
+#include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <sstream>
 
@@ -14,10 +16,12 @@
 /// The remainder covers the time that a request takes to reach a server.
 constexpr double keyProofAgeShare = 0.75;
 constexpr double millisecondsPerSecond = 1'000;
+constexpr double maxSettingMs = 24 * 3'600'000;
+constexpr double maxCount = 1'000'000;
 
 Duration milliseconds(double value)
 {
-    return Duration(static_cast<Duration::rep>(value));
+    return Duration(static_cast<Duration::rep>(std::clamp(value, 0.0, maxSettingMs)));
 }
 
 } // namespace
@@ -69,7 +73,7 @@
     double value = 0;
     const std::string &text = found->second;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc() || end != text.data() + text.size())
+    if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(value))
         throw Failure(ErrorCode::InvalidSetting, name + ": \"" + text + "\" is not a number");
     return value;
 }
@@ -107,7 +111,8 @@
     options.pulse = Address(ip + ":" + ports.substr(0, ports.find(',')));
     if (metricsPort != 0)
         options.metrics = Address(ip + ":" + std::to_string(metricsPort));
-    options.cores = file.number("limits.cpu_share", 0) * file.number("limits.cores", 1);
+    options.cores = std::clamp(file.number("limits.cpu_share", 0) * file.number("limits.cores", 1),
+                               0.0, maxCount);
     options.firstStart = file.boolean("first_start", false);
     options.changeTime = milliseconds(file.number("bounds.config_apply_ms", 2'000));
     options.stopTime = milliseconds(file.number("bounds.grace_s", 8) * millisecondsPerSecond);
@@ -115,8 +120,10 @@
     RequestOptions &requests = options.requests;
     requests.node = options.node;
     requests.zone = options.zone;
-    requests.retries.ratio = file.number("bounds.retry_ratio", requests.retries.ratio);
-    requests.retries.slack = file.number("bounds.retry_slack", requests.retries.slack);
+    requests.retries.ratio =
+        std::clamp(file.number("bounds.retry_ratio", requests.retries.ratio), 0.0, maxCount);
+    requests.retries.slack =
+        std::clamp(file.number("bounds.retry_slack", requests.retries.slack), 0.0, maxCount);
     requests.retries.window =
         milliseconds(file.number("bounds.retry_window_s", 10) * millisecondsPerSecond);
     requests.failClosed = file.boolean("bounds.fail_closed", true);
--- a/src/tests/relay_test.cpp
+++ b/src/tests/relay_test.cpp
@@ -1180,6 +1180,26 @@
     }
 }
 
+TEST(PlatformTest, OddNumbersInSettingsAreBounded)
+{
+    const std::string valid = "ip=127.0.0.1\ninternal_ports=1,2\nnode_name=n\nzone=z\n"
+                              "listen.front=127.0.0.1:3\nlisten.ready=127.0.0.1:4\n"
+                              "listen.directory=127.0.0.1:5\n";
+    const auto options = [&](const std::string &value) {
+        std::string text = valid;
+        for (const char *name : {"limits.cores", "limits.cpu_share", "limits.memory_mb",
+                                 "bounds.grace_s", "bounds.retry_slack"})
+            text += name + ("=" + value) + "\n";
+        return platform::servingOptions(platform::SettingsFile::parse(text), 0);
+    };
+    EXPECT_EQ(options("1e300").stopTime, Duration(24 * 3'600'000));
+    EXPECT_EQ(options("-1e300").stopTime, Duration(0));
+    EXPECT_EQ(options("1e300").cores, 1'000'000);
+    EXPECT_EQ(options("-5").requests.retries.slack, 0);
+    for (const char *value : {"nan", "inf", "-inf"})
+        EXPECT_THROW(options(value), Failure) << value;
+}
+
 TEST(PlatformTest, SettingsFileThatIsBeingWrittenIsNotApplied)
 {
     // Guards against ORDER in a document: a file that was read in part counted as complete.
