Fix: [Requests] The memory of a node grows with each name of a model that callers send

Cause: a queue is kept for each pair of service and model, and a list of servers too; nothing erased them. Callers choose X-Model-Name, also for services without models.

Change: once a second the queues without a request and without a measurable rate of ended attempts are erased, and the lists of servers if there are more than 1,000.

--- a/src/request/backend_base.cpp
+++ b/src/request/backend_base.cpp
@@ -11,6 +11,7 @@
 /// How long an announcement that a server leaves is remembered, so that an outdated entry does not
 /// bring it back. A leaving server has ended long before.
 constexpr Duration leavingMemory {600'000};
+constexpr std::size_t maxTargetLists = 1'000; ///< Callers choose the names of models.
 constexpr std::size_t minKnownRuns = 256; ///< Runs of servers without an entry that are kept.
 /// How long an announcement is repeated to other nodes if the server has no entry. If it has one,
 /// it is repeated for longer, as a node that starts again knows nothing but the entry.
@@ -247,6 +248,12 @@
     return list.servers;
 }
 
+void BackendTable::pruneTargets()
+{
+    if (m_targets.size() > maxTargetLists)
+        m_targets.clear();
+}
+
 std::vector<const Backend *> BackendTable::serversInDomain(const DomainId &domain) const
 {
     std::vector<const Backend *> members;
--- a/src/request/backend_base.h
+++ b/src/request/backend_base.h
@@ -46,6 +46,8 @@
     /// of the service, and `model` is ignored.
     const std::vector<BackendIndex> &targets(const ServiceId &service, const ModelId &model,
                                              const ServingConfiguration &configuration);
+    /// Bounds the memory for the results of targets(), which are invalid afterwards.
+    void pruneTargets();
     /// Whether the server can take requests: it is listed or lapsed, is not draining and, in a
     /// service with engines, it is the head of an open group whose members are all present.
     bool isServable(const Backend &backend, const ServingConfiguration &configuration) const;
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -34,6 +34,8 @@
 constexpr double rateSmoothing = 0.5;
 constexpr double gapSmoothing = 0.1;
 constexpr Duration deadlineInterval {40}; ///< Between checks for deadlines and stalled streams.
+/// Requests per second below which the rate of a queue counts as none.
+constexpr double minTrackedRate = 0.001;
 constexpr Duration pruneInterval {1'000}; ///< Between removals of limits that have ended.
 constexpr Duration minRetryAfter {100};
 /// Retry-After is at most a third of the time left until the deadline, so that callers can retry
@@ -1354,6 +1356,13 @@
         m_prunedAt = now;
         m_limits.prune([this](const VmId &id) { return m_backends.find(id) != nullptr; }, now);
         m_permits.prune(now);
+        // Callers choose the names of models.
+        std::erase_if(m_targets, [](const auto &entry) {
+            const Target &target = entry.second;
+            return target.waiting.empty() && target.departures == 0
+                && target.departuresPerSecond < minTrackedRate;
+        });
+        m_backends.pruneTargets();
     }
     if (now - m_deadlinesAt >= deadlineInterval) {
         m_deadlinesAt = now;
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -178,6 +178,8 @@
     /// Whether any request was received since the start.
     bool hasArrivals() const { return m_hasArrivals; }
     std::size_t waiting() const;
+    /// Number of services and models for which a queue or the rate of ended attempts is kept.
+    std::size_t queues() const { return m_targets.size(); }
     /// Slots needed by the running and waiting requests, by model, and by those that were refused a
     /// short time ago because no server had room for them.
     std::map<ModelId, double> demand(TimePoint now) const;
@@ -373,7 +375,7 @@
     std::set<ZoneId> m_zonesOut;
     NodeShare m_nodes;
     std::unordered_map<RequestId, Request> m_requests;
-    std::map<TargetKey, Target> m_targets;
+    std::map<TargetKey, Target> m_targets; ///< Entries that are not used are erased by tick().
     std::map<ServiceId, RetryAllowance> m_retries;
     std::map<ModelId, RefusedDemand> m_refusedDemand;
     QuarantineTable m_quarantine;
--- a/src/tests/request_test.cpp
+++ b/src/tests/request_test.cpp
@@ -734,6 +734,32 @@
     EXPECT_EQ(actionsOf<RefuseRequest>(sendRequest("/read/x")).size(), 1U);
 }
 
+TEST_F(RequestTest, QueuesOfModelsThatCallersMakeUpAreErased)
+{
+    m_backends.update(serverReport("s1"), m_now);
+    for (int i = 0; i < 3'000; ++i) {
+        for (const char *path : {"/read/x", "/ask/x"}) {
+            RequestArrival arrival;
+            arrival.request = RequestId(static_cast<std::uint64_t>(++m_lastRequestId));
+            arrival.host = "shop.example";
+            arrival.path = path;
+            arrival.key = apiKey;
+            arrival.model = ModelId("model-" + std::to_string(i));
+            RequestActions actions;
+            m_system.onRequestArrived(arrival, m_now, actions);
+            for (const auto &attempt : actionsOf<DispatchAttempt>(actions)) {
+                RequestActions further;
+                m_system.onResponse(attempt.request, attempt.attempt, 200, m_now, further);
+            }
+        }
+    }
+    EXPECT_GT(m_system.queues(), 1'000U);
+    for (int i = 0; i < 300; ++i)
+        tickAfter(Duration(500));
+    EXPECT_EQ(m_system.open(), 0U);
+    EXPECT_EQ(m_system.queues(), 0U);
+}
+
 TEST_F(RequestTest, ServerIsFilledGraduallyAfterItsPause)
 {
     m_backends.update(serverReport("s1"), m_now);
