Fix: [Relay] The answer to a HEAD request carries chunks

What callers saw: "0" and an empty line behind the head of the answer if the server answers HEAD with an event stream; the next answer of the connection is misread.

Change: no chunk and no last chunk is sent for HEAD.

Measured: CallerTest.ResponseToHeadHasNoChunks passes; the fault was shown by the review, the test was not run without the change.

--- a/src/network/caller_connections.cpp
+++ b/src/network/caller_connections.cpp
@@ -305,7 +305,7 @@
 void CallerConnections::sendChunk(ExchangeId exchange, std::string_view chunk)
 {
     Connection *connection = find(exchange);
-    if (!connection || chunk.empty())
+    if (!connection || chunk.empty() || connection->isHeadRequest)
         return;
     constexpr std::string_view digits = "0123456789abcdef";
     std::string size;
@@ -321,7 +321,8 @@
     Connection *connection = find(exchange);
     if (!connection)
         return;
-    connection->socket->write("0\r\n\r\n");
+    if (!connection->isHeadRequest)
+        connection->socket->write("0\r\n\r\n");
     finishResponse(*connection);
 }
 
--- a/src/tests/attempt_review_test.cpp
+++ b/src/tests/attempt_review_test.cpp
@@ -138,6 +138,21 @@
     EXPECT_EQ(m_callers.open(), 0U);
 }
 
+TEST_F(CallerTest, ResponseToHeadHasNoChunks)
+{
+    send("HEAD /x HTTP/1.1\r\nHost: a\r\n\r\n");
+    run();
+    ASSERT_EQ(m_requests.size(), 1U);
+    m_callers.startChunkedResponse(m_requests[0], 200, {});
+    m_callers.sendChunk(m_requests[0], "part");
+    m_callers.endChunkedResponse(m_requests[0]);
+    const std::string received = receive();
+    EXPECT_EQ(received.substr(received.find("\r\n\r\n")), "\r\n\r\n");
+    send(request);
+    run();
+    EXPECT_EQ(m_requests.size(), 2U);
+}
+
 TEST_F(CallerTest, LineEndsBehindARequestAreNoNextRequest)
 {
     send(std::string(request) + "\r\n");
