Fix: [Requests] [Backends] Two uses of objects that have been erased

Cause: dispatchWaiting() went on with a request that refuseWaiting() or refuseWithoutPermit() had answered and erased, when all servers of a service are paused or limited. takeIdle() went on with the list of idle connections that discard() erases with its last one, when that connection had expired and was not swept yet (within 100 ms).

Change: dispatchWaiting() returns after the refusals, as it did in effect; takeIdle() looks the list up again.

Measured: RequestTest.CallersOfPausedServersAreRefusedAtOnce goes through the first, the new RelayTest.LastIdleConnectionOfAServerMayHaveExpired through the second; both pass with and without the change unless a sanitizer watches. Found by reading; a run of the old code under AddressSanitizer was not finished.

--- a/src/network/backend_connections.cpp
+++ b/src/network/backend_connections.cpp
@@ -67,11 +67,10 @@
 
 BackendConnections::Connection *BackendConnections::takeIdle(const VmId &server)
 {
-    const auto found = m_idle.find(server);
-    if (found == m_idle.end())
-        return nullptr;
     const TimePoint now = m_loop.now();
-    while (!found->second.empty()) {
+    // discard() erases the list with its last connection.
+    for (auto found = m_idle.find(server); found != m_idle.end() && !found->second.empty();
+         found = m_idle.find(server)) {
         Connection *connection = found->second.back();
         found->second.pop_back();
         if (now < connection->idleUntil)
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -410,10 +410,15 @@
         if (isTooLate(request, now))
             input.maxUtilization = lateUtilization;
         const TargetChoice choice = chooseTarget(m_backends, input, now);
-        if (choice.outcome == TargetChoice::Outcome::Paused)
+        // The request may be among those that are refused, and is gone then.
+        if (choice.outcome == TargetChoice::Outcome::Paused) {
             refuseWaiting(target, choice.availableAt, now, actions);
-        if (choice.outcome == TargetChoice::Outcome::Limited)
+            return;
+        }
+        if (choice.outcome == TargetChoice::Outcome::Limited) {
             refuseWithoutPermit(target, choice.availableAt, now, actions);
+            return;
+        }
         // Servers that are full for this node by what it knows may have room for others.
         const bool mayForward = mustForward(request)
             && (choice.outcome == TargetChoice::Outcome::Chosen
--- a/src/tests/attempt_review_test.cpp
+++ b/src/tests/attempt_review_test.cpp
@@ -484,6 +484,24 @@
     EXPECT_NE(m_received.find("data: 2"), std::string::npos);
 }
 
+TEST_F(RelayTest, LastIdleConnectionOfAServerMayHaveExpired)
+{
+    // Guards against use of the erased list of idle connections; shown by AddressSanitizer.
+    for (std::size_t number = 1; number <= 4; ++number) {
+        send(m_caller,
+             "POST /ask/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: t\r\n"
+             "Authorization: Bearer key-1\r\nX-Model-Name: m\r\n\r\n");
+        run(50);
+        ASSERT_EQ(m_servers.size(), number);
+        // It closes an idle connection after a second, which is the margin that the node keeps.
+        send(m_servers.back(),
+             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nKeep-Alive: timeout=1\r\n"
+             "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: 1\n\n\r\n0\r\n\r\n");
+        run(20);
+        EXPECT_EQ(count(m_received, "\r\n0\r\n\r\n"), number);
+    }
+}
+
 TEST_F(RelayTest, EventsOfTheSilentServerAreForwardedInOrder)
 {
     const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
