Fix: [Connections] Many large bodies at once take more memory than a process may have

What operators saw: 60 bodies of 4 MiB at once brought a node to 525 MB; one that exceeds its limit is killed.

Cause: the size of each body was limited, but not their sum, and each was held up to four times: by the request, by the connection to its server, also while that was idle afterwards, joined with its head, and by the socket.

Change: the bodies that are received or answered may take an eighth of `limits.memory_mb` (32 MiB without it). A request beyond is read to its end without keeping its body, and refused: 503, not run, with Retry-After. A single body is always taken. A connection to a server keeps no request that it has written.

The sums of responses and of unsent bytes of streams are not limited.

--- a/src/network/backend_connections.cpp
+++ b/src/network/backend_connections.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace bramleypitch {
 
@@ -130,10 +131,10 @@
     connection.discardingResponse = false;
     connection.otherResponses = 0;
     connection.otherBytes = 0;
-    if (connection.request.body.empty())
-        connection.socket->write(connection.request.head);
-    else
-        connection.socket->write(connection.request.head + connection.request.body);
+    // Not kept: the connection may be idle for long afterwards.
+    std::string bytes = std::exchange(connection.request.head, {});
+    bytes += std::exchange(connection.request.body, {});
+    connection.socket->write(bytes);
 }
 
 void BackendConnections::onReadable(Connection &connection)
--- a/src/network/caller_connections.cpp
+++ b/src/network/caller_connections.cpp
@@ -69,6 +69,9 @@
     std::unique_ptr<StreamSocket> socket;
     MessageParser parser {MessageParser::Kind::Request};
     std::string body;
+    std::size_t bodyBytes = 0; ///< Received of the current request.
+    std::size_t keptBytes = 0; ///< Of the body, until the request is answered.
+    bool bodyDropped = false;
     ExchangeId exchange; ///< The request being answered; 0 while a request is read.
     bool reading = true; ///< Reading a request; false while one is being answered.
     bool closeAfterResponse = false; ///< Close the connection after the current response.
@@ -218,8 +221,8 @@
         reject(connection, badRequest, "malformed_body");
         return false;
     }
-    connection.body += connection.parser.takeBody();
-    if (connection.body.size() > m_limits.maxBodyBytes) {
+    addToBody(connection, connection.parser.takeBody());
+    if (connection.bodyBytes > m_limits.maxBodyBytes) {
         reject(connection, contentTooLarge, "body_bytes");
         return false;
     }
@@ -228,6 +231,27 @@
     return true;
 }
 
+void CallerConnections::addToBody(Connection &connection, const std::string &part)
+{
+    connection.bodyBytes += part.size();
+    const bool isOnlyBody = m_bodyMemory == connection.keptBytes;
+    if (!isOnlyBody && m_bodyMemory + part.size() > m_maxBodyMemory) {
+        releaseBody(connection);
+        connection.bodyDropped = true;
+    }
+    if (connection.bodyDropped)
+        return;
+    connection.body += part;
+    connection.keptBytes += part.size();
+    m_bodyMemory += part.size();
+}
+
+void CallerConnections::releaseBody(Connection &connection)
+{
+    m_bodyMemory -= std::exchange(connection.keptBytes, 0);
+    connection.body = std::string();
+}
+
 void CallerConnections::dispatch(Connection &connection)
 {
     const MessageHead head = connection.parser.head();
@@ -236,7 +260,10 @@
     connection.isHeadRequest = head.method == "HEAD";
     connection.closeAfterResponse = !head.keepAlive;
     m_exchanges[connection.exchange] = &connection;
-    m_hooks.onRequest(connection.exchange, head, std::exchange(connection.body, {}));
+    if (connection.bodyDropped)
+        m_hooks.onBodyDropped(connection.exchange, head);
+    else
+        m_hooks.onRequest(connection.exchange, head, std::exchange(connection.body, {}));
 }
 
 void CallerConnections::reject(Connection &connection, int status, const char *cause)
@@ -330,6 +357,7 @@
 {
     m_exchanges.erase(connection.exchange);
     connection.exchange = ExchangeId();
+    releaseBody(connection);
     startTimeout(connection);
     if (connection.closeAfterResponse) {
         connection.closeWhenDrained = true;
@@ -338,7 +366,8 @@
         return;
     }
     connection.parser.reset();
-    connection.body.clear();
+    connection.bodyBytes = 0;
+    connection.bodyDropped = false;
     connection.continueSent = false;
     connection.requestStarted = false;
     connection.reading = true;
@@ -382,6 +411,7 @@
     // loop iteration.
     found->second->socket->setReading(false);
     found->second->reading = false;
+    releaseBody(*found->second);
     m_discarded.push_back(std::move(found->second));
     m_connections.erase(found);
     m_discard.startOnce(Duration(0));
--- a/src/network/caller_connections.h
+++ b/src/network/caller_connections.h
@@ -25,6 +25,8 @@
     std::function<void(ExchangeId)> onDrained;
     /// A malformed, oversized or slow request was answered with an error status.
     std::function<void(int status, const char *cause)> onRejected;
+    /// A complete request was received whose body was dropped for lack of memory.
+    std::function<void(ExchangeId, const MessageHead &)> onBodyDropped;
 };
 
 /// HTTP server for callers: reads requests from each connection one after another, within the
@@ -42,6 +44,9 @@
     /// Throws Failure(AddressUnavailable) if the address cannot be bound.
     void listen(const Address &address);
     void setLimits(const CallerLimits &limits) { m_limits = limits; }
+    /// Limits the sum of the bodies of requests that are being received or answered. A body beyond
+    /// it is dropped, but a single one is not.
+    void setMaxBodyMemory(std::size_t bytes) { m_maxBodyMemory = bytes; }
     /// From now on, closes each connection after its next response, unless bytes of a next request
     /// have already been received. That request is answered first.
     void setClosing() { m_closing = true; }
@@ -79,6 +84,10 @@
     /// needed or the request is invalid.
     bool readHead(Connection &connection);
     bool readBody(Connection &connection);
+    /// Adds a part to the body of a request, or drops the body for lack of memory.
+    void addToBody(Connection &connection, const std::string &part);
+    /// The body of the connection's request is not kept any longer.
+    void releaseBody(Connection &connection);
     /// Passes a complete request to the hooks.
     void dispatch(Connection &connection);
     /// Answers an invalid request with an error and closes the connection afterwards.
@@ -108,6 +117,8 @@
     std::vector<std::unique_ptr<Connection>> m_discarded; ///< Freed by m_discard.
     Timer m_discard;
     Timer m_acceptAgain;
+    std::size_t m_maxBodyMemory = 32 * 1024 * 1024;
+    std::size_t m_bodyMemory = 0; ///< Sum of the bodies that are kept.
     std::uint64_t m_lastId = 0;
     bool m_closing = false;
 };
--- a/src/network/relay.cpp
+++ b/src/network/relay.cpp
@@ -17,6 +17,8 @@
 /// Reading from the server is paused when more unsent bytes than this wait for a slow caller, until
 /// all of them have been sent.
 constexpr std::size_t maxUnsentBytes = 128 * 1024;
+/// For callers whose body was dropped for lack of memory.
+constexpr Duration bodyMemoryRetry {1'000};
 constexpr std::string_view eventStreamType = "text/event-stream";
 
 int toHttpStatus(ErrorCode code)
@@ -78,17 +80,18 @@
     , m_dialect(std::move(dialect))
     , m_hooks(std::move(hooks))
     , m_callers(loop,
-                CallerHooks {[this](ExchangeId id, const MessageHead &head, std::string body) {
-                                 onRequest(id, head, std::move(body));
-                             },
-                             [this](ExchangeId id) { onCallerDisconnected(id); },
-                             [this](ExchangeId id) { onCallerDrained(id); },
-                             [this](int status, const char *cause) {
-                                 m_hooks.decided(
-                                     {"",
-                                      "request_rejected",
-                                      {{"status", std::to_string(status)}, {"cause", cause}}});
-                             }})
+                CallerHooks {
+                    [this](ExchangeId id, const MessageHead &head, std::string body) {
+                        onRequest(id, head, std::move(body));
+                    },
+                    [this](ExchangeId id) { onCallerDisconnected(id); },
+                    [this](ExchangeId id) { onCallerDrained(id); },
+                    [this](int status, const char *cause) {
+                        m_hooks.decided({"",
+                                         "request_rejected",
+                                         {{"status", std::to_string(status)}, {"cause", cause}}});
+                    },
+                    [this](ExchangeId id, const MessageHead &head) { onBodyDropped(id, head); }})
     , m_backends(
           loop, m_dialect.traceHeader,
           LinkHooks {[this](const VmId &server) { m_requests.onLinkFailed(server, m_loop.now()); },
@@ -144,6 +147,15 @@
     perform(actions);
 }
 
+void Relay::onBodyDropped(ExchangeId id, const MessageHead &head)
+{
+    const RequestId request = toRequestId(id);
+    m_exchanges[request].head = head;
+    m_hooks.decided(
+        {head.value(m_dialect.traceHeader), "request_refused", {{"cause", "body_memory"}}});
+    perform(RefuseRequest {request, ErrorCode::NoCapacity, RunOutcome::NotRun, bodyMemoryRetry});
+}
+
 void Relay::onCallerDisconnected(ExchangeId id)
 {
     RequestActions actions;
--- a/src/network/relay.h
+++ b/src/network/relay.h
@@ -105,6 +105,8 @@
     };
 
     void onRequest(ExchangeId id, const MessageHead &head, std::string body);
+    /// Refuses a request whose body was dropped for lack of memory.
+    void onBodyDropped(ExchangeId id, const MessageHead &head);
     void onCallerDisconnected(ExchangeId id);
     void onCallerDrained(ExchangeId id);
     void onResponseHead(RequestId id, AttemptNumber attempt, const MessageHead &head);
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -129,6 +129,7 @@
     , m_incarnation(loop.wallTime().value())
 {
     m_formation.setFirstStart(m_options.firstStart);
+    m_relay.callers().setMaxBodyMemory(m_options.maxBodyMemory);
     m_requests.setQuarantineHook([this](const QuarantineDecision &decision) {
         m_quarantineStore.add(decision, m_loop.now());
     });
@@ -162,6 +163,7 @@
 {
     m_options.stopTime = options.stopTime;
     m_options.entryCacheTime = options.entryCacheTime;
+    m_relay.callers().setMaxBodyMemory(options.maxBodyMemory);
     m_requests.setOptions(options.requests);
     logLine(LogLevel::Info, "reloaded", {{"stop_time_ms", formatMilliseconds(options.stopTime)}});
 }
--- a/src/network/serving_daemon.h
+++ b/src/network/serving_daemon.h
@@ -31,6 +31,8 @@
     double cores = 0; ///< Processor share of this node, in cores. 0 if it is not known.
     Duration changeTime {2'000}; ///< Within which changes of the store have to take effect.
     Duration stopTime {8'000}; ///< From SIGTERM until the process is killed.
+    /// Limit on the sum of the bodies of requests that are received or answered, in bytes.
+    std::size_t maxBodyMemory = 32 * 1024 * 1024;
     Duration entryCacheTime {2'000}; ///< How long callers may cache the list of entry addresses.
     RequestOptions requests;
     FormationOptions formation;
--- a/src/platform/platform_settings.cpp
+++ b/src/platform/platform_settings.cpp
@@ -18,6 +18,11 @@
 constexpr double millisecondsPerSecond = 1'000;
 constexpr double maxSettingMs = 24 * 3'600'000;
 constexpr double maxCount = 1'000'000;
+/// Memory for the bodies of requests, as a share of the memory limit of the process. A body is held
+/// up to four times: while it is joined with its head, and by the connection to the server.
+constexpr double bodyMemoryShare = 0.125;
+constexpr double bytesPerMegabyte = 1'048'576;
+constexpr double defaultMemoryMb = 256;
 
 Duration milliseconds(double value)
 {
@@ -113,6 +118,9 @@
         options.metrics = Address(ip + ":" + std::to_string(metricsPort));
     options.cores = std::clamp(file.number("limits.cpu_share", 0) * file.number("limits.cores", 1),
                                0.0, maxCount);
+    const double memory = file.number("limits.memory_mb", defaultMemoryMb);
+    options.maxBodyMemory = static_cast<std::size_t>(bodyMemoryShare * bytesPerMegabyte
+                                                     * std::clamp(memory, 1.0, maxCount));
     options.firstStart = file.boolean("first_start", false);
     options.changeTime = milliseconds(file.number("bounds.config_apply_ms", 2'000));
     options.stopTime = milliseconds(file.number("bounds.grace_s", 8) * millisecondsPerSecond);
--- a/src/tests/relay_test.cpp
+++ b/src/tests/relay_test.cpp
@@ -1196,6 +1196,8 @@
     EXPECT_EQ(options("-1e300").stopTime, Duration(0));
     EXPECT_EQ(options("1e300").cores, 1'000'000);
     EXPECT_EQ(options("-5").requests.retries.slack, 0);
+    EXPECT_EQ(options("-5").maxBodyMemory, 131'072U);
+    EXPECT_EQ(options("256").maxBodyMemory, 32U * 1024 * 1024);
     for (const char *value : {"nan", "inf", "-inf"})
         EXPECT_THROW(options(value), Failure) << value;
 }
--- a/src/tests/start_and_end_test.py
+++ b/src/tests/start_and_end_test.py
@@ -343,6 +343,43 @@
         self.check(preexec_fn=lambda: [os.close(number) for number in (0, 1, 2)])
 
 
+class OddRequestTest(StartAndEndTest):
+    LINES = (b"GET / HTTP/1.1", b"OPTIONS * HTTP/1.1", b"GET http://shop.example HTTP/1.1",
+             b"GET http://shop.example?a=b HTTP/1.1", b"CONNECT shop.example:1 HTTP/1.1",
+             b"GET ? HTTP/1.1", b"GET # HTTP/1.1", b"GET //?#%00%zz HTTP/1.1", b"GET /%00 HTTP/1.0",
+             b"GET /v1/readiness?" + b"a=b&" * 500 + b" HTTP/1.1", b"GET /" + b"x" * 60000 + b" HTTP/1.1",
+             b"PROPFIND /v1/readiness HTTP/1.1", b"BREW / HTTP/1.1", b"GET / HTTP/9.9", b"GET /",
+             b"HTTP/1.1 200 OK", b"PRI * HTTP/2.0", b"\x16\x03\x01\x02\x00", b"", b"\0\0\0")
+    HEADERS = (b"", b"Host: a\r\n", b"Content-Length: 5\r\n", b"Content-Length: -1\r\n",
+               b"Content-Length: 99999999999999999999\r\n", b"Expect: 100-continue\r\n",
+               b"Content-Length: 9\r\nExpect: 100-continue\r\n", b"Upgrade: h2c\r\nConnection: upgrade\r\n",
+               b"Transfer-Encoding: chunked\r\n", b"Connection: close\r\n", b": x\r\n", b"x\r\n",
+               b"".join(b"H%d: v\r\n" % number for number in range(2000)))
+    BODIES = (b"", b"hello", b"0\r\n\r\n", b"ffffffffffffffffff\r\nx", b"5\r\nhello\r\n0\r\nA: b\r\n\r\n",
+              b"GET /v1/readiness HTTP/1.1\r\nHost: a\r\n\r\n" * 50)
+
+    def send(self, port, data):
+        try:
+            with socket.create_connection((self.system.nodes[0], port), timeout=2) as caller:
+                caller.settimeout(0.02)
+                caller.sendall(data)
+                caller.recv(4096)
+                reset(caller)
+        except OSError:
+            pass
+
+    def test_odd_request_ends_the_node(self):
+        self.start_nodes()
+        for port in (8200, 8201, 8202, 7354):
+            for line in self.LINES:
+                for headers in self.HEADERS:
+                    for body in self.BODIES[:2] if headers == b"" else self.BODIES:
+                        self.send(port, line + b"\r\n" + headers + b"\r\n" + body)
+                self.assertIsNone(self.system.processes["n0"].poll(), (port, line))
+        self.assertEqual(self.system.read().status, 200)
+        self.assertEqual(self.system.end("n0")[0], 0)
+
+
 class DescriptorTest(StartAndEndTest):
     MAX_DESCRIPTORS = 48
 
@@ -370,5 +407,28 @@
         self.assertEqual(self.system.end("again")[0], 0)
 
 
+class MemoryTest(StartAndEndTest):
+    MEMORY_MB = 260
+    BODY_BYTES = 4 * 1024 * 1024
+    CALLERS = 60
+
+    def send_body(self, results):
+        results.append(self.system.call(0, "POST", "/slow/x", b"x" * self.BODY_BYTES)[1])
+
+    def test_many_large_bodies_exceed_the_memory(self):
+        self.start_nodes(settings={"limits.memory_mb": str(self.MEMORY_MB)})
+        results = []
+        threads = [threading.Thread(target=self.send_body, args=(results,))
+                   for _ in range(self.CALLERS)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertLess(self.system.memory_kb("n0"), self.MEMORY_MB * 1024)
+        self.assertEqual({result.status for result in results} - {200, 503}, set())
+        self.assertIn(200, [result.status for result in results])
+        self.assertEqual(self.system.read().status, 200)
+
+
 if __name__ == "__main__":
     unittest.main(verbosity=2)
