Feature: [Soak] Overlapping successors, series of signals, and processes that end by themselves

Half of the stops start the successor before the end of its predecessor; SIGTERM, SIGINT and SIGHUP follow one another during a stop, and SIGHUP comes in series at any time. A process that has ended without a fault that ended it is a violation, as is a status other than 0 after a stop.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -3,7 +3,8 @@
 
     scripts/soak.sh --seeds 1-50 [--seconds 20] [--parallel 3]
 
-Faults: processes are killed, paused, stopped and restarted; loopback proxies delay, reset or stall
+Faults: processes are killed, paused, stopped and restarted, also by series of signals and with the
+successor started before the end of its predecessor; loopback proxies delay, reset or stall
 connections to the store and to servers, in one direction or both; nodes are cut off from all servers,
 some or most at once, while callers, the store and the other nodes reach them; servers shed load, break
 connections, announce that they leave and start again, and ask for pauses; API keys are revoked and
@@ -17,6 +18,7 @@
   - a revoked API key is not accepted any longer;
   - a server that has announced to a caller that it leaves gets no late request from that node;
   - a server that asked a node for a pause gets it;
+  - no process ends that no fault has ended, and a stop ends it with status 0;
   - service recovers after the faults.
 A seed that ever failed is added to REGRESSIONS with its cause.
 """
@@ -42,6 +44,7 @@
 from platform_system import KEYS, System, wait_for  # noqa: E402
 
 REGRESSIONS = {}
+SIGNALS = [signal.SIGTERM, signal.SIGINT, signal.SIGHUP]
 REVOCATION_LIMIT_S = 5  # A revoked API key is rejected after at most this time, as in the settings.
 RECOVERY_LIMIT_S = 12
 CALLER_COUNT = 6
@@ -145,7 +148,7 @@
         while time.monotonic() < end:
             fault = threading.Thread(target=self.random.choice([
                 self.kill_server, self.pause_server, self.kill_node, self.pause_node,
-                self.stop_node, self.pause_store, self.disturb_link, self.disturb_link, self.cut_nodes,
+                self.stop_node, self.hang_up_node, self.pause_store, self.disturb_link, self.disturb_link, self.cut_nodes,
                 self.degrade_server, self.replace_server, self.ask_for_pauses, self.change_keys]))
             fault.start()
             faults.append(fault)
@@ -155,6 +158,8 @@
         for proxy in self.proxies:
             proxy.mode = "pass"
         self.check_recovery()
+        for name in list(self.system.processes):
+            self.check_running(name)
         self.done.set()
         for thread in threads:
             thread.join()
@@ -200,8 +205,13 @@
 
     def kill_node(self):
         number = self.random.randrange(3)
-        self.inject(f"n{number}", lambda: self.system.kill(f"n{number}"),
-                    lambda: self.system.start_node(number))
+        name = f"n{number}"
+
+        def kill():
+            self.check_running(name)
+            self.system.kill(name)
+
+        self.inject(name, kill, lambda: self.system.start_node(number))
 
     def stop_node(self):
         number = self.random.randrange(3)
@@ -209,12 +219,37 @@
         if not self.reserve(name):
             return
         self.disturbed.append((name, time.monotonic()))
-        self.system.signal(name, signal.SIGTERM)
-        if self.system.processes[name].wait(10) != 0:
-            self.violations.append(f"{name} exited with {self.system.processes[name].returncode}")
-        self.system.start_node(number)
+        self.check_running(name)
+        stopped = self.system.processes[name]
+        stopped.send_signal(signal.SIGTERM)
+        time.sleep(self.random.uniform(0, 2))
+        overlaps = self.random.random() < 0.5
+        if overlaps:  # The successor waits for the addresses.
+            self.system.start_node(number)
+        for further in self.random.choices(SIGNALS, k=self.random.randrange(6)):
+            time.sleep(self.random.uniform(0, 1))
+            if stopped.poll() is None:
+                stopped.send_signal(further)
+        if stopped.wait(10) != 0:
+            self.violations.append(f"{name} exited with {stopped.returncode}")
+        if not overlaps:
+            self.system.start_node(number)
         self.faulted.discard(name)
 
+    def check_running(self, name):
+        """A process that no fault has ended must run."""
+        process = self.system.processes[name]
+        if process.poll() is not None:
+            self.violations.append(f"{name} ended by itself with {process.returncode}")
+
+    def hang_up_node(self):
+        name = f"n{self.random.randrange(3)}"
+        for _ in range(self.random.randrange(1, 200)):
+            process = self.system.processes[name]
+            if process.poll() is None:
+                process.send_signal(signal.SIGHUP)
+            time.sleep(self.random.choice([0, 0, 0.001, 0.02]))
+
     def disturb_link(self):
         proxy = self.random.choice(self.proxies)
         self.disturbed.append((proxy.target, time.monotonic()))
