--- a/src/network/backend_connections.cpp
+++ b/src/network/backend_connections.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace bramleypitch {
 
@@ -67,11 +68,10 @@
 
 BackendConnections::Connection *BackendConnections::takeIdle(const VmId &server)
 {
-    const auto found = m_idle.find(server);
-    if (found == m_idle.end())
-        return nullptr;
     const TimePoint now = m_loop.now();
-    while (!found->second.empty()) {
+    // discard() erases the list with its last connection.
+    for (auto found = m_idle.find(server); found != m_idle.end() && !found->second.empty();
+         found = m_idle.find(server)) {
         Connection *connection = found->second.back();
         found->second.pop_back();
         if (now < connection->idleUntil)
@@ -131,10 +131,10 @@
     connection.discardingResponse = false;
     connection.otherResponses = 0;
     connection.otherBytes = 0;
-    if (connection.request.body.empty())
-        connection.socket->write(connection.request.head);
-    else
-        connection.socket->write(connection.request.head + connection.request.body);
+    // Not kept: the connection may be idle for long afterwards.
+    std::string bytes = std::exchange(connection.request.head, {});
+    bytes += std::exchange(connection.request.body, {});
+    connection.socket->write(bytes);
 }
 
 void BackendConnections::onReadable(Connection &connection)
--- a/src/network/caller_connections.cpp
+++ b/src/network/caller_connections.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr int listenBacklog = 1'024;
+constexpr Duration acceptPause {100}; ///< Without a free descriptor.
 constexpr int badRequest = 400;
 constexpr int requestTimeout = 408;
 constexpr int contentTooLarge = 413;
@@ -61,6 +62,9 @@
     std::unique_ptr<StreamSocket> socket;
     MessageParser parser {MessageParser::Kind::Request};
     std::string body;
+    std::size_t bodyBytes = 0; ///< Received of the current request.
+    std::size_t keptBytes = 0; ///< Of the body, until the request is answered.
+    bool bodyDropped = false;
     ExchangeId exchange; ///< The request being answered; 0 while a request is read.
     bool reading = true; ///< Reading a request; false while one is being answered.
     bool closeAfterResponse = false; ///< Close the connection after the current response.
@@ -81,6 +85,10 @@
     : m_loop(loop)
     , m_hooks(std::move(hooks))
     , m_discard(loop, [this] { m_discarded.clear(); })
+    , m_acceptAgain(loop, [this] {
+        if (m_listener)
+            evconnlistener_enable(m_listener);
+    })
 {
 }
 
@@ -102,7 +110,14 @@
         m_loop.base(), onAccepted, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, listenBacklog,
         reinterpret_cast<sockaddr *>(&socketAddress), sizeof(socketAddress));
     if (!m_listener)
-        throw Failure(ErrorCode::InvalidSetting, "cannot listen on " + address.value());
+        throw bindFailure(address, errno);
+    evconnlistener_set_error_cb(m_listener, onAcceptFailed);
+}
+
+void CallerConnections::onAcceptFailed(evconnlistener *listener, void *self)
+{
+    evconnlistener_disable(listener);
+    static_cast<CallerConnections *>(self)->m_acceptAgain.startOnce(acceptPause);
 }
 
 void CallerConnections::onAccepted(evconnlistener *, evutil_socket_t descriptor, sockaddr *, int,
@@ -194,8 +209,8 @@
         reject(connection, badRequest, connection.parser.fault());
         return false;
     }
-    connection.body += connection.parser.takeBody();
-    if (connection.body.size() > m_limits.maxBodyBytes) {
+    addToBody(connection, connection.parser.takeBody());
+    if (connection.bodyBytes > m_limits.maxBodyBytes) {
         reject(connection, contentTooLarge, "body_bytes");
         return false;
     }
@@ -204,6 +219,27 @@
     return true;
 }
 
+void CallerConnections::addToBody(Connection &connection, const std::string &part)
+{
+    connection.bodyBytes += part.size();
+    const bool isOnlyBody = m_bodyMemory == connection.keptBytes;
+    if (!isOnlyBody && m_bodyMemory + part.size() > m_maxBodyMemory) {
+        releaseBody(connection);
+        connection.bodyDropped = true;
+    }
+    if (connection.bodyDropped)
+        return;
+    connection.body += part;
+    connection.keptBytes += part.size();
+    m_bodyMemory += part.size();
+}
+
+void CallerConnections::releaseBody(Connection &connection)
+{
+    m_bodyMemory -= std::exchange(connection.keptBytes, 0);
+    connection.body = std::string();
+}
+
 void CallerConnections::dispatch(Connection &connection)
 {
     const MessageHead head = connection.parser.head();
@@ -212,7 +248,10 @@
     connection.isHeadRequest = head.method == "HEAD";
     connection.closeAfterResponse = !head.keepAlive;
     m_exchanges[connection.exchange] = &connection;
-    m_hooks.onRequest(connection.exchange, head, std::exchange(connection.body, {}));
+    if (connection.bodyDropped)
+        m_hooks.onBodyDropped(connection.exchange, head);
+    else
+        m_hooks.onRequest(connection.exchange, head, std::exchange(connection.body, {}));
 }
 
 void CallerConnections::reject(Connection &connection, int status, const char *cause)
@@ -281,7 +320,7 @@
 void CallerConnections::sendChunk(ExchangeId exchange, std::string_view chunk)
 {
     Connection *connection = find(exchange);
-    if (!connection || chunk.empty())
+    if (!connection || chunk.empty() || connection->isHeadRequest)
         return;
     constexpr std::string_view digits = "0123456789abcdef";
     std::string size;
@@ -297,7 +336,8 @@
     Connection *connection = find(exchange);
     if (!connection)
         return;
-    connection->socket->write("0\r\n\r\n");
+    if (!connection->isHeadRequest)
+        connection->socket->write("0\r\n\r\n");
     finishResponse(*connection);
 }
 
@@ -305,6 +345,7 @@
 {
     m_exchanges.erase(connection.exchange);
     connection.exchange = ExchangeId();
+    releaseBody(connection);
     startTimeout(connection);
     if (connection.closeAfterResponse) {
         connection.closeWhenDrained = true;
@@ -313,7 +354,8 @@
         return;
     }
     connection.parser.reset();
-    connection.body.clear();
+    connection.bodyBytes = 0;
+    connection.bodyDropped = false;
     connection.continueSent = false;
     connection.requestStarted = false;
     connection.reading = true;
@@ -357,6 +399,7 @@
     // loop iteration.
     found->second->socket->setReading(false);
     found->second->reading = false;
+    releaseBody(*found->second);
     m_discarded.push_back(std::move(found->second));
     m_connections.erase(found);
     m_discard.startOnce(Duration(0));
--- a/src/network/caller_connections.h
+++ b/src/network/caller_connections.h
@@ -25,6 +25,8 @@
     std::function<void(ExchangeId)> onDrained;
     /// A malformed, oversized or slow request was answered with an error status.
     std::function<void(int status, const char *cause)> onRejected;
+    /// A complete request was received whose body was dropped for lack of memory.
+    std::function<void(ExchangeId, const MessageHead &)> onBodyDropped;
 };
 
 /// HTTP server for callers: reads requests from each connection one after another, within the
@@ -39,9 +41,12 @@
     CallerConnections(const CallerConnections &) = delete;
     CallerConnections &operator=(const CallerConnections &) = delete;
 
-    /// Throws Failure(InvalidSetting) if the address cannot be bound.
+    /// Throws Failure(AddressUnavailable) if the address cannot be bound.
     void listen(const Address &address);
     void setLimits(const CallerLimits &limits) { m_limits = limits; }
+    /// Limits the sum of the bodies of requests that are being received or answered. A body beyond
+    /// it is dropped, but a single one is not.
+    void setMaxBodyMemory(std::size_t bytes) { m_maxBodyMemory = bytes; }
     /// From now on, closes each connection after its next response, unless bytes of a next request
     /// have already been received. That request is answered first.
     void setClosing() { m_closing = true; }
@@ -69,6 +74,9 @@
 private:
     struct Connection;
 
+    /// Stops accepting for a moment: no descriptor is left, and the listener would be called at
+    /// once again.
+    static void onAcceptFailed(evconnlistener *, void *self);
     static void onAccepted(evconnlistener *, evutil_socket_t descriptor, sockaddr *, int,
                            void *self);
     void onReadable(Connection &connection);
@@ -76,6 +84,10 @@
     /// needed or the request is invalid.
     bool readHead(Connection &connection);
     bool readBody(Connection &connection);
+    /// Adds a part to the body of a request, or drops the body for lack of memory.
+    void addToBody(Connection &connection, const std::string &part);
+    /// The body of the connection's request is not kept any longer.
+    void releaseBody(Connection &connection);
     /// Passes a complete request to the hooks.
     void dispatch(Connection &connection);
     /// Answers an invalid request with an error and closes the connection afterwards.
@@ -104,6 +116,9 @@
     std::map<ExchangeId, Connection *> m_exchanges;
     std::vector<std::unique_ptr<Connection>> m_discarded; ///< Freed by m_discard.
     Timer m_discard;
+    Timer m_acceptAgain;
+    std::size_t m_maxBodyMemory = 32 * 1024 * 1024;
+    std::size_t m_bodyMemory = 0; ///< Sum of the bodies that are kept.
     std::uint64_t m_lastId = 0;
     bool m_closing = false;
 };
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -150,6 +150,7 @@
 {
     m_relay.setForwardKey(m_forwardKey);
     m_formation.setFirstStart(m_options.firstStart);
+    m_relay.callers().setMaxBodyMemory(m_options.maxBodyMemory);
     m_requests.setQuarantineHook([this](const QuarantineDecision &decision) {
         m_quarantineStore.add(decision, m_loop.now());
     });
@@ -164,11 +165,12 @@
                     [this](const ZoneDigest &digest) { onDigest(digest); },
                     [this](const StoreFeed &feed) { m_mirror.take(feed, m_loop.now()); },
                     [this](const PermitMessage &message) { onPermitMessage(message); }});
-    m_relay.callers().listen(m_options.front);
     m_adminServer.listen(m_options.ready);
     m_adminServer.listen(m_options.directory);
     if (m_options.metrics)
         m_adminServer.listen(*m_options.metrics);
+    // Callers are accepted only if nothing else can fail.
+    m_relay.callers().listen(m_options.front);
     m_mirror.start();
     m_tickTimer.startRepeating(tickInterval);
     logLine(LogLevel::Info, "started",
@@ -182,6 +184,7 @@
 {
     m_options.stopTime = options.stopTime;
     m_options.entryCacheTime = options.entryCacheTime;
+    m_relay.callers().setMaxBodyMemory(options.maxBodyMemory);
     m_requests.setOptions(options.requests);
     logLine(LogLevel::Info, "reloaded", {{"stop_time_ms", formatMilliseconds(options.stopTime)}});
 }
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -34,6 +34,8 @@
 constexpr double rateSmoothing = 0.5;
 constexpr double gapSmoothing = 0.1;
 constexpr Duration deadlineInterval {40}; ///< Between checks for deadlines and stalled streams.
+/// Requests per second below which the rate of a queue counts as none.
+constexpr double minTrackedRate = 0.001;
 constexpr Duration pruneInterval {1'000}; ///< Between removals of limits that have ended.
 constexpr Duration minRetryAfter {100};
 /// Retry-After is at most a third of the time left until the deadline, so that callers can retry
@@ -408,10 +410,15 @@
         if (isTooLate(request, now))
             input.maxUtilization = lateUtilization;
         const TargetChoice choice = chooseTarget(m_backends, input, now);
-        if (choice.outcome == TargetChoice::Outcome::Paused)
+        // The request may be among those that are refused, and is gone then.
+        if (choice.outcome == TargetChoice::Outcome::Paused) {
             refuseWaiting(target, choice.availableAt, now, actions);
-        if (choice.outcome == TargetChoice::Outcome::Limited)
+            return;
+        }
+        if (choice.outcome == TargetChoice::Outcome::Limited) {
             refuseWithoutPermit(target, choice.availableAt, now, actions);
+            return;
+        }
         // Servers that are full for this node by what it knows may have room for others.
         const bool mayForward = mustForward(request)
             && (choice.outcome == TargetChoice::Outcome::Chosen
@@ -1355,6 +1362,13 @@
         m_prunedAt = now;
         m_limits.prune([this](const VmId &id) { return m_backends.find(id) != nullptr; }, now);
         m_permits.prune(now);
+        // Callers choose the names of models.
+        std::erase_if(m_targets, [](const auto &entry) {
+            const Target &target = entry.second;
+            return target.waiting.empty() && target.departures == 0
+                && target.departuresPerSecond < minTrackedRate;
+        });
+        m_backends.pruneTargets();
     }
     if (now - m_deadlinesAt >= deadlineInterval) {
         m_deadlinesAt = now;
