Fix: [Requests] A repeated refusal counted as the answer to the next request of its connection

What callers saw: 503, 429, 421 or 408 ("not run, send it again") for payments that a server was running or had run, payments that ran at a second server, and answers of other requests.

Cause: a response without an id was accepted as the answer to the request in progress, and so was one with its id where a connection had carried that id before. A server that repeats an earlier response on a kept connection thus answered for a request that it was running. A response by which callers send a request again was also passed on from a server that did not state that it had not run it.

Change: on a connection that was used before, a response without an id is discarded like one with another id, and the connection is not used again; the right answer is waited for. No connection carries an id twice, for which it keeps the hashes of up to 256 ids. One that names two requests fails the attempt. On a new connection a response without an id is passed on, but a refusal shows nothing: the attempt has failed and may have run ("unusable"). 408, 421, 429 and 503 that are not shown to be about this attempt end a request that may run once with 502. `response_discarded` is logged.

HttpClientTest.EarlierResponse* and RequestTest.PaymentAnsweredWithAnUnprovenRefusal* cover the decisions alone.

--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -14,7 +14,8 @@
          "attempt_review_test", "quarantine_test", "limit_test", "links_test", "formation_test", "initial_split_test",
          "overload_test", "relay_test", "http_client_test", "promises_test"]
 # Tests that start the program, for mutants that no test above catches. They share ports.
-PROCESS_TESTS = [["response_end_test.py"], ["process_test.py", "CompletionTest"]]
+PROCESS_TESTS = [["response_end_test.py"], ["repeated_refusal_test.py"],
+                 ["process_test.py", "CompletionTest"]]
 PROGRAMS = ["bramleypitch", "bramleypitch-standin"]
 process_test_lock = threading.Lock()
 # Name, file, text to replace, replacement text.
@@ -73,8 +74,16 @@
      "if (token.index < completion->delivered) {", "if (false) {"),
     ("stop_without_waiting", "node.cpp", " || openRequests() > 0", ""),
     ("payment_sent_again", "request/request_system.cpp",
-     "mayRetry = request->kind == RequestKind::Repeatable\n"
-     "            || request->kind == RequestKind::ResumableStream;", "mayRetry = true;"),
+     "mayRetry = request->mayRepeatRun();", "mayRetry = true;"),
+    ("unproven_refusal_is_passed_on", "request/request_system.cpp",
+     "if (!request->mayRepeatRun() && statesNotRun(status)) {", "if (false) {"),
+    ("response_without_id_is_accepted", "network/backend_connections.cpp",
+     "const bool isFirstOfConnection = connection.carriedIds.size() == 1;",
+     "const bool isFirstOfConnection = true;"),
+    ("connection_carries_an_id_twice", "network/backend_connections.cpp",
+     " && !connection->hasCarried(request.traceId)", ""),
+    ("refusal_without_id_shows_not_run", "network/relay.cpp",
+     "if (isRefusal && !open.attempt->head.find(m_dialect.traceHeader)) {", "if (false) {"),
     ("sent_payment_reported_not_run", "request/request_system.cpp",
      "request->mayHaveRun = true;\n        mayRetry", "mayRetry"),
     ("keys_accepted_without_proof", "request/request_system.cpp",
--- a/src/network/backend_connections.cpp
+++ b/src/network/backend_connections.cpp
@@ -1,5 +1,6 @@
 #include "network/backend_connections.h"
 
+#include "core/rendezvous_func.h"
 #include "network/response_limits.h"
 
 #include <algorithm>
@@ -18,6 +19,8 @@
 /// later could arrive after the server has closed the connection.
 constexpr Duration idleTimeoutMargin {1'000};
 constexpr std::size_t maxIdlePerServer = 32;
+/// Bounds the memory for the ids of the requests that a connection has carried.
+constexpr std::size_t maxRequestsPerConnection = 256;
 constexpr int firstFinalStatus = 200;
 constexpr std::string_view timeoutParameter = "timeout=";
 
@@ -48,11 +51,18 @@
     bool hasAnswered = false; ///< Any response was received on it.
     bool headDelivered = false; ///< The head of the response was passed to the hooks.
     bool discardingResponse = false; ///< The response being received belongs to another request.
+    std::vector<std::uint64_t> carriedIds; ///< Hashes of the ids of the requests written to it.
     int otherResponses = 0; ///< Responses before that to the attempt.
     std::size_t otherBytes = 0; ///< Body bytes of these that were discarded.
     bool reusable = true; ///< May return to the pool after the current attempt.
     TimePoint openedAt;
     TimePoint idleUntil;
+
+    bool hasCarried(const std::string &traceId) const
+    {
+        return std::find(carriedIds.begin(), carriedIds.end(), stableHash(traceId))
+            != carriedIds.end();
+    }
 };
 
 BackendConnections::BackendConnections(EventLoop &loop, std::string traceHeader, LinkHooks hooks)
@@ -65,16 +75,16 @@
 
 BackendConnections::~BackendConnections() = default;
 
-BackendConnections::Connection *BackendConnections::takeIdle(const VmId &server)
+BackendConnections::Connection *BackendConnections::takeIdle(const BackendRequest &request)
 {
-    const auto found = m_idle.find(server);
+    const auto found = m_idle.find(request.server);
     if (found == m_idle.end())
         return nullptr;
     const TimePoint now = m_loop.now();
     while (!found->second.empty()) {
         Connection *connection = found->second.back();
         found->second.pop_back();
-        if (now < connection->idleUntil)
+        if (now < connection->idleUntil && !connection->hasCarried(request.traceId))
             return connection;
         discard(*connection);
     }
@@ -83,7 +93,7 @@
 
 AttemptHandle BackendConnections::send(BackendRequest request, BackendHooks hooks)
 {
-    Connection *connection = request.needsNewConnection ? nullptr : takeIdle(request.server);
+    Connection *connection = request.needsNewConnection ? nullptr : takeIdle(request);
     const bool isNew = connection == nullptr;
     if (isNew) {
         auto owned = std::make_unique<Connection>();
@@ -131,6 +141,7 @@
     connection.discardingResponse = false;
     connection.otherResponses = 0;
     connection.otherBytes = 0;
+    connection.carriedIds.push_back(stableHash(connection.request.traceId));
     if (connection.request.body.empty())
         connection.socket->write(connection.request.head);
     else
@@ -165,12 +176,18 @@
             if (!connection.hasAnswered && !connection.request.isToNode && m_linkHooks.onAnswered)
                 m_linkHooks.onAnswered(connection.openedAt);
             connection.hasAnswered = true;
-            const std::string *traceId = head.find(m_traceHeader);
-            connection.discardingResponse = traceId && *traceId != connection.request.traceId;
-            if (connection.discardingResponse)
+            const ResponseOwner owner = responseOwner(connection);
+            if (owner == ResponseOwner::Conflicting) {
+                fail(connection);
+                return;
+            }
+            connection.discardingResponse = owner == ResponseOwner::Other;
+            if (connection.discardingResponse || !head.find(m_traceHeader))
                 connection.reusable = false;
-            else
+            if (!connection.discardingResponse)
                 connection.hooks.onResponseHead(head);
+            else if (m_linkHooks.onDiscarded)
+                m_linkHooks.onDiscarded(connection.request, head);
         }
         if (!m_attempts.count(attempt))
             return;
@@ -203,6 +220,25 @@
     }
 }
 
+BackendConnections::ResponseOwner
+BackendConnections::responseOwner(const Connection &connection) const
+{
+    bool namesAttempt = false;
+    bool namesOther = false;
+    for (const auto &[name, value] : connection.parser.head().headers) {
+        if (!sameHeader(name, m_traceHeader))
+            continue;
+        const bool isOwn = value == connection.request.traceId;
+        namesAttempt = namesAttempt || isOwn;
+        namesOther = namesOther || !isOwn;
+    }
+    if (namesAttempt && namesOther)
+        return ResponseOwner::Conflicting;
+    const bool isFirstOfConnection = connection.carriedIds.size() == 1;
+    return namesAttempt || (!namesOther && isFirstOfConnection) ? ResponseOwner::Attempt
+                                                                : ResponseOwner::Other;
+}
+
 void BackendConnections::finish(Connection &connection)
 {
     const BackendHooks hooks = std::move(connection.hooks);
@@ -214,7 +250,8 @@
     const BodyEnd end = connection.parser.bodyEnd();
     const bool reuse = connection.reusable && head.keepAlive
         && connection.socket->unsentBytes() == 0 && connection.socket->received().empty()
-        && idle.size() < maxIdlePerServer;
+        && idle.size() < maxIdlePerServer
+        && connection.carriedIds.size() < maxRequestsPerConnection;
     connection.idleUntil = m_loop.now() + idleTimeoutFrom(head);
     if (reuse)
         idle.push_back(&connection);
--- a/src/network/backend_connections.h
+++ b/src/network/backend_connections.h
@@ -22,7 +22,7 @@
     VmId server; ///< Key of the connection pool. Addresses may be reassigned to other servers.
     std::string head; ///< Request line, headers and the blank line that ends them.
     std::string body;
-    std::string traceId; ///< Responses that carry a different id are discarded.
+    std::string traceId; ///< Identifies the response; see BackendConnections.
     bool isToNode = false; ///< The request is passed on to another node.
     bool isHeadRequest = false; ///< The method is HEAD, so the response has no body.
     bool needsNewConnection = false; ///< Open a new connection instead of reusing an idle one.
@@ -52,11 +52,19 @@
     std::function<void(const VmId &)> onFailed;
     /// The first answer on a connection that was opened at the given time.
     std::function<void(TimePoint openedAt)> onAnswered;
+    /// A response that does not belong to the request of its connection is discarded; optional.
+    std::function<void(const BackendRequest &, const MessageHead &)> onDiscarded;
 };
 
 /// Pool of HTTP connections to backend servers, each of which carries one request at a time. A
 /// connection is not reused if it delivers bytes beyond the response, or the response before the
 /// whole request was sent.
+///
+/// A server may repeat an earlier response on a connection. A response to another request is
+/// therefore recognised by its id and discarded. On a connection that was used before, a response
+/// without an id is discarded as well, and no connection carries two requests with the same id. A
+/// response without an id is only passed on from a new connection, and shows nothing about whether
+/// the request was executed.
 class BackendConnections
 {
 public:
@@ -81,14 +89,21 @@
 
 private:
     struct Connection;
+    enum class ResponseOwner {
+        Attempt, ///< The attempt that the connection carries.
+        Other, ///< Another request, or none that can be told.
+        Conflicting, ///< It names several requests.
+    };
 
-    /// Removes an idle connection to a server from the pool; null if there is none.
-    Connection *takeIdle(const VmId &server);
+    /// Removes an idle connection that may carry the request from the pool; null if there is none.
+    Connection *takeIdle(const BackendRequest &request);
     /// Writes the request to the socket.
     void begin(Connection &connection);
     void onConnected(Connection &connection);
     void onReadable(Connection &connection);
     void processInput(Connection &connection);
+    /// Which request the response being received belongs to.
+    ResponseOwner responseOwner(const Connection &connection) const;
     void onClosed(Connection &connection, bool clean);
     /// Ends an attempt after its complete response and keeps the connection if it is reusable.
     void finish(Connection &connection);
--- a/src/network/relay.cpp
+++ b/src/network/relay.cpp
@@ -92,7 +92,15 @@
     , m_backends(
           loop, m_dialect.traceHeader,
           LinkHooks {[this](const VmId &server) { m_requests.onLinkFailed(server, m_loop.now()); },
-                     [this](TimePoint openedAt) { m_requests.onLinkAnswered(openedAt); }})
+                     [this](TimePoint openedAt) { m_requests.onLinkAnswered(openedAt); },
+                     [this](const BackendRequest &request, const MessageHead &head) {
+                         m_hooks.decided(
+                             {request.traceId,
+                              "response_discarded",
+                              {{"server", request.server.value()},
+                               {"status", std::to_string(head.status)},
+                               {"has_id", head.find(m_dialect.traceHeader) ? "true" : "false"}}});
+                     }})
 {
 }
 
@@ -308,7 +316,11 @@
     }
     const ResponseDetails details = open.attempt->details;
     const int status = open.attempt->head.status;
-    if (status == misdirectedRequest) {
+    const bool isRefusal = status == misdirectedRequest || details.notExecuted;
+    if (isRefusal && !open.attempt->head.find(m_dialect.traceHeader)) {
+        // It may be about another request.
+        handleAttemptFailure(id, attempt, AttemptFailure::Unusable);
+    } else if (status == misdirectedRequest) {
         handleAttemptFailure(id, attempt, AttemptFailure::Misdirected, details.faultyServer);
     } else if (details.notExecuted) {
         handleAttemptFailure(id, attempt,
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -44,6 +44,8 @@
 constexpr int retrySpreadDivisor = 2;
 constexpr Duration minRetrySpread {200};
 constexpr int minServerErrorStatus = 500;
+/// Statuses by which callers may conclude that a request was not executed and send it again.
+constexpr std::array notRunStatuses {408, 421, 429, 503};
 /// Requests that this node has passed on to one other node, and those that it takes from others.
 constexpr std::size_t maxForwardedPerNode = 64;
 constexpr std::size_t maxTakenOver = 256;
@@ -60,6 +62,11 @@
 constexpr double millisecondsPerSecond = 1'000;
 constexpr double weightResolution = 1'000'000; ///< Resolution of the choice by weight.
 
+bool statesNotRun(int status)
+{
+    return std::find(notRunStatuses.begin(), notRunStatuses.end(), status) != notRunStatuses.end();
+}
+
 std::string millisecondsText(Duration duration)
 {
     return std::to_string(duration.count());
@@ -973,6 +980,11 @@
     Request *request = stalled ? stalled : find(id, attempt);
     if (!request)
         return;
+    if (!request->mayRepeatRun() && statesNotRun(status)) {
+        // Nothing shows that it has not run, so that its caller must not send it again.
+        onAttemptFailed(id, attempt, AttemptFailure::Unusable, VmId(), now, actions);
+        return;
+    }
     if (status < minServerErrorStatus)
         recordEnd(*request, attemptOf(*request, attempt), end, now);
     const TargetKey key {request->service, request->arrival.model};
@@ -1172,12 +1184,15 @@
         cause = "misdirected";
         --request->attemptsUsed;
         break;
+    case AttemptFailure::Unusable:
+        cause = "unusable";
+        [[fallthrough]];
     case AttemptFailure::Broken:
-        recordBreak(*request, request->current, now);
+        if (failure == AttemptFailure::Broken)
+            recordBreak(*request, request->current, now);
         request->mayHaveRun = true;
-        mayRetry = request->kind == RequestKind::Repeatable
-            || request->kind == RequestKind::ResumableStream;
-        if (isServerUnlisted)
+        mayRetry = request->mayRepeatRun();
+        if (isServerUnlisted && failure == AttemptFailure::Broken)
             --request->attemptsUsed;
         break;
     }
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -235,6 +235,12 @@
         std::optional<TimePoint> firstEventAt; ///< When the first event was forwarded.
         TimePoint lastEventAt; ///< When the latest event was forwarded.
         Duration longestGap {0}; ///< Longest time between two forwarded events.
+
+        /// Whether it may be sent again after it may have been executed.
+        bool mayRepeatRun() const
+        {
+            return kind == RequestKind::Repeatable || kind == RequestKind::ResumableStream;
+        }
     };
     struct TargetKey
     {
--- a/src/request/request_type.h
+++ b/src/request/request_type.h
@@ -50,6 +50,7 @@
     Withdrawn, ///< Nothing was sent: the server takes no requests any more. It is not at fault.
     Paused, ///< The server did not execute the request and asked for a pause. It is not at fault.
     Broken, ///< It ended without a complete response. It may have been executed.
+    Unusable, ///< Its response cannot be passed on. It may have been executed.
 };
 
 /// Another node that takes requests and reaches servers.
--- a/src/tests/attempt_test.cpp
+++ b/src/tests/attempt_test.cpp
@@ -129,7 +129,8 @@
 {
     for (const AttemptFailure failure :
          {AttemptFailure::Unsent, AttemptFailure::NotExecuted, AttemptFailure::Misdirected,
-          AttemptFailure::Withdrawn, AttemptFailure::Paused, AttemptFailure::Broken}) {
+          AttemptFailure::Withdrawn, AttemptFailure::Paused, AttemptFailure::Broken,
+          AttemptFailure::Unusable}) {
         addGroup("a");
         addGroup("b");
         const DispatchAttempt silent = startStream();
--- a/src/tests/http_client_test.cpp
+++ b/src/tests/http_client_test.cpp
@@ -223,6 +223,55 @@
     }
 }
 
+TEST_F(HttpClientTest, EarlierResponseIsNotThatToTheNextRequestOfAConnection)
+{
+    // Guards against TWICE and REFUSED: a refusal that a server repeated was taken for its answer
+    // to the next request, which it was running.
+    const auto response = [](int status, const std::string &headers) {
+        return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers
+            + "Content-Length: 0\r\n\r\n";
+    };
+    m_server.ending = Ending::Silence;
+    BackendConnections connections(m_loop, "X-Id");
+    int status = 0;
+    const auto send = [&](const std::string &id) {
+        status = 0;
+        BackendRequest request;
+        request.address = m_server.address();
+        request.server = VmId("s");
+        request.head = "GET / HTTP/1.1\r\n\r\n";
+        request.traceId = id;
+        BackendHooks hooks;
+        hooks.onResponseHead = [&](const MessageHead &head) { status = head.status; };
+        hooks.onResponseEnd = [&](BodyEnd) { m_loop.stop(); };
+        hooks.onFailure = [&](bool) { m_loop.stop(); };
+        connections.send(request, hooks);
+        m_loop.run();
+    };
+    const std::string own = response(200, "X-Id: two\r\n");
+    for (const std::string &earlier : {response(503, ""), response(503, "X-Id: one\r\n"),
+                                       response(421, ""), response(100, "")}) {
+        m_server.response = response(503, "X-Id: one\r\n");
+        send("one");
+        EXPECT_EQ(status, 503);
+        m_server.response = earlier + own;
+        send("two");
+        EXPECT_EQ(status, 200) << earlier;
+    }
+    // Merged with the next response, it names both requests.
+    m_server.response = response(503, "X-Id: one\r\n");
+    send("one");
+    m_server.response = "HTTP/1.1 503 X\r\nX-Id: one\r\nX: " + own;
+    send("two");
+    EXPECT_EQ(status, 0);
+    const auto opened = connections.opened();
+    m_server.response = own;
+    send("two"); // Is not sent where another request had the same id.
+    send("two");
+    EXPECT_EQ(status, 200);
+    EXPECT_EQ(connections.opened(), opened + 2);
+}
+
 /// The bytes of a complete response.
 std::string okResponse(const std::string &body)
 {
--- a/src/tests/request_test.cpp
+++ b/src/tests/request_test.cpp
@@ -242,6 +242,23 @@
     EXPECT_EQ(refusals[0].run, RunOutcome::NotRun);
 }
 
+TEST_F(RequestTest, PaymentAnsweredWithAnUnprovenRefusalIsNotReportedAsNotRun)
+{
+    m_backends.update(serverReport("s1"), m_now);
+    m_backends.update(serverReport("s2"), m_now);
+    for (const int status : {408, 421, 429, 503}) {
+        const auto attempt = actionsOf<DispatchAttempt>(sendRequest("/pay/x")).at(0);
+        RequestActions actions;
+        m_system.onResponse(attempt.request, attempt.attempt, status, m_now, actions);
+        EXPECT_TRUE(actionsOf<DeliverResponse>(actions).empty());
+        EXPECT_TRUE(actionsOf<DispatchAttempt>(actions).empty());
+        const auto refusals = actionsOf<RefuseRequest>(actions);
+        ASSERT_EQ(refusals.size(), 1U);
+        EXPECT_EQ(refusals[0].code, ErrorCode::BackendFailed);
+        EXPECT_EQ(refusals[0].run, RunOutcome::MayHaveRun);
+    }
+}
+
 TEST_F(RequestTest, ServerErrorIsRetriedAndDeliveredIfRetryFails)
 {
     m_backends.update(serverReport("s1"), m_now);
