Fix: [Relay] What the next server answered reached a stream that had begun

What callers saw: in the middle of a stream the error text of another server, or its whole head, or a stream that was framed as complete before its last event.

Cause: a resumed attempt was judged like a first one. Any block of lines up to a blank one counted as an event. A resumed run without an event ended the stream as complete where a length or chunks ended it, also with status 204, and a run with comments counted as one with events.

Change: a block without any field that events have (data, event, id, retry) is no event: the attempt has failed, nothing of the block is forwarded, and `event_refused` is logged. That a resumed stream has no further event is believed from two servers, in each framing; comments before the first event of a resumed run are left out. A response to a resumed attempt that is no stream is `unusable`, which does not count as a crash of its server.

EventFramingTest.MessageOfAServerIsNoEvent covers the blocks. Two servers that both send an empty stream by mistake still end it: that cannot be told from a stream of which nothing is left.

--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -15,6 +15,7 @@
          "overload_test", "relay_test", "http_client_test", "promises_test"]
 # Tests that start the program, for mutants that no test above catches. They share ports.
 PROCESS_TESTS = [["response_end_test.py"], ["repeated_refusal_test.py"],
+                 ["resumed_stream_test.py"],
                  ["process_test.py", "CompletionTest"]]
 PROGRAMS = ["bramleypitch", "bramleypitch-standin"]
 process_test_lock = threading.Lock()
@@ -198,9 +199,14 @@
      "recordProof(std::min(feed.echo - feed.proofAge, now));", "recordProof(now);"),
     ("key_goes_to_the_server", "platform/platform_dialect.cpp", '"authorization",', '"x-none",'),
     ("stream_cut_inside_an_event_is_complete", "network/relay.cpp",
-     "    if (attempt.framing.isInsideEvent())\n        return true;\n", ""),
+     "    if (attempt.framing.isInsideEvent())\n        return AttemptFailure::Broken;\n", ""),
     ("stream_without_events_is_complete", "network/relay.cpp",
-     "return !exchange.headSent || exchange.emptyEnds++ == 0;", "return false;"),
+     "end == BodyEnd::ConnectionClose ? std::optional(AttemptFailure::Broken)",
+     "false ? std::optional(AttemptFailure::Broken)"),
+    ("one_server_ends_a_resumed_stream", "network/relay.cpp",
+     "if (!before.value().empty() && before != attempt.server)", "if (true)"),
+    ("message_of_a_server_is_an_event", "network/relay.cpp",
+     "if (mark.kind == EventKind::Other) {", "if (false) {"),
     ("event_without_end_is_kept", "network/relay.cpp",
      "if (unfinished > ResponseLimits::eventBytes)", "if (false)"),
     ("any_coding_ends_a_response", "network/http_client.cpp",
--- a/src/network/event_framing.cpp
+++ b/src/network/event_framing.cpp
@@ -1,10 +1,21 @@
 #include "network/event_framing.h"
 
+#include <algorithm>
+#include <array>
+#include <utility>
+
 namespace bramleypitch {
 
 namespace {
 
 constexpr std::string_view idField = "id:";
+constexpr std::array<std::string_view, 4> eventFields {"data", "event", "id", "retry"};
+
+bool isEventField(std::string_view line)
+{
+    const std::string_view name = line.substr(0, line.find(':'));
+    return std::find(eventFields.begin(), eventFields.end(), name) != eventFields.end();
+}
 
 /// Returns the value of an id field, or an empty string if the line is another field.
 std::string_view eventId(std::string_view line)
@@ -50,6 +61,7 @@
         if (!line->empty()) {
             m_hasLine = true;
             m_hasField = m_hasField || line->front() != ':';
+            m_hasEventField = m_hasEventField || isEventField(*line);
             if (const std::string_view id = eventId(*line); !id.empty())
                 m_id = id;
             continue;
@@ -58,10 +70,13 @@
             continue;
         ++batch.events;
         if (!m_id.empty())
-            batch.lastEventId = std::move(m_id);
-        m_id.clear();
-        m_hasLine = m_hasField = false;
+            batch.lastEventId = m_id;
+        const EventKind kind = m_hasEventField ? EventKind::Event
+            : m_hasField                       ? EventKind::Other
+                                               : EventKind::Comment;
         complete = m_lineBegin;
+        batch.marks.push_back({complete, kind, std::exchange(m_id, std::string())});
+        m_hasLine = m_hasField = m_hasEventField = false;
     }
     batch.bytes = m_buffer.substr(0, complete);
     m_buffer.erase(0, complete);
--- a/src/network/event_framing.h
+++ b/src/network/event_framing.h
@@ -4,14 +4,31 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace bramleypitch {
 
+/// What a block of lines of a stream is.
+enum class EventKind {
+    Event, ///< It has at least one field that events have.
+    Comment, ///< It consists of comments.
+    Other, ///< Something else, such as a message of the server.
+};
+
+/// A complete event in the bytes of a batch.
+struct EventMark
+{
+    std::size_t end = 0; ///< Offset of the byte after it.
+    EventKind kind = EventKind::Event;
+    std::string id; ///< Empty if it has none.
+};
+
 /// Complete events of a stream, as the bytes to forward.
 struct EventBatch
 {
     std::string bytes;
     std::size_t events = 0;
+    std::vector<EventMark> marks; ///< One for each of the events.
     std::string lastEventId; ///< The id of the last event with an id; empty if there is none.
 };
 
@@ -38,6 +55,7 @@
     std::size_t m_scanned = 0; ///< The buffer contains no line end from m_lineBegin up to here.
     bool m_hasLine = false; ///< The incomplete event has a complete line.
     bool m_hasField = false; ///< One of these lines is a field, not a comment.
+    bool m_hasEventField = false; ///< One of them is a field that events have.
     bool m_bareCarriageReturns = false; ///< The last line ended with a carriage return alone.
     std::string m_id; ///< The id of the incomplete event.
 };
--- a/src/network/relay.cpp
+++ b/src/network/relay.cpp
@@ -5,12 +5,14 @@
 #include "network/retry_after_func.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bramleypitch {
 
 namespace {
 
 constexpr int ok = 200;
+constexpr int noContent = 204;
 constexpr int firstRedirect = 300;
 constexpr int misdirectedRequest = 421;
 constexpr int unavailable = 503;
@@ -18,6 +20,7 @@
 /// all of them have been sent.
 constexpr std::size_t maxUnsentBytes = 128 * 1024;
 constexpr std::string_view eventStreamType = "text/event-stream";
+constexpr std::size_t maxLoggedIdBytes = 64;
 
 int toHttpStatus(ErrorCode code)
 {
@@ -178,6 +181,7 @@
         return;
     const std::string type = head.value("content-type");
     open.attempt->isStream = head.status >= ok && head.status < firstRedirect
+        && head.status != noContent
         && type.compare(0, eventStreamType.size(), eventStreamType) == 0;
     open.attempt->head = head;
     open.attempt->details = m_dialect.readResponse(head);
@@ -250,27 +254,67 @@
 
 void Relay::forwardEvents(RequestId id, AttemptNumber attempt, const std::string &bytes)
 {
-    EventFraming &received = find(id, attempt).attempt->framing;
-    const EventBatch batch = received.take(bytes);
-    if (batch.events > 0)
-        sendEvents(id, chooseAttempt(id, attempt), batch);
+    Attempt &receiving = *find(id, attempt).attempt;
+    const Forwarding forwarding = selectEvents(receiving, receiving.framing.take(bytes));
+    if (!forwarding.bytes.empty())
+        sendEvents(id, chooseAttempt(id, attempt), forwarding);
     const OpenAttempt open = find(id, attempt);
     if (!open)
         return;
+    if (forwarding.refused) {
+        abandonUnusable(id, attempt, *forwarding.refused);
+        return;
+    }
     const std::size_t unfinished = open.attempt->framing.remainder().size();
     if (unfinished > ResponseLimits::eventBytes)
         abandonTooLarge(id, attempt, unfinished, ResponseLimits::eventBytes);
 }
 
-void Relay::sendEvents(RequestId id, Exchange &exchange, const EventBatch &batch)
+Relay::Forwarding Relay::selectEvents(const Attempt &attempt, const EventBatch &batch)
+{
+    Forwarding forwarding;
+    std::size_t begin = 0;
+    for (const EventMark &mark : batch.marks) {
+        const std::size_t length = mark.end - std::exchange(begin, mark.end);
+        const bool isFirst = attempt.events + forwarding.events == 0;
+        if (mark.kind == EventKind::Comment && attempt.isResumed && isFirst)
+            continue;
+        if (mark.kind == EventKind::Other) {
+            forwarding.refused = mark;
+            break;
+        }
+        if (mark.kind == EventKind::Event)
+            ++forwarding.events;
+        if (!mark.id.empty())
+            forwarding.lastEventId = mark.id;
+        forwarding.bytes.append(batch.bytes, mark.end - length, length);
+    }
+    return forwarding;
+}
+
+void Relay::abandonUnusable(RequestId id, AttemptNumber attempt, const EventMark &refused)
+{
+    const OpenAttempt open = find(id, attempt);
+    m_hooks.decided({open.exchange->head.value(m_dialect.traceHeader),
+                     "event_refused",
+                     {{"server", open.attempt->server.value()},
+                      {"id", refused.id.empty() ? "none" : refused.id.substr(0, maxLoggedIdBytes)},
+                      {"last", open.exchange->lastEvent.substr(0, maxLoggedIdBytes)},
+                      {"resumed", open.attempt->isResumed ? "true" : "false"}}});
+    open.attempt->framing.reset();
+    m_backends.abandon(open.attempt->handle);
+    handleAttemptFailure(id, attempt, AttemptFailure::Unusable);
+}
+
+void Relay::sendEvents(RequestId id, Exchange &exchange, const Forwarding &forwarding)
 {
     // The head is sent with the first complete event: until then the request can still be moved to
     // another server.
     startResponse(id, exchange);
-    exchange.current.events += batch.events;
-    m_callers.sendChunk(toExchangeId(id), batch.bytes);
-    if (!batch.lastEventId.empty())
-        exchange.lastEvent = batch.lastEventId;
+    exchange.current.events += forwarding.events;
+    m_callers.sendChunk(toExchangeId(id), forwarding.bytes);
+    if (!forwarding.lastEventId.empty())
+        exchange.lastEvent = forwarding.lastEventId;
     m_requests.onEventForwarded(id, exchange.current.number, m_loop.now());
     if (!exchange.paused && m_callers.unsentBytes(toExchangeId(id)) > maxUnsentBytes) {
         exchange.paused = true;
@@ -279,13 +323,20 @@
     }
 }
 
-bool Relay::isBrokenOff(Exchange &exchange, const Attempt &attempt, BodyEnd end)
+std::optional<AttemptFailure> Relay::streamFailure(Exchange &exchange, const Attempt &attempt,
+                                                   BodyEnd end)
 {
     if (attempt.framing.isInsideEvent())
-        return true;
-    if (end != BodyEnd::ConnectionClose || attempt.events > 0)
-        return false;
-    return !exchange.headSent || exchange.emptyEnds++ == 0;
+        return AttemptFailure::Broken;
+    if (attempt.events > 0)
+        return std::nullopt;
+    if (!attempt.isResumed)
+        return end == BodyEnd::ConnectionClose ? std::optional(AttemptFailure::Broken)
+                                               : std::nullopt;
+    const VmId before = std::exchange(exchange.endedBy, attempt.server);
+    if (!before.value().empty() && before != attempt.server)
+        return std::nullopt;
+    return AttemptFailure::Unusable;
 }
 
 void Relay::logDoubtfulEnd(const Exchange &exchange, const Attempt &attempt, BodyEnd end)
@@ -328,7 +379,7 @@
                                                   : AttemptFailure::NotExecuted,
                              details.faultyServer);
     } else if (open.exchange->headSent) {
-        handleAttemptFailure(id, attempt, AttemptFailure::Broken, details.faultyServer);
+        handleAttemptFailure(id, attempt, AttemptFailure::Unusable, details.faultyServer);
     } else {
         open.exchange->lastResponseHead = open.attempt->head;
         open.exchange->lastResponseBody = std::move(open.attempt->body);
@@ -341,14 +392,15 @@
 void Relay::handleStreamEnd(RequestId id, AttemptNumber attempt, BodyEnd end)
 {
     const OpenAttempt open = find(id, attempt);
-    if (isBrokenOff(*open.exchange, *open.attempt, end)) {
-        handleAttemptFailure(id, attempt, AttemptFailure::Broken);
+    if (const auto failure = streamFailure(*open.exchange, *open.attempt, end)) {
+        handleAttemptFailure(id, attempt, *failure);
         return;
     }
     Exchange &exchange = chooseAttempt(id, attempt);
     const TimePoint now = m_loop.now();
     startResponse(id, exchange);
-    m_callers.sendChunk(toExchangeId(id), exchange.current.framing.remainder());
+    if (!exchange.current.isResumed || exchange.current.events > 0)
+        m_callers.sendChunk(toExchangeId(id), exchange.current.framing.remainder());
     m_callers.endChunkedResponse(toExchangeId(id));
     m_hooks.answered(now - exchange.arrivedAt);
     m_exchanges.erase(id);
@@ -386,6 +438,7 @@
     exchange.current = Attempt();
     exchange.current.number = attempt;
     exchange.current.server = dispatch.server;
+    exchange.current.isResumed = exchange.headSent;
     exchange.paused = false;
     BackendRequest request;
     request.address = dispatch.address;
--- a/src/network/relay.h
+++ b/src/network/relay.h
@@ -78,8 +78,9 @@
         ResponseDetails details; ///< Read from the head.
         std::string body; ///< Of a response that is not a stream.
         bool isStream = false; ///< The response is a stream of events.
+        bool isResumed = false; ///< It continues a response that has begun.
         EventFraming framing;
-        std::size_t events = 0;
+        std::size_t events = 0; ///< Forwarded events, without comments.
     };
     /// A caller's request and the state of its response.
     struct Exchange
@@ -89,7 +90,7 @@
         TimePoint arrivedAt;
         Attempt current;
         std::vector<Attempt> stalled; ///< Kept open beside the attempt that may replace them.
-        std::size_t emptyEnds = 0; ///< Attempts that resumed it and ended without an event.
+        VmId endedBy; ///< The server that resumed it and ended it without an event, if any.
         MessageHead lastResponseHead; ///< Of the last complete response, kept for DeliverResponse.
         std::string lastResponseBody;
         bool headSent = false; ///< The head of the response was sent to the caller.
@@ -110,7 +111,20 @@
     void onResponseHead(RequestId id, AttemptNumber attempt, const MessageHead &head);
     void onResponseBody(RequestId id, AttemptNumber attempt, const std::string &bytes);
     void forwardEvents(RequestId id, AttemptNumber attempt, const std::string &bytes);
-    void sendEvents(RequestId id, Exchange &exchange, const EventBatch &batch);
+    /// What is forwarded of a batch of events.
+    struct Forwarding
+    {
+        std::string bytes;
+        std::size_t events = 0; ///< Without comments.
+        std::string lastEventId; ///< Empty if no event has one.
+        std::optional<EventMark> refused; ///< The first event that is not a part of the stream.
+    };
+    /// Selects the events that are a part of the stream, up to the first one that is not. Comments
+    /// before the first event of an attempt that resumes it are left out.
+    static Forwarding selectEvents(const Attempt &attempt, const EventBatch &batch);
+    void sendEvents(RequestId id, Exchange &exchange, const Forwarding &forwarding);
+    /// Ends an attempt whose response is not the stream that it began as or should continue.
+    void abandonUnusable(RequestId id, AttemptNumber attempt, const EventMark &refused);
     /// Ends an attempt whose response exceeds a limit. Logs the size and the limit in bytes.
     void abandonTooLarge(RequestId id, AttemptNumber attempt, std::size_t bytes, std::size_t limit);
     void startResponse(RequestId id, Exchange &exchange);
@@ -119,10 +133,11 @@
     Exchange &chooseAttempt(RequestId id, AttemptNumber attempt);
     void handleResponseEnd(RequestId id, AttemptNumber attempt, BodyEnd end);
     void handleStreamEnd(RequestId id, AttemptNumber attempt, BodyEnd end);
-    /// Whether a stream whose body has ended was broken off: inside an event, or before its first
-    /// event by the end of the connection alone. That a resumed stream has no further event must be
-    /// confirmed by a second server.
-    static bool isBrokenOff(Exchange &exchange, const Attempt &attempt, BodyEnd end);
+    /// Why a stream whose body has ended is not complete; none if it is. It was broken off inside
+    /// an event, or before its first event by the end of the connection alone. That a resumed
+    /// stream has no further event must be confirmed by another server.
+    static std::optional<AttemptFailure> streamFailure(Exchange &exchange, const Attempt &attempt,
+                                                       BodyEnd end);
     /// Logs a response whose completeness its framing does not show.
     void logDoubtfulEnd(const Exchange &exchange, const Attempt &attempt, BodyEnd end);
     void handleAttemptFailure(RequestId id, AttemptNumber attempt, AttemptFailure failure,
--- a/src/tests/relay_test.cpp
+++ b/src/tests/relay_test.cpp
@@ -148,6 +148,25 @@
     RC_ASSERT(framing.isInsideEvent() == (std::count(ends.begin(), ends.end(), cut) == 0));
 }
 
+TEST(EventFramingTest, MessageOfAServerIsNoEvent)
+{
+    // Guards against MIXED: the error of a server, or its whole head, was forwarded as an event.
+    EventFraming framing;
+    const EventBatch batch = framing.take("id: 1\ndata: a\n\n: comment\n\n"
+                                          "HTTP/1.1 503 Full\r\nX-Id: 1\r\n\r\n"
+                                          "internal error\n\ndata\n\nretry: 5\n\n"
+                                          "x-version: 2\nid: 2\n\n{\"id\":1}\n\n");
+    std::vector<EventKind> kinds;
+    for (const EventMark &mark : batch.marks)
+        kinds.push_back(mark.kind);
+    using enum EventKind;
+    EXPECT_EQ(kinds, (std::vector {Event, Comment, Other, Other, Event, Event, Event, Other}));
+    EXPECT_EQ(batch.marks[0].id, "1");
+    EXPECT_EQ(batch.marks[0].end, 15U);
+    EXPECT_EQ(batch.marks[6].id, "2");
+    EXPECT_EQ(batch.marks.back().end, batch.bytes.size());
+}
+
 /// A store client that completes reads at once with `page` and keeps the callback of a watch.
 class FakeStore : public StoreClient
 {
