Fix: [Relay] A server that did not go on where a stream had broken off was forwarded behind it

What callers saw: a resumed stream with events twice, left out, or of another content, framed as complete, where the next server began again at 1, repeated or left out an event, or sent one without an id.

Cause: the events of a resumed run were forwarded whatever their ids said; a stream without ids was resumed from its beginning.

Change: EventSequence knows the events that were forwarded. The first event of another server has to be the next by its id; a greater one will do only where the ids of the stream have left out numbers before. Ids that do not increase end an attempt of any run. A stream with an event that has no decimal id is not resumed. What a caller resumes itself begins after its Last-Event-Id. Otherwise the attempt is `unusable`: another server is asked, or the stream is broken off without its last chunk. Repeated events are not dropped, since nothing shows that they are of the same stream.

EventSequenceTest.* covers the decisions.

--- a/src/network/relay.cpp
+++ b/src/network/relay.cpp
@@ -144,6 +144,7 @@
     exchange.head = head;
     exchange.body = std::move(body);
     exchange.arrivedAt = now;
+    exchange.sequence = EventSequence(head.value(m_dialect.lastEventHeader));
     if (!arrival) {
         perform(RefuseRequest {request, ErrorCode::MalformedRequest, RunOutcome::NotRun, {}});
         return;
@@ -254,8 +255,9 @@
 
 void Relay::forwardEvents(RequestId id, AttemptNumber attempt, const std::string &bytes)
 {
-    Attempt &receiving = *find(id, attempt).attempt;
-    const Forwarding forwarding = selectEvents(receiving, receiving.framing.take(bytes));
+    const OpenAttempt receiving = find(id, attempt);
+    const Forwarding forwarding = selectEvents(*receiving.exchange, *receiving.attempt,
+                                               receiving.attempt->framing.take(bytes));
     if (!forwarding.bytes.empty())
         sendEvents(id, chooseAttempt(id, attempt), forwarding);
     const OpenAttempt open = find(id, attempt);
@@ -270,23 +272,26 @@
         abandonTooLarge(id, attempt, unfinished, ResponseLimits::eventBytes);
 }
 
-Relay::Forwarding Relay::selectEvents(const Attempt &attempt, const EventBatch &batch)
+Relay::Forwarding Relay::selectEvents(const Exchange &exchange, const Attempt &attempt,
+                                      const EventBatch &batch)
 {
     Forwarding forwarding;
+    forwarding.sequence = exchange.sequence;
     std::size_t begin = 0;
     for (const EventMark &mark : batch.marks) {
         const std::size_t length = mark.end - std::exchange(begin, mark.end);
         const bool isFirst = attempt.events + forwarding.events == 0;
         if (mark.kind == EventKind::Comment && attempt.isResumed && isFirst)
             continue;
-        if (mark.kind == EventKind::Other) {
+        if (mark.kind == EventKind::Other
+            || (mark.kind == EventKind::Event && !forwarding.sequence.mayFollow(mark, isFirst))) {
             forwarding.refused = mark;
             break;
         }
-        if (mark.kind == EventKind::Event)
+        if (mark.kind == EventKind::Event) {
             ++forwarding.events;
-        if (!mark.id.empty())
-            forwarding.lastEventId = mark.id;
+            forwarding.sequence.add(mark);
+        }
         forwarding.bytes.append(batch.bytes, mark.end - length, length);
     }
     return forwarding;
@@ -299,7 +304,7 @@
                      "event_refused",
                      {{"server", open.attempt->server.value()},
                       {"id", refused.id.empty() ? "none" : refused.id.substr(0, maxLoggedIdBytes)},
-                      {"last", open.exchange->lastEvent.substr(0, maxLoggedIdBytes)},
+                      {"last", open.exchange->sequence.lastEventId().substr(0, maxLoggedIdBytes)},
                       {"resumed", open.attempt->isResumed ? "true" : "false"}}});
     open.attempt->framing.reset();
     m_backends.abandon(open.attempt->handle);
@@ -313,9 +318,10 @@
     startResponse(id, exchange);
     exchange.current.events += forwarding.events;
     m_callers.sendChunk(toExchangeId(id), forwarding.bytes);
-    if (!forwarding.lastEventId.empty())
-        exchange.lastEvent = forwarding.lastEventId;
+    exchange.sequence = forwarding.sequence;
     m_requests.onEventForwarded(id, exchange.current.number, m_loop.now());
+    if (!exchange.sequence.isResumable())
+        m_requests.onResumingRuledOut(id);
     if (!exchange.paused && m_callers.unsentBytes(toExchangeId(id)) > maxUnsentBytes) {
         exchange.paused = true;
         m_backends.setReading(exchange.current.handle, false);
@@ -443,8 +449,8 @@
     BackendRequest request;
     request.address = dispatch.address;
     request.server = dispatch.server;
-    request.head =
-        m_dialect.writeAttempt(exchange.head, dispatch, exchange.body.size(), exchange.lastEvent);
+    request.head = m_dialect.writeAttempt(exchange.head, dispatch, exchange.body.size(),
+                                          exchange.sequence.lastEventId());
     request.body = exchange.body;
     request.traceId = exchange.head.value(m_dialect.traceHeader);
     request.isHeadRequest = exchange.head.method == "HEAD";
--- a/src/network/relay.h
+++ b/src/network/relay.h
@@ -3,6 +3,7 @@
 #include "network/backend_connections.h"
 #include "network/caller_connections.h"
 #include "network/event_framing.h"
+#include "network/event_sequence.h"
 #include "request/request_system.h"
 
 #include <functional>
@@ -38,6 +39,7 @@
         writeAttempt;
     std::function<ResponseDetails(const MessageHead &)> readResponse;
     std::string traceHeader; ///< Name of the header with the request's id, in both directions.
+    std::string lastEventHeader; ///< Of requests that resume a stream: the id of its last event.
     std::string forwardedHeader; ///< Of requests that a node passes on to another one.
     std::string notExecutedHeader; ///< Of responses to requests that did not run.
 };
@@ -95,7 +97,7 @@
         std::string lastResponseBody;
         bool headSent = false; ///< The head of the response was sent to the caller.
         bool paused = false; ///< Reading from the server is paused for a slow caller.
-        std::string lastEvent; ///< The id of the last event sent to the caller.
+        EventSequence sequence; ///< The events sent to the caller.
     };
     /// An open attempt with its exchange; null if there is none.
     struct OpenAttempt
@@ -116,12 +118,13 @@
     {
         std::string bytes;
         std::size_t events = 0; ///< Without comments.
-        std::string lastEventId; ///< Empty if no event has one.
+        EventSequence sequence; ///< After these events.
         std::optional<EventMark> refused; ///< The first event that is not a part of the stream.
     };
     /// Selects the events that are a part of the stream, up to the first one that is not. Comments
     /// before the first event of an attempt that resumes it are left out.
-    static Forwarding selectEvents(const Attempt &attempt, const EventBatch &batch);
+    static Forwarding selectEvents(const Exchange &exchange, const Attempt &attempt,
+                                   const EventBatch &batch);
     void sendEvents(RequestId id, Exchange &exchange, const Forwarding &forwarding);
     /// Ends an attempt whose response is not the stream that it began as or should continue.
     void abandonUnusable(RequestId id, AttemptNumber attempt, const EventMark &refused);
--- a/src/platform/platform_dialect.cpp
+++ b/src/platform/platform_dialect.cpp
@@ -315,6 +315,7 @@
     dialect.writeAttempt = writeAttempt;
     dialect.readResponse = readResponse;
     dialect.traceHeader = requestIdHeader;
+    dialect.lastEventHeader = lastEventIdHeader;
     dialect.forwardedHeader = forwardedHeader;
     dialect.notExecutedHeader = notExecutedHeader;
     return dialect;
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -951,6 +951,13 @@
     }
 }
 
+void RequestSystem::onResumingRuledOut(RequestId id)
+{
+    const auto found = m_requests.find(id);
+    if (found != m_requests.end() && found->second.kind == RequestKind::ResumableStream)
+        found->second.kind = RequestKind::Stream;
+}
+
 void RequestSystem::onStreamEnded(RequestId id, AttemptNumber attempt, TimePoint now,
                                   RequestActions &actions, ResponseEnd end)
 {
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -116,6 +116,8 @@
     /// The transport stopped reading the response to the attempt since its caller reads slowly, or
     /// goes on reading.
     void onReadingPaused(RequestId request, AttemptNumber attempt, bool paused, TimePoint now);
+    /// No other server can continue the stream, since its events do not show where it is.
+    void onResumingRuledOut(RequestId request);
     /// The stream of the attempt ended completely. `end` tells how its end is known.
     void onStreamEnded(RequestId request, AttemptNumber attempt, TimePoint now,
                        RequestActions &actions, ResponseEnd end = ResponseEnd::Framed);
--- a/src/tests/relay_test.cpp
+++ b/src/tests/relay_test.cpp
@@ -4,6 +4,7 @@
 #include "core/error_type.h"
 #include "core/rendezvous_func.h"
 #include "network/event_framing.h"
+#include "network/event_sequence.h"
 #include "network/feed_codec.h"
 #include "network/gen/peer_types.h"
 #include "network/http_message.h"
@@ -167,6 +168,64 @@
     EXPECT_EQ(batch.marks.back().end, batch.bytes.size());
 }
 
+EventMark eventWithId(const std::string &id)
+{
+    EventMark mark;
+    mark.id = id;
+    return mark;
+}
+
+EventSequence sequenceOf(const std::vector<std::string> &ids, const std::string &before = "")
+{
+    EventSequence sequence(before);
+    for (const std::string &id : ids)
+        sequence.add(eventWithId(id));
+    return sequence;
+}
+
+TEST(EventSequenceTest, ResumedStreamGoesOnAfterItsLastEvent)
+{
+    // Guards against ORDER: a server that begins a stream again was forwarded behind another one.
+    const auto mayResume = [](const std::vector<std::string> &ids, const std::string &next) {
+        return sequenceOf(ids).mayFollow(eventWithId(next), true);
+    };
+    EXPECT_TRUE(mayResume({"1", "2"}, "3"));
+    for (const char *next : {"0", "1", "2", "4", "", "e3", "-3", "3 ", "99999999999999999999"})
+        EXPECT_FALSE(mayResume({"1", "2"}, next)) << next;
+    // Servers that do not number all events.
+    EXPECT_TRUE(mayResume({"4", "8"}, "12"));
+    EXPECT_FALSE(mayResume({"4", "8"}, "8"));
+    // Nothing shows where the stream is.
+    EXPECT_FALSE(mayResume({""}, "1"));
+    EXPECT_FALSE(mayResume({"1", ""}, "2"));
+    EXPECT_FALSE(mayResume({"a"}, "b"));
+    EXPECT_FALSE(sequenceOf({"1", ""}).isResumable());
+    EXPECT_TRUE(sequenceOf({"1", "2"}).isResumable());
+    EXPECT_TRUE(mayResume({}, "1"));
+    EXPECT_TRUE(mayResume({}, ""));
+}
+
+TEST(EventSequenceTest, EventsOfOneServerIncrease)
+{
+    const EventSequence sequence = sequenceOf({"1", "2"});
+    for (const char *next : {"3", "7", "", "done"})
+        EXPECT_TRUE(sequence.mayFollow(eventWithId(next), false)) << next;
+    for (const char *next : {"0", "1", "2"})
+        EXPECT_FALSE(sequence.mayFollow(eventWithId(next), false)) << next;
+    EXPECT_EQ(sequence.lastEventId(), "2");
+}
+
+TEST(EventSequenceTest, StreamThatItsCallerResumesBeginsAfterItsLastEvent)
+{
+    const EventSequence sequence = sequenceOf({}, "12");
+    EXPECT_TRUE(sequence.lastEventId().empty());
+    EXPECT_TRUE(sequence.mayFollow(eventWithId("13"), true));
+    EXPECT_TRUE(sequence.mayFollow(eventWithId("16"), true));
+    EXPECT_FALSE(sequence.mayFollow(eventWithId("12"), true));
+    EXPECT_FALSE(sequence.mayFollow(eventWithId("1"), true));
+    EXPECT_FALSE(sequenceOf({"13"}, "12").mayFollow(eventWithId("15"), true));
+}
+
 /// A store client that completes reads at once with `page` and keeps the callback of a watch.
 class FakeStore : public StoreClient
 {
--- a/src/tests/resumed_stream_test.py
+++ b/src/tests/resumed_stream_test.py
@@ -27,8 +27,9 @@
 EVENTS = 5
 CONCURRENT_CALLS = 32
 CALLER_TIMEOUT_S = 8
-ROUTES = {"resumable": {"route_type": "streaming", "resumable": True, "timeout_ms": 4000,
-                        "max_attempts": 4},
+RESUMABLE = {"route_type": "streaming", "resumable": True, "timeout_ms": 4000, "max_attempts": 4}
+# "unnumbered": its events have no ids. "continued": the caller resumes it, at a server that does not.
+ROUTES = {"resumable": RESUMABLE, "unnumbered": RESUMABLE, "continued": RESUMABLE,
           "once": {"route_type": "streaming", "timeout_ms": 4000, "max_attempts": 4}}
 FRAMINGS = ("length", "chunked", "close")
 # Where the first run ends: how many events are whole, and what follows them.
@@ -63,6 +64,20 @@
     "second answer": ("200 OK", STREAM, [], lambda case, last: case.events(last + 1, last + 2)
                       + b"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"),
 }
+CONTINUATIONS = {
+    "event without an id": ("200 OK", STREAM, [], lambda case, last:
+                            b"data: [ERROR]\n\n" + case.events(last + 1)),
+    "begins again": ("200 OK", STREAM, [], lambda case, last: case.events(1)),
+    "other content": ("200 OK", STREAM, [], lambda case, last: case.events(1, text="other")),
+    "repeats the last": ("200 OK", STREAM, [], lambda case, last: case.events(last)),
+    "leaves one out": ("200 OK", STREAM, [], lambda case, last: case.events(last + 2)
+                       or b"id: 9\ndata: extra\n\n"),
+    "falls": ("200 OK", STREAM, [], lambda case, last:
+              case.events(last + 1, last + 2) + case.events(1)),
+    "text as id": ("200 OK", STREAM, [], lambda case, last:
+                   case.events(last + 1).replace(b"id: ", b"id: e")),
+    "comment and again": ("200 OK", STREAM, [], lambda case, last: b": hello\n\n" + case.events(1)),
+}
 EMPTY = ("nothing", "blank lines", "comments")  # As a server does that has no further event.
 
 
@@ -78,10 +93,15 @@
         return (f"{self.kind}, {self.framing}, broken {self.place}, then {self.answer} "
                 f"({self.next_framing}) in {self.faulty_runs} runs (case {self.number})")
 
-    def events(self, first, end=EVENTS + 1):
-        return b"".join(f"id: {number}\ndata: event {number} of {self.number}\n\n".encode()
+    def events(self, first, end=EVENTS + 1, text="event"):
+        numbered = self.kind != "unnumbered"
+        return b"".join((f"id: {number}\n" * numbered +
+                         f"data: {text} {number} of {self.number}\n\n").encode()
                         for number in range(first, min(end, EVENTS + 1)))
 
+    def last_of_caller(self):
+        return PLACES[self.place][0] if self.kind == "continued" else 0
+
     def message(self, head, status, media, lines, body, framing):
         lines = [f"HTTP/1.1 {status}", f"X-Request-Id: {head['x-request-id']}",
                  "X-Server-Seal: s", f"Content-Type: {media}", *lines]
@@ -100,6 +120,8 @@
             run = len(self.runs)
             self.runs.append(last)
         generator = seeded(SEED, self.number, run)
+        if self.kind == "continued":
+            run += 1  # The run before was that of another request.
         if run == 0:
             count, rest = PLACES[self.place]
             wire = self.message(head, "200 OK", STREAM, [], self.events(1), self.framing)
@@ -115,7 +137,7 @@
                 reset(connection)
             return False
         if run <= self.faulty_runs:
-            status, media, lines, body = ANSWERS[self.answer]
+            status, media, lines, body = {**ANSWERS, **CONTINUATIONS}[self.answer]
             body = body(self, last) if callable(body) else body
             wire = self.message(head, status, media, lines, body, self.next_framing)
         else:
@@ -126,9 +148,10 @@
 
     def violations(self, reply):
         found = []
-        whole = self.events(1)
-        if reply.status != 200:
-            return [f"status {reply.status}"]  # Each first run sends an event.
+        whole = self.events(self.last_of_caller() + 1)
+        if reply.status != 200:  # Each first run sends an event that may be passed on.
+            return [] if self.kind == "continued" and self.faulty_runs > 1 else \
+                [f"status {reply.status}"]
         if not whole.startswith(reply.body):
             found.append(f"got {reply.body!r}")
         if reply.extra:
@@ -137,9 +160,9 @@
         is_confirmed = self.answer in EMPTY and self.faulty_runs > 1
         if reply.complete and reply.body != whole and not is_confirmed:
             found.append(f"framed as complete after {reply.body[-30:]!r}")
-        if self.kind == "once" and len(self.runs) != 1:
+        if self.kind in ("once", "unnumbered") and len(self.runs) != 1:
             found.append(f"ran {len(self.runs)} times")
-        if self.kind == "resumable" and self.faulty_runs <= 1 and \
+        if self.kind in ("resumable", "continued") and self.faulty_runs <= 1 and \
                 self.place != "after the last event" and not (reply.complete and
                                                               reply.body == whole):
             found.append(f"not continued by another server: {reply.body[-30:]!r}, "
@@ -159,6 +182,12 @@
     for place in PLACES:
         for framing in FRAMINGS:
             cases.append(Case(len(cases) + 1, "once", place, framing, "error", "length", 1))
+    for kind, answer in (("unnumbered", "begins again"), ("continued", "begins again"),
+                         ("continued", "repeats the last")):
+        for framing in FRAMINGS if answer in answers else ():
+            for faulty_runs in (1, SERVERS + 1):
+                cases.append(Case(len(cases) + 1, kind, "between events", framing, answer, framing,
+                                  faulty_runs))
     return cases
 
 
@@ -172,9 +201,11 @@
                          self.cases[service_of(head)].serve(connection, head))
 
     def play(self, case):
+        last_event = (f"Last-Event-Id: {case.last_of_caller()}\r\n"
+                      if case.kind == "continued" else "")
         request = (f"POST /c{case.number}/x HTTP/1.1\r\nHost: shop.example\r\n"
                    f"X-Request-Id: r{case.number}\r\nX-Request-Deadline: 6000\r\n"
-                   "Content-Length: 2\r\n\r\n{}")
+                   f"{last_event}Content-Length: 2\r\n\r\n{{}}")
         reply = call(self.front_address(0), request.encode(), CALLER_TIMEOUT_S)
         return [f"{case}: {violation}" for violation in case.violations(reply)]
 
@@ -195,6 +226,9 @@
     def test_answer_of_the_next_server_does_not_reach_the_stream(self):
         self.check(ANSWERS)
 
+    def test_events_that_do_not_continue_the_stream_do_not_reach_it(self):
+        self.check(CONTINUATIONS)
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
