--- a/src/network/relay.cpp
+++ b/src/network/relay.cpp
@@ -5,12 +5,14 @@
 #include "network/retry_after_func.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bramleypitch {
 
 namespace {
 
 constexpr int ok = 200;
+constexpr int noContent = 204;
 constexpr int firstRedirect = 300;
 constexpr int misdirectedRequest = 421;
 constexpr int unavailable = 503;
@@ -20,6 +22,7 @@
 /// For callers whose body was dropped for lack of memory.
 constexpr Duration bodyMemoryRetry {1'000};
 constexpr std::string_view eventStreamType = "text/event-stream";
+constexpr std::size_t maxLoggedIdBytes = 64;
 
 int toHttpStatus(ErrorCode code)
 {
@@ -95,7 +98,15 @@
     , m_backends(
           loop, m_dialect.traceHeader,
           LinkHooks {[this](const VmId &server) { m_requests.onLinkFailed(server, m_loop.now()); },
-                     [this](TimePoint openedAt) { m_requests.onLinkAnswered(openedAt); }})
+                     [this](TimePoint openedAt) { m_requests.onLinkAnswered(openedAt); },
+                     [this](const BackendRequest &request, const MessageHead &head) {
+                         m_hooks.decided(
+                             {request.traceId,
+                              "response_discarded",
+                              {{"server", request.server.value()},
+                               {"status", std::to_string(head.status)},
+                               {"has_id", head.find(m_dialect.traceHeader) ? "true" : "false"}}});
+                     }})
 {
 }
 
@@ -136,6 +147,7 @@
     exchange.head = head;
     exchange.body = std::move(body);
     exchange.arrivedAt = now;
+    exchange.sequence = EventSequence(head.value(m_dialect.lastEventHeader));
     if (!arrival) {
         perform(RefuseRequest {request, ErrorCode::MalformedRequest, RunOutcome::NotRun, {}});
         return;
@@ -186,6 +198,7 @@
         return;
     const std::string type = head.value("content-type");
     open.attempt->isStream = head.status >= ok && head.status < firstRedirect
+        && head.status != noContent
         && type.compare(0, eventStreamType.size(), eventStreamType) == 0;
     open.attempt->head = head;
     open.attempt->details = m_dialect.readResponse(head);
@@ -258,28 +271,73 @@
 
 void Relay::forwardEvents(RequestId id, AttemptNumber attempt, const std::string &bytes)
 {
-    EventFraming &received = find(id, attempt).attempt->framing;
-    const EventBatch batch = received.take(bytes);
-    if (batch.events > 0)
-        sendEvents(id, chooseAttempt(id, attempt), batch);
+    const OpenAttempt receiving = find(id, attempt);
+    const Forwarding forwarding = selectEvents(*receiving.exchange, *receiving.attempt,
+                                               receiving.attempt->framing.take(bytes));
+    if (!forwarding.bytes.empty())
+        sendEvents(id, chooseAttempt(id, attempt), forwarding);
     const OpenAttempt open = find(id, attempt);
     if (!open)
         return;
+    if (forwarding.refused) {
+        abandonUnusable(id, attempt, *forwarding.refused);
+        return;
+    }
     const std::size_t unfinished = open.attempt->framing.remainder().size();
     if (unfinished > ResponseLimits::eventBytes)
         abandonTooLarge(id, attempt, unfinished, ResponseLimits::eventBytes);
 }
 
-void Relay::sendEvents(RequestId id, Exchange &exchange, const EventBatch &batch)
+Relay::Forwarding Relay::selectEvents(const Exchange &exchange, const Attempt &attempt,
+                                      const EventBatch &batch)
+{
+    Forwarding forwarding;
+    forwarding.sequence = exchange.sequence;
+    std::size_t begin = 0;
+    for (const EventMark &mark : batch.marks) {
+        const std::size_t length = mark.end - std::exchange(begin, mark.end);
+        const bool isFirst = attempt.events + forwarding.events == 0;
+        if (mark.kind == EventKind::Comment && attempt.isResumed && isFirst)
+            continue;
+        if (mark.kind == EventKind::Other
+            || (mark.kind == EventKind::Event && !forwarding.sequence.mayFollow(mark, isFirst))) {
+            forwarding.refused = mark;
+            break;
+        }
+        if (mark.kind == EventKind::Event) {
+            ++forwarding.events;
+            forwarding.sequence.add(mark);
+        }
+        forwarding.bytes.append(batch.bytes, mark.end - length, length);
+    }
+    return forwarding;
+}
+
+void Relay::abandonUnusable(RequestId id, AttemptNumber attempt, const EventMark &refused)
+{
+    const OpenAttempt open = find(id, attempt);
+    m_hooks.decided({open.exchange->head.value(m_dialect.traceHeader),
+                     "event_refused",
+                     {{"server", open.attempt->server.value()},
+                      {"id", refused.id.empty() ? "none" : refused.id.substr(0, maxLoggedIdBytes)},
+                      {"last", open.exchange->sequence.lastEventId().substr(0, maxLoggedIdBytes)},
+                      {"resumed", open.attempt->isResumed ? "true" : "false"}}});
+    open.attempt->framing.reset();
+    m_backends.abandon(open.attempt->handle);
+    handleAttemptFailure(id, attempt, AttemptFailure::Unusable);
+}
+
+void Relay::sendEvents(RequestId id, Exchange &exchange, const Forwarding &forwarding)
 {
     // The head is sent with the first complete event: until then the request can still be moved to
     // another server.
     startResponse(id, exchange);
-    exchange.current.events += batch.events;
-    m_callers.sendChunk(toExchangeId(id), batch.bytes);
-    if (!batch.lastEventId.empty())
-        exchange.lastEvent = batch.lastEventId;
+    exchange.current.events += forwarding.events;
+    m_callers.sendChunk(toExchangeId(id), forwarding.bytes);
+    exchange.sequence = forwarding.sequence;
     m_requests.onEventForwarded(id, exchange.current.number, m_loop.now());
+    if (!exchange.sequence.isResumable())
+        m_requests.onResumingRuledOut(id);
     if (!exchange.paused && m_callers.unsentBytes(toExchangeId(id)) > maxUnsentBytes) {
         exchange.paused = true;
         m_backends.setReading(exchange.current.handle, false);
@@ -287,13 +345,20 @@
     }
 }
 
-bool Relay::isBrokenOff(Exchange &exchange, const Attempt &attempt, BodyEnd end)
+std::optional<AttemptFailure> Relay::streamFailure(Exchange &exchange, const Attempt &attempt,
+                                                   BodyEnd end)
 {
     if (attempt.framing.isInsideEvent())
-        return true;
-    if (end != BodyEnd::ConnectionClose || attempt.events > 0)
-        return false;
-    return !exchange.headSent || exchange.emptyEnds++ == 0;
+        return AttemptFailure::Broken;
+    if (attempt.events > 0)
+        return std::nullopt;
+    if (!attempt.isResumed)
+        return end == BodyEnd::ConnectionClose ? std::optional(AttemptFailure::Broken)
+                                               : std::nullopt;
+    const VmId before = std::exchange(exchange.endedBy, attempt.server);
+    if (!before.value().empty() && before != attempt.server)
+        return std::nullopt;
+    return AttemptFailure::Unusable;
 }
 
 void Relay::logDoubtfulEnd(const Exchange &exchange, const Attempt &attempt, BodyEnd end)
@@ -324,7 +389,11 @@
     }
     const ResponseDetails details = open.attempt->details;
     const int status = open.attempt->head.status;
-    if (status == misdirectedRequest) {
+    const bool isRefusal = status == misdirectedRequest || details.notExecuted;
+    if (isRefusal && !open.attempt->head.find(m_dialect.traceHeader)) {
+        // It may be about another request.
+        handleAttemptFailure(id, attempt, AttemptFailure::Unusable);
+    } else if (status == misdirectedRequest) {
         handleAttemptFailure(id, attempt, AttemptFailure::Misdirected, details.faultyServer);
     } else if (details.notExecuted) {
         handleAttemptFailure(id, attempt,
@@ -332,7 +401,7 @@
                                                   : AttemptFailure::NotExecuted,
                              details.faultyServer);
     } else if (open.exchange->headSent) {
-        handleAttemptFailure(id, attempt, AttemptFailure::Broken, details.faultyServer);
+        handleAttemptFailure(id, attempt, AttemptFailure::Unusable, details.faultyServer);
     } else {
         open.exchange->lastResponseHead = open.attempt->head;
         open.exchange->lastResponseBody = std::move(open.attempt->body);
@@ -345,14 +414,15 @@
 void Relay::handleStreamEnd(RequestId id, AttemptNumber attempt, BodyEnd end)
 {
     const OpenAttempt open = find(id, attempt);
-    if (isBrokenOff(*open.exchange, *open.attempt, end)) {
-        handleAttemptFailure(id, attempt, AttemptFailure::Broken);
+    if (const auto failure = streamFailure(*open.exchange, *open.attempt, end)) {
+        handleAttemptFailure(id, attempt, *failure);
         return;
     }
     Exchange &exchange = chooseAttempt(id, attempt);
     const TimePoint now = m_loop.now();
     startResponse(id, exchange);
-    m_callers.sendChunk(toExchangeId(id), exchange.current.framing.remainder());
+    if (!exchange.current.isResumed || exchange.current.events > 0)
+        m_callers.sendChunk(toExchangeId(id), exchange.current.framing.remainder());
     m_callers.endChunkedResponse(toExchangeId(id));
     m_hooks.answered(now - exchange.arrivedAt);
     m_exchanges.erase(id);
@@ -390,12 +460,13 @@
     exchange.current = Attempt();
     exchange.current.number = attempt;
     exchange.current.server = dispatch.server;
+    exchange.current.isResumed = exchange.headSent;
     exchange.paused = false;
     BackendRequest request;
     request.address = dispatch.address;
     request.server = dispatch.server;
-    request.head =
-        m_dialect.writeAttempt(exchange.head, dispatch, exchange.body.size(), exchange.lastEvent);
+    request.head = m_dialect.writeAttempt(exchange.head, dispatch, exchange.body.size(),
+                                          exchange.sequence.lastEventId());
     request.body = exchange.body;
     request.traceId = exchange.head.value(m_dialect.traceHeader);
     request.isHeadRequest = exchange.head.method == "HEAD";
--- a/src/platform/platform_dialect.cpp
+++ b/src/platform/platform_dialect.cpp
@@ -323,6 +323,7 @@
     dialect.writeAttempt = writeAttempt;
     dialect.readResponse = readResponse;
     dialect.traceHeader = requestIdHeader;
+    dialect.lastEventHeader = lastEventIdHeader;
     dialect.notExecutedHeader = notExecutedHeader;
     return dialect;
 }
