Feature: [Logs] What is open when a stop ends, and why the process ended

What the log could not tell: which requests were open when a stop ended, when each had arrived and how much time it had left, and whether the process ended as all connections were closed or as the stop time was over. Requests that are refused because of a stop were logged already (cause=stopping).

The request system logs each open request once when the stop deadline is reached (request_open_at_stop, at most 256, counted in bramleypitch_decisions_total), and `stopped` names its cause and what was open. No decision changes.

RequestTest.RequestsThatAreOpenAtTheEndOfAStopAreLogged shows the line; request_test passes.

--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -1,7 +1,6 @@
 #include "network/serving_daemon.h"
 
 #include "network/address_func.h"
-#include "network/log.h"
 #include "request/quarantine_func.h"
 
 #include <nlohmann/json.hpp>
@@ -172,13 +171,15 @@
     m_stopping = true;
     m_stopAt = m_loop.now();
     m_relay.callers().setClosing();
-    m_requests.setStopDeadline(m_stopAt + m_options.stopTime - stopMargin);
+    m_requests.startStop(m_stopAt + m_options.stopTime - stopMargin, m_stopAt);
     m_membership.setAccepting(false);
     m_membership.setLeaving();
     pulse(m_stopAt);
     if (m_lease != 0)
         m_store.revokeLease(m_lease, [] {});
-    logLine(LogLevel::Info, "stopping", {{"open_requests", std::to_string(m_requests.open())}});
+    logLine(LogLevel::Info, "stopping",
+            {{"open_requests", std::to_string(m_requests.open())},
+             {"stop_time_ms", formatMilliseconds(m_options.stopTime)}});
 }
 
 MirrorHooks ServingDaemon::mirrorHooks()
@@ -790,19 +791,23 @@
     if (elapsed >= minDrainTime && m_requests.open() == 0) {
         m_relay.callers().stopListening();
         if (m_relay.callers().open() == 0) {
-            logLine(LogLevel::Info, "stopped", {{"after_ms", formatMilliseconds(elapsed)}});
-            flushLog();
-            m_loop.stop();
+            endProcess(LogLevel::Info, "all_closed", now);
             return;
         }
     }
-    if (elapsed >= m_options.stopTime - stopMargin) {
-        logLine(LogLevel::Warning, "stopped",
-                {{"after_ms", formatMilliseconds(elapsed)},
-                 {"open_requests", std::to_string(m_requests.open())}});
-        flushLog();
-        m_loop.stop();
-    }
+    if (elapsed >= m_options.stopTime - stopMargin)
+        endProcess(LogLevel::Warning, "stop_time_over", now);
+}
+
+void ServingDaemon::endProcess(LogLevel level, const char *cause, TimePoint now)
+{
+    logLine(level, "stopped",
+            {{"cause", cause},
+             {"after_ms", formatMilliseconds(now - m_stopAt)},
+             {"open_requests", std::to_string(m_requests.open())},
+             {"open_connections", std::to_string(m_relay.callers().open())}});
+    flushLog();
+    m_loop.stop();
 }
 
 } // namespace bramleypitch
--- a/src/network/serving_daemon.h
+++ b/src/network/serving_daemon.h
@@ -2,6 +2,7 @@
 
 #include "formation/formation_system.h"
 #include "network/http_client.h"
+#include "network/log.h"
 #include "network/metrics.h"
 #include "network/pulse_socket.h"
 #include "network/quarantine_store.h"
@@ -128,6 +129,8 @@
     void onAdminRequest(const HttpRequest &request);
     /// Ends the process once a shutdown is complete or its time limit is reached.
     void finishStop(TimePoint now);
+    /// Ends the process for the given cause.
+    void endProcess(LogLevel level, const char *cause, TimePoint now);
     std::string metricsText() const;
     std::string planKey(const DomainId &domain) const;
 
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -57,6 +57,8 @@
 /// A server that has been writing a response for this time is not crashed by its prompt. One that
 /// completes a shorter response may still end.
 constexpr Duration soundWritingTime {1'000};
+/// Limit on the requests that are logged one by one at the end of a stop.
+constexpr std::size_t maxLoggedAtStop = 256;
 constexpr double millisecondsPerSecond = 1'000;
 constexpr double weightResolution = 1'000'000; ///< Resolution of the choice by weight.
 
@@ -329,6 +331,34 @@
     }
 }
 
+void RequestSystem::startStop(TimePoint deadline, TimePoint now)
+{
+    m_stopStartedAt = now;
+    m_stopDeadline = deadline;
+}
+
+void RequestSystem::logOpenAtStop(TimePoint now, RequestActions &actions)
+{
+    m_openAtStopLogged = true;
+    std::size_t logged = 0;
+    for (const auto &[id, request] : m_requests) {
+        if (++logged > maxLoggedAtStop)
+            return;
+        const char *state = request.responseStarted ? "answering"
+            : request.running                       ? "sent"
+                                                    : "waiting";
+        actions.push_back(LogDecision {
+            request.arrival.traceId,
+            "request_open_at_stop",
+            {{"state", state},
+             {"server", request.current.server.value()},
+             {"attempts", std::to_string(request.lastAttempt.value())},
+             {"age_ms", millisecondsText(elapsed(request.arrivedAt, now))},
+             {"left_ms", millisecondsText(elapsed(now, request.deadline))},
+             {"arrived_after_stop_ms", millisecondsText(request.arrivedAt - m_stopStartedAt)}}});
+    }
+}
+
 bool RequestSystem::mayOutlastStop(const Request &request, TimePoint now) const
 {
     if (!m_stopDeadline)
@@ -1355,6 +1385,8 @@
         m_limits.prune([this](const VmId &id) { return m_backends.find(id) != nullptr; }, now);
         m_permits.prune(now);
     }
+    if (m_stopDeadline && now >= *m_stopDeadline && !m_openAtStopLogged)
+        logOpenAtStop(now, actions);
     if (now - m_deadlinesAt >= deadlineInterval) {
         m_deadlinesAt = now;
         applyQuarantines(now, actions);
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -61,9 +61,9 @@
     void setConfigurationProof(TimePoint provenAt) { m_provenAt = std::max(m_provenAt, provenAt); }
     /// Sets the zones that take no new requests.
     void setZonesOut(std::set<ZoneId> zones) { m_zonesOut = std::move(zones); }
-    /// The node stops and ends at the given time. From now on requests that may take longer are
+    /// The node stops now and ends at the given time. From now on requests that may take longer are
     /// refused at once, so that callers can turn to another node.
-    void setStopDeadline(TimePoint deadline) { m_stopDeadline = deadline; }
+    void startStop(TimePoint deadline, TimePoint now);
     /// Sets the number of nodes that share the limits of the servers, and the index of this node.
     void setNodes(NodeShare nodes) { m_nodes = nodes; }
     /// Sets the other nodes to which requests are passed on while this one reaches no server.
@@ -361,6 +361,8 @@
     bool isStalled(const Request &request, TimePoint now) const;
     /// Sends a request whose server is silent to another one as well, if that is possible at once.
     void replaceStalled(Request &request, TimePoint now, RequestActions &actions);
+    /// Logs the requests that are open at the end of a stop.
+    void logOpenAtStop(TimePoint now, RequestActions &actions);
     /// Ends requests that are past their deadline and resumes stalled streams elsewhere.
     void checkDeadlines(TimePoint now, RequestActions &actions);
     ChoiceInput choiceInput(const Request &request);
@@ -386,7 +388,9 @@
     TimePoint m_linksAt;
     std::function<void(const QuarantineDecision &)> m_onQuarantined;
     bool m_hasArrivals = false;
+    TimePoint m_stopStartedAt;
     std::optional<TimePoint> m_stopDeadline;
+    bool m_openAtStopLogged = false;
     TimePoint m_ratesAt;
     TimePoint m_deadlinesAt;
     TimePoint m_prunedAt;
--- a/src/tests/request_test.cpp
+++ b/src/tests/request_test.cpp
@@ -84,7 +84,7 @@
     ServingConfiguration configuration = validConfiguration();
     configuration.services[ServiceId("engines")].engine->stepMs = 20;
     m_system.setConfiguration(std::make_shared<ServingConfiguration>(configuration));
-    m_system.setStopDeadline(m_now + Duration(7'500));
+    m_system.startStop(m_now + Duration(7'500), m_now);
     RequestArrival arrival;
     arrival.host = "shop.example";
     arrival.path = "/ask/x";
@@ -113,6 +113,29 @@
     EXPECT_EQ(actionsOf<DispatchAttempt>(arriveAfter(Duration(6'500))).size(), 1U);
 }
 
+TEST_F(RequestTest, RequestsThatAreOpenAtTheEndOfAStopAreLogged)
+{
+    addGroup("g");
+    ASSERT_EQ(actionsOf<DispatchAttempt>(sendRequest("/ask/x")).size(), 1U);
+    m_system.startStop(m_now + Duration(500), m_now + Duration(100));
+    const auto logged = [&](Duration after) {
+        RequestActions actions;
+        m_system.tick(m_now + after, actions);
+        std::vector<LogDecision> notes = actionsOf<LogDecision>(actions);
+        std::erase_if(notes, [](const auto &note) { return note.event != "request_open_at_stop"; });
+        return notes;
+    };
+    EXPECT_TRUE(logged(Duration(499)).empty());
+    const std::vector<LogDecision> notes = logged(Duration(500));
+    ASSERT_EQ(notes.size(), 1U);
+    const std::map<std::string, std::string> fields(notes[0].fields.begin(), notes[0].fields.end());
+    EXPECT_EQ(fields.at("state"), "sent");
+    EXPECT_EQ(fields.at("server"), "g-head");
+    EXPECT_EQ(fields.at("age_ms"), "500");
+    EXPECT_EQ(fields.at("arrived_after_stop_ms"), "-100");
+    EXPECT_TRUE(logged(Duration(525)).empty());
+}
+
 TEST(BackendTableTest, DomainsFollowTheEntriesOfTheirServers)
 {
     BackendTable table;
