--- a/src/tests/attempt_end_test.py
+++ b/src/tests/attempt_end_test.py
@@ -36,7 +36,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
 from platform_system import wait_for  # noqa: E402
-from scripted_server import Reply, parse_reply, seeded  # noqa: E402
+from scripted_server import Reply, is_closed, read_reply, seeded  # noqa: E402
 from scripted_system import ScriptedSystem, service_of  # noqa: E402
 
 BUILD_DIR = sys.argv.pop(1) if len(sys.argv) > 1 else "build"
@@ -55,7 +55,6 @@
 STORE_OUTAGE_S = 5
 IDLE_TIMEOUT_MS = 2000
 VANISH_S = (0.5, 1.5)
-PARSED_BYTES = 64 * 1024
 SERVERS = 2  # Of each service.
 ELSEWHERE = SERVERS  # The number of the server of the service that routes are moved to.
 EVENTS = 6
@@ -565,39 +564,6 @@
         return [f"    server: {run}" for run in case.runs] + [f"    {line}" for line in lines]
 
 
-def is_closed(connection):
-    """Whether the peer has closed an idle connection."""
-    connection.setblocking(False)
-    try:
-        return connection.recv(1, socket.MSG_PEEK) == b""
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-    finally:
-        connection.settimeout(CALLER_TIMEOUT_S)
-
-
-def read_reply(connection, received):
-    """Reads one reply, which begins with bytes that were received before."""
-    reply = Reply()
-    received = bytearray(received)
-    try:
-        while True:
-            # Parsing starts over each time, so large replies are parsed at their presumed end only.
-            if len(received) < PARSED_BYTES or received.endswith(b"\r\n0\r\n\r\n"):
-                if parse_reply(reply, bytes(received)):
-                    return reply
-            data = connection.recv(65536)
-            if not data:
-                break
-            received += data
-    except OSError:
-        pass
-    parse_reply(reply, bytes(received))
-    return reply
-
-
 class AttemptEndTest(unittest.TestCase):
 
     def play_column(self, column, slot):
--- a/src/tests/scripted_server.py
+++ b/src/tests/scripted_server.py
@@ -7,6 +7,7 @@
 
 SILENCE_LIMIT_S = 15  # A silent server closes its connection after this time at the latest.
 MAX_ENDLESS_BYTES = 64 * 1024 * 1024
+PARSED_BYTES = 64 * 1024  # Replies up to this size are parsed each time bytes of them arrive.
 
 
 class ScriptedServer:
@@ -220,6 +221,40 @@
     return False
 
 
+def is_closed(connection):
+    """Whether the peer has closed an idle connection."""
+    timeout = connection.gettimeout()
+    connection.setblocking(False)
+    try:
+        return connection.recv(1, socket.MSG_PEEK) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    finally:
+        connection.settimeout(timeout)
+
+
+def read_reply(connection, received):
+    """Reads one reply, which begins with bytes that were received before."""
+    reply = Reply()
+    received = bytearray(received)
+    try:
+        while True:
+            # Parsing starts over each time, so large replies are parsed at their presumed end only.
+            if len(received) < PARSED_BYTES or received.endswith(b"\r\n0\r\n\r\n"):
+                if parse_reply(reply, bytes(received)):
+                    return reply
+            data = connection.recv(65536)
+            if not data:
+                break
+            received += data
+    except OSError:
+        pass
+    parse_reply(reply, bytes(received))
+    return reply
+
+
 def seeded(*parts):
     """A generator of random numbers that depends on nothing but its arguments."""
     return random.Random("/".join(str(part) for part in parts))
