Fix: [Network] The last response of a connection was lost if its caller sent more

What callers saw: the end of an answer was missing, with a reset, where they had sent a next request behind it on a connection that the node closed after the answer: while it stops, after "Connection: close", and after a request that was rejected before all of its body was read.

Cause: the connection was closed as soon as the response was passed to the kernel. Bytes that arrive at a closed socket make the kernel reset the connection and drop what the caller has not received yet.

Such a connection now ends its sending side, discards what still arrives, and is closed when the caller closes it or 1 s after its last response. A stop waits for these connections within its time.

--- a/src/network/caller_connections.cpp
+++ b/src/network/caller_connections.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr int listenBacklog = 1'024;
+/// Time after a response for which a closed connection still accepts the bytes of its caller.
+constexpr Duration lingerTime {1'000};
 constexpr int badRequest = 400;
 constexpr int requestTimeout = 408;
 constexpr int contentTooLarge = 413;
@@ -124,12 +126,14 @@
     SocketHooks hooks;
     hooks.onReadable = [connections, connection] { connections->onReadable(*connection); };
     hooks.onDrained = [connections, connection] {
-        if (connection->closeWhenDrained)
-            connections->close(*connection);
-        else if (connection->reading && !connection->requestStarted)
+        if (connection->closeWhenDrained) {
+            connection->timeoutStart = connections->m_loop.now();
+            connections->closeAfterReading(*connection);
+        } else if (connection->reading && !connection->requestStarted) {
             connections->startTimeout(*connection);
-        else if (!connection->reading && connections->m_hooks.onDrained)
+        } else if (!connection->reading && connections->m_hooks.onDrained) {
             connections->m_hooks.onDrained(connection->exchange);
+        }
     };
     hooks.onClosed = [connections, connection](bool) { connections->onClosed(*connection); };
     connection->socket =
@@ -139,6 +143,10 @@
 void CallerConnections::onReadable(Connection &connection)
 {
     const std::uint64_t id = connection.id;
+    if (m_lingering.count(id)) {
+        connection.socket->consume(connection.socket->received().size());
+        return;
+    }
     connection.processingInput = true;
     while (m_connections.count(id) && connection.reading && !connection.closeWhenDrained
            && !connection.socket->received().empty()) {
@@ -321,7 +329,7 @@
     if (connection.closeAfterResponse) {
         connection.closeWhenDrained = true;
         if (connection.socket->unsentBytes() == 0)
-            close(connection);
+            closeAfterReading(connection);
         return;
     }
     connection.parser.reset();
@@ -362,18 +370,35 @@
 
 void CallerConnections::close(Connection &connection)
 {
-    const auto found = m_connections.find(connection.id);
-    if (found == m_connections.end())
+    auto &connections = m_lingering.count(connection.id) ? m_lingering : m_connections;
+    const auto found = connections.find(connection.id);
+    if (found == connections.end())
         return;
     // Callbacks of the connection may still be on the call stack, so it is freed in the next event
     // loop iteration.
     found->second->socket->setReading(false);
     found->second->reading = false;
     m_discarded.push_back(std::move(found->second));
-    m_connections.erase(found);
+    connections.erase(found);
     m_discard.startOnce(Duration(0));
 }
 
+void CallerConnections::closeAfterReading(Connection &connection)
+{
+    const auto found = m_connections.find(connection.id);
+    if (found == m_connections.end())
+        return;
+    if (m_loop.now() - connection.timeoutStart >= lingerTime) {
+        close(connection);
+        return;
+    }
+    connection.reading = false;
+    connection.closeWhenDrained = false;
+    connection.socket->consume(connection.socket->received().size());
+    connection.socket->endWriting();
+    m_lingering.insert(m_connections.extract(found));
+}
+
 void CallerConnections::startTimeout(Connection &connection) const
 {
     connection.timeoutStart = m_loop.now();
@@ -398,13 +423,17 @@
             idle.push_back(connection.get());
     }
     for (Connection *connection : idle)
-        close(*connection);
+        closeAfterReading(*connection);
 }
 
 void CallerConnections::sweep(TimePoint now)
 {
     std::vector<Connection *> idle;
     std::vector<Connection *> slow;
+    for (const auto &[id, connection] : m_lingering) {
+        if (now - connection->timeoutStart >= lingerTime)
+            idle.push_back(connection.get());
+    }
     for (const auto &[id, connection] : m_connections) {
         if (!connection->reading)
             continue;
--- a/src/network/caller_connections.h
+++ b/src/network/caller_connections.h
@@ -48,8 +48,11 @@
     /// Accepts no more connections and closes those without a request in progress, except those
     /// whose last response is still being sent.
     void stopListening();
-    /// Number of open connections.
+    /// Number of connections that may carry a request or response.
     std::size_t open() const { return m_connections.size(); }
+    /// Number of further connections that carry no more requests, and are closed once their callers
+    /// have received the last response.
+    std::size_t lingering() const { return m_lingering.size(); }
 
     /// Sends a complete response. Content-Length is added to the given headers.
     void reply(ExchangeId exchange, int status, const HttpHeaders &headers, std::string_view body);
@@ -91,6 +94,10 @@
     /// Handles the end of a connection by the caller or by a socket error.
     void onClosed(Connection &connection);
     void close(Connection &connection);
+    /// Closes a connection whose last response was sent. Unread bytes would make the kernel reset
+    /// the connection and drop what the caller has not received yet, so that bytes are read and
+    /// discarded until the caller closes it as well, or for a limited time after that response.
+    void closeAfterReading(Connection &connection);
     Connection *find(ExchangeId exchange) const;
     /// Writes the status line and headers, without the blank line that ends them.
     std::string formatHead(const Connection &connection, int status,
@@ -101,6 +108,7 @@
     CallerLimits m_limits;
     evconnlistener *m_listener = nullptr;
     std::map<std::uint64_t, std::unique_ptr<Connection>> m_connections;
+    std::map<std::uint64_t, std::unique_ptr<Connection>> m_lingering;
     std::map<ExchangeId, Connection *> m_exchanges;
     std::vector<std::unique_ptr<Connection>> m_discarded; ///< Freed by m_discard.
     Timer m_discard;
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -790,7 +790,7 @@
     const Duration elapsed = now - m_stopAt;
     if (elapsed >= minDrainTime && m_requests.open() == 0) {
         m_relay.callers().stopListening();
-        if (m_relay.callers().open() == 0) {
+        if (m_relay.callers().open() == 0 && m_relay.callers().lingering() == 0) {
             endProcess(LogLevel::Info, "all_closed", now);
             return;
         }
--- a/src/network/stream_socket.cpp
+++ b/src/network/stream_socket.cpp
@@ -97,6 +97,11 @@
     return evbuffer_get_length(bufferevent_get_output(m_bufferEvent));
 }
 
+void StreamSocket::endWriting()
+{
+    shutdown(bufferevent_getfd(m_bufferEvent), SHUT_WR);
+}
+
 void StreamSocket::setReading(bool reading)
 {
     if (reading)
--- a/src/network/stream_socket.h
+++ b/src/network/stream_socket.h
@@ -40,6 +40,8 @@
     void write(std::string_view bytes);
     /// Number of written bytes that have not been passed to the kernel yet.
     std::size_t unsentBytes() const;
+    /// Tells the peer that nothing more is sent. Everything written must have been sent.
+    void endWriting();
     /// Pauses or resumes reading. Used to apply back-pressure to the sender.
     void setReading(bool reading);
     bool isConnected() const { return m_connected; }
--- a/src/tests/attempt_review_test.cpp
+++ b/src/tests/attempt_review_test.cpp
@@ -183,6 +183,50 @@
     EXPECT_EQ(m_callers.open(), 0U);
 }
 
+TEST_F(CallerTest, LastResponseIsNotLostAsTheNextRequestArrivesAfterIt)
+{
+    // Guards against LOST: the connection was closed behind its last response, and the next request
+    // made the kernel reset it while its caller was still reading.
+    send(request);
+    run();
+    ASSERT_EQ(m_requests.size(), 1U);
+    m_callers.setClosing();
+    m_callers.reply(m_requests[0], 200, {}, std::string(largeBody, 'x'));
+    std::size_t received = 0;
+    std::array<char, 65'536> part {};
+    const auto receivePart = [&] {
+        const ssize_t size = recv(m_caller, part.data(), part.size(), MSG_DONTWAIT);
+        received += size > 0 ? static_cast<std::size_t>(size) : 0;
+    };
+    for (int i = 0; i < 5'000 && m_callers.open() > 0; ++i) {
+        receivePart();
+        event_base_loop(m_loop.base(), EVLOOP_NONBLOCK);
+    }
+    ASSERT_EQ(m_callers.open(), 0U);
+    ASSERT_LT(received, largeBody);
+    send(request);
+    run();
+    received += receive().size();
+    EXPECT_GT(received, largeBody);
+    EXPECT_EQ(m_requests.size(), 1U);
+    EXPECT_EQ(m_callers.lingering(), 1U);
+    m_callers.sweep(m_loop.now() + Duration(1'000));
+    EXPECT_EQ(m_callers.lingering(), 0U);
+}
+
+TEST_F(CallerTest, ConnectionIsClosedOnceItsCallerHasClosedItAfterTheLastResponse)
+{
+    send(request);
+    run();
+    m_callers.setClosing();
+    m_callers.reply(m_requests.at(0), 200, {}, "first");
+    EXPECT_EQ(m_callers.lingering(), 1U);
+    EXPECT_EQ(count(receive(), "first"), 1U);
+    shutdown(m_caller, SHUT_WR);
+    run();
+    EXPECT_EQ(m_callers.lingering(), 0U);
+}
+
 class AttemptReviewTest : public RequestTest
 {
 protected:
