Fix: [Request] A stopping node took requests by a guess at their duration and cut them off

What callers saw: streams and payments that a node had read after SIGTERM, and passed on to a sound server, ended without a whole answer when the node ended 7.5 s after the signal.

Cause: after SIGTERM a request was accepted if it was expected to end in time: within 1.5 s for plain services, and 1.5 s plus twice the time that follows from the caller's own estimate of the length for streams. Nothing bounds the time of a sound server but the request's deadline: estimates are off, servers fall silent and may be full.

The end of a stop is now one more deadline of each request. A request that arrives is accepted only if its own deadline (its time limit and the timeout of its route) is not later, else it is refused at once as not run, with Retry-After and a closed connection. So are those that wait for a server when the signal arrives, and those that no server has run when their attempt fails. What a server has had since before the signal goes on, also with repeats, until that end: a response that has begun is then broken off, any other request gets 504, and both are logged with cause=stopped. Requests end 0.3 s before the process would be killed and the process 0.1 s before, where both ended 0.5 s before; responses that are being sent have the time between.

RequestTest.RequestThatMayOutlastTheStopIsRefusedAtOnce asserted the old rule: a stream with 6 s of time taken 5.3 s after the signal since it was expected to be short. StopTest.RequestThatMayOutlastTheStopIsRefusedAtOnce replaces it and is stricter: it checks each side of the bound to the millisecond, and that the expected length changes nothing. The other StopTest cases cover requests that wait, fail and are sent.

--- a/src/network/relay.cpp
+++ b/src/network/relay.cpp
@@ -103,6 +103,14 @@
     perform(actions);
 }
 
+void Relay::startStop(TimePoint deadline, TimePoint now)
+{
+    m_callers.setClosing();
+    RequestActions actions;
+    m_requests.startStop(deadline, now, actions);
+    perform(actions);
+}
+
 void Relay::sweep(TimePoint now)
 {
     m_callers.sweep(now);
--- a/src/network/relay.h
+++ b/src/network/relay.h
@@ -62,6 +62,9 @@
     /// Re-evaluates waiting requests after time has passed or servers or configuration have
     /// changed.
     void tick(TimePoint now);
+    /// The node stops now; see RequestSystem::startStop. Connections are closed after their next
+    /// response.
+    void startStop(TimePoint deadline, TimePoint now);
     /// Closes connections that are idle, too slow or time out while connecting.
     void sweep(TimePoint now);
     /// Number of connections opened to backend servers.
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -56,7 +56,10 @@
 /// Connections stay open for this time after the start of a shutdown, so that the lists of entry
 /// addresses cached by callers expire first.
 constexpr Duration minDrainTime {5'000};
-constexpr Duration stopMargin {500}; ///< Time left before the process would be killed.
+/// All requests end so long before the process would be killed. Leaves time for slow callers to
+/// receive the ends of their responses.
+constexpr Duration requestStopMargin {300};
+constexpr Duration stopMargin {100}; ///< Time left before the process would be killed.
 /// With fewer entry addresses in the caller's zone, those of other zones are listed, too: the loss
 /// of one node must be tolerable.
 constexpr std::size_t minEntries = 2;
@@ -170,8 +173,7 @@
         return;
     m_stopping = true;
     m_stopAt = m_loop.now();
-    m_relay.callers().setClosing();
-    m_requests.startStop(m_stopAt + m_options.stopTime - stopMargin, m_stopAt);
+    m_relay.startStop(m_stopAt + m_options.stopTime - requestStopMargin, m_stopAt);
     m_membership.setAccepting(false);
     m_membership.setLeaving();
     pulse(m_stopAt);
@@ -787,15 +789,14 @@
 
 void ServingDaemon::finishStop(TimePoint now)
 {
-    const Duration elapsed = now - m_stopAt;
-    if (elapsed >= minDrainTime && m_requests.open() == 0) {
+    if (now - m_stopAt >= minDrainTime && m_requests.open() == 0) {
         m_relay.callers().stopListening();
         if (m_relay.callers().open() == 0 && m_relay.callers().lingering() == 0) {
             endProcess(LogLevel::Info, "all_closed", now);
             return;
         }
     }
-    if (elapsed >= m_options.stopTime - stopMargin)
+    if (now - m_stopAt >= m_options.stopTime - stopMargin)
         endProcess(LogLevel::Warning, "stop_time_over", now);
 }
 
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -23,10 +23,6 @@
 constexpr Duration maxLateness {500};
 /// Time for which a refused request counts as demand, about the duration of a stream.
 constexpr Duration refusedDemandTime {1'000};
-/// Time within which plain services respond, apart from rare cases.
-constexpr Duration maxPlainDuration {1'000};
-/// A request may take this many times its expected duration, on a group that is slow or full.
-constexpr int durationMargin = 2;
 /// A late request starts only on a server with less than this share of its slots in use. It would
 /// occupy a slot for a second or more, which other requests need that can still be on time.
 constexpr double lateUtilization = 0.8;
@@ -287,8 +283,6 @@
         request.latestStart -= Duration(static_cast<Duration::rep>(start));
         const GenerationSize size {arrival.promptTokens, arrival.completionTokens};
         request.slotsNeeded = slotsNeeded(*engine, *model, size);
-        request.expectedDuration =
-            Duration(static_cast<Duration::rep>(executionMs(*engine, *model, size)));
     }
     request.parts = promptParts(arrival.promptParts, request.service);
     request.identity = stableHash(arrival.traceId);
@@ -303,7 +297,7 @@
         refuseQuarantined(request, now, actions);
         return;
     }
-    if (mayOutlastStop(request, now)) {
+    if (m_stopDeadline && request.deadline > *m_stopDeadline) {
         refuse(request, ErrorCode::NoCapacity, minRetryAfter, "stopping", now, actions);
         return;
     }
@@ -331,10 +325,21 @@
     }
 }
 
-void RequestSystem::startStop(TimePoint deadline, TimePoint now)
+void RequestSystem::startStop(TimePoint deadline, TimePoint now, RequestActions &actions)
 {
     m_stopStartedAt = now;
     m_stopDeadline = deadline;
+    std::vector<RequestId> refused;
+    for (auto &[id, request] : m_requests) {
+        if (request.deadline <= deadline)
+            continue;
+        request.cutByStop = request.deadline - deadline;
+        request.deadline = deadline;
+        if (!request.running && !request.mayHaveRun)
+            refused.push_back(id);
+    }
+    for (const RequestId id : refused)
+        refuse(m_requests.at(id), ErrorCode::NoCapacity, minRetryAfter, "stopping", now, actions);
 }
 
 void RequestSystem::logOpenAtStop(TimePoint now, RequestActions &actions)
@@ -354,20 +359,11 @@
              {"server", request.current.server.value()},
              {"attempts", std::to_string(request.lastAttempt.value())},
              {"age_ms", millisecondsText(elapsed(request.arrivedAt, now))},
-             {"left_ms", millisecondsText(elapsed(now, request.deadline))},
+             {"left_ms", millisecondsText(elapsed(now, request.deadline) + request.cutByStop)},
              {"arrived_after_stop_ms", millisecondsText(request.arrivedAt - m_stopStartedAt)}}});
     }
 }
 
-bool RequestSystem::mayOutlastStop(const Request &request, TimePoint now) const
-{
-    if (!m_stopDeadline)
-        return false;
-    const Duration longest =
-        maxLateness + maxPlainDuration + durationMargin * request.expectedDuration;
-    return now + std::min(longest, request.deadline - now) > *m_stopDeadline;
-}
-
 std::optional<Duration> RequestSystem::excessiveQueueWait(const Request &request,
                                                           const Target &target, TimePoint now) const
 {
@@ -1256,6 +1252,10 @@
 void RequestSystem::retryOrEnd(Request &request, bool mayRetry, const char *cause, TimePoint now,
                                RequestActions &actions)
 {
+    if (request.cutByStop > Duration(0) && !request.mayHaveRun) {
+        refuse(request, ErrorCode::NoCapacity, minRetryAfter, "stopping", now, actions);
+        return;
+    }
     const TargetKey key {request.service, request.arrival.model};
     const TargetChoice choice = chooseTarget(m_backends, choiceInput(request), now);
     const bool isPaused =
@@ -1357,8 +1357,9 @@
         request.mayHaveRun = request.mayHaveRun || request.running;
         recordGivenUp(request, now);
         abandonAttempts(request, actions);
-        refuse(request, ErrorCode::DeadlineUnreachable, m_options.defaultRetryAfter, "deadline",
-               now, actions);
+        const char *cause = request.cutByStop > Duration(0) ? "stopped" : "deadline";
+        refuse(request, ErrorCode::DeadlineUnreachable, m_options.defaultRetryAfter, cause, now,
+               actions);
     }
     for (const RequestId id : silent)
         replaceStalled(m_requests.at(id), now, actions);
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -61,9 +61,11 @@
     void setConfigurationProof(TimePoint provenAt) { m_provenAt = std::max(m_provenAt, provenAt); }
     /// Sets the zones that take no new requests.
     void setZonesOut(std::set<ZoneId> zones) { m_zonesOut = std::move(zones); }
-    /// The node stops now and ends at the given time. From now on requests that may take longer are
-    /// refused at once, so that callers can turn to another node.
-    void startStop(TimePoint deadline, TimePoint now);
+    /// The node stops now. All requests end by the given deadline; those that were sent to a server
+    /// before and have a later deadline of their own are ended then. Requests that wait or arrive
+    /// from now on with a later one are refused at once, so that callers can turn to another node:
+    /// how long a server takes is not known before it has answered.
+    void startStop(TimePoint deadline, TimePoint now, RequestActions &actions);
     /// Sets the number of nodes that share the limits of the servers, and the index of this node.
     void setNodes(NodeShare nodes) { m_nodes = nodes; }
     /// Sets the other nodes to which requests are passed on while this one reaches no server.
@@ -211,12 +213,12 @@
         PromptParts parts; ///< What it is recognised by if it comes again.
         std::uint64_t identity = 0; ///< Hash of its content, including the parts of the prompt.
         TimePoint arrivedAt;
-        TimePoint deadline;
+        TimePoint deadline; ///< Of the caller and the route, but not after the end of a stop.
+        Duration cutByStop {0}; ///< Time that it would have after the end of the stop.
         TimePoint latestStart; ///< Latest start that still meets the latency target.
         std::uint32_t maxAttempts = 1;
         int priority = 0;
         double slotsNeeded = 1; ///< Group slots. Not used for plain services.
-        Duration expectedDuration {0}; ///< Of the execution on a group. 0 for plain services.
         bool running = false; ///< An attempt is in progress.
         Attempt current; ///< The latest attempt, unless that failed and a stalled one is left.
         /// Earlier attempts, whose servers are silent but may go on. They are kept until an attempt
@@ -315,8 +317,6 @@
     /// has begun.
     void refuse(Request &request, ErrorCode code, std::optional<Duration> retryAfter,
                 const char *cause, TimePoint now, RequestActions &actions);
-    /// Whether a new request may not be answered before the node stops.
-    bool mayOutlastStop(const Request &request, TimePoint now) const;
     /// Counts a request in the demand that is refused because no server has room for it.
     void addRefusedDemand(const Request &request, TimePoint now);
     static double refusedSlots(const RefusedDemand &refused, TimePoint now);
--- a/src/tests/request_test.cpp
+++ b/src/tests/request_test.cpp
@@ -76,48 +76,127 @@
     EXPECT_TRUE(actionsOf<DispatchAttempt>(sendRequest("/ask/x")).empty());
 }
 
-TEST_F(RequestTest, RequestThatMayOutlastTheStopIsRefusedAtOnce)
+/// A node that stops. Requests end 7.5 s after the start of the stop at the latest.
+class StopTest : public RequestTest
 {
-    // Guards against a failure seen in a hunt: a stream was taken 5.3 s after the start of a stop
-    // and was broken off when the node ended 2.2 s later.
-    addGroup("g");
-    ServingConfiguration configuration = validConfiguration();
-    configuration.services[ServiceId("engines")].engine->stepMs = 20;
-    m_system.setConfiguration(std::make_shared<ServingConfiguration>(configuration));
-    m_system.startStop(m_now + Duration(7'500), m_now);
-    RequestArrival arrival;
-    arrival.host = "shop.example";
-    arrival.path = "/ask/x";
-    arrival.key = apiKey;
-    arrival.model = ModelId("m");
-    arrival.completionTokens = 100;
-    const auto arriveAfter = [&](Duration duration) {
-        arrival.request = RequestId(arrival.request.value() + 1);
+protected:
+    RequestActions stop()
+    {
         RequestActions actions;
-        m_system.setConfigurationProof(m_now + duration);
-        m_system.onRequestArrived(arrival, m_now + duration, actions);
+        m_system.startStop(m_now + stopTime, m_now, actions);
         return actions;
-    };
-    EXPECT_EQ(actionsOf<DispatchAttempt>(arriveAfter(Duration(1'000))).size(), 1U);
-    const RequestActions late = arriveAfter(Duration(5'300));
-    EXPECT_TRUE(actionsOf<DispatchAttempt>(late).empty());
-    const std::vector<RefuseRequest> refusals = actionsOf<RefuseRequest>(late);
+    }
+
+    /// Sends a request for a stream at the present time.
+    RequestActions arrive(std::optional<Duration> timeLimit = {}, std::uint32_t tokens = 100)
+    {
+        RequestArrival arrival;
+        arrival.request = RequestId(++m_lastRequest);
+        arrival.host = "shop.example";
+        arrival.path = "/ask/x";
+        arrival.key = apiKey;
+        arrival.model = ModelId("m");
+        arrival.completionTokens = tokens;
+        arrival.timeLimit = timeLimit;
+        RequestActions actions;
+        m_system.setConfigurationProof(m_now);
+        m_system.onRequestArrived(arrival, m_now, actions);
+        return actions;
+    }
+
+    static bool isDispatched(const RequestActions &actions)
+    {
+        return actionsOf<DispatchAttempt>(actions).size() == 1;
+    }
+
+    /// Whether one request is refused as not run, with a time after which its caller may return.
+    static bool isRefusedAsNotRun(const RequestActions &actions)
+    {
+        const std::vector<RefuseRequest> refusals = actionsOf<RefuseRequest>(actions);
+        return refusals.size() == 1 && refusals[0].run == RunOutcome::NotRun
+            && refusals[0].retryAfter.has_value() && actionsOf<DispatchAttempt>(actions).empty();
+    }
+
+    static constexpr Duration stopTime {7'500};
+    std::uint64_t m_lastRequest = 1'000;
+};
+
+TEST_F(StopTest, RequestThatMayOutlastTheStopIsRefusedAtOnce)
+{
+    // Guards against LOST: requests were taken that were expected to end before the node did, and
+    // were broken off as their servers took longer.
+    addGroup("g");
+    stop();
+    EXPECT_TRUE(isDispatched(arrive())); // The timeout of the route is 6 s.
+    m_now += Duration(1'500);
+    EXPECT_TRUE(isDispatched(arrive()));
+    m_now += Duration(1);
+    EXPECT_TRUE(isRefusedAsNotRun(arrive()));
+    m_now += Duration(3'999);
+    EXPECT_TRUE(isRefusedAsNotRun(arrive()));
+    EXPECT_TRUE(isRefusedAsNotRun(arrive({}, 1)));
+    EXPECT_TRUE(isRefusedAsNotRun(arrive(Duration(2'001))));
+    EXPECT_TRUE(isDispatched(arrive(Duration(2'000))));
+}
+
+TEST_F(StopTest, WaitingRequestThatMayOutlastTheStopIsRefusedAsItBegins)
+{
+    addGroup("g");
+    for (std::uint32_t i = 0; i < slots; ++i)
+        ASSERT_TRUE(isDispatched(arrive()));
+    ASSERT_FALSE(isDispatched(arrive(Duration(8'000)))); // Bounded by the timeout of the route.
+    ASSERT_EQ(m_system.waiting(), 1U);
+    RequestActions actions;
+    m_system.startStop(m_now + Duration(6'000), m_now, actions);
+    EXPECT_EQ(m_system.waiting(), 1U);
+    EXPECT_TRUE(actions.empty());
+    m_system.startStop(m_now + Duration(5'999), m_now, actions);
+    EXPECT_TRUE(isRefusedAsNotRun(actions));
+    EXPECT_EQ(m_system.waiting(), 0U);
+    EXPECT_EQ(m_system.open(), slots);
+}
+
+TEST_F(StopTest, RequestThatNoServerHasRunIsRefusedInsteadOfTriedAgain)
+{
+    addGroup("a");
+    addGroup("b");
+    const DispatchAttempt refused = actionsOf<DispatchAttempt>(arrive()).at(0);
+    const DispatchAttempt broken = actionsOf<DispatchAttempt>(arrive()).at(0);
+    m_now += Duration(10);
+    RequestActions actions;
+    m_system.startStop(m_now + Duration(5'000), m_now, actions);
+    EXPECT_TRUE(isRefusedAsNotRun(failAttempt(refused, AttemptFailure::NotExecuted)));
+    // One that may have run has no other way to an answer.
+    const auto repeated = actionsOf<DispatchAttempt>(failAttempt(broken, AttemptFailure::Broken));
+    ASSERT_EQ(repeated.size(), 1U);
+    EXPECT_EQ(repeated[0].timeLeft, Duration(5'000));
+}
+
+TEST_F(StopTest, RequestsThatWereSentEndWithTheStop)
+{
+    addGroup("g");
+    startStream();
+    const DispatchAttempt sent = actionsOf<DispatchAttempt>(arrive()).at(0);
+    RequestActions actions;
+    m_system.startStop(m_now + Duration(1'000), m_now, actions);
+    EXPECT_TRUE(actions.empty());
+    EXPECT_TRUE(actionsOf<RefuseRequest>(pass(Duration(975))).empty());
+    EXPECT_EQ(m_system.open(), 2U);
+    const RequestActions last = pass(Duration(75));
+    EXPECT_EQ(actionsOf<BreakResponse>(last).size(), 1U);
+    const std::vector<RefuseRequest> refusals = actionsOf<RefuseRequest>(last);
     ASSERT_EQ(refusals.size(), 1U);
-    EXPECT_EQ(refusals[0].run, RunOutcome::NotRun);
-    EXPECT_TRUE(refusals[0].retryAfter.has_value());
-    arrival.completionTokens = 1;
-    EXPECT_EQ(actionsOf<DispatchAttempt>(arriveAfter(Duration(5'300))).size(), 1U);
-    // A caller that gives up soon enough is served in any case.
-    arrival.completionTokens = 100;
-    arrival.timeLimit = Duration(900);
-    EXPECT_EQ(actionsOf<DispatchAttempt>(arriveAfter(Duration(6'500))).size(), 1U);
+    EXPECT_EQ(refusals[0].request, sent.request);
+    EXPECT_EQ(refusals[0].code, ErrorCode::DeadlineExceeded);
+    EXPECT_EQ(m_system.open(), 0U);
 }
 
 TEST_F(RequestTest, RequestsThatAreOpenAtTheEndOfAStopAreLogged)
 {
     addGroup("g");
     ASSERT_EQ(actionsOf<DispatchAttempt>(sendRequest("/ask/x")).size(), 1U);
-    m_system.startStop(m_now + Duration(500), m_now + Duration(100));
+    RequestActions stopActions;
+    m_system.startStop(m_now + Duration(500), m_now + Duration(100), stopActions);
     const auto logged = [&](Duration after) {
         RequestActions actions;
         m_system.tick(m_now + after, actions);
@@ -132,6 +211,7 @@
     EXPECT_EQ(fields.at("state"), "sent");
     EXPECT_EQ(fields.at("server"), "g-head");
     EXPECT_EQ(fields.at("age_ms"), "500");
+    EXPECT_EQ(fields.at("left_ms"), "5500");
     EXPECT_EQ(fields.at("arrived_after_stop_ms"), "-100");
     EXPECT_TRUE(logged(Duration(525)).empty());
 }
