Fix: [Stop] New settings moved the end of a stop that had begun

What callers saw: after a SIGTERM, a settings file with a shorter grace period (read on SIGHUP or at the check every 2 s) made the node end at once and cut off what it ran; one with a longer period let it run into the kill.

Cause: the end was computed anew from the settings in each tick.

The end of a stop is fixed when the signal arrives. A second signal changes nothing, as before.

--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -173,6 +173,7 @@
         return;
     m_stopping = true;
     m_stopAt = m_loop.now();
+    m_stopEndsAt = m_stopAt + m_options.stopTime - stopMargin;
     m_relay.startStop(m_stopAt + m_options.stopTime - requestStopMargin, m_stopAt);
     m_membership.setAccepting(false);
     m_membership.setLeaving();
@@ -796,7 +797,7 @@
             return;
         }
     }
-    if (now - m_stopAt >= m_options.stopTime - stopMargin)
+    if (now >= m_stopEndsAt)
         endProcess(LogLevel::Warning, "stop_time_over", now);
 }
 
--- a/src/network/serving_daemon.h
+++ b/src/network/serving_daemon.h
@@ -72,7 +72,7 @@
     /// Opens the sockets and starts serving. Throws Failure if an address cannot be bound.
     void start();
     /// Starts a graceful shutdown. The event loop is stopped once all requests have ended, or
-    /// shortly before the stop time runs out.
+    /// shortly before the stop time runs out. Neither a second call nor a reload changes that time.
     void stop();
     /// Applies the settings that can change at run time.
     void reload(const ServingOptions &options);
@@ -181,6 +181,7 @@
     bool m_ready = false;
     bool m_stopping = false;
     TimePoint m_stopAt;
+    TimePoint m_stopEndsAt; ///< The process ends then at the latest.
     std::uint64_t m_handledTableVersion = 0; ///< Of m_backends when it was last acted on.
     Distribution m_firstEventTimes;
     Distribution m_responseTimes;
