Fix: [Request] A stopping node refused requests while their callers could not know of its stop

What callers saw: beside several stops at once, requests with long deadlines were refused by one stopping node after the other until their callers gave up. Callers hold a list of entries for 2 s and some of them longer.

For 3 s (or 3/8 of the stop time), requests are now accepted whatever their deadline, and end with the stop at the latest; from then on the bound holds, for arrivals, requests that wait, and those that no server has run.

--- a/src/network/relay.cpp
+++ b/src/network/relay.cpp
@@ -103,12 +103,10 @@
     perform(actions);
 }
 
-void Relay::startStop(TimePoint deadline, TimePoint now)
+void Relay::startStop(TimePoint deadline, TimePoint closedAt, TimePoint now)
 {
     m_callers.setClosing();
-    RequestActions actions;
-    m_requests.startStop(deadline, now, actions);
-    perform(actions);
+    m_requests.startStop(deadline, closedAt, now);
 }
 
 void Relay::sweep(TimePoint now)
--- a/src/network/relay.h
+++ b/src/network/relay.h
@@ -64,7 +64,7 @@
     void tick(TimePoint now);
     /// The node stops now; see RequestSystem::startStop. Connections are closed after their next
     /// response.
-    void startStop(TimePoint deadline, TimePoint now);
+    void startStop(TimePoint deadline, TimePoint closedAt, TimePoint now);
     /// Closes connections that are idle, too slow or time out while connecting.
     void sweep(TimePoint now);
     /// Number of connections opened to backend servers.
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -56,6 +56,11 @@
 /// Connections stay open for this time after the start of a shutdown, so that the lists of entry
 /// addresses cached by callers expire first.
 constexpr Duration minDrainTime {5'000};
+/// Callers hold lists of entry addresses for this time, and go on sending requests meanwhile. Those
+/// that arrive later in a shutdown are accepted only if they end with it.
+constexpr Duration maxOpenTime {3'000};
+/// The same limit as a share of the time until the process would be killed.
+constexpr double maxOpenShare = 0.375;
 /// All requests end so long before the process would be killed. Leaves time for slow callers to
 /// receive the ends of their responses.
 constexpr Duration requestStopMargin {300};
@@ -174,7 +179,10 @@
     m_stopping = true;
     m_stopAt = m_loop.now();
     m_stopEndsAt = m_stopAt + m_options.stopTime - stopMargin;
-    m_relay.startStop(m_stopAt + m_options.stopTime - requestStopMargin, m_stopAt);
+    const Duration openTime(
+        static_cast<Duration::rep>(maxOpenShare * static_cast<double>(m_options.stopTime.count())));
+    m_relay.startStop(m_stopAt + m_options.stopTime - requestStopMargin,
+                      m_stopAt + std::min(openTime, maxOpenTime), m_stopAt);
     m_membership.setAccepting(false);
     m_membership.setLeaving();
     pulse(m_stopAt);
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -297,7 +297,8 @@
         refuseQuarantined(request, now, actions);
         return;
     }
-    if (m_stopDeadline && request.deadline > *m_stopDeadline) {
+    boundByStop(request);
+    if (outlastsStop(request, now)) {
         refuse(request, ErrorCode::NoCapacity, minRetryAfter, "stopping", now, actions);
         return;
     }
@@ -325,17 +326,35 @@
     }
 }
 
-void RequestSystem::startStop(TimePoint deadline, TimePoint now, RequestActions &actions)
+void RequestSystem::startStop(TimePoint deadline, TimePoint closedAt, TimePoint now)
 {
     m_stopStartedAt = now;
     m_stopDeadline = deadline;
+    m_closedAt = closedAt;
+    for (auto &[id, request] : m_requests)
+        boundByStop(request);
+}
+
+void RequestSystem::boundByStop(Request &request) const
+{
+    if (!m_stopDeadline || request.deadline <= *m_stopDeadline)
+        return;
+    request.cutByStop = request.deadline - *m_stopDeadline;
+    request.deadline = *m_stopDeadline;
+}
+
+bool RequestSystem::outlastsStop(const Request &request, TimePoint now) const
+{
+    return m_stopDeadline && now >= m_closedAt && request.cutByStop > Duration(0)
+        && !request.mayHaveRun;
+}
+
+void RequestSystem::refuseOutlasting(TimePoint now, RequestActions &actions)
+{
+    m_closeHandled = true;
     std::vector<RequestId> refused;
-    for (auto &[id, request] : m_requests) {
-        if (request.deadline <= deadline)
-            continue;
-        request.cutByStop = request.deadline - deadline;
-        request.deadline = deadline;
-        if (!request.running && !request.mayHaveRun)
+    for (const auto &[id, request] : m_requests) {
+        if (!request.running && outlastsStop(request, now))
             refused.push_back(id);
     }
     for (const RequestId id : refused)
@@ -1252,7 +1271,7 @@
 void RequestSystem::retryOrEnd(Request &request, bool mayRetry, const char *cause, TimePoint now,
                                RequestActions &actions)
 {
-    if (request.cutByStop > Duration(0) && !request.mayHaveRun) {
+    if (outlastsStop(request, now)) {
         refuse(request, ErrorCode::NoCapacity, minRetryAfter, "stopping", now, actions);
         return;
     }
@@ -1376,6 +1395,8 @@
         }
         m_ratesAt = now;
     }
+    if (m_stopDeadline && now >= m_closedAt && !m_closeHandled)
+        refuseOutlasting(now, actions);
     checkLinks(now, actions);
     for (auto &[key, target] : m_targets)
         dispatchWaiting(target, now, actions);
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -61,11 +61,11 @@
     void setConfigurationProof(TimePoint provenAt) { m_provenAt = std::max(m_provenAt, provenAt); }
     /// Sets the zones that take no new requests.
     void setZonesOut(std::set<ZoneId> zones) { m_zonesOut = std::move(zones); }
-    /// The node stops now. All requests end by the given deadline; those that were sent to a server
-    /// before and have a later deadline of their own are ended then. Requests that wait or arrive
-    /// from now on with a later one are refused at once, so that callers can turn to another node:
-    /// how long a server takes is not known before it has answered.
-    void startStop(TimePoint deadline, TimePoint now, RequestActions &actions);
+    /// The node stops now. All requests end by the given deadline. Until `closedAt`, while callers
+    /// cannot know of the stop, requests are still accepted if they have a later deadline of their
+    /// own; they are ended then. After that such requests are refused at once, so that callers can
+    /// turn to another node: how long a server takes is not known before it has answered.
+    void startStop(TimePoint deadline, TimePoint closedAt, TimePoint now);
     /// Sets the number of nodes that share the limits of the servers, and the index of this node.
     void setNodes(NodeShare nodes) { m_nodes = nodes; }
     /// Sets the other nodes to which requests are passed on while this one reaches no server.
@@ -361,6 +361,12 @@
     bool isStalled(const Request &request, TimePoint now) const;
     /// Sends a request whose server is silent to another one as well, if that is possible at once.
     void replaceStalled(Request &request, TimePoint now, RequestActions &actions);
+    /// Ends the request with the stop if its own deadline is later.
+    void boundByStop(Request &request) const;
+    /// Whether the request may not be sent to a server any more as it may outlast the stop.
+    bool outlastsStop(const Request &request, TimePoint now) const;
+    /// Refuses the requests that no server has run and that may outlast the stop.
+    void refuseOutlasting(TimePoint now, RequestActions &actions);
     /// Logs the requests that are open at the end of a stop.
     void logOpenAtStop(TimePoint now, RequestActions &actions);
     /// Ends requests that are past their deadline and resumes stalled streams elsewhere.
@@ -390,6 +396,8 @@
     bool m_hasArrivals = false;
     TimePoint m_stopStartedAt;
     std::optional<TimePoint> m_stopDeadline;
+    TimePoint m_closedAt; ///< From then on requests that may outlast a stop are refused.
+    bool m_closeHandled = false;
     bool m_openAtStopLogged = false;
     TimePoint m_ratesAt;
     TimePoint m_deadlinesAt;
