--- a/src/network/relay.cpp
+++ b/src/network/relay.cpp
@@ -117,6 +117,12 @@
     perform(actions);
 }
 
+void Relay::startStop(TimePoint deadline, TimePoint closedAt, TimePoint now)
+{
+    m_callers.setClosing();
+    m_requests.startStop(deadline, closedAt, now);
+}
+
 void Relay::sweep(TimePoint now)
 {
     m_callers.sweep(now);
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -1,7 +1,6 @@
 #include "network/serving_daemon.h"
 
 #include "network/address_func.h"
-#include "network/log.h"
 #include "request/quarantine_func.h"
 
 #include <nlohmann/json.hpp>
@@ -59,7 +58,15 @@
 /// Connections stay open for this time after the start of a shutdown, so that the lists of entry
 /// addresses cached by callers expire first.
 constexpr Duration minDrainTime {5'000};
-constexpr Duration stopMargin {500}; ///< Time left before the process would be killed.
+/// Callers hold lists of entry addresses for this time, and go on sending requests meanwhile. Those
+/// that arrive later in a shutdown are accepted only if they end with it.
+constexpr Duration maxOpenTime {3'000};
+/// The same limit as a share of the time until the process would be killed.
+constexpr double maxOpenShare = 0.375;
+/// All requests end so long before the process would be killed. Leaves time for slow callers to
+/// receive the ends of their responses.
+constexpr Duration requestStopMargin {300};
+constexpr Duration stopMargin {100}; ///< Time left before the process would be killed.
 /// With fewer entry addresses in the caller's zone, those of other zones are listed, too: the loss
 /// of one node must be tolerable.
 constexpr std::size_t minEntries = 2;
@@ -195,14 +202,19 @@
         return;
     m_stopping = true;
     m_stopAt = m_loop.now();
-    m_relay.callers().setClosing();
-    m_requests.setStopDeadline(m_stopAt + m_options.stopTime - stopMargin);
+    m_stopEndsAt = m_stopAt + m_options.stopTime - stopMargin;
+    const Duration openTime(
+        static_cast<Duration::rep>(maxOpenShare * static_cast<double>(m_options.stopTime.count())));
+    m_relay.startStop(m_stopAt + m_options.stopTime - requestStopMargin,
+                      m_stopAt + std::min(openTime, maxOpenTime), m_stopAt);
     m_membership.setAccepting(false);
     m_membership.setLeaving();
     pulse(m_stopAt);
     if (m_lease != 0)
         m_store.revokeLease(m_lease, [] {});
-    logLine(LogLevel::Info, "stopping", {{"open_requests", std::to_string(m_requests.open())}});
+    logLine(LogLevel::Info, "stopping",
+            {{"open_requests", std::to_string(m_requests.open())},
+             {"stop_time_ms", formatMilliseconds(m_options.stopTime)}});
 }
 
 MirrorHooks ServingDaemon::mirrorHooks()
@@ -808,23 +820,26 @@
 
 void ServingDaemon::finishStop(TimePoint now)
 {
-    const Duration elapsed = now - m_stopAt;
-    if (elapsed >= minDrainTime && m_requests.open() == 0) {
+    if (now - m_stopAt >= minDrainTime && m_requests.open() == 0) {
         m_relay.callers().stopListening();
-        if (m_relay.callers().open() == 0) {
-            logLine(LogLevel::Info, "stopped", {{"after_ms", formatMilliseconds(elapsed)}});
-            flushLog();
-            m_loop.stop();
+        if (m_relay.callers().open() == 0 && m_relay.callers().lingering() == 0) {
+            endProcess(LogLevel::Info, "all_closed", now);
             return;
         }
     }
-    if (elapsed >= m_options.stopTime - stopMargin) {
-        logLine(LogLevel::Warning, "stopped",
-                {{"after_ms", formatMilliseconds(elapsed)},
-                 {"open_requests", std::to_string(m_requests.open())}});
-        flushLog();
-        m_loop.stop();
-    }
+    if (now >= m_stopEndsAt)
+        endProcess(LogLevel::Warning, "stop_time_over", now);
+}
+
+void ServingDaemon::endProcess(LogLevel level, const char *cause, TimePoint now)
+{
+    logLine(level, "stopped",
+            {{"cause", cause},
+             {"after_ms", formatMilliseconds(now - m_stopAt)},
+             {"open_requests", std::to_string(m_requests.open())},
+             {"open_connections", std::to_string(m_relay.callers().open())}});
+    flushLog();
+    m_loop.stop();
 }
 
 } // namespace bramleypitch
--- a/src/network/serving_daemon.h
+++ b/src/network/serving_daemon.h
@@ -2,6 +2,7 @@
 
 #include "formation/formation_system.h"
 #include "network/http_client.h"
+#include "network/log.h"
 #include "network/metrics.h"
 #include "network/pulse_socket.h"
 #include "network/quarantine_store.h"
@@ -74,7 +75,7 @@
     /// cannot be bound; the object has to be destroyed then.
     void start();
     /// Starts a graceful shutdown. The event loop is stopped once all requests have ended, or
-    /// shortly before the stop time runs out.
+    /// shortly before the stop time runs out. Neither a second call nor a reload changes that time.
     void stop();
     /// Applies the settings that can change at run time.
     void reload(const ServingOptions &options);
@@ -131,6 +132,8 @@
     void onAdminRequest(const HttpRequest &request);
     /// Ends the process once a shutdown is complete or its time limit is reached.
     void finishStop(TimePoint now);
+    /// Ends the process for the given cause.
+    void endProcess(LogLevel level, const char *cause, TimePoint now);
     std::string metricsText() const;
     std::string planKey(const DomainId &domain) const;
 
@@ -182,6 +185,7 @@
     bool m_ready = false;
     bool m_stopping = false;
     TimePoint m_stopAt;
+    TimePoint m_stopEndsAt; ///< The process ends then at the latest.
     std::uint64_t m_handledTableVersion = 0; ///< Of m_backends when it was last acted on.
     Distribution m_firstEventTimes;
     Distribution m_responseTimes;
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -23,10 +23,6 @@
 constexpr Duration maxLateness {500};
 /// Time for which a refused request counts as demand, about the duration of a stream.
 constexpr Duration refusedDemandTime {1'000};
-/// Time within which plain services respond, apart from rare cases.
-constexpr Duration maxPlainDuration {1'000};
-/// A request may take this many times its expected duration, on a group that is slow or full.
-constexpr int durationMargin = 2;
 /// A late request starts only on a server with less than this share of its slots in use. It would
 /// occupy a slot for a second or more, which other requests need that can still be on time.
 constexpr double lateUtilization = 0.8;
@@ -61,6 +57,8 @@
 /// A server that has been writing a response for this time is not crashed by its prompt. One that
 /// completes a shorter response may still end.
 constexpr Duration soundWritingTime {1'000};
+/// Limit on the requests that are logged one by one at the end of a stop.
+constexpr std::size_t maxLoggedAtStop = 256;
 constexpr double millisecondsPerSecond = 1'000;
 constexpr double weightResolution = 1'000'000; ///< Resolution of the choice by weight.
 
@@ -294,8 +292,6 @@
         request.latestStart -= Duration(static_cast<Duration::rep>(start));
         const GenerationSize size {arrival.promptTokens, arrival.completionTokens};
         request.slotsNeeded = slotsNeeded(*engine, *model, size);
-        request.expectedDuration =
-            Duration(static_cast<Duration::rep>(executionMs(*engine, *model, size)));
     }
     request.parts = promptParts(arrival.promptParts, request.service);
     request.identity = stableHash(arrival.traceId);
@@ -310,7 +306,8 @@
         refuseQuarantined(request, now, actions);
         return;
     }
-    if (mayOutlastStop(request, now)) {
+    boundByStop(request);
+    if (outlastsStop(request, now)) {
         refuse(request, ErrorCode::NoCapacity, minRetryAfter, "stopping", now, actions);
         return;
     }
@@ -338,13 +335,61 @@
     }
 }
 
-bool RequestSystem::mayOutlastStop(const Request &request, TimePoint now) const
+void RequestSystem::startStop(TimePoint deadline, TimePoint closedAt, TimePoint now)
 {
-    if (!m_stopDeadline)
-        return false;
-    const Duration longest =
-        maxLateness + maxPlainDuration + durationMargin * request.expectedDuration;
-    return now + std::min(longest, request.deadline - now) > *m_stopDeadline;
+    m_stopStartedAt = now;
+    m_stopDeadline = deadline;
+    m_closedAt = closedAt;
+    for (auto &[id, request] : m_requests)
+        boundByStop(request);
+}
+
+void RequestSystem::boundByStop(Request &request) const
+{
+    if (!m_stopDeadline || request.deadline <= *m_stopDeadline)
+        return;
+    request.cutByStop = request.deadline - *m_stopDeadline;
+    request.deadline = *m_stopDeadline;
+}
+
+bool RequestSystem::outlastsStop(const Request &request, TimePoint now) const
+{
+    return m_stopDeadline && now >= m_closedAt && request.cutByStop > Duration(0)
+        && !request.mayHaveRun;
+}
+
+void RequestSystem::refuseOutlasting(TimePoint now, RequestActions &actions)
+{
+    m_closeHandled = true;
+    std::vector<RequestId> refused;
+    for (const auto &[id, request] : m_requests) {
+        if (!request.running && outlastsStop(request, now))
+            refused.push_back(id);
+    }
+    for (const RequestId id : refused)
+        refuse(m_requests.at(id), ErrorCode::NoCapacity, minRetryAfter, "stopping", now, actions);
+}
+
+void RequestSystem::logOpenAtStop(TimePoint now, RequestActions &actions)
+{
+    m_openAtStopLogged = true;
+    std::size_t logged = 0;
+    for (const auto &[id, request] : m_requests) {
+        if (++logged > maxLoggedAtStop)
+            return;
+        const char *state = request.responseStarted ? "answering"
+            : request.running                       ? "sent"
+                                                    : "waiting";
+        actions.push_back(LogDecision {
+            request.arrival.traceId,
+            "request_open_at_stop",
+            {{"state", state},
+             {"server", request.current.server.value()},
+             {"attempts", std::to_string(request.lastAttempt.value())},
+             {"age_ms", millisecondsText(elapsed(request.arrivedAt, now))},
+             {"left_ms", millisecondsText(elapsed(now, request.deadline) + request.cutByStop)},
+             {"arrived_after_stop_ms", millisecondsText(request.arrivedAt - m_stopStartedAt)}}});
+    }
 }
 
 std::optional<Duration> RequestSystem::excessiveQueueWait(const Request &request,
@@ -1256,6 +1301,10 @@
 void RequestSystem::retryOrEnd(Request &request, bool mayRetry, const char *cause, TimePoint now,
                                RequestActions &actions)
 {
+    if (outlastsStop(request, now)) {
+        refuse(request, ErrorCode::NoCapacity, minRetryAfter, "stopping", now, actions);
+        return;
+    }
     const TargetKey key {request.service, request.arrival.model};
     const TargetChoice choice = chooseTarget(m_backends, choiceInput(request), now);
     const bool isPaused =
@@ -1357,8 +1406,9 @@
         request.mayHaveRun = request.mayHaveRun || request.running;
         recordGivenUp(request, now);
         abandonAttempts(request, actions);
-        refuse(request, ErrorCode::DeadlineUnreachable, m_options.defaultRetryAfter, "deadline",
-               now, actions);
+        const char *cause = request.cutByStop > Duration(0) ? "stopped" : "deadline";
+        refuse(request, ErrorCode::DeadlineUnreachable, m_options.defaultRetryAfter, cause, now,
+               actions);
     }
     for (const RequestId id : silent)
         replaceStalled(m_requests.at(id), now, actions);
@@ -1375,6 +1425,8 @@
         }
         m_ratesAt = now;
     }
+    if (m_stopDeadline && now >= m_closedAt && !m_closeHandled)
+        refuseOutlasting(now, actions);
     checkLinks(now, actions);
     for (auto &[key, target] : m_targets)
         dispatchWaiting(target, now, actions);
@@ -1392,6 +1444,8 @@
         });
         m_backends.pruneTargets();
     }
+    if (m_stopDeadline && now >= *m_stopDeadline && !m_openAtStopLogged)
+        logOpenAtStop(now, actions);
     if (now - m_deadlinesAt >= deadlineInterval) {
         m_deadlinesAt = now;
         applyQuarantines(now, actions);
