Fix: [Network] A server entry with an address that cannot be read ended every node

Cause: the reader of server entries took any text as an address. It was parsed when a connection was opened, and the Failure left the event loop through the C callback that asked for the connection. Calls (orders, probes) and datagrams parsed addresses in the same place.

The reader now checks that the address is an IPv4 address with a port from 1 to 65535, so that the entry names no server, and logs and counts it. Opening a connection no longer throws: an address that cannot be used, or a connect() that fails at once, is a failed and unsent attempt, reported by the callback like a refused connection. One function parses socket addresses for all users.

--- a/src/network/address_func.cpp
+++ b/src/network/address_func.cpp
@@ -17,6 +17,8 @@
 
 bool isIpAddress(const std::string &host)
 {
+    if (host.find('\0') != std::string::npos)
+        return false;
     std::array<unsigned char, sizeof(in6_addr)> bytes {};
     return evutil_inet_pton(AF_INET, host.c_str(), bytes.data()) == 1
         || evutil_inet_pton(AF_INET6, host.c_str(), bytes.data()) == 1;
@@ -45,6 +47,18 @@
     return {host, static_cast<std::uint16_t>(port)};
 }
 
+sockaddr_in parseSocketAddress(const Address &address)
+{
+    const HostPort parsed = parseAddress(address);
+    sockaddr_in socketAddress {};
+    socketAddress.sin_family = AF_INET;
+    socketAddress.sin_port = htons(parsed.port);
+    if (inet_pton(AF_INET, parsed.host.c_str(), &socketAddress.sin_addr) != 1)
+        throw Failure(ErrorCode::InvalidSetting,
+                      "\"" + address.value() + "\" is not an IPv4 address");
+    return socketAddress;
+}
+
 Address parseUrl(const std::string &url)
 {
     if (url.rfind(urlScheme, 0) != 0)
--- a/src/network/address_func.h
+++ b/src/network/address_func.h
@@ -2,6 +2,8 @@
 
 #include "core/strong_type.h"
 
+#include <netinet/in.h>
+
 #include <cstdint>
 #include <string>
 
@@ -17,6 +19,9 @@
 /// Parses "IP:PORT" or "[IPv6]:PORT". Throws Failure(InvalidSetting) on any other text.
 HostPort parseAddress(const Address &address);
 
+/// Parses an IPv4 "IP:PORT". Throws Failure(InvalidSetting) on any other text.
+sockaddr_in parseSocketAddress(const Address &address);
+
 /// Parses "http://IP:PORT" with an optional trailing slash and returns its IP:PORT part. Throws
 /// Failure(InvalidSetting) on any other text.
 Address parseUrl(const std::string &url);
--- a/src/network/caller_connections.cpp
+++ b/src/network/caller_connections.cpp
@@ -3,9 +3,6 @@
 #include "core/error_type.h"
 #include "network/address_func.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -99,15 +96,10 @@
 
 void CallerConnections::listen(const Address &address)
 {
-    const HostPort bound = parseAddress(address);
-    sockaddr_in socketAddress {};
-    socketAddress.sin_family = AF_INET;
-    socketAddress.sin_port = htons(bound.port);
-    if (inet_pton(AF_INET, bound.host.c_str(), &socketAddress.sin_addr) != 1)
-        throw Failure(ErrorCode::InvalidSetting, address.value() + " is not an IPv4 address");
+    const sockaddr_in socketAddress = parseSocketAddress(address);
     m_listener = evconnlistener_new_bind(
         m_loop.base(), onAccepted, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, listenBacklog,
-        reinterpret_cast<sockaddr *>(&socketAddress), sizeof(socketAddress));
+        reinterpret_cast<const sockaddr *>(&socketAddress), sizeof(socketAddress));
     if (!m_listener)
         throw Failure(ErrorCode::InvalidSetting, "cannot listen on " + address.value());
 }
--- a/src/network/http_client.cpp
+++ b/src/network/http_client.cpp
@@ -1,5 +1,6 @@
 #include "network/http_client.h"
 
+#include "core/error_type.h"
 #include "network/address_func.h"
 #include "network/http_message.h"
 #include "network/response_limits.h"
@@ -148,7 +149,12 @@
         idle.pop_back();
         return connection;
     }
-    const HostPort peer = parseAddress(call.address);
+    HostPort peer;
+    try {
+        peer = parseAddress(call.address);
+    } catch (const Failure &) {
+        return nullptr;
+    }
     return evhttp_connection_base_bufferevent_new(m_loop.base(), nullptr, nullptr,
                                                   peer.host.c_str(), peer.port);
 }
@@ -156,6 +162,11 @@
 HttpCallId HttpClient::send(const HttpCall &request, HttpHooks hooks)
 {
     const HttpCallId id(++m_lastId);
+    evhttp_connection *connection = takeConnection(request);
+    if (!connection) {
+        hooks.onFailure({false, false});
+        return id;
+    }
     auto owned = std::make_unique<Call>();
     Call &call = *owned;
     call.client = this;
@@ -163,7 +174,7 @@
     call.address = request.address;
     call.hooks = std::move(hooks);
     call.useNewConnection = request.useNewConnection;
-    call.connection = takeConnection(request);
+    call.connection = connection;
     call.timer = std::make_unique<Timer>(m_loop, [this, id] { timedOut(id); });
     call.timer->startOnce(request.timeLimit);
     call.request = evhttp_request_new(Call::onRequestDone, &call);
--- a/src/network/http_client.h
+++ b/src/network/http_client.h
@@ -65,7 +65,8 @@
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
-    /// Starts a call. A hook may be called before this function returns.
+    /// Starts a call. A hook may be called before this function returns. A call to an address that
+    /// is not "IP:PORT" fails unsent.
     HttpCallId send(const HttpCall &call, HttpHooks hooks);
     /// Cancels a call without calling its hooks, and closes its connection.
     void cancel(HttpCallId id);
@@ -75,6 +76,7 @@
 private:
     struct Call;
 
+    /// Returns an idle or new connection; null if the address of the call is invalid.
     evhttp_connection *takeConnection(const HttpCall &call);
     void finish(Call &call, bool reusable);
     void discard(evhttp_connection *connection);
--- a/src/network/pulse_socket.cpp
+++ b/src/network/pulse_socket.cpp
@@ -5,8 +5,6 @@
 #include "network/gen/peer_types.h"
 #include "network/thrift_bytes.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -37,17 +35,6 @@
 constexpr Duration maxPermitDenial {60'000};
 constexpr std::int32_t unusedPermit = -1;
 
-sockaddr_in toSocketAddress(const Address &address)
-{
-    const HostPort parsed = parseAddress(address);
-    sockaddr_in socketAddress {};
-    socketAddress.sin_family = AF_INET;
-    socketAddress.sin_port = htons(parsed.port);
-    if (inet_pton(AF_INET, parsed.host.c_str(), &socketAddress.sin_addr) != 1)
-        throw Failure(ErrorCode::InvalidSetting, address.value() + " is not an IPv4 address");
-    return socketAddress;
-}
-
 template<typename Wire>
 std::string toBytes(char tag, const Wire &wire)
 {
@@ -376,7 +363,7 @@
     , m_event(event_new(loop.base(), m_descriptor, EV_READ | EV_PERSIST, onReadable, this))
     , m_hooks(std::move(hooks))
 {
-    const sockaddr_in localAddress = toSocketAddress(address);
+    const sockaddr_in localAddress = parseSocketAddress(address);
     if (bind(m_descriptor, reinterpret_cast<const sockaddr *>(&localAddress), sizeof(localAddress))
         != 0)
         throw Failure(ErrorCode::InvalidSetting, "cannot bind UDP socket to " + address.value());
@@ -419,7 +406,7 @@
 
 void PulseSocket::sendBytes(const std::string &bytes, const Address &address)
 {
-    const sockaddr_in target = toSocketAddress(address);
+    const sockaddr_in target = parseSocketAddress(address);
     sendto(m_descriptor, bytes.data(), bytes.size(), MSG_DONTWAIT,
            reinterpret_cast<const sockaddr *>(&target), sizeof(target));
 }
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -62,6 +62,7 @@
 /// of one node must be tolerable.
 constexpr std::size_t minEntries = 2;
 constexpr std::size_t maxAdminRequestBody = 4'096;
+constexpr std::size_t maxLoggedTextBytes = 200; ///< Of text that others wrote.
 constexpr int ok = 200;
 constexpr int notFound = 404;
 constexpr int unavailable = 503;
@@ -236,10 +237,11 @@
             onOwnKeyChange(change);
         }
     } catch (const Failure &failure) {
+        ++m_decisions["value_unreadable"];
         logLine(LogLevel::Warning, "value_unreadable",
-                {{"key", change.key},
+                {{"key", change.key.substr(0, maxLoggedTextBytes)},
                  {"revision", std::to_string(change.revision.value())},
-                 {"reason", failure.what()}});
+                 {"reason", std::string(failure.what()).substr(0, maxLoggedTextBytes)}});
     }
 }
 
--- a/src/network/stream_socket.cpp
+++ b/src/network/stream_socket.cpp
@@ -3,7 +3,6 @@
 #include "core/error_type.h"
 #include "network/address_func.h"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -40,16 +39,23 @@
 {
     bufferevent_setcb(m_bufferEvent, onRead, onWrite, onEvent, this);
     bufferevent_setwatermark(m_bufferEvent, EV_READ, 0, maxReadAhead);
-    const HostPort peer = parseAddress(address);
-    sockaddr_in target {};
-    target.sin_family = AF_INET;
-    target.sin_port = htons(peer.port);
-    if (inet_pton(AF_INET, peer.host.c_str(), &target.sin_addr) != 1)
-        throw Failure(ErrorCode::InvalidSetting, address.value() + " is not an IPv4 address");
     // Callbacks are deferred, so that even an immediate failure is reported after construction.
-    bufferevent_socket_connect(m_bufferEvent, reinterpret_cast<sockaddr *>(&target),
-                               sizeof(target));
-    setOptions(bufferevent_getfd(m_bufferEvent));
+    if (connect(address))
+        setOptions(bufferevent_getfd(m_bufferEvent));
+    else
+        bufferevent_trigger_event(m_bufferEvent, BEV_EVENT_ERROR, BEV_TRIG_DEFER_CALLBACKS);
+}
+
+bool StreamSocket::connect(const Address &address)
+{
+    try {
+        const sockaddr_in target = parseSocketAddress(address);
+        return bufferevent_socket_connect(
+                   m_bufferEvent, reinterpret_cast<const sockaddr *>(&target), sizeof(target))
+            == 0;
+    } catch (const Failure &) {
+        return false;
+    }
 }
 
 StreamSocket::~StreamSocket()
--- a/src/network/stream_socket.h
+++ b/src/network/stream_socket.h
@@ -28,7 +28,8 @@
 public:
     /// Takes ownership of the descriptor of an incoming connection.
     StreamSocket(EventLoop &loop, int descriptor, SocketHooks hooks);
-    /// Connects to an address. Calls `onConnected` on success and `onClosed` on failure.
+    /// Connects to an address. Calls `onConnected` on success and `onClosed` on failure, also if it
+    /// is not an IPv4 "IP:PORT". Neither is called before the constructor returns.
     StreamSocket(EventLoop &loop, const Address &address, SocketHooks hooks);
     ~StreamSocket();
     StreamSocket(const StreamSocket &) = delete;
@@ -48,6 +49,8 @@
     static void onRead(bufferevent *, void *self);
     static void onWrite(bufferevent *, void *self);
     static void onEvent(bufferevent *, short what, void *self);
+    /// Starts to connect. Returns false if that failed without a callback.
+    bool connect(const Address &address);
     void setOptions(int descriptor);
 
     SocketHooks m_hooks;
--- a/src/platform/platform_dialect.h
+++ b/src/platform/platform_dialect.h
@@ -11,8 +11,7 @@
 /// the field.
 ServingConfiguration readConfiguration(const std::string &text);
 
-/// Parses the store entry of a server. Throws Failure(PlatformProtocol) with a message that names
-/// the field.
+/// Parses the store entry of a server. Throws Failure with a message that names the field.
 BackendReport readServer(const VmId &id, const std::string &text);
 
 /// Returns the functions that parse callers' requests and format the requests to servers.
--- a/src/platform/platform_server_entry.cpp
+++ b/src/platform/platform_server_entry.cpp
@@ -1,4 +1,5 @@
 #include "core/error_type.h"
+#include "network/address_func.h"
 #include "platform/platform_dialect.h"
 
 #include <nlohmann/json.hpp>
@@ -59,6 +60,7 @@
         report.id = id;
         report.service = ServiceId(entry.at("service").get<std::string>());
         report.address = Address(entry.at("address").get<std::string>());
+        parseSocketAddress(report.address);
         report.zone = ZoneId(entry.at("zone").get<std::string>());
         report.slots = entry.value("slots", 0U);
         const std::string state = entry.at("state").get<std::string>();
--- /dev/null
+++ b/src/tests/foreign_entry_process_test.py
@@ -0,0 +1,121 @@
+"""Values that another writer left in the store, while real nodes serve requests.
+
+Usage: foreign_entry_process_test.py BUILD_DIR [unittest arguments]
+"""
+
+import base64
+import json
+import os
+import sys
+import threading
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+
+from platform_system import send_request, wait_for  # noqa: E402
+from scripted_server import Answer  # noqa: E402
+from scripted_system import ScriptedSystem  # noqa: E402
+
+BUILD_DIR = sys.argv.pop(1) if len(sys.argv) > 1 else "build"
+NODES, SERVERS = 3, 3
+ROUTES = {"repeatable": {"route_type": "idempotent", "timeout_ms": 6000, "max_attempts": 2},
+          "payment": {"route_type": "non_idempotent", "timeout_ms": 6000, "max_attempts": 2}}
+CALL_INTERVAL_S = 0.03
+LENGTH_S = 3.0
+FOLLOWED_S = 2.0  # A change of the configuration is in force within this time.
+ODD_ADDRESSES = ["", "till-7:8080", "[::1]:8080", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:65536",
+                 "10.0.0.1:99999", "10.0.0.1:-1", "10.0.0.1\r\nX: 1:80"]
+
+
+def encoded(value):
+    """The value of an item of the store: JSON, or bytes as they are."""
+    raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return base64.b64encode(raw).decode()
+
+
+class ForeignEntryTest(unittest.TestCase):
+
+    def setUp(self):
+        def answer(_, connection, head):
+            connection.sendall(Answer([("X-Request-Id", head["x-request-id"])], [b"ok"], "length",
+                                      [1]).wire)
+            return True
+
+        self.system = ScriptedSystem(BUILD_DIR, ROUTES, SERVERS, answer, nodes=NODES)
+        self.addCleanup(self.system.stop)
+        for number in range(NODES):
+            wait_for(f"node {number} to be ready", lambda n=number: self.system.is_ready(n))
+
+    def put(self, values):
+        """Writes values, which are given as the store transfers them."""
+        for key, value in values.items():
+            self.system.write({"expected": [], "remove": [],
+                               "puts": [{"key": key, "value": value}]})
+
+    def odd_entry(self, **fields):
+        """An entry that the nodes of all zones would prefer, but for some fields."""
+        return encoded({**self.system.entry_of("repeatable", self.system.servers[0], slots=64),
+                        **fields})
+
+    def call_until(self, service, node, ended):
+        number = 0
+        while not ended.wait(CALL_INTERVAL_S):
+            number += 1
+            _, response = self.system.call(node, "POST", f"/{service}/x", b"{}")
+            self.replies.append((service, node, response.status, response.complete))
+
+    def metric(self, node, name):
+        text = send_request(self.system.nodes[node] + ":7354", "GET", "/metrics").body.decode()
+        for line in text.split("\n"):
+            if line.startswith(name + " "):
+                return float(line.split()[1])
+        return 0
+
+    def configuration_is_followed(self, node):
+        return f"event=configuration version={self.version}" in self.system.log(f"n{node}")
+
+    def play(self, values, skipped):
+        """Writes values while requests are sent. Each node skips `skipped` of them."""
+        self.replies = []
+        self.version = 7
+        ended = threading.Event()
+        callers = [threading.Thread(target=self.call_until, args=(service, node, ended))
+                   for service in ROUTES for node in range(NODES)]
+        for caller in callers:
+            caller.start()
+        try:
+            time.sleep(0.5)
+            self.put(values)
+            time.sleep(LENGTH_S)
+            for number in range(NODES):
+                self.assertIsNone(self.system.processes[f"n{number}"].poll(),
+                                  f"node {number} has ended")
+            config = next(json.loads(base64.b64decode(item["value"]))
+                          for item in self.system.items("op/config") if item["key"] == "op/config")
+            config["version"] = self.version
+            self.put({"op/config": encoded(config)})
+            for number in range(NODES):
+                wait_for(f"node {number} to follow",
+                         lambda n=number: self.configuration_is_followed(n), FOLLOWED_S)
+        finally:
+            ended.set()
+            for caller in callers:
+                caller.join()
+        self.assertGreater(len(self.replies), 20 * len(callers))
+        self.assertEqual([reply for reply in self.replies if reply[2:] != (200, True)], [])
+        for number in range(NODES):
+            self.assertIsNone(self.system.processes[f"n{number}"].poll())
+            log = self.system.log(f"n{number}")
+            self.assertEqual(log.count("event=value_unreadable"), skipped)
+            self.assertTrue(all(len(line) < 1000 for line in log.split("\n")))
+            self.assertEqual(self.metric(
+                number, 'bramleypitch_decisions_total{kind="value_unreadable"}'), skipped)
+
+    def test_server_with_an_odd_address_ends_no_node(self):
+        self.play({f"servers/odd-{number}": self.odd_entry(address=address)
+                   for number, address in enumerate(ODD_ADDRESSES)}, len(ODD_ADDRESSES))
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
