Fix: [Platform] Odd fields of a server entry ended nodes or were taken as something else

One entry whose domain or model is nested 100,000 deep ended every node that read it (stack overflow, signal 11), again after each start. Other wrong values were used: slots of -1 or 1e300, times that overflow the clock, names with line breaks that go into headers, and a member without a rank, which counted as the head of its group. An entry that became unreadable left its previous content in force.

A missing slots or cold_remaining_ms names no server, as the protocol says; before, the defaults made a cold server a warm one. The existing test entry of PlatformTest.WriteCountOfServerEntryIsIgnored therefore states both fields; its checks are unchanged. An entry that turns unreadable is handled like one that was removed while the store is reachable.

--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -269,39 +269,55 @@
 void ServingDaemon::onServerChange(const VmId &id, const StoreChange &change)
 {
     const TimePoint now = m_loop.now();
-    if (!change.deleted) {
-        m_vanishedServers.erase(id);
-        const Backend *previous = m_backends.find(id);
-        const GroupMembership previousClaim = previous ? previous->report.group : GroupMembership();
-        const std::vector<ModelId> previousStaged =
-            previous ? previous->report.staged : std::vector<ModelId>();
-        const bool wasDraining = previous && previous->report.draining;
-        const BackendReport report = m_dialect.readServer(id, change.value);
-        m_backends.update(report, now);
-        if (!previous || previousClaim != report.group || wasDraining != report.draining
-            || previousStaged != report.staged)
-            logLine(LogLevel::Info, "server",
-                    {{"server", id.value()},
-                     {"service", report.service.value()},
-                     {"group", report.group.name.value()},
-                     {"state", std::to_string(static_cast<int>(report.group.state))},
-                     {"draining", report.draining ? "true" : "false"},
-                     {"model", report.model.value()},
-                     {"staged", report.staged.empty() ? "" : report.staged.front().value()},
-                     {"domain", report.domain.value()}});
+    if (change.deleted) {
+        const bool storeWasUnreachable = now - m_mirror.reachableSince() < lapsedRetention;
+        onServerVanished(id, storeWasUnreachable ? Listing::Lapsed : Listing::Missing, now);
         return;
     }
+    BackendReport report;
+    try {
+        report = m_dialect.readServer(id, change.value);
+    } catch (const Failure &) {
+        // What the previous entry said no longer holds.
+        onServerVanished(id, Listing::Missing, now);
+        throw;
+    }
+    m_vanishedServers.erase(id);
+    const Backend *previous = m_backends.find(id);
+    const GroupMembership previousClaim = previous ? previous->report.group : GroupMembership();
+    const std::vector<ModelId> previousStaged =
+        previous ? previous->report.staged : std::vector<ModelId>();
+    const bool wasDraining = previous && previous->report.draining;
+    m_backends.update(report, now);
+    if (!previous || previousClaim != report.group || wasDraining != report.draining
+        || previousStaged != report.staged)
+        logLine(LogLevel::Info, "server",
+                {{"server", id.value()},
+                 {"service", report.service.value()},
+                 {"group", report.group.name.value()},
+                 {"state", std::to_string(static_cast<int>(report.group.state))},
+                 {"draining", report.draining ? "true" : "false"},
+                 {"model", report.model.value()},
+                 {"staged", report.staged.empty() ? "" : report.staged.front().value()},
+                 {"domain", report.domain.value()}});
+}
+
+void ServingDaemon::onServerVanished(const VmId &id, Listing listing, TimePoint now)
+{
     const Backend *backend = m_backends.find(id);
     if (!backend)
         return;
-    const bool storeWasUnreachable = now - m_mirror.reachableSince() < lapsedRetention;
-    if (storeWasUnreachable || backend->report.group.state != MemberState::None) {
-        m_backends.setListing(id, storeWasUnreachable ? Listing::Lapsed : Listing::Missing);
-        m_vanishedServers[id] = {now, storeWasUnreachable ? lapsedRetention : missingRetention};
-        logLine(LogLevel::Info, storeWasUnreachable ? "server_lapsed" : "server_missing",
+    if (backend->listing == listing)
+        return;
+    const bool lapsed = listing == Listing::Lapsed;
+    if (lapsed || backend->report.group.state != MemberState::None) {
+        m_backends.setListing(id, listing);
+        m_vanishedServers[id] = {now, lapsed ? lapsedRetention : missingRetention};
+        logLine(LogLevel::Info, lapsed ? "server_lapsed" : "server_missing",
                 {{"server", id.value()}, {"group", backend->report.group.name.value()}});
         return;
     }
+    m_vanishedServers.erase(id);
     m_backends.erase(id);
     logLine(LogLevel::Info, "server_gone", {{"server", id.value()}});
 }
--- a/src/network/serving_daemon.h
+++ b/src/network/serving_daemon.h
@@ -81,6 +81,9 @@
     RelayHooks relayHooks();
     void onStoreChange(const StoreChange &change);
     void onServerChange(const VmId &id, const StoreChange &change);
+    /// The entry of a server was removed or can no longer be read. `listing` is what that makes of
+    /// a server that may still work.
+    void onServerVanished(const VmId &id, Listing listing, TimePoint now);
     void onOwnKeyChange(const StoreChange &change);
     void onConfigurationChange(const StoreChange &change);
     /// Acts on the changes of the store after a batch of them was reported.
--- a/src/platform/platform_server_entry.cpp
+++ b/src/platform/platform_server_entry.cpp
@@ -1,8 +1,9 @@
 #include "core/error_type.h"
+#include "core/json_reader.h"
 #include "network/address_func.h"
 #include "platform/platform_dialect.h"
 
-#include <nlohmann/json.hpp>
+#include <cmath>
 
 namespace bramleypitch::platform {
 
@@ -10,8 +11,9 @@
 
 using nlohmann::json;
 
-MemberState readState(const std::string &state)
+MemberState readState(const JsonReader &group)
 {
+    const std::string state = group.name("state");
     if (state == "joining")
         return MemberState::Joining;
     if (state == "ready")
@@ -22,67 +24,65 @@
         return MemberState::Closing;
     if (state == "broken")
         return MemberState::Broken;
-    throw Failure(ErrorCode::PlatformProtocol, "group.state: \"" + state + "\" is not known");
+    group.fail("state", "\"" + state + "\" is not known");
 }
 
-GroupMembership readMembership(const json &entry)
+GroupMembership readMembership(const JsonReader &entry)
 {
     GroupMembership membership;
-    const auto group = entry.find("group");
-    if (group == entry.end() || !group->is_object())
+    if (!entry.has("group"))
         return membership;
-    membership.name = GroupId(group->at("name").get<std::string>());
-    if (membership.name.value().empty())
+    const JsonReader group = entry.object("group");
+    if (group.text("name").empty())
         return membership;
-    membership.generation = Generation(group->at("epoch").get<std::uint64_t>());
-    membership.rank = group->value("rank", 0U);
-    membership.state = readState(group->at("state").get<std::string>());
+    membership.name = GroupId(group.name("name"));
+    membership.generation =
+        Generation(static_cast<std::uint64_t>(group.integer("epoch", 0, JsonBounds::integer)));
+    membership.rank = static_cast<std::uint32_t>(group.integer("rank", 0, JsonBounds::count));
+    membership.state = readState(group);
     return membership;
 }
 
-/// Parses a model or domain, which is given as a string, a number or an object with a name.
-std::string readName(const json &value)
+/// Parses a model or domain, which is given as a string, an integer or an object with a name.
+std::string readName(const json &value, const std::string &what)
 {
-    if (value.is_string())
-        return value.get<std::string>();
     if (value.is_object())
-        return value.at("name").get<std::string>();
-    return value.dump();
+        return JsonReader(value, what).name("name");
+    if (value.is_number_integer())
+        return value.dump();
+    return checkedName(value.is_string() ? value.get_ref<const std::string &>() : "", what);
 }
 
 } // namespace
 
 BackendReport readServer(const VmId &id, const std::string &text)
 {
-    try {
-        const json entry = json::parse(text);
-        BackendReport report;
-        report.id = id;
-        report.service = ServiceId(entry.at("service").get<std::string>());
-        report.address = Address(entry.at("address").get<std::string>());
-        parseSocketAddress(report.address);
-        report.zone = ZoneId(entry.at("zone").get<std::string>());
-        report.slots = entry.value("slots", 0U);
-        const std::string state = entry.at("state").get<std::string>();
-        if (state != "ready" && state != "draining")
-            throw Failure(ErrorCode::PlatformProtocol, "state: \"" + state + "\" is not known");
-        report.draining = state == "draining";
-        report.coldTimeLeft = Duration(entry.value("cold_remaining_ms", std::int64_t {0}));
-        // "seq_num" in this entry counts its writes, not orders that the server has started.
-        report.startedAt = entry.value("born", std::int64_t {0});
-        if (entry.contains("domain"))
-            report.domain = DomainId(readName(entry["domain"]));
-        if (entry.contains("models") && !entry["models"].empty())
-            report.model = ModelId(readName(entry["models"].front()));
-        if (entry.contains("staged")) {
-            for (const json &model : entry["staged"])
-                report.staged.emplace_back(readName(model));
-        }
-        report.group = readMembership(entry);
-        return report;
-    } catch (const json::exception &error) {
-        throw Failure(ErrorCode::PlatformProtocol, std::string("server: ") + error.what());
-    }
+    const json document = parseJson(text);
+    const JsonReader entry(document, "server");
+    BackendReport report;
+    report.id = VmId(checkedName(id.value(), "server id"));
+    report.service = ServiceId(entry.name("service"));
+    report.address = Address(entry.name("address"));
+    parseSocketAddress(report.address);
+    report.zone = ZoneId(entry.name("zone"));
+    report.slots = static_cast<std::uint32_t>(entry.integer("slots", 0, JsonBounds::count));
+    const std::string state = entry.name("state");
+    if (state != "ready" && state != "draining")
+        entry.fail("state", "\"" + state + "\" is not known");
+    report.draining = state == "draining";
+    report.coldTimeLeft = Duration(static_cast<Duration::rep>(
+        std::ceil(entry.number("cold_remaining_ms", 0, JsonBounds::milliseconds))));
+    // "seq_num" in this entry counts its writes, not orders that the server has started.
+    report.startedAt = entry.integer("born", 0, JsonBounds::integer, 0);
+    if (entry.has("domain"))
+        report.domain = DomainId(readName(entry.value("domain"), "server.domain"));
+    const std::vector<const json *> models = entry.elements("models");
+    if (!models.empty())
+        report.model = ModelId(readName(*models.front(), "server.models"));
+    for (const json *model : entry.elements("staged"))
+        report.staged.emplace_back(readName(*model, "server.staged"));
+    report.group = readMembership(entry);
+    return report;
 }
 
 } // namespace bramleypitch::platform
--- a/src/tests/foreign_entry_process_test.py
+++ b/src/tests/foreign_entry_process_test.py
@@ -15,15 +15,17 @@
 
 from platform_system import send_request, wait_for  # noqa: E402
 from scripted_server import Answer  # noqa: E402
-from scripted_system import ScriptedSystem  # noqa: E402
+from scripted_system import ScriptedSystem, service_of  # noqa: E402
 
 BUILD_DIR = sys.argv.pop(1) if len(sys.argv) > 1 else "build"
+SLOT = 9  # Addresses of its own.
 NODES, SERVERS = 3, 3
 ROUTES = {"repeatable": {"route_type": "idempotent", "timeout_ms": 6000, "max_attempts": 2},
           "payment": {"route_type": "non_idempotent", "timeout_ms": 6000, "max_attempts": 2}}
 CALL_INTERVAL_S = 0.03
 LENGTH_S = 3.0
 FOLLOWED_S = 2.0  # A change of the configuration is in force within this time.
+DEEP = b"[" * 100000 + b"]" * 100000
 ODD_ADDRESSES = ["", "till-7:8080", "[::1]:8080", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:65536",
                  "10.0.0.1:99999", "10.0.0.1:-1", "10.0.0.1\r\nX: 1:80"]
 
@@ -37,12 +39,15 @@
 class ForeignEntryTest(unittest.TestCase):
 
     def setUp(self):
-        def answer(_, connection, head):
+        self.arrivals = []  # Server, service and time of each request.
+
+        def answer(server, connection, head):
+            self.arrivals.append((server, service_of(head), time.monotonic()))
             connection.sendall(Answer([("X-Request-Id", head["x-request-id"])], [b"ok"], "length",
                                       [1]).wire)
             return True
 
-        self.system = ScriptedSystem(BUILD_DIR, ROUTES, SERVERS, answer, nodes=NODES)
+        self.system = ScriptedSystem(BUILD_DIR, ROUTES, SERVERS, answer, SLOT, nodes=NODES)
         self.addCleanup(self.system.stop)
         for number in range(NODES):
             wait_for(f"node {number} to be ready", lambda n=number: self.system.is_ready(n))
@@ -87,6 +92,7 @@
         try:
             time.sleep(0.5)
             self.put(values)
+            self.written_at = time.monotonic()
             time.sleep(LENGTH_S)
             for number in range(NODES):
                 self.assertIsNone(self.system.processes[f"n{number}"].poll(),
@@ -116,6 +122,37 @@
         self.play({f"servers/odd-{number}": self.odd_entry(address=address)
                    for number, address in enumerate(ODD_ADDRESSES)}, len(ODD_ADDRESSES))
 
+    def test_odd_server_entry_ends_no_node(self):
+        values = [self.odd_entry(**fields) for fields in (
+            {"slots": -1}, {"slots": 1e300}, {"slots": True}, {"cold_remaining_ms": 2 ** 63 - 1},
+            {"cold_remaining_ms": 1e300}, {"born": "now"}, {"born": 0.5}, {"zone": "a\r\nb: c"},
+            {"service": "repeatable\n"}, {"group": "g"}, {"domain": 0.5},
+            {"group": {"name": "g", "epoch": 2 ** 64 - 1, "rank": 0, "state": "open"}})]
+        sound = json.dumps(self.system.entry_of("repeatable", self.system.servers[0])).encode()
+        values += [encoded(value) for value in (
+            b"", b"{", b"\xff\xfe", b"null", b"[]", DEEP, sound[:-1], sound[:-1] + b',"slots":1e400}',
+            sound[:-1] + b',"domain":' + DEEP + b"}", sound[:-1] + b',"models":[' + DEEP + b"]}")]
+        values = {f"servers/odd-{number}": value for number, value in enumerate(values)}
+        values["servers/a\r\nX-Tenant-Id: b"] = self.odd_entry()
+        values["servers/"] = self.odd_entry()
+        self.play(values, len(values))
+
+    def test_server_whose_entry_turns_odd_is_not_used(self):
+        sound, server = self.system.entry_of("repeatable", self.system.servers[0]), \
+            self.system.servers[0]
+        self.play({"servers/repeatable-0": encoded(DEEP)}, 1)
+        times = [at for arrived, service, at in self.arrivals
+                 if (arrived, service) == (server, "repeatable")]
+        self.assertTrue(times, "it was not used before")
+        self.assertLess(max(times), self.written_at + FOLLOWED_S)
+        self.assertIn("event=server_gone server=repeatable-0", self.system.log("n0"))
+        del self.arrivals[:]
+        self.put({"servers/repeatable-0": encoded(sound)})
+        time.sleep(FOLLOWED_S)
+        for _ in range(20):
+            self.assertEqual(self.system.call(0, "POST", "/repeatable/x", b"{}")[1].status, 200)
+        self.assertIn(server, [arrived for arrived, _, _ in self.arrivals])
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
--- a/src/tests/foreign_entry_test.cpp
+++ b/src/tests/foreign_entry_test.cpp
@@ -2,6 +2,7 @@
 // Failure leaves a reader, and no connection to an odd address ends the event loop.
 
 #include "core/error_type.h"
+#include "core/json_reader.h"
 #include "network/backend_connections.h"
 #include "network/event_loop.h"
 #include "network/http_client.h"
@@ -9,9 +10,13 @@
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
+#include <rapidcheck/gtest.h>
 
 #include <csignal>
+#include <map>
 #include <optional>
+#include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,6 +63,154 @@
             {"group", {{"name", "g1"}, {"epoch", 4}, {"rank", 1}, {"state", "ready"}}}};
 }
 
+/// A sound entry of a plain server.
+json soundPlainServer()
+{
+    json entry = soundServer();
+    for (const char *field : {"domain", "staged", "models", "group"})
+        entry.erase(field);
+    return entry;
+}
+
+std::string nested(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+/// Fragments of JSON that fit no field, or that programs read differently.
+const std::vector<std::string> &oddFragments()
+{
+    static const std::vector<std::string> fragments {"null",
+                                                     "true",
+                                                     "0",
+                                                     "-1",
+                                                     "0.5",
+                                                     "-0.0",
+                                                     "8.0",
+                                                     "65536",
+                                                     "1e300",
+                                                     "-1e300",
+                                                     "1e400",
+                                                     "2147483648",
+                                                     "9007199254740993",
+                                                     "9223372036854775807",
+                                                     "9223372036854775808",
+                                                     "-9223372036854775808",
+                                                     "18446744073709551615",
+                                                     "18446744073709551616",
+                                                     "99999999999999999999999999",
+                                                     "[]",
+                                                     "{}",
+                                                     "[[]]",
+                                                     "[null]",
+                                                     R"({"name":5})",
+                                                     R"([{"name":[]}])",
+                                                     R"("")",
+                                                     R"(" ")",
+                                                     R"("a\r\nX-Expect-Instance: b")",
+                                                     R"("\u0000")",
+                                                     R"("\ud800")",
+                                                     "\"\xff\"",
+                                                     "\"" + std::string(300, 'n') + "\"",
+                                                     "NaN",
+                                                     "",
+                                                     nested(60),
+                                                     nested(100),
+                                                     nested(100'000),
+                                                     R"({"a":)" + nested(1'000) + "}"};
+    return fragments;
+}
+
+constexpr const char *placeholder = "\"replaced\"";
+
+/// Writes `value` with the element at `pointer` replaced by a fragment.
+std::string withFragment(json value, const json::json_pointer &pointer, const std::string &fragment)
+{
+    value[pointer] = "replaced";
+    std::string text = value.dump();
+    return text.replace(text.find(placeholder), std::string(placeholder).size(), fragment);
+}
+
+/// Pointers to all elements of a value, objects and arrays included.
+std::vector<json::json_pointer> elementsOf(const json &value)
+{
+    std::set<std::string> pointers;
+    const json flat = value.flatten();
+    for (const auto &[path, leaf] : flat.items()) {
+        for (json::json_pointer pointer(path); !pointer.empty(); pointer.pop_back())
+            pointers.insert(pointer.to_string());
+    }
+    std::vector<json::json_pointer> elements;
+    for (const std::string &pointer : pointers)
+        elements.emplace_back(pointer);
+    return elements;
+}
+
+/// Changes a document as faulty writers do: values of other types, fields that are missing or there
+/// twice, broken bytes and broken ends.
+std::string mutate(const json &sound, std::mt19937_64 &random)
+{
+    const auto below = [&](std::size_t count) {
+        return static_cast<std::size_t>(random() % count);
+    };
+    const auto elements = elementsOf(sound);
+    const json::json_pointer &element = elements[below(elements.size())];
+    std::string text = sound.dump();
+    switch (below(6)) {
+    case 0:
+    case 1:
+        text = withFragment(sound, element, oddFragments()[below(oddFragments().size())]);
+        break;
+    case 2: {
+        json shorter = sound;
+        json &parent = shorter[element.parent_pointer()];
+        if (parent.is_object())
+            parent.erase(element.back());
+        else
+            parent.erase(static_cast<std::size_t>(std::stoul(element.back())));
+        text = shorter.dump();
+        break;
+    }
+    case 3:
+        text.resize(below(text.size()));
+        break;
+    case 4:
+        for (std::size_t i = below(8) + 1; i > 0; --i)
+            text[below(text.size())] = static_cast<char>(random());
+        break;
+    default:
+        // The last of two fields of a name counts.
+        if (sound.is_object())
+            text.insert(text.size() - 1,
+                        ",\"" + elements[below(elements.size())].back()
+                            + "\":" + oddFragments()[below(oddFragments().size())]);
+    }
+    return text;
+}
+
+/// What a reader returns, or nothing if it throws Failure. Any other exception fails the test.
+template<typename Read>
+auto readOrSkip(Read read) -> std::optional<decltype(read())>
+{
+    try {
+        return read();
+    } catch (const Failure &failure) {
+        RC_ASSERT(std::string(failure.what()).size() < 1'000U);
+        return std::nullopt;
+    }
+}
+
+/// The reports of a property test differ by their seed only.
+constexpr int mutationsPerSeed = 50;
+
+template<typename Check>
+void forEachMutation(const std::vector<json> &sound, std::uint64_t seed, Check check)
+{
+    std::mt19937_64 random(seed);
+    for (int i = 0; i < mutationsPerSeed; ++i)
+        check(mutate(sound[random() % sound.size()], random));
+}
+
 class OddAddressTest : public testing::TestWithParam<std::string>
 {
 protected:
@@ -121,4 +274,91 @@
 
 INSTANTIATE_TEST_SUITE_P(ForeignEntry, OddAddressTest, testing::ValuesIn(oddAddresses));
 
+TEST(ServerEntryTest, SoundEntriesAreRead)
+{
+    const BackendReport report = platform::readServer(VmId("s"), soundServer().dump());
+    EXPECT_EQ(report.slots, 8U);
+    EXPECT_EQ(report.coldTimeLeft, Duration(250));
+    EXPECT_EQ(report.startedAt, 1'700'000'000'000);
+    EXPECT_EQ(report.model, ModelId("small"));
+    EXPECT_EQ(report.staged.size(), 2U);
+    EXPECT_EQ(report.group.rank, 1U);
+    EXPECT_EQ(report.group.state, MemberState::Ready);
+    EXPECT_NO_THROW(platform::readServer(VmId("s"), soundPlainServer().dump()));
+    json entry = soundServer();
+    entry["slots"] = 8.0;
+    entry["cold_remaining_ms"] = 249.5;
+    entry["domain"] = 7;
+    entry["models"] = json::array();
+    entry["group"] = nullptr;
+    entry["zone"] = "z\u00fcrich";
+    entry["new"] = {{"field", true}};
+    const BackendReport other = platform::readServer(VmId("s"), entry.dump());
+    EXPECT_EQ(other.slots, 8U);
+    EXPECT_EQ(other.coldTimeLeft, Duration(250));
+    EXPECT_EQ(other.domain, DomainId("7"));
+    EXPECT_EQ(other.group.state, MemberState::None);
+}
+
+// Guards against FAULT: names that nest 100,000 deep, and numbers out of range.
+TEST(ServerEntryTest, OddFieldsNameNoServer)
+{
+    const std::map<std::string, std::vector<std::string>> odd {
+        {"/slots", {"-1", "0.5", "1e300", "true", "4294967296", "\"8\"", "[]"}},
+        {"/cold_remaining_ms", {"-1", "1e300", "9223372036854775807", "\"0\"", "false"}},
+        {"/born", {"-1", "0.5", "\"now\"", "1e300", "9223372036854775808", "[]", "true"}},
+        {"/service", {"5", "\"\"", R"("a\r\nb")", "[]"}},
+        {"/zone", {"5", "\"\"", R"("\u0000")", "{}"}},
+        {"/state", {"5", "\"open\"", "[]"}},
+        {"/domain", {"0.5", "[]", "{}", "true", nested(100'000), R"({"name":5})"}},
+        {"/models", {"{}", "5", "[5.5]", "[" + nested(100'000) + "]", R"([{"name":""}])"}},
+        {"/staged", {"\"small\"", "{}", "[[]]", "[" + nested(100'000) + "]"}},
+        {"/group", {"5", "\"g1\"", "[]", "{}", nested(100'000)}},
+        {"/group/name", {"5", R"("a\nb")", "[]"}},
+        {"/group/epoch", {"-1", "0.5", "18446744073709551615", "\"4\""}},
+        {"/group/rank", {"-1", "0.5", "4294967296", "\"1\"", "true"}},
+        {"/group/state", {"5", "\"odd\""}}};
+    for (const auto &[pointer, fragments] : odd) {
+        for (const std::string &fragment : fragments) {
+            const std::string text =
+                withFragment(soundServer(), json::json_pointer(pointer), fragment);
+            EXPECT_THROW(platform::readServer(VmId("s"), text), Failure)
+                << pointer << " " << fragment.substr(0, 40);
+        }
+    }
+    for (const char *field :
+         {"service", "address", "zone", "slots", "state", "cold_remaining_ms"}) {
+        json entry = soundServer();
+        entry.erase(field);
+        EXPECT_THROW(platform::readServer(VmId("s"), entry.dump()), Failure) << field;
+    }
+    json group = soundServer();
+    group["group"].erase("rank"); // Rank 0 would be the head.
+    EXPECT_THROW(platform::readServer(VmId("s"), group.dump()), Failure);
+}
+
+// Ids are sent in headers, messages and logs.
+TEST(ServerEntryTest, OddIdNamesNoServer)
+{
+    for (const std::string &id :
+         {std::string(), std::string("a\r\nX-Tenant-Id: b"), std::string("a\0b", 3),
+          std::string(256, 'i'), std::string("\xff"), std::string(" a")})
+        EXPECT_THROW(platform::readServer(VmId(id), soundServer().dump()), Failure);
+}
+
+RC_GTEST_PROP(ServerEntryTest, MutatedEntriesAreReadOrSkipped, (std::uint64_t seed))
+{
+    forEachMutation({soundServer(), soundPlainServer()}, seed, [](const std::string &text) {
+        const auto report = readOrSkip([&] { return platform::readServer(VmId("s"), text); });
+        if (!report)
+            return;
+        RC_ASSERT(isName(report->service.value()) && isName(report->zone.value()));
+        RC_ASSERT(report->slots <= JsonBounds::count);
+        RC_ASSERT(report->coldTimeLeft >= Duration(0));
+        RC_ASSERT(report->coldTimeLeft.count() <= JsonBounds::milliseconds);
+        RC_ASSERT(report->startedAt >= 0);
+        RC_ASSERT(report->group.rank <= JsonBounds::count);
+    });
+}
+
 } // namespace bramleypitch
--- a/src/tests/relay_test.cpp
+++ b/src/tests/relay_test.cpp
@@ -1213,7 +1213,7 @@
 {
     const BackendReport report = platform::readServer(
         VmId("s"), R"({"service": "a", "address": "127.0.0.1:1", "zone": "z", "state": "ready",
-                       "seq_num": 9, "born": 17, "domain": "d", "staged": ["m"], "models": [],
+                       "slots": 8, "cold_remaining_ms": 0, "seq_num": 9, "born": 17, "domain": "d", "staged": ["m"], "models": [],
                        "group": {"name": "g", "epoch": 3, "rank": 1, "state": "ready"}})");
     EXPECT_EQ(report.startedAt, 17);
     EXPECT_EQ(report.group.generation, Generation(3));
