Fix: [Platform] One item that cannot be read stopped a node from following the store

A page or a batch of changes with one item whose value is not base64, or whose revision is of another type, counted as unreadable as a whole. Nodes reported the store as lost and read the same item again and again; none of the other changes took effect on any node.

Items are now read one by one. If key and revision are known but the value cannot be decoded, the change is passed on with an empty value, which no reader accepts: the previous value under that key no longer holds, and feeds to other nodes, also of earlier builds, need no new field. An item without a usable key or revision is left out, logged and counted. Paging continues after the last item, also if that was left out, and fails if a page does not move on. Replies are read by JsonReader, so that depth and numbers are bounded.

StoreReplyTest.OddItemsHideNoOthers, and ForeignEntryTest.test_odd_item_of_the_store_hides_no_other with three nodes.

--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -187,6 +187,11 @@
     MirrorHooks hooks;
     hooks.changed = [this](const StoreChange &change) { onStoreChange(change); };
     hooks.proven = [this](TimePoint at) { m_requests.setConfigurationProof(at); };
+    hooks.skipped = [this](std::size_t items) {
+        m_decisions["value_unreadable"] += items;
+        logLine(LogLevel::Warning, "value_unreadable",
+                {{"items", std::to_string(items)}, {"reason", "no key or revision"}});
+    };
     hooks.settled = [this] { settled(); };
     hooks.reachable = [this](bool reachable, const std::string &cause) {
         logLine(reachable ? LogLevel::Info : LogLevel::Warning,
--- a/src/network/store_client.h
+++ b/src/network/store_client.h
@@ -48,6 +48,8 @@
     Outcome outcome = Outcome::Failed;
     std::vector<StoreChange> changes;
     Revision storeRevision; ///< The store's revision when it answered.
+    std::string lastKey; ///< Of the last item, also if that was left out.
+    std::size_t skipped = 0; ///< Items that were left out as they could not be read.
     bool more = false; ///< Only for reads: more pages follow after the last key.
     std::string cause; ///< The reason of a failure, for the log.
 };
--- a/src/network/store_mirror.cpp
+++ b/src/network/store_mirror.cpp
@@ -135,21 +135,23 @@
 
 void StoreMirror::readFrom(const std::string &after, TimePoint sentAt)
 {
-    m_store.readPage(allKeysPrefix, after,
-                     [this, sentAt](const StoreReply &reply) { onPageRead(reply, sentAt); });
+    m_store.readPage(allKeysPrefix, after, [this, after, sentAt](const StoreReply &reply) {
+        onPageRead(reply, after, sentAt);
+    });
 }
 
-void StoreMirror::onPageRead(const StoreReply &reply, TimePoint sentAt)
+void StoreMirror::onPageRead(const StoreReply &reply, const std::string &after, TimePoint sentAt)
 {
     if (reply.outcome != StoreReply::Outcome::Read) {
         onFailure(reply.cause);
         return;
     }
-    if (reply.more && reply.changes.empty()) {
+    if (reply.more && (reply.lastKey.empty() || reply.lastKey == after)) {
         onFailure("incomplete page");
         return;
     }
     onSuccess();
+    reportSkipped(reply);
     if (m_readStartRevision == Revision())
         m_readStartRevision = reply.storeRevision;
     for (const StoreChange &change : reply.changes) {
@@ -157,7 +159,7 @@
         apply(change);
     }
     if (reply.more) {
-        readFrom(reply.changes.back().key, sentAt);
+        readFrom(reply.lastKey, sentAt);
         return;
     }
     std::vector<std::string> deletedKeys;
@@ -211,6 +213,7 @@
                           return;
                       }
                       onSuccess();
+                      reportSkipped(reply);
                       for (const StoreChange &change : reply.changes) {
                           if (change.revision <= m_appliedRevision)
                               continue; // Already received from another node.
@@ -237,6 +240,12 @@
     scheduleNext(m_retryDelay);
 }
 
+void StoreMirror::reportSkipped(const StoreReply &reply)
+{
+    if (reply.skipped > 0 && m_hooks.skipped)
+        m_hooks.skipped(reply.skipped);
+}
+
 void StoreMirror::onSuccess()
 {
     m_retryDelay = Duration(0);
--- a/src/network/store_mirror.h
+++ b/src/network/store_mirror.h
@@ -19,6 +19,8 @@
     std::function<void(TimePoint)> proven;
     /// All changes of a batch have been reported. First called when the initial read is complete.
     std::function<void()> settled;
+    /// A reply had this many items that could not be read and were left out.
+    std::function<void(std::size_t)> skipped;
     /// The store became unreachable or reachable again.
     std::function<void(bool reachable, const std::string &cause)> reachable;
 };
@@ -57,7 +59,9 @@
     void readAll();
     /// Reads the page that starts after a key. `sentAt` is the start of the full read.
     void readFrom(const std::string &after, TimePoint sentAt);
-    void onPageRead(const StoreReply &reply, TimePoint sentAt);
+    /// `after` is the key after which the page starts.
+    void onPageRead(const StoreReply &reply, const std::string &after, TimePoint sentAt);
+    void reportSkipped(const StoreReply &reply);
     void watch();
     void onFailure(const std::string &cause);
     void onSuccess();
--- a/src/platform/platform_store.cpp
+++ b/src/platform/platform_store.cpp
@@ -1,11 +1,13 @@
 #include "platform/platform_store.h"
 
 #include "core/error_type.h"
+#include "core/json_reader.h"
 #include "network/base64_func.h"
 
 #include <event2/http.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 #include <memory>
 #include <optional>
@@ -32,15 +34,32 @@
     return encoded.get();
 }
 
-StoreChange parseChange(const json &item)
+/// Decodes a value. One that cannot be decoded becomes an empty value, which no reader accepts.
+std::string decodeValue(const JsonReader &item)
 {
-    StoreChange change;
-    change.key = item.at("key").get<std::string>();
-    change.revision = Revision(item.at("revision").get<std::int64_t>());
-    change.deleted = item.value("deleted", false);
-    if (!change.deleted)
-        change.value = decodeBase64(item.at("value").get<std::string>());
-    return change;
+    try {
+        return decodeBase64(item.text("value", JsonBounds::documentBytes));
+    } catch (const Failure &) {
+        return {};
+    }
+}
+
+/// Adds an item of a list to a reply. An item without a usable key or revision is left out.
+void addItem(const json &value, StoreReply &reply)
+{
+    try {
+        const JsonReader item(value, "item");
+        StoreChange change;
+        change.key = item.text("key");
+        reply.lastKey = change.key;
+        change.revision = Revision(item.integer("revision", 1, JsonBounds::integer));
+        change.deleted = item.boolean("deleted", false);
+        if (!change.deleted)
+            change.value = decodeValue(item);
+        reply.changes.push_back(std::move(change));
+    } catch (const Failure &) {
+        ++reply.skipped;
+    }
 }
 
 /// The calls that return a list. Only a range read comes in pages.
@@ -59,15 +78,15 @@
         return reply;
     }
     try {
-        const json body = json::parse(response.body);
-        for (const json &item : body.at(isRange ? "entries" : "events"))
-            reply.changes.push_back(parseChange(item));
-        reply.storeRevision = Revision(body.at("as_of").get<std::int64_t>());
-        reply.more = isRange && body.at("more_pages").get<bool>();
+        const json document = parseJson(response.body);
+        const JsonReader body(document, "reply");
+        const char *list = isRange ? "entries" : "events";
+        body.value(list);
+        for (const json *item : body.elements(list))
+            addItem(*item, reply);
+        reply.storeRevision = Revision(body.integer("as_of", 1, JsonBounds::integer));
+        reply.more = isRange && body.boolean("more_pages");
         reply.outcome = StoreReply::Outcome::Read;
-    } catch (const json::exception &error) {
-        reply = StoreReply();
-        reply.cause = error.what();
     } catch (const Failure &failure) {
         reply = StoreReply();
         reply.cause = failure.what();
@@ -91,10 +110,12 @@
 
 std::optional<std::int64_t> integerField(const std::string &body, const char *name)
 {
-    const json parsed = json::parse(body, nullptr, false);
-    if (!parsed.is_object() || !parsed.contains(name) || !parsed[name].is_number_integer())
+    try {
+        const json document = parseJson(body);
+        return JsonReader(document, "reply").integer(name, 0, JsonBounds::integer);
+    } catch (const Failure &) {
         return std::nullopt;
-    return parsed[name].get<std::int64_t>();
+    }
 }
 
 /// Parses the response to granting a lease (`knownLease` 0) or renewing one.
@@ -111,7 +132,7 @@
         return lease;
     lease.ok = true;
     lease.id = *id;
-    lease.timeToLive = Duration(*timeToLive);
+    lease.timeToLive = Duration(std::min(*timeToLive, JsonBounds::milliseconds));
     return lease;
 }
 
--- a/src/tests/foreign_entry_process_test.py
+++ b/src/tests/foreign_entry_process_test.py
@@ -137,6 +137,12 @@
         values["servers/"] = self.odd_entry()
         self.play(values, len(values))
 
+    def test_odd_item_of_the_store_hides_no_other(self):
+        values = {f"servers/odd-{number}": value
+                  for number, value in enumerate(["!!!", "MQ=", 5, None, {"a": 1}, ["MQ=="], ""])}
+        values["servers/repeatable-0"] = "not base64"
+        self.play(values, len(values))
+
     def test_server_whose_entry_turns_odd_is_not_used(self):
         sound, server = self.system.entry_of("repeatable", self.system.servers[0]), \
             self.system.servers[0]
--- a/src/tests/http_client_test.cpp
+++ b/src/tests/http_client_test.cpp
@@ -260,17 +260,18 @@
         m_loop.run();
         return received;
     }
-    StoreReply::Outcome page(const std::string &body)
+    StoreReply readPage(const std::string &body)
     {
         m_server.response = okResponse(body);
-        StoreReply::Outcome outcome = StoreReply::Outcome::Compacted;
+        StoreReply received;
         m_store.readPage("", "", [&](const StoreReply &reply) {
-            outcome = reply.outcome;
+            received = reply;
             m_loop.stop();
         });
         m_loop.run();
-        return outcome;
+        return received;
     }
+    StoreReply::Outcome page(const std::string &body) { return readPage(body).outcome; }
 
     platform::PlatformStore m_store {m_client, m_server.address()};
 };
@@ -288,11 +289,53 @@
         EXPECT_FALSE(lease(body, true).ok) << body;
         EXPECT_EQ(page(body), StoreReply::Outcome::Failed) << body;
     }
+    for (const std::string &body :
+         {std::string(100'000, '['), "{\"revision\":" + std::string(100'000, '['),
+          std::string(R"({"revision":1e400,"lease":1e400,"ttl_ms":1e400})"),
+          std::string(R"({"revision":-5,"lease":-5,"ttl_ms":-5})")}) {
+        EXPECT_EQ(swap(body), StoreSwapOutcome::Unknown) << body;
+        EXPECT_FALSE(lease(body, true).ok) << body;
+        EXPECT_EQ(page(body), StoreReply::Outcome::Failed) << body;
+    }
     // An unreadable renewal does not say that the lease has expired; one with no time left does.
     EXPECT_FALSE(lease("{}", false).ok);
     EXPECT_TRUE(lease(R"({"ttl_ms":0})", false).ok);
 }
 
+// Guards against LOST: a node that could not read one item of a page no longer followed the store.
+TEST_F(StoreReplyTest, OddItemsHideNoOthers)
+{
+    const std::string first = R"({"key":"a","revision":5,"value":"MQ=="})";
+    const std::string last = R"({"key":"z","revision":9,"value":"Mg=="})";
+    for (const char *odd :
+         {"null", "5", "[]", "{}", R"({"key":5,"revision":6,"value":"MQ=="})",
+          R"({"key":"b","value":"MQ=="})", R"({"key":"b","revision":"6","value":"MQ=="})",
+          R"({"key":"b","revision":0.5,"value":"MQ=="})",
+          R"({"key":"b","revision":-6,"value":"MQ=="})",
+          R"({"key":"b","revision":18446744073709551615,"value":"MQ=="})",
+          R"({"key":"b","revision":6,"deleted":"yes"})"}) {
+        const StoreReply reply = readPage("{\"entries\":[" + first + "," + odd + "," + last
+                                          + R"(],"more_pages":false,"as_of":9})");
+        ASSERT_EQ(reply.outcome, StoreReply::Outcome::Read) << odd;
+        ASSERT_EQ(reply.changes.size(), 2U) << odd;
+        EXPECT_EQ(reply.changes.front().value, "1");
+        EXPECT_EQ(reply.changes.back().value, "2");
+        EXPECT_EQ(reply.skipped, 1U);
+    }
+    // The key and revision are known: the previous value no longer holds.
+    for (const char *odd : {R"("value":"!!!")", R"("value":"MQ=")", R"("value":5)", R"("x":1)"}) {
+        const StoreReply reply =
+            readPage("{\"entries\":[" + first + R"(,{"key":"b","revision":6,)" + odd + "}," + last
+                     + R"(],"more_pages":false,"as_of":9})");
+        ASSERT_EQ(reply.changes.size(), 3U) << odd;
+        EXPECT_EQ(reply.changes[1].key, "b");
+        EXPECT_EQ(reply.changes[1].value, "");
+    }
+    const StoreReply reply =
+        readPage(R"({"entries":[{"key":"b","revision":"6"}],"more_pages":true,"as_of":9})");
+    EXPECT_EQ(reply.lastKey, "b"); // The next page begins after it.
+}
+
 } // namespace
 
 } // namespace bramleypitch
