Fix: [Platform] Odd configurations, plans, quarantines and records of nodes ended nodes

Values of the other kinds that nodes read had the same faults as server entries: an IPv6 address or port 0 in the record of a node ended each node that sent it a datagram (status 2); a planned group without members was used without a head; numbers of a configuration were converted out of their range, and a service whose engine is not an object counted as a plain one.

All of them are read by JsonReader now, one reader for each kind, and throw only Failure. An unreadable configuration leaves the last accepted version in force. A record of a node that turns unreadable is dropped, and a node whose own record was overwritten writes it again. An unreadable plan leaves the last one that was read in force; the owner of the domain adopts its revision and writes the plan again with a higher generation than any that the servers of the domain report, as writes would otherwise conflict for ever. An evacuation holds whatever its value is; its key has to name a zone.

--- a/src/formation/formation_func.cpp
+++ b/src/formation/formation_func.cpp
@@ -1,6 +1,6 @@
 #include "formation/formation_func.h"
 
-#include "core/error_type.h"
+#include "core/json_reader.h"
 
 #include <nlohmann/json.hpp>
 
@@ -32,27 +32,31 @@
 
 FormationPlan parsePlan(std::string_view text)
 {
-    try {
-        const nlohmann::json json = nlohmann::json::parse(text);
-        FormationPlan plan;
-        plan.generation = json.at("generation").get<Generation>();
-        plan.promised = json.at("promised").get<ModelId>();
-        for (const nlohmann::json &item : json.at("groups")) {
-            PlannedGroup group;
-            group.name = item.at("name").get<GroupId>();
-            group.generation = item.at("generation").get<Generation>();
-            group.model = item.at("model").get<ModelId>();
-            group.dissolving = item.at("dissolving").get<bool>();
-            for (const nlohmann::json &member : item.at("members"))
-                group.members.push_back(
-                    {member.at("vm").get<VmId>(), member.at("started_at").get<std::int64_t>()});
-            plan.groups.push_back(std::move(group));
-        }
-        return plan;
-    } catch (const nlohmann::json::exception &error) {
-        throw Failure(ErrorCode::PlatformProtocol,
-                      std::string("invalid formation plan: ") + error.what());
+    const auto readGeneration = [](const JsonReader &item) {
+        return Generation(
+            static_cast<std::uint64_t>(item.integer("generation", 0, JsonBounds::integer)));
+    };
+    const nlohmann::json document = parseJson(text);
+    const JsonReader reader(document, "plan");
+    FormationPlan plan;
+    plan.generation = readGeneration(reader);
+    plan.promised = ModelId(reader.text("promised", JsonBounds::nameBytes));
+    reader.value("groups");
+    for (const JsonReader &item : reader.objects("groups")) {
+        PlannedGroup group;
+        group.name = GroupId(item.name("name"));
+        group.generation = readGeneration(item);
+        group.model = ModelId(item.name("model"));
+        group.dissolving = item.boolean("dissolving");
+        for (const JsonReader &member : item.objects("members"))
+            group.members.push_back(
+                {VmId(member.name("vm")),
+                 member.integer("started_at", -JsonBounds::integer, JsonBounds::integer)});
+        if (group.members.empty())
+            item.fail("members", "must not be empty");
+        plan.groups.push_back(std::move(group));
     }
+    return plan;
 }
 
 std::string serializePlan(const FormationPlan &plan)
--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -100,11 +100,21 @@
         applyPlan(id, plan, revision);
 }
 
+void FormationSystem::onPlanUnreadable(const DomainId &id, Revision revision)
+{
+    Domain &domain = m_domains[id];
+    if (revision < domain.revision)
+        return;
+    domain.revision = revision;
+    domain.mustRewrite = true;
+}
+
 void FormationSystem::applyPlan(const DomainId &id, const FormationPlan &plan, Revision revision)
 {
     Domain &domain = m_domains[id];
     domain.plan = plan;
     domain.revision = revision;
+    domain.mustRewrite = false;
     std::set<GroupKey> groups;
     for (const PlannedGroup &group : plan.groups) {
         if (group.dissolving)
@@ -222,7 +232,17 @@
                            FormationActions &actions)
 {
     FormationPlan next = domain.plan;
-    bool changed = removeDissolvedGroups(domain, next, now, actions);
+    bool changed = false;
+    if (domain.mustRewrite) {
+        // The unreadable plan may have been newer than the last one that was read.
+        for (const Backend *backend : m_backends.serversInDomain(id)) {
+            next.generation = std::max(next.generation, backend->report.group.generation);
+            changed = true;
+        }
+        if (changed)
+            next.generation = Generation(next.generation.value() + 1);
+    }
+    changed = removeDissolvedGroups(domain, next, now, actions) || changed;
     changed = dissolveBrokenGroups(next, now, actions) || changed;
     changed = addGroups(id, next, now, actions) || changed;
     if (!changed)
--- a/src/formation/formation_system.h
+++ b/src/formation/formation_system.h
@@ -55,6 +55,9 @@
     void setDemand(const std::map<ModelId, double> &slots, TimePoint now);
     /// Handles a plan that was read from the store. `revision` is 0 if there is none.
     void onPlanRead(const DomainId &domain, const FormationPlan &plan, Revision revision);
+    /// The stored plan cannot be read. The last one that was read stays in force, and the owner of
+    /// the domain writes it again.
+    void onPlanUnreadable(const DomainId &domain, Revision revision);
     /// Handles the result of WritePlan. `revision` is 0 unless the plan was written.
     void onPlanWritten(const DomainId &domain, const FormationPlan &plan, Revision revision);
     void onOrderDone(const GroupOrderDone &done, TimePoint now, FormationActions &actions);
@@ -71,6 +74,7 @@
     {
         FormationPlan plan;
         Revision revision;
+        bool mustRewrite = false; ///< The stored plan cannot be read.
         bool writing = false;
         TimePoint writeAt;
         TimePoint ownedSince; ///< Epoch while another node owns the domain.
--- /dev/null
+++ b/src/network/membership_record.cpp
@@ -0,0 +1,44 @@
+#include "network/membership_record.h"
+
+#include "core/json_reader.h"
+#include "network/address_func.h"
+
+namespace bramleypitch {
+
+namespace {
+
+constexpr double maxCores = 1'024;
+
+Address readAddress(const JsonReader &record, const char *field)
+{
+    Address address(record.name(field));
+    parseSocketAddress(address);
+    return address;
+}
+
+} // namespace
+
+std::string serializeMembershipRecord(const MembershipRecord &record, std::int64_t life)
+{
+    return nlohmann::json {{"zone", record.zone},
+                           {"front", record.front},
+                           {"peer", record.peer},
+                           {"cores", record.cores},
+                           {"life", life}}
+        .dump();
+}
+
+MembershipRecord parseMembershipRecord(const NodeId &node, const std::string &text)
+{
+    const nlohmann::json document = parseJson(text);
+    const JsonReader reader(document, "record of a node");
+    MembershipRecord record;
+    record.node = NodeId(checkedName(node.value(), "name of a node"));
+    record.zone = ZoneId(reader.name("zone"));
+    record.front = readAddress(reader, "front");
+    record.peer = readAddress(reader, "peer");
+    record.cores = reader.number("cores", 0, maxCores, 0);
+    return record;
+}
+
+} // namespace bramleypitch
--- a/src/network/quarantine_store.cpp
+++ b/src/network/quarantine_store.cpp
@@ -1,6 +1,7 @@
 #include "network/quarantine_store.h"
 
 #include "core/error_type.h"
+#include "core/json_reader.h"
 #include "network/log.h"
 #include "request/quarantine_func.h"
 
@@ -44,7 +45,7 @@
 
 QuarantinedPart parseQuarantine(const std::string &text, WallTime now)
 {
-    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json json = parseJson(text);
     if (!json.is_object())
         throw Failure(ErrorCode::PlatformProtocol, "invalid quarantine: no JSON object");
     const std::int64_t longest = integerAt(json, "left_ms", 0, maxStoredTime.count());
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -1,7 +1,9 @@
 #include "network/serving_daemon.h"
 
-#include "network/address_func.h"
+#include "core/error_type.h"
+#include "core/json_reader.h"
 #include "network/log.h"
+#include "network/membership_record.h"
 #include "request/quarantine_func.h"
 
 #include <nlohmann/json.hpp>
@@ -80,26 +82,6 @@
     return std::to_string(duration.count());
 }
 
-/// Parses the stored record of a node. Throws Failure if it is malformed.
-MembershipRecord parseMembershipRecord(const NodeId &node, const std::string &text)
-{
-    try {
-        const nlohmann::json json = nlohmann::json::parse(text);
-        MembershipRecord record;
-        record.node = node;
-        record.zone = json.at("zone").get<ZoneId>();
-        record.front = json.at("front").get<Address>();
-        record.peer = json.at("peer").get<Address>();
-        record.cores = json.value("cores", 0.0);
-        parseAddress(record.front);
-        parseAddress(record.peer);
-        return record;
-    } catch (const nlohmann::json::exception &error) {
-        throw Failure(ErrorCode::PlatformProtocol,
-                      std::string("invalid record of a node: ") + error.what());
-    }
-}
-
 /// Returns the id under which the request counts of another zone are stored next to those of single
 /// nodes. No node has such a name.
 NodeId zoneCountsId(const ZoneId &zone)
@@ -229,7 +211,8 @@
         } else if (startsWith(change.key, m_dialect.serverPrefix)) {
             onServerChange(VmId(change.key.substr(m_dialect.serverPrefix.size())), change);
         } else if (startsWith(change.key, m_dialect.zoneOutPrefix)) {
-            const ZoneId zone(change.key.substr(m_dialect.zoneOutPrefix.size()));
+            const ZoneId zone(
+                checkedName(change.key.substr(m_dialect.zoneOutPrefix.size()), "zone"));
             if (change.deleted)
                 m_zonesOut.erase(zone);
             else
@@ -352,8 +335,7 @@
     const std::string key = change.key.substr(m_dialect.ownPrefix.size());
     if (startsWith(key, formationKeyPrefix)) {
         if (!change.deleted)
-            m_formation.onPlanRead(DomainId(key.substr(std::string(formationKeyPrefix).size())),
-                                   parsePlan(change.value), change.revision);
+            onPlanChange(DomainId(key.substr(std::string(formationKeyPrefix).size())), change);
         return;
     }
     if (startsWith(key, quarantineKeyPrefix)) {
@@ -378,7 +360,26 @@
     }
     if (node == m_options.node)
         m_recordRevision = change.revision;
-    m_membership.setRecord(parseMembershipRecord(node, change.value), m_loop.now());
+    try {
+        m_membership.setRecord(parseMembershipRecord(node, change.value), m_loop.now());
+    } catch (const Failure &) {
+        m_membership.eraseRecord(node);
+        if (node == m_options.node)
+            m_recordStored = false; // It is written again.
+        throw;
+    }
+}
+
+void ServingDaemon::onPlanChange(const DomainId &domain, const StoreChange &change)
+{
+    try {
+        checkedName(domain.value(), "name of a domain");
+        m_formation.onPlanRead(domain, parsePlan(change.value), change.revision);
+    } catch (const Failure &) {
+        if (isName(domain.value()))
+            m_formation.onPlanUnreadable(domain, change.revision);
+        throw;
+    }
 }
 
 void ServingDaemon::settled()
@@ -641,16 +642,13 @@
 
 void ServingDaemon::writeRecord()
 {
-    const nlohmann::json record {{"zone", m_options.zone},
-                                 {"front", m_options.front},
-                                 {"peer", m_options.pulse},
-                                 {"cores", m_options.cores},
-                                 {"life", m_incarnation}};
+    const MembershipRecord record {m_options.node, m_options.zone, m_options.front, m_options.pulse,
+                                   m_options.cores};
     // The record of the previous run of this node may still exist under that run's lease, so the
     // write expects the revision last seen.
     m_store.compareAndSwap(m_dialect.ownPrefix + nodesKeyPrefix + m_options.node.value(),
-                           m_recordRevision, record.dump(), m_lease,
-                           [this](const StoreSwapResult &swap) {
+                           m_recordRevision, serializeMembershipRecord(record, m_incarnation),
+                           m_lease, [this](const StoreSwapResult &swap) {
                                m_recordStored = swap.outcome == StoreSwapOutcome::Written;
                            });
 }
--- a/src/network/serving_daemon.h
+++ b/src/network/serving_daemon.h
@@ -85,6 +85,7 @@
     /// a server that may still work.
     void onServerVanished(const VmId &id, Listing listing, TimePoint now);
     void onOwnKeyChange(const StoreChange &change);
+    void onPlanChange(const DomainId &domain, const StoreChange &change);
     void onConfigurationChange(const StoreChange &change);
     /// Acts on the changes of the store after a batch of them was reported.
     void settled();
--- a/src/platform/platform_configuration.cpp
+++ b/src/platform/platform_configuration.cpp
@@ -1,4 +1,5 @@
 #include "core/error_type.h"
+#include "core/json_reader.h"
 #include "platform/platform_dialect.h"
 
 #include <nlohmann/json.hpp>
@@ -12,104 +13,137 @@
 using nlohmann::json;
 
 constexpr double millisecondsPerSecond = 1'000;
+constexpr int lowestPriority = 1'000'000;
 
-Duration seconds(double value)
+Duration readMilliseconds(const JsonReader &item, const char *field)
 {
-    return Duration(static_cast<Duration::rep>(value * millisecondsPerSecond));
+    return Duration(static_cast<Duration::rep>(item.number(field, 0, JsonBounds::milliseconds, 0)));
 }
 
-RequestKind readKind(const json &route)
+Duration readSeconds(const JsonReader &item, const char *field)
 {
-    const std::string kind = route.at("route_type").get<std::string>();
+    constexpr double maxSeconds = JsonBounds::milliseconds / millisecondsPerSecond;
+    return Duration(
+        static_cast<Duration::rep>(item.number(field, 0, maxSeconds, 0) * millisecondsPerSecond));
+}
+
+std::uint32_t readCount(const JsonReader &item, const char *field, std::int64_t minimum,
+                        std::int64_t fallback)
+{
+    return static_cast<std::uint32_t>(item.integer(field, minimum, JsonBounds::count, fallback));
+}
+
+int readPriority(const JsonReader &item, const char *field)
+{
+    return static_cast<int>(item.integer(field, -lowestPriority, lowestPriority, 0));
+}
+
+double readFigure(const JsonReader &item, const char *field, double fallback)
+{
+    return item.number(field, 0, JsonBounds::number, fallback);
+}
+
+RequestKind readKind(const JsonReader &route)
+{
+    const std::string kind = route.name("route_type");
     if (kind == "streaming")
-        return route.value("resumable", false) ? RequestKind::ResumableStream : RequestKind::Stream;
+        return route.boolean("resumable", false) ? RequestKind::ResumableStream
+                                                 : RequestKind::Stream;
     if (kind == "idempotent")
         return RequestKind::Repeatable;
     if (kind == "non_idempotent")
         return RequestKind::AtMostOnce;
-    throw Failure(ErrorCode::PlatformProtocol, "route_type: \"" + kind + "\" is not known");
+    route.fail("route_type", "\"" + kind + "\" is not known");
 }
 
-RouteSpec readRoute(const json &item)
+RouteSpec readRoute(const JsonReader &item)
 {
     RouteSpec route;
-    route.name = RouteId(item.at("name").get<std::string>());
-    route.host = item.at("host").get<std::string>();
+    route.name = RouteId(item.name("name"));
+    route.host = item.text("host");
     std::transform(route.host.begin(), route.host.end(), route.host.begin(),
                    [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    route.pathPrefix = item.at("path_prefix").get<std::string>();
+    route.pathPrefix = item.text("path_prefix");
     route.kind = readKind(item);
-    route.timeout = Duration(item.at("timeout_ms").get<std::int64_t>());
-    route.targetLatency = Duration(item.value("target_latency_ms", 0));
-    route.targetGap = Duration(item.value("target_gap_ms", 0));
-    route.priority = item.value("priority", 0);
-    route.maxAttempts = item.value("max_attempts", 1U);
-    route.keyless = item.value("auth_exempt", false);
-    if (item.contains("weighted_services")) {
-        for (const json &weighted : item.at("weighted_services"))
-            route.services.push_back({ServiceId(weighted.at("service").get<std::string>()),
-                                      weighted.at("weight").get<double>()});
-    } else if (item.contains("service")) {
-        route.services.push_back({ServiceId(item.at("service").get<std::string>()), 1});
+    item.value("timeout_ms");
+    route.timeout = readMilliseconds(item, "timeout_ms");
+    route.targetLatency = readMilliseconds(item, "target_latency_ms");
+    route.targetGap = readMilliseconds(item, "target_gap_ms");
+    route.priority = readPriority(item, "priority");
+    route.maxAttempts = readCount(item, "max_attempts", 0, 1);
+    route.keyless = item.boolean("auth_exempt", false);
+    if (item.has("weighted_services")) {
+        for (const JsonReader &weighted : item.objects("weighted_services"))
+            route.services.push_back({ServiceId(weighted.name("service")),
+                                      weighted.number("weight", 0, JsonBounds::number)});
+    } else if (item.has("service")) {
+        route.services.push_back({ServiceId(item.name("service")), 1});
     }
     return route;
 }
 
-ServedModel readModel(const json &item)
+ServedModel readModel(const JsonReader &item)
 {
     ServedModel model;
-    model.name = ModelId(item.at("name").get<std::string>());
-    model.span = item.value("size", 1U); // "size" is the number of VMs in a group.
-    model.share = item.value("share", 1.0);
-    model.pace = item.value("pace", 1.0);
-    model.loadTime = seconds(item.value("load_s", 0.0));
-    model.warmLoadTime = seconds(item.value("warm_s", 0.0));
+    model.name = ModelId(item.name("name"));
+    model.span = readCount(item, "size", 1, 1); // "size" is the number of VMs in a group.
+    model.share = readFigure(item, "share", 1);
+    model.pace = readFigure(item, "pace", 1);
+    model.loadTime = readSeconds(item, "load_s");
+    model.warmLoadTime = readSeconds(item, "warm_s");
     return model;
 }
 
-EngineSpec readEngine(const json &item)
+EngineSpec readEngine(const JsonReader &item)
 {
     EngineSpec engine;
-    engine.slots = item.value("slots", 1U);
-    engine.stride = item.value("stride", 1U);
-    engine.stepMs = item.value("step_ms", 0.0);
-    engine.perSequenceMs = item.value("per_seq_ms", 0.0);
-    engine.contextMsPerThousand = item.value("context_per_k", 0.0);
-    engine.prefillMsPerMillionPairs = item.value("pairs_per_m", 0.0);
-    engine.promptTokensPerMs = item.value("read_per_s", 1'000.0) / millisecondsPerSecond;
-    if (item.contains("usual")) {
-        engine.typicalPromptTokens = item["usual"].value("prompt", 0.0);
-        engine.typicalCompletionTokens = item["usual"].value("answer", 0.0);
+    engine.slots = readCount(item, "slots", 0, 1);
+    engine.stride = readCount(item, "stride", 0, 1);
+    engine.stepMs = readFigure(item, "step_ms", 0);
+    engine.perSequenceMs = readFigure(item, "per_seq_ms", 0);
+    engine.contextMsPerThousand = readFigure(item, "context_per_k", 0);
+    engine.prefillMsPerMillionPairs = readFigure(item, "pairs_per_m", 0);
+    engine.promptTokensPerMs = readFigure(item, "read_per_s", 1'000) / millisecondsPerSecond;
+    if (item.has("usual")) {
+        const JsonReader usual = item.object("usual");
+        engine.typicalPromptTokens = readFigure(usual, "prompt", 0);
+        engine.typicalCompletionTokens = readFigure(usual, "answer", 0);
     }
-    engine.maxLoadsPerSecond = item.value("loads_per_s", 0.0);
-    engine.maxConcurrentLoads = item.value("loads_at_once", 1U);
+    engine.maxLoadsPerSecond = readFigure(item, "loads_per_s", 0);
+    engine.maxConcurrentLoads = readCount(item, "loads_at_once", 0, 1);
     // "cached_prefixes" is the number of models whose weights a host keeps.
-    engine.maxKeptModels = std::max(item.value("cached_prefixes", 1U), 1U);
-    if (item.contains("models")) {
-        for (const json &model : item["models"])
-            engine.models.push_back(readModel(model));
-    }
+    engine.maxKeptModels = std::max(readCount(item, "cached_prefixes", 0, 1), 1U);
+    for (const JsonReader &model : item.objects("models"))
+        engine.models.push_back(readModel(model));
     return engine;
 }
 
-ServedService readService(const json &item)
+ServedService readService(const JsonReader &item)
 {
     ServedService service;
-    service.name = ServiceId(item.at("name").get<std::string>());
-    service.maxConnections = item.value("max_connections", 0U);
-    service.maxColdRequestsPerSecond = item.value("cold_per_s", 0.0);
-    if (item.contains("engine") && item["engine"].is_object())
-        service.engine = readEngine(item["engine"]);
+    service.name = ServiceId(item.name("name"));
+    service.maxConnections = readCount(item, "max_connections", 0, 0);
+    service.maxColdRequestsPerSecond = readFigure(item, "cold_per_s", 0);
+    if (item.has("engine"))
+        service.engine = readEngine(item.object("engine"));
     return service;
 }
 
-CallerLimits readLimits(const json &item)
+CallerLimits readLimits(const JsonReader &item)
 {
+    constexpr std::int64_t maxBytes = std::int64_t {1} << 40U;
     CallerLimits limits;
-    limits.maxHeaderBytes = item.value("max_header_bytes", limits.maxHeaderBytes);
-    limits.maxBodyBytes = item.value("max_body_bytes", limits.maxBodyBytes);
-    limits.headerTimeout = Duration(item.value("header_timeout_ms", limits.headerTimeout.count()));
-    limits.idleTimeout = Duration(item.value("idle_timeout_ms", limits.idleTimeout.count()));
+    const auto bytes = [&](const char *field, std::size_t fallback) {
+        return static_cast<std::size_t>(
+            item.integer(field, 0, maxBytes, static_cast<std::int64_t>(fallback)));
+    };
+    const auto time = [&](const char *field, Duration fallback) {
+        return item.has(field) ? readMilliseconds(item, field) : fallback;
+    };
+    limits.maxHeaderBytes = bytes("max_header_bytes", limits.maxHeaderBytes);
+    limits.maxBodyBytes = bytes("max_body_bytes", limits.maxBodyBytes);
+    limits.headerTimeout = time("header_timeout_ms", limits.headerTimeout);
+    limits.idleTimeout = time("idle_timeout_ms", limits.idleTimeout);
     return limits;
 }
 
@@ -118,24 +152,28 @@
 ServingConfiguration readConfiguration(const std::string &text)
 {
     try {
-        const json body = json::parse(text);
+        const json body = parseJson(text);
+        const JsonReader reader(body, "configuration");
         ServingConfiguration configuration;
-        configuration.version = body.at("version").get<std::uint64_t>();
-        for (const json &route : body.at("routes"))
+        configuration.version =
+            static_cast<std::uint64_t>(reader.integer("version", 0, JsonBounds::integer));
+        reader.value("routes");
+        for (const JsonReader &route : reader.objects("routes"))
             configuration.routes.push_back(readRoute(route));
-        for (const json &item : body.at("services")) {
+        reader.value("services");
+        for (const JsonReader &item : reader.objects("services")) {
             ServedService service = readService(item);
             const ServiceId name = service.name;
             configuration.services.emplace(name, std::move(service));
         }
-        if (body.contains("limits"))
-            configuration.limits = readLimits(body["limits"]);
+        if (reader.has("limits"))
+            configuration.limits = readLimits(reader.object("limits"));
         if (body.contains("tenants")) { // A tenant is an organisation.
             for (const json &tenant : body["tenants"]) {
                 ServedOrganisation organisation;
                 organisation.name = OrganisationId(tenant.at("name").get<std::string>());
                 if (tenant.contains("priority"))
-                    organisation.priority = tenant["priority"].get<int>();
+                    organisation.priority = readPriority(JsonReader(tenant, "tenant"), "priority");
                 for (const json &key : tenant.at("api_keys"))
                     configuration.keys[key.get<std::string>()] = configuration.organisations.size();
                 configuration.organisations.push_back(std::move(organisation));
--- a/src/tests/foreign_entry_process_test.py
+++ b/src/tests/foreign_entry_process_test.py
@@ -80,8 +80,9 @@
     def configuration_is_followed(self, node):
         return f"event=configuration version={self.version}" in self.system.log(f"n{node}")
 
-    def play(self, values, skipped):
-        """Writes values while requests are sent. Each node skips `skipped` of them."""
+    def play(self, values, skipped, configuration=None):
+        """Writes values while requests are sent. Each node skips `skipped` of them. The next
+        version of the configuration is like the stored value `configuration`, or the stored one."""
         self.replies = []
         self.version = 7
         ended = threading.Event()
@@ -97,8 +98,8 @@
             for number in range(NODES):
                 self.assertIsNone(self.system.processes[f"n{number}"].poll(),
                                   f"node {number} has ended")
-            config = next(json.loads(base64.b64decode(item["value"]))
-                          for item in self.system.items("op/config") if item["key"] == "op/config")
+            config = json.loads(base64.b64decode(configuration or next(
+                item["value"] for item in self.system.items("op/config"))))
             config["version"] = self.version
             self.put({"op/config": encoded(config)})
             for number in range(NODES):
@@ -143,6 +144,27 @@
         values["servers/repeatable-0"] = "not base64"
         self.play(values, len(values))
 
+    def test_odd_values_of_other_kinds_end_no_node(self):
+        group = {"name": "g", "generation": 1, "model": "m", "dissolving": False, "members": []}
+        plan = {"generation": 1, "promised": "", "groups": [group]}
+        node = {"zone": "za", "front": "127.0.0.1:1", "peer": "[::1]:7340", "cores": 1}
+        values = {f"bramleypitch/formation/d{number}": value for number, value in enumerate(
+            [DEEP, b"", dict(plan, generation=-1), dict(plan, groups=5), plan])}
+        values.update({f"bramleypitch/nodes/odd{number}": value for number, value in enumerate(
+            [DEEP, b"", node, dict(node, peer="127.0.0.1:0"), dict(node, zone=5), []])})
+        values["bramleypitch/nodes/n1"] = b"overwritten"
+        values.update({f"bramleypitch/quarantine/{name}": value for name, value in (
+            ("0123456789abcdef", DEEP), ("0123456789abcdee", b""), ("odd", {"left_ms": 5}),
+            ("0123456789abcded", {"left_ms": 1e300, "times": -1, "until_wall_ms": "x"}))})
+        values["op/evacuate/a\r\nb"] = b""
+        configuration = {"version": 5, "routes": [], "services": []}
+        values["op/config"] = dict(configuration, version=1e300)
+        sound = next(item["value"] for item in self.system.items("op/config"))
+        self.play({key: encoded(value) for key, value in values.items()}, len(values), sound)
+        wait_for("n1 to write its record again", lambda: next(
+            b'"zb"' in base64.b64decode(item["value"])
+            for item in self.system.items("bramleypitch/nodes/n1")), 5)
+
     def test_server_whose_entry_turns_odd_is_not_used(self):
         sound, server = self.system.entry_of("repeatable", self.system.servers[0]), \
             self.system.servers[0]
--- a/src/tests/foreign_entry_test.cpp
+++ b/src/tests/foreign_entry_test.cpp
@@ -3,9 +3,13 @@
 
 #include "core/error_type.h"
 #include "core/json_reader.h"
+#include "formation/formation_func.h"
+#include "network/address_func.h"
 #include "network/backend_connections.h"
 #include "network/event_loop.h"
 #include "network/http_client.h"
+#include "network/membership_record.h"
+#include "network/quarantine_store.h"
 #include "platform/platform_dialect.h"
 
 #include <gtest/gtest.h>
@@ -63,6 +67,36 @@
             {"group", {{"name", "g1"}, {"epoch", 4}, {"rank", 1}, {"state", "ready"}}}};
 }
 
+/// A configuration with a service with engines and a plain one.
+json soundConfiguration()
+{
+    return json::parse(R"({"version": 3,
+        "routes": [{"name": "ask", "host": "shop.example", "path_prefix": "/ask/",
+                    "route_type": "streaming", "resumable": true, "service": "llm",
+                    "timeout_ms": 6000, "target_latency_ms": 400, "target_gap_ms": 300,
+                    "priority": 1, "max_attempts": 3, "auth_exempt": false},
+                   {"name": "pay", "host": "shop.example", "path_prefix": "/pay/",
+                    "route_type": "non_idempotent", "timeout_ms": 1500,
+                    "weighted_services": [{"service": "till", "weight": 0.5}]}],
+        "services": [{"name": "llm", "engine": {"slots": 8, "stride": 1, "step_ms": 7.8,
+                      "per_seq_ms": 0.1, "context_per_k": 0.01, "pairs_per_m": 0.2,
+                      "read_per_s": 45900, "usual": {"prompt": 900, "answer": 80},
+                      "loads_per_s": 2, "loads_at_once": 2, "cached_prefixes": 1,
+                      "models": [{"name": "small", "size": 2, "share": 0.5, "pace": 1.0,
+                                  "load_s": 12, "warm_s": 1.1}]}},
+                     {"name": "till", "max_connections": 96, "cold_per_s": 4.5}],
+        "limits": {"max_header_bytes": 4096, "max_body_bytes": 10000,
+                   "header_timeout_ms": 1000, "idle_timeout_ms": 5000},
+        "tenants": [{"name": "chain", "priority": 1, "api_keys": ["key-a", "key-b"]}]})");
+}
+
+json soundPlan()
+{
+    return json::parse(R"({"generation": 4, "promised": "small", "groups": [
+        {"name": "d1-2", "generation": 3, "model": "small", "dissolving": false,
+         "members": [{"vm": "s1", "started_at": 17}, {"vm": "s2", "started_at": 18}]}]})");
+}
+
 /// A sound entry of a plain server.
 json soundPlainServer()
 {
@@ -361,4 +395,122 @@
     });
 }
 
+// An odd value of the operator's configuration leaves the last accepted version in force.
+TEST(ConfigurationTest, OddFieldsAreRefused)
+{
+    ASSERT_NO_THROW(platform::readConfiguration(soundConfiguration().dump()));
+    const std::map<std::string, std::vector<std::string>> odd {
+        {"/version", {"-1", "0.5", "1e300", "\"2\"", "18446744073709551615", "true"}},
+        {"/routes", {"{}", "5", "[5]", "null", nested(100'000)}},
+        {"/routes/0/timeout_ms", {"-1", "1e300", "\"5\"", "null", "true"}},
+        {"/routes/0/target_gap_ms", {"-1", "1e300", "9223372036854775807"}},
+        {"/routes/0/priority", {"1e300", "0.5", "true"}},
+        {"/routes/0/max_attempts", {"-1", "4294967296", "0.5"}},
+        {"/routes/0/auth_exempt", {"1", "\"true\"", "[]"}},
+        {"/routes/0/resumable", {"1", "\"true\""}},
+        {"/routes/0/service", {"5", R"("a\r\nb")", "\"\""}},
+        {"/routes/1/weighted_services/0/weight", {"-1", "1e300", "\"1\""}},
+        {"/services", {"{}", "5", "null"}},
+        {"/services/0/engine", {"5", "[]", "\"engine\""}},
+        {"/services/0/engine/step_ms", {"-1", "1e300", "true"}},
+        {"/services/0/engine/models/0/size", {"0", "-1", "1e300", "4294967296"}},
+        {"/services/0/engine/models/0/load_s", {"-1", "1e300"}},
+        {"/services/1/cold_per_s", {"-1", "1e300", "\"5\""}},
+        {"/services/1/max_connections", {"-1", "0.5"}},
+        {"/limits", {"5", "[]"}},
+        {"/limits/max_body_bytes", {"-1", "0.5", "1e300", "18446744073709551615"}},
+        {"/limits/idle_timeout_ms", {"-1", "1e300"}}};
+    for (const auto &[pointer, fragments] : odd) {
+        for (const std::string &fragment : fragments) {
+            const std::string text =
+                withFragment(soundConfiguration(), json::json_pointer(pointer), fragment);
+            EXPECT_THROW(platform::readConfiguration(text), Failure)
+                << pointer << " " << fragment.substr(0, 40);
+        }
+    }
+}
+
+RC_GTEST_PROP(ConfigurationTest, MutatedOnesAreReadOrRefused, (std::uint64_t seed))
+{
+    forEachMutation({soundConfiguration()}, seed, [](const std::string &text) {
+        const auto read = readOrSkip([&] { return platform::readConfiguration(text); });
+        if (!read)
+            return;
+        for (const RouteSpec &route : read->routes)
+            RC_ASSERT(route.timeout >= Duration(0) && route.targetGap >= Duration(0));
+        for (const auto &[name, service] : read->services) {
+            RC_ASSERT(service.maxColdRequestsPerSecond >= 0);
+            if (!service.engine)
+                continue;
+            for (const ServedModel &model : service.engine->models)
+                RC_ASSERT(model.span >= 1U && model.loadTime >= Duration(0));
+        }
+    });
+}
+
+// Guards against FAULT: a planned group without members has no head.
+TEST(PlanTest, GroupWithoutMembersIsUnreadable)
+{
+    json plan = soundPlan();
+    ASSERT_NO_THROW(parsePlan(plan.dump()));
+    plan["groups"][0]["members"] = json::array();
+    EXPECT_THROW(parsePlan(plan.dump()), Failure);
+    plan["groups"][0].erase("members");
+    EXPECT_THROW(parsePlan(plan.dump()), Failure);
+}
+
+RC_GTEST_PROP(PlanTest, MutatedPlansAreReadOrSkipped, (std::uint64_t seed))
+{
+    forEachMutation({soundPlan()}, seed, [](const std::string &text) {
+        const auto plan = readOrSkip([&] { return parsePlan(text); });
+        if (!plan)
+            return;
+        for (const PlannedGroup &group : plan->groups) {
+            RC_ASSERT(!group.members.empty() && isName(group.name.value()));
+            for (const PlannedMember &member : group.members)
+                RC_ASSERT(isName(member.vm.value()));
+        }
+    });
+}
+
+RC_GTEST_PROP(QuarantineRecordTest, MutatedRecordsAreReadOrSkipped, (std::uint64_t seed))
+{
+    const WallTime now(1'700'000'000'000);
+    const json sound = json::parse(serializeQuarantine({Duration(5'000), 2}, now));
+    forEachMutation({sound}, seed, [&](const std::string &text) {
+        if (const auto read = readOrSkip([&] { return parseQuarantine(text, now); }))
+            RC_ASSERT(read->timeLeft >= Duration(0) && read->timeLeft <= Duration(600'000));
+    });
+}
+
+RC_GTEST_PROP(NodeRecordTest, MutatedRecordsAreReadOrSkipped, (std::uint64_t seed))
+{
+    const MembershipRecord record {NodeId("n1"), ZoneId("za"), Address("127.0.0.1:1"),
+                                   Address("127.0.0.1:2"), 0.25};
+    const std::string text = serializeMembershipRecord(record, 17);
+    RC_ASSERT(parseMembershipRecord(record.node, text) == record);
+    forEachMutation({json::parse(text)}, seed, [&](const std::string &mutated) {
+        const auto read = readOrSkip([&] { return parseMembershipRecord(record.node, mutated); });
+        if (!read)
+            return;
+        parseSocketAddress(read->front);
+        parseSocketAddress(read->peer);
+        RC_ASSERT(read->cores >= 0);
+    });
+}
+
+// Guards against FAULT: an IPv6 address of another node ended each node that sent it a message.
+TEST(NodeRecordTest, OddAddressIsUnreadable)
+{
+    const json sound {{"zone", "z"}, {"front", "127.0.0.1:1"}, {"peer", "127.0.0.1:2"}};
+    EXPECT_NO_THROW(parseMembershipRecord(NodeId("n"), sound.dump()));
+    for (const char *field : {"front", "peer"}) {
+        for (const std::string &address : oddAddresses) {
+            json record = sound;
+            record[field] = address;
+            EXPECT_THROW(parseMembershipRecord(NodeId("n"), record.dump()), Failure);
+        }
+    }
+}
+
 } // namespace bramleypitch
