Fix: [Network] Exceptions unwound through the event loop and ended the process

Each fault of this kind ended a node although it concerned one entry or one connection: an exception of a timer, signal, connection, call or request left libevent's C callbacks, where unwinding is not defined, and reached main(), which only knew Failure, so that others aborted the process.

guardCallback() now stands where C code calls ours. An exception is logged and counted, and the callback ends; the connection it concerned is closed, so that its request fails. It is a last line: the gauge callback_failures has to stay 0, and the process test asserts that it does for every kind of odd value. main() reports any std::exception and exits with a status. Log values with control characters are quoted.

CallbackTest.ExceptionEndsTheCallbackOnly and ExceptionClosesTheConnection.

--- a/src/command/main.cpp
+++ b/src/command/main.cpp
@@ -69,6 +69,9 @@
     } catch (const Failure &failure) {
         std::cerr << errorName(failure.code()) << ": " << failure.what() << "\n";
         return exitCodeFor(failure.code());
+    } catch (const std::exception &error) {
+        std::cerr << errorName(ErrorCode::Internal) << ": " << error.what() << "\n";
+        return exitCodeFor(ErrorCode::Internal);
     }
 }
 
--- a/src/network/event_loop.cpp
+++ b/src/network/event_loop.cpp
@@ -1,6 +1,7 @@
 #include "network/event_loop.h"
 
 #include "core/error_type.h"
+#include "network/log.h"
 
 #include <ctime>
 
@@ -14,6 +15,11 @@
 constexpr int millisecondsPerSecond = 1'000;
 constexpr int microsecondsPerMillisecond = 1'000;
 
+constexpr std::uint64_t maxLoggedFailures = 1'000; ///< Further ones are only counted.
+constexpr std::size_t maxReasonBytes = 200;
+
+std::uint64_t failures = 0;
+
 timeval toTimeval(Duration duration)
 {
     timeval value {};
@@ -24,6 +30,25 @@
 
 } // namespace
 
+bool guardCallback(const char *callback, const std::function<void()> &body)
+{
+    try {
+        body();
+        return true;
+    } catch (const std::exception &error) {
+        if (++failures <= maxLoggedFailures)
+            logLine(LogLevel::Error, "callback_failed",
+                    {{"callback", callback},
+                     {"reason", std::string(error.what()).substr(0, maxReasonBytes)}});
+        return false;
+    }
+}
+
+std::uint64_t callbackFailures()
+{
+    return failures;
+}
+
 EventLoop::EventLoop()
     : m_base(event_base_new(), event_base_free)
 {
@@ -98,7 +123,7 @@
         timer->schedule(timer->m_interval);
     // The callback may destroy the timer and with it the stored function, so call a copy.
     const std::function<void()> callback = timer->m_callback;
-    callback();
+    guardCallback("timer", callback);
 }
 
 SignalHandler::SignalHandler(EventLoop &loop, int signal, std::function<void()> callback)
@@ -115,7 +140,7 @@
 
 void SignalHandler::onTriggered(evutil_socket_t, short, void *self)
 {
-    static_cast<SignalHandler *>(self)->m_callback();
+    guardCallback("signal", static_cast<SignalHandler *>(self)->m_callback);
 }
 
 } // namespace bramleypitch
--- a/src/network/event_loop.h
+++ b/src/network/event_loop.h
@@ -4,11 +4,18 @@
 
 #include <event2/event.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
 namespace bramleypitch {
 
+/// Runs code that a C library calls, which an exception must not leave: it is counted and logged.
+/// Returns whether the code returned normally. `callback` names it in the log.
+bool guardCallback(const char *callback, const std::function<void()> &body);
+/// Number of exceptions that reached guardCallback(). Each of them is a fault.
+std::uint64_t callbackFailures();
+
 /// The event loop of the process. Other code takes the time from here instead of reading clocks.
 class EventLoop
 {
--- a/src/network/http_client.cpp
+++ b/src/network/http_client.cpp
@@ -86,7 +86,7 @@
             return;
         const std::string piece = readAll(evhttp_request_get_input_buffer(request));
         if (!piece.empty())
-            call->hooks.onChunk(piece);
+            guardCallback("call_piece", [&] { call->hooks.onChunk(piece); });
     }
 
     static void onError(evhttp_request_error error, void *self)
@@ -112,10 +112,12 @@
         const HttpFailure failure {call->sent, call->timedOut};
         const HttpHooks hooks = std::move(call->hooks);
         call->client->finish(*call, complete && !call->useNewConnection);
-        if (complete)
-            hooks.onResponse(response);
-        else
-            hooks.onFailure(failure);
+        guardCallback("call", [&] {
+            if (complete)
+                hooks.onResponse(response);
+            else
+                hooks.onFailure(failure);
+        });
     }
 };
 
--- a/src/network/http_server.cpp
+++ b/src/network/http_server.cpp
@@ -142,7 +142,7 @@
             evbuffer_copyout(request->buffer_in, httpRequest.body.data(), httpRequest.body.size());
         }
         httpRequest.raw = request;
-        server->m_requestHook(httpRequest);
+        guardCallback("request", [&] { server->m_requestHook(httpRequest); });
     }
 };
 
--- a/src/network/log.cpp
+++ b/src/network/log.cpp
@@ -27,6 +27,8 @@
 /// A pipe that polls as writable accepts this many bytes without blocking (POSIX, PIPE_BUF).
 constexpr std::size_t maxWriteSize = PIPE_BUF;
 
+constexpr unsigned char deleteCharacter = 0x7f;
+
 /// Bounded buffer of log lines that have not been written to standard output yet.
 class LineBuffer
 {
@@ -116,7 +118,10 @@
 /// `name=value` line ambiguous.
 std::string formatValue(const std::string &value)
 {
-    const bool plain = !value.empty() && value.find_first_of(" \"=\n\t") == std::string::npos;
+    const auto isAmbiguous = [](unsigned char byte) {
+        return byte <= ' ' || byte == '"' || byte == '=' || byte == deleteCharacter;
+    };
+    const bool plain = !value.empty() && std::none_of(value.begin(), value.end(), isAmbiguous);
     using nlohmann::json;
     return plain ? value : json(value).dump(-1, ' ', false, json::error_handler_t::replace);
 }
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -800,6 +800,8 @@
                       static_cast<double>(m_relay.connectionsOpened())});
     out << gaugeText({"log_lines_dropped", "Log lines dropped as the reader was too slow.",
                       static_cast<double>(droppedLogLines())});
+    out << gaugeText({"callback_failures", "Exceptions that reached the event loop: faults.",
+                      static_cast<double>(callbackFailures())});
     out << m_firstEventTimes.text("first_event_ms", "From arrival to the first event of a stream.");
     out << m_responseTimes.text("answer_ms", "From arrival to the end of the answer.");
     return out.str();
--- a/src/network/stream_socket.cpp
+++ b/src/network/stream_socket.cpp
@@ -113,16 +113,14 @@
 
 void StreamSocket::onRead(bufferevent *, void *self)
 {
-    const auto hook = static_cast<StreamSocket *>(self)->m_hooks.onReadable;
-    if (hook)
-        hook();
+    auto *socket = static_cast<StreamSocket *>(self);
+    call("read", socket->m_hooks.onReadable, socket->m_hooks.onClosed);
 }
 
 void StreamSocket::onWrite(bufferevent *, void *self)
 {
-    const auto hook = static_cast<StreamSocket *>(self)->m_hooks.onDrained;
-    if (hook)
-        hook();
+    auto *socket = static_cast<StreamSocket *>(self);
+    call("write", socket->m_hooks.onDrained, socket->m_hooks.onClosed);
 }
 
 void StreamSocket::onEvent(bufferevent *, short what, void *self)
@@ -131,14 +129,20 @@
     if (what & BEV_EVENT_CONNECTED) {
         socket->m_connected = true;
         bufferevent_enable(socket->m_bufferEvent, EV_READ | EV_WRITE);
-        const auto hook = socket->m_hooks.onConnected;
-        if (hook)
-            hook();
+        call("connect", socket->m_hooks.onConnected, socket->m_hooks.onClosed);
         return;
     }
     const auto hook = socket->m_hooks.onClosed;
     if (hook)
-        hook((what & BEV_EVENT_EOF) != 0);
+        guardCallback("close", [&] { hook((what & BEV_EVENT_EOF) != 0); });
+}
+
+void StreamSocket::call(const char *name, std::function<void()> hook,
+                        std::function<void(bool)> onClosed)
+{
+    // Passed by value: the hook may destroy the socket.
+    if (hook && !guardCallback(name, hook) && onClosed)
+        guardCallback("close", [&] { onClosed(false); });
 }
 
 } // namespace bramleypitch
--- a/src/network/stream_socket.h
+++ b/src/network/stream_socket.h
@@ -46,6 +46,9 @@
     bool isConnected() const { return m_connected; }
 
 private:
+    /// Calls a hook. If it throws, the connection has failed.
+    static void call(const char *name, std::function<void()> hook,
+                     std::function<void(bool)> onClosed);
     static void onRead(bufferevent *, void *self);
     static void onWrite(bufferevent *, void *self);
     static void onEvent(bufferevent *, short what, void *self);
--- a/src/tests/foreign_entry_process_test.py
+++ b/src/tests/foreign_entry_process_test.py
@@ -116,6 +116,7 @@
             log = self.system.log(f"n{number}")
             self.assertEqual(log.count("event=value_unreadable"), skipped)
             self.assertTrue(all(len(line) < 1000 for line in log.split("\n")))
+            self.assertEqual(self.metric(number, "bramleypitch_callback_failures"), 0)
             self.assertEqual(self.metric(
                 number, 'bramleypitch_decisions_total{kind="value_unreadable"}'), skipped)
 
--- a/src/tests/foreign_entry_test.cpp
+++ b/src/tests/foreign_entry_test.cpp
@@ -7,20 +7,31 @@
 #include "network/address_func.h"
 #include "network/backend_connections.h"
 #include "network/event_loop.h"
+#include "network/feed_codec.h"
+#include "network/gen/peer_types.h"
 #include "network/http_client.h"
 #include "network/membership_record.h"
+#include "network/pulse_socket.h"
 #include "network/quarantine_store.h"
+#include "network/stream_socket.h"
+#include "network/thrift_bytes.h"
 #include "platform/platform_dialect.h"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 #include <rapidcheck/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <array>
+#include <cmath>
 #include <csignal>
+#include <limits>
 #include <map>
 #include <optional>
 #include <random>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -513,4 +524,41 @@
     }
 }
 
+// An exception must not unwind through the C code of the event loop.
+TEST(CallbackTest, ExceptionEndsTheCallbackOnly)
+{
+    EventLoop loop;
+    int later = 0;
+    Timer failing(loop, [] { throw std::out_of_range("odd"); });
+    Timer sound(loop, [&] {
+        ++later;
+        loop.stop();
+    });
+    const std::uint64_t before = callbackFailures();
+    failing.startOnce(Duration(0));
+    sound.startOnce(Duration(5));
+    loop.run();
+    EXPECT_EQ(later, 1);
+    EXPECT_EQ(callbackFailures(), before + 1);
+}
+
+TEST(CallbackTest, ExceptionClosesTheConnection)
+{
+    EventLoop loop;
+    std::array<int, 2> descriptors {};
+    ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, descriptors.data()), 0);
+    int closed = 0;
+    SocketHooks hooks;
+    hooks.onReadable = [] { throw std::out_of_range("odd"); };
+    hooks.onClosed = [&](bool clean) {
+        closed += clean ? 0 : 1;
+        loop.stop();
+    };
+    const StreamSocket socket(loop, descriptors[0], hooks);
+    ASSERT_EQ(write(descriptors[1], "x", 1), 1);
+    loop.run();
+    EXPECT_EQ(closed, 1);
+    close(descriptors[1]);
+}
+
 } // namespace bramleypitch
