Fix: [Network] A datagram of 8 bytes ended a node

A datagram that states a list of 2^31 - 1 structs made the receiver allocate them before it read the first (abort, signal 6). Numbers that other nodes state were used as they came: clocks and ages that overflow, negative counts, demand that is not finite, suspicions of weeks.

Containers now have at most as many elements as their bytes could hold, and the changes of a feed at most as many as the log of changes keeps. Numbers are limited to what a correct node could send; a feed with others is dropped as a whole, since a part of it would leave a gap.

ForeignEntryTest.test_odd_datagrams_end_no_node: node 0 ended by signal 6 before.

--- a/src/network/feed_codec.cpp
+++ b/src/network/feed_codec.cpp
@@ -6,6 +6,9 @@
 
 #include <zlib.h>
 
+#include <algorithm>
+#include <limits>
+
 namespace bramleypitch {
 
 namespace {
@@ -13,6 +16,18 @@
 /// Limit on the decompressed size of the changes of a feed.
 constexpr std::size_t maxChangesBytes = 4 * 1024 * 1024;
 
+constexpr std::size_t maxChanges = 2'000; ///< Of a feed, as in the log of StoreMirror.
+/// Limit on revisions and clocks that other nodes state, far from an overflow.
+constexpr std::int64_t maxInteger = (std::int64_t {1} << 53U) - 1;
+constexpr std::int64_t maxProofAge = std::numeric_limits<std::int32_t>::max();
+
+std::int64_t inRange(std::int64_t value, std::int64_t maximum)
+{
+    if (value < 0 || value > maximum)
+        throw Failure(ErrorCode::PlatformProtocol, "a number of a feed is out of range");
+    return value;
+}
+
 std::string compress(const std::string &bytes)
 {
     uLongf size = compressBound(bytes.size());
@@ -82,17 +97,20 @@
 
 StoreFeed FeedCodec::parse(std::string_view bytes)
 {
-    const auto wire = fromThriftBytes<peer::Feed>(bytes);
+    const auto wire = fromThriftBytes<peer::Feed>(bytes, maxChanges);
     StoreFeed feed;
-    feed.from = Revision(wire.from_revision);
-    feed.to = Revision(wire.to_revision);
-    feed.echo = timePoint(wire.echo_ms);
-    feed.proofAge = Duration(wire.proof_age_ms);
+    feed.from = Revision(inRange(wire.from_revision, maxInteger));
+    feed.to = Revision(inRange(wire.to_revision, maxInteger));
+    feed.echo = timePoint(inRange(wire.echo_ms, maxInteger));
+    feed.proofAge = Duration(inRange(wire.proof_age_ms, maxProofAge));
     std::vector<peer::FeedChange> changes = wire.changes;
     if (!wire.compressed_changes.empty())
-        changes = fromThriftBytes<peer::FeedChanges>(decompress(wire.compressed_changes)).changes;
+        changes =
+            fromThriftBytes<peer::FeedChanges>(decompress(wire.compressed_changes), maxChanges)
+                .changes;
     for (const peer::FeedChange &item : changes)
-        feed.changes.push_back({item.key, Revision(item.revision), item.deleted, item.value});
+        feed.changes.push_back(
+            {item.key, Revision(inRange(item.revision, maxInteger)), item.deleted, item.value});
     return feed;
 }
 
--- a/src/network/pulse_socket.cpp
+++ b/src/network/pulse_socket.cpp
@@ -34,6 +34,21 @@
 /// Limit on the time for which another node may deny permits.
 constexpr Duration maxPermitDenial {60'000};
 constexpr std::int32_t unusedPermit = -1;
+/// Limits on what another node may state: a time since or until something, slots, and clocks and
+/// revisions, which are far from an overflow.
+constexpr Duration maxPeerDuration {600'000};
+constexpr double maxPeerDemand = 1e6;
+constexpr std::int64_t maxPeerInteger = (std::int64_t {1} << 53U) - 1;
+
+TimePoint toClock(std::int64_t milliseconds)
+{
+    return timePoint(std::clamp<std::int64_t>(milliseconds, 0, maxPeerInteger));
+}
+
+Revision toRevision(std::int64_t revision)
+{
+    return Revision(std::clamp<std::int64_t>(revision, 0, maxPeerInteger));
+}
 
 template<typename Wire>
 std::string toBytes(char tag, const Wire &wire)
@@ -87,8 +102,10 @@
 RunningCounts toRunning(const WireCounts &wire)
 {
     RunningCounts running;
-    for (const auto &[server, count] : wire)
-        running[VmId(server)] = static_cast<std::uint32_t>(count);
+    for (const auto &[server, count] : wire) {
+        if (count > 0)
+            running[VmId(server)] = static_cast<std::uint32_t>(count);
+    }
     return running;
 }
 
@@ -96,15 +113,17 @@
 {
     std::map<VmId, Duration> durations;
     for (const auto &[server, duration] : wire)
-        durations[VmId(server)] = Duration(duration);
+        durations[VmId(server)] = std::clamp(Duration(duration), Duration(0), maxPeerDuration);
     return durations;
 }
 
 std::map<ModelId, double> toDemand(const WireDemand &wire)
 {
     std::map<ModelId, double> demand;
-    for (const auto &[model, slots] : wire)
-        demand[ModelId(model)] = slots;
+    for (const auto &[model, slots] : wire) {
+        if (slots >= 0 && slots <= maxPeerDemand) // Excludes values that are not finite.
+            demand[ModelId(model)] = slots;
+    }
     return demand;
 }
 
@@ -246,8 +265,8 @@
     PermitMessage message;
     message.from = NodeId(wire.node);
     message.life = wire.life;
-    message.clock = timePoint(wire.clock_ms);
-    message.echo = timePoint(wire.echo_ms);
+    message.clock = toClock(wire.clock_ms);
+    message.echo = toClock(wire.echo_ms);
     message.limits = toLimits(wire.limits, PermitBounds::entries);
     takeEntries(wire.requests, [&](const std::string &server, std::int32_t count) {
         if (count > 0)
@@ -299,8 +318,8 @@
     pulse.demand = toDemand(wire.demand);
     pulse.suspects = toDurations(wire.suspects_ms);
     pulse.recentProgress = toDurations(wire.heard_ms);
-    pulse.clock = timePoint(wire.clock_ms);
-    pulse.held = Revision(wire.held_revision);
+    pulse.clock = toClock(wire.clock_ms);
+    pulse.held = toRevision(wire.held_revision);
     pulse.leaving = toLeaving(wire.leaving);
     pulse.quarantine = toNews(wire.quarantine);
     pulse.limits = toLimits(wire.limits, LimitBounds::reportedByNode);
@@ -345,8 +364,8 @@
     digest.demand = toDemand(wire.demand);
     digest.suspects = toDurations(wire.suspects_ms);
     digest.recentProgress = toDurations(wire.heard_ms);
-    digest.clock = timePoint(wire.clock_ms);
-    digest.held = Revision(wire.held_revision);
+    digest.clock = toClock(wire.clock_ms);
+    digest.held = toRevision(wire.held_revision);
     digest.leaving = toLeaving(wire.leaving);
     digest.quarantine = toNews(wire.quarantine);
     digest.limits = toLimits(wire.limits, LimitBounds::reportedByZone);
@@ -419,24 +438,31 @@
         const ssize_t length = recv(descriptor, bytes.data(), bytes.size(), MSG_DONTWAIT);
         if (length <= 0)
             return;
-        const std::string_view message(reinterpret_cast<const char *>(bytes.data()) + 1,
-                                       static_cast<std::size_t>(length) - 1);
-        try {
-            if (bytes[0] == feedTag || bytes[0] == uncompressedFeedTag)
-                socket->m_hooks.feed(FeedCodec::parse(message));
-            else if (bytes[0] == digestTag)
-                socket->m_hooks.digest(toDigest(fromThriftBytes<peer::Digest>(message)));
-            else if (bytes[0] == permitTag)
-                socket->m_hooks.permits(toPermits(fromThriftBytes<peer::Permits>(message)));
-            else if (bytes[0] == pulseTag)
-                socket->m_hooks.pulse(toPulse(fromThriftBytes<peer::Pulse>(message)));
-            else
-                ++socket->m_malformedDatagrams;
-        } catch (const Failure &) {
-            ++socket->m_malformedDatagrams;
-        } catch (const apache::thrift::TException &) {
-            ++socket->m_malformedDatagrams;
-        }
+        guardCallback("datagram", [&] {
+            socket->onDatagram(
+                {reinterpret_cast<const char *>(bytes.data()), static_cast<std::size_t>(length)});
+        });
+    }
+}
+
+void PulseSocket::onDatagram(std::string_view bytes)
+{
+    const std::string_view message = bytes.substr(1);
+    try {
+        if (bytes[0] == feedTag || bytes[0] == uncompressedFeedTag)
+            m_hooks.feed(FeedCodec::parse(message));
+        else if (bytes[0] == digestTag)
+            m_hooks.digest(toDigest(fromThriftBytes<peer::Digest>(message)));
+        else if (bytes[0] == permitTag)
+            m_hooks.permits(toPermits(fromThriftBytes<peer::Permits>(message)));
+        else if (bytes[0] == pulseTag)
+            m_hooks.pulse(toPulse(fromThriftBytes<peer::Pulse>(message)));
+        else
+            ++m_malformedDatagrams;
+    } catch (const Failure &) {
+        ++m_malformedDatagrams;
+    } catch (const apache::thrift::TException &) {
+        ++m_malformedDatagrams;
     }
 }
 
--- a/src/network/pulse_socket.h
+++ b/src/network/pulse_socket.h
@@ -6,6 +6,7 @@
 #include "request/server_permit_type.h"
 
 #include <functional>
+#include <string_view>
 #include <vector>
 
 namespace bramleypitch {
@@ -42,6 +43,8 @@
 
 private:
     void sendBytes(const std::string &bytes, const Address &address);
+    /// Passes a message to the hooks. Malformed ones are counted.
+    void onDatagram(std::string_view bytes);
     static void onReadable(evutil_socket_t descriptor, short, void *self);
 
     int m_descriptor;
--- a/src/network/thrift_bytes.h
+++ b/src/network/thrift_bytes.h
@@ -3,6 +3,8 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <algorithm>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -19,15 +21,21 @@
     return buffer->getBufferAsString();
 }
 
-/// Parses a Thrift struct in the compact protocol. Throws a Thrift exception if it is malformed.
+/// Parses a Thrift struct in the compact protocol. Throws a Thrift exception if it is malformed. A
+/// container may have at most `maxItems` elements, and not more than the bytes could hold: a list
+/// of structs is allocated by its stated size.
 template<typename Wire>
-Wire fromThriftBytes(std::string_view bytes)
+Wire fromThriftBytes(std::string_view bytes,
+                     std::size_t maxItems = std::numeric_limits<std::int32_t>::max())
 {
     // The buffer only observes the bytes and does not change them.
     auto *data = reinterpret_cast<std::uint8_t *>(const_cast<char *>(bytes.data()));
     const auto buffer = std::make_shared<apache::thrift::transport::TMemoryBuffer>(
         data, static_cast<std::uint32_t>(bytes.size()));
-    apache::thrift::protocol::TCompactProtocol protocol(buffer);
+    const auto stringLimit = static_cast<std::int32_t>(std::max<std::size_t>(bytes.size(), 1));
+    apache::thrift::protocol::TCompactProtocol protocol(
+        buffer, stringLimit,
+        static_cast<std::int32_t>(std::min(maxItems, static_cast<std::size_t>(stringLimit))));
     Wire wire;
     wire.read(&protocol);
     return wire;
--- a/src/tests/foreign_entry_process_test.py
+++ b/src/tests/foreign_entry_process_test.py
@@ -6,6 +6,7 @@
 import base64
 import json
 import os
+import socket
 import sys
 import threading
 import time
@@ -14,7 +15,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
 from platform_system import send_request, wait_for  # noqa: E402
-from scripted_server import Answer  # noqa: E402
+from scripted_server import Answer, seeded  # noqa: E402
 from scripted_system import ScriptedSystem, service_of  # noqa: E402
 
 BUILD_DIR = sys.argv.pop(1) if len(sys.argv) > 1 else "build"
@@ -166,6 +167,19 @@
             b'"zb"' in base64.b64decode(item["value"])
             for item in self.system.items("bramleypitch/nodes/n1")), 5)
 
+    def test_odd_datagrams_end_no_node(self):
+        generator = seeded(5, "datagrams")
+        list_of_structs = b"\x39\xfc\xff\xff\xff\xff\x07"  # States 2^31 - 1 of them.
+        sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        for node in self.system.nodes:
+            for tag in (b"P", b"D", b"L", b"Z", b"F", b"", b"\0"):
+                bodies = [b"", list_of_structs, b"\x3c" * 50000, b"\x19" * 50000] + [
+                    generator.randbytes(generator.randrange(100)) for _ in range(20)]
+                for body in bodies:
+                    sender.sendto(tag + body, (node, 7340))
+        sender.close()
+        self.play({}, 0)
+
     def test_server_whose_entry_turns_odd_is_not_used(self):
         sound, server = self.system.entry_of("repeatable", self.system.servers[0]), \
             self.system.servers[0]
--- a/src/tests/foreign_entry_test.cpp
+++ b/src/tests/foreign_entry_test.cpp
@@ -524,6 +524,97 @@
     }
 }
 
+// Guards against FAULT: the stated size of a list of a datagram was allocated before it was read.
+TEST(DatagramTest, StatedSizeIsNotAllocated)
+{
+    // A list of 2^31 - 1 structs in the field `changes`, in the compact protocol.
+    const std::string list = std::string("\x39\xfc\xff\xff\xff\xff\x07", 7);
+    EXPECT_THROW(FeedCodec::parse(list), apache::thrift::TException);
+    EXPECT_THROW(FeedCodec::parse(list + std::string(50'000, '\0')), apache::thrift::TException);
+}
+
+namespace {
+
+/// Sends datagrams to a socket and counts the messages that it passes on.
+class PulseSocketFixture
+{
+public:
+    PulseSocketFixture()
+        : m_socket(m_loop, m_address, hooks())
+    {
+        m_descriptor = socket(AF_INET, SOCK_DGRAM, 0);
+    }
+    ~PulseSocketFixture() { close(m_descriptor); }
+
+    void send(const std::string &bytes)
+    {
+        const sockaddr_in target = parseSocketAddress(m_address);
+        sendto(m_descriptor, bytes.data(), bytes.size(), 0,
+               reinterpret_cast<const sockaddr *>(&target), sizeof(target));
+        event_base_loop(m_loop.base(), EVLOOP_NONBLOCK);
+    }
+
+    PulseHooks hooks()
+    {
+        return {[this](const Pulse &pulse) { lastPulse = pulse; },
+                [this](const ZoneDigest &digest) { lastDigest = digest; },
+                [this](const StoreFeed &feed) { lastFeed = feed; },
+                [this](const PermitMessage &message) { lastPermits = message; }};
+    }
+
+    std::optional<Pulse> lastPulse;
+    std::optional<ZoneDigest> lastDigest;
+    std::optional<StoreFeed> lastFeed;
+    std::optional<PermitMessage> lastPermits;
+
+private:
+    EventLoop m_loop;
+    Address m_address {"127.0.0.1:7391"};
+    PulseSocket m_socket;
+    int m_descriptor = -1;
+};
+
+} // namespace
+
+RC_GTEST_PROP(DatagramTest, MutatedDatagramsAreReadOrSkipped, (std::uint64_t seed))
+{
+    peer::Pulse pulse;
+    pulse.node = "n1";
+    pulse.clock_ms = std::numeric_limits<std::int64_t>::min();
+    pulse.held_revision = -1;
+    pulse.running = {{"s1", -1}, {"s2", 3}};
+    pulse.suspects_ms = {{"s1", -1}, {"s2", std::numeric_limits<std::int32_t>::max()}};
+    pulse.demand = {{"m1", std::nan("")}, {"m2", 1e300}, {"m3", -1}, {"m4", 2}};
+    StoreFeed feed;
+    feed.from = Revision(5);
+    feed.to = Revision(9);
+    feed.changes = {{"a", Revision(7), false, "1"}, {"b", Revision(9), true, ""}};
+    FeedCodec codec;
+    const std::vector<std::string> sound {"P" + toThriftBytes(pulse), "Z" + codec.serialize(feed),
+                                          "D" + toThriftBytes(peer::Digest()),
+                                          "L" + toThriftBytes(peer::Permits())};
+    PulseSocketFixture fixture;
+    fixture.send(sound.front());
+    RC_ASSERT(fixture.lastPulse.has_value());
+    RC_ASSERT(fixture.lastPulse->running == RunningCounts({{VmId("s2"), 3}}));
+    RC_ASSERT(fixture.lastPulse->demand.size() == 1U);
+    RC_ASSERT(fixture.lastPulse->clock == TimePoint());
+    for (const auto &[server, duration] : fixture.lastPulse->suspects)
+        RC_ASSERT(duration >= Duration(0) && duration <= Duration(600'000));
+    fixture.send(sound[1]);
+    RC_ASSERT(fixture.lastFeed.has_value());
+    std::mt19937_64 random(seed);
+    for (int i = 0; i < mutationsPerSeed; ++i) {
+        std::string bytes = sound[random() % sound.size()];
+        for (std::uint64_t change = random() % 6; change > 0; --change)
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        if (random() % 4 == 0)
+            bytes.resize(random() % bytes.size());
+        fixture.send(bytes);
+    }
+    RC_ASSERT(callbackFailures() == 0U);
+}
+
 // An exception must not unwind through the C code of the event loop.
 TEST(CallbackTest, ExceptionEndsTheCallbackOnly)
 {
