Codechange: [Tests] A plan that another writer has overwritten is written again

FormationTest.OverwrittenPlanIsWrittenAgain, with the last plan known and after a restart: groups are complete again after a lost member, no order has a fence below those that were seen.

--- a/src/tests/formation_test.cpp
+++ b/src/tests/formation_test.cpp
@@ -193,6 +193,27 @@
         m_backends.erase(vm);
     }
 
+    /// Another writer overwrites all plans. Returns the revisions that it wrote.
+    std::map<DomainId, Revision> overwritePlans()
+    {
+        for (auto &[domain, revision] : m_revisions) {
+            revision = Revision(++m_lastRevision);
+            m_system->onPlanUnreadable(domain, revision);
+        }
+        return m_revisions;
+    }
+    const std::map<DomainId, Revision> &planRevisions() const { return m_revisions; }
+    /// The node forgets all plans, as after a restart.
+    void restart()
+    {
+        FormationOptions options;
+        options.node = NodeId("n1");
+        m_system = std::make_unique<FormationSystem>(options, m_backends, m_now);
+        m_system->setConfiguration(configuration());
+        m_system->setNodes({NodeId("n1")});
+        setTypicalDemand();
+    }
+
     void addVm(const BackendReport &report)
     {
         m_fleet.reports[report.id] = report;
@@ -315,6 +336,34 @@
     EXPECT_TRUE(harness.fleet().violations.empty());
 }
 
+// Guards against a domain whose plan can never be written again.
+TEST(FormationTest, OverwrittenPlanIsWrittenAgain)
+{
+    for (const bool restarts : {false, true}) {
+        Harness harness(Fleet(10, false), true);
+        harness.run(Duration(4'000));
+        harness.setTypicalDemand();
+        Generation highest;
+        for (const auto &[id, report] : harness.fleet().reports)
+            highest = std::max(highest, report.group.generation);
+        if (restarts)
+            harness.restart();
+        const auto overwritten = harness.overwritePlans();
+        ASSERT_FALSE(overwritten.empty());
+        harness.sentOrders.clear();
+        const VmId lost = harness.fleet().members.begin()->second.back();
+        harness.removeVm(lost);
+        harness.run(Duration(40'000));
+        for (const auto &[domain, revision] : harness.planRevisions())
+            EXPECT_GT(revision, overwritten.at(domain));
+        for (const SendGroupOrder &order : harness.sentOrders)
+            EXPECT_GE(order.fence, highest);
+        EXPECT_EQ(harness.fleet().countOpenGroups(ModelId("large")), 1U) << restarts;
+        EXPECT_GE(harness.fleet().countOpenGroups(ModelId("small")), 2U) << restarts;
+        EXPECT_TRUE(harness.fleet().violations.empty());
+    }
+}
+
 TEST(FormationTest, LostMemberDissolvesGroupAndRemainingVmsAreReused)
 {
     Harness harness(Fleet(10), true);
