--- a/src/network/stream_socket.cpp
+++ b/src/network/stream_socket.cpp
@@ -137,12 +137,16 @@
         guardCallback("close", [&] { hook((what & BEV_EVENT_EOF) != 0); });
 }
 
-void StreamSocket::call(const char *name, std::function<void()> hook,
-                        std::function<void(bool)> onClosed)
+void StreamSocket::call(const char *name, const std::function<void()> &hook,
+                        const std::function<void(bool)> &onClosed)
 {
-    // Passed by value: the hook may destroy the socket.
-    if (hook && !guardCallback(name, hook) && onClosed)
-        guardCallback("close", [&] { onClosed(false); });
+    if (!hook)
+        return;
+    // The hook may destroy the socket and with it the stored functions, so call copies.
+    const std::function<void()> callback = hook;
+    const std::function<void(bool)> closed = onClosed;
+    if (!guardCallback(name, callback) && closed)
+        guardCallback("close", [&] { closed(false); });
 }
 
 } // namespace bramleypitch
--- a/src/network/stream_socket.h
+++ b/src/network/stream_socket.h
@@ -47,8 +47,8 @@
 
 private:
     /// Calls a hook. If it throws, the connection has failed.
-    static void call(const char *name, std::function<void()> hook,
-                     std::function<void(bool)> onClosed);
+    static void call(const char *name, const std::function<void()> &hook,
+                     const std::function<void(bool)> &onClosed);
     static void onRead(bufferevent *, void *self);
     static void onWrite(bufferevent *, void *self);
     static void onEvent(bufferevent *, short what, void *self);
