--- a/src/network/http_client.cpp
+++ b/src/network/http_client.cpp
@@ -1,5 +1,6 @@
 #include "network/http_client.h"
 
+#include "core/error_type.h"
 #include "network/address_func.h"
 #include "network/http_message.h"
 #include "network/response_limits.h"
@@ -85,7 +86,7 @@
             return;
         const std::string piece = readAll(evhttp_request_get_input_buffer(request));
         if (!piece.empty())
-            call->hooks.onChunk(piece);
+            guardCallback("call_piece", [&] { call->hooks.onChunk(piece); });
     }
 
     static void onError(evhttp_request_error error, void *self)
@@ -111,10 +112,12 @@
         const HttpFailure failure {call->sent, call->timedOut};
         const HttpHooks hooks = std::move(call->hooks);
         call->client->finish(*call, complete && !call->useNewConnection);
-        if (complete)
-            hooks.onResponse(response);
-        else
-            hooks.onFailure(failure);
+        guardCallback("call", [&] {
+            if (complete)
+                hooks.onResponse(response);
+            else
+                hooks.onFailure(failure);
+        });
     }
 };
 
@@ -148,7 +151,12 @@
         idle.pop_back();
         return connection;
     }
-    const HostPort peer = parseAddress(call.address);
+    HostPort peer;
+    try {
+        peer = parseAddress(call.address);
+    } catch (const Failure &) {
+        return nullptr;
+    }
     return evhttp_connection_base_bufferevent_new(m_loop.base(), nullptr, nullptr,
                                                   peer.host.c_str(), peer.port);
 }
@@ -156,6 +164,11 @@
 HttpCallId HttpClient::send(const HttpCall &request, HttpHooks hooks)
 {
     const HttpCallId id(++m_lastId);
+    evhttp_connection *connection = takeConnection(request);
+    if (!connection) {
+        hooks.onFailure({false, false});
+        return id;
+    }
     auto owned = std::make_unique<Call>();
     Call &call = *owned;
     call.client = this;
@@ -163,7 +176,7 @@
     call.address = request.address;
     call.hooks = std::move(hooks);
     call.useNewConnection = request.useNewConnection;
-    call.connection = takeConnection(request);
+    call.connection = connection;
     call.timer = std::make_unique<Timer>(m_loop, [this, id] { timedOut(id); });
     call.timer->startOnce(request.timeLimit);
     call.request = evhttp_request_new(Call::onRequestDone, &call);
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -1,6 +1,9 @@
 #include "network/serving_daemon.h"
 
-#include "network/address_func.h"
+#include "core/error_type.h"
+#include "core/json_reader.h"
+#include "network/log.h"
+#include "network/membership_record.h"
 #include "request/quarantine_func.h"
 
 #include <nlohmann/json.hpp>
@@ -72,6 +75,7 @@
 constexpr std::size_t minEntries = 2;
 constexpr std::size_t maxAdminRequestBody = 4'096;
 constexpr int forwardKeyWords = 4; ///< Words of 32 bits.
+constexpr std::size_t maxLoggedTextBytes = 200; ///< Of text that others wrote.
 constexpr int ok = 200;
 constexpr int notFound = 404;
 constexpr int unavailable = 503;
@@ -89,27 +93,6 @@
     return std::to_string(duration.count());
 }
 
-/// Parses the stored record of a node. Throws Failure if it is malformed.
-MembershipRecord parseMembershipRecord(const NodeId &node, const std::string &text)
-{
-    try {
-        const nlohmann::json json = nlohmann::json::parse(text);
-        MembershipRecord record;
-        record.node = node;
-        record.zone = json.at("zone").get<ZoneId>();
-        record.front = json.at("front").get<Address>();
-        record.peer = json.at("peer").get<Address>();
-        record.cores = json.value("cores", 0.0);
-        record.forwardKey = json.value("forward_key", std::string());
-        parseAddress(record.front);
-        parseAddress(record.peer);
-        return record;
-    } catch (const nlohmann::json::exception &error) {
-        throw Failure(ErrorCode::PlatformProtocol,
-                      std::string("invalid record of a node: ") + error.what());
-    }
-}
-
 /// Returns a key that callers cannot guess, or an empty text if the system has no random numbers.
 std::string makeForwardKey()
 {
@@ -222,6 +205,11 @@
     MirrorHooks hooks;
     hooks.changed = [this](const StoreChange &change) { onStoreChange(change); };
     hooks.proven = [this](TimePoint at) { m_requests.setConfigurationProof(at); };
+    hooks.skipped = [this](std::size_t items) {
+        m_decisions["value_unreadable"] += items;
+        logLine(LogLevel::Warning, "value_unreadable",
+                {{"items", std::to_string(items)}, {"reason", "no key or revision"}});
+    };
     hooks.settled = [this] { settled(); };
     hooks.reachable = [this](bool reachable, const std::string &cause) {
         logLine(reachable ? LogLevel::Info : LogLevel::Warning,
@@ -259,7 +247,8 @@
         } else if (startsWith(change.key, m_dialect.serverPrefix)) {
             onServerChange(VmId(change.key.substr(m_dialect.serverPrefix.size())), change);
         } else if (startsWith(change.key, m_dialect.zoneOutPrefix)) {
-            const ZoneId zone(change.key.substr(m_dialect.zoneOutPrefix.size()));
+            const ZoneId zone(
+                checkedName(change.key.substr(m_dialect.zoneOutPrefix.size()), "zone"));
             if (change.deleted)
                 m_zonesOut.erase(zone);
             else
@@ -272,10 +261,11 @@
             onOwnKeyChange(change);
         }
     } catch (const Failure &failure) {
+        ++m_decisions["value_unreadable"];
         logLine(LogLevel::Warning, "value_unreadable",
-                {{"key", change.key},
+                {{"key", change.key.substr(0, maxLoggedTextBytes)},
                  {"revision", std::to_string(change.revision.value())},
-                 {"reason", failure.what()}});
+                 {"reason", std::string(failure.what()).substr(0, maxLoggedTextBytes)}});
     }
 }
 
@@ -303,39 +293,55 @@
 void ServingDaemon::onServerChange(const VmId &id, const StoreChange &change)
 {
     const TimePoint now = m_loop.now();
-    if (!change.deleted) {
-        m_vanishedServers.erase(id);
-        const Backend *previous = m_backends.find(id);
-        const GroupMembership previousClaim = previous ? previous->report.group : GroupMembership();
-        const std::vector<ModelId> previousStaged =
-            previous ? previous->report.staged : std::vector<ModelId>();
-        const bool wasDraining = previous && previous->report.draining;
-        const BackendReport report = m_dialect.readServer(id, change.value);
-        m_backends.update(report, now);
-        if (!previous || previousClaim != report.group || wasDraining != report.draining
-            || previousStaged != report.staged)
-            logLine(LogLevel::Info, "server",
-                    {{"server", id.value()},
-                     {"service", report.service.value()},
-                     {"group", report.group.name.value()},
-                     {"state", std::to_string(static_cast<int>(report.group.state))},
-                     {"draining", report.draining ? "true" : "false"},
-                     {"model", report.model.value()},
-                     {"staged", report.staged.empty() ? "" : report.staged.front().value()},
-                     {"domain", report.domain.value()}});
+    if (change.deleted) {
+        const bool storeWasUnreachable = now - m_mirror.reachableSince() < lapsedRetention;
+        onServerVanished(id, storeWasUnreachable ? Listing::Lapsed : Listing::Missing, now);
         return;
     }
+    BackendReport report;
+    try {
+        report = m_dialect.readServer(id, change.value);
+    } catch (const Failure &) {
+        // What the previous entry said no longer holds.
+        onServerVanished(id, Listing::Missing, now);
+        throw;
+    }
+    m_vanishedServers.erase(id);
+    const Backend *previous = m_backends.find(id);
+    const GroupMembership previousClaim = previous ? previous->report.group : GroupMembership();
+    const std::vector<ModelId> previousStaged =
+        previous ? previous->report.staged : std::vector<ModelId>();
+    const bool wasDraining = previous && previous->report.draining;
+    m_backends.update(report, now);
+    if (!previous || previousClaim != report.group || wasDraining != report.draining
+        || previousStaged != report.staged)
+        logLine(LogLevel::Info, "server",
+                {{"server", id.value()},
+                 {"service", report.service.value()},
+                 {"group", report.group.name.value()},
+                 {"state", std::to_string(static_cast<int>(report.group.state))},
+                 {"draining", report.draining ? "true" : "false"},
+                 {"model", report.model.value()},
+                 {"staged", report.staged.empty() ? "" : report.staged.front().value()},
+                 {"domain", report.domain.value()}});
+}
+
+void ServingDaemon::onServerVanished(const VmId &id, Listing listing, TimePoint now)
+{
     const Backend *backend = m_backends.find(id);
     if (!backend)
         return;
-    const bool storeWasUnreachable = now - m_mirror.reachableSince() < lapsedRetention;
-    if (storeWasUnreachable || backend->report.group.state != MemberState::None) {
-        m_backends.setListing(id, storeWasUnreachable ? Listing::Lapsed : Listing::Missing);
-        m_vanishedServers[id] = {now, storeWasUnreachable ? lapsedRetention : missingRetention};
-        logLine(LogLevel::Info, storeWasUnreachable ? "server_lapsed" : "server_missing",
+    if (backend->listing == listing)
+        return;
+    const bool lapsed = listing == Listing::Lapsed;
+    if (lapsed || backend->report.group.state != MemberState::None) {
+        m_backends.setListing(id, listing);
+        m_vanishedServers[id] = {now, lapsed ? lapsedRetention : missingRetention};
+        logLine(LogLevel::Info, lapsed ? "server_lapsed" : "server_missing",
                 {{"server", id.value()}, {"group", backend->report.group.name.value()}});
         return;
     }
+    m_vanishedServers.erase(id);
     m_backends.erase(id);
     logLine(LogLevel::Info, "server_gone", {{"server", id.value()}});
 }
@@ -365,8 +371,7 @@
     const std::string key = change.key.substr(m_dialect.ownPrefix.size());
     if (startsWith(key, formationKeyPrefix)) {
         if (!change.deleted)
-            m_formation.onPlanRead(DomainId(key.substr(std::string(formationKeyPrefix).size())),
-                                   parsePlan(change.value), change.revision);
+            onPlanChange(DomainId(key.substr(std::string(formationKeyPrefix).size())), change);
         return;
     }
     if (startsWith(key, quarantineKeyPrefix)) {
@@ -391,7 +396,26 @@
     }
     if (node == m_options.node)
         m_recordRevision = change.revision;
-    m_membership.setRecord(parseMembershipRecord(node, change.value), m_loop.now());
+    try {
+        m_membership.setRecord(parseMembershipRecord(node, change.value), m_loop.now());
+    } catch (const Failure &) {
+        m_membership.eraseRecord(node);
+        if (node == m_options.node)
+            m_recordStored = false; // It is written again.
+        throw;
+    }
+}
+
+void ServingDaemon::onPlanChange(const DomainId &domain, const StoreChange &change)
+{
+    try {
+        checkedName(domain.value(), "name of a domain");
+        m_formation.onPlanRead(domain, parsePlan(change.value), change.revision);
+    } catch (const Failure &) {
+        if (isName(domain.value()))
+            m_formation.onPlanUnreadable(domain, change.revision);
+        throw;
+    }
 }
 
 void ServingDaemon::settled()
@@ -654,14 +678,13 @@
 
 void ServingDaemon::writeRecord()
 {
-    const nlohmann::json record {{"zone", m_options.zone},      {"front", m_options.front},
-                                 {"peer", m_options.pulse},     {"cores", m_options.cores},
-                                 {"forward_key", m_forwardKey}, {"life", m_incarnation}};
+    const MembershipRecord record {m_options.node,  m_options.zone,  m_options.front,
+                                   m_options.pulse, m_options.cores, m_forwardKey};
     // The record of the previous run of this node may still exist under that run's lease, so the
     // write expects the revision last seen.
     m_store.compareAndSwap(m_dialect.ownPrefix + nodesKeyPrefix + m_options.node.value(),
-                           m_recordRevision, record.dump(), m_lease,
-                           [this](const StoreSwapResult &swap) {
+                           m_recordRevision, serializeMembershipRecord(record, m_incarnation),
+                           m_lease, [this](const StoreSwapResult &swap) {
                                m_recordStored = swap.outcome == StoreSwapOutcome::Written;
                            });
 }
@@ -813,6 +836,8 @@
                       static_cast<double>(m_relay.connectionsOpened())});
     out << gaugeText({"log_lines_dropped", "Log lines dropped as the reader was too slow.",
                       static_cast<double>(droppedLogLines())});
+    out << gaugeText({"callback_failures", "Exceptions that reached the event loop: faults.",
+                      static_cast<double>(callbackFailures())});
     out << m_firstEventTimes.text("first_event_ms", "From arrival to the first event of a stream.");
     out << m_responseTimes.text("answer_ms", "From arrival to the end of the answer.");
     return out.str();
--- a/src/network/stream_socket.cpp
+++ b/src/network/stream_socket.cpp
@@ -3,7 +3,6 @@
 #include "core/error_type.h"
 #include "network/address_func.h"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -40,16 +39,23 @@
 {
     bufferevent_setcb(m_bufferEvent, onRead, onWrite, onEvent, this);
     bufferevent_setwatermark(m_bufferEvent, EV_READ, 0, maxReadAhead);
-    const HostPort peer = parseAddress(address);
-    sockaddr_in target {};
-    target.sin_family = AF_INET;
-    target.sin_port = htons(peer.port);
-    if (inet_pton(AF_INET, peer.host.c_str(), &target.sin_addr) != 1)
-        throw Failure(ErrorCode::InvalidSetting, address.value() + " is not an IPv4 address");
     // Callbacks are deferred, so that even an immediate failure is reported after construction.
-    bufferevent_socket_connect(m_bufferEvent, reinterpret_cast<sockaddr *>(&target),
-                               sizeof(target));
-    setOptions(bufferevent_getfd(m_bufferEvent));
+    if (connect(address))
+        setOptions(bufferevent_getfd(m_bufferEvent));
+    else
+        bufferevent_trigger_event(m_bufferEvent, BEV_EVENT_ERROR, BEV_TRIG_DEFER_CALLBACKS);
+}
+
+bool StreamSocket::connect(const Address &address)
+{
+    try {
+        const sockaddr_in target = parseSocketAddress(address);
+        return bufferevent_socket_connect(
+                   m_bufferEvent, reinterpret_cast<const sockaddr *>(&target), sizeof(target))
+            == 0;
+    } catch (const Failure &) {
+        return false;
+    }
 }
 
 StreamSocket::~StreamSocket()
@@ -112,16 +118,14 @@
 
 void StreamSocket::onRead(bufferevent *, void *self)
 {
-    const auto hook = static_cast<StreamSocket *>(self)->m_hooks.onReadable;
-    if (hook)
-        hook();
+    auto *socket = static_cast<StreamSocket *>(self);
+    call("read", socket->m_hooks.onReadable, socket->m_hooks.onClosed);
 }
 
 void StreamSocket::onWrite(bufferevent *, void *self)
 {
-    const auto hook = static_cast<StreamSocket *>(self)->m_hooks.onDrained;
-    if (hook)
-        hook();
+    auto *socket = static_cast<StreamSocket *>(self);
+    call("write", socket->m_hooks.onDrained, socket->m_hooks.onClosed);
 }
 
 void StreamSocket::onEvent(bufferevent *, short what, void *self)
@@ -130,14 +134,24 @@
     if (what & BEV_EVENT_CONNECTED) {
         socket->m_connected = true;
         bufferevent_enable(socket->m_bufferEvent, EV_READ | EV_WRITE);
-        const auto hook = socket->m_hooks.onConnected;
-        if (hook)
-            hook();
+        call("connect", socket->m_hooks.onConnected, socket->m_hooks.onClosed);
         return;
     }
     const auto hook = socket->m_hooks.onClosed;
     if (hook)
-        hook((what & BEV_EVENT_EOF) != 0);
+        guardCallback("close", [&] { hook((what & BEV_EVENT_EOF) != 0); });
+}
+
+void StreamSocket::call(const char *name, const std::function<void()> &hook,
+                        const std::function<void(bool)> &onClosed)
+{
+    if (!hook)
+        return;
+    // The hook may destroy the socket and with it the stored functions, so call copies.
+    const std::function<void()> callback = hook;
+    const std::function<void(bool)> closed = onClosed;
+    if (!guardCallback(name, callback) && closed)
+        guardCallback("close", [&] { closed(false); });
 }
 
 } // namespace bramleypitch
--- /dev/null
+++ b/src/tests/foreign_entry_test.cpp
@@ -0,0 +1,655 @@
+// Tests that bytes written by others are either understood or skipped: no exception other than
+// Failure leaves a reader, and no connection to an odd address ends the event loop.
+
+#include "core/error_type.h"
+#include "core/json_reader.h"
+#include "formation/formation_func.h"
+#include "network/address_func.h"
+#include "network/backend_connections.h"
+#include "network/event_loop.h"
+#include "network/feed_codec.h"
+#include "network/gen/peer_types.h"
+#include "network/http_client.h"
+#include "network/membership_record.h"
+#include "network/pulse_socket.h"
+#include "network/quarantine_store.h"
+#include "network/stream_socket.h"
+#include "network/thrift_bytes.h"
+#include "platform/platform_dialect.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cmath>
+#include <csignal>
+#include <limits>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace bramleypitch {
+
+namespace {
+
+using nlohmann::json;
+
+const std::vector<std::string> oddAddresses {"",
+                                             ":",
+                                             ":8080",
+                                             "10.0.0.1",
+                                             "10.0.0.1:",
+                                             "10.0.0.1:0",
+                                             "10.0.0.1:65536",
+                                             "10.0.0.1:99999",
+                                             "10.0.0.1:-1",
+                                             "10.0.0.1:8080 ",
+                                             "10.0.0.1:99999999999999999999",
+                                             "10.0.0.256:80",
+                                             "10.0.0.1\r\nX: 1:80",
+                                             std::string("10.0.0.1\0.9:80", 14),
+                                             "[::1]:8080",
+                                             "::1:8080",
+                                             "till-7:8080",
+                                             std::string(5'000, '9')};
+
+/// A sound entry of a server with an engine.
+json soundServer()
+{
+    return {{"service", "llm"},
+            {"address", "127.0.0.1:8080"},
+            {"zone", "za"},
+            {"version", "v1"},
+            {"slots", 8},
+            {"state", "ready"},
+            {"cold_remaining_ms", 250},
+            {"seq_num", 3},
+            {"born", 1'700'000'000'000},
+            {"domain", "d1"},
+            {"staged", {"small", "large"}},
+            {"models", {{{"name", "small"}, {"version", 1}, {"adapters", json::array()}}}},
+            {"group", {{"name", "g1"}, {"epoch", 4}, {"rank", 1}, {"state", "ready"}}}};
+}
+
+/// A configuration with a service with engines and a plain one.
+json soundConfiguration()
+{
+    return json::parse(R"({"version": 3,
+        "routes": [{"name": "ask", "host": "shop.example", "path_prefix": "/ask/",
+                    "route_type": "streaming", "resumable": true, "service": "llm",
+                    "timeout_ms": 6000, "target_latency_ms": 400, "target_gap_ms": 300,
+                    "priority": 1, "max_attempts": 3, "auth_exempt": false},
+                   {"name": "pay", "host": "shop.example", "path_prefix": "/pay/",
+                    "route_type": "non_idempotent", "timeout_ms": 1500,
+                    "weighted_services": [{"service": "till", "weight": 0.5}]}],
+        "services": [{"name": "llm", "engine": {"slots": 8, "stride": 1, "step_ms": 7.8,
+                      "per_seq_ms": 0.1, "context_per_k": 0.01, "pairs_per_m": 0.2,
+                      "read_per_s": 45900, "usual": {"prompt": 900, "answer": 80},
+                      "loads_per_s": 2, "loads_at_once": 2, "cached_prefixes": 1,
+                      "models": [{"name": "small", "size": 2, "share": 0.5, "pace": 1.0,
+                                  "load_s": 12, "warm_s": 1.1}]}},
+                     {"name": "till", "max_connections": 96, "cold_per_s": 4.5}],
+        "limits": {"max_header_bytes": 4096, "max_body_bytes": 10000,
+                   "header_timeout_ms": 1000, "idle_timeout_ms": 5000},
+        "tenants": [{"name": "chain", "priority": 1, "api_keys": ["key-a", "key-b"]}]})");
+}
+
+json soundPlan()
+{
+    return json::parse(R"({"generation": 4, "promised": "small", "groups": [
+        {"name": "d1-2", "generation": 3, "model": "small", "dissolving": false,
+         "members": [{"vm": "s1", "started_at": 17}, {"vm": "s2", "started_at": 18}]}]})");
+}
+
+/// A sound entry of a plain server.
+json soundPlainServer()
+{
+    json entry = soundServer();
+    for (const char *field : {"domain", "staged", "models", "group"})
+        entry.erase(field);
+    return entry;
+}
+
+std::string nested(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+/// Fragments of JSON that fit no field, or that programs read differently.
+const std::vector<std::string> &oddFragments()
+{
+    static const std::vector<std::string> fragments {"null",
+                                                     "true",
+                                                     "0",
+                                                     "-1",
+                                                     "0.5",
+                                                     "-0.0",
+                                                     "8.0",
+                                                     "65536",
+                                                     "1e300",
+                                                     "-1e300",
+                                                     "1e400",
+                                                     "2147483648",
+                                                     "9007199254740993",
+                                                     "9223372036854775807",
+                                                     "9223372036854775808",
+                                                     "-9223372036854775808",
+                                                     "18446744073709551615",
+                                                     "18446744073709551616",
+                                                     "99999999999999999999999999",
+                                                     "[]",
+                                                     "{}",
+                                                     "[[]]",
+                                                     "[null]",
+                                                     R"({"name":5})",
+                                                     R"([{"name":[]}])",
+                                                     R"("")",
+                                                     R"(" ")",
+                                                     R"("a\r\nX-Expect-Instance: b")",
+                                                     R"("\u0000")",
+                                                     R"("\ud800")",
+                                                     "\"\xff\"",
+                                                     "\"" + std::string(300, 'n') + "\"",
+                                                     "NaN",
+                                                     "",
+                                                     nested(60),
+                                                     nested(100),
+                                                     nested(100'000),
+                                                     R"({"a":)" + nested(1'000) + "}"};
+    return fragments;
+}
+
+constexpr const char *placeholder = "\"replaced\"";
+
+/// Writes `value` with the element at `pointer` replaced by a fragment.
+std::string withFragment(json value, const json::json_pointer &pointer, const std::string &fragment)
+{
+    value[pointer] = "replaced";
+    std::string text = value.dump();
+    return text.replace(text.find(placeholder), std::string(placeholder).size(), fragment);
+}
+
+/// Pointers to all elements of a value, objects and arrays included.
+std::vector<json::json_pointer> elementsOf(const json &value)
+{
+    std::set<std::string> pointers;
+    const json flat = value.flatten();
+    for (const auto &[path, leaf] : flat.items()) {
+        for (json::json_pointer pointer(path); !pointer.empty(); pointer.pop_back())
+            pointers.insert(pointer.to_string());
+    }
+    std::vector<json::json_pointer> elements;
+    for (const std::string &pointer : pointers)
+        elements.emplace_back(pointer);
+    return elements;
+}
+
+/// Changes a document as faulty writers do: values of other types, fields that are missing or there
+/// twice, broken bytes and broken ends.
+std::string mutate(const json &sound, std::mt19937_64 &random)
+{
+    const auto below = [&](std::size_t count) {
+        return static_cast<std::size_t>(random() % count);
+    };
+    const auto elements = elementsOf(sound);
+    const json::json_pointer &element = elements[below(elements.size())];
+    std::string text = sound.dump();
+    switch (below(6)) {
+    case 0:
+    case 1:
+        text = withFragment(sound, element, oddFragments()[below(oddFragments().size())]);
+        break;
+    case 2: {
+        json shorter = sound;
+        json &parent = shorter[element.parent_pointer()];
+        if (parent.is_object())
+            parent.erase(element.back());
+        else
+            parent.erase(static_cast<std::size_t>(std::stoul(element.back())));
+        text = shorter.dump();
+        break;
+    }
+    case 3:
+        text.resize(below(text.size()));
+        break;
+    case 4:
+        for (std::size_t i = below(8) + 1; i > 0; --i)
+            text[below(text.size())] = static_cast<char>(random());
+        break;
+    default:
+        // The last of two fields of a name counts.
+        if (sound.is_object())
+            text.insert(text.size() - 1,
+                        ",\"" + elements[below(elements.size())].back()
+                            + "\":" + oddFragments()[below(oddFragments().size())]);
+    }
+    return text;
+}
+
+/// What a reader returns, or nothing if it throws Failure. Any other exception fails the test.
+template<typename Read>
+auto readOrSkip(Read read) -> std::optional<decltype(read())>
+{
+    try {
+        return read();
+    } catch (const Failure &failure) {
+        RC_ASSERT(std::string(failure.what()).size() < 1'000U);
+        return std::nullopt;
+    }
+}
+
+/// The reports of a property test differ by their seed only.
+constexpr int mutationsPerSeed = 50;
+
+template<typename Check>
+void forEachMutation(const std::vector<json> &sound, std::uint64_t seed, Check check)
+{
+    std::mt19937_64 random(seed);
+    for (int i = 0; i < mutationsPerSeed; ++i)
+        check(mutate(sound[random() % sound.size()], random));
+}
+
+class OddAddressTest : public testing::TestWithParam<std::string>
+{
+protected:
+    static void SetUpTestSuite() { std::signal(SIGPIPE, SIG_IGN); }
+
+    /// Handles events until a condition holds, at most for a second.
+    template<typename Condition>
+    void runUntil(Condition condition)
+    {
+        const TimePoint end = m_loop.now() + Duration(1'000);
+        while (!condition() && m_loop.now() < end)
+            event_base_loop(m_loop.base(), EVLOOP_ONCE | EVLOOP_NONBLOCK);
+    }
+
+    EventLoop m_loop;
+};
+
+} // namespace
+
+// Guards against FAULT: one entry with an address that cannot be read ended every node.
+TEST_P(OddAddressTest, NamesNoServer)
+{
+    json entry = soundServer();
+    EXPECT_EQ(platform::readServer(VmId("s"), entry.dump()).address, Address("127.0.0.1:8080"));
+    entry["address"] = GetParam();
+    EXPECT_THROW(platform::readServer(VmId("s"), entry.dump()), Failure);
+}
+
+TEST_P(OddAddressTest, RequestFailsUnsent)
+{
+    BackendConnections connections(m_loop, "X-Request-Id", LinkHooks());
+    std::optional<bool> sent;
+    BackendHooks hooks;
+    hooks.onFailure = [&](bool wasSent) { sent = wasSent; };
+    BackendRequest request;
+    request.server = VmId("s");
+    request.address = Address(GetParam());
+    request.head = "GET / HTTP/1.1\r\n\r\n";
+    ASSERT_NO_THROW(connections.send(request, hooks));
+    EXPECT_FALSE(sent.has_value()); // The sender does not know the attempt yet.
+    runUntil([&] { return sent.has_value(); });
+    EXPECT_EQ(sent, std::optional(false));
+}
+
+TEST_P(OddAddressTest, CallFails)
+{
+    HttpClient client(m_loop);
+    std::optional<HttpFailure> failure;
+    HttpHooks hooks;
+    hooks.onResponse = [](const HttpResponse &) { ADD_FAILURE() << "there is no server"; };
+    hooks.onFailure = [&](const HttpFailure &failed) { failure = failed; };
+    HttpCall call;
+    call.address = Address(GetParam());
+    call.path = "/v1/report";
+    call.timeLimit = Duration(100);
+    ASSERT_NO_THROW(client.send(call, hooks));
+    runUntil([&] { return failure.has_value(); });
+    ASSERT_TRUE(failure.has_value());
+    EXPECT_FALSE(failure->sent);
+}
+
+INSTANTIATE_TEST_SUITE_P(ForeignEntry, OddAddressTest, testing::ValuesIn(oddAddresses));
+
+TEST(ServerEntryTest, SoundEntriesAreRead)
+{
+    const BackendReport report = platform::readServer(VmId("s"), soundServer().dump());
+    EXPECT_EQ(report.slots, 8U);
+    EXPECT_EQ(report.coldTimeLeft, Duration(250));
+    EXPECT_EQ(report.startedAt, 1'700'000'000'000);
+    EXPECT_EQ(report.model, ModelId("small"));
+    EXPECT_EQ(report.staged.size(), 2U);
+    EXPECT_EQ(report.group.rank, 1U);
+    EXPECT_EQ(report.group.state, MemberState::Ready);
+    EXPECT_NO_THROW(platform::readServer(VmId("s"), soundPlainServer().dump()));
+    json entry = soundServer();
+    entry["slots"] = 8.0;
+    entry["cold_remaining_ms"] = 249.5;
+    entry["domain"] = 7;
+    entry["models"] = json::array();
+    entry["group"] = nullptr;
+    entry["zone"] = "z\u00fcrich";
+    entry["new"] = {{"field", true}};
+    const BackendReport other = platform::readServer(VmId("s"), entry.dump());
+    EXPECT_EQ(other.slots, 8U);
+    EXPECT_EQ(other.coldTimeLeft, Duration(250));
+    EXPECT_EQ(other.domain, DomainId("7"));
+    EXPECT_EQ(other.group.state, MemberState::None);
+}
+
+// Guards against FAULT: names that nest 100,000 deep, and numbers out of range.
+TEST(ServerEntryTest, OddFieldsNameNoServer)
+{
+    const std::map<std::string, std::vector<std::string>> odd {
+        {"/slots", {"-1", "0.5", "1e300", "true", "4294967296", "\"8\"", "[]"}},
+        {"/cold_remaining_ms", {"-1", "1e300", "9223372036854775807", "\"0\"", "false"}},
+        {"/born", {"-1", "0.5", "\"now\"", "1e300", "9223372036854775808", "[]", "true"}},
+        {"/service", {"5", "\"\"", R"("a\r\nb")", "[]"}},
+        {"/zone", {"5", "\"\"", R"("\u0000")", "{}"}},
+        {"/state", {"5", "\"open\"", "[]"}},
+        {"/domain", {"0.5", "[]", "{}", "true", nested(100'000), R"({"name":5})"}},
+        {"/models", {"{}", "5", "[5.5]", "[" + nested(100'000) + "]", R"([{"name":""}])"}},
+        {"/staged", {"\"small\"", "{}", "[[]]", "[" + nested(100'000) + "]"}},
+        {"/group", {"5", "\"g1\"", "[]", "{}", nested(100'000)}},
+        {"/group/name", {"5", R"("a\nb")", "[]"}},
+        {"/group/epoch", {"-1", "0.5", "18446744073709551615", "\"4\""}},
+        {"/group/rank", {"-1", "0.5", "4294967296", "\"1\"", "true"}},
+        {"/group/state", {"5", "\"odd\""}}};
+    for (const auto &[pointer, fragments] : odd) {
+        for (const std::string &fragment : fragments) {
+            const std::string text =
+                withFragment(soundServer(), json::json_pointer(pointer), fragment);
+            EXPECT_THROW(platform::readServer(VmId("s"), text), Failure)
+                << pointer << " " << fragment.substr(0, 40);
+        }
+    }
+    for (const char *field :
+         {"service", "address", "zone", "slots", "state", "cold_remaining_ms"}) {
+        json entry = soundServer();
+        entry.erase(field);
+        EXPECT_THROW(platform::readServer(VmId("s"), entry.dump()), Failure) << field;
+    }
+    json group = soundServer();
+    group["group"].erase("rank"); // Rank 0 would be the head.
+    EXPECT_THROW(platform::readServer(VmId("s"), group.dump()), Failure);
+}
+
+// Ids are sent in headers, messages and logs.
+TEST(ServerEntryTest, OddIdNamesNoServer)
+{
+    for (const std::string &id :
+         {std::string(), std::string("a\r\nX-Tenant-Id: b"), std::string("a\0b", 3),
+          std::string(256, 'i'), std::string("\xff"), std::string(" a")})
+        EXPECT_THROW(platform::readServer(VmId(id), soundServer().dump()), Failure);
+}
+
+RC_GTEST_PROP(ServerEntryTest, MutatedEntriesAreReadOrSkipped, (std::uint64_t seed))
+{
+    forEachMutation({soundServer(), soundPlainServer()}, seed, [](const std::string &text) {
+        const auto report = readOrSkip([&] { return platform::readServer(VmId("s"), text); });
+        if (!report)
+            return;
+        RC_ASSERT(isName(report->service.value()) && isName(report->zone.value()));
+        RC_ASSERT(report->slots <= JsonBounds::count);
+        RC_ASSERT(report->coldTimeLeft >= Duration(0));
+        RC_ASSERT(report->coldTimeLeft.count() <= JsonBounds::milliseconds);
+        RC_ASSERT(report->startedAt >= 0);
+        RC_ASSERT(report->group.rank <= JsonBounds::count);
+    });
+}
+
+// An odd value of the operator's configuration leaves the last accepted version in force.
+TEST(ConfigurationTest, OddFieldsAreRefused)
+{
+    ASSERT_NO_THROW(platform::readConfiguration(soundConfiguration().dump()));
+    const std::map<std::string, std::vector<std::string>> odd {
+        {"/version", {"-1", "0.5", "1e300", "\"2\"", "18446744073709551615", "true"}},
+        {"/routes", {"{}", "5", "[5]", "null", nested(100'000)}},
+        {"/routes/0/timeout_ms", {"-1", "1e300", "\"5\"", "null", "true"}},
+        {"/routes/0/target_gap_ms", {"-1", "1e300", "9223372036854775807"}},
+        {"/routes/0/priority", {"1e300", "0.5", "true"}},
+        {"/routes/0/max_attempts", {"-1", "4294967296", "0.5"}},
+        {"/routes/0/auth_exempt", {"1", "\"true\"", "[]"}},
+        {"/routes/0/resumable", {"1", "\"true\""}},
+        {"/routes/0/service", {"5", R"("a\r\nb")", "\"\""}},
+        {"/routes/1/weighted_services/0/weight", {"-1", "1e300", "\"1\""}},
+        {"/services", {"{}", "5", "null"}},
+        {"/services/0/engine", {"5", "[]", "\"engine\""}},
+        {"/services/0/engine/step_ms", {"-1", "1e300", "true"}},
+        {"/services/0/engine/models/0/size", {"0", "-1", "1e300", "4294967296"}},
+        {"/services/0/engine/models/0/load_s", {"-1", "1e300"}},
+        {"/services/1/cold_per_s", {"-1", "1e300", "\"5\""}},
+        {"/services/1/max_connections", {"-1", "0.5"}},
+        {"/limits", {"5", "[]"}},
+        {"/limits/max_body_bytes", {"-1", "0.5", "1e300", "18446744073709551615"}},
+        {"/limits/idle_timeout_ms", {"-1", "1e300"}}};
+    for (const auto &[pointer, fragments] : odd) {
+        for (const std::string &fragment : fragments) {
+            const std::string text =
+                withFragment(soundConfiguration(), json::json_pointer(pointer), fragment);
+            EXPECT_THROW(platform::readConfiguration(text), Failure)
+                << pointer << " " << fragment.substr(0, 40);
+        }
+    }
+}
+
+RC_GTEST_PROP(ConfigurationTest, MutatedOnesAreReadOrRefused, (std::uint64_t seed))
+{
+    forEachMutation({soundConfiguration()}, seed, [](const std::string &text) {
+        const auto read = readOrSkip([&] { return platform::readConfiguration(text); });
+        if (!read)
+            return;
+        for (const RouteSpec &route : read->routes)
+            RC_ASSERT(route.timeout >= Duration(0) && route.targetGap >= Duration(0));
+        for (const auto &[name, service] : read->services) {
+            RC_ASSERT(service.maxColdRequestsPerSecond >= 0);
+            if (!service.engine)
+                continue;
+            for (const ServedModel &model : service.engine->models)
+                RC_ASSERT(model.span >= 1U && model.loadTime >= Duration(0));
+        }
+    });
+}
+
+// Guards against FAULT: a planned group without members has no head.
+TEST(PlanTest, GroupWithoutMembersIsUnreadable)
+{
+    json plan = soundPlan();
+    ASSERT_NO_THROW(parsePlan(plan.dump()));
+    plan["groups"][0]["members"] = json::array();
+    EXPECT_THROW(parsePlan(plan.dump()), Failure);
+    plan["groups"][0].erase("members");
+    EXPECT_THROW(parsePlan(plan.dump()), Failure);
+}
+
+RC_GTEST_PROP(PlanTest, MutatedPlansAreReadOrSkipped, (std::uint64_t seed))
+{
+    forEachMutation({soundPlan()}, seed, [](const std::string &text) {
+        const auto plan = readOrSkip([&] { return parsePlan(text); });
+        if (!plan)
+            return;
+        for (const PlannedGroup &group : plan->groups) {
+            RC_ASSERT(!group.members.empty() && isName(group.name.value()));
+            for (const PlannedMember &member : group.members)
+                RC_ASSERT(isName(member.vm.value()));
+        }
+    });
+}
+
+RC_GTEST_PROP(QuarantineRecordTest, MutatedRecordsAreReadOrSkipped, (std::uint64_t seed))
+{
+    const WallTime now(1'700'000'000'000);
+    const json sound = json::parse(serializeQuarantine({Duration(5'000), 2}, now));
+    forEachMutation({sound}, seed, [&](const std::string &text) {
+        if (const auto read = readOrSkip([&] { return parseQuarantine(text, now); }))
+            RC_ASSERT(read->timeLeft >= Duration(0) && read->timeLeft <= Duration(600'000));
+    });
+}
+
+RC_GTEST_PROP(NodeRecordTest, MutatedRecordsAreReadOrSkipped, (std::uint64_t seed))
+{
+    const MembershipRecord record {NodeId("n1"), ZoneId("za"), Address("127.0.0.1:1"),
+                                   Address("127.0.0.1:2"), 0.25};
+    const std::string text = serializeMembershipRecord(record, 17);
+    RC_ASSERT(parseMembershipRecord(record.node, text) == record);
+    forEachMutation({json::parse(text)}, seed, [&](const std::string &mutated) {
+        const auto read = readOrSkip([&] { return parseMembershipRecord(record.node, mutated); });
+        if (!read)
+            return;
+        parseSocketAddress(read->front);
+        parseSocketAddress(read->peer);
+        RC_ASSERT(read->cores >= 0);
+    });
+}
+
+// Guards against FAULT: an IPv6 address of another node ended each node that sent it a message.
+TEST(NodeRecordTest, OddAddressIsUnreadable)
+{
+    const json sound {{"zone", "z"}, {"front", "127.0.0.1:1"}, {"peer", "127.0.0.1:2"}};
+    EXPECT_NO_THROW(parseMembershipRecord(NodeId("n"), sound.dump()));
+    for (const char *field : {"front", "peer"}) {
+        for (const std::string &address : oddAddresses) {
+            json record = sound;
+            record[field] = address;
+            EXPECT_THROW(parseMembershipRecord(NodeId("n"), record.dump()), Failure);
+        }
+    }
+}
+
+// Guards against FAULT: the stated size of a list of a datagram was allocated before it was read.
+TEST(DatagramTest, StatedSizeIsNotAllocated)
+{
+    // A list of 2^31 - 1 structs in the field `changes`, in the compact protocol.
+    const std::string list = std::string("\x39\xfc\xff\xff\xff\xff\x07", 7);
+    EXPECT_THROW(FeedCodec::parse(list), apache::thrift::TException);
+    EXPECT_THROW(FeedCodec::parse(list + std::string(50'000, '\0')), apache::thrift::TException);
+}
+
+namespace {
+
+/// Sends datagrams to a socket and counts the messages that it passes on.
+class PulseSocketFixture
+{
+public:
+    PulseSocketFixture()
+        : m_socket(m_loop, m_address, hooks())
+    {
+        m_descriptor = socket(AF_INET, SOCK_DGRAM, 0);
+    }
+    ~PulseSocketFixture() { close(m_descriptor); }
+
+    void send(const std::string &bytes)
+    {
+        const sockaddr_in target = parseSocketAddress(m_address);
+        sendto(m_descriptor, bytes.data(), bytes.size(), 0,
+               reinterpret_cast<const sockaddr *>(&target), sizeof(target));
+        event_base_loop(m_loop.base(), EVLOOP_NONBLOCK);
+    }
+
+    PulseHooks hooks()
+    {
+        return {[this](const Pulse &pulse) { lastPulse = pulse; },
+                [this](const ZoneDigest &digest) { lastDigest = digest; },
+                [this](const StoreFeed &feed) { lastFeed = feed; },
+                [this](const PermitMessage &message) { lastPermits = message; }};
+    }
+
+    std::optional<Pulse> lastPulse;
+    std::optional<ZoneDigest> lastDigest;
+    std::optional<StoreFeed> lastFeed;
+    std::optional<PermitMessage> lastPermits;
+
+private:
+    EventLoop m_loop;
+    Address m_address {"127.0.0.1:7391"};
+    PulseSocket m_socket;
+    int m_descriptor = -1;
+};
+
+} // namespace
+
+RC_GTEST_PROP(DatagramTest, MutatedDatagramsAreReadOrSkipped, (std::uint64_t seed))
+{
+    peer::Pulse pulse;
+    pulse.node = "n1";
+    pulse.clock_ms = std::numeric_limits<std::int64_t>::min();
+    pulse.held_revision = -1;
+    pulse.running = {{"s1", -1}, {"s2", 3}};
+    pulse.suspects_ms = {{"s1", -1}, {"s2", std::numeric_limits<std::int32_t>::max()}};
+    pulse.demand = {{"m1", std::nan("")}, {"m2", 1e300}, {"m3", -1}, {"m4", 2}};
+    StoreFeed feed;
+    feed.from = Revision(5);
+    feed.to = Revision(9);
+    feed.changes = {{"a", Revision(7), false, "1"}, {"b", Revision(9), true, ""}};
+    FeedCodec codec;
+    const std::vector<std::string> sound {"P" + toThriftBytes(pulse), "Z" + codec.serialize(feed),
+                                          "D" + toThriftBytes(peer::Digest()),
+                                          "L" + toThriftBytes(peer::Permits())};
+    PulseSocketFixture fixture;
+    fixture.send(sound.front());
+    RC_ASSERT(fixture.lastPulse.has_value());
+    RC_ASSERT(fixture.lastPulse->running == RunningCounts({{VmId("s2"), 3}}));
+    RC_ASSERT(fixture.lastPulse->demand.size() == 1U);
+    RC_ASSERT(fixture.lastPulse->clock == TimePoint());
+    for (const auto &[server, duration] : fixture.lastPulse->suspects)
+        RC_ASSERT(duration >= Duration(0) && duration <= Duration(600'000));
+    fixture.send(sound[1]);
+    RC_ASSERT(fixture.lastFeed.has_value());
+    std::mt19937_64 random(seed);
+    for (int i = 0; i < mutationsPerSeed; ++i) {
+        std::string bytes = sound[random() % sound.size()];
+        for (std::uint64_t change = random() % 6; change > 0; --change)
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        if (random() % 4 == 0)
+            bytes.resize(random() % bytes.size());
+        fixture.send(bytes);
+    }
+    RC_ASSERT(callbackFailures() == 0U);
+}
+
+// An exception must not unwind through the C code of the event loop.
+TEST(CallbackTest, ExceptionEndsTheCallbackOnly)
+{
+    EventLoop loop;
+    int later = 0;
+    Timer failing(loop, [] { throw std::out_of_range("odd"); });
+    Timer sound(loop, [&] {
+        ++later;
+        loop.stop();
+    });
+    const std::uint64_t before = callbackFailures();
+    failing.startOnce(Duration(0));
+    sound.startOnce(Duration(5));
+    loop.run();
+    EXPECT_EQ(later, 1);
+    EXPECT_EQ(callbackFailures(), before + 1);
+}
+
+TEST(CallbackTest, ExceptionClosesTheConnection)
+{
+    EventLoop loop;
+    std::array<int, 2> descriptors {};
+    ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, descriptors.data()), 0);
+    int closed = 0;
+    SocketHooks hooks;
+    hooks.onReadable = [] { throw std::out_of_range("odd"); };
+    hooks.onClosed = [&](bool clean) {
+        closed += clean ? 0 : 1;
+        loop.stop();
+    };
+    const StreamSocket socket(loop, descriptors[0], hooks);
+    ASSERT_EQ(write(descriptors[1], "x", 1), 1);
+    loop.run();
+    EXPECT_EQ(closed, 1);
+    close(descriptors[1]);
+}
+
+} // namespace bramleypitch
