Fix: [Network] Notice a store that came back from an older copy

Callers saw: some seconds after the store had come back from an older copy, two of three nodes accepted a key for good that had been taken away since.

Cause: nodes took the store's revisions to rise for ever. A node that is fed by another one kept its higher revision and took feeds from before it as proof that its copy was current; changes with revisions given out again were dropped as old.

Change: each answer names the era of the store. StoreEraGuard notices it in all answers and passes on only those of the newest era, for calls that were made in it. On a new era the mirror forgets all revisions and reads the store again; feeds, pulses and digests name their era, and a feed of another or an unknown one changes and proves nothing. A node that hears of a newer era from another one asks the store itself. What only the copy holds or lacks is put off for three seconds where its writer may replace it: servers that may have left, zones that were withdrawn, records of nodes; an older entry of a server that is known is not used. A store without eras is one era.

--- a/src/core/strong_type.h
+++ b/src/core/strong_type.h
@@ -59,6 +59,9 @@
 
 using Generation = StrongType<struct GenerationTag, std::uint64_t>; ///< Fencing token of orders.
 using Revision = StrongType<struct RevisionTag, std::int64_t>; ///< Store revision; 0 is "absent".
+/// Counts how often the store has come back from an older copy; revisions of different eras cannot
+/// be compared. 0 if it is not known, or if the store has no eras.
+using StoreEra = StrongType<struct StoreEraTag, std::int64_t>;
 using Incarnation = StrongType<struct IncarnationTag, std::int64_t>; ///< Lease period of a node.
 using RequestId = StrongType<struct RequestIdTag, std::uint64_t>;
 using AttemptNumber = StrongType<struct AttemptNumberTag, std::uint32_t>;
--- a/src/network/feed_codec.cpp
+++ b/src/network/feed_codec.cpp
@@ -65,13 +65,15 @@
 std::string FeedCodec::serialize(const StoreFeed &feed)
 {
     peer::Feed wire;
+    wire.store_era = feed.era.value();
     wire.from_revision = feed.from.value();
     wire.to_revision = feed.to.value();
     wire.echo_ms = milliseconds(feed.echo);
     wire.proof_age_ms = feed.proofAge.count();
     if (!feed.changes.empty()) {
-        if (m_from != feed.from || m_to != feed.to) {
+        if (m_era != feed.era || m_from != feed.from || m_to != feed.to) {
             m_compressedChanges = compress(toThriftBytes(toWire(feed.changes)));
+            m_era = feed.era;
             m_from = feed.from;
             m_to = feed.to;
         }
@@ -84,6 +86,7 @@
 {
     const auto wire = fromThriftBytes<peer::Feed>(bytes);
     StoreFeed feed;
+    feed.era = StoreEra(wire.store_era);
     feed.from = Revision(wire.from_revision);
     feed.to = Revision(wire.to_revision);
     feed.echo = timePoint(wire.echo_ms);
--- a/src/network/feed_codec.h
+++ b/src/network/feed_codec.h
@@ -20,6 +20,7 @@
     static StoreFeed parse(std::string_view bytes);
 
 private:
+    StoreEra m_era;
     Revision m_from;
     Revision m_to;
     std::string m_compressedChanges; ///< Of the changes between the two revisions.
--- a/src/network/gen/peer_types.cpp
+++ b/src/network/gen/peer_types.cpp
@@ -2273,6 +2273,14 @@
 void Pulse::__set_cut(const bool val) {
   this->cut = val;
 }
+
+void Pulse::__set_store_era(const int64_t val) {
+  this->store_era = val;
+}
+
+void Pulse::__set_newest_version(const int64_t val) {
+  this->newest_version = val;
+}
 std::ostream& operator<<(std::ostream& out, const Pulse& obj)
 {
   obj.printTo(out);
@@ -2511,6 +2519,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->store_era);
+          this->__isset.store_era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->newest_version);
+          this->__isset.newest_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2642,6 +2666,14 @@
   xfer += oprot->writeBool(this->cut);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("store_era", ::apache::thrift::protocol::T_I64, 16);
+  xfer += oprot->writeI64(this->store_era);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("newest_version", ::apache::thrift::protocol::T_I64, 17);
+  xfer += oprot->writeI64(this->newest_version);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2664,6 +2696,8 @@
   swap(a.quarantine, b.quarantine);
   swap(a.limits, b.limits);
   swap(a.cut, b.cut);
+  swap(a.store_era, b.store_era);
+  swap(a.newest_version, b.newest_version);
   swap(a.__isset, b.__isset);
 }
 
@@ -2683,6 +2717,8 @@
   quarantine = other148.quarantine;
   limits = other148.limits;
   cut = other148.cut;
+  store_era = other148.store_era;
+  newest_version = other148.newest_version;
   __isset = other148.__isset;
 }
 Pulse& Pulse::operator=(const Pulse& other149) {
@@ -2701,6 +2737,8 @@
   quarantine = other149.quarantine;
   limits = other149.limits;
   cut = other149.cut;
+  store_era = other149.store_era;
+  newest_version = other149.newest_version;
   __isset = other149.__isset;
   return *this;
 }
@@ -2722,6 +2760,8 @@
   out << ", " << "quarantine=" << to_string(quarantine);
   out << ", " << "limits=" << to_string(limits);
   out << ", " << "cut=" << to_string(cut);
+  out << ", " << "store_era=" << to_string(store_era);
+  out << ", " << "newest_version=" << to_string(newest_version);
   out << ")";
 }
 
@@ -2793,6 +2833,14 @@
 void Digest::__set_cut(const std::set<std::string> & val) {
   this->cut = val;
 }
+
+void Digest::__set_store_era(const int64_t val) {
+  this->store_era = val;
+}
+
+void Digest::__set_newest_version(const int64_t val) {
+  this->newest_version = val;
+}
 std::ostream& operator<<(std::ostream& out, const Digest& obj)
 {
   obj.printTo(out);
@@ -3067,6 +3115,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->store_era);
+          this->__isset.store_era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->newest_version);
+          this->__isset.newest_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3219,6 +3283,14 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("store_era", ::apache::thrift::protocol::T_I64, 17);
+  xfer += oprot->writeI64(this->store_era);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("newest_version", ::apache::thrift::protocol::T_I64, 18);
+  xfer += oprot->writeI64(this->newest_version);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3242,6 +3314,8 @@
   swap(a.quarantine, b.quarantine);
   swap(a.limits, b.limits);
   swap(a.cut, b.cut);
+  swap(a.store_era, b.store_era);
+  swap(a.newest_version, b.newest_version);
   swap(a.__isset, b.__isset);
 }
 
@@ -3262,6 +3336,8 @@
   quarantine = other213.quarantine;
   limits = other213.limits;
   cut = other213.cut;
+  store_era = other213.store_era;
+  newest_version = other213.newest_version;
   __isset = other213.__isset;
 }
 Digest& Digest::operator=(const Digest& other214) {
@@ -3281,6 +3357,8 @@
   quarantine = other214.quarantine;
   limits = other214.limits;
   cut = other214.cut;
+  store_era = other214.store_era;
+  newest_version = other214.newest_version;
   __isset = other214.__isset;
   return *this;
 }
@@ -3303,6 +3381,8 @@
   out << ", " << "quarantine=" << to_string(quarantine);
   out << ", " << "limits=" << to_string(limits);
   out << ", " << "cut=" << to_string(cut);
+  out << ", " << "store_era=" << to_string(store_era);
+  out << ", " << "newest_version=" << to_string(newest_version);
   out << ")";
 }
 
@@ -3598,6 +3678,10 @@
 void Feed::__set_compressed_changes(const std::string& val) {
   this->compressed_changes = val;
 }
+
+void Feed::__set_store_era(const int64_t val) {
+  this->store_era = val;
+}
 std::ostream& operator<<(std::ostream& out, const Feed& obj)
 {
   obj.printTo(out);
@@ -3686,6 +3770,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->store_era);
+          this->__isset.store_era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3735,6 +3827,10 @@
   xfer += oprot->writeBinary(this->compressed_changes);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("store_era", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->store_era);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3748,6 +3844,7 @@
   swap(a.echo_ms, b.echo_ms);
   swap(a.proof_age_ms, b.proof_age_ms);
   swap(a.compressed_changes, b.compressed_changes);
+  swap(a.store_era, b.store_era);
   swap(a.__isset, b.__isset);
 }
 
@@ -3758,6 +3855,7 @@
   echo_ms = other231.echo_ms;
   proof_age_ms = other231.proof_age_ms;
   compressed_changes = other231.compressed_changes;
+  store_era = other231.store_era;
   __isset = other231.__isset;
 }
 Feed& Feed::operator=(const Feed& other232) {
@@ -3767,6 +3865,7 @@
   echo_ms = other232.echo_ms;
   proof_age_ms = other232.proof_age_ms;
   compressed_changes = other232.compressed_changes;
+  store_era = other232.store_era;
   __isset = other232.__isset;
   return *this;
 }
@@ -3779,6 +3878,7 @@
   out << ", " << "echo_ms=" << to_string(echo_ms);
   out << ", " << "proof_age_ms=" << to_string(proof_age_ms);
   out << ", " << "compressed_changes=" << to_string(compressed_changes);
+  out << ", " << "store_era=" << to_string(store_era);
   out << ")";
 }
 
--- a/src/network/gen/peer_types.h
+++ b/src/network/gen/peer_types.h
@@ -861,7 +861,7 @@
 std::ostream& operator<<(std::ostream& out, const Permits& obj);
 
 typedef struct _Pulse__isset {
-  _Pulse__isset() : node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), clock_ms(false), held_revision(false), heard_ms(false), settled(false), leaving(false), quarantine(false), limits(false), cut(false) {}
+  _Pulse__isset() : node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), clock_ms(false), held_revision(false), heard_ms(false), settled(false), leaving(false), quarantine(false), limits(false), cut(false), store_era(false), newest_version(false) {}
   bool node :1;
   bool life :1;
   bool number :1;
@@ -877,6 +877,8 @@
   bool quarantine :1;
   bool limits :1;
   bool cut :1;
+  bool store_era :1;
+  bool newest_version :1;
 } _Pulse__isset;
 
 class Pulse : public virtual ::apache::thrift::TBase {
@@ -892,7 +894,9 @@
           clock_ms(0),
           held_revision(0),
           settled(0),
-          cut(0) {
+          cut(0),
+          store_era(0),
+          newest_version(0) {
   }
 
   virtual ~Pulse() noexcept;
@@ -911,6 +915,8 @@
   Quarantine quarantine;
   std::map<std::string, ServerLimit>  limits;
   bool cut;
+  int64_t store_era;
+  int64_t newest_version;
 
   _Pulse__isset __isset;
 
@@ -944,6 +950,10 @@
 
   void __set_cut(const bool val);
 
+  void __set_store_era(const int64_t val);
+
+  void __set_newest_version(const int64_t val);
+
   bool operator == (const Pulse & rhs) const
   {
     if (!(node == rhs.node))
@@ -976,6 +986,10 @@
       return false;
     if (!(cut == rhs.cut))
       return false;
+    if (!(store_era == rhs.store_era))
+      return false;
+    if (!(newest_version == rhs.newest_version))
+      return false;
     return true;
   }
   bool operator != (const Pulse &rhs) const {
@@ -995,7 +1009,7 @@
 std::ostream& operator<<(std::ostream& out, const Pulse& obj);
 
 typedef struct _Digest__isset {
-  _Digest__isset() : zone(false), node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), heard_ms(false), clock_ms(false), held_revision(false), relayed(false), leaving(false), quarantine(false), limits(false), cut(false) {}
+  _Digest__isset() : zone(false), node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), heard_ms(false), clock_ms(false), held_revision(false), relayed(false), leaving(false), quarantine(false), limits(false), cut(false), store_era(false), newest_version(false) {}
   bool zone :1;
   bool node :1;
   bool life :1;
@@ -1012,6 +1026,8 @@
   bool quarantine :1;
   bool limits :1;
   bool cut :1;
+  bool store_era :1;
+  bool newest_version :1;
 } _Digest__isset;
 
 class Digest : public virtual ::apache::thrift::TBase {
@@ -1026,7 +1042,9 @@
            number(0),
            clock_ms(0),
            held_revision(0),
-           relayed(0) {
+           relayed(0),
+           store_era(0),
+           newest_version(0) {
   }
 
   virtual ~Digest() noexcept;
@@ -1046,6 +1064,8 @@
   Quarantine quarantine;
   std::map<std::string, ServerLimit>  limits;
   std::set<std::string>  cut;
+  int64_t store_era;
+  int64_t newest_version;
 
   _Digest__isset __isset;
 
@@ -1081,6 +1101,10 @@
 
   void __set_cut(const std::set<std::string> & val);
 
+  void __set_store_era(const int64_t val);
+
+  void __set_newest_version(const int64_t val);
+
   bool operator == (const Digest & rhs) const
   {
     if (!(zone == rhs.zone))
@@ -1115,6 +1139,10 @@
       return false;
     if (!(cut == rhs.cut))
       return false;
+    if (!(store_era == rhs.store_era))
+      return false;
+    if (!(newest_version == rhs.newest_version))
+      return false;
     return true;
   }
   bool operator != (const Digest &rhs) const {
@@ -1240,13 +1268,14 @@
 std::ostream& operator<<(std::ostream& out, const FeedChanges& obj);
 
 typedef struct _Feed__isset {
-  _Feed__isset() : from_revision(false), to_revision(false), changes(false), echo_ms(false), proof_age_ms(false), compressed_changes(false) {}
+  _Feed__isset() : from_revision(false), to_revision(false), changes(false), echo_ms(false), proof_age_ms(false), compressed_changes(false), store_era(false) {}
   bool from_revision :1;
   bool to_revision :1;
   bool changes :1;
   bool echo_ms :1;
   bool proof_age_ms :1;
   bool compressed_changes :1;
+  bool store_era :1;
 } _Feed__isset;
 
 class Feed : public virtual ::apache::thrift::TBase {
@@ -1259,7 +1288,8 @@
          to_revision(0),
          echo_ms(0),
          proof_age_ms(0),
-         compressed_changes() {
+         compressed_changes(),
+         store_era(0) {
   }
 
   virtual ~Feed() noexcept;
@@ -1269,6 +1299,7 @@
   int64_t echo_ms;
   int64_t proof_age_ms;
   std::string compressed_changes;
+  int64_t store_era;
 
   _Feed__isset __isset;
 
@@ -1284,6 +1315,8 @@
 
   void __set_compressed_changes(const std::string& val);
 
+  void __set_store_era(const int64_t val);
+
   bool operator == (const Feed & rhs) const
   {
     if (!(from_revision == rhs.from_revision))
@@ -1298,6 +1331,8 @@
       return false;
     if (!(compressed_changes == rhs.compressed_changes))
       return false;
+    if (!(store_era == rhs.store_era))
+      return false;
     return true;
   }
   bool operator != (const Feed &rhs) const {
--- a/src/network/http_client.cpp
+++ b/src/network/http_client.cpp
@@ -103,9 +103,12 @@
         HttpResponse response;
         if (complete) {
             response.status = evhttp_request_get_response_code(request);
-            const char *type =
-                evhttp_find_header(evhttp_request_get_input_headers(request), "Content-Type");
+            const evkeyvalq *headers = evhttp_request_get_input_headers(request);
+            const char *type = evhttp_find_header(headers, "Content-Type");
             response.contentType = type ? type : "";
+            for (const evkeyval *header = headers->tqh_first; header;
+                 header = header->next.tqe_next)
+                response.headers.emplace_back(header->key, header->value);
             response.body = readAll(evhttp_request_get_input_buffer(request));
         }
         const HttpFailure failure {call->sent, call->timedOut};
--- a/src/network/http_client.h
+++ b/src/network/http_client.h
@@ -36,6 +36,7 @@
 {
     int status = 0;
     std::string contentType;
+    std::vector<std::pair<std::string, std::string>> headers;
     std::string body; ///< Empty if the `onChunk` hook is set.
 };
 
--- a/src/network/peer.thrift
+++ b/src/network/peer.thrift
@@ -123,6 +123,8 @@
   13: Quarantine quarantine // Earlier versions do not send it.
   14: map<string, ServerLimit> limits // At most 16. Earlier versions do not send it.
   15: bool cut // The node reaches no server. Earlier versions do not send it.
+  16: i64 store_era // To which `held_revision` belongs. Earlier versions do not send it.
+  17: i64 newest_version // Of the configurations that the sender knows of. Earlier versions do not send it.
 }
 
 // The sum of a zone's pulses, sent as a datagram by one node of the zone to the other zones. The
@@ -144,6 +146,8 @@
   14: Quarantine quarantine // As in Pulse.
   15: map<string, ServerLimit> limits // At most 64.
   16: set<string> cut // Those of the live nodes that reach no server.
+  17: i64 store_era // As in Pulse.
+  18: i64 newest_version // As in Pulse.
 }
 
 // A change of one key of the store.
@@ -167,6 +171,7 @@
   4: i64 echo_ms // Pulse.clock_ms of the last pulse from the receiver.
   5: i64 proof_age_ms // Time since `to_revision` was known to be the newest revision.
   6: binary compressed_changes // FeedChanges in the compact protocol, compressed by zlib.
+  7: i64 store_era // To which the revisions belong. Earlier versions do not send it.
 }
 
 service Peer {
--- a/src/network/pulse_socket.cpp
+++ b/src/network/pulse_socket.cpp
@@ -279,6 +279,12 @@
     return message;
 }
 
+/// A version of the configuration; 0, "none", if the sender does not state a valid one.
+std::uint64_t toVersion(std::int64_t version)
+{
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(version, 0));
+}
+
 std::string serialize(const Pulse &pulse)
 {
     peer::Pulse wire;
@@ -293,6 +299,8 @@
     wire.heard_ms = toWire(pulse.recentProgress);
     wire.clock_ms = milliseconds(pulse.clock);
     wire.held_revision = pulse.held.value();
+    wire.store_era = pulse.era.value();
+    wire.newest_version = static_cast<std::int64_t>(pulse.newestVersion);
     wire.leaving = toWire(pulse.leaving);
     wire.quarantine = toWire(pulse.quarantine);
     wire.limits = toWire(pulse.limits);
@@ -314,6 +322,8 @@
     pulse.recentProgress = toDurations(wire.heard_ms);
     pulse.clock = timePoint(wire.clock_ms);
     pulse.held = Revision(wire.held_revision);
+    pulse.era = StoreEra(wire.store_era);
+    pulse.newestVersion = toVersion(wire.newest_version);
     pulse.leaving = toLeaving(wire.leaving);
     pulse.quarantine = toNews(wire.quarantine);
     pulse.limits = toLimits(wire.limits, LimitBounds::reportedByNode);
@@ -336,6 +346,8 @@
     wire.heard_ms = toWire(digest.recentProgress);
     wire.clock_ms = milliseconds(digest.clock);
     wire.held_revision = digest.held.value();
+    wire.store_era = digest.era.value();
+    wire.newest_version = static_cast<std::int64_t>(digest.newestVersion);
     wire.leaving = toWire(digest.leaving);
     wire.quarantine = toWire(digest.quarantine);
     wire.limits = toWire(digest.limits);
@@ -360,6 +372,8 @@
     digest.recentProgress = toDurations(wire.heard_ms);
     digest.clock = timePoint(wire.clock_ms);
     digest.held = Revision(wire.held_revision);
+    digest.era = StoreEra(wire.store_era);
+    digest.newestVersion = toVersion(wire.newest_version);
     digest.leaving = toLeaving(wire.leaving);
     digest.quarantine = toNews(wire.quarantine);
     digest.limits = toLimits(wire.limits, LimitBounds::reportedByZone);
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -99,6 +99,12 @@
     }
 }
 
+/// Whether an entry of a server was written before another one.
+bool isOlder(const BackendReport &report, const BackendReport &other)
+{
+    return std::pair(report.startedAt, report.number) < std::pair(other.startedAt, other.number);
+}
+
 /// Returns the id under which the request counts of another zone are stored next to those of single
 /// nodes. No node has such a name.
 NodeId zoneCountsId(const ZoneId &zone)
@@ -122,12 +128,13 @@
           {m_options.node, m_options.zone, m_options.front, m_options.pulse, m_options.cores},
           m_startedAt})
     , m_relay(loop, m_requests, m_dialect.relay, relayHooks())
-    , m_mirror(loop, store, mirrorHooks())
-    , m_quarantineStore(store, m_dialect.ownPrefix + quarantineKeyPrefix)
+    , m_mirror(loop, m_store, mirrorHooks())
+    , m_quarantineStore(m_store, m_dialect.ownPrefix + quarantineKeyPrefix)
     , m_adminServer(loop, maxAdminRequestBody)
     , m_tickTimer(loop, [this] { tick(); })
     , m_incarnation(loop.wallTime().value())
 {
+    m_store.setEraHook([this](StoreEra previous, StoreEra era) { onStoreEra(previous, era); });
     m_formation.setFirstStart(m_options.firstStart);
     m_requests.setQuarantineHook([this](const QuarantineDecision &decision) {
         m_quarantineStore.add(decision, m_loop.now());
@@ -215,8 +222,57 @@
     return hooks;
 }
 
+void ServingDaemon::onStoreEra(StoreEra previous, StoreEra era)
+{
+    if (previous == StoreEra() && !m_mirror.complete()) {
+        m_mirror.setEra(era);
+        return;
+    }
+    ++m_eraChanges;
+    logLine(LogLevel::Warning, "store_era",
+            {{"previous", std::to_string(previous.value())},
+             {"era", std::to_string(era.value())},
+             {"held", std::to_string(m_mirror.held().value())}});
+    m_lastFeeds.clear();
+    m_mirror.startEra(era);
+}
+
+bool ServingDaemon::mayBeReplaced(const StoreChange &change) const
+{
+    if (!change.fromCopy)
+        return false;
+    if (change.deleted)
+        return startsWith(change.key, m_dialect.zoneOutPrefix)
+            || startsWith(change.key, m_dialect.ownPrefix + nodesKeyPrefix);
+    // It may have left since the copy was made.
+    return startsWith(change.key, m_dialect.serverPrefix)
+        && !m_backends.find(VmId(change.key.substr(m_dialect.serverPrefix.size())));
+}
+
+void ServingDaemon::applyCopiedChanges(TimePoint now)
+{
+    if (!m_mirror.complete())
+        return;
+    std::vector<StoreChange> due;
+    for (auto entry = m_copiedChanges.begin(); entry != m_copiedChanges.end();) {
+        const bool isDue = now - entry->second.at >= lapsedRetention;
+        if (isDue)
+            due.push_back(entry->second.change);
+        entry = isDue ? m_copiedChanges.erase(entry) : std::next(entry);
+    }
+    for (StoreChange &change : due) {
+        change.fromCopy = false;
+        onStoreChange(change);
+    }
+}
+
 void ServingDaemon::onStoreChange(const StoreChange &change)
 {
+    m_copiedChanges.erase(change.key);
+    if (mayBeReplaced(change)) {
+        m_copiedChanges[change.key] = {change, m_loop.now()};
+        return;
+    }
     try {
         if (change.key == m_dialect.configurationKey) {
             onConfigurationChange(change);
@@ -275,6 +331,8 @@
             previous ? previous->report.staged : std::vector<ModelId>();
         const bool wasDraining = previous && previous->report.draining;
         const BackendReport report = m_dialect.readServer(id, change.value);
+        if (change.fromCopy && previous && isOlder(report, previous->report))
+            return;
         m_backends.update(report, now);
         if (!previous || previousClaim != report.group || wasDraining != report.draining
             || previousStaged != report.staged)
@@ -388,6 +446,7 @@
         m_lastSweepAt = now;
         m_relay.sweep(now);
         removeVanishedServers(now);
+        applyCopiedChanges(now);
         handleSilentPeers(now);
         renewLease(now);
         if (m_mirror.isReachable())
@@ -424,6 +483,7 @@
     own.cut = m_requests.isCut();
     own.clock = now;
     own.held = m_mirror.held();
+    own.era = m_store.era();
     return own;
 }
 
@@ -498,7 +558,7 @@
 
 bool ServingDaemon::mustWatch(TimePoint now) const
 {
-    if (m_membership.isStoreWatcher(now))
+    if (m_membership.isStoreWatcher(now) || m_newestPeerEra > m_store.era())
         return true;
     const double share =
         m_membership.isZoneRepresentative(now) ? maxRepresentativeProofShare : maxProofShare;
@@ -513,6 +573,8 @@
         return;
     for (const MembershipTable::FeedTarget &target :
          m_membership.feedTargets(mustWatch(now), now)) {
+        if (target.era != m_store.era())
+            continue; // Its revisions mean other changes.
         SentFeed &sent = m_lastFeeds[target.node];
         const bool recentlySent = now - sent.at < feedResendInterval;
         const Revision from = recentlySent ? std::max(sent.to, target.held) : target.held;
@@ -535,6 +597,7 @@
     const TimePoint now = m_loop.now();
     if (!m_membership.onPulse(pulse, now))
         return;
+    m_newestPeerEra = std::max(m_newestPeerEra, pulse.era);
     m_backends.setPeerRunning(pulse.node, pulse.running);
     m_backends.mergeSuspects(pulse.suspects, now);
     m_backends.mergeRecentProgress(pulse.recentProgress, now);
@@ -557,6 +620,7 @@
     const TimePoint now = m_loop.now();
     if (!m_membership.onDigest(digest, now))
         return;
+    m_newestPeerEra = std::max(m_newestPeerEra, digest.era);
     m_backends.setPeerRunning(zoneCountsId(digest.zone), digest.running);
     m_backends.mergeSuspects(digest.suspects, now);
     m_backends.mergeRecentProgress(digest.recentProgress, now);
@@ -773,6 +837,12 @@
                       static_cast<double>(m_linkProbes)});
     out << gaugeText({"limited_servers", "Servers that have named a limit on their request rate.",
                       static_cast<double>(m_requests.limitedServers(m_loop.now()))});
+    out << gaugeText({"store_era", "Newest era of the store that was seen.",
+                      static_cast<double>(m_store.era().value())});
+    out << gaugeText({"store_era_changes", "Times that the store came back from an older copy.",
+                      static_cast<double>(m_eraChanges)});
+    out << gaugeText({"store_answers_dropped", "Answers of the store that belonged to another era.",
+                      static_cast<double>(m_store.droppedAnswers())});
     out << gaugeText({"owned_domains", "Fabric domains that this node forms groups in.",
                       static_cast<double>(m_formation.owned())});
     out << gaugeText({"backend_connections_opened", "Connections opened since the start.",
--- a/src/network/serving_daemon.h
+++ b/src/network/serving_daemon.h
@@ -6,6 +6,7 @@
 #include "network/pulse_socket.h"
 #include "network/quarantine_store.h"
 #include "network/relay.h"
+#include "network/store_era_guard.h"
 #include "network/store_mirror.h"
 #include "request/membership_base.h"
 
@@ -79,7 +80,14 @@
 private:
     MirrorHooks mirrorHooks();
     RelayHooks relayHooks();
+    /// The store has come back from an older copy, or its era is first known.
+    void onStoreEra(StoreEra previous, StoreEra era);
     void onStoreChange(const StoreChange &change);
+    /// Whether a change that stems from an older copy of the store is put off, as its writer may
+    /// replace it.
+    bool mayBeReplaced(const StoreChange &change) const;
+    /// Acts on what the store's copy holds or lacks and nobody has replaced in time.
+    void applyCopiedChanges(TimePoint now);
     void onServerChange(const VmId &id, const StoreChange &change);
     void onOwnKeyChange(const StoreChange &change);
     void onConfigurationChange(const StoreChange &change);
@@ -134,7 +142,7 @@
     EventLoop &m_loop;
     ServingOptions m_options;
     ServingDialect m_dialect;
-    StoreClient &m_store;
+    StoreEraGuard m_store;
     HttpClient &m_http;
     TimePoint m_startedAt;
     BackendTable m_backends;
@@ -178,6 +186,15 @@
     bool m_ready = false;
     bool m_stopping = false;
     TimePoint m_stopAt;
+    /// A change that stems from an older copy of the store, and when it was read.
+    struct CopiedChange
+    {
+        StoreChange change;
+        TimePoint at;
+    };
+    std::map<std::string, CopiedChange> m_copiedChanges; ///< By key; those put off.
+    StoreEra m_newestPeerEra; ///< That another node has seen.
+    std::uint64_t m_eraChanges = 0; ///< How often the store has come back from an older copy.
     std::uint64_t m_handledTableVersion = 0; ///< Of m_backends when it was last acted on.
     Distribution m_firstEventTimes;
     Distribution m_responseTimes;
--- a/src/network/store_client.h
+++ b/src/network/store_client.h
@@ -18,6 +18,7 @@
     StoreSwapOutcome outcome = StoreSwapOutcome::Unknown;
     Revision revision; ///< The revision of the value now stored, if known.
     std::string value; ///< On a conflict, the value now stored.
+    StoreEra era; ///< Of the store when it answered.
 };
 
 /// Reply to granting or renewing a lease. A time to live of zero means that the lease has expired.
@@ -26,6 +27,7 @@
     bool ok = false; ///< Whether the store answered.
     std::int64_t id = 0;
     Duration timeToLive {0};
+    StoreEra era; ///< Of the store when it answered.
 };
 
 /// The value or deletion of one key, as returned by a read or a watch.
@@ -35,6 +37,9 @@
     Revision revision;
     bool deleted = false;
     std::string value;
+    /// The store has come back from an older copy: this is what the copy holds, which may be older
+    /// than what was read before. What is missing may be written again.
+    bool fromCopy = false;
 };
 
 /// Reply to the read of one page of a prefix, or to a watch.
@@ -50,11 +55,13 @@
     Revision storeRevision; ///< The store's revision when it answered.
     bool more = false; ///< Only for reads: more pages follow after the last key.
     std::string cause; ///< The reason of a failure, for the log.
+    StoreEra era; ///< Of the store when it answered.
 };
 
 /// All changes of the store between two revisions, sent by one node to another.
 struct StoreFeed
 {
+    StoreEra era; ///< To which the revisions belong.
     Revision from; ///< Exclusive; the receiver must have all changes up to this revision.
     Revision to; ///< Inclusive.
     std::vector<StoreChange> changes;
--- a/src/network/store_mirror.cpp
+++ b/src/network/store_mirror.cpp
@@ -65,7 +65,7 @@
 
 bool StoreMirror::take(const StoreFeed &feed, TimePoint now)
 {
-    if (!m_complete || feed.from > m_appliedRevision)
+    if (!m_complete || feed.era != m_era || feed.from > m_appliedRevision)
         return false;
     bool changed = false;
     for (const StoreChange &change : feed.changes) {
@@ -95,6 +95,7 @@
     if (!m_complete || held < m_changeLogStart)
         return std::nullopt;
     StoreFeed feed;
+    feed.era = m_era;
     feed.from = held;
     feed.to = m_appliedRevision;
     feed.proofAge = now - m_provenAt;
@@ -126,8 +127,27 @@
     readAll();
 }
 
+void StoreMirror::startEra(StoreEra era)
+{
+    m_era = era;
+    ++m_eraStarts;
+    for (const auto &[key, revision] : m_held)
+        m_keysOfEarlierEras.insert(key);
+    m_held.clear();
+    m_appliedRevision = Revision();
+    m_changeLog.clear();
+    m_changeLogStart = Revision();
+    m_complete = false;
+    m_isReadingCopy = true;
+    if (m_reachable)
+        m_reachableSince = m_loop.now();
+    m_retryDelay = Duration(0);
+    scheduleNext(Duration(0));
+}
+
 void StoreMirror::readAll()
 {
+    m_callPending = true;
     m_keysRead.clear();
     m_readStartRevision = Revision();
     readFrom("", m_loop.now());
@@ -136,7 +156,10 @@
 void StoreMirror::readFrom(const std::string &after, TimePoint sentAt)
 {
     m_store.readPage(allKeysPrefix, after,
-                     [this, sentAt](const StoreReply &reply) { onPageRead(reply, sentAt); });
+                     [this, sentAt, starts = m_eraStarts](const StoreReply &reply) {
+                         if (starts == m_eraStarts)
+                             onPageRead(reply, sentAt);
+                     });
 }
 
 void StoreMirror::onPageRead(const StoreReply &reply, TimePoint sentAt)
@@ -152,8 +175,9 @@
     onSuccess();
     if (m_readStartRevision == Revision())
         m_readStartRevision = reply.storeRevision;
-    for (const StoreChange &change : reply.changes) {
+    for (StoreChange change : reply.changes) {
         m_keysRead[change.key] = change.revision;
+        change.fromCopy = m_isReadingCopy;
         apply(change);
     }
     if (reply.more) {
@@ -167,6 +191,12 @@
     }
     for (const std::string &key : deletedKeys)
         apply({key, m_readStartRevision, true, ""});
+    for (const std::string &key : m_keysOfEarlierEras) {
+        if (!m_keysRead.count(key))
+            m_hooks.changed({key, m_readStartRevision, true, "", m_isReadingCopy});
+    }
+    m_keysOfEarlierEras.clear();
+    m_isReadingCopy = false;
     // The pages are not one snapshot. The watch starts at the revision of the first page and so
     // repeats the changes made between them.
     m_appliedRevision = m_readStartRevision;
@@ -198,7 +228,9 @@
     const TimePoint sentAt = m_loop.now();
     m_callPending = true;
     m_store.watch(allKeysPrefix, m_appliedRevision, maxWatchDuration,
-                  [this, sentAt](const StoreReply &reply) {
+                  [this, sentAt, starts = m_eraStarts](const StoreReply &reply) {
+                      if (starts != m_eraStarts)
+                          return;
                       m_callPending = false;
                       if (reply.outcome == StoreReply::Outcome::Compacted) {
                           onSuccess();
--- a/src/network/store_mirror.h
+++ b/src/network/store_mirror.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace bramleypitch {
@@ -33,10 +34,16 @@
 
     /// Starts the initial read.
     void start();
+    /// The era of the store is known for the first time.
+    void setEra(StoreEra era) { m_era = era; }
+    /// The store has come back from an older copy: forgets all revisions and reads it again. Each
+    /// key is then reported anew as from the copy, also as deleted if it is missing there.
+    void startEra(StoreEra era);
     /// Sets whether this node watches the store itself. Otherwise it relies on take().
     void setWatching(bool watching);
     /// Applies changes sent by another node. Returns false, without applying any, if the copy is
-    /// not complete or changes before those of the feed are missing.
+    /// not complete, if changes before those of the feed are missing, or if the feed is of another
+    /// era.
     bool take(const StoreFeed &feed, TimePoint now);
     /// Returns the changes above the revision that another node holds, up to `maxBytes` but at
     /// least one; none if the change log does not reach back that far.
@@ -48,8 +55,8 @@
     /// Whether a full read has been completed and its watches can continue from it.
     bool complete() const { return m_complete; }
     bool isReachable() const { return m_reachable; }
-    /// Start of the current period without failures of the store, by this node's calls or by feeds
-    /// that prove later calls of other nodes; the epoch while it is unreachable.
+    /// Start of the current period without failures of the store and in one era, by this node's
+    /// calls or by feeds that prove later calls of other nodes; the epoch while it is unreachable.
     TimePoint reachableSince() const { return m_reachableSince; }
 
 private:
@@ -74,6 +81,10 @@
     StoreClient &m_store;
     MirrorHooks m_hooks;
     Timer m_retry;
+    StoreEra m_era; ///< Of the revisions below. 0 if it is not known or the store has no eras.
+    std::uint64_t m_eraStarts = 0; ///< Calls of startEra(). Answers to calls before it are ignored.
+    bool m_isReadingCopy = false; ///< Until the first full read of an era is complete.
+    std::set<std::string> m_keysOfEarlierEras; ///< That it has not found yet.
     std::map<std::string, Revision> m_held; ///< The revision of each key in the copy.
     std::map<std::string, Revision> m_keysRead; ///< Keys returned so far by the read in progress.
     Revision
--- a/src/platform/platform_server_entry.cpp
+++ b/src/platform/platform_server_entry.cpp
@@ -67,6 +67,7 @@
         report.draining = state == "draining";
         report.coldTimeLeft = Duration(entry.value("cold_remaining_ms", std::int64_t {0}));
         // "seq_num" in this entry counts its writes, not orders that the server has started.
+        report.number = entry.value("seq_num", std::int64_t {0});
         report.startedAt = entry.value("born", std::int64_t {0});
         if (entry.contains("domain"))
             report.domain = DomainId(readName(entry["domain"]));
--- a/src/platform/platform_store.cpp
+++ b/src/platform/platform_store.cpp
@@ -2,10 +2,12 @@
 
 #include "core/error_type.h"
 #include "network/base64_func.h"
+#include "network/http_message.h"
 
 #include <event2/http.h>
 #include <nlohmann/json.hpp>
 
+#include <charconv>
 #include <cstdlib>
 #include <memory>
 #include <optional>
@@ -32,6 +34,21 @@
     return encoded.get();
 }
 
+/// The era that a response of the store names; 0 if it names none.
+StoreEra readEra(const HttpResponse &response)
+{
+    std::int64_t era = 0;
+    for (const auto &[name, value] : response.headers) {
+        if (!sameHeader(name, "Store-Era"))
+            continue;
+        const char *end = value.data() + value.size();
+        const auto [parsed, error] = std::from_chars(value.data(), end, era);
+        if (error != std::errc() || parsed != end || era < 0)
+            return StoreEra();
+    }
+    return StoreEra(era);
+}
+
 StoreChange parseChange(const json &item)
 {
     StoreChange change;
@@ -79,7 +96,9 @@
 {
     HttpHooks hooks;
     hooks.onResponse = [call, done](const HttpResponse &response) {
-        done(parseReply(response, call));
+        StoreReply reply = parseReply(response, call);
+        reply.era = readEra(response);
+        done(reply);
     };
     hooks.onFailure = [done](const HttpFailure &failure) {
         StoreReply reply;
@@ -119,7 +138,9 @@
 {
     HttpHooks hooks;
     hooks.onResponse = [knownLease, done](const HttpResponse &response) {
-        done(parseLease(response, knownLease));
+        StoreLease lease = parseLease(response, knownLease);
+        lease.era = readEra(response);
+        done(lease);
     };
     hooks.onFailure = [done](const HttpFailure &) { done(StoreLease()); };
     return hooks;
@@ -180,6 +201,7 @@
     HttpHooks hooks;
     hooks.onResponse = [done](const HttpResponse &response) {
         StoreSwapResult swap;
+        swap.era = readEra(response);
         if (response.status == statusOk) {
             const std::int64_t revision = integerField(response.body, "revision").value_or(0);
             if (revision > 0) {
--- a/src/request/backend_type.h
+++ b/src/request/backend_type.h
@@ -48,6 +48,7 @@
     std::vector<ModelId> staged; ///< Models whose weights are stored on the VM.
     GroupMembership group;
     std::int64_t startedAt = 0; ///< Unix milliseconds. Changes when the server restarts.
+    std::int64_t number = 0; ///< Of this report since the server's start. 0 if it is not known.
 
     bool operator==(const BackendReport &) const = default;
 };
--- a/src/request/membership_base.cpp
+++ b/src/request/membership_base.cpp
@@ -335,6 +335,8 @@
     sum.number = own.number;
     sum.clock = own.clock;
     sum.held = own.held;
+    sum.era = own.era;
+    sum.newestVersion = own.newestVersion;
     NewsSum quarantine;
     std::vector<std::pair<VmId, ReportedLimit>> limits;
     const auto add = [&](const Pulse &pulse, Duration age) {
@@ -384,7 +386,8 @@
     for (const auto &[node, peer] : m_peers) {
         if (isInOwnZone(peer) && now - peer.seenAt < m_options.nodeTimeout
             && peer.pulse.held != Revision())
-            feedTargets.push_back({peer.record->peer, node, peer.pulse.held, peer.pulse.clock});
+            feedTargets.push_back(
+                {peer.record->peer, node, peer.pulse.held, peer.pulse.era, peer.pulse.clock});
     }
     if (!watches)
         return feedTargets;
@@ -393,7 +396,7 @@
         if (now - zone.digestAt < m_options.nodeTimeout && zone.digest.held != Revision()
             && author != m_peers.end() && author->second.record)
             feedTargets.push_back({author->second.record->peer, zone.digest.node, zone.digest.held,
-                                   zone.digest.clock});
+                                   zone.digest.era, zone.digest.clock});
     }
     return feedTargets;
 }
--- a/src/request/membership_base.h
+++ b/src/request/membership_base.h
@@ -85,6 +85,7 @@
         Address peer;
         NodeId node;
         Revision held;
+        StoreEra era;
         TimePoint clock;
     };
     /// The live nodes to which this node forwards store changes, according to their last messages:
--- a/src/request/membership_type.h
+++ b/src/request/membership_type.h
@@ -37,6 +37,8 @@
     /// returns it.
     TimePoint clock;
     Revision held; ///< Store revision that the sender holds in full. 0 before that.
+    StoreEra era; ///< Of the store, to which `held` belongs.
+    std::uint64_t newestVersion = 0; ///< Of the configurations that the sender knows of.
     std::map<ModelId, double> demand; ///< Slots needed by its running and waiting requests.
     LeavingRuns leaving; ///< Servers that have announced that they leave.
     QuarantineNews quarantine; ///< What it knows of parts of prompts.
@@ -63,6 +65,8 @@
     std::set<NodeId> cut; ///< Those of the live nodes that reach no server.
     TimePoint clock; ///< Send time by the clock of the author, as in a pulse.
     Revision held; ///< Store revision that the author holds in full.
+    StoreEra era; ///< Of the store, to which `held` belongs.
+    std::uint64_t newestVersion = 0; ///< As in a pulse.
     bool relayed = false; ///< It was already forwarded within the zone of the receiver.
 };
 
--- a/src/tests/platform_standin.py
+++ b/src/tests/platform_standin.py
@@ -13,9 +13,14 @@
 POST /fault sets the shares of requests to fail: {"break_after_run": share, "shed": share}, and what
 the server asks for: {"leaving": true}, {"pause": share, "pause_s": seconds}. Arrivals are logged as
 "came REQUEST PID TIME", requests for a pause as "paused REQUEST PID TIME SECONDS".
+
+POST /drill lets the store go back to a copy: {"age_s": seconds, "away_s": seconds}. It names the era in
+all its answers ("Store-Era"). Servers write their entries again with their next heartbeat.
 """
 
 import base64
+import collections
+import copy
 import json
 import os
 import random
@@ -30,6 +35,8 @@
 HEARTBEAT_INTERVAL_S = 0.3
 STALL_TIMEOUT_S = 1.0  # A group that lost a member stalls for this long before it is marked broken.
 EVENT_INTERVAL_S = 0.02
+COPY_INTERVAL_S = 0.25
+COPIES = 60  # The oldest one is 15 s old.
 
 
 def parse_address(address):
@@ -86,6 +93,39 @@
         self.revision = 10
         self.leases = {}
         self.heartbeats = {}
+        self.era = 1
+        self.is_away = False
+        self.copies = collections.deque(maxlen=COPIES)
+
+    def copy_regularly(self):
+        while True:
+            with self.changed:
+                if not self.is_away:
+                    self.copies.append((time.monotonic(), self.revision, dict(self.items),
+                                        list(self.events), copy.deepcopy(self.leases)))
+            time.sleep(COPY_INTERVAL_S)
+
+    def drill(self, age, away):
+        """The store is away for a moment and comes back from a copy of about this age."""
+        with self.changed:
+            wanted_at = time.monotonic() - age
+            copied_at, revision, items, events, leases = next(
+                (found for found in reversed(self.copies) if found[0] <= wanted_at),
+                self.copies[0])
+            self.is_away = True
+            self.changed.notify_all()
+        time.sleep(away)
+        with self.changed:
+            now = time.monotonic()
+            self.revision, self.items, self.events = revision, items, events
+            self.leases = {lease: (ttl, end + now - copied_at)
+                           for lease, (ttl, end) in leases.items()}
+            # An entry is deleted unless its server writes it again.
+            self.heartbeats = {key: now for key in items if key.startswith("servers/")}
+            self.copies.clear()
+            self.era += 1
+            self.is_away = False
+            self.changed.notify_all()
 
     def put(self, key, value, lease=0):
         self.revision += 1
@@ -106,6 +146,8 @@
         while True:
             time.sleep(0.05)
             with self.changed:
+                if self.is_away:
+                    continue
                 now = time.monotonic()
                 for lease in [lease for lease, (_, end) in self.leases.items() if end < now]:
                     self.end_lease(lease)
@@ -114,6 +156,13 @@
                     del self.heartbeats[key]
                     self.delete_key(key)
 
+    def holds_entry(self, key, entry):
+        """Whether a server's entry is stored, apart from the number of its writes."""
+        if key not in self.items:
+            return False
+        stored = json.loads(base64.b64decode(self.items[key]["value"]))
+        return dict(stored, seq_num=0) == dict(entry, seq_num=0)
+
     def end_lease(self, lease):
         self.leases.pop(lease, None)
         for key in [key for key, item in self.items.items() if item["lease"] == lease]:
@@ -135,8 +184,13 @@
         return 200, {"revision": self.revision}
 
     def watch(self, prefix, after, wait):
-        end = time.monotonic() + wait
+        """Returns none if the watch is cut, or if its revision is unknown."""
+        end, era = time.monotonic() + wait, self.era
+        if after > self.revision:
+            return None
         while True:
+            if self.is_away or self.era != era:
+                return None
             matching = [event for event in self.events
                         if event["revision"] > after and event["key"].startswith(prefix)]
             remaining = end - time.monotonic()
@@ -147,7 +201,17 @@
 
 def store_handler(store):
     class StoreHandler(Handler):
+        def reply(self, status, value=b"", headers=()):
+            super().reply(status, value, [*headers, ("Store-Era", str(store.era))])
+
+        def refuse_if_away(self):
+            if store.is_away:
+                super().reply(503)
+            return store.is_away
+
         def do_GET(self):
+            if self.refuse_if_away():
+                return
             url = urllib.parse.urlparse(self.path)
             query = {name: values[0] for name, values in
                      urllib.parse.parse_qs(url.query, keep_blank_values=True).items()}
@@ -162,11 +226,18 @@
                 else:
                     response = store.watch(query["path_prefix"], int(query["after"]),
                                            int(query["wait_ms"]) / 1000)
-            self.reply(200, response)
+            if not self.refuse_if_away():
+                self.reply(200 if response else 410, response or {})
 
         def do_POST(self):
             raw_body = self.read_body()
             body = json.loads(raw_body) if raw_body else {}
+            if self.path == "/drill":
+                store.drill(body["age_s"], body["away_s"])
+                self.reply(200)
+                return
+            if self.refuse_if_away():
+                return
             with store.changed:
                 if self.path == "/v1/kv-txn":
                     status, response = store.transact(body)
@@ -185,12 +256,14 @@
                 else:  # /beat, called only by backend server stand-ins.
                     value = base64.b64encode(json.dumps(body["entry"]).encode()).decode()
                     store.heartbeats[body["key"]] = time.monotonic()
-                    if store.items.get(body["key"], {}).get("value") != value:
+                    if not store.holds_entry(body["key"], body["entry"]):
                         store.put(body["key"], value)
                     status, response = 200, {}
             self.reply(status, response)
 
         def do_DELETE(self):
+            if self.refuse_if_away():
+                return
             with store.changed:
                 store.end_lease(int(self.path.rsplit("/", 1)[1]))
             self.reply(200, {})
@@ -227,6 +300,7 @@
 
     def send_heartbeat(self):
         with self.lock:
+            self.entry["seq_num"] += 1
             entry = dict(self.entry, group=self.group)
         connection = HTTPConnection(*parse_address(self.store), timeout=1)
         connection.request("POST", "/beat", json.dumps({"key": "servers/" + self.id,
@@ -380,6 +454,7 @@
     if kind == "store":
         store = Store()
         threading.Thread(target=store.expire_entries, daemon=True).start()
+        threading.Thread(target=store.copy_regularly, daemon=True).start()
         handler = store_handler(store)
     else:
         backend = Backend(address, *sys.argv[3:])
--- a/src/tests/platform_system.py
+++ b/src/tests/platform_system.py
@@ -152,6 +152,12 @@
         self.write({"expected": [{"key": "op/config", "revision": revision}],
                     "puts": [{"key": "op/config", "value": value}], "remove": []})
 
+    def drill(self, age_s, away_s):
+        """The store comes back from an older copy."""
+        response = send_request(self.store, "POST", "/drill",
+                                json.dumps({"age_s": age_s, "away_s": away_s}))
+        assert response.status == 200, response.status
+
     def items(self, prefix):
         entries, after = [], ""
         while True:
--- a/src/tests/relay_test.cpp
+++ b/src/tests/relay_test.cpp
@@ -893,17 +893,19 @@
     const std::string end = "\0"s;
     const std::string cut = "\x12"s; // The field after it, false.
     const std::string cutNodes = "\x1a\x08"s; // The same of a digest, an empty set.
-    std::size_t added = quarantine.size() + limits.size() + cut.size() + end.size();
+    const std::string store = "\x16\0\x16\0"s; // Two fields after it: an unknown era, no version.
+    std::size_t added = quarantine.size() + limits.size() + cut.size() + store.size() + end.size();
     peer::Pulse pulse;
     pulse.node = "n1";
     pulse.leaving["s"] = 7;
     const std::string bytes = "P" + toThriftBytes(pulse);
-    ASSERT_EQ(bytes.substr(bytes.size() - added), quarantine + limits + cut + end);
+    ASSERT_EQ(bytes.substr(bytes.size() - added), quarantine + limits + cut + store + end);
     const std::string known = bytes.substr(0, bytes.size() - added);
     // Versions without these fields, without the later ones, and with a further field.
     std::string later = quarantine;
-    later.append(limits).append(cut).append(quarantine);
-    for (const std::string &fields : {std::string(), quarantine, quarantine + limits, later}) {
+    later.append(limits).append(cut).append(store).append(quarantine);
+    for (const std::string &fields :
+         {std::string(), quarantine, quarantine + limits, quarantine + limits + cut, later}) {
         m_pulses.clear();
         std::string received = known;
         received.append(fields).append(end);
@@ -913,14 +915,18 @@
         EXPECT_EQ(m_pulses[0].quarantine, QuarantineNews());
         EXPECT_TRUE(m_pulses[0].limits.empty());
         EXPECT_FALSE(m_pulses[0].cut);
+        EXPECT_EQ(m_pulses[0].era, StoreEra());
+        EXPECT_EQ(m_pulses[0].newestVersion, 0U);
     }
 
     added += cutNodes.size() - cut.size();
     peer::Digest digest;
     digest.zone = "z";
     const std::string digestBytes = "D" + toThriftBytes(digest);
-    ASSERT_EQ(digestBytes.substr(digestBytes.size() - added), quarantine + limits + cutNodes + end);
-    for (const std::string &fields : {std::string(), quarantine, quarantine + limits}) {
+    ASSERT_EQ(digestBytes.substr(digestBytes.size() - added),
+              quarantine + limits + cutNodes + store + end);
+    for (const std::string &fields :
+         {std::string(), quarantine, quarantine + limits, quarantine + limits + cutNodes}) {
         m_digests.clear();
         std::string received = digestBytes.substr(0, digestBytes.size() - added);
         received.append(fields).append(end);
@@ -930,6 +936,8 @@
         EXPECT_EQ(m_digests[0].quarantine, QuarantineNews());
         EXPECT_TRUE(m_digests[0].limits.empty());
         EXPECT_TRUE(m_digests[0].cut.empty());
+        EXPECT_EQ(m_digests[0].era, StoreEra());
+        EXPECT_EQ(m_digests[0].newestVersion, 0U);
     }
     EXPECT_EQ(m_receiver.malformedDatagrams(), 0U);
 }
