Fix: [Network] Write leases, records and quarantines again after a drill

A lease granted since the store's copy was made is gone, and its id may be given out again: a node would have kept another writer's lease alive, and ended it when it stops. In a new era a node asks for a new lease at once and writes its record with the revision that the copy holds, and writes those of its quarantines again that the copy lacks.

Result: no test of its own yet; read only.

--- a/src/network/quarantine_store.cpp
+++ b/src/network/quarantine_store.cpp
@@ -74,6 +74,16 @@
                              decision.quarantine.times});
 }
 
+void QuarantineStore::startEra()
+{
+    for (const Pending &written : m_written) {
+        onStored(written.part);
+        m_pending.push_back(written);
+    }
+    while (m_pending.size() > maxPending)
+        m_pending.pop_front();
+}
+
 void QuarantineStore::onStored(PromptPart part)
 {
     std::erase_if(m_pending, [&](const Pending &pending) { return pending.part == part; });
@@ -108,6 +118,13 @@
                                    onFailure(pending);
                                    return;
                                }
+                               std::erase_if(m_written, [&](const Pending &other) {
+                                   return other.part == pending.part;
+                               });
+                               m_written.push_back(pending);
+                               m_written.back().tried = false;
+                               if (m_written.size() > maxPending)
+                                   m_written.pop_front();
                                logLine(LogLevel::Info, "quarantine_stored",
                                        {{"part", partName(pending.part)},
                                         {"left_ms", std::to_string(quarantine.timeLeft.count())},
--- a/src/network/quarantine_store.h
+++ b/src/network/quarantine_store.h
@@ -29,6 +29,9 @@
     void add(const QuarantineDecision &decision, TimePoint now);
     /// The store holds the quarantine of this part.
     void onStored(PromptPart part);
+    /// The store has come back from an older copy: writes again what this node wrote, unless the
+    /// copy holds it.
+    void startEra();
     /// Starts the next write if it is due.
     void tick(TimePoint now, WallTime wallTime);
 
@@ -50,6 +53,7 @@
     StoreClient &m_store;
     std::string m_prefix;
     std::deque<Pending> m_pending;
+    std::deque<Pending> m_written; ///< The most recent ones.
     TimePoint m_lastWriteAt;
 };
 
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -234,6 +234,12 @@
              {"era", std::to_string(era.value())},
              {"held", std::to_string(m_mirror.held().value())}});
     m_lastFeeds.clear();
+    // The store may have given the id of the lease out again.
+    m_lease = 0;
+    m_recordStored = false;
+    m_recordRevision = Revision();
+    m_lastLeaseCallAt = TimePoint();
+    m_quarantineStore.startEra();
     m_mirror.startEra(era);
 }
 
