Fix: [Formation] Form groups again after the store came back from an older copy

Callers saw groups that stayed closed after a drill of the store: the write of a plan expected a revision that was gone, and an older plan from the copy was ignored or, in a new process, taken for the newest one.

Change: a plan names the era in which it was written. One of an earlier era is written again by the owner of its domain before anything is ordered: three seconds after the era began, when the servers have written their entries again; with a generation above all of earlier eras, as orders with lost ones may have been followed; and in line with the groups that the VMs are in: whole groups that the copy lacks are adopted, others dissolved. The newest plan that a node knows stays in force until then. A plan without an era, of an earlier version, counts as one of the era in which it is read.

Two faults found by the property on the way: generations that a second drill gave out again, and a join of a lost group sent to the head of an open one. Open: a process that starts without first_start after the store lost a plan altogether orders at once.

--- a/src/formation/formation_func.cpp
+++ b/src/formation/formation_func.cpp
@@ -37,6 +37,7 @@
         FormationPlan plan;
         plan.generation = json.at("generation").get<Generation>();
         plan.promised = json.at("promised").get<ModelId>();
+        plan.era = json.value("era", StoreEra());
         for (const nlohmann::json &item : json.at("groups")) {
             PlannedGroup group;
             group.name = item.at("name").get<GroupId>();
@@ -68,8 +69,10 @@
                           {"dissolving", group.dissolving},
                           {"members", std::move(members)}});
     }
-    return nlohmann::json {
-        {"generation", plan.generation}, {"groups", std::move(groups)}, {"promised", plan.promised}}
+    return nlohmann::json {{"generation", plan.generation},
+                           {"groups", std::move(groups)},
+                           {"promised", plan.promised},
+                           {"era", plan.era}}
         .dump();
 }
 
--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -27,6 +27,9 @@
 constexpr int initialLoadSpeedup = 10;
 /// Loads take longer while others run. A prefetch is considered lost after this many load times.
 constexpr int stagingTimeoutFactor = 3;
+/// Generations reserved for each era of the store. A plan that is written again continues above all
+/// generations of earlier eras, as orders with lost ones may have been followed.
+constexpr std::uint64_t generationsPerEra = 1'000'000;
 
 bool isMemberOf(const Backend &backend, const PlannedGroup &group)
 {
@@ -94,10 +97,82 @@
     return first && *first == m_options.node;
 }
 
+void FormationSystem::setEra(StoreEra era)
+{
+    for (auto &[id, domain] : m_domains) {
+        domain.revision = Revision();
+        domain.restoreAt = TimePoint();
+        domain.writing = false;
+        // An earlier version of the software does not state the era.
+        if (domain.plan.era == StoreEra())
+            domain.plan.era = m_era;
+    }
+    m_era = era;
+}
+
+void FormationSystem::adoptClaimedGroups(const DomainId &id, FormationPlan &plan) const
+{
+    std::map<GroupKey, std::vector<const Backend *>> claims;
+    for (const Backend *backend : m_backends.serversInDomain(id)) {
+        const GroupMembership &claim = backend->report.group;
+        if (claim.state != MemberState::None)
+            claims[{claim.name, claim.generation}].push_back(backend);
+    }
+    // The members may have followed later plans, which are lost. An order to join the group once
+    // more would take them out of the group that they are in now.
+    for (PlannedGroup &group : plan.groups) {
+        claims.erase({group.name, group.generation});
+        for (const PlannedMember &member : group.members) {
+            const Backend *backend = findMember(m_backends, member);
+            group.dissolving = group.dissolving || !backend || !isMemberOf(*backend, group);
+        }
+    }
+    for (auto &[key, members] : claims) {
+        std::stable_sort(members.begin(), members.end(), [](const Backend *a, const Backend *b) {
+            return a->report.group.rank < b->report.group.rank;
+        });
+        PlannedGroup group;
+        group.name = members.front()->report.group.name;
+        group.generation = members.front()->report.group.generation;
+        group.model = members.front()->report.model;
+        std::uint32_t rank = 0;
+        bool isServing = members.front()->report.group.state == MemberState::Open;
+        for (const Backend *backend : members) {
+            const GroupMembership &claim = backend->report.group;
+            isServing = isServing && claim.rank == rank++
+                && (claim.state == MemberState::Open || claim.state == MemberState::Ready);
+            group.members.push_back({backend->report.id, backend->report.startedAt});
+        }
+        const std::vector<ServedModel> &models = engineService()->engine->models;
+        group.dissolving =
+            !isServing || std::none_of(models.begin(), models.end(), [&](const ServedModel &model) {
+                return model.name == group.model && model.span == rank;
+            });
+        plan.groups.push_back(std::move(group));
+    }
+}
+
+bool FormationSystem::needsRestore(const Domain &domain) const
+{
+    return domain.plan.era != StoreEra() && domain.plan.era != m_era;
+}
+
 void FormationSystem::onPlanRead(const DomainId &id, const FormationPlan &plan, Revision revision)
 {
-    if (revision >= m_domains[id].revision)
-        applyPlan(id, plan, revision);
+    Domain &domain = m_domains[id];
+    const bool isFromCopy = domain.era != m_era && domain.era != StoreEra();
+    if (revision < domain.revision)
+        return;
+    FormationPlan read = plan;
+    if (isFromCopy && read.era == StoreEra())
+        read.era = domain.plan.era;
+    if (read.generation >= domain.plan.generation) {
+        applyPlan(id, read, revision);
+        return;
+    }
+    // The store's copy holds an older plan than this node, which replaces it.
+    domain.revision = revision;
+    domain.era = m_era;
 }
 
 void FormationSystem::applyPlan(const DomainId &id, const FormationPlan &plan, Revision revision)
@@ -105,6 +180,8 @@
     Domain &domain = m_domains[id];
     domain.plan = plan;
     domain.revision = revision;
+    domain.era = m_era;
+    domain.restoreAt = TimePoint();
     std::set<GroupKey> groups;
     for (const PlannedGroup &group : plan.groups) {
         if (group.dissolving)
@@ -194,6 +271,12 @@
             domain.writing = false;
         if (domain.writing)
             continue;
+        if (needsRestore(domain)) {
+            if (domain.restoreAt == TimePoint())
+                domain.restoreAt = now + m_options.restoreTime;
+            if (now < domain.restoreAt)
+                continue;
+        }
         plan(id, domain, now, actions);
         if (domain.writing)
             continue;
@@ -222,11 +305,24 @@
                            FormationActions &actions)
 {
     FormationPlan next = domain.plan;
-    bool changed = removeDissolvedGroups(domain, next, now, actions);
-    changed = dissolveBrokenGroups(next, now, actions) || changed;
-    changed = addGroups(id, next, now, actions) || changed;
+    bool changed = needsRestore(domain);
+    if (changed) {
+        const std::uint64_t firstOfEra =
+            generationsPerEra * static_cast<std::uint64_t>(m_era.value());
+        next.generation = Generation(std::max(next.generation.value() + 1, firstOfEra));
+        adoptClaimedGroups(id, next);
+        actions.push_back(LogFormation {"plan_restored",
+                                        {{"domain", id.value()},
+                                         {"era", std::to_string(next.era.value())},
+                                         {"groups", std::to_string(next.groups.size())}}});
+    } else {
+        changed = removeDissolvedGroups(domain, next, now, actions);
+        changed = dissolveBrokenGroups(next, now, actions) || changed;
+        changed = addGroups(id, next, now, actions) || changed;
+    }
     if (!changed)
         return;
+    next.era = m_era;
     if (next.generation == domain.plan.generation)
         next.generation = Generation(next.generation.value() + 1);
     domain.writing = true;
--- a/src/formation/formation_system.h
+++ b/src/formation/formation_system.h
@@ -27,6 +27,9 @@
     Duration lostMemberTimeout {6'000}; ///< How long a member that answers no probe is not used.
     /// Groups are formed once the number of free VMs of a domain has been stable for this time.
     Duration freeVmSettleTime {200};
+    /// After the store has come back from an older copy, the servers write their entries again
+    /// within this time. Until then the copy may show a member of a group as free.
+    Duration restoreTime {3'000};
     Duration conversionTurnTime {300}; ///< Duration of the turn of a domain to convert groups.
     /// Time constant of the smoothed demand. Short peaks must not cause conversions.
     Duration demandSmoothing {2'000};
@@ -53,6 +56,10 @@
     void onTrafficStarted() { m_beforeTraffic = false; }
     /// Updates the slots needed by the running and waiting requests of all nodes, by model.
     void setDemand(const std::map<ModelId, double> &slots, TimePoint now);
+    /// The store has come back from an older copy, or its era is first known. Plans of an earlier
+    /// era are written again, with a generation above all that may have been used, and no VM gets
+    /// an order of theirs before that.
+    void setEra(StoreEra era);
     /// Handles a plan that was read from the store. `revision` is 0 if there is none.
     void onPlanRead(const DomainId &domain, const FormationPlan &plan, Revision revision);
     /// Handles the result of WritePlan. `revision` is 0 unless the plan was written.
@@ -71,6 +78,9 @@
     {
         FormationPlan plan;
         Revision revision;
+        StoreEra era; ///< To which `revision` belongs.
+        TimePoint
+            restoreAt; ///< When a plan of an earlier era is written again; epoch if it is not.
         bool writing = false;
         TimePoint writeAt;
         TimePoint ownedSince; ///< Epoch while another node owns the domain.
@@ -140,6 +150,11 @@
     /// Whether a VM no longer belongs to a group, according to its entry or its response to an
     /// order.
     bool hasLeft(const PlannedMember &member, const PlannedGroup &group, TimePoint now) const;
+    /// Brings a plan from an older copy of the store in line with the groups that the VMs are in:
+    /// whole groups that it lacks are added, and all others are dissolved.
+    void adoptClaimedGroups(const DomainId &id, FormationPlan &plan) const;
+    /// Whether the plan of a domain was written in an earlier era of the store.
+    bool needsRestore(const Domain &domain) const;
     /// Applies a newer plan. The groups that it dissolves get no new requests from now on.
     void applyPlan(const DomainId &id, const FormationPlan &plan, Revision revision);
     /// The groups of a domain in the first split of all VMs that are known now.
@@ -175,6 +190,7 @@
     std::map<DomainId, GroupCounts> m_split; ///< The first split of the VMs in m_splitSizes.
     std::map<DomainId, std::uint32_t> m_splitSizes;
     ServingConfigurationPtr m_splitConfiguration;
+    StoreEra m_era; ///< Of the store. 0 if it is not known or the store has no eras.
     std::map<DomainId, Domain> m_domains;
     std::map<VmId, SentOrder> m_orders;
     std::map<VmId, Staging> m_staging;
--- a/src/formation/formation_type.h
+++ b/src/formation/formation_type.h
@@ -40,6 +40,7 @@
     Generation generation; ///< Generation of the latest change.
     std::vector<PlannedGroup> groups;
     ModelId promised; ///< Model for which groups are being dissolved. Empty if none.
+    StoreEra era; ///< Of the store when the plan was written. 0 if it is not known.
 
     bool operator==(const FormationPlan &) const = default;
 };
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -224,6 +224,7 @@
 
 void ServingDaemon::onStoreEra(StoreEra previous, StoreEra era)
 {
+    m_formation.setEra(era);
     if (previous == StoreEra() && !m_mirror.complete()) {
         m_mirror.setEra(era);
         return;
--- a/src/tests/formation_test.cpp
+++ b/src/tests/formation_test.cpp
@@ -159,14 +159,7 @@
                      const ServingConfigurationPtr &served = configuration())
         : m_fleet(std::move(fleet))
     {
-        FormationOptions options;
-        options.node = NodeId("n1");
-        m_system = std::make_unique<FormationSystem>(options, m_backends, m_now);
-        m_system->setConfiguration(served);
-        m_system->setNodes({NodeId("n1")});
-        m_system->setFirstStart(firstStart);
-        if (!firstStart)
-            setTypicalDemand();
+        startOwner(served, firstStart);
         updateBackends();
     }
 
@@ -184,13 +177,45 @@
                 std::visit([this](const auto &typedAction) { perform(typedAction); }, action);
             deliverDelayedOrders();
             updateBackends();
+            m_pastReports.emplace_back(m_now, m_fleet.reports);
+            if (m_pastReports.size() > maxPastReports)
+                m_pastReports.pop_front();
+        }
+    }
+
+    /// The store comes back from a copy of this age, and VMs write their entries again within
+    /// `entriesBack`. Another process may become the owner, which knows only the copy.
+    void drill(Duration age, Duration entriesBack, bool hasNewOwner)
+    {
+        const TimePoint copiedAt = m_now - age;
+        while (!m_writtenPlans.empty() && m_writtenPlans.back().at > copiedAt)
+            m_writtenPlans.pop_back();
+        m_era = StoreEra(m_era.value() + 1);
+        m_revisions.clear();
+        m_lastRevision = 0;
+        if (hasNewOwner) {
+            startOwner(m_configuration, false);
+            auto copied = m_pastReports.begin();
+            for (auto past = copied; past != m_pastReports.end() && past->first <= copiedAt; ++past)
+                copied = past;
+            for (const auto &[id, report] : copied->second)
+                m_backends->update(report, m_now);
+        } else {
+            m_system->setEra(m_era);
+        }
+        m_entriesBackAt = m_now + entriesBack;
+        if (!m_writtenPlans.empty()) {
+            const WrittenPlan &copy = m_writtenPlans.back();
+            m_revisions[copy.domain] = copy.revision;
+            m_lastRevision = copy.revision.value();
+            m_system->onPlanRead(copy.domain, copy.plan, copy.revision);
         }
     }
 
     void removeVm(const VmId &vm)
     {
         m_fleet.reports.erase(vm);
-        m_backends.erase(vm);
+        m_backends->erase(vm);
     }
 
     void addVm(const BackendReport &report)
@@ -201,10 +226,12 @@
 
     void updateBackends()
     {
+        if (m_now < m_entriesBackAt)
+            return;
         for (const auto &[id, report] : m_fleet.reports) {
             if (std::find(disconnectedVms.begin(), disconnectedVms.end(), id)
                 == disconnectedVms.end())
-                m_backends.update(report, m_now);
+                m_backends->update(report, m_now);
         }
     }
 
@@ -216,7 +243,7 @@
 
     Fleet &fleet() { return m_fleet; }
     FormationSystem &system() { return *m_system; }
-    BackendTable &backends() { return m_backends; }
+    BackendTable &backends() { return *m_backends; }
     TimePoint now() const { return m_now; }
     std::function<bool()> shouldLoseOrder = [] { return false; };
     std::function<bool()> shouldDelayOrder = [] { return false; };
@@ -227,6 +254,31 @@
     std::vector<std::string> loggedCauses;
 
 private:
+    struct WrittenPlan
+    {
+        TimePoint at;
+        DomainId domain;
+        FormationPlan plan;
+        Revision revision;
+    };
+    static constexpr std::size_t maxPastReports = 400; // 20 s.
+
+    void startOwner(const ServingConfigurationPtr &served, bool firstStart)
+    {
+        m_configuration = served;
+        FormationOptions options;
+        options.node = NodeId("n1");
+        m_system.reset();
+        m_backends = std::make_unique<BackendTable>();
+        m_system = std::make_unique<FormationSystem>(options, *m_backends, m_now);
+        m_system->setEra(m_era);
+        m_system->setConfiguration(served);
+        m_system->setNodes({NodeId("n1")});
+        m_system->setFirstStart(firstStart);
+        if (!firstStart)
+            setTypicalDemand();
+    }
+
     void perform(const SendGroupOrder &order)
     {
         sentOrders.push_back(order);
@@ -259,6 +311,7 @@
             revision = Revision(++m_lastRevision);
             // A stored plan must parse back to the same plan.
             EXPECT_EQ(parsePlan(serializePlan(write.plan)), write.plan);
+            m_writtenPlans.push_back({m_now, write.domain, write.plan, revision});
         }
         m_system->onPlanWritten(write.domain, write.plan, revisionMatches ? revision : Revision());
     }
@@ -280,9 +333,14 @@
     }
 
     Fleet m_fleet;
-    BackendTable m_backends;
+    std::unique_ptr<BackendTable> m_backends;
     TimePoint m_now = timePoint(1'000'000);
     std::unique_ptr<FormationSystem> m_system;
+    ServingConfigurationPtr m_configuration;
+    StoreEra m_era {1};
+    TimePoint m_entriesBackAt; ///< Until then the store shows no changes of entries.
+    std::deque<std::pair<TimePoint, std::map<VmId, BackendReport>>> m_pastReports;
+    std::vector<WrittenPlan> m_writtenPlans;
     std::map<DomainId, Revision> m_revisions;
     std::int64_t m_lastRevision = 0;
     std::deque<std::pair<TimePoint, SendGroupOrder>> m_delayedOrders;
@@ -700,6 +758,70 @@
     RC_ASSERT(harness.fleet().violations.empty());
 }
 
+TEST(FormationTest, GroupsAreFormedAgainAfterTheStoreCameBackOlder)
+{
+    Harness harness(Fleet(10), true);
+    harness.run(Duration(4'000));
+    harness.setTypicalDemand();
+    harness.run(Duration(8'000));
+    const std::size_t openBefore = harness.fleet().countOpenGroups(ModelId("large"));
+    ASSERT_EQ(openBefore, 1U);
+    // A member of the large group starts again, which changes the plan, and the store loses that.
+    // At last the member does not come back, and the plan has to change once more.
+    const auto group = std::find_if(harness.fleet().members.begin(), harness.fleet().members.end(),
+                                    [](const auto &entry) { return entry.second.size() == 4; });
+    const VmId member = group->second[1];
+    for (const std::int64_t start : {2, 3}) {
+        BackendReport restarted = harness.fleet().reports.at(member);
+        restarted.startedAt = start;
+        restarted.group = GroupMembership();
+        harness.addVm(restarted);
+        harness.run(Duration(8'000));
+        harness.drill(Duration(9'000), Duration(2'000), false);
+    }
+    harness.removeVm(member);
+    harness.run(Duration(8'000));
+    // Nine VMs are left.
+    EXPECT_EQ(harness.fleet().countOpenGroups(ModelId("large")), openBefore);
+    EXPECT_EQ(harness.fleet().countOpenGroups(ModelId("small")), 2U);
+    EXPECT_TRUE(harness.fleet().violations.empty());
+}
+
+/// The store comes back from older copies while VMs start again and owners change. No VM joins a
+/// second group while its first one serves, no group opens incomplete, and all are open again
+/// within the time that the store, the entries and the orders take.
+RC_GTEST_PROP(FormationProperty, GroupsSurviveAnyDrills, ())
+{
+    Harness harness(Fleet(10), true);
+    harness.run(Duration(4'000));
+    harness.setTypicalDemand();
+    harness.run(Duration(4'000));
+    std::int64_t starts = 1;
+    const int steps = *rc::gen::inRange(1, 8);
+    for (int step = 0; step < steps; ++step) {
+        const int restarts = *rc::gen::inRange(0, 3);
+        for (int i = 0; i < restarts; ++i) {
+            const VmId vm("vm" + std::to_string(*rc::gen::inRange(10, 20)));
+            BackendReport restarted = harness.fleet().reports.at(vm);
+            restarted.startedAt = ++starts;
+            restarted.group = GroupMembership();
+            harness.addVm(restarted);
+        }
+        harness.run(Duration(*rc::gen::inRange(1, 60) * 50));
+        harness.drill(Duration(*rc::gen::inRange(0, 160) * 50),
+                      Duration(*rc::gen::inRange(0, 40) * 50), *rc::gen::inRange(0, 4) == 0);
+        harness.run(Duration(*rc::gen::inRange(1, 120) * 50));
+    }
+    harness.run(Duration(16'000));
+    std::size_t vms = 0;
+    vms += harness.fleet().countOpenGroups(ModelId("large")) * 4;
+    vms += harness.fleet().countOpenGroups(ModelId("small")) * 2;
+    for (const std::string &violation : harness.fleet().violations)
+        RC_LOG() << violation << "\n";
+    RC_ASSERT(harness.fleet().violations.empty());
+    RC_ASSERT(vms == 10U);
+}
+
 } // namespace
 
 } // namespace bramleypitch
