Fix: [Network] Honour no key that an older copy of the store still holds

A store that comes back from an older copy may hold a configuration from before a key was taken away, until the operator writes it again. A node that had not seen the newer version, or started since, would accept that key.

Change: nodes tell each other the newest version that they know of, in pulses, digests and their records in the store. A proof that the copy is current shows, on a node with an older version, that the store has lost the newer one: it refuses keys until that is there again. Proofs of the first two seconds of an era do not count, as what was lost is written again in that time; a process that starts and reads records of an earlier era waits as long. Versions that do not state it leave all as it was.

Not shown by processes yet.

--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -47,6 +47,9 @@
 /// Entries that expired while the store was unreachable reappear within this time after it is
 /// reachable again, if the server is alive: 2 s, plus 1 s for the propagation through the store.
 constexpr Duration lapsedRetention {3'000};
+/// After the store has come back from an older copy, what the operator wrote is written again
+/// within this time.
+constexpr Duration rewriteTime {2'000};
 /// No new requests are sent to a server this long after its entry expired, as it may really have
 /// left: a leaving server accepts requests for 2 s, from which the transit time is subtracted.
 constexpr Duration lapsedServingTime {1'400};
@@ -99,6 +102,21 @@
     }
 }
 
+/// What a node's record tells of the store. Earlier versions do not state it.
+NodeVersion parseNodeVersion(const std::string &text)
+{
+    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    NodeVersion version;
+    if (!json.is_object())
+        return version;
+    if (const auto era = json.find("era"); era != json.end() && era->is_number_integer())
+        version.era = StoreEra(era->get<std::int64_t>());
+    if (const auto newest = json.find("newest_version");
+        newest != json.end() && newest->is_number_unsigned())
+        version.newest = newest->get<std::uint64_t>();
+    return version;
+}
+
 /// Whether an entry of a server was written before another one.
 bool isOlder(const BackendReport &report, const BackendReport &other)
 {
@@ -240,6 +258,7 @@
     m_recordStored = false;
     m_recordRevision = Revision();
     m_lastLeaseCallAt = TimePoint();
+    m_requests.onOlderCopy(m_loop.now() + rewriteTime);
     m_quarantineStore.startEra();
     m_mirror.startEra(era);
 }
@@ -420,9 +439,19 @@
     }
     if (node == m_options.node)
         m_recordRevision = change.revision;
+    onNodeVersionRead(parseNodeVersion(change.value));
     m_membership.setRecord(parseMembershipRecord(node, change.value), m_loop.now());
 }
 
+void ServingDaemon::onNodeVersionRead(const NodeVersion &version)
+{
+    // The node had read that version from the store before it wrote this.
+    m_requests.onVersionHeard(version.newest, TimePoint());
+    // Nodes write their records again as soon as they notice a new era.
+    if (!m_mirror.complete() && version.era != StoreEra() && version.era < m_store.era())
+        m_requests.onOlderCopy(m_loop.now() + rewriteTime);
+}
+
 void ServingDaemon::settled()
 {
     const TimePoint now = m_loop.now();
@@ -491,6 +520,7 @@
     own.clock = now;
     own.held = m_mirror.held();
     own.era = m_store.era();
+    own.newestVersion = m_requests.newestVersion();
     return own;
 }
 
@@ -605,6 +635,7 @@
     if (!m_membership.onPulse(pulse, now))
         return;
     m_newestPeerEra = std::max(m_newestPeerEra, pulse.era);
+    m_requests.onVersionHeard(pulse.newestVersion, now);
     m_backends.setPeerRunning(pulse.node, pulse.running);
     m_backends.mergeSuspects(pulse.suspects, now);
     m_backends.mergeRecentProgress(pulse.recentProgress, now);
@@ -628,6 +659,7 @@
     if (!m_membership.onDigest(digest, now))
         return;
     m_newestPeerEra = std::max(m_newestPeerEra, digest.era);
+    m_requests.onVersionHeard(digest.newestVersion, now);
     m_backends.setPeerRunning(zoneCountsId(digest.zone), digest.running);
     m_backends.mergeSuspects(digest.suspects, now);
     m_backends.mergeRecentProgress(digest.recentProgress, now);
@@ -689,11 +721,11 @@
 
 void ServingDaemon::writeRecord()
 {
-    const nlohmann::json record {{"zone", m_options.zone},
-                                 {"front", m_options.front},
-                                 {"peer", m_options.pulse},
-                                 {"cores", m_options.cores},
-                                 {"life", m_incarnation}};
+    const nlohmann::json record {
+        {"zone", m_options.zone},  {"front", m_options.front},
+        {"peer", m_options.pulse}, {"cores", m_options.cores},
+        {"era", m_store.era()},    {"newest_version", m_requests.newestVersion()},
+        {"life", m_incarnation}};
     // The record of the previous run of this node may still exist under that run's lease, so the
     // write expects the revision last seen.
     m_store.compareAndSwap(m_dialect.ownPrefix + nodesKeyPrefix + m_options.node.value(),
@@ -846,6 +878,9 @@
                       static_cast<double>(m_requests.limitedServers(m_loop.now()))});
     out << gaugeText({"store_era", "Newest era of the store that was seen.",
                       static_cast<double>(m_store.era().value())});
+    out << gaugeText({"configuration_superseded",
+                      "1 while another node knows of a newer configuration.",
+                      m_requests.isSuperseded() ? 1.0 : 0.0});
     out << gaugeText({"store_era_changes", "Times that the store came back from an older copy.",
                       static_cast<double>(m_eraChanges)});
     out << gaugeText({"store_answers_dropped", "Answers of the store that belonged to another era.",
--- a/src/network/serving_daemon.h
+++ b/src/network/serving_daemon.h
@@ -61,6 +61,13 @@
     RelayDialect relay;
 };
 
+/// What the record of a node tells of the store.
+struct NodeVersion
+{
+    StoreEra era; ///< In which the record was written. 0 if it is not known.
+    std::uint64_t newest = 0; ///< The newest version of the configuration that the node knew of.
+};
+
 /// The serving process: connects the request system, group formation, membership and the mirror of
 /// the store to the event loop and the network. All decisions are made by those components.
 class ServingDaemon
@@ -90,6 +97,7 @@
     void applyCopiedChanges(TimePoint now);
     void onServerChange(const VmId &id, const StoreChange &change);
     void onOwnKeyChange(const StoreChange &change);
+    void onNodeVersionRead(const NodeVersion &version);
     void onConfigurationChange(const StoreChange &change);
     /// Acts on the changes of the store after a batch of them was reported.
     void settled();
--- /dev/null
+++ b/src/request/configuration_proof.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "core/time_type.h"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace bramleypitch {
+
+/// Decides until when the configuration of a node is proven to be the newest one. The store proves
+/// it, except after it has come back from an older copy: then it may hold an older configuration
+/// than another node has seen, or than the operator has written since, until that is written again.
+class ConfigurationProof
+{
+public:
+    /// The configuration in force has this version.
+    void setVersion(std::uint64_t version) { m_version = std::max(m_version, version); }
+    /// The store has come back from an older copy. What it lost is written again until `until`, and
+    /// proofs from before that do not count.
+    void onOlderCopy(TimePoint until) { m_countsFrom = std::max(m_countsFrom, until); }
+    /// Another node knows of a configuration of this version, as it said at `heardAt`.
+    void onVersionHeard(std::uint64_t version, TimePoint heardAt)
+    {
+        if (version <= m_heardVersion)
+            return;
+        m_heardVersion = version;
+        m_heardAt = heardAt;
+    }
+    /// The configuration in force was the newest one in the store at this time.
+    void onProof(TimePoint at)
+    {
+        if (isSuperseded() && at > m_heardAt)
+            m_provenAt = TimePoint(); // The store has lost the newer one.
+        else if (at >= m_countsFrom)
+            m_provenAt = std::max(m_provenAt, at);
+    }
+    /// The latest time for which the configuration is proven; the epoch if there is none.
+    TimePoint provenAt() const { return m_provenAt; }
+    /// The newest version that this node knows of, here or elsewhere.
+    std::uint64_t newestVersion() const { return std::max(m_version, m_heardVersion); }
+    /// Whether another node knows of a newer configuration.
+    bool isSuperseded() const { return m_version < m_heardVersion; }
+
+private:
+    std::uint64_t m_version = 0; ///< Of the configuration in force; 0 if there is none.
+    std::uint64_t m_heardVersion = 0; ///< The newest one that another node knows of.
+    TimePoint m_heardAt;
+    TimePoint m_countsFrom;
+    TimePoint m_provenAt;
+};
+
+} // namespace bramleypitch
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -138,12 +138,13 @@
 void RequestSystem::setConfiguration(ServingConfigurationPtr configuration)
 {
     m_configuration = std::move(configuration);
+    m_proof.setVersion(m_configuration->version);
 }
 
 bool RequestSystem::isCurrent(TimePoint now) const
 {
     return m_configuration
-        && (!m_options.failClosed || now - m_provenAt <= m_options.maxKeyProofAge);
+        && (!m_options.failClosed || now - m_proof.provenAt() <= m_options.maxKeyProofAge);
 }
 
 std::size_t RequestSystem::waiting() const
@@ -228,7 +229,7 @@
 {
     if (!m_configuration)
         return ErrorCode::ConfigurationStale;
-    const bool isRecentlyProven = now - m_provenAt <= m_options.maxDenialProofAge;
+    const bool isRecentlyProven = now - m_proof.provenAt() <= m_options.maxDenialProofAge;
     const RouteSpec *route = m_configuration->findRoute(arrival.host, arrival.path);
     if (!route || route->services.empty())
         return isRecentlyProven ? ErrorCode::UnknownPath : ErrorCode::ConfigurationStale;
@@ -775,7 +776,7 @@
          {"may_have_run", request.mayHaveRun ? "true" : "false"},
          {"age_ms", millisecondsText(elapsed(request.arrivedAt, now))},
          {"version", m_configuration ? std::to_string(m_configuration->version) : "none"},
-         {"proof_age_ms", millisecondsText(elapsed(m_provenAt, now))}}});
+         {"proof_age_ms", millisecondsText(elapsed(m_proof.provenAt(), now))}}});
     finish(id);
 }
 
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "request/backend_base.h"
+#include "request/configuration_proof.h"
 #include "request/quarantine_base.h"
 #include "request/queue_order.h"
 #include "request/request_type.h"
@@ -58,7 +59,18 @@
     /// Replaces the configuration in force.
     void setConfiguration(ServingConfigurationPtr configuration);
     /// Confirms that no newer configuration existed at the given time.
-    void setConfigurationProof(TimePoint provenAt) { m_provenAt = std::max(m_provenAt, provenAt); }
+    void setConfigurationProof(TimePoint provenAt) { m_proof.onProof(provenAt); }
+    /// Another node knows of a configuration of this version, or has known of it.
+    void onVersionHeard(std::uint64_t version, TimePoint heardAt)
+    {
+        m_proof.onVersionHeard(version, heardAt);
+    }
+    /// The store has come back from an older copy. What it lost is written again until `until`.
+    void onOlderCopy(TimePoint until) { m_proof.onOlderCopy(until); }
+    /// The newest version of the configuration that this node knows of, here or elsewhere.
+    std::uint64_t newestVersion() const { return m_proof.newestVersion(); }
+    /// Whether another node knows of a newer configuration.
+    bool isSuperseded() const { return m_proof.isSuperseded(); }
     /// Sets the zones that take no new requests.
     void setZonesOut(std::set<ZoneId> zones) { m_zonesOut = std::move(zones); }
     /// The node stops and ends at the given time. From now on requests that may take longer are
@@ -369,7 +381,7 @@
     RequestOptions m_options;
     BackendTable &m_backends;
     ServingConfigurationPtr m_configuration;
-    TimePoint m_provenAt;
+    ConfigurationProof m_proof;
     std::set<ZoneId> m_zonesOut;
     NodeShare m_nodes;
     std::unordered_map<RequestId, Request> m_requests;
--- a/src/tests/store_era_test.cpp
+++ b/src/tests/store_era_test.cpp
@@ -2,6 +2,7 @@
 
 #include "network/store_era_guard.h"
 #include "network/store_mirror.h"
+#include "request/configuration_proof.h"
 
 #include <event2/event.h>
 #include <gtest/gtest.h>
@@ -309,6 +310,36 @@
     EXPECT_TRUE(node.mirror.take(*feed, node.now()));
 }
 
+TEST(ConfigurationProofTest, OlderCopyDoesNotProveConfigurationThatAnotherNodeKnowsToBeOld)
+{
+    // The store held version 10, which took a key away, and came back from a copy with version 9.
+    ConfigurationProof proof;
+    proof.setVersion(9);
+    proof.onProof(timePoint(1'000));
+    proof.onVersionHeard(10, timePoint(2'000));
+    EXPECT_EQ(proof.provenAt(), timePoint(1'000)); // It may be on its way.
+    proof.onProof(timePoint(1'900));
+    EXPECT_EQ(proof.provenAt(), timePoint(1'900));
+    proof.onProof(timePoint(2'100));
+    EXPECT_EQ(proof.provenAt(), TimePoint());
+    EXPECT_EQ(proof.newestVersion(), 10U);
+    proof.setVersion(10); // Written again.
+    proof.onProof(timePoint(3'000));
+    EXPECT_EQ(proof.provenAt(), timePoint(3'000));
+}
+
+TEST(ConfigurationProofTest, ProofsOfAnOlderCopyCountOnceItIsWrittenAgain)
+{
+    ConfigurationProof proof;
+    proof.setVersion(9);
+    proof.onProof(timePoint(1'000));
+    proof.onOlderCopy(timePoint(3'000));
+    proof.onProof(timePoint(2'900));
+    EXPECT_EQ(proof.provenAt(), timePoint(1'000));
+    proof.onProof(timePoint(3'000));
+    EXPECT_EQ(proof.provenAt(), timePoint(3'000));
+}
+
 /// What the store held, by era and revision.
 using History = std::map<std::pair<StoreEra, Revision>, std::map<std::string, std::string>>;
 
