--- a/src/formation/formation_func.cpp
+++ b/src/formation/formation_func.cpp
@@ -41,6 +41,7 @@
     FormationPlan plan;
     plan.generation = readGeneration(reader);
     plan.promised = ModelId(reader.text("promised", JsonBounds::nameBytes));
+    plan.era = StoreEra(reader.integer("era", 0, JsonBounds::integer, 0));
     reader.value("groups");
     for (const JsonReader &item : reader.objects("groups")) {
         PlannedGroup group;
@@ -72,8 +73,10 @@
                           {"dissolving", group.dissolving},
                           {"members", std::move(members)}});
     }
-    return nlohmann::json {
-        {"generation", plan.generation}, {"groups", std::move(groups)}, {"promised", plan.promised}}
+    return nlohmann::json {{"generation", plan.generation},
+                           {"groups", std::move(groups)},
+                           {"promised", plan.promised},
+                           {"era", plan.era}}
         .dump();
 }
 
--- a/src/network/feed_codec.cpp
+++ b/src/network/feed_codec.cpp
@@ -80,13 +80,15 @@
 std::string FeedCodec::serialize(const StoreFeed &feed)
 {
     peer::Feed wire;
+    wire.store_era = feed.era.value();
     wire.from_revision = feed.from.value();
     wire.to_revision = feed.to.value();
     wire.echo_ms = milliseconds(feed.echo);
     wire.proof_age_ms = feed.proofAge.count();
     if (!feed.changes.empty()) {
-        if (m_from != feed.from || m_to != feed.to) {
+        if (m_era != feed.era || m_from != feed.from || m_to != feed.to) {
             m_compressedChanges = compress(toThriftBytes(toWire(feed.changes)));
+            m_era = feed.era;
             m_from = feed.from;
             m_to = feed.to;
         }
@@ -99,6 +101,7 @@
 {
     const auto wire = fromThriftBytes<peer::Feed>(bytes, maxChanges);
     StoreFeed feed;
+    feed.era = StoreEra(inRange(wire.store_era, maxInteger));
     feed.from = Revision(inRange(wire.from_revision, maxInteger));
     feed.to = Revision(inRange(wire.to_revision, maxInteger));
     feed.echo = timePoint(inRange(wire.echo_ms, maxInteger));
--- a/src/network/membership_record.cpp
+++ b/src/network/membership_record.cpp
@@ -18,13 +18,16 @@
 
 } // namespace
 
-std::string serializeMembershipRecord(const MembershipRecord &record, std::int64_t life)
+std::string serializeMembershipRecord(const MembershipRecord &record, std::int64_t life,
+                                      const NodeVersion &version)
 {
     return nlohmann::json {{"zone", record.zone},
                            {"front", record.front},
                            {"peer", record.peer},
                            {"cores", record.cores},
                            {"forward_key", record.forwardKey},
+                           {"era", version.era},
+                           {"newest_version", version.newest},
                            {"life", life}}
         .dump();
 }
@@ -44,4 +47,15 @@
     return record;
 }
 
+NodeVersion parseNodeVersion(const std::string &text)
+{
+    const nlohmann::json document = parseJson(text);
+    const JsonReader reader(document, "record of a node");
+    NodeVersion version;
+    version.era = StoreEra(reader.integer("era", 0, JsonBounds::integer, 0));
+    version.newest =
+        static_cast<std::uint64_t>(reader.integer("newest_version", 0, JsonBounds::integer, 0));
+    return version;
+}
+
 } // namespace bramleypitch
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -51,6 +51,9 @@
 /// Entries that expired while the store was unreachable reappear within this time after it is
 /// reachable again, if the server is alive: 2 s, plus 1 s for the propagation through the store.
 constexpr Duration lapsedRetention {3'000};
+/// After the store has come back from an older copy, what the operator wrote is written again
+/// within this time.
+constexpr Duration rewriteTime {2'000};
 /// No new requests are sent to a server this long after its entry expired, as it may really have
 /// left: a leaving server accepts requests for 2 s, from which the transit time is subtracted.
 constexpr Duration lapsedServingTime {1'400};
@@ -108,6 +111,12 @@
     }
 }
 
+/// Whether an entry of a server was written before another one.
+bool isOlder(const BackendReport &report, const BackendReport &other)
+{
+    return std::pair(report.startedAt, report.number) < std::pair(other.startedAt, other.number);
+}
+
 /// Returns the id under which the request counts of another zone are stored next to those of single
 /// nodes. No node has such a name.
 NodeId zoneCountsId(const ZoneId &zone)
@@ -131,14 +140,15 @@
           {m_options.node, m_options.zone, m_options.front, m_options.pulse, m_options.cores},
           m_startedAt})
     , m_relay(loop, m_requests, m_dialect.relay, relayHooks())
-    , m_mirror(loop, store, mirrorHooks())
-    , m_quarantineStore(store, m_dialect.ownPrefix + quarantineKeyPrefix)
+    , m_mirror(loop, m_store, mirrorHooks())
+    , m_quarantineStore(m_store, m_dialect.ownPrefix + quarantineKeyPrefix)
     , m_adminServer(loop, maxAdminRequestBody)
     , m_tickTimer(loop, [this] { tick(); })
     , m_incarnation(loop.wallTime().value())
     , m_forwardKey(makeForwardKey())
 {
     m_relay.setForwardKey(m_forwardKey);
+    m_store.setEraHook([this](StoreEra previous, StoreEra era) { onStoreEra(previous, era); });
     m_formation.setFirstStart(m_options.firstStart);
     m_relay.callers().setMaxBodyMemory(m_options.maxBodyMemory);
     m_requests.setQuarantineHook([this](const QuarantineDecision &decision) {
@@ -239,8 +249,65 @@
     return hooks;
 }
 
+void ServingDaemon::onStoreEra(StoreEra previous, StoreEra era)
+{
+    m_formation.setEra(era);
+    if (previous == StoreEra() && !m_mirror.complete()) {
+        m_mirror.setEra(era);
+        return;
+    }
+    ++m_eraChanges;
+    logLine(LogLevel::Warning, "store_era",
+            {{"previous", std::to_string(previous.value())},
+             {"era", std::to_string(era.value())},
+             {"held", std::to_string(m_mirror.held().value())}});
+    m_lastFeeds.clear();
+    // The store may have given the id of the lease out again.
+    m_lease = 0;
+    m_recordStored = false;
+    m_recordRevision = Revision();
+    m_lastLeaseCallAt = TimePoint();
+    m_requests.onOlderCopy(m_loop.now() + rewriteTime);
+    m_quarantineStore.startEra();
+    m_mirror.startEra(era);
+}
+
+bool ServingDaemon::mayBeReplaced(const StoreChange &change) const
+{
+    if (!change.fromCopy)
+        return false;
+    if (change.deleted)
+        return startsWith(change.key, m_dialect.zoneOutPrefix)
+            || startsWith(change.key, m_dialect.ownPrefix + nodesKeyPrefix);
+    // It may have left since the copy was made.
+    return startsWith(change.key, m_dialect.serverPrefix)
+        && !m_backends.find(VmId(change.key.substr(m_dialect.serverPrefix.size())));
+}
+
+void ServingDaemon::applyCopiedChanges(TimePoint now)
+{
+    if (!m_mirror.complete())
+        return;
+    std::vector<StoreChange> due;
+    for (auto entry = m_copiedChanges.begin(); entry != m_copiedChanges.end();) {
+        const bool isDue = now - entry->second.at >= lapsedRetention;
+        if (isDue)
+            due.push_back(entry->second.change);
+        entry = isDue ? m_copiedChanges.erase(entry) : std::next(entry);
+    }
+    for (StoreChange &change : due) {
+        change.fromCopy = false;
+        onStoreChange(change);
+    }
+}
+
 void ServingDaemon::onStoreChange(const StoreChange &change)
 {
+    m_copiedChanges.erase(change.key);
+    if (mayBeReplaced(change)) {
+        m_copiedChanges[change.key] = {change, m_loop.now()};
+        return;
+    }
     try {
         if (change.key == m_dialect.configurationKey) {
             onConfigurationChange(change);
@@ -312,6 +379,8 @@
     const std::vector<ModelId> previousStaged =
         previous ? previous->report.staged : std::vector<ModelId>();
     const bool wasDraining = previous && previous->report.draining;
+    if (change.fromCopy && previous && isOlder(report, previous->report))
+        return;
     m_backends.update(report, now);
     if (!previous || previousClaim != report.group || wasDraining != report.draining
         || previousStaged != report.staged)
@@ -397,6 +466,7 @@
     if (node == m_options.node)
         m_recordRevision = change.revision;
     try {
+        onNodeVersionRead(parseNodeVersion(change.value));
         m_membership.setRecord(parseMembershipRecord(node, change.value), m_loop.now());
     } catch (const Failure &) {
         m_membership.eraseRecord(node);
@@ -418,6 +488,15 @@
     }
 }
 
+void ServingDaemon::onNodeVersionRead(const NodeVersion &version)
+{
+    // The node had read that version from the store before it wrote this.
+    m_requests.onVersionHeard(version.newest, TimePoint());
+    // Nodes write their records again as soon as they notice a new era.
+    if (!m_mirror.complete() && version.era != StoreEra() && version.era < m_store.era())
+        m_requests.onOlderCopy(m_loop.now() + rewriteTime);
+}
+
 void ServingDaemon::settled()
 {
     const TimePoint now = m_loop.now();
@@ -448,6 +527,7 @@
         m_lastSweepAt = now;
         m_relay.sweep(now);
         removeVanishedServers(now);
+        applyCopiedChanges(now);
         handleSilentPeers(now);
         renewLease(now);
         if (m_mirror.isReachable())
@@ -484,6 +564,8 @@
     own.cut = m_requests.isCut();
     own.clock = now;
     own.held = m_mirror.held();
+    own.era = m_store.era();
+    own.newestVersion = m_requests.newestVersion();
     return own;
 }
 
@@ -558,7 +640,7 @@
 
 bool ServingDaemon::mustWatch(TimePoint now) const
 {
-    if (m_membership.isStoreWatcher(now))
+    if (m_membership.isStoreWatcher(now) || m_newestPeerEra > m_store.era())
         return true;
     const double share =
         m_membership.isZoneRepresentative(now) ? maxRepresentativeProofShare : maxProofShare;
@@ -573,6 +655,8 @@
         return;
     for (const MembershipTable::FeedTarget &target :
          m_membership.feedTargets(mustWatch(now), now)) {
+        if (target.era != m_store.era())
+            continue; // Its revisions mean other changes.
         SentFeed &sent = m_lastFeeds[target.node];
         const bool recentlySent = now - sent.at < feedResendInterval;
         const Revision from = recentlySent ? std::max(sent.to, target.held) : target.held;
@@ -595,6 +679,8 @@
     const TimePoint now = m_loop.now();
     if (!m_membership.onPulse(pulse, now))
         return;
+    m_newestPeerEra = std::max(m_newestPeerEra, pulse.era);
+    m_requests.onVersionHeard(pulse.newestVersion, now);
     m_backends.setPeerRunning(pulse.node, pulse.running);
     m_backends.mergeSuspects(pulse.suspects, now);
     m_backends.mergeRecentProgress(pulse.recentProgress, now);
@@ -617,6 +703,8 @@
     const TimePoint now = m_loop.now();
     if (!m_membership.onDigest(digest, now))
         return;
+    m_newestPeerEra = std::max(m_newestPeerEra, digest.era);
+    m_requests.onVersionHeard(digest.newestVersion, now);
     m_backends.setPeerRunning(zoneCountsId(digest.zone), digest.running);
     m_backends.mergeSuspects(digest.suspects, now);
     m_backends.mergeRecentProgress(digest.recentProgress, now);
@@ -683,7 +771,8 @@
     // The record of the previous run of this node may still exist under that run's lease, so the
     // write expects the revision last seen.
     m_store.compareAndSwap(m_dialect.ownPrefix + nodesKeyPrefix + m_options.node.value(),
-                           m_recordRevision, serializeMembershipRecord(record, m_incarnation),
+                           m_recordRevision, serializeMembershipRecord(record, m_incarnation,
+                                                     {m_store.era(), m_requests.newestVersion()}),
                            m_lease, [this](const StoreSwapResult &swap) {
                                m_recordStored = swap.outcome == StoreSwapOutcome::Written;
                            });
@@ -830,6 +919,15 @@
                       static_cast<double>(m_linkProbes)});
     out << gaugeText({"limited_servers", "Servers that have named a limit on their request rate.",
                       static_cast<double>(m_requests.limitedServers(m_loop.now()))});
+    out << gaugeText({"store_era", "Newest era of the store that was seen.",
+                      static_cast<double>(m_store.era().value())});
+    out << gaugeText({"configuration_superseded",
+                      "1 while another node knows of a newer configuration.",
+                      m_requests.isSuperseded() ? 1.0 : 0.0});
+    out << gaugeText({"store_era_changes", "Times that the store came back from an older copy.",
+                      static_cast<double>(m_eraChanges)});
+    out << gaugeText({"store_answers_dropped", "Answers of the store that belonged to another era.",
+                      static_cast<double>(m_store.droppedAnswers())});
     out << gaugeText({"owned_domains", "Fabric domains that this node forms groups in.",
                       static_cast<double>(m_formation.owned())});
     out << gaugeText({"backend_connections_opened", "Connections opened since the start.",
--- a/src/network/serving_daemon.h
+++ b/src/network/serving_daemon.h
@@ -3,10 +3,12 @@
 #include "formation/formation_system.h"
 #include "network/http_client.h"
 #include "network/log.h"
+#include "network/membership_record.h"
 #include "network/metrics.h"
 #include "network/pulse_socket.h"
 #include "network/quarantine_store.h"
 #include "network/relay.h"
+#include "network/store_era_guard.h"
 #include "network/store_mirror.h"
 #include "request/membership_base.h"
 
@@ -83,13 +85,21 @@
 private:
     MirrorHooks mirrorHooks();
     RelayHooks relayHooks();
+    /// The store has come back from an older copy, or its era is first known.
+    void onStoreEra(StoreEra previous, StoreEra era);
     void onStoreChange(const StoreChange &change);
+    /// Whether a change that stems from an older copy of the store is put off, as its writer may
+    /// replace it.
+    bool mayBeReplaced(const StoreChange &change) const;
+    /// Acts on what the store's copy holds or lacks and nobody has replaced in time.
+    void applyCopiedChanges(TimePoint now);
     void onServerChange(const VmId &id, const StoreChange &change);
     /// The entry of a server was removed or can no longer be read. `listing` is what that makes of
     /// a server that may still work.
     void onServerVanished(const VmId &id, Listing listing, TimePoint now);
     void onOwnKeyChange(const StoreChange &change);
     void onPlanChange(const DomainId &domain, const StoreChange &change);
+    void onNodeVersionRead(const NodeVersion &version);
     void onConfigurationChange(const StoreChange &change);
     /// Acts on the changes of the store after a batch of them was reported.
     void settled();
@@ -144,7 +154,7 @@
     EventLoop &m_loop;
     ServingOptions m_options;
     ServingDialect m_dialect;
-    StoreClient &m_store;
+    StoreEraGuard m_store;
     HttpClient &m_http;
     TimePoint m_startedAt;
     BackendTable m_backends;
@@ -190,6 +200,15 @@
     bool m_stopping = false;
     TimePoint m_stopAt;
     TimePoint m_stopEndsAt; ///< The process ends then at the latest.
+    /// A change that stems from an older copy of the store, and when it was read.
+    struct CopiedChange
+    {
+        StoreChange change;
+        TimePoint at;
+    };
+    std::map<std::string, CopiedChange> m_copiedChanges; ///< By key; those put off.
+    StoreEra m_newestPeerEra; ///< That another node has seen.
+    std::uint64_t m_eraChanges = 0; ///< How often the store has come back from an older copy.
     std::uint64_t m_handledTableVersion = 0; ///< Of m_backends when it was last acted on.
     Distribution m_firstEventTimes;
     Distribution m_responseTimes;
--- a/src/platform/platform_server_entry.cpp
+++ b/src/platform/platform_server_entry.cpp
@@ -73,6 +73,7 @@
     report.coldTimeLeft = Duration(static_cast<Duration::rep>(
         std::ceil(entry.number("cold_remaining_ms", 0, JsonBounds::milliseconds))));
     // "seq_num" in this entry counts its writes, not orders that the server has started.
+    report.number = entry.integer("seq_num", 0, JsonBounds::integer, 0);
     report.startedAt = entry.integer("born", 0, JsonBounds::integer, 0);
     if (entry.has("domain"))
         report.domain = DomainId(readName(entry.value("domain"), "server.domain"));
