--- a/src/network/pulse_socket.cpp
+++ b/src/network/pulse_socket.cpp
@@ -406,7 +406,7 @@
 
 int PulseSocket::openSocket(const Address &address)
 {
-    const sockaddr_in localAddress = toSocketAddress(address);
+    const sockaddr_in localAddress = parseSocketAddress(address);
     const int descriptor = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (bind(descriptor, reinterpret_cast<const sockaddr *>(&localAddress), sizeof(localAddress))
         != 0) {
--- a/src/tests/formation_test.cpp
+++ b/src/tests/formation_test.cpp
@@ -233,7 +233,7 @@
     {
         FormationOptions options;
         options.node = NodeId("n1");
-        m_system = std::make_unique<FormationSystem>(options, m_backends, m_now);
+        m_system = std::make_unique<FormationSystem>(options, *m_backends, m_now);
         m_system->setConfiguration(configuration());
         m_system->setNodes({NodeId("n1")});
         setTypicalDemand();
