Feature: [Network] Nodes state the version of their messages and records

An operator could not see whether all nodes had been upgraded, and a node could not tell which build it talks to.

Pulses, digests and permits have an optional field `version`, and so have the records of nodes, plans and quarantines; none means 1, this build writes 2. A node logs `peer_version` when a peer's version changes or is not its own. Gauge `bramleypitch_peers` counts peers by version, `unreadable_datagrams` messages that were malformed or of an unknown type. A relayed digest has the version of the node that relayed it, so it is not reported. Nothing is decided by the version.

The record of a node gets functions of its own, so that wire_test reads it, too.

--- a/src/formation/formation_func.cpp
+++ b/src/formation/formation_func.cpp
@@ -1,6 +1,7 @@
 #include "formation/formation_func.h"
 
 #include "core/error_type.h"
+#include "core/format_version.h"
 
 #include <nlohmann/json.hpp>
 
@@ -68,8 +69,10 @@
                           {"dissolving", group.dissolving},
                           {"members", std::move(members)}});
     }
-    return nlohmann::json {
-        {"generation", plan.generation}, {"groups", std::move(groups)}, {"promised", plan.promised}}
+    return nlohmann::json {{"generation", plan.generation},
+                           {"groups", std::move(groups)},
+                           {"promised", plan.promised},
+                           {"version", formatVersion}}
         .dump();
 }
 
--- a/src/network/gen/peer_types.cpp
+++ b/src/network/gen/peer_types.cpp
@@ -1877,6 +1877,11 @@
 void Permits::__set_settled_ms(const std::map<int64_t, int32_t> & val) {
   this->settled_ms = val;
 }
+
+void Permits::__set_version(const int32_t val) {
+  this->version = val;
+__isset.version = true;
+}
 std::ostream& operator<<(std::ostream& out, const Permits& obj)
 {
   obj.printTo(out);
@@ -2052,6 +2057,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2150,6 +2163,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.version) {
+    xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I32, 20);
+    xfer += oprot->writeI32(this->version);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2166,6 +2184,7 @@
   swap(a.grants, b.grants);
   swap(a.denials_ms, b.denials_ms);
   swap(a.settled_ms, b.settled_ms);
+  swap(a.version, b.version);
   swap(a.__isset, b.__isset);
 }
 
@@ -2179,6 +2198,7 @@
   grants = other98.grants;
   denials_ms = other98.denials_ms;
   settled_ms = other98.settled_ms;
+  version = other98.version;
   __isset = other98.__isset;
 }
 Permits& Permits::operator=(const Permits& other99) {
@@ -2191,6 +2211,7 @@
   grants = other99.grants;
   denials_ms = other99.denials_ms;
   settled_ms = other99.settled_ms;
+  version = other99.version;
   __isset = other99.__isset;
   return *this;
 }
@@ -2206,6 +2227,7 @@
   out << ", " << "grants=" << to_string(grants);
   out << ", " << "denials_ms=" << to_string(denials_ms);
   out << ", " << "settled_ms=" << to_string(settled_ms);
+  out << ", " << "version="; (__isset.version ? (out << to_string(version)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2273,6 +2295,11 @@
 void Pulse::__set_cut(const bool val) {
   this->cut = val;
 }
+
+void Pulse::__set_version(const int32_t val) {
+  this->version = val;
+__isset.version = true;
+}
 std::ostream& operator<<(std::ostream& out, const Pulse& obj)
 {
   obj.printTo(out);
@@ -2511,6 +2538,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2642,6 +2677,11 @@
   xfer += oprot->writeBool(this->cut);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.version) {
+    xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I32, 20);
+    xfer += oprot->writeI32(this->version);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2664,6 +2704,7 @@
   swap(a.quarantine, b.quarantine);
   swap(a.limits, b.limits);
   swap(a.cut, b.cut);
+  swap(a.version, b.version);
   swap(a.__isset, b.__isset);
 }
 
@@ -2683,6 +2724,7 @@
   quarantine = other148.quarantine;
   limits = other148.limits;
   cut = other148.cut;
+  version = other148.version;
   __isset = other148.__isset;
 }
 Pulse& Pulse::operator=(const Pulse& other149) {
@@ -2701,6 +2743,7 @@
   quarantine = other149.quarantine;
   limits = other149.limits;
   cut = other149.cut;
+  version = other149.version;
   __isset = other149.__isset;
   return *this;
 }
@@ -2722,6 +2765,7 @@
   out << ", " << "quarantine=" << to_string(quarantine);
   out << ", " << "limits=" << to_string(limits);
   out << ", " << "cut=" << to_string(cut);
+  out << ", " << "version="; (__isset.version ? (out << to_string(version)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2793,6 +2837,11 @@
 void Digest::__set_cut(const std::set<std::string> & val) {
   this->cut = val;
 }
+
+void Digest::__set_version(const int32_t val) {
+  this->version = val;
+__isset.version = true;
+}
 std::ostream& operator<<(std::ostream& out, const Digest& obj)
 {
   obj.printTo(out);
@@ -3067,6 +3116,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3219,6 +3276,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.version) {
+    xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I32, 20);
+    xfer += oprot->writeI32(this->version);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3242,6 +3304,7 @@
   swap(a.quarantine, b.quarantine);
   swap(a.limits, b.limits);
   swap(a.cut, b.cut);
+  swap(a.version, b.version);
   swap(a.__isset, b.__isset);
 }
 
@@ -3262,6 +3325,7 @@
   quarantine = other213.quarantine;
   limits = other213.limits;
   cut = other213.cut;
+  version = other213.version;
   __isset = other213.__isset;
 }
 Digest& Digest::operator=(const Digest& other214) {
@@ -3281,6 +3345,7 @@
   quarantine = other214.quarantine;
   limits = other214.limits;
   cut = other214.cut;
+  version = other214.version;
   __isset = other214.__isset;
   return *this;
 }
@@ -3303,6 +3368,7 @@
   out << ", " << "quarantine=" << to_string(quarantine);
   out << ", " << "limits=" << to_string(limits);
   out << ", " << "cut=" << to_string(cut);
+  out << ", " << "version="; (__isset.version ? (out << to_string(version)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/network/gen/peer_types.h
+++ b/src/network/gen/peer_types.h
@@ -767,7 +767,7 @@
 std::ostream& operator<<(std::ostream& out, const ServerLimit& obj);
 
 typedef struct _Permits__isset {
-  _Permits__isset() : node(false), life(false), clock_ms(false), echo_ms(false), limits(false), requests(false), grants(false), denials_ms(false), settled_ms(false) {}
+  _Permits__isset() : node(false), life(false), clock_ms(false), echo_ms(false), limits(false), requests(false), grants(false), denials_ms(false), settled_ms(false), version(false) {}
   bool node :1;
   bool life :1;
   bool clock_ms :1;
@@ -777,6 +777,7 @@
   bool grants :1;
   bool denials_ms :1;
   bool settled_ms :1;
+  bool version :1;
 } _Permits__isset;
 
 class Permits : public virtual ::apache::thrift::TBase {
@@ -788,7 +789,8 @@
           : node(),
             life(0),
             clock_ms(0),
-            echo_ms(0) {
+            echo_ms(0),
+            version(0) {
   }
 
   virtual ~Permits() noexcept;
@@ -801,6 +803,7 @@
   std::map<int64_t, std::string>  grants;
   std::map<std::string, int32_t>  denials_ms;
   std::map<int64_t, int32_t>  settled_ms;
+  int32_t version;
 
   _Permits__isset __isset;
 
@@ -822,6 +825,8 @@
 
   void __set_settled_ms(const std::map<int64_t, int32_t> & val);
 
+  void __set_version(const int32_t val);
+
   bool operator == (const Permits & rhs) const
   {
     if (!(node == rhs.node))
@@ -842,6 +847,10 @@
       return false;
     if (!(settled_ms == rhs.settled_ms))
       return false;
+    if (__isset.version != rhs.__isset.version)
+      return false;
+    else if (__isset.version && !(version == rhs.version))
+      return false;
     return true;
   }
   bool operator != (const Permits &rhs) const {
@@ -861,7 +870,7 @@
 std::ostream& operator<<(std::ostream& out, const Permits& obj);
 
 typedef struct _Pulse__isset {
-  _Pulse__isset() : node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), clock_ms(false), held_revision(false), heard_ms(false), settled(false), leaving(false), quarantine(false), limits(false), cut(false) {}
+  _Pulse__isset() : node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), clock_ms(false), held_revision(false), heard_ms(false), settled(false), leaving(false), quarantine(false), limits(false), cut(false), version(false) {}
   bool node :1;
   bool life :1;
   bool number :1;
@@ -877,6 +886,7 @@
   bool quarantine :1;
   bool limits :1;
   bool cut :1;
+  bool version :1;
 } _Pulse__isset;
 
 class Pulse : public virtual ::apache::thrift::TBase {
@@ -892,7 +902,8 @@
           clock_ms(0),
           held_revision(0),
           settled(0),
-          cut(0) {
+          cut(0),
+          version(0) {
   }
 
   virtual ~Pulse() noexcept;
@@ -911,6 +922,7 @@
   Quarantine quarantine;
   std::map<std::string, ServerLimit>  limits;
   bool cut;
+  int32_t version;
 
   _Pulse__isset __isset;
 
@@ -944,6 +956,8 @@
 
   void __set_cut(const bool val);
 
+  void __set_version(const int32_t val);
+
   bool operator == (const Pulse & rhs) const
   {
     if (!(node == rhs.node))
@@ -976,6 +990,10 @@
       return false;
     if (!(cut == rhs.cut))
       return false;
+    if (__isset.version != rhs.__isset.version)
+      return false;
+    else if (__isset.version && !(version == rhs.version))
+      return false;
     return true;
   }
   bool operator != (const Pulse &rhs) const {
@@ -995,7 +1013,7 @@
 std::ostream& operator<<(std::ostream& out, const Pulse& obj);
 
 typedef struct _Digest__isset {
-  _Digest__isset() : zone(false), node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), heard_ms(false), clock_ms(false), held_revision(false), relayed(false), leaving(false), quarantine(false), limits(false), cut(false) {}
+  _Digest__isset() : zone(false), node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), heard_ms(false), clock_ms(false), held_revision(false), relayed(false), leaving(false), quarantine(false), limits(false), cut(false), version(false) {}
   bool zone :1;
   bool node :1;
   bool life :1;
@@ -1012,6 +1030,7 @@
   bool quarantine :1;
   bool limits :1;
   bool cut :1;
+  bool version :1;
 } _Digest__isset;
 
 class Digest : public virtual ::apache::thrift::TBase {
@@ -1026,7 +1045,8 @@
            number(0),
            clock_ms(0),
            held_revision(0),
-           relayed(0) {
+           relayed(0),
+           version(0) {
   }
 
   virtual ~Digest() noexcept;
@@ -1046,6 +1066,7 @@
   Quarantine quarantine;
   std::map<std::string, ServerLimit>  limits;
   std::set<std::string>  cut;
+  int32_t version;
 
   _Digest__isset __isset;
 
@@ -1081,6 +1102,8 @@
 
   void __set_cut(const std::set<std::string> & val);
 
+  void __set_version(const int32_t val);
+
   bool operator == (const Digest & rhs) const
   {
     if (!(zone == rhs.zone))
@@ -1115,6 +1138,10 @@
       return false;
     if (!(cut == rhs.cut))
       return false;
+    if (__isset.version != rhs.__isset.version)
+      return false;
+    else if (__isset.version && !(version == rhs.version))
+      return false;
     return true;
   }
   bool operator != (const Digest &rhs) const {
--- a/src/network/peer.thrift
+++ b/src/network/peer.thrift
@@ -103,6 +103,7 @@
   7: map<i64, string> grants // Permits that the sender lends: number and server.
   8: map<string, i32> denials_ms // Time until the sender may lend a permit.
   9: map<i64, i32> settled_ms // Permits lent to the sender: time since their use, -1 if unused.
+  20: optional i32 version // As in Pulse.
 }
 
 // The load and status of a node, sent as a datagram to the other nodes of its zone several times a
@@ -123,6 +124,7 @@
   13: Quarantine quarantine // Earlier versions do not send it.
   14: map<string, ServerLimit> limits // At most 16. Earlier versions do not send it.
   15: bool cut // The node reaches no server. Earlier versions do not send it.
+  20: optional i32 version // Of the sender's messages and records. Version 1 does not send it.
 }
 
 // The sum of a zone's pulses, sent as a datagram by one node of the zone to the other zones. The
@@ -144,6 +146,7 @@
   14: Quarantine quarantine // As in Pulse.
   15: map<string, ServerLimit> limits // At most 64.
   16: set<string> cut // Those of the live nodes that reach no server.
+  20: optional i32 version // As in Pulse.
 }
 
 // A change of one key of the store.
--- a/src/network/pulse_socket.cpp
+++ b/src/network/pulse_socket.cpp
@@ -1,6 +1,7 @@
 #include "network/pulse_socket.h"
 
 #include "core/error_type.h"
+#include "core/format_version.h"
 #include "network/address_func.h"
 #include "network/gen/peer_types.h"
 #include "network/thrift_bytes.h"
@@ -239,6 +240,7 @@
     for (const auto &[number, sinceUse] : message.settled)
         wire.settled_ms[static_cast<std::int64_t>(number.value())] =
             sinceUse ? toWireMilliseconds(*sinceUse) : unusedPermit;
+    wire.__set_version(formatVersion);
     return toBytes(permitTag, wire);
 }
 
@@ -297,6 +299,7 @@
     wire.quarantine = toWire(pulse.quarantine);
     wire.limits = toWire(pulse.limits);
     wire.cut = pulse.cut;
+    wire.__set_version(formatVersion);
     return toBytes(pulseTag, wire);
 }
 
@@ -342,6 +345,7 @@
     for (const NodeId &node : digest.cut)
         wire.cut.insert(node.value());
     wire.relayed = digest.relayed;
+    wire.__set_version(formatVersion);
     return toBytes(digestTag, wire);
 }
 
@@ -369,6 +373,14 @@
     return digest;
 }
 
+template<typename Wire>
+void reportVersion(const PulseHooks &hooks, const Wire &wire)
+{
+    if (hooks.version)
+        hooks.version(NodeId(wire.node),
+                      wire.__isset.version ? wire.version : unstatedFormatVersion);
+}
+
 } // namespace
 
 PulseSocket::PulseSocket(EventLoop &loop, const Address &address, PulseHooks hooks)
@@ -435,16 +447,24 @@
         const std::string_view message(reinterpret_cast<const char *>(bytes.data()) + 1,
                                        static_cast<std::size_t>(length) - 1);
         try {
-            if (bytes[0] == feedTag || bytes[0] == uncompressedFeedTag)
+            if (bytes[0] == feedTag || bytes[0] == uncompressedFeedTag) {
                 socket->m_hooks.feed(FeedCodec::parse(message));
-            else if (bytes[0] == digestTag)
-                socket->m_hooks.digest(toDigest(fromThriftBytes<peer::Digest>(message)));
-            else if (bytes[0] == permitTag)
-                socket->m_hooks.permits(toPermits(fromThriftBytes<peer::Permits>(message)));
-            else if (bytes[0] == pulseTag)
-                socket->m_hooks.pulse(toPulse(fromThriftBytes<peer::Pulse>(message)));
-            else
+            } else if (bytes[0] == digestTag) {
+                const auto wire = fromThriftBytes<peer::Digest>(message);
+                if (!wire.relayed) // Otherwise the version is that of the node that relayed it.
+                    reportVersion(socket->m_hooks, wire);
+                socket->m_hooks.digest(toDigest(wire));
+            } else if (bytes[0] == permitTag) {
+                const auto wire = fromThriftBytes<peer::Permits>(message);
+                reportVersion(socket->m_hooks, wire);
+                socket->m_hooks.permits(toPermits(wire));
+            } else if (bytes[0] == pulseTag) {
+                const auto wire = fromThriftBytes<peer::Pulse>(message);
+                reportVersion(socket->m_hooks, wire);
+                socket->m_hooks.pulse(toPulse(wire));
+            } else {
                 ++socket->m_malformedDatagrams;
+            }
         } catch (const Failure &) {
             ++socket->m_malformedDatagrams;
         } catch (const apache::thrift::TException &) {
--- a/src/network/pulse_socket.h
+++ b/src/network/pulse_socket.h
@@ -17,6 +17,8 @@
     std::function<void(const ZoneDigest &)> digest;
     std::function<void(const StoreFeed &)> feed;
     std::function<void(const PermitMessage &)> permits;
+    /// The format version of a node that sent one of the messages above, except a feed. Optional.
+    std::function<void(const NodeId &, std::int32_t)> version;
 };
 
 /// UDP socket for the messages between nodes: pulses, zone digests, store feeds and messages on the
@@ -37,7 +39,8 @@
     void send(const PermitMessage &message, const Address &address);
     /// Returns false if the feed is too large for a datagram.
     bool send(const StoreFeed &feed, const Address &address);
-    /// Number of malformed datagrams received since the socket was opened.
+    /// Number of malformed datagrams, and of those of unknown types, received since the socket was
+    /// opened.
     std::uint64_t malformedDatagrams() const { return m_malformedDatagrams; }
 
 private:
--- a/src/network/quarantine_store.cpp
+++ b/src/network/quarantine_store.cpp
@@ -1,6 +1,7 @@
 #include "network/quarantine_store.h"
 
 #include "core/error_type.h"
+#include "core/format_version.h"
 #include "network/log.h"
 #include "request/quarantine_func.h"
 
@@ -38,7 +39,8 @@
 {
     return nlohmann::json {{"left_ms", quarantine.timeLeft.count()},
                            {"times", quarantine.times},
-                           {"until_wall_ms", now.value() + quarantine.timeLeft.count()}}
+                           {"until_wall_ms", now.value() + quarantine.timeLeft.count()},
+                           {"version", formatVersion}}
         .dump();
 }
 
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -1,11 +1,11 @@
 #include "network/serving_daemon.h"
 
+#include "core/format_version.h"
 #include "network/address_func.h"
 #include "network/log.h"
+#include "network/membership_record.h"
 #include "request/quarantine_func.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <sstream>
 
@@ -79,26 +79,6 @@
     return std::to_string(duration.count());
 }
 
-/// Parses the stored record of a node. Throws Failure if it is malformed.
-MembershipRecord parseMembershipRecord(const NodeId &node, const std::string &text)
-{
-    try {
-        const nlohmann::json json = nlohmann::json::parse(text);
-        MembershipRecord record;
-        record.node = node;
-        record.zone = json.at("zone").get<ZoneId>();
-        record.front = json.at("front").get<Address>();
-        record.peer = json.at("peer").get<Address>();
-        record.cores = json.value("cores", 0.0);
-        parseAddress(record.front);
-        parseAddress(record.peer);
-        return record;
-    } catch (const nlohmann::json::exception &error) {
-        throw Failure(ErrorCode::PlatformProtocol,
-                      std::string("invalid record of a node: ") + error.what());
-    }
-}
-
 /// Returns the id under which the request counts of another zone are stored next to those of single
 /// nodes. No node has such a name.
 NodeId zoneCountsId(const ZoneId &zone)
@@ -139,10 +119,12 @@
 {
     m_pulseSocket = std::make_unique<PulseSocket>(
         m_loop, m_options.pulse,
-        PulseHooks {[this](const Pulse &pulse) { onPulse(pulse); },
-                    [this](const ZoneDigest &digest) { onDigest(digest); },
-                    [this](const StoreFeed &feed) { m_mirror.take(feed, m_loop.now()); },
-                    [this](const PermitMessage &message) { onPermitMessage(message); }});
+        PulseHooks {
+            [this](const Pulse &pulse) { onPulse(pulse); },
+            [this](const ZoneDigest &digest) { onDigest(digest); },
+            [this](const StoreFeed &feed) { m_mirror.take(feed, m_loop.now()); },
+            [this](const PermitMessage &message) { onPermitMessage(message); },
+            [this](const NodeId &peer, std::int32_t version) { onPeerVersion(peer, version); }});
     m_relay.callers().listen(m_options.front);
     m_adminServer.listen(m_options.ready);
     m_adminServer.listen(m_options.directory);
@@ -347,6 +329,7 @@
     const NodeId node(key.substr(std::string(nodesKeyPrefix).size()));
     if (change.deleted) {
         m_membership.eraseRecord(node);
+        m_peerVersions.erase(node);
         if (node == m_options.node) {
             m_recordStored = false;
             m_recordRevision = Revision();
@@ -543,6 +526,20 @@
     mergeLimits(pulse.limits, pulse.node, now);
 }
 
+void ServingDaemon::onPeerVersion(const NodeId &peer, std::int32_t version)
+{
+    if (!m_membership.peerAddress(peer))
+        return;
+    const auto known = m_peerVersions.find(peer);
+    const std::int32_t previous = known == m_peerVersions.end() ? formatVersion : known->second;
+    m_peerVersions[peer] = version;
+    if (version != previous)
+        logLine(LogLevel::Info, "peer_version",
+                {{"peer", peer.value()},
+                 {"version", std::to_string(version)},
+                 {"own_version", std::to_string(formatVersion)}});
+}
+
 void ServingDaemon::mergeLeaving(const LeavingRuns &runs, const NodeId &peer, TimePoint now)
 {
     for (const auto &[server, startedAt] : m_backends.mergeLeaving(runs, now))
@@ -618,16 +615,13 @@
 
 void ServingDaemon::writeRecord()
 {
-    const nlohmann::json record {{"zone", m_options.zone},
-                                 {"front", m_options.front},
-                                 {"peer", m_options.pulse},
-                                 {"cores", m_options.cores},
-                                 {"life", m_incarnation}};
+    const std::string record = serializeMembershipRecord(
+        {m_options.node, m_options.zone, m_options.front, m_options.pulse, m_options.cores},
+        m_incarnation);
     // The record of the previous run of this node may still exist under that run's lease, so the
     // write expects the revision last seen.
     m_store.compareAndSwap(m_dialect.ownPrefix + nodesKeyPrefix + m_options.node.value(),
-                           m_recordRevision, record.dump(), m_lease,
-                           [this](const StoreSwapResult &swap) {
+                           m_recordRevision, record, m_lease, [this](const StoreSwapResult &swap) {
                                m_recordStored = swap.outcome == StoreSwapOutcome::Written;
                            });
 }
@@ -758,6 +752,13 @@
          {std::pair("own", permits.own), std::pair("borrowed", permits.borrowed),
           std::pair("lent", permits.lent), std::pair("returned", permits.returned)})
         out << "bramleypitch_permits_total{kind=\"" << kind << "\"} " << count << "\n";
+    std::map<std::int32_t, std::size_t> peersByVersion;
+    for (const auto &[peer, version] : m_peerVersions)
+        ++peersByVersion[version];
+    for (const auto &[version, count] : peersByVersion)
+        out << "bramleypitch_peers{version=\"" << version << "\"} " << count << "\n";
+    out << gaugeText({"unreadable_datagrams", "Messages of other nodes that were not understood.",
+                      static_cast<double>(m_pulseSocket->malformedDatagrams())});
     out << gaugeText(
         {"open_requests", "Requests not answered yet.", static_cast<double>(m_requests.open())});
     out << gaugeText({"waiting_requests", "Requests that wait for a server.",
--- a/src/network/serving_daemon.h
+++ b/src/network/serving_daemon.h
@@ -101,6 +101,8 @@
     /// Adopts the servers that a peer reports as leaving.
     void mergeLeaving(const LeavingRuns &runs, const NodeId &peer, TimePoint now);
     void onPermitMessage(const PermitMessage &message);
+    /// Notes the format version of a node, and logs it if it changes or differs from this node's.
+    void onPeerVersion(const NodeId &peer, std::int32_t version);
     /// Opens connections to servers if this node may have lost its links to them.
     void probeLinks(TimePoint now);
     /// Sends what this node asks of other nodes for servers with a limit.
@@ -157,6 +159,7 @@
     std::map<VmId, VanishedServer> m_vanishedServers; ///< Servers whose entries may reappear.
     std::int64_t m_incarnation = 0; ///< Start time, which identifies this run of the process.
     std::int64_t m_pulseNumber = 0;
+    std::map<NodeId, std::int32_t> m_peerVersions; ///< Format versions of nodes with a record.
     TimePoint m_lastPulseAt;
     TimePoint m_lastEarlyPulseAt; ///< Sent for new evidence.
     TimePoint m_lastDigestAt;
--- a/src/tests/wire_samples.cpp
+++ b/src/tests/wire_samples.cpp
@@ -1,6 +1,7 @@
 #include "wire_samples.h"
 
 #include "formation/formation_func.h"
+#include "network/membership_record.h"
 #include "network/pulse_socket.h"
 #include "network/quarantine_store.h"
 
@@ -14,6 +15,8 @@
 
 namespace {
 
+constexpr std::int64_t sampleRun = 1'764'900'000'001;
+
 QuarantineNews sampleNews()
 {
     QuarantineNews news;
@@ -70,7 +73,7 @@
 {
     Pulse pulse;
     pulse.node = NodeId("n1");
-    pulse.life = 1'764'900'000'001;
+    pulse.life = sampleRun;
     pulse.number = 2;
     pulse.taking = true;
     pulse.settled = true;
@@ -92,7 +95,7 @@
     ZoneDigest digest;
     digest.zone = ZoneId("za");
     digest.node = NodeId("n1");
-    digest.life = 1'764'900'000'001;
+    digest.life = sampleRun;
     digest.number = 2;
     digest.taking = {{NodeId("n1"), true}, {NodeId("n2"), false}};
     digest.running = {{VmId("s1"), 3}};
@@ -113,7 +116,7 @@
 {
     PermitMessage message;
     message.from = NodeId("n1");
-    message.life = 1'764'900'000'001;
+    message.life = sampleRun;
     message.clock = timePoint(7'000);
     message.echo = timePoint(8'000);
     message.limits = sampleLimits();
@@ -136,6 +139,11 @@
     return feed;
 }
 
+MembershipRecord sampleRecord()
+{
+    return {NodeId("n1"), ZoneId("za"), Address("127.0.0.1:8200"), Address("127.0.0.1:7340"), 0.5};
+}
+
 FormationPlan samplePlan()
 {
     FormationPlan plan;
@@ -169,6 +177,7 @@
     samples["permits"] = receiver.receive();
     sender.send(sampleFeed(), receiver.address());
     samples["feed"] = receiver.receive();
+    samples["node"] = serializeMembershipRecord(sampleRecord(), sampleRun);
     samples["plan"] = serializePlan(samplePlan());
     samples["quarantine"] = serializeQuarantine(sampleQuarantine(), WallTime(sampleWallTime));
     return samples;
--- a/src/tests/wire_samples.h
+++ b/src/tests/wire_samples.h
@@ -15,14 +15,15 @@
 ZoneDigest sampleDigest();
 PermitMessage samplePermits();
 StoreFeed sampleFeed();
+MembershipRecord sampleRecord();
 FormationPlan samplePlan();
 QuarantinedPart sampleQuarantine();
 
 /// Wall clock time at which the sample of a quarantine is written.
 constexpr std::int64_t sampleWallTime = 1'764'900'000'000;
 
-/// The datagrams of the messages as this build sends them, and the plan and quarantine as it stores
-/// them, by kind.
+/// The datagrams of the messages as this build sends them, and the records as it stores them, by
+/// kind.
 std::map<std::string, std::string> writeSamples();
 
 } // namespace bramleypitch::test
--- a/src/tests/wire_test.cpp
+++ b/src/tests/wire_test.cpp
@@ -5,8 +5,10 @@
 // change: for a landed build, its commit is added to `landedBuilds` and its files beside the
 // others.
 
+#include "core/format_version.h"
 #include "formation/formation_func.h"
 #include "network/gen/peer_types.h"
+#include "network/membership_record.h"
 #include "network/pulse_socket.h"
 #include "network/quarantine_store.h"
 #include "network/thrift_bytes.h"
@@ -66,6 +68,11 @@
     return text.replace(position, before.size(), after);
 }
 
+bool isDatagram(const std::string &kind)
+{
+    return kind != "node" && kind != "plan" && kind != "quarantine";
+}
+
 /// The changes in a feed's datagram, decompressed.
 std::string changesOf(const std::string &datagram)
 {
@@ -168,6 +175,9 @@
         hooks.digest = [this](const ZoneDigest &digest) { m_digests.push_back(digest); };
         hooks.feed = [this](const StoreFeed &feed) { m_feeds.push_back(feed); };
         hooks.permits = [this](const PermitMessage &message) { m_permits.push_back(message); };
+        hooks.version = [this](const NodeId &peer, std::int32_t version) {
+            m_versions.emplace_back(peer.value(), version);
+        };
         m_receiver = std::make_unique<PulseSocket>(
             m_loop, Address("127.0.0.1:" + std::to_string(ntohs(m_target.sin_port))), hooks);
     }
@@ -188,6 +198,7 @@
     std::vector<ZoneDigest> m_digests;
     std::vector<StoreFeed> m_feeds;
     std::vector<PermitMessage> m_permits;
+    std::vector<std::pair<std::string, std::int32_t>> m_versions; ///< By the name of the sender.
     std::unique_ptr<PulseSocket> m_receiver;
 };
 
@@ -241,6 +252,32 @@
     }
 }
 
+TEST_F(WireTest, VersionsOfSendersAreReported)
+{
+    std::map<std::string, std::string> samples = writeSamples();
+    auto relayed = fromThriftBytes<peer::Digest>(samples["digest"].substr(1));
+    ASSERT_TRUE(relayed.relayed);
+    auto direct = relayed;
+    direct.relayed = false;
+    for (const std::string &bytes :
+         {goldenFile("42af145", "pulse"), goldenFile("42af145", "permits"), samples["pulse"],
+          samples["permits"], "D" + toThriftBytes(relayed), "D" + toThriftBytes(direct)})
+        send(bytes);
+    auto later = fromThriftBytes<peer::Pulse>(samples["pulse"].substr(1));
+    later.version = formatVersion + 1'000;
+    send("P" + toThriftBytes(later));
+    const std::vector<std::pair<std::string, std::int32_t>> expected {
+        {"n1", 1},
+        {"n1", 1},
+        {"n1", formatVersion},
+        {"n1", formatVersion},
+        {"n1", formatVersion},
+        {"n1", formatVersion + 1'000}};
+    EXPECT_EQ(m_versions, expected);
+    ASSERT_EQ(m_pulses.size(), 3U);
+    expectSame(m_pulses[2], samplePulse());
+}
+
 TEST_F(WireTest, UnknownMessagesAreCountedAndIgnored)
 {
     const std::string pulse = goldenFile(landedBuilds.front(), "pulse");
@@ -265,7 +302,7 @@
                                            "\x0b\xc6\x01\x01\x86\x01k\x02"s,
                                            "\x0c\xc6\x01\x16\x02\0"s};
     for (const auto &[kind, bytes] : writeSamples()) {
-        if (kind == "plan" || kind == "quarantine")
+        if (!isDatagram(kind))
             continue;
         for (const std::string &value : values) {
             ASSERT_EQ(bytes.back(), '\0'); // The end of the struct.
@@ -292,6 +329,8 @@
         EXPECT_EQ(parsePlan(goldenFile(commit, "plan")), samplePlan());
         EXPECT_EQ(parseQuarantine(goldenFile(commit, "quarantine"), WallTime(sampleWallTime)),
                   sampleQuarantine());
+        EXPECT_EQ(parseMembershipRecord(sampleRecord().node, goldenFile(commit, "node")),
+                  sampleRecord());
     }
 }
 
@@ -299,7 +338,7 @@
 {
     const std::map<std::string, std::string> samples = writeSamples();
     for (const std::string &commit : landedBuilds) {
-        for (const std::string kind : {"plan", "quarantine"}) {
+        for (const std::string kind : {"node", "plan", "quarantine"}) {
             SCOPED_TRACE(commit + " " + kind);
             EXPECT_TRUE(extends(nlohmann::json::parse(samples.at(kind)),
                                 nlohmann::json::parse(goldenFile(commit, kind))))
@@ -312,11 +351,12 @@
 {
     std::map<std::string, std::string> samples = writeSamples();
     for (auto &[kind, text] : samples) {
-        if (kind == "plan" || kind == "quarantine")
+        if (!isDatagram(kind))
             text = nlohmann::json::parse(text)
                        .patch({{{"op", "add"}, {"path", "/later"}, {"value", {{"a", {1, 2}}}}}})
                        .dump();
     }
+    EXPECT_EQ(parseMembershipRecord(sampleRecord().node, samples.at("node")), sampleRecord());
     EXPECT_EQ(parsePlan(samples.at("plan")), samplePlan());
     EXPECT_EQ(parseQuarantine(samples.at("quarantine"), WallTime(sampleWallTime)),
               sampleQuarantine());
