--- a/src/tests/wire_test.cpp
+++ b/src/tests/wire_test.cpp
@@ -233,7 +233,7 @@
         const WireSchema schema = landedSchema(commit);
         for (const auto &[kind, name] : {std::pair("pulse", "Pulse"), std::pair("digest", "Digest"),
                                          std::pair("permits", "Permits")}) {
-            SCOPED_TRACE(commit + " " + kind);
+            SCOPED_TRACE(testing::Message() << commit << " " << kind);
             const std::string landed = goldenFile(commit, kind);
             ASSERT_FALSE(samples[kind].empty());
             EXPECT_EQ(samples[kind][0], landed[0]);
@@ -339,7 +339,7 @@
     const std::map<std::string, std::string> samples = writeSamples();
     for (const std::string &commit : landedBuilds) {
         for (const std::string kind : {"node", "plan", "quarantine"}) {
-            SCOPED_TRACE(commit + " " + kind);
+            SCOPED_TRACE(testing::Message() << commit << " " << kind);
             EXPECT_TRUE(extends(nlohmann::json::parse(samples.at(kind)),
                                 nlohmann::json::parse(goldenFile(commit, kind))))
                 << samples.at(kind);
