--- a/src/formation/formation_func.cpp
+++ b/src/formation/formation_func.cpp
@@ -1,5 +1,6 @@
 #include "formation/formation_func.h"
 
+#include "core/format_version.h"
 #include "core/json_reader.h"
 
 #include <nlohmann/json.hpp>
@@ -76,7 +77,8 @@
     return nlohmann::json {{"generation", plan.generation},
                            {"groups", std::move(groups)},
                            {"promised", plan.promised},
-                           {"era", plan.era}}
+                           {"era", plan.era},
+                           {"version", formatVersion}}
         .dump();
 }
 
--- a/src/network/gen/peer_types.cpp
+++ b/src/network/gen/peer_types.cpp
@@ -1877,6 +1877,11 @@
 void Permits::__set_settled_ms(const std::map<int64_t, int32_t> & val) {
   this->settled_ms = val;
 }
+
+void Permits::__set_version(const int32_t val) {
+  this->version = val;
+__isset.version = true;
+}
 std::ostream& operator<<(std::ostream& out, const Permits& obj)
 {
   obj.printTo(out);
@@ -2052,6 +2057,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2150,6 +2163,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.version) {
+    xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I32, 20);
+    xfer += oprot->writeI32(this->version);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2166,6 +2184,7 @@
   swap(a.grants, b.grants);
   swap(a.denials_ms, b.denials_ms);
   swap(a.settled_ms, b.settled_ms);
+  swap(a.version, b.version);
   swap(a.__isset, b.__isset);
 }
 
@@ -2179,6 +2198,7 @@
   grants = other98.grants;
   denials_ms = other98.denials_ms;
   settled_ms = other98.settled_ms;
+  version = other98.version;
   __isset = other98.__isset;
 }
 Permits& Permits::operator=(const Permits& other99) {
@@ -2191,6 +2211,7 @@
   grants = other99.grants;
   denials_ms = other99.denials_ms;
   settled_ms = other99.settled_ms;
+  version = other99.version;
   __isset = other99.__isset;
   return *this;
 }
@@ -2206,6 +2227,7 @@
   out << ", " << "grants=" << to_string(grants);
   out << ", " << "denials_ms=" << to_string(denials_ms);
   out << ", " << "settled_ms=" << to_string(settled_ms);
+  out << ", " << "version="; (__isset.version ? (out << to_string(version)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2281,6 +2303,11 @@
 void Pulse::__set_newest_version(const int64_t val) {
   this->newest_version = val;
 }
+
+void Pulse::__set_version(const int32_t val) {
+  this->version = val;
+__isset.version = true;
+}
 std::ostream& operator<<(std::ostream& out, const Pulse& obj)
 {
   obj.printTo(out);
@@ -2535,6 +2562,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2674,6 +2709,11 @@
   xfer += oprot->writeI64(this->newest_version);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.version) {
+    xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I32, 20);
+    xfer += oprot->writeI32(this->version);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2698,6 +2738,7 @@
   swap(a.cut, b.cut);
   swap(a.store_era, b.store_era);
   swap(a.newest_version, b.newest_version);
+  swap(a.version, b.version);
   swap(a.__isset, b.__isset);
 }
 
@@ -2719,6 +2760,7 @@
   cut = other148.cut;
   store_era = other148.store_era;
   newest_version = other148.newest_version;
+  version = other148.version;
   __isset = other148.__isset;
 }
 Pulse& Pulse::operator=(const Pulse& other149) {
@@ -2739,6 +2781,7 @@
   cut = other149.cut;
   store_era = other149.store_era;
   newest_version = other149.newest_version;
+  version = other149.version;
   __isset = other149.__isset;
   return *this;
 }
@@ -2762,6 +2805,7 @@
   out << ", " << "cut=" << to_string(cut);
   out << ", " << "store_era=" << to_string(store_era);
   out << ", " << "newest_version=" << to_string(newest_version);
+  out << ", " << "version="; (__isset.version ? (out << to_string(version)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2841,6 +2885,11 @@
 void Digest::__set_newest_version(const int64_t val) {
   this->newest_version = val;
 }
+
+void Digest::__set_version(const int32_t val) {
+  this->version = val;
+__isset.version = true;
+}
 std::ostream& operator<<(std::ostream& out, const Digest& obj)
 {
   obj.printTo(out);
@@ -3131,6 +3180,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3291,6 +3348,11 @@
   xfer += oprot->writeI64(this->newest_version);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.version) {
+    xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I32, 20);
+    xfer += oprot->writeI32(this->version);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3316,6 +3378,7 @@
   swap(a.cut, b.cut);
   swap(a.store_era, b.store_era);
   swap(a.newest_version, b.newest_version);
+  swap(a.version, b.version);
   swap(a.__isset, b.__isset);
 }
 
@@ -3338,6 +3401,7 @@
   cut = other213.cut;
   store_era = other213.store_era;
   newest_version = other213.newest_version;
+  version = other213.version;
   __isset = other213.__isset;
 }
 Digest& Digest::operator=(const Digest& other214) {
@@ -3359,6 +3423,7 @@
   cut = other214.cut;
   store_era = other214.store_era;
   newest_version = other214.newest_version;
+  version = other214.version;
   __isset = other214.__isset;
   return *this;
 }
@@ -3383,6 +3448,7 @@
   out << ", " << "cut=" << to_string(cut);
   out << ", " << "store_era=" << to_string(store_era);
   out << ", " << "newest_version=" << to_string(newest_version);
+  out << ", " << "version="; (__isset.version ? (out << to_string(version)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/network/membership_record.cpp
+++ b/src/network/membership_record.cpp
@@ -1,5 +1,6 @@
 #include "network/membership_record.h"
 
+#include "core/format_version.h"
 #include "core/json_reader.h"
 #include "network/address_func.h"
 
@@ -28,7 +29,8 @@
                            {"forward_key", record.forwardKey},
                            {"era", version.era},
                            {"newest_version", version.newest},
-                           {"life", life}}
+                           {"life", life},
+                           {"version", formatVersion}}
         .dump();
 }
 
--- a/src/network/membership_record.h
+++ b/src/network/membership_record.h
@@ -20,8 +20,8 @@
 /// Parses the stored record of a node. Throws Failure if it is malformed.
 MembershipRecord parseMembershipRecord(const NodeId &node, const std::string &text);
 
-/// Parses what such a record tells of the store. Earlier versions do not state it. Throws Failure if
-/// the record is malformed.
+/// Parses what such a record tells of the store. Earlier versions do not state it. Throws Failure
+/// if the record is malformed.
 NodeVersion parseNodeVersion(const std::string &text);
 
 } // namespace bramleypitch
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -1,13 +1,12 @@
 #include "network/serving_daemon.h"
 
 #include "core/error_type.h"
+#include "core/format_version.h"
 #include "core/json_reader.h"
 #include "network/log.h"
 #include "network/membership_record.h"
 #include "request/quarantine_func.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <iomanip>
 #include <random>
@@ -161,10 +160,12 @@
 {
     m_pulseSocket = std::make_unique<PulseSocket>(
         m_loop, m_options.pulse,
-        PulseHooks {[this](const Pulse &pulse) { onPulse(pulse); },
-                    [this](const ZoneDigest &digest) { onDigest(digest); },
-                    [this](const StoreFeed &feed) { m_mirror.take(feed, m_loop.now()); },
-                    [this](const PermitMessage &message) { onPermitMessage(message); }});
+        PulseHooks {
+            [this](const Pulse &pulse) { onPulse(pulse); },
+            [this](const ZoneDigest &digest) { onDigest(digest); },
+            [this](const StoreFeed &feed) { m_mirror.take(feed, m_loop.now()); },
+            [this](const PermitMessage &message) { onPermitMessage(message); },
+            [this](const NodeId &peer, std::int32_t version) { onPeerVersion(peer, version); }});
     m_adminServer.listen(m_options.ready);
     m_adminServer.listen(m_options.directory);
     if (m_options.metrics)
@@ -457,6 +458,7 @@
     const NodeId node(key.substr(std::string(nodesKeyPrefix).size()));
     if (change.deleted) {
         m_membership.eraseRecord(node);
+        m_peerVersions.erase(node);
         if (node == m_options.node) {
             m_recordStored = false;
             m_recordRevision = Revision();
@@ -689,6 +691,20 @@
     mergeLimits(pulse.limits, pulse.node, now);
 }
 
+void ServingDaemon::onPeerVersion(const NodeId &peer, std::int32_t version)
+{
+    if (!m_membership.peerAddress(peer))
+        return;
+    const auto known = m_peerVersions.find(peer);
+    const std::int32_t previous = known == m_peerVersions.end() ? formatVersion : known->second;
+    m_peerVersions[peer] = version;
+    if (version != previous)
+        logLine(LogLevel::Info, "peer_version",
+                {{"peer", peer.value()},
+                 {"version", std::to_string(version)},
+                 {"own_version", std::to_string(formatVersion)}});
+}
+
 void ServingDaemon::mergeLeaving(const LeavingRuns &runs, const NodeId &peer, TimePoint now)
 {
     for (const auto &[server, startedAt] : m_backends.mergeLeaving(runs, now))
@@ -768,12 +784,12 @@
 {
     const MembershipRecord record {m_options.node,  m_options.zone,  m_options.front,
                                    m_options.pulse, m_options.cores, m_forwardKey};
+    const std::string text = serializeMembershipRecord(record, m_incarnation,
+                                                       {m_store.era(), m_requests.newestVersion()});
     // The record of the previous run of this node may still exist under that run's lease, so the
     // write expects the revision last seen.
     m_store.compareAndSwap(m_dialect.ownPrefix + nodesKeyPrefix + m_options.node.value(),
-                           m_recordRevision, serializeMembershipRecord(record, m_incarnation,
-                                                     {m_store.era(), m_requests.newestVersion()}),
-                           m_lease, [this](const StoreSwapResult &swap) {
+                           m_recordRevision, text, m_lease, [this](const StoreSwapResult &swap) {
                                m_recordStored = swap.outcome == StoreSwapOutcome::Written;
                            });
 }
@@ -904,6 +920,13 @@
          {std::pair("own", permits.own), std::pair("borrowed", permits.borrowed),
           std::pair("lent", permits.lent), std::pair("returned", permits.returned)})
         out << "bramleypitch_permits_total{kind=\"" << kind << "\"} " << count << "\n";
+    std::map<std::int32_t, std::size_t> peersByVersion;
+    for (const auto &[peer, version] : m_peerVersions)
+        ++peersByVersion[version];
+    for (const auto &[version, count] : peersByVersion)
+        out << "bramleypitch_peers{version=\"" << version << "\"} " << count << "\n";
+    out << gaugeText({"unreadable_datagrams", "Messages of other nodes that were not understood.",
+                      static_cast<double>(m_pulseSocket->malformedDatagrams())});
     out << gaugeText(
         {"open_requests", "Requests not answered yet.", static_cast<double>(m_requests.open())});
     out << gaugeText({"waiting_requests", "Requests that wait for a server.",
