Fix: [Stop] The time in which a stopping node takes all requests leaves room for a late signal

A busy process handles a signal late, so that a request could be taken within 3 s by the node's clock, later than 3 s after the signal was sent, and be cut off at the end of the stop. The time is 2.5 s now (5/16 of the stop time). Found by reading; not run by itself.

--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -65,9 +65,9 @@
 constexpr Duration minDrainTime {5'000};
 /// Callers hold lists of entry addresses for this time, and go on sending requests meanwhile. Those
 /// that arrive later in a shutdown are accepted only if they end with it.
-constexpr Duration maxOpenTime {3'000};
+constexpr Duration maxOpenTime {2'500};
 /// The same limit as a share of the time until the process would be killed.
-constexpr double maxOpenShare = 0.375;
+constexpr double maxOpenShare = 0.3125;
 /// All requests end so long before the process would be killed. Leaves time for slow callers to
 /// receive the ends of their responses.
 constexpr Duration requestStopMargin {300};
