Fix: [Configuration] One odd version of another writer took every node out of service for good

A record under the nodes' prefix that cannot be read as one, or a datagram of nobody, could name a configuration version that no node has; from then on every proof was void, all nodes were not ready, and they told each other that version for good.

Cause: the version was taken before the record was checked and from senders without a record, was repeated as hearsay, and was never forgotten. Nodes now tell the version that they have in force alone, listen to nodes with a record, and forget a version that nobody has stated for 10 s, five times what the operator takes to write again what the store has lost.

--- a/src/network/membership_record.h
+++ b/src/network/membership_record.h
@@ -11,7 +11,7 @@
 struct NodeVersion
 {
     StoreEra era; ///< In which the record was written. 0 if it is not known.
-    std::uint64_t newest = 0; ///< The newest version of the configuration that the node knew of.
+    std::uint64_t newest = 0; ///< The version of the configuration that the node had in force.
 };
 
 /// Formats the record of a node for the store. `life` identifies the run of its process.
--- a/src/network/peer.thrift
+++ b/src/network/peer.thrift
@@ -125,7 +125,7 @@
   14: map<string, ServerLimit> limits // At most 16. Earlier versions do not send it.
   15: bool cut // The node reaches no server. Earlier versions do not send it.
   16: i64 store_era // To which `held_revision` belongs. Earlier versions do not send it.
-  17: i64 newest_version // Of the configurations that the sender knows of. Earlier versions do not send it.
+  17: i64 newest_version // Of the configuration that the sender has in force. Earlier versions do not send it.
   20: optional i32 version // Of the sender's messages and records. Version 1 does not send it.
 }
 
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -468,8 +468,9 @@
     if (node == m_options.node)
         m_recordRevision = change.revision;
     try {
+        const MembershipRecord record = parseMembershipRecord(node, change.value);
         onNodeVersionRead(parseNodeVersion(change.value));
-        m_membership.setRecord(parseMembershipRecord(node, change.value), m_loop.now());
+        m_membership.setRecord(record, m_loop.now());
     } catch (const Failure &) {
         m_membership.eraseRecord(node);
         if (node == m_options.node)
@@ -493,7 +494,7 @@
 void ServingDaemon::onNodeVersionRead(const NodeVersion &version)
 {
     // The node had read that version from the store before it wrote this.
-    m_requests.onVersionHeard(version.newest, TimePoint());
+    m_requests.onVersionHeard(version.newest, TimePoint(), m_loop.now());
     // Nodes write their records again as soon as they notice a new era.
     if (!m_mirror.complete() && version.era != StoreEra() && version.era < m_store.era())
         m_requests.onOlderCopy(m_loop.now() + rewriteTime);
@@ -567,7 +568,7 @@
     own.clock = now;
     own.held = m_mirror.held();
     own.era = m_store.era();
-    own.newestVersion = m_requests.newestVersion();
+    own.newestVersion = m_requests.configurationVersion();
     return own;
 }
 
@@ -676,13 +677,21 @@
     }
 }
 
+void ServingDaemon::onPeerStoreHeard(const NodeId &peer, StoreEra era, std::uint64_t version,
+                                     TimePoint now)
+{
+    if (!m_membership.peerAddress(peer))
+        return; // It has no record in the store.
+    m_newestPeerEra = std::max(m_newestPeerEra, era);
+    m_requests.onVersionHeard(version, now, now);
+}
+
 void ServingDaemon::onPulse(const Pulse &pulse)
 {
     const TimePoint now = m_loop.now();
     if (!m_membership.onPulse(pulse, now))
         return;
-    m_newestPeerEra = std::max(m_newestPeerEra, pulse.era);
-    m_requests.onVersionHeard(pulse.newestVersion, now);
+    onPeerStoreHeard(pulse.node, pulse.era, pulse.newestVersion, now);
     m_backends.setPeerRunning(pulse.node, pulse.running);
     m_backends.mergeSuspects(pulse.suspects, now);
     m_backends.mergeRecentProgress(pulse.recentProgress, now);
@@ -719,8 +728,7 @@
     const TimePoint now = m_loop.now();
     if (!m_membership.onDigest(digest, now))
         return;
-    m_newestPeerEra = std::max(m_newestPeerEra, digest.era);
-    m_requests.onVersionHeard(digest.newestVersion, now);
+    onPeerStoreHeard(digest.node, digest.era, digest.newestVersion, now);
     m_backends.setPeerRunning(zoneCountsId(digest.zone), digest.running);
     m_backends.mergeSuspects(digest.suspects, now);
     m_backends.mergeRecentProgress(digest.recentProgress, now);
@@ -784,8 +792,8 @@
 {
     const MembershipRecord record {m_options.node,  m_options.zone,  m_options.front,
                                    m_options.pulse, m_options.cores, m_forwardKey};
-    const std::string text = serializeMembershipRecord(record, m_incarnation,
-                                                       {m_store.era(), m_requests.newestVersion()});
+    const std::string text = serializeMembershipRecord(
+        record, m_incarnation, {m_store.era(), m_requests.configurationVersion()});
     // The record of the previous run of this node may still exist under that run's lease, so the
     // write expects the revision last seen.
     m_store.compareAndSwap(m_dialect.ownPrefix + nodesKeyPrefix + m_options.node.value(),
@@ -946,7 +954,7 @@
                       static_cast<double>(m_store.era().value())});
     out << gaugeText({"configuration_superseded",
                       "1 while another node knows of a newer configuration.",
-                      m_requests.isSuperseded() ? 1.0 : 0.0});
+                      m_requests.isSuperseded(m_loop.now()) ? 1.0 : 0.0});
     out << gaugeText({"store_era_changes", "Times that the store came back from an older copy.",
                       static_cast<double>(m_eraChanges)});
     out << gaugeText({"store_answers_dropped", "Answers of the store that belonged to another era.",
--- a/src/network/serving_daemon.h
+++ b/src/network/serving_daemon.h
@@ -100,6 +100,8 @@
     void onOwnKeyChange(const StoreChange &change);
     void onPlanChange(const DomainId &domain, const StoreChange &change);
     void onNodeVersionRead(const NodeVersion &version);
+    /// Another node has told the era of the store and the version of the configuration that it has.
+    void onPeerStoreHeard(const NodeId &peer, StoreEra era, std::uint64_t version, TimePoint now);
     void onConfigurationChange(const StoreChange &change);
     /// Acts on the changes of the store after a batch of them was reported.
     void settled();
--- a/src/request/configuration_proof.h
+++ b/src/request/configuration_proof.h
@@ -18,33 +18,43 @@
     /// The store has come back from an older copy. What it lost is written again until `until`, and
     /// proofs from before that do not count.
     void onOlderCopy(TimePoint until) { m_countsFrom = std::max(m_countsFrom, until); }
-    /// Another node knows of a configuration of this version, as it said at `heardAt`.
-    void onVersionHeard(std::uint64_t version, TimePoint heardAt)
+    /// Another node has a configuration of this version in force, as it said at `heardAt`.
+    void onVersionHeard(std::uint64_t version, TimePoint heardAt, TimePoint now)
     {
-        if (version <= m_heardVersion)
+        if (!isSuperseded(now))
+            m_heardVersion = 0;
+        if (version < m_heardVersion || version <= m_version)
             return;
+        if (version > m_heardVersion)
+            m_heardAt = heardAt;
         m_heardVersion = version;
-        m_heardAt = heardAt;
+        m_lastHeardAt = now;
     }
     /// The configuration in force was the newest one in the store at this time.
     void onProof(TimePoint at)
     {
-        if (isSuperseded() && at > m_heardAt)
+        if (isSuperseded(at) && at > m_heardAt)
             m_provenAt = TimePoint(); // The store has lost the newer one.
         else if (at >= m_countsFrom)
             m_provenAt = std::max(m_provenAt, at);
     }
     /// The latest time for which the configuration is proven; the epoch if there is none.
     TimePoint provenAt() const { return m_provenAt; }
-    /// The newest version that this node knows of, here or elsewhere.
-    std::uint64_t newestVersion() const { return std::max(m_version, m_heardVersion); }
-    /// Whether another node knows of a newer configuration.
-    bool isSuperseded() const { return m_version < m_heardVersion; }
+    /// Whether another node has a newer configuration in force, and has said so a short time ago.
+    bool isSuperseded(TimePoint now) const
+    {
+        return m_version < m_heardVersion && now - m_lastHeardAt <= heardMemory;
+    }
 
 private:
+    /// A version that no node states any more is forgotten after this time. What the store has lost
+    /// is written again much sooner.
+    static constexpr Duration heardMemory {10'000};
+
     std::uint64_t m_version = 0; ///< Of the configuration in force; 0 if there is none.
-    std::uint64_t m_heardVersion = 0; ///< The newest one that another node knows of.
-    TimePoint m_heardAt;
+    std::uint64_t m_heardVersion = 0; ///< The newest one that another node has in force.
+    TimePoint m_heardAt; ///< When it was stated first.
+    TimePoint m_lastHeardAt;
     TimePoint m_countsFrom;
     TimePoint m_provenAt;
 };
--- a/src/request/membership_type.h
+++ b/src/request/membership_type.h
@@ -40,7 +40,7 @@
     TimePoint clock;
     Revision held; ///< Store revision that the sender holds in full. 0 before that.
     StoreEra era; ///< Of the store, to which `held` belongs.
-    std::uint64_t newestVersion = 0; ///< Of the configurations that the sender knows of.
+    std::uint64_t newestVersion = 0; ///< Of the configuration that the sender has in force.
     std::map<ModelId, double> demand; ///< Slots needed by its running and waiting requests.
     LeavingRuns leaving; ///< Servers that have announced that they leave.
     QuarantineNews quarantine; ///< What it knows of parts of prompts.
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -60,17 +60,20 @@
     void setConfiguration(ServingConfigurationPtr configuration);
     /// Confirms that no newer configuration existed at the given time.
     void setConfigurationProof(TimePoint provenAt) { m_proof.onProof(provenAt); }
-    /// Another node knows of a configuration of this version, or has known of it.
-    void onVersionHeard(std::uint64_t version, TimePoint heardAt)
+    /// Another node has a configuration of this version in force, as it said at `heardAt`.
+    void onVersionHeard(std::uint64_t version, TimePoint heardAt, TimePoint now)
     {
-        m_proof.onVersionHeard(version, heardAt);
+        m_proof.onVersionHeard(version, heardAt, now);
     }
     /// The store has come back from an older copy. What it lost is written again until `until`.
     void onOlderCopy(TimePoint until) { m_proof.onOlderCopy(until); }
-    /// The newest version of the configuration that this node knows of, here or elsewhere.
-    std::uint64_t newestVersion() const { return m_proof.newestVersion(); }
-    /// Whether another node knows of a newer configuration.
-    bool isSuperseded() const { return m_proof.isSuperseded(); }
+    /// The version of the configuration in force; 0 if there is none.
+    std::uint64_t configurationVersion() const
+    {
+        return m_configuration ? m_configuration->version : 0;
+    }
+    /// Whether another node has a newer configuration in force.
+    bool isSuperseded(TimePoint now) const { return m_proof.isSuperseded(now); }
     /// Sets the zones that take no new requests.
     void setZonesOut(std::set<ZoneId> zones) { m_zonesOut = std::move(zones); }
     /// The node stops now. All requests end by the given deadline. Until `closedAt`, while callers
--- a/src/tests/foreign_entry_process_test.py
+++ b/src/tests/foreign_entry_process_test.py
@@ -153,7 +153,8 @@
         values = {f"bramleypitch/formation/d{number}": value for number, value in enumerate(
             [DEEP, b"", dict(plan, generation=-1), dict(plan, groups=5), plan])}
         values.update({f"bramleypitch/nodes/odd{number}": value for number, value in enumerate(
-            [DEEP, b"", node, dict(node, peer="127.0.0.1:0"), dict(node, zone=5), []])})
+            [DEEP, b"", node, dict(node, peer="127.0.0.1:0"), dict(node, zone=5), [],
+             {"newest_version": 9_000_000}])})
         values["bramleypitch/nodes/n1"] = b"overwritten"
         values.update({f"bramleypitch/quarantine/{name}": value for name, value in (
             ("0123456789abcdef", DEEP), ("0123456789abcdee", b""), ("odd", {"left_ms": 5}),
--- a/src/tests/store_era_test.cpp
+++ b/src/tests/store_era_test.cpp
@@ -316,18 +316,36 @@
     ConfigurationProof proof;
     proof.setVersion(9);
     proof.onProof(timePoint(1'000));
-    proof.onVersionHeard(10, timePoint(2'000));
+    proof.onVersionHeard(10, timePoint(2'000), timePoint(2'000));
     EXPECT_EQ(proof.provenAt(), timePoint(1'000)); // It may be on its way.
     proof.onProof(timePoint(1'900));
     EXPECT_EQ(proof.provenAt(), timePoint(1'900));
     proof.onProof(timePoint(2'100));
     EXPECT_EQ(proof.provenAt(), TimePoint());
-    EXPECT_EQ(proof.newestVersion(), 10U);
+    EXPECT_TRUE(proof.isSuperseded(timePoint(2'100)));
     proof.setVersion(10); // Written again.
     proof.onProof(timePoint(3'000));
     EXPECT_EQ(proof.provenAt(), timePoint(3'000));
 }
 
+TEST(ConfigurationProofTest, VersionThatNoNodeStatesAnyMoreEndsNoServiceForGood)
+{
+    // A version that nobody has, from a record or a message of another writer.
+    ConfigurationProof proof;
+    proof.setVersion(9);
+    proof.onVersionHeard(9'000'000, timePoint(1'000), timePoint(1'000));
+    proof.onProof(timePoint(1'100));
+    EXPECT_EQ(proof.provenAt(), TimePoint());
+    proof.onProof(timePoint(11'001));
+    EXPECT_EQ(proof.provenAt(), timePoint(11'001));
+    proof.onVersionHeard(10, timePoint(11'100), timePoint(11'100));
+    EXPECT_TRUE(proof.isSuperseded(timePoint(11'200)));
+    proof.onVersionHeard(10, timePoint(20'000), timePoint(20'000));
+    EXPECT_TRUE(proof.isSuperseded(timePoint(29'000)));
+    proof.setVersion(10);
+    EXPECT_FALSE(proof.isSuperseded(timePoint(29'000)));
+}
+
 TEST(ConfigurationProofTest, ProofsOfAnOlderCopyCountOnceItIsWrittenAgain)
 {
     ConfigurationProof proof;
