Fix: [Forwarding] A node whose body memory is full refused another node's request without the mark

A caller of a node without links to servers got 502 for a request that no server had been offered, instead of a try at another node: the refusal for want of body memory did not know that the request came from a node, so that it did not say 'not run'.

Both ways of taking a request read its head in one place now. Found by reading, not shown by a run of its own; attempt_review_test holds.

--- a/src/network/relay.cpp
+++ b/src/network/relay.cpp
@@ -144,13 +144,25 @@
     return {};
 }
 
+std::optional<RequestArrival> Relay::readArrival(Exchange &exchange, const MessageHead &head) const
+{
+    exchange.head = head;
+    std::optional<RequestArrival> arrival = m_dialect.readArrival(head);
+    if (!arrival)
+        return std::nullopt;
+    exchange.isOfNode =
+        arrival->attemptsLeft && !m_forwardKey.empty() && arrival->forwardKey == m_forwardKey;
+    if (!exchange.isOfNode)
+        arrival->attemptsLeft.reset();
+    return arrival;
+}
+
 void Relay::onRequest(ExchangeId id, const MessageHead &head, std::string body)
 {
     const TimePoint now = m_loop.now();
     const RequestId request = toRequestId(id);
-    std::optional<RequestArrival> arrival = m_dialect.readArrival(head);
     Exchange &exchange = m_exchanges[request];
-    exchange.head = head;
+    std::optional<RequestArrival> arrival = readArrival(exchange, head);
     exchange.body = std::move(body);
     exchange.arrivedAt = now;
     exchange.sequence = EventSequence(head.value(m_dialect.lastEventHeader));
@@ -158,10 +170,6 @@
         perform(RefuseRequest {request, ErrorCode::MalformedRequest, RunOutcome::NotRun, {}});
         return;
     }
-    exchange.isOfNode =
-        arrival->attemptsLeft && !m_forwardKey.empty() && arrival->forwardKey == m_forwardKey;
-    if (!exchange.isOfNode)
-        arrival->attemptsLeft.reset();
     arrival->request = request;
     arrival->content = contentHash(exchange.head, exchange.body);
     RequestActions actions;
@@ -172,7 +180,7 @@
 void Relay::onBodyDropped(ExchangeId id, const MessageHead &head)
 {
     const RequestId request = toRequestId(id);
-    m_exchanges[request].head = head;
+    readArrival(m_exchanges[request], head);
     m_hooks.decided(
         {head.value(m_dialect.traceHeader), "request_refused", {{"cause", "body_memory"}}});
     perform(RefuseRequest {request, ErrorCode::NoCapacity, RunOutcome::NotRun, bodyMemoryRetry});
--- a/src/network/relay.h
+++ b/src/network/relay.h
@@ -113,6 +113,8 @@
         explicit operator bool() const { return attempt != nullptr; }
     };
 
+    /// Reads the head of a request, which is another node's if it shows this node's key.
+    std::optional<RequestArrival> readArrival(Exchange &exchange, const MessageHead &head) const;
     void onRequest(ExchangeId id, const MessageHead &head, std::string body);
     /// Refuses a request whose body was dropped for lack of memory.
     void onBodyDropped(ExchangeId id, const MessageHead &head);
