Fix: [Numbers] Very large numbers of servers and of the store, and a decayed rate, overflow

A server that names an idle timeout of 2,147,484 s or more got a new connection for each request: the number of milliseconds overflowed. The time that a queue needs had no defined value 28 s after the last request of its servers had ended, and an era of the store above 9e9 gives generations that JSON does not state exactly.

The timeout is at most an hour; a queue whose rate is too low to be tracked has none; larger eras count as none.

--- a/src/network/backend_connections.cpp
+++ b/src/network/backend_connections.cpp
@@ -19,6 +19,7 @@
 /// An idle connection expires this long before the server's own timeout, because a request sent
 /// later could arrive after the server has closed the connection.
 constexpr Duration idleTimeoutMargin {1'000};
+constexpr Duration maxIdleTimeout {3'600'000};
 constexpr std::size_t maxIdlePerServer = 32;
 /// Bounds the memory for the ids of the requests that a connection has carried.
 constexpr std::size_t maxRequestsPerConnection = 256;
@@ -33,8 +34,11 @@
         return defaultIdleTimeout;
     int seconds = 0;
     const char *begin = value.data() + at + timeoutParameter.size();
-    std::from_chars(begin, value.data() + value.size(), seconds);
-    return std::max(Duration(seconds * 1'000) - idleTimeoutMargin, Duration(0));
+    const auto parsed = std::from_chars(begin, value.data() + value.size(), seconds);
+    if (parsed.ec == std::errc::result_out_of_range)
+        return maxIdleTimeout;
+    return std::clamp<Duration>(std::chrono::seconds(seconds) - idleTimeoutMargin, Duration(0),
+                                maxIdleTimeout);
 }
 
 } // namespace
--- a/src/platform/platform_store.cpp
+++ b/src/platform/platform_store.cpp
@@ -36,6 +36,9 @@
     return encoded.get();
 }
 
+/// Generations of plans are multiples of the era, and have to stay exact in JSON.
+constexpr std::int64_t maxEra = 1'000'000'000;
+
 /// The era that a response of the store names; 0 if it names none.
 StoreEra readEra(const HttpResponse &response)
 {
@@ -45,7 +48,7 @@
             continue;
         const char *end = value.data() + value.size();
         const auto [parsed, error] = std::from_chars(value.data(), end, era);
-        if (error != std::errc() || parsed != end || era < 0)
+        if (error != std::errc() || parsed != end || era < 0 || era > maxEra)
             return StoreEra();
     }
     return StoreEra(era);
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -396,7 +396,7 @@
 std::optional<Duration> RequestSystem::excessiveQueueWait(const Request &request,
                                                           const Target &target, TimePoint now) const
 {
-    if (request.responseStarted || target.departuresPerSecond <= 0)
+    if (request.responseStarted || target.departuresPerSecond < minTrackedRate)
         return std::nullopt;
     const double seconds = static_cast<double>(target.waiting.size()) / target.departuresPerSecond;
     const Duration queueWait(static_cast<Duration::rep>(seconds * 1'000));
--- a/src/tests/http_client_test.cpp
+++ b/src/tests/http_client_test.cpp
@@ -223,6 +223,31 @@
     }
 }
 
+TEST_F(HttpClientTest, VeryLongIdleTimeoutOfAServerKeepsItsConnection)
+{
+    // Guards against an overflow, after which each request opened a connection.
+    m_server.ending = Ending::Silence;
+    for (const char *timeout : {"2147484", "2147483647", "99999999999"}) {
+        BackendConnections connections(m_loop, "X-Id");
+        for (const std::string id : {"a", "b"}) {
+            m_server.response = "HTTP/1.1 200 OK\r\nX-Id: " + id
+                + "\r\nKeep-Alive: timeout=" + timeout + "\r\nContent-Length: 0\r\n\r\n";
+            BackendRequest request;
+            request.address = m_server.address();
+            request.server = VmId("s");
+            request.head = "GET / HTTP/1.1\r\n\r\n";
+            request.traceId = id;
+            BackendHooks hooks;
+            hooks.onResponseHead = [](const MessageHead &) {};
+            hooks.onResponseEnd = [&](BodyEnd) { m_loop.stop(); };
+            hooks.onFailure = [&](bool) { m_loop.stop(); };
+            connections.send(request, hooks);
+            m_loop.run();
+        }
+        EXPECT_EQ(connections.opened(), 1U) << timeout;
+    }
+}
+
 TEST_F(HttpClientTest, EarlierResponseIsNotThatToTheNextRequestOfAConnection)
 {
     // Guards against TWICE and REFUSED: a refusal that a server repeated was taken for its answer
