Fix: [Formation] A node that starts while its plan cannot be read took apart the groups that serve

All streams of a domain ended if its owner started while another writer's bytes stood in place of the plan: the VMs of its groups counted as left over and were told to leave, before a new plan was written.

Such an owner takes over the groups that the servers claim, as after an older copy of the store, and writes the plan first.

--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -334,6 +334,9 @@
             }
             if (changed)
                 next.generation = Generation(next.generation.value() + 1);
+            // A node that has read no plan yet would take all groups for those of others.
+            if (changed && domain.plan.generation == Generation())
+                adoptClaimedGroups(id, next);
         }
         changed = removeDissolvedGroups(domain, next, now, actions) || changed;
         changed = dissolveBrokenGroups(next, now, actions) || changed;
--- a/src/tests/formation_test.cpp
+++ b/src/tests/formation_test.cpp
@@ -409,6 +409,11 @@
         const auto overwritten = harness.overwritePlans();
         ASSERT_FALSE(overwritten.empty());
         harness.sentOrders.clear();
+        harness.run(Duration(5'000));
+        for (const SendGroupOrder &order : harness.sentOrders)
+            EXPECT_TRUE(order.kind != GroupOrderKind::Leave
+                        && order.kind != GroupOrderKind::CloseAfterQueue)
+                << restarts << " " << order.group.value();
         const VmId lost = harness.fleet().members.begin()->second.back();
         harness.removeVm(lost);
         harness.run(Duration(40'000));
