Fix: [Callers] A stopping node reads no request that crosses the end of an idle connection

A connection that was idle for less than a second when its node stopped to listen lingered, and discarded a request on its way after reading it. It is closed at once now, so that the request stays unread and may be repeated elsewhere; only a connection behind a response lingers.

--- a/src/network/caller_connections.cpp
+++ b/src/network/caller_connections.cpp
@@ -445,8 +445,9 @@
         if (isIdle(*connection))
             idle.push_back(connection.get());
     }
+    // A request that is on its way stays unread, so that its caller may repeat it elsewhere.
     for (Connection *connection : idle)
-        closeAfterReading(*connection);
+        close(*connection);
 }
 
 void CallerConnections::sweep(TimePoint now)
