--- a/src/tests/http_client_test.cpp
+++ b/src/tests/http_client_test.cpp
@@ -381,6 +381,11 @@
 {
     const std::string first = R"({"key":"a","revision":5,"value":"MQ=="})";
     const std::string last = R"({"key":"z","revision":9,"value":"Mg=="})";
+    const auto pageWith = [&](const std::string &item) {
+        std::string text = "{\"entries\":[";
+        text.append(first).append(",").append(item).append(",").append(last);
+        return text.append(R"(],"more_pages":false,"as_of":9})");
+    };
     for (const char *odd :
          {"null", "5", "[]", "{}", R"({"key":5,"revision":6,"value":"MQ=="})",
           R"({"key":"b","value":"MQ=="})", R"({"key":"b","revision":"6","value":"MQ=="})",
@@ -388,8 +393,7 @@
           R"({"key":"b","revision":-6,"value":"MQ=="})",
           R"({"key":"b","revision":18446744073709551615,"value":"MQ=="})",
           R"({"key":"b","revision":6,"deleted":"yes"})"}) {
-        const StoreReply reply = readPage("{\"entries\":[" + first + "," + odd + "," + last
-                                          + R"(],"more_pages":false,"as_of":9})");
+        const StoreReply reply = readPage(pageWith(odd));
         ASSERT_EQ(reply.outcome, StoreReply::Outcome::Read) << odd;
         ASSERT_EQ(reply.changes.size(), 2U) << odd;
         EXPECT_EQ(reply.changes.front().value, "1");
@@ -399,8 +403,7 @@
     // The key and revision are known: the previous value no longer holds.
     for (const char *odd : {R"("value":"!!!")", R"("value":"MQ=")", R"("value":5)", R"("x":1)"}) {
         const StoreReply reply =
-            readPage("{\"entries\":[" + first + R"(,{"key":"b","revision":6,)" + odd + "}," + last
-                     + R"(],"more_pages":false,"as_of":9})");
+            readPage(pageWith(R"({"key":"b","revision":6,)" + std::string(odd) + "}"));
         ASSERT_EQ(reply.changes.size(), 3U) << odd;
         EXPECT_EQ(reply.changes[1].key, "b");
         EXPECT_EQ(reply.changes[1].value, "");
