--- a/src/network/message_grammar.cpp
+++ b/src/network/message_grammar.cpp
@@ -196,16 +196,18 @@
             framing.length = length;
         } else if (sameHeader(field.name, "transfer-encoding")) {
             ++codings;
-            if (!sameHeader(field.value, "chunked"))
+            framing.isChunked = sameHeader(field.value, "chunked");
+            // Servers of earlier versions of HTTP state "identity" before a body without an end.
+            if (!framing.isChunked && (isRequest || !sameHeader(field.value, "identity")))
                 return fault("transfer_encoding");
         } else if (beginsLikeFraming(field.name)) {
             return fault("field");
         }
     }
-    framing.isChunked = codings > 0;
     if (isRequest && hosts != 1)
         return fault("host");
-    if (codings > 1 || (framing.isChunked && (framing.length || version == "HTTP/1.0")))
+    if (codings > 1 || (codings > 0 && framing.length)
+        || (framing.isChunked && version == "HTTP/1.0"))
         return fault("transfer_encoding");
     if (!isRequest && framing.isChunked) {
         int status = 0;
--- a/src/tests/framing_test.cpp
+++ b/src/tests/framing_test.cpp
@@ -484,6 +484,7 @@
     EXPECT_TRUE(
         isRead("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"));
     EXPECT_TRUE(isRead("HTTP/1.1 200 OK\r\nX-Name: caf\xc3\xa9\r\nX-Empty:\r\n\r\nto the end"));
+    EXPECT_TRUE(isRead("HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nto the end"));
     EXPECT_TRUE(isRead("HTTP/1.1 204 No Content\r\n\r\n"));
     EXPECT_TRUE(isRead("HTTP/1.1 304 Not Modified\r\nContent-Length: 7\r\n\r\n"));
     for (const char *malformed :
@@ -495,7 +496,8 @@
         EXPECT_FALSE(isRead(malformed)) << malformed;
     const std::string startLine = "HTTP/1.1 200 OK\r\n";
     for (const char *malformed :
-         {"Content-Length : 2\r\n\r\nok", " Content-Length: 2\r\n\r\nok",
+         {"Transfer-Encoding: identity\r\nContent-Length: 2\r\n\r\nok",
+          "Content-Length : 2\r\n\r\nok", " Content-Length: 2\r\n\r\nok",
           "Content-Length: 2\r\nContent-Length: 2\r\n\r\nok",
           "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
           "Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
