Fix: [Settings] A node that began with half a settings file never reached the store

The address is checked before the start, and a reload applies it. Also mends three findings of the linter in tests.

--- a/src/platform/platform_serve.cpp
+++ b/src/platform/platform_serve.cpp
@@ -39,6 +39,8 @@
     void readSettings();
     /// Applies the settings file even if it has not changed.
     void reload();
+    /// Applies the settings that can change at run time.
+    void applySettings();
     /// Throws Failure if the node cannot start now.
     void start();
     void stop();
@@ -92,7 +94,7 @@
             if (!m_daemon)
                 start();
             else if (changed || m_reloadRequested)
-                m_daemon->reload(servingOptions(m_settings.current(), metricsPort));
+                applySettings();
             m_reloadRequested = false;
             m_delayReason.clear();
             nextRead = settingsCheckInterval;
@@ -117,6 +119,12 @@
     m_daemon = std::move(daemon);
 }
 
+void PlatformNode::applySettings()
+{
+    m_store->setAddress(storeAddress(m_settings.current()));
+    m_daemon->reload(servingOptions(m_settings.current(), metricsPort));
+}
+
 void PlatformNode::stop()
 {
     if (m_daemon) {
--- a/src/platform/platform_settings.cpp
+++ b/src/platform/platform_settings.cpp
@@ -1,6 +1,7 @@
 #include "platform/platform_settings.h"
 
 #include "core/error_type.h"
+#include "network/address_func.h"
 
 #include <algorithm>
 #include <charconv>
@@ -144,7 +145,9 @@
 
 Address storeAddress(const SettingsFile &file)
 {
-    return Address(file.text("platform.address"));
+    Address address(file.text("platform.address"));
+    parseSocketAddress(address); // A file that is being written may end within it.
+    return address;
 }
 
 } // namespace bramleypitch::platform
--- a/src/platform/platform_store.h
+++ b/src/platform/platform_store.h
@@ -11,6 +11,8 @@
 {
 public:
     PlatformStore(HttpClient &http, Address address);
+    /// Calls go to this address from now on.
+    void setAddress(Address address) { m_address = std::move(address); }
 
     void readPage(const std::string &prefix, const std::string &after,
                   const std::function<void(const StoreReply &)> &done) override;
--- a/src/tests/foreign_entry_test.cpp
+++ b/src/tests/foreign_entry_test.cpp
@@ -186,6 +186,7 @@
             pointers.insert(pointer.to_string());
     }
     std::vector<json::json_pointer> elements;
+    elements.reserve(pointers.size());
     for (const std::string &pointer : pointers)
         elements.emplace_back(pointer);
     return elements;
--- a/src/tests/relay_test.cpp
+++ b/src/tests/relay_test.cpp
@@ -980,10 +980,12 @@
     ASSERT_EQ(bytes.substr(bytes.size() - added), quarantine + limits + cut + store + end);
     const std::string known = bytes.substr(0, bytes.size() - added);
     // Versions without these fields, without the later ones, and with a further field.
+    std::string withCut = quarantine;
+    withCut.append(limits).append(cut);
     std::string later = quarantine;
     later.append(limits).append(cut).append(store).append(quarantine);
     for (const std::string &fields :
-         {std::string(), quarantine, quarantine + limits, quarantine + limits + cut, later}) {
+         {std::string(), quarantine, quarantine + limits, withCut, later}) {
         m_pulses.clear();
         std::string received = known;
         received.append(fields).append(end);
@@ -1003,8 +1005,10 @@
     const std::string digestBytes = "D" + toThriftBytes(digest);
     ASSERT_EQ(digestBytes.substr(digestBytes.size() - added),
               quarantine + limits + cutNodes + store + end);
+    std::string withCutNodes = quarantine;
+    withCutNodes.append(limits).append(cutNodes);
     for (const std::string &fields :
-         {std::string(), quarantine, quarantine + limits, quarantine + limits + cutNodes}) {
+         {std::string(), quarantine, quarantine + limits, withCutNodes}) {
         m_digests.clear();
         std::string received = digestBytes.substr(0, digestBytes.size() - added);
         received.append(fields).append(end);
