Fix: [Relay] A success whose connection ended right behind its head was passed on as a whole empty one

What callers saw: a server that stopped once it had written the head of a 200, with neither a length nor chunks, and closed, gave them a 200 with Content-Length: 0.

Cause: the end of a connection counted as the end of the body also where no byte of it had come, so that nothing but the end itself said that there was none. Streams had that rule already.

Such a response is now an attempt that broke: one that may be repeated goes to another server, any other request gets 502. A body that has begun is still taken as whole at a clean end, as RFC 9112, 8, says and the servers' protocol allows.

--- a/src/network/relay.cpp
+++ b/src/network/relay.cpp
@@ -391,6 +391,13 @@
                       {"unfinished_bytes", std::to_string(unfinished)}}});
 }
 
+bool Relay::mayLackBody(const Attempt &attempt, BodyEnd end)
+{
+    const int status = attempt.head.status;
+    return end == BodyEnd::ConnectionClose && attempt.body.empty() && status >= ok
+        && status < firstRedirect;
+}
+
 void Relay::handleResponseEnd(RequestId id, AttemptNumber attempt, BodyEnd end)
 {
     const OpenAttempt open = find(id, attempt);
@@ -401,6 +408,10 @@
         handleStreamEnd(id, attempt, end);
         return;
     }
+    if (mayLackBody(*open.attempt, end)) {
+        handleAttemptFailure(id, attempt, AttemptFailure::Broken);
+        return;
+    }
     const ResponseDetails details = open.attempt->details;
     const int status = open.attempt->head.status;
     const bool isRefusal = status == misdirectedRequest || details.notExecuted;
--- a/src/network/relay.h
+++ b/src/network/relay.h
@@ -144,6 +144,9 @@
     /// The response to the attempt can be forwarded: ends the other attempts of the exchange.
     /// Returns the exchange, of which the attempt is now the current one.
     Exchange &chooseAttempt(RequestId id, AttemptNumber attempt);
+    /// Whether a success may have been broken off before its body: its head states no end of the
+    /// body, and its connection ended before the first byte.
+    static bool mayLackBody(const Attempt &attempt, BodyEnd end);
     void handleResponseEnd(RequestId id, AttemptNumber attempt, BodyEnd end);
     void handleStreamEnd(RequestId id, AttemptNumber attempt, BodyEnd end);
     /// Why a stream whose body has ended is not complete; none if it is. It was broken off inside
--- a/src/tests/http_client_test.cpp
+++ b/src/tests/http_client_test.cpp
@@ -297,6 +297,93 @@
     EXPECT_EQ(connections.opened(), opened + 2);
 }
 
+/// What an attempt of a request has received.
+struct AttemptRecord
+{
+    int status = 0; ///< 0 until the head was passed on.
+    std::string body;
+    std::optional<BodyEnd> end;
+    bool failed = false;
+};
+
+class CutHeadTest : public HttpClientTest
+{
+protected:
+    /// Sends a request whose response is `bytes`. Returns what was received by the end of the
+    /// attempt, or by the end of that time.
+    AttemptRecord attempt(BackendConnections &connections, const std::string &id,
+                          const std::string &bytes, Ending ending, Duration time)
+    {
+        m_server.response = bytes;
+        m_server.ending = ending;
+        AttemptRecord record;
+        BackendRequest request;
+        request.address = m_server.address();
+        request.server = VmId("s");
+        request.head = "GET / HTTP/1.1\r\n\r\n";
+        request.traceId = id;
+        BackendHooks hooks;
+        hooks.onResponseHead = [&](const MessageHead &head) { record.status = head.status; };
+        hooks.onResponseBody = [&](const std::string &part) { record.body += part; };
+        hooks.onResponseEnd = [&](BodyEnd end) {
+            record.end = end;
+            m_loop.stop();
+        };
+        hooks.onFailure = [&](bool) {
+            record.failed = true;
+            m_loop.stop();
+        };
+        Timer timer(m_loop, [&] { m_loop.stop(); });
+        const AttemptHandle handle = connections.send(request, hooks);
+        timer.startOnce(time);
+        m_loop.run();
+        connections.abandon(handle);
+        return record;
+    }
+};
+
+TEST_F(CutHeadTest, ResponseThatEndsInItsHeadIsNoResponse)
+{
+    // Guards against MIXED and ORDER: a response that was broken off in its head reached the caller
+    // as a whole one with an empty or short body.
+    constexpr Duration enough {5'000};
+    constexpr Duration silence {3};
+    const std::string otherRefusal = "HTTP/1.1 503 Full\r\nX-Id: other\r\nX-Not-Executed: 1\r\n"
+                                     "Content-Length: 4\r\n\r\nfull";
+    const std::vector<std::string> before {
+        "", otherRefusal, "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nLink: a\r\nContent-Length: 9\r\n\r\n"};
+    for (const char *framing : {"Content-Length: 12\r\n", "Transfer-Encoding: chunked\r\n",
+                                "Transfer-Encoding: identity\r\n", "", "Connection: close\r\n",
+                                "Content-Length: 0\r\n"}) {
+        const std::string head =
+            std::string("HTTP/1.1 200 OK\r\nX-Id: own\r\nX-Seal: 1.200\r\n") + framing + "\r\n";
+        for (const std::string &prefix : before) {
+            for (const bool isKept : {false, true}) {
+                for (const Ending ending : {Ending::Close, Ending::Reset, Ending::Silence}) {
+                    for (std::size_t cut = 0; cut < head.size(); ++cut) {
+                        BackendConnections connections(m_loop, "X-Id");
+                        if (isKept) {
+                            const std::string first =
+                                "HTTP/1.1 200 OK\r\nX-Id: first\r\nContent-Length: 0\r\n\r\n";
+                            ASSERT_TRUE(
+                                attempt(connections, "first", first, Ending::Silence, enough).end);
+                        }
+                        const AttemptRecord record =
+                            attempt(connections, "own", prefix + head.substr(0, cut), ending,
+                                    ending == Ending::Silence ? silence : enough);
+                        EXPECT_EQ(connections.opened(), 1U);
+                        EXPECT_EQ(record.status, 0) << framing << prefix << cut;
+                        EXPECT_EQ(record.body, "");
+                        EXPECT_FALSE(record.end) << framing << prefix << cut;
+                        EXPECT_EQ(record.failed, ending != Ending::Silence) << framing << cut;
+                    }
+                }
+            }
+        }
+    }
+}
+
 /// The bytes of a complete response.
 std::string okResponse(const std::string &body)
 {
--- a/src/tests/response_end_test.py
+++ b/src/tests/response_end_test.py
@@ -138,12 +138,12 @@
 
     def may_look_complete(self, run):
         """Whether a broken run ends as a complete one without a length or chunks does: with its
-        connection, quietly, and, in a stream, after an event."""
+        connection, quietly, after a byte of its body, and, in a stream, after an event."""
         if self.way != "fin" or self.framing not in CLOSE_DELIMITED:
             return False
         answer = self.answer_after(self.runs[run], run)
         offset = self.offset(answer, run)
-        if offset < answer.head_length:
+        if offset <= answer.head_length:
             return False
         return not self.is_stream() or (answer.is_at_piece_end(offset)
                                         and self.runs[run] + answer.pieces_before(offset) > 0)
