Fix: [Stop] Requests that may run only once were taken after the signal, though they might outlast the stop

What callers saw: a payment or a stream that cannot be resumed, sent within 2.5 s of the SIGTERM with a deadline behind the end of the stop, was passed on, and cut off at that end if its server had not answered. Its caller could not repeat it.

Cause: for the first 2.5 s a stopping node takes all requests, since callers cannot know of the stop yet. For a request with a later deadline that is a guess at how long its server takes, and one that may run only once has no way back from it.

Such requests are refused from the signal on, at once and as not run, also those that wait then. Requests that may be repeated or resumed are still taken. A request whose connection opens only after these 2.5 s is withdrawn, too: it was sent up to 0.4 s later.

StopTest.RequestThatMayRunOnce* and RequestWhoseConnection* fail before; StopProperty.RequestsTakenLateInAStopEndBeforeIt plays random lengths and moments.

--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -355,13 +355,15 @@
 
 bool RequestSystem::outlastsStop(const Request &request, TimePoint now) const
 {
-    return m_stopDeadline && now >= m_closedAt && request.cutByStop > Duration(0)
-        && !request.mayHaveRun;
+    // One that may run only once has no other way to an answer after it was cut off.
+    const bool mayRunAgain =
+        request.kind == RequestKind::Repeatable || request.kind == RequestKind::ResumableStream;
+    const bool isTaken = now < m_closedAt && mayRunAgain;
+    return m_stopDeadline && !isTaken && request.cutByStop > Duration(0) && !request.mayHaveRun;
 }
 
 void RequestSystem::refuseOutlasting(TimePoint now, RequestActions &actions)
 {
-    m_closeHandled = true;
     std::vector<RequestId> refused;
     for (const auto &[id, request] : m_requests) {
         if (!request.running && outlastsStop(request, now))
@@ -859,7 +861,7 @@
 {
     const auto found = m_requests.find(id);
     if (found == m_requests.end() || !found->second.running
-        || found->second.current.number != attempt)
+        || found->second.current.number != attempt || outlastsStop(found->second, now))
         return false;
     const Attempt &current = found->second.current;
     if (current.isForwarded())
@@ -1426,7 +1428,7 @@
         }
         m_ratesAt = now;
     }
-    if (m_stopDeadline && now >= m_closedAt && !m_closeHandled)
+    if (m_stopDeadline)
         refuseOutlasting(now, actions);
     checkLinks(now, actions);
     for (auto &[key, target] : m_targets)
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -77,9 +77,10 @@
     /// Sets the zones that take no new requests.
     void setZonesOut(std::set<ZoneId> zones) { m_zonesOut = std::move(zones); }
     /// The node stops now. All requests end by the given deadline. Until `closedAt`, while callers
-    /// cannot know of the stop, requests are still accepted if they have a later deadline of their
-    /// own; they are ended then. After that such requests are refused at once, so that callers can
-    /// turn to another node: how long a server takes is not known before it has answered.
+    /// cannot know of the stop, requests that may be repeated are still accepted if they have a
+    /// later deadline of their own; they are ended then. All other such requests are refused at
+    /// once, so that callers can turn to another node: how long a server takes is not known before
+    /// it has answered.
     void startStop(TimePoint deadline, TimePoint closedAt, TimePoint now);
     /// Sets the number of nodes that share the limits of the servers, and the index of this node.
     void setNodes(NodeShare nodes) { m_nodes = nodes; }
@@ -422,7 +423,6 @@
     TimePoint m_stopStartedAt;
     std::optional<TimePoint> m_stopDeadline;
     TimePoint m_closedAt; ///< From then on requests that may outlast a stop are refused.
-    bool m_closeHandled = false;
     bool m_openAtStopLogged = false;
     TimePoint m_ratesAt;
     TimePoint m_deadlinesAt;
--- a/src/tests/request_test.cpp
+++ b/src/tests/request_test.cpp
@@ -199,6 +199,178 @@
     EXPECT_EQ(m_system.open(), 0U);
 }
 
+TEST_F(StopTest, RequestThatMayRunOnceIsRefusedFromTheSignalOnIfItMayOutlastTheStop)
+{
+    // Guards against LOST: a payment that was taken after the signal was cut off at its server, and
+    // could not be repeated.
+    m_backends.update(serverReport("s1"), m_now);
+    while (isDispatched(sendRequest("/pay/x"))) { }
+    ASSERT_EQ(m_system.waiting(), 1U);
+    stop(Duration(5'000), Duration(2'500));
+    EXPECT_TRUE(isRefusedAsNotRun(tickAfter(Duration(25))));
+    m_backends.update(serverReport("s2"), m_now);
+    EXPECT_TRUE(isRefusedAsNotRun(sendRequest("/pay/x")));
+    EXPECT_TRUE(isDispatched(sendRequest("/read/x")));
+}
+
+TEST_F(StopTest, RequestWhoseConnectionOpensTooLateIsNotSent)
+{
+    // Guards against LOST: a request was passed on late in a stop, as its connection opened late.
+    addGroup("g");
+    stop(Duration(5'000), Duration(1'000));
+    m_now += Duration(990);
+    const DispatchAttempt outlasting = actionsOf<DispatchAttempt>(arrive()).at(0);
+    const DispatchAttempt ending = actionsOf<DispatchAttempt>(arrive(Duration(4'000))).at(0);
+    EXPECT_TRUE(m_system.mayStillSend(outlasting.request, outlasting.attempt, m_now));
+    m_now += Duration(10);
+    EXPECT_FALSE(m_system.mayStillSend(outlasting.request, outlasting.attempt, m_now));
+    EXPECT_TRUE(m_system.mayStillSend(ending.request, ending.attempt, m_now));
+    EXPECT_TRUE(isRefusedAsNotRun(failAttempt(outlasting, AttemptFailure::Withdrawn)));
+}
+
+/// One request of a stop, and how its servers treat it.
+struct StopCase
+{
+    RequestId id;
+    RequestKind kind = RequestKind::Repeatable;
+    TimePoint deadline; ///< Of the caller.
+    TimePoint answerAt; ///< Of its server.
+    TimePoint arrivedAt;
+    std::optional<DispatchAttempt> running;
+    bool mayHaveRun = false;
+    bool hasEnded = false;
+};
+
+/// Plays a stop with requests of all kinds, lengths and moments, at servers with few slots.
+class StopPlay : public RequestTest
+{
+public:
+    void TestBody() override { }
+
+    void play()
+    {
+        m_system.setConfiguration(std::make_shared<ServingConfiguration>(configuration()));
+        for (const char *server : {"s1", "s2"})
+            m_backends.update(serverReport(server), m_now);
+        addGroup("g");
+        m_system.startStop(m_now + Duration(7'700), m_now + Duration(2'500), m_now);
+        m_end = m_now + Duration(7'700);
+        m_closedAt = m_now + Duration(2'500);
+        const TimePoint last = m_end + Duration(200);
+        while (m_now < last) {
+            m_now += Duration(25);
+            m_system.setConfigurationProof(m_now);
+            if (*rc::gen::inRange(0, 4) == 0)
+                arrive();
+            answer();
+            RequestActions actions;
+            m_system.tick(m_now, actions);
+            take(actions);
+        }
+        RC_ASSERT(m_system.open() == 0U);
+    }
+
+private:
+    static ServingConfiguration configuration()
+    {
+        ServingConfiguration configuration = validConfiguration();
+        for (RouteSpec &route : configuration.routes) {
+            route.timeout = Duration(20'000);
+            route.maxAttempts = *rc::gen::element(1U, 3U);
+        }
+        return configuration;
+    }
+
+    void arrive()
+    {
+        RequestArrival arrival;
+        arrival.request = RequestId(++m_lastRequestId);
+        arrival.traceId = std::to_string(m_lastRequestId);
+        arrival.host = "shop.example";
+        arrival.path = *rc::gen::element<std::string>("/ask/x", "/pay/x", "/read/x");
+        arrival.key = apiKey;
+        if (arrival.path == "/ask/x")
+            arrival.model = ModelId("m");
+        const Duration limit(*rc::gen::inRange(100, 12'000));
+        arrival.timeLimit = limit;
+        if (*rc::gen::inRange(0, 4) == 0)
+            arrival.attemptsLeft = 1; // Another node passes it on.
+        StopCase &item = m_cases[arrival.request];
+        item.id = arrival.request;
+        item.kind = arrival.path == "/pay/x" ? RequestKind::AtMostOnce : RequestKind::Repeatable;
+        item.arrivedAt = m_now;
+        item.deadline = m_now + limit;
+        RequestActions actions;
+        m_system.onRequestArrived(arrival, m_now, actions);
+        take(actions);
+    }
+
+    /// The servers answer, fail or refuse what they have had for long enough.
+    void answer()
+    {
+        for (auto &[id, item] : m_cases) {
+            if (!item.running || item.answerAt > m_now || item.hasEnded)
+                continue;
+            const DispatchAttempt attempt = *std::exchange(item.running, std::nullopt);
+            RequestActions actions;
+            switch (*rc::gen::inRange(0, 4)) {
+            case 0:
+                m_system.onAttemptFailed(id, attempt.attempt, AttemptFailure::Unsent, VmId(), m_now,
+                                         actions);
+                break;
+            case 1:
+                m_system.onAttemptFailed(id, attempt.attempt, AttemptFailure::NotExecuted, VmId(),
+                                         m_now, actions);
+                break;
+            default:
+                item.mayHaveRun = true;
+                m_system.onResponse(id, attempt.attempt, 200, m_now, actions, ResponseEnd::Framed);
+            }
+            take(actions);
+        }
+    }
+
+    void take(const RequestActions &actions)
+    {
+        for (const DispatchAttempt &attempt : actionsOf<DispatchAttempt>(actions)) {
+            StopCase &item = m_cases.at(attempt.request);
+            // Whatever a server gets late in the stop has to end before the stop does.
+            if (m_now >= m_closedAt || item.kind == RequestKind::AtMostOnce)
+                RC_ASSERT(item.deadline <= m_end);
+            item.running = attempt;
+            item.answerAt = m_now + Duration(*rc::gen::inRange(0, 6'000));
+        }
+        for (const RefuseRequest &refusal : actionsOf<RefuseRequest>(actions)) {
+            StopCase &item = m_cases.at(refusal.request);
+            item.hasEnded = true;
+            const bool isSent = item.running.has_value();
+            if (refusal.run == RunOutcome::NotRun)
+                RC_ASSERT(!isSent);
+            // One at work is cut off by its own deadline, or was taken while callers could not know
+            // of the stop.
+            if (isSent)
+                RC_ASSERT(m_now >= item.deadline
+                          || (item.arrivedAt < m_closedAt && m_now >= m_end
+                              && item.kind != RequestKind::AtMostOnce));
+            // What cannot end in time is refused at once, not when its time is over.
+            if (!isSent && item.arrivedAt >= m_closedAt && item.deadline > m_end)
+                RC_ASSERT(m_now == item.arrivedAt);
+        }
+        for (const DeliverResponse &response : actionsOf<DeliverResponse>(actions))
+            m_cases.at(response.request).hasEnded = true;
+    }
+
+    std::map<RequestId, StopCase> m_cases;
+    TimePoint m_end;
+    TimePoint m_closedAt;
+};
+
+RC_GTEST_PROP(StopProperty, RequestsTakenLateInAStopEndBeforeIt, ())
+{
+    // Guards against LOST: requests that came late in a stop were passed on and cut off at its end.
+    StopPlay().play();
+}
+
 TEST_F(RequestTest, RequestsThatAreOpenAtTheEndOfAStopAreLogged)
 {
     addGroup("g");
--- a/src/tests/stopping_node_cuts_answers_test.py
+++ b/src/tests/stopping_node_cuts_answers_test.py
@@ -14,6 +14,11 @@
 - an end after the request's time;
 - an end in the last sixth of the grace time, while a server is at work on a request that was sent
   no later than 3 s after the SIGTERM.
+
+No server gets a request whose time ends after the grace time if it was sent later than 2.5 s after
+the SIGTERM, or after the SIGTERM at all and may run only once. In the variant "queued" servers have
+few slots, so that requests wait, and may be refused for that. A quarter of the requests come from
+another node, which passes them on.
 """
 
 import base64
@@ -40,15 +45,17 @@
 LAST_SIXTH_S = GRACE_S * 5 / 6
 STOP_MARGIN_S = 0.5  # A request is served if its time ends so long before the grace time does.
 LOSS_SLACK_S = 0.2
+OPEN_S = 2.5  # Callers cannot know of the stop for so long.
 MEASURING_SLACK_S = 0.1  # The node reads a request before its caller notes that it is sent.
 STOP_AT_S = 2.5  # After the start of a variant.
 FIRST_REQUEST_S, LAST_REQUEST_S = -1.5, 8.0  # Relative to SIGTERM.
 KEPT_SINCE_S = -2.0
 REQUESTS = 110  # In each variant.
 CONCURRENT_SYSTEMS = 4
-CALLER_TIMEOUT_S = 10
+CALLER_TIMEOUT_S = 14
 SERVERS = 3  # Of each service. The last one appears in a release.
 SLOTS = 200
+QUEUED_SLOTS = 2  # In the variant "queued".
 EVENTS = 8
 SILENCES_S = (0, 0.7, 1.3, 1.8)
 BODY_PIECES, BODY_PIECE_BYTES = 5, 1000
@@ -57,15 +64,16 @@
                "once": {"route_type": "streaming"},
                "repeatable": {"route_type": "idempotent"},
                "payment": {"route_type": "non_idempotent"}}
-TIMEOUTS_S = (8, 3)  # Of routes.
-TIME_LIMITS_S = (8, 6, 4, 2)  # Of callers.
+TIMEOUTS_S = (20, 8, 3)  # Of routes.
+ATTEMPTS = (1, 3)  # Of routes.
+TIME_LIMITS_S = (12, 8, 6, 4, 2)  # Of callers.
 SHARES_OF_TIME = (0.05, 0.3, 0.6, 0.9)  # That the servers need.
 STREAM_EVENTS, STREAM_HINT = 175, 10  # 3.5 s
 STREAM_INTERVAL_S, STREAM_TIME_S = 0.35, 6
 # Each variant, and the moment of its change relative to SIGTERM: the earliest and latest.
 VARIANTS = {"alone": (0, 0), "twice": (0, 3), "hang_up": (-0.5, 2), "grace_shorter": (0.1, 2),
             "grace_longer": (0.1, 2), "configuration": (-0.5, 2), "release": (-1, 1),
-            "store_paused": (-1, 1)}
+            "store_paused": (-1, 1), "queued": (0, 0)}
 
 
 class Case:
@@ -75,6 +83,8 @@
         self.id = f"r{number}"
         choice = generator.choice
         self.kind, self.timeout_s = choice(list(ROUTE_TYPES)), choice(TIMEOUTS_S)
+        self.attempts = choice(ATTEMPTS)
+        self.is_of_node = generator.random() < 0.25
         self.limit_s = choice(TIME_LIMITS_S)
         self.time_s = min(self.limit_s, self.timeout_s)
         self.start_s = generator.uniform(FIRST_REQUEST_S, LAST_REQUEST_S)
@@ -100,10 +110,11 @@
         return (f"{self.id}: {self.kind}, {self.time_s} s of time, sent at {self.start_s:+.2f} s, "
                 f"needs {self.work_s:.2f} s with {self.silence_s} s of silence, body {self.body}, "
                 f"answer by {self.framing}, {'kept' if self.is_kept else 'new'} connection, "
+                f"{self.attempts} attempts, {'from a node, ' if self.is_of_node else ''}"
                 f"{self.special or 'plain'}")
 
     def service(self):
-        return f"{self.kind}-{self.timeout_s}"
+        return f"{self.kind}-{self.timeout_s}-{self.attempts}"
 
     def is_stream(self):
         return self.kind in ("resumable", "once")
@@ -141,12 +152,21 @@
         run[1] = time.monotonic()
         return self.framing != "close"
 
-    def violations(self, stopped_at):
+    def may_outlast(self, stopped_at):
+        """Whether the request was sent when no server may get it any more, as it may outlast the
+        stop."""
+        since_stop = self.sent_at - stopped_at
+        return self.sent_at + self.time_s > stopped_at + GRACE_S + MEASURING_SLACK_S and \
+            since_stop > MEASURING_SLACK_S + (0 if self.kind in ("once", "payment") else OPEN_S)
+
+    def violations(self, stopped_at, is_queued):
         """What is wrong with the end of the request. `stopped_at` is the time of the SIGTERM."""
         if not self.was_accepted:
             return ["a server got it"] if self.runs else []
         reply, elapsed = self.reply, self.ended_at - self.sent_at - self.reading_pause_s
         found = []
+        if self.runs and self.may_outlast(stopped_at):
+            found.append(f"passed on, sent {self.sent_at - stopped_at:+.2f} s after SIGTERM")
         second = self.second_reply
         if second and second.status and not second.complete:
             found.append("the answer to the request behind it was cut")
@@ -157,12 +177,17 @@
                 found.append(f"refused with {reply.status} although a server got it")
             if not reply.complete or "retry-after" not in reply.headers:
                 found.append("refused without Retry-After")
+            if is_queued:
+                return found
             if elapsed > LOSS_SLACK_S:
                 found.append(f"refused after {elapsed:.2f} s")
+            if self.is_of_node and "x-not-executed" not in reply.headers:
+                found.append("refused to a node without saying that it has not run")
             if self.sent_at + self.time_s <= stopped_at + GRACE_S - STOP_MARGIN_S:
                 found.append("refused although its time ends before the grace time")
             return found
-        if elapsed >= self.time_s - MEASURING_SLACK_S:
+        if elapsed >= self.time_s - MEASURING_SLACK_S or (is_queued and not self.runs
+                                                          and reply.complete):
             return found
         since_stop = self.ended_at - stopped_at
         if not self.runs:
@@ -189,9 +214,12 @@
         self.cases = [Case(number, generator) for number in range(REQUESTS)]
         self.by_id = {case.id: case for case in self.cases}
         self.started = self.stopped_at = None
+        self.forward_key = ""
         self.problems = []
-        routes = {f"{kind}-{timeout}": dict(properties, timeout_ms=timeout * 1000, max_attempts=3)
-                  for kind, properties in ROUTE_TYPES.items() for timeout in TIMEOUTS_S}
+        routes = {f"{kind}-{timeout}-{attempts}": dict(properties, timeout_ms=timeout * 1000,
+                                                       max_attempts=attempts)
+                  for kind, properties in ROUTE_TYPES.items() for timeout in TIMEOUTS_S
+                  for attempts in ATTEMPTS}
         super().__init__(build, routes, SERVERS, self.answer, slot, {"bounds.grace_s": GRACE_S})
 
     def answer(self, _, connection, head):
@@ -204,7 +232,8 @@
 
     def entries(self, number, **fields):
         return {f"servers/{name}-{number}":
-                self.entry_of(name, self.servers[number], slots=SLOTS, **fields)
+                self.entry_of(name, self.servers[number], slots=QUEUED_SLOTS
+                              if self.variant == "queued" else SLOTS, **fields)
                 for name in self.routes}
 
     def configure(self):
@@ -259,11 +288,20 @@
         elif process.returncode != 0:
             self.problems.append(f"the node has ended with status {process.returncode}")
 
+    def read_forward_key(self):
+        """The key that the node tells other nodes in its record."""
+        records = [json.loads(base64.b64decode(item["value"]))
+                   for item in self.items("bramleypitch/nodes/n0")]
+        self.forward_key = next((record.get("forward_key", "") for record in records), "")
+        return bool(records)
+
     def request(self, request_id, case, body=b"{}", chunked=False):
         framing = "Transfer-Encoding: chunked" if chunked else f"Content-Length: {len(body)}"
+        of_node = (f"X-Bramleypitch-Attempts: 1\r\nX-Bramleypitch-Key: {self.forward_key}\r\n"
+                   if case.is_of_node else "")
         return (f"POST /{case.service()}/x HTTP/1.1\r\nHost: shop.example\r\n"
                 f"X-Request-Id: {request_id}\r\nX-Request-Deadline: {case.limit_s * 1000}\r\n"
-                f"{framing}\r\n\r\n").encode() + (b"" if chunked else body)
+                f"{of_node}{framing}\r\n\r\n").encode() + (b"" if chunked else body)
 
     def send_main(self, connection, case):
         is_chunked = case.body.startswith("chunked")
@@ -331,6 +369,7 @@
         system = StopSystem(BUILD_DIR, variant, slot)
         try:
             wait_for("node 0 to be ready", lambda: system.is_ready(0))
+            wait_for("the record of node 0", system.read_forward_key)
             system.started = time.monotonic()
             others = [threading.Thread(target=run) for run in (system.run_stop, system.run_change)]
             for thread in others:
@@ -341,7 +380,7 @@
                 thread.join()
             lines = [f"{variant} (seed {SEED}): {problem}" for problem in system.problems]
             red = [(case, found) for case in system.cases
-                   for found in [case.violations(system.stopped_at)] if found]
+                   for found in [case.violations(system.stopped_at, variant == "queued")] if found]
             for case, found in red:
                 lines.append(f"{variant} {case} (seed {SEED}): " + "; ".join(found))
                 lines += system.trace(case)
