Fix: [Configuration] One odd item kept a whole version, and the keys that it took away, out of force

What callers saw: a key that the operator had taken away stayed good for ever, and the new key got 401, if the version that said so had one odd item anywhere: a tenant without a name or with a list of keys of another type, a route with a time-out as text, a service with a negative limit. The same for a version that could not be read at all.

Cause: the reader dropped a version as a whole at its first odd field, and the last version went on, proven as the newest by the store's revision. That nothing newer could be read was taken for a proof that nothing newer was there.

Each item is read by itself, and its version counts as seen. - An odd organisation holds no key; of a list of keys only the odd one is left out. - An odd route serves nobody (503, configuration_stale). If its host and path can be read, it stays as a route without services, so that no shorter prefix takes its requests. Routes without keys go on by the last version, and nodes stay ready.

--- a/src/command/operator_command.cpp
+++ b/src/command/operator_command.cpp
@@ -3,6 +3,7 @@
 #include "command/file_func.h"
 #include "command/operator_store.h"
 #include "coordination/environment_func.h"
+#include "platform/platform_dialect.h"
 #include "settings/settings.h"
 
 #include <nlohmann/json.hpp>
@@ -51,6 +52,21 @@
         std::cout << "  " << change << "\n";
 }
 
+/// Prints which items of a serving configuration cannot be read. Throws Failure if there are any.
+void checkServingConfiguration(const std::string &document)
+{
+    const ServingConfiguration configuration = platform::readConfiguration(document);
+    for (const std::string &place : configuration.unreadablePlaces)
+        std::cout << "  " << place << "\n";
+    if (configuration.unreadableItems > 0)
+        throw Failure(ErrorCode::DocumentInvalid,
+                      std::to_string(configuration.unreadableItems)
+                          + " items cannot be read and would grant nothing");
+    std::cout << "version " << configuration.version << " is valid: " << configuration.routes.size()
+              << " routes, " << configuration.services.size() << " services, "
+              << configuration.keys.size() << " keys\n";
+}
+
 /// Builds the change that `apply` executes and `check` only prints.
 EnvelopeChange buildDocumentChange(const Settings &settings, OperatorStore &store)
 {
@@ -112,6 +128,14 @@
 
 void runCheck(const std::vector<std::string> &arguments)
 {
+    // A serving configuration stands alone and is checked without the platform's address.
+    if (arguments.size() == 1 && arguments.front().compare(0, 1, "-") != 0) {
+        const std::string document = readFile(arguments.front());
+        if (platform::isConfiguration(document)) {
+            checkServingConfiguration(document);
+            return;
+        }
+    }
     const Settings settings = parseOperatorSettings(arguments);
     OperatorStore store(settings);
     const EnvelopeChange change = buildDocumentChange(settings, store);
--- a/src/core/json_reader.cpp
+++ b/src/core/json_reader.cpp
@@ -66,10 +66,13 @@
         failDocument("longer than " + std::to_string(JsonBounds::documentBytes) + " bytes");
     if (isTooDeep(text))
         failDocument("nested deeper than " + std::to_string(JsonBounds::depth));
+    // The library's messages quote the document, which may hold secrets.
     try {
         return json::parse(text);
-    } catch (const json::exception &error) {
-        failDocument(error.what());
+    } catch (const json::parse_error &error) {
+        failDocument("not JSON at byte " + std::to_string(error.byte));
+    } catch (const json::exception &) {
+        failDocument("not JSON, or a number is too large");
     }
 }
 
@@ -99,7 +102,7 @@
 
 void JsonReader::fail(const char *field, const std::string &message) const
 {
-    failDocument(m_path + "." + field + ": " + message);
+    failDocument(path(field) + ": " + message);
 }
 
 const json *JsonReader::find(const char *field) const
@@ -192,7 +195,7 @@
 
 JsonReader JsonReader::object(const char *field) const
 {
-    return {value(field), m_path + "." + field};
+    return {value(field), path(field)};
 }
 
 std::vector<const json *> JsonReader::elements(const char *field) const
@@ -212,8 +215,7 @@
 {
     std::vector<JsonReader> readers;
     for (const json *element : elements(field))
-        readers.emplace_back(*element,
-                             m_path + "." + field + "[" + std::to_string(readers.size()) + "]");
+        readers.emplace_back(*element, path(field) + "[" + std::to_string(readers.size()) + "]");
     return readers;
 }
 
--- a/src/core/json_reader.h
+++ b/src/core/json_reader.h
@@ -62,6 +62,8 @@
     /// Returns the elements of an array; none if the field is missing.
     std::vector<const nlohmann::json *> elements(const char *field) const;
     const nlohmann::json &value(const char *field) const;
+    /// The path of a field in messages.
+    std::string path(const char *field) const { return m_path + "." + field; }
     [[noreturn]] void fail(const char *field, const std::string &message) const;
 
 private:
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -340,22 +340,40 @@
 void ServingDaemon::onConfigurationChange(const StoreChange &change)
 {
     if (change.deleted) {
+        m_requests.onConfigurationUnreadable();
         logLine(LogLevel::Warning, "configuration_deleted",
-                {{"kept", "the last accepted version"}});
+                {{"kept", "the last accepted version, for routes without keys"}});
         return;
     }
-    auto configuration =
-        std::make_shared<ServingConfiguration>(m_dialect.readConfiguration(change.value));
+    std::shared_ptr<ServingConfiguration> configuration;
+    try {
+        configuration =
+            std::make_shared<ServingConfiguration>(m_dialect.readConfiguration(change.value));
+    } catch (const Failure &) {
+        m_requests.onConfigurationUnreadable();
+        throw;
+    }
     const ServingConfigurationPtr &current = m_requests.configuration();
-    if (current && configuration->version <= current->version)
+    if (current && configuration->version <= current->version) {
+        if (configuration->version == current->version)
+            m_requests.onConfigurationReadable();
         return;
+    }
+    configuration->keepReadable(current.get());
     m_requests.setConfiguration(configuration);
-    m_formation.setConfiguration(configuration);
+    // Groups are kept as they are while the service that they serve cannot be read.
+    if (configuration->knowsAllServices())
+        m_formation.setConfiguration(configuration);
     m_relay.callers().setLimits(configuration->limits);
     logLine(LogLevel::Info, "configuration",
             {{"version", std::to_string(configuration->version)},
              {"routes", std::to_string(configuration->routes.size())},
-             {"keys", std::to_string(configuration->keys.size())}});
+             {"keys", std::to_string(configuration->keys.size())},
+             {"unreadable_items", std::to_string(configuration->unreadableItems)}});
+    for (const std::string &place : configuration->unreadablePlaces)
+        logLine(LogLevel::Warning, "configuration_item_unreadable",
+                {{"version", std::to_string(configuration->version)},
+                 {"reason", place.substr(0, maxLoggedTextBytes)}});
 }
 
 void ServingDaemon::onServerChange(const VmId &id, const StoreChange &change)
@@ -879,7 +897,7 @@
 
 bool ServingDaemon::isReady(TimePoint now) const
 {
-    return !m_stopping && m_mirror.complete() && m_requests.isCurrent(now);
+    return !m_stopping && m_mirror.complete() && m_requests.isFollowingStore(now);
 }
 
 void ServingDaemon::updateReadiness(TimePoint now)
@@ -955,6 +973,13 @@
     out << gaugeText({"configuration_superseded",
                       "1 while another node knows of a newer configuration.",
                       m_requests.isSuperseded(m_loop.now()) ? 1.0 : 0.0});
+    const ServingConfigurationPtr &configuration = m_requests.configuration();
+    out << gaugeText({"configuration_unreadable_items",
+                      "Items of the configuration in force that grant nothing.",
+                      static_cast<double>(configuration ? configuration->unreadableItems : 0)});
+    out << gaugeText({"configuration_unreadable",
+                      "1 while the store holds a configuration that cannot be read.",
+                      m_requests.isConfigurationUnreadable() ? 1.0 : 0.0});
     out << gaugeText({"store_era_changes", "Times that the store came back from an older copy.",
                       static_cast<double>(m_eraChanges)});
     out << gaugeText({"store_answers_dropped", "Answers of the store that belonged to another era.",
--- a/src/network/serving_daemon.h
+++ b/src/network/serving_daemon.h
@@ -49,8 +49,8 @@
     std::string serverPrefix; ///< Prefix of the keys of servers, followed by a server's id.
     std::string zoneOutPrefix; ///< Prefix of the keys that withdraw a zone, followed by its name.
     std::string ownPrefix; ///< Prefix of the keys written by this software itself.
-    /// Parses the configuration. Throws Failure(PlatformProtocol), naming the field, if it is
-    /// malformed.
+    /// Parses the configuration, in which it notes items that cannot be read. Throws
+    /// Failure(PlatformProtocol), naming the field, if all of it cannot be read.
     std::function<ServingConfiguration(const std::string &)> readConfiguration;
     /// Parses the entry of a server. Throws like readConfiguration.
     std::function<BackendReport(const VmId &, const std::string &)> readServer;
--- a/src/platform/platform_configuration.cpp
+++ b/src/platform/platform_configuration.cpp
@@ -20,15 +20,6 @@
     return Duration(static_cast<Duration::rep>(item.number(field, 0, JsonBounds::milliseconds, 0)));
 }
 
-/// The list of that name. Throws Failure for a value of another type, which is not an empty list.
-const json &listAt(const json &object, const char *name)
-{
-    const json &list = object.at(name);
-    if (!list.is_array())
-        throw Failure(ErrorCode::PlatformProtocol, std::string(name) + ": is no list");
-    return list;
-}
-
 Duration readSeconds(const JsonReader &item, const char *field)
 {
     constexpr double maxSeconds = JsonBounds::milliseconds / millisecondsPerSecond;
@@ -65,14 +56,20 @@
     route.fail("route_type", "\"" + kind + "\" is not known");
 }
 
-RouteSpec readRoute(const JsonReader &item)
+/// Reads which requests a route is for.
+void readRoutePath(const JsonReader &item, RouteSpec &route)
 {
-    RouteSpec route;
-    route.name = RouteId(item.name("name"));
     route.host = item.text("host");
     std::transform(route.host.begin(), route.host.end(), route.host.begin(),
                    [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
     route.pathPrefix = item.text("path_prefix");
+}
+
+RouteSpec readRoute(const JsonReader &item)
+{
+    RouteSpec route;
+    route.name = RouteId(item.name("name"));
+    readRoutePath(item, route);
     route.kind = readKind(item);
     item.value("timeout_ms");
     route.timeout = readMilliseconds(item, "timeout_ms");
@@ -158,45 +155,126 @@
     return limits;
 }
 
+/// Limit on the places of unreadable items that are kept; all are counted.
+constexpr std::size_t maxUnreadablePlaces = 16;
+
+/// Reads a part of a configuration. Returns whether that failed, which is noted in it.
+template<typename Read>
+bool noteFailure(ServingConfiguration &configuration, const Read &read)
+{
+    try {
+        read();
+        return false;
+    } catch (const Failure &failure) {
+        ++configuration.unreadableItems;
+        if (configuration.unreadablePlaces.size() < maxUnreadablePlaces)
+            configuration.unreadablePlaces.emplace_back(failure.what());
+        return true;
+    }
+}
+
+/// Reads each item of a list by itself. Throws Failure if it is no list.
+template<typename Read>
+void readItems(const JsonReader &reader, const char *list, ServingConfiguration &configuration,
+               const Read &read)
+{
+    std::size_t index = 0;
+    for (const json *item : reader.elements(list)) {
+        const std::string path = reader.path(list) + "[" + std::to_string(index++) + "]";
+        noteFailure(configuration, [&] { read(*item, path); });
+    }
+}
+
+/// Adds a route. One that cannot be read, but for its host and path, is added without services, so
+/// that no shorter prefix takes its requests. Throws Failure for it all the same.
+void addRoute(const JsonReader &item, std::vector<RouteSpec> &routes)
+{
+    try {
+        routes.push_back(readRoute(item));
+    } catch (const Failure &) {
+        RouteSpec route;
+        route.isReadable = false;
+        readRoutePath(item, route);
+        routes.push_back(std::move(route));
+        throw;
+    }
+}
+
+/// Adds a service. Of one that cannot be read the name is noted, if it has one. Throws Failure for
+/// it all the same.
+void addService(const json &item, const std::string &path, ServingConfiguration &configuration)
+{
+    try {
+        ServedService service = readService(JsonReader(item, path));
+        const ServiceId name = service.name;
+        configuration.services.emplace(name, std::move(service));
+    } catch (const Failure &) {
+        const auto name = item.is_object() ? item.find("name") : item.end();
+        if (name != item.end() && name->is_string() && isName(name->get_ref<const std::string &>()))
+            configuration.unreadableServices.insert(ServiceId(name->get<std::string>()));
+        else
+            configuration.hasUnnamedService = true;
+        throw;
+    }
+}
+
+/// Adds an organisation and its keys. Throws Failure, so that it holds no key, if its name or the
+/// list of its keys cannot be read.
+void addOrganisation(const json &item, const std::string &path, ServingConfiguration &configuration)
+{
+    const JsonReader fields(item, path);
+    ServedOrganisation organisation;
+    organisation.name = OrganisationId(fields.name("name"));
+    if (fields.has("priority"))
+        organisation.priority = readPriority(fields, "priority");
+    fields.value("api_keys");
+    readItems(fields, "api_keys", configuration, [&](const json &key, const std::string &keyPath) {
+        if (!key.is_string())
+            throw Failure(ErrorCode::PlatformProtocol, keyPath + ": must be a string");
+        configuration.keys[key.get<std::string>()] = configuration.organisations.size();
+    });
+    configuration.organisations.push_back(std::move(organisation));
+}
+
 } // namespace
 
-ServingConfiguration readConfiguration(const std::string &text)
+bool isConfiguration(const std::string &text)
 {
     try {
-        const json body = parseJson(text);
-        const JsonReader reader(body, "configuration");
-        ServingConfiguration configuration;
-        configuration.version =
-            static_cast<std::uint64_t>(reader.integer("version", 0, JsonBounds::integer));
-        reader.value("routes");
-        for (const JsonReader &route : reader.objects("routes"))
-            configuration.routes.push_back(readRoute(route));
-        reader.value("services");
-        for (const JsonReader &item : reader.objects("services")) {
-            ServedService service = readService(item);
-            const ServiceId name = service.name;
-            configuration.services.emplace(name, std::move(service));
-        }
-        if (reader.has("limits"))
-            configuration.limits = readLimits(reader.object("limits"));
-        configuration.requiresKeys = body.contains("tenants"); // A tenant is an organisation.
-        if (configuration.requiresKeys) {
-            for (const json &tenant : listAt(body, "tenants")) {
-                const JsonReader fields(tenant, "tenant");
-                ServedOrganisation organisation;
-                organisation.name = OrganisationId(fields.name("name"));
-                if (fields.has("priority"))
-                    organisation.priority = readPriority(fields, "priority");
-                fields.value("api_keys");
-                for (const json &key : listAt(tenant, "api_keys"))
-                    configuration.keys[key.get<std::string>()] = configuration.organisations.size();
-                configuration.organisations.push_back(std::move(organisation));
-            }
-        }
-        return configuration;
-    } catch (const json::exception &error) {
-        throw Failure(ErrorCode::PlatformProtocol, std::string("configuration: ") + error.what());
+        const json document = parseJson(text);
+        return document.is_object() && document.contains("routes") && document.contains("services");
+    } catch (const Failure &) {
+        return false;
+    }
+}
+
+ServingConfiguration readConfiguration(const std::string &text)
+{
+    const json body = parseJson(text);
+    const JsonReader reader(body, "configuration");
+    ServingConfiguration configuration;
+    configuration.version =
+        static_cast<std::uint64_t>(reader.integer("version", 0, JsonBounds::integer));
+    reader.value("routes");
+    readItems(reader, "routes", configuration, [&](const json &item, const std::string &path) {
+        addRoute(JsonReader(item, path), configuration.routes);
+    });
+    reader.value("services");
+    readItems(reader, "services", configuration, [&](const json &item, const std::string &path) {
+        addService(item, path, configuration);
+    });
+    if (reader.has("limits")) {
+        configuration.limitsUnreadable = noteFailure(
+            configuration, [&] { configuration.limits = readLimits(reader.object("limits")); });
+    }
+    configuration.requiresKeys = body.contains("tenants"); // A tenant is an organisation.
+    if (configuration.requiresKeys) {
+        reader.value("tenants"); // Null is not a list that is absent.
+        readItems(reader, "tenants", configuration, [&](const json &item, const std::string &path) {
+            addOrganisation(item, path, configuration);
+        });
     }
+    return configuration;
 }
 
 } // namespace bramleypitch::platform
--- a/src/request/configuration_proof.h
+++ b/src/request/configuration_proof.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 
 namespace bramleypitch {
 
@@ -38,8 +39,18 @@
         else if (at >= m_countsFrom)
             m_provenAt = std::max(m_provenAt, at);
     }
+    /// The store holds a version that cannot be read, which may have taken away any key or route.
+    /// Nothing is proven from the last proof before it on, until a readable version is in force.
+    void onUnreadable() { m_unreadableSince = m_unreadableSince.value_or(m_provenAt); }
+    void onReadable() { m_unreadableSince.reset(); }
+    bool isUnreadable() const { return m_unreadableSince.has_value(); }
     /// The latest time for which the configuration is proven; the epoch if there is none.
-    TimePoint provenAt() const { return m_provenAt; }
+    TimePoint provenAt() const
+    {
+        return std::min(m_provenAt, m_unreadableSince.value_or(m_provenAt));
+    }
+    /// The same without regard to a version that cannot be read: until then the store was followed.
+    TimePoint followedAt() const { return m_provenAt; }
     /// Whether another node has a newer configuration in force, and has said so a short time ago.
     bool isSuperseded(TimePoint now) const
     {
@@ -57,6 +68,7 @@
     TimePoint m_lastHeardAt;
     TimePoint m_countsFrom;
     TimePoint m_provenAt;
+    std::optional<TimePoint> m_unreadableSince;
 };
 
 } // namespace bramleypitch
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -146,6 +146,13 @@
 {
     m_configuration = std::move(configuration);
     m_proof.setVersion(m_configuration->version);
+    m_proof.onReadable();
+}
+
+bool RequestSystem::isFollowingStore(TimePoint now) const
+{
+    return m_configuration
+        && (!m_options.failClosed || now - m_proof.followedAt() <= m_options.maxKeyProofAge);
 }
 
 bool RequestSystem::isCurrent(TimePoint now) const
@@ -238,6 +245,8 @@
         return ErrorCode::ConfigurationStale;
     const bool isRecentlyProven = now - m_proof.provenAt() <= m_options.maxDenialProofAge;
     const RouteSpec *route = m_configuration->findRoute(arrival.host, arrival.path);
+    if (route && !route->isReadable)
+        return ErrorCode::ConfigurationStale;
     if (!route || route->services.empty())
         return isRecentlyProven ? ErrorCode::UnknownPath : ErrorCode::ConfigurationStale;
     if (route->keyless || !m_configuration->requiresKeys)
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -60,6 +60,11 @@
     void setConfiguration(ServingConfigurationPtr configuration);
     /// Confirms that no newer configuration existed at the given time.
     void setConfigurationProof(TimePoint provenAt) { m_proof.onProof(provenAt); }
+    /// The store holds a version of the configuration that cannot be read.
+    void onConfigurationUnreadable() { m_proof.onUnreadable(); }
+    /// The store holds the version that is in force again.
+    void onConfigurationReadable() { m_proof.onReadable(); }
+    bool isConfigurationUnreadable() const { return m_proof.isUnreadable(); }
     /// Another node has a configuration of this version in force, as it said at `heardAt`.
     void onVersionHeard(std::uint64_t version, TimePoint heardAt, TimePoint now)
     {
@@ -192,6 +197,9 @@
 
     /// Whether there is a configuration that was confirmed recently enough to accept API keys.
     bool isCurrent(TimePoint now) const;
+    /// Whether the node has a configuration and has followed the store, whose newest version may be
+    /// unreadable: then isCurrent() is false on all nodes.
+    bool isFollowingStore(TimePoint now) const;
     const ServingConfigurationPtr &configuration() const { return m_configuration; }
     /// Number of requests that are waiting or running.
     std::size_t open() const { return m_requests.size(); }
--- a/src/request/serving_func.cpp
+++ b/src/request/serving_func.cpp
@@ -2,6 +2,21 @@
 
 namespace bramleypitch {
 
+void ServingConfiguration::keepReadable(const ServingConfiguration *previous)
+{
+    if (!previous)
+        return;
+    if (limitsUnreadable)
+        limits = previous->limits;
+    std::erase_if(unreadableServices, [&](const ServiceId &name) {
+        const auto found = previous->services.find(name);
+        if (found == previous->services.end())
+            return false;
+        services.insert(*found);
+        return true;
+    });
+}
+
 const RouteSpec *ServingConfiguration::findRoute(const std::string &host,
                                                  const std::string &path) const
 {
--- a/src/request/serving_type.h
+++ b/src/request/serving_type.h
@@ -47,6 +47,7 @@
     std::vector<WeightedService> services; ///< All weights are positive.
     std::uint32_t maxAttempts = 1; ///< Number of servers to which one request may be sent.
     bool keyless = false; ///< Requests need no API key.
+    bool isReadable = true; ///< Otherwise only host and path are known, and it serves nobody.
 };
 
 /// A model of a service with engines, and the properties of the groups of VMs that serve it.
@@ -105,12 +106,15 @@
     std::optional<int> priority; ///< Overrides the priority of the route.
 };
 
-/// An accepted configuration of routes, services, organisations and limits.
+/// An accepted configuration of routes, services, organisations and limits. An item that could not
+/// be read grants nothing and changes no other.
 struct ServingConfiguration
 {
     std::uint64_t version = 0;
     std::vector<RouteSpec> routes;
     std::map<ServiceId, ServedService> services;
+    std::set<ServiceId> unreadableServices; ///< Listed, but only their names are known.
+    bool hasUnnamedService = false; ///< One is listed whose name cannot be read either.
     /// Requests need an API key, unless their route is keyless. False only if the configuration
     /// does not list organisations at all: an empty list admits nobody.
     bool requiresKeys = true;
@@ -118,7 +122,15 @@
     std::unordered_map<std::string, std::size_t>
         keys; ///< Maps API keys to indexes of organisations.
     CallerLimits limits;
-
+    bool limitsUnreadable = false;
+    std::size_t unreadableItems = 0;
+    std::vector<std::string> unreadablePlaces; ///< With reasons, of the first of these items.
+
+    /// Takes services and limits that cannot be read from the configuration that was in force
+    /// before; null if there was none. They only restrict what routes and organisations grant.
+    void keepReadable(const ServingConfiguration *previous);
+    /// Whether `services` has each service that is listed.
+    bool knowsAllServices() const { return unreadableServices.empty() && !hasUnnamedService; }
     /// The route of `host` with the longest matching path prefix, or null.
     const RouteSpec *findRoute(const std::string &host, const std::string &path) const;
     /// The organisation that holds a key, or null. None holds the empty key.
