--- a/src/tests/foreign_entry_test.cpp
+++ b/src/tests/foreign_entry_test.cpp
@@ -460,7 +460,8 @@
         {"/tenants/0/api_keys", {"5", "null", "{}", "\"key-a\""}},
         {"/tenants/0/api_keys/0", {"5", "null", "[]", "{}"}}};
     const ServingConfiguration sound = platform::readConfiguration(soundConfiguration().dump());
-    for (const auto &[pointer, fragments] : odd) {
+    for (const auto &[oddPointer, fragments] : odd) {
+        const std::string &pointer = oddPointer;
         for (const std::string &fragment : fragments) {
             const std::string where = pointer + " " + fragment.substr(0, 40);
             const ServingConfiguration read = platform::readConfiguration(
