--- a/src/tests/empty_list_test.cpp
+++ b/src/tests/empty_list_test.cpp
@@ -45,6 +45,7 @@
 
 TEST_F(EmptyListTest, KeysAreRequiredUnlessOrganisationsAreAbsent)
 {
+    // Guards against ROUTE: an empty list of organisations was taken for none and admitted any key.
     json configuration = document();
     EXPECT_EQ(refusal(configuration), std::nullopt);
     EXPECT_EQ(refusal(configuration, "other"), ErrorCode::Unauthorized);
--- a/src/tests/foreign_entry_process_test.py
+++ b/src/tests/foreign_entry_process_test.py
@@ -121,6 +121,7 @@
             self.assertEqual(self.metric(
                 number, 'bramleypitch_decisions_total{kind="value_unreadable"}'), skipped)
 
+    # Guards against FAULT: one entry with an address that cannot be read ended every node.
     def test_server_with_an_odd_address_ends_no_node(self):
         self.play({f"servers/odd-{number}": self.odd_entry(address=address)
                    for number, address in enumerate(ODD_ADDRESSES)}, len(ODD_ADDRESSES))
--- a/src/tests/platform_test.py
+++ b/src/tests/platform_test.py
@@ -123,6 +123,7 @@
         self.assertEqual({response.status for _, response in responses} - {401, 503}, set())
         self.assertEqual(sum(system.count_runs(request) for request, _ in responses), 0)
 
+    # Guards against ROUTE: any key was accepted once the last organisation had been taken away.
     def test_last_key_removed_with_its_organisation_opens_no_route(self):
         system = self.system
         system.keys.clear()
