--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -365,9 +365,7 @@
 bool RequestSystem::outlastsStop(const Request &request, TimePoint now) const
 {
     // One that may run only once has no other way to an answer after it was cut off.
-    const bool mayRunAgain =
-        request.kind == RequestKind::Repeatable || request.kind == RequestKind::ResumableStream;
-    const bool isTaken = now < m_closedAt && mayRunAgain;
+    const bool isTaken = now < m_closedAt && request.mayRepeatRun();
     return m_stopDeadline && !isTaken && request.cutByStop > Duration(0) && !request.mayHaveRun;
 }
 
--- a/src/tests/odd_configuration_test.cpp
+++ b/src/tests/odd_configuration_test.cpp
@@ -70,7 +70,7 @@
 /// An item that was made odd: its list, and what of it requests need.
 struct OddItem
 {
-    std::string list; ///< Empty if there was no item to change.
+    std::string list; ///< Or "limits", which is no list.
     std::string needed; ///< The path, service or organisation that is affected; empty if none is.
     std::string key; ///< Of an odd key: the key.
 };
--- a/src/tests/request_test.cpp
+++ b/src/tests/request_test.cpp
@@ -231,13 +231,11 @@
 /// One request of a stop, and how its servers treat it.
 struct StopCase
 {
-    RequestId id;
     RequestKind kind = RequestKind::Repeatable;
     TimePoint deadline; ///< Of the caller.
     TimePoint answerAt; ///< Of its server.
     TimePoint arrivedAt;
     std::optional<DispatchAttempt> running;
-    bool mayHaveRun = false;
     bool hasEnded = false;
 };
 
@@ -296,7 +294,6 @@
         if (*rc::gen::inRange(0, 4) == 0)
             arrival.attemptsLeft = 1; // Another node passes it on.
         StopCase &item = m_cases[arrival.request];
-        item.id = arrival.request;
         item.kind = arrival.path == "/pay/x" ? RequestKind::AtMostOnce : RequestKind::Repeatable;
         item.arrivedAt = m_now;
         item.deadline = m_now + limit;
@@ -323,7 +320,6 @@
                                          m_now, actions);
                 break;
             default:
-                item.mayHaveRun = true;
                 m_system.onResponse(id, attempt.attempt, 200, m_now, actions, ResponseEnd::Framed);
             }
             take(actions);
