Fix: [Stop] A request that waited was sent if a server became free just when the stop had closed

What callers saw: a request that may outlast the stop reached a server later than 2.5 s after the signal, and was cut off at the end.

Cause: those that wait are refused by the tick after that moment.

The choice from the queue now asks outlastsStop(), as the arrival, the write and the repeat do.

--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -217,6 +217,8 @@
      "return std::min(m_provenAt, m_unreadableSince.value_or(m_provenAt));", "return m_provenAt;"),
     ("once_request_taken_in_a_stop", "request/request_system.cpp",
      "const bool isTaken = now < m_closedAt && request.mayRepeatRun();", "const bool isTaken = now < m_closedAt;"),
+    ("waiting_request_is_sent_late_in_a_stop", "request/request_system.cpp",
+     "if (outlastsStop(request, now)) {\n            refuse(", "if (false) {\n            refuse("),
     ("late_connection_is_used_in_a_stop", "request/request_system.cpp",
      " || outlastsStop(found->second, now))\n        return false;", ")\n        return false;"),
     ("stream_begins_again_when_resumed", "network/event_sequence.cpp",
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -495,6 +495,10 @@
             refuse(request, ErrorCode::ConfigurationStale, minRetryAfter, "changed", now, actions);
             continue;
         }
+        if (outlastsStop(request, now)) {
+            refuse(request, ErrorCode::NoCapacity, minRetryAfter, "stopping", now, actions);
+            continue;
+        }
         if (isCut() && request.arrival.attemptsLeft && !request.responseStarted) {
             refuse(request, ErrorCode::NoCapacity, minRetryAfter, "forwarded", now, actions);
             continue;
