Fix: [Formation] Free VMs that held only weights of no use stayed without a group

A VM that restarts keeps the prefetched weights, and may keep no more. If the free VMs of a domain are enough for a group of one model, but hold the weights of another that needs more VMs, no group was ever formed of them. Such VMs replace the weights that they hold.

--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -660,12 +660,14 @@
     input.unserved = unservedModelOf(id, input.demand);
     for (const ModelDemand &modelDemand : input.demand) {
         std::size_t holders = 0;
+        input.freeVms = 0;
         for (const Backend *backend : m_backends.serversInDomain(id)) {
             const auto sent = m_staging.find(backend->report.id);
             const bool isStaging =
                 sent != m_staging.end() && sent->second.model == modelDemand.model->name;
             const bool free = backend->report.group.state == MemberState::None
                 && backend->listing == Listing::Listed && !backend->report.draining;
+            input.freeVms += free ? 1 : 0;
             holders +=
                 free && (isStaging || holdsWeights(*backend, modelDemand.model->name)) ? 1 : 0;
         }
--- a/src/formation/weight_staging.h
+++ b/src/formation/weight_staging.h
@@ -20,6 +20,7 @@
     std::vector<ModelDemand> demand; ///< In the order of the models of the engine.
     /// Number of VMs of the domain without a group that hold or prefetch the weights, by model.
     std::vector<std::size_t> holders;
+    std::size_t freeVms = 0; ///< VMs of the domain without a group.
     UnservedModel unserved;
 };
 
@@ -27,7 +28,8 @@
 /// the model with the highest urgency per VM that is missing for a complete group. A VM with
 /// weights gets the most urgent model that it lacks, so that it can immediately replace a member of
 /// any group, unless it already keeps as many models as it has space for. A model without any group
-/// comes first and replaces other prefetched weights.
+/// comes first and replaces other prefetched weights. So does, on VMs without a group, a model that
+/// they could form a group of, if the weights that they hold allow no group.
 const ServedModel *chooseModelToStage(const Backend &backend, const StagingInput &input);
 
 } // namespace bramleypitch
--- a/src/tests/formation_test.cpp
+++ b/src/tests/formation_test.cpp
@@ -726,6 +726,18 @@
     EXPECT_GE(harness.fleet().countOpenGroups(ModelId("small")), 1U);
 }
 
+TEST(FormationTest, FreeVmsWithWeightsOfNoUseGetOthers)
+{
+    // Guards against VMs that stay without a group for good: after a restart they hold only
+    // prefetched weights, of a model that needs more VMs than are free.
+    Fleet fleet(2);
+    for (auto &[id, report] : fleet.reports)
+        report.staged = {ModelId("large")};
+    Harness harness(std::move(fleet));
+    harness.run(Duration(8'000));
+    EXPECT_EQ(harness.fleet().countOpenGroups(ModelId("small")), 1U);
+}
+
 TEST(FormationTest, DomainMayLoseAllVmsBeforeTraffic)
 {
     // Guards against a failure found by code review: the split of such a domain was looked up and
