Fix: [Formation] A model lost all its groups, as each owner gave up one that it alone could spare

Cause: each weighed its conversion by the groups that it knew, and read of the others' conversions only 0.1 to 3.7 s later. Conversions are now granted by the store: each one replaces a record in the same transaction as the plan, so that it is decided with all earlier ones counted. A model that gives keeps an open group, and does not become saturated unless the receiver is worse off.

--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -13,7 +13,7 @@
 TESTS = ["ledger_test", "placement_test", "golden_test", "request_test", "attempt_test",
          "attempt_review_test", "quarantine_test", "limit_test", "links_test", "run_grant_test",
          "forwarded_grant_test", "backend_order_test", "caller_order_test", "memory_account_test",
-         "formation_test", "initial_split_test", "foreign_entry_test", "odd_configuration_test", "overload_test", "relay_test", "http_client_test", "promises_test"]
+         "formation_test", "conversion_test", "initial_split_test", "foreign_entry_test", "odd_configuration_test", "overload_test", "relay_test", "http_client_test", "promises_test"]
 # Tests that start the program, for mutants that no test above catches. They share ports.
 PROCESS_TESTS = [["response_end_test.py"], ["repeated_refusal_test.py"],
                  ["resumed_stream_test.py"], ["half_closed_caller_test.py"],
@@ -140,6 +140,17 @@
      "allReady = allReady && backend->report.group.state == MemberState::Ready;", ""),
     ("members_reused_before_they_left", "formation/formation_system.cpp",
      "if (!allLeft)\n            continue;", ""),
+    ("conversion_without_grant", "formation/formation_system.cpp",
+     "        write.expectedConversion = m_conversionRevision;\n", ""),
+    ("conversion_with_unread_plans", "formation/formation_system.cpp",
+     "m_storeHeld >= m_conversionRevision", "true"),
+    ("conversion_with_outdated_copy", "formation/formation_system.cpp",
+     "now - m_storeProvenAt <= m_options.maxConversionViewAge", "true"),
+    ("model_gives_its_last_open_group", "formation/group_choice.cpp",
+     "demand.groups = std::min(demand.groups - groups, demand.openGroups);",
+     "demand.groups -= groups;"),
+    ("stuck_vms_keep_their_weights", "formation/weight_staging.cpp",
+     "isFree && areFreeVmsStuck(input)", "false"),
     ("loads_unbounded", "formation/formation_system.cpp",
      "if (!before && (inProgress >= maxConcurrent || domain.loadTokens < 1))\n                return;",
      ""),
--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -1,8 +1,10 @@
 #include "formation/formation_system.h"
 
 #include "core/rendezvous_func.h"
+#include "formation/conversion_record.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bramleypitch {
 
@@ -108,6 +110,32 @@
             domain.plan.era = m_era;
     }
     m_era = era;
+    m_storeHeld = Revision();
+    m_conversionRevision = Revision();
+}
+
+void FormationSystem::setStoreView(Revision held, TimePoint provenAt)
+{
+    m_storeHeld = held;
+    m_storeProvenAt = provenAt;
+}
+
+void FormationSystem::onConversionRead(std::uint64_t number, Revision revision)
+{
+    if (revision <= m_conversionRevision)
+        return;
+    m_conversionRevision = revision;
+    m_conversionNumber = std::max(m_conversionNumber, number);
+    m_conversionRetryAt = TimePoint();
+}
+
+bool FormationSystem::knowsConversions(TimePoint now) const
+{
+    const bool isWriting = std::any_of(m_domains.begin(), m_domains.end(), [](const auto &entry) {
+        return entry.second.writing && entry.second.isConverting;
+    });
+    return !isWriting && m_storeHeld >= m_conversionRevision && now >= m_conversionRetryAt
+        && now - m_storeProvenAt <= m_options.maxConversionViewAge;
 }
 
 void FormationSystem::adoptClaimedGroups(const DomainId &id, FormationPlan &plan) const
@@ -204,7 +232,12 @@
                                     Revision revision)
 {
     Domain &domain = m_domains[id];
+    const bool wasConverting = std::exchange(domain.isConverting, false);
     domain.writing = false;
+    if (wasConverting && revision == Revision())
+        m_conversionRetryAt = domain.writeAt + m_options.conversionRetryDelay;
+    else if (wasConverting)
+        m_conversionRevision = std::max(m_conversionRevision, revision);
     if (revision > domain.revision)
         applyPlan(id, plan, revision);
 }
@@ -277,8 +310,10 @@
             domain.tokensAt = now;
         }
         refillLoadTokens(domain, now);
-        if (domain.writing && now - domain.writeAt > m_options.writeTimeout)
+        if (domain.writing && now - domain.writeAt > m_options.writeTimeout) {
             domain.writing = false;
+            domain.isConverting = false;
+        }
         if (domain.writing)
             continue;
         if (needsRestore(domain)) {
@@ -315,6 +350,7 @@
                            FormationActions &actions)
 {
     FormationPlan next = domain.plan;
+    std::vector<GroupId> dissolved;
     bool changed = needsRestore(domain);
     if (changed) {
         const std::uint64_t firstOfEra =
@@ -340,7 +376,8 @@
         }
         changed = removeDissolvedGroups(domain, next, now, actions) || changed;
         changed = dissolveBrokenGroups(next, now, actions) || changed;
-        changed = addGroups(id, next, now, actions) || changed;
+        const bool mayDissolve = !changed && knowsConversions(now);
+        changed = addGroups(id, next, mayDissolve, dissolved, now, actions) || changed;
     }
     if (!changed)
         return;
@@ -349,7 +386,14 @@
         next.generation = Generation(next.generation.value() + 1);
     domain.writing = true;
     domain.writeAt = now;
-    actions.push_back(WritePlan {id, domain.revision, next});
+    WritePlan write {id, domain.revision, next};
+    if (!dissolved.empty()) {
+        domain.isConverting = true;
+        write.expectedConversion = m_conversionRevision;
+        write.conversion = serializeConversion({m_conversionNumber + 1, id, next.generation,
+                                                next.promised, std::move(dissolved), m_era});
+    }
+    actions.push_back(std::move(write));
 }
 
 bool FormationSystem::isLost(const VmId &vm, TimePoint now) const
@@ -471,6 +515,12 @@
     return head && m_zonesOut.count(head->report.zone) > 0;
 }
 
+bool FormationSystem::isOpen(const PlannedGroup &group) const
+{
+    const Backend *head = findMember(m_backends, group.members.front());
+    return head && isMemberOf(*head, group) && head->report.group.state == MemberState::Open;
+}
+
 bool FormationSystem::hasLeft(const PlannedMember &member, const PlannedGroup &group,
                               TimePoint now) const
 {
@@ -517,9 +567,12 @@
         const auto found = m_demand.find(model.name);
         slots += found == m_demand.end() ? 0 : found->second;
         for (const auto &[id, domain] : m_domains) {
-            for (const PlannedGroup &group : domain.plan.groups)
-                demand.groups +=
-                    !group.dissolving && group.model == model.name && !isZoneOut(group) ? 1 : 0;
+            for (const PlannedGroup &group : domain.plan.groups) {
+                if (group.dissolving || group.model != model.name || isZoneOut(group))
+                    continue;
+                demand.groups += 1;
+                demand.openGroups += isOpen(group) ? 1 : 0;
+            }
         }
         groups += demand.groups;
         all.push_back(demand);
@@ -538,7 +591,8 @@
     return all;
 }
 
-bool FormationSystem::addGroups(const DomainId &id, FormationPlan &next, TimePoint now,
+bool FormationSystem::addGroups(const DomainId &id, FormationPlan &next, bool mayDissolve,
+                                std::vector<GroupId> &dissolved, TimePoint now,
                                 FormationActions &actions)
 {
     FormationInput input;
@@ -555,6 +609,7 @@
     input.free = free;
     input.demand = demand();
     input.mayConvert = hasConversionTurn(id, now);
+    input.mayDissolve = mayDissolve;
     // Conversions have no benefit in a zone that takes no new requests.
     input.isZoneInService =
         std::none_of(next.groups.begin(), next.groups.end(),
@@ -572,11 +627,14 @@
     if (!formGroups(next, id, input))
         return next.promised != previous.promised;
     for (std::size_t i = 0; i < before; ++i) {
-        if (next.groups[i].dissolving && !previous.groups[i].dissolving)
-            actions.push_back(LogFormation {"group_dissolving",
-                                            {{"group", next.groups[i].name.value()},
-                                             {"model", next.groups[i].model.value()},
-                                             {"cause", "converted"}}});
+        if (!next.groups[i].dissolving || previous.groups[i].dissolving)
+            continue;
+        if (!m_beforeTraffic)
+            dissolved.push_back(next.groups[i].name);
+        actions.push_back(LogFormation {"group_dissolving",
+                                        {{"group", next.groups[i].name.value()},
+                                         {"model", next.groups[i].model.value()},
+                                         {"cause", "converted"}}});
     }
     for (std::size_t i = before; i < next.groups.size(); ++i) {
         const PlannedGroup &group = next.groups[i];
@@ -708,7 +766,7 @@
         if (group.dissolving || owner == demand.end() || result.holders.size() >= model.span
             || !canSpareGroup(*owner))
             continue;
-        owner->groups -= 1;
+        *owner = afterGiving(*owner, 1);
         for (const PlannedMember &member : group.members)
             result.holders.insert(member.vm);
     }
--- a/src/formation/formation_system.h
+++ b/src/formation/formation_system.h
@@ -31,6 +31,12 @@
     /// within this time. Until then the copy may show a member of a group as free.
     Duration restoreTime {3'000};
     Duration conversionTurnTime {300}; ///< Duration of the turn of a domain to convert groups.
+    /// Groups are converted only if the copy of the store was proven to be current within this
+    /// time.
+    Duration maxConversionViewAge {2'000};
+    /// After a conversion that was not written, until the next one if no other node has converted
+    /// groups meanwhile.
+    Duration conversionRetryDelay {1'000};
     /// Time constant of the smoothed demand. Short peaks must not cause conversions.
     Duration demandSmoothing {2'000};
 };
@@ -60,6 +66,11 @@
     /// era are written again, with a generation above all that may have been used, and no VM gets
     /// an order of theirs before that.
     void setEra(StoreEra era);
+    /// Sets the revision up to which this node has read the store, and when that was last proven to
+    /// be the newest one.
+    void setStoreView(Revision held, TimePoint provenAt);
+    /// The store holds the conversion record with this number at this revision.
+    void onConversionRead(std::uint64_t number, Revision revision);
     /// Handles a plan that was read from the store. `revision` is 0 if there is none.
     void onPlanRead(const DomainId &domain, const FormationPlan &plan, Revision revision);
     /// The stored plan cannot be read. The last one that was read stays in force, and the owner of
@@ -86,6 +97,7 @@
         TimePoint
             restoreAt; ///< When a plan of an earlier era is written again; epoch if it is not.
         bool writing = false;
+        bool isConverting = false; ///< The plan that is being written converts groups.
         TimePoint writeAt;
         TimePoint ownedSince; ///< Epoch while another node owns the domain.
         std::size_t freeCount = 0; ///< VMs without a group at the last pass.
@@ -133,8 +145,9 @@
     bool removeDissolvedGroups(const Domain &domain, FormationPlan &next, TimePoint now,
                                FormationActions &actions) const;
     /// Adds and converts groups. Returns whether the plan changed.
-    bool addGroups(const DomainId &id, FormationPlan &next, TimePoint now,
-                   FormationActions &actions);
+    /// `mayDissolve` tells whether groups may be converted. `dissolved` receives those that are.
+    bool addGroups(const DomainId &id, FormationPlan &next, bool mayDissolve,
+                   std::vector<GroupId> &dissolved, TimePoint now, FormationActions &actions);
     /// The VMs of a domain that can join a group. Orders VMs in unplanned groups to leave them.
     std::vector<const Backend *> findFreeVms(const DomainId &id, const FormationPlan &plan,
                                              TimePoint now, FormationActions &actions);
@@ -151,6 +164,8 @@
                    Generation fence, TimePoint now, FormationActions &actions);
     /// Whether a group is in a zone that takes no new requests.
     bool isZoneOut(const PlannedGroup &group) const;
+    /// Whether the head of a group takes requests.
+    bool isOpen(const PlannedGroup &group) const;
     /// Whether a VM no longer belongs to a group, according to its entry or its response to an
     /// order.
     bool hasLeft(const PlannedMember &member, const PlannedGroup &group, TimePoint now) const;
@@ -167,6 +182,8 @@
     bool hasAllGroups(const FormationPlan &plan, const GroupCounts &counts) const;
     /// Whether a VM may be used for groups according to its entry.
     bool isUsable(const Backend &backend) const;
+    /// Whether this node knows all conversions of the fleet and has none in progress.
+    bool knowsConversions(TimePoint now) const;
     /// Whether a domain may convert groups at this time.
     bool hasConversionTurn(const DomainId &id, TimePoint now) const;
     /// Orders VMs to prefetch weights, within the limits of the weight store.
@@ -195,6 +212,11 @@
     std::map<DomainId, std::uint32_t> m_splitSizes;
     ServingConfigurationPtr m_splitConfiguration;
     StoreEra m_era; ///< Of the store. 0 if it is not known or the store has no eras.
+    Revision m_storeHeld; ///< Up to which the store was read.
+    TimePoint m_storeProvenAt;
+    Revision m_conversionRevision; ///< Of the conversion record. 0 if there is none.
+    std::uint64_t m_conversionNumber = 0;
+    TimePoint m_conversionRetryAt; ///< After a conversion that was not written.
     std::map<DomainId, Domain> m_domains;
     std::map<VmId, SentOrder> m_orders;
     std::map<VmId, Staging> m_staging;
--- a/src/formation/formation_type.h
+++ b/src/formation/formation_type.h
@@ -5,6 +5,7 @@
 #include "request/serving_type.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -104,6 +105,10 @@
     DomainId domain;
     Revision expected; ///< 0 if no plan was written yet.
     FormationPlan plan;
+    /// Set if the plan converts groups: it is written only if no other conversion was written since
+    /// this revision of the conversion record, which is replaced in the same transaction.
+    std::optional<Revision> expectedConversion;
+    std::string conversion; ///< The new conversion record, serialized.
 };
 
 /// Action: log a decision of group formation.
--- a/src/formation/group_choice.cpp
+++ b/src/formation/group_choice.cpp
@@ -169,7 +169,7 @@
             if (best.dissolved.empty())
                 best = bestConversion();
             if (!best.dissolved.empty()) {
-                if (!best.isRepair && !m_input.mayConvert)
+                if (changed || !m_input.mayDissolve || (!best.isRepair && !m_input.mayConvert))
                     return changed; // Keep the free VMs until this domain may convert groups.
                 startConversion(best);
                 return true;
@@ -311,7 +311,7 @@
             if (!leastUtilized)
                 return {};
             result.dissolved.push_back(leastUtilized);
-            demand[donor].groups -= 1;
+            demand[donor] = afterGiving(demand[donor], 1);
             holders += countWithWeights(membersOf(*leastUtilized), model(receiver));
         }
         return result;
@@ -371,6 +371,8 @@
             || result.dissolved.size() > maxDissolvedGroups)
             return {};
         const auto dissolved = static_cast<double>(result.dissolved.size());
+        if (!mayGive(m_input.demand[donor], dissolved, m_input.demand[receiver]))
+            return {};
         result.isRepair = result.dissolved.size() == 1 && 2 * available >= model(receiver).span;
         std::vector<ModelDemand> demand = m_input.demand;
         demand[donor].groups -= dissolved;
@@ -419,10 +421,25 @@
     return demand.groups < 1 && demand.work > 0;
 }
 
-bool canSpareGroup(ModelDemand demand)
+ModelDemand afterGiving(ModelDemand demand, double groups)
+{
+    demand.openGroups -= groups;
+    demand.groups = std::min(demand.groups - groups, demand.openGroups);
+    return demand;
+}
+
+bool canSpareGroup(const ModelDemand &demand)
+{
+    const ModelDemand after = afterGiving(demand, 1);
+    return after.groups >= 1 && utilization(after) < saturatedUtilization;
+}
+
+bool mayGive(const ModelDemand &donor, double groups, const ModelDemand &receiver)
 {
-    demand.groups -= 1;
-    return demand.groups >= 1 && utilization(demand) < saturatedUtilization;
+    const ModelDemand after = afterGiving(donor, groups);
+    return after.groups >= 1
+        && (utilization(after) < saturatedUtilization || utilization(after) <= utilization(receiver)
+            || utilization(donor) >= saturatedUtilization);
 }
 
 double urgency(const ModelDemand &demand)
--- a/src/formation/group_choice.h
+++ b/src/formation/group_choice.h
@@ -11,6 +11,7 @@
     const ServedModel *model = nullptr;
     double work = 0; ///< Number of groups that its requests would fully utilize.
     double groups = 0; ///< Number of formed and planned groups.
+    double openGroups = 0; ///< Those of them that take requests.
 };
 
 /// Number of groups of a model in a plan that are not being dissolved.
@@ -22,8 +23,17 @@
 /// Whether a model has work but no group in any domain, so that all its requests are refused.
 bool isUnserved(const ModelDemand &demand);
 
-/// Whether a model keeps a group and is not saturated if one of its groups is dissolved.
-bool canSpareGroup(ModelDemand demand);
+/// The demand of a model that gives up groups. Only its open groups count as capacity: one that is
+/// still being formed may never open.
+ModelDemand afterGiving(ModelDemand demand, double groups);
+
+/// Whether a model keeps an open group and is not saturated if one of its groups is dissolved.
+bool canSpareGroup(const ModelDemand &demand);
+
+/// Whether a model may give groups to `receiver`: it keeps an open group, and it does not become
+/// saturated by that unless the receiver is worse off. One that is saturated already may give
+/// groups: if there is too little for all, the queueing cost of all models decides.
+bool mayGive(const ModelDemand &donor, double groups, const ModelDemand &receiver);
 
 /// How urgently a model needs one more group. A model without groups has the highest urgency.
 double urgency(const ModelDemand &demand);
@@ -41,6 +51,9 @@
     /// Whether this domain may convert groups at this time. The domains take turns, so that few
     /// convert groups for the same demand. Repairs do not wait for the turn.
     bool mayConvert = false;
+    /// Whether groups may be dissolved for other models at all. All conversions of the fleet are
+    /// written one after the other, each with the knowledge of those before.
+    bool mayDissolve = true;
 };
 
 /// Adds the groups that are needed to the plan, as far as the free VMs allow. A few VMs are kept as
@@ -49,7 +62,8 @@
 /// serve callers better in a group of another model, those groups are dissolved, and their VMs are
 /// reserved for the other model. A model without any group gets one whenever others can spare
 /// theirs. This handles crashes, VMs that are added and removed, and shifts of traffic between
-/// models. Returns false if nothing changed.
+/// models. A change that dissolves groups for another model makes no other change. Returns false if
+/// nothing changed.
 bool formGroups(FormationPlan &plan, const DomainId &domain, const FormationInput &input);
 
 } // namespace bramleypitch
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -3,6 +3,7 @@
 #include "core/error_type.h"
 #include "core/format_version.h"
 #include "core/json_reader.h"
+#include "formation/conversion_record.h"
 #include "network/log.h"
 #include "network/membership_record.h"
 #include "request/quarantine_func.h"
@@ -86,6 +87,7 @@
 constexpr int notFound = 404;
 constexpr int unavailable = 503;
 constexpr const char *formationKeyPrefix = "formation/";
+constexpr const char *conversionKey = "formation-conversions";
 constexpr const char *nodesKeyPrefix = "nodes/";
 constexpr const char *quarantineKeyPrefix = "quarantine/";
 
@@ -468,6 +470,11 @@
             onPlanChange(DomainId(key.substr(std::string(formationKeyPrefix).size())), change);
         return;
     }
+    if (key == conversionKey) {
+        if (!change.deleted)
+            m_formation.onConversionRead(parseConversionNumber(change.value), change.revision);
+        return;
+    }
     if (startsWith(key, quarantineKeyPrefix)) {
         if (change.deleted)
             return;
@@ -843,6 +850,7 @@
     if (!m_mirror.complete() || m_stopping || !m_formation.isDue(now))
         return;
     m_formation.setNodes(m_membership.dutyNodes(now));
+    m_formation.setStoreView(m_mirror.held(), m_mirror.provenAt());
     std::map<ModelId, double> demand = m_membership.demand(now);
     for (const auto &[model, slots] : m_requests.demand(now))
         demand[model] += slots;
@@ -890,16 +898,20 @@
 
 void ServingDaemon::perform(const WritePlan &write)
 {
-    m_store.compareAndSwap(planKey(write.domain), write.expected, serializePlan(write.plan), 0,
-                           [this, write](const StoreSwapResult &swap) {
-                               const bool written = swap.outcome == StoreSwapOutcome::Written;
-                               m_formation.onPlanWritten(write.domain, write.plan,
-                                                         written ? swap.revision : Revision());
-                               logLine(LogLevel::Info, "plan_written",
-                                       {{"domain", write.domain.value()},
-                                        {"written", written ? "true" : "false"},
-                                        {"expected", std::to_string(write.expected.value())}});
-                           });
+    std::vector<StoreWrite> writes {
+        {planKey(write.domain), write.expected, serializePlan(write.plan)}};
+    if (write.expectedConversion)
+        writes.push_back(
+            {m_dialect.ownPrefix + conversionKey, *write.expectedConversion, write.conversion});
+    m_store.writeAll(writes, [this, write](const StoreSwapResult &swap) {
+        const bool written = swap.outcome == StoreSwapOutcome::Written;
+        m_formation.onPlanWritten(write.domain, write.plan, written ? swap.revision : Revision());
+        logLine(LogLevel::Info, "plan_written",
+                {{"domain", write.domain.value()},
+                 {"written", written ? "true" : "false"},
+                 {"converts", write.expectedConversion ? "true" : "false"},
+                 {"expected", std::to_string(write.expected.value())}});
+    });
 }
 
 void ServingDaemon::perform(const LogFormation &note)
--- a/src/network/store_client.h
+++ b/src/network/store_client.h
@@ -21,6 +21,15 @@
     StoreEra era; ///< Of the store when it answered.
 };
 
+/// A write of one key in a transaction: the key has to be at revision `expected`, where 0 means
+/// that it must not exist.
+struct StoreWrite
+{
+    std::string key;
+    Revision expected;
+    std::string value;
+};
+
 /// Reply to granting or renewing a lease. A time to live of zero means that the lease has expired.
 struct StoreLease
 {
@@ -93,6 +102,18 @@
     virtual void compareAndSwap(const std::string &key, Revision expected, const std::string &value,
                                 std::int64_t lease,
                                 const std::function<void(const StoreSwapResult &)> &done) = 0;
+    /// Writes several keys in one transaction: all of them at one revision, or none. On a conflict
+    /// the revision and the value are not reported. A store without transactions over several keys
+    /// writes nothing and reports Unknown.
+    virtual void writeAll(const std::vector<StoreWrite> &writes,
+                          const std::function<void(const StoreSwapResult &)> &done)
+    {
+        if (writes.size() == 1)
+            compareAndSwap(writes.front().key, writes.front().expected, writes.front().value, 0,
+                           done);
+        else
+            done(StoreSwapResult());
+    }
     virtual void grantLease(Duration timeToLive,
                             const std::function<void(const StoreLease &)> &done) = 0;
     virtual void keepLeaseAlive(std::int64_t lease,
--- a/src/network/store_era_guard.cpp
+++ b/src/network/store_era_guard.cpp
@@ -63,6 +63,12 @@
     m_store.compareAndSwap(key, expected, value, lease, guarded(done));
 }
 
+void StoreEraGuard::writeAll(const std::vector<StoreWrite> &writes,
+                             const std::function<void(const StoreSwapResult &)> &done)
+{
+    m_store.writeAll(writes, guarded(done));
+}
+
 void StoreEraGuard::grantLease(Duration timeToLive,
                                const std::function<void(const StoreLease &)> &done)
 {
--- a/src/network/store_era_guard.h
+++ b/src/network/store_era_guard.h
@@ -32,6 +32,8 @@
     void compareAndSwap(const std::string &key, Revision expected, const std::string &value,
                         std::int64_t lease,
                         const std::function<void(const StoreSwapResult &)> &done) override;
+    void writeAll(const std::vector<StoreWrite> &writes,
+                  const std::function<void(const StoreSwapResult &)> &done) override;
     void grantLease(Duration timeToLive,
                     const std::function<void(const StoreLease &)> &done) override;
     void keepLeaseAlive(std::int64_t lease,
--- a/src/platform/platform_store.cpp
+++ b/src/platform/platform_store.cpp
@@ -216,12 +216,29 @@
                                    const std::string &value, std::int64_t lease,
                                    const std::function<void(const StoreSwapResult &)> &done)
 {
-    json put {{"key", key}, {"value", encodeBase64(value)}};
-    if (lease != 0)
-        put["lease"] = lease;
-    const json body {{"expected", json::array({{{"key", key}, {"revision", expected.value()}}})},
-                     {"puts", json::array({put})},
-                     {"remove", json::array()}};
+    transact({{key, expected, value}}, lease, done);
+}
+
+void PlatformStore::writeAll(const std::vector<StoreWrite> &writes,
+                             const std::function<void(const StoreSwapResult &)> &done)
+{
+    transact(writes, 0, done);
+}
+
+void PlatformStore::transact(const std::vector<StoreWrite> &writes, std::int64_t lease,
+                             const std::function<void(const StoreSwapResult &)> &done)
+{
+    json expected = json::array();
+    json puts = json::array();
+    for (const StoreWrite &write : writes) {
+        expected.push_back({{"key", write.key}, {"revision", write.expected.value()}});
+        json put {{"key", write.key}, {"value", encodeBase64(write.value)}};
+        if (lease != 0)
+            put["lease"] = lease;
+        puts.push_back(std::move(put));
+    }
+    const json body {
+        {"expected", std::move(expected)}, {"puts", std::move(puts)}, {"remove", json::array()}};
     HttpHooks hooks;
     hooks.onResponse = [done](const HttpResponse &response) {
         StoreSwapResult swap;
--- a/src/platform/platform_store.h
+++ b/src/platform/platform_store.h
@@ -21,6 +21,8 @@
     void compareAndSwap(const std::string &key, Revision expected, const std::string &value,
                         std::int64_t lease,
                         const std::function<void(const StoreSwapResult &)> &done) override;
+    void writeAll(const std::vector<StoreWrite> &writes,
+                  const std::function<void(const StoreSwapResult &)> &done) override;
     void grantLease(Duration timeToLive,
                     const std::function<void(const StoreLease &)> &done) override;
     void keepLeaseAlive(std::int64_t lease,
@@ -28,6 +30,9 @@
     void revokeLease(std::int64_t lease, const std::function<void()> &done) override;
 
 private:
+    /// Sends a conditional write of one or several keys. `lease` is that of all of them, or 0.
+    void transact(const std::vector<StoreWrite> &writes, std::int64_t lease,
+                  const std::function<void(const StoreSwapResult &)> &done);
     HttpCall call(const std::string &method, const std::string &path,
                   const std::string &body = {}) const;
 
--- a/src/tests/formation_test.cpp
+++ b/src/tests/formation_test.cpp
@@ -172,6 +172,7 @@
     {
         for (const TimePoint end = m_now + duration; m_now < end; m_now += Duration(50)) {
             FormationActions actions;
+            m_system->setStoreView(Revision(m_lastRevision), m_now);
             m_system->tick(m_now, actions);
             for (const FormationAction &action : actions)
                 std::visit([this](const auto &typedAction) { perform(typedAction); }, action);
@@ -193,6 +194,7 @@
         m_era = StoreEra(m_era.value() + 1);
         m_revisions.clear();
         m_lastRevision = 0;
+        m_conversionRevision = Revision();
         if (hasNewOwner) {
             startOwner(m_configuration, false);
             auto copied = m_pastReports.begin();
@@ -327,8 +329,11 @@
     void perform(const WritePlan &write)
     {
         Revision &revision = m_revisions[write.domain];
-        const bool revisionMatches = write.expected == revision;
+        const bool revisionMatches = write.expected == revision
+            && write.expectedConversion.value_or(m_conversionRevision) == m_conversionRevision;
         if (revisionMatches) {
+            if (write.expectedConversion)
+                m_conversionRevision = Revision(m_lastRevision + 1);
             revision = Revision(++m_lastRevision);
             // A stored plan must parse back to the same plan.
             EXPECT_EQ(parsePlan(serializePlan(write.plan)), write.plan);
@@ -364,6 +369,7 @@
     std::vector<WrittenPlan> m_writtenPlans;
     std::map<DomainId, Revision> m_revisions;
     std::int64_t m_lastRevision = 0;
+    Revision m_conversionRevision;
     std::deque<std::pair<TimePoint, SendGroupOrder>> m_delayedOrders;
 };
 
