--- a/src/network/gen/peer_types.cpp
+++ b/src/network/gen/peer_types.cpp
@@ -1838,6 +1838,158 @@
 }
 
 
+ClosedGroup::~ClosedGroup() noexcept {
+}
+
+
+void ClosedGroup::__set_started(const int64_t val) {
+  this->started = val;
+}
+
+void ClosedGroup::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void ClosedGroup::__set_generation(const int64_t val) {
+  this->generation = val;
+}
+
+void ClosedGroup::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const ClosedGroup& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ClosedGroup::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->started);
+          this->__isset.started = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->generation);
+          this->__isset.generation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ClosedGroup::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ClosedGroup");
+
+  xfer += oprot->writeFieldBegin("started", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->started);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("generation", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->generation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ClosedGroup &a, ClosedGroup &b) {
+  using ::std::swap;
+  swap(a.started, b.started);
+  swap(a.group, b.group);
+  swap(a.generation, b.generation);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+ClosedGroup::ClosedGroup(const ClosedGroup& other58) {
+  started = other58.started;
+  group = other58.group;
+  generation = other58.generation;
+  age_ms = other58.age_ms;
+  __isset = other58.__isset;
+}
+ClosedGroup& ClosedGroup::operator=(const ClosedGroup& other59) {
+  started = other59.started;
+  group = other59.group;
+  generation = other59.generation;
+  age_ms = other59.age_ms;
+  __isset = other59.__isset;
+  return *this;
+}
+void ClosedGroup::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ClosedGroup(";
+  out << "started=" << to_string(started);
+  out << ", " << "group=" << to_string(group);
+  out << ", " << "generation=" << to_string(generation);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
 Permits::~Permits() noexcept {
 }
 
@@ -1946,17 +2098,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->limits.clear();
-            uint32_t _size58;
-            ::apache::thrift::protocol::TType _ktype59;
-            ::apache::thrift::protocol::TType _vtype60;
-            xfer += iprot->readMapBegin(_ktype59, _vtype60, _size58);
-            uint32_t _i62;
-            for (_i62 = 0; _i62 < _size58; ++_i62)
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _ktype61;
+            ::apache::thrift::protocol::TType _vtype62;
+            xfer += iprot->readMapBegin(_ktype61, _vtype62, _size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
             {
-              std::string _key63;
-              xfer += iprot->readString(_key63);
-              ServerLimit& _val64 = this->limits[_key63];
-              xfer += _val64.read(iprot);
+              std::string _key65;
+              xfer += iprot->readString(_key65);
+              ServerLimit& _val66 = this->limits[_key65];
+              xfer += _val66.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1969,17 +2121,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->requests.clear();
-            uint32_t _size65;
-            ::apache::thrift::protocol::TType _ktype66;
-            ::apache::thrift::protocol::TType _vtype67;
-            xfer += iprot->readMapBegin(_ktype66, _vtype67, _size65);
-            uint32_t _i69;
-            for (_i69 = 0; _i69 < _size65; ++_i69)
+            uint32_t _size67;
+            ::apache::thrift::protocol::TType _ktype68;
+            ::apache::thrift::protocol::TType _vtype69;
+            xfer += iprot->readMapBegin(_ktype68, _vtype69, _size67);
+            uint32_t _i71;
+            for (_i71 = 0; _i71 < _size67; ++_i71)
             {
-              std::string _key70;
-              xfer += iprot->readString(_key70);
-              int32_t& _val71 = this->requests[_key70];
-              xfer += iprot->readI32(_val71);
+              std::string _key72;
+              xfer += iprot->readString(_key72);
+              int32_t& _val73 = this->requests[_key72];
+              xfer += iprot->readI32(_val73);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1992,17 +2144,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->grants.clear();
-            uint32_t _size72;
-            ::apache::thrift::protocol::TType _ktype73;
-            ::apache::thrift::protocol::TType _vtype74;
-            xfer += iprot->readMapBegin(_ktype73, _vtype74, _size72);
-            uint32_t _i76;
-            for (_i76 = 0; _i76 < _size72; ++_i76)
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _ktype75;
+            ::apache::thrift::protocol::TType _vtype76;
+            xfer += iprot->readMapBegin(_ktype75, _vtype76, _size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
             {
-              int64_t _key77;
-              xfer += iprot->readI64(_key77);
-              std::string& _val78 = this->grants[_key77];
-              xfer += iprot->readString(_val78);
+              int64_t _key79;
+              xfer += iprot->readI64(_key79);
+              std::string& _val80 = this->grants[_key79];
+              xfer += iprot->readString(_val80);
             }
             xfer += iprot->readMapEnd();
           }
@@ -2015,17 +2167,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->denials_ms.clear();
-            uint32_t _size79;
-            ::apache::thrift::protocol::TType _ktype80;
-            ::apache::thrift::protocol::TType _vtype81;
-            xfer += iprot->readMapBegin(_ktype80, _vtype81, _size79);
-            uint32_t _i83;
-            for (_i83 = 0; _i83 < _size79; ++_i83)
+            uint32_t _size81;
+            ::apache::thrift::protocol::TType _ktype82;
+            ::apache::thrift::protocol::TType _vtype83;
+            xfer += iprot->readMapBegin(_ktype82, _vtype83, _size81);
+            uint32_t _i85;
+            for (_i85 = 0; _i85 < _size81; ++_i85)
             {
-              std::string _key84;
-              xfer += iprot->readString(_key84);
-              int32_t& _val85 = this->denials_ms[_key84];
-              xfer += iprot->readI32(_val85);
+              std::string _key86;
+              xfer += iprot->readString(_key86);
+              int32_t& _val87 = this->denials_ms[_key86];
+              xfer += iprot->readI32(_val87);
             }
             xfer += iprot->readMapEnd();
           }
@@ -2038,17 +2190,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->settled_ms.clear();
-            uint32_t _size86;
-            ::apache::thrift::protocol::TType _ktype87;
-            ::apache::thrift::protocol::TType _vtype88;
-            xfer += iprot->readMapBegin(_ktype87, _vtype88, _size86);
-            uint32_t _i90;
-            for (_i90 = 0; _i90 < _size86; ++_i90)
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _ktype89;
+            ::apache::thrift::protocol::TType _vtype90;
+            xfer += iprot->readMapBegin(_ktype89, _vtype90, _size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
             {
-              int64_t _key91;
-              xfer += iprot->readI64(_key91);
-              int32_t& _val92 = this->settled_ms[_key91];
-              xfer += iprot->readI32(_val92);
+              int64_t _key93;
+              xfer += iprot->readI64(_key93);
+              int32_t& _val94 = this->settled_ms[_key93];
+              xfer += iprot->readI32(_val94);
             }
             xfer += iprot->readMapEnd();
           }
@@ -2101,11 +2253,11 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_MAP, 5);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::map<std::string, ServerLimit> ::const_iterator _iter93;
-    for (_iter93 = this->limits.begin(); _iter93 != this->limits.end(); ++_iter93)
+    std::map<std::string, ServerLimit> ::const_iterator _iter95;
+    for (_iter95 = this->limits.begin(); _iter95 != this->limits.end(); ++_iter95)
     {
-      xfer += oprot->writeString(_iter93->first);
-      xfer += _iter93->second.write(oprot);
+      xfer += oprot->writeString(_iter95->first);
+      xfer += _iter95->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2114,11 +2266,11 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_MAP, 6);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->requests.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter94;
-    for (_iter94 = this->requests.begin(); _iter94 != this->requests.end(); ++_iter94)
+    std::map<std::string, int32_t> ::const_iterator _iter96;
+    for (_iter96 = this->requests.begin(); _iter96 != this->requests.end(); ++_iter96)
     {
-      xfer += oprot->writeString(_iter94->first);
-      xfer += oprot->writeI32(_iter94->second);
+      xfer += oprot->writeString(_iter96->first);
+      xfer += oprot->writeI32(_iter96->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2127,11 +2279,11 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_MAP, 7);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I64, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->grants.size()));
-    std::map<int64_t, std::string> ::const_iterator _iter95;
-    for (_iter95 = this->grants.begin(); _iter95 != this->grants.end(); ++_iter95)
+    std::map<int64_t, std::string> ::const_iterator _iter97;
+    for (_iter97 = this->grants.begin(); _iter97 != this->grants.end(); ++_iter97)
     {
-      xfer += oprot->writeI64(_iter95->first);
-      xfer += oprot->writeString(_iter95->second);
+      xfer += oprot->writeI64(_iter97->first);
+      xfer += oprot->writeString(_iter97->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2140,11 +2292,11 @@
   xfer += oprot->writeFieldBegin("denials_ms", ::apache::thrift::protocol::T_MAP, 8);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->denials_ms.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter96;
-    for (_iter96 = this->denials_ms.begin(); _iter96 != this->denials_ms.end(); ++_iter96)
+    std::map<std::string, int32_t> ::const_iterator _iter98;
+    for (_iter98 = this->denials_ms.begin(); _iter98 != this->denials_ms.end(); ++_iter98)
     {
-      xfer += oprot->writeString(_iter96->first);
-      xfer += oprot->writeI32(_iter96->second);
+      xfer += oprot->writeString(_iter98->first);
+      xfer += oprot->writeI32(_iter98->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2153,11 +2305,11 @@
   xfer += oprot->writeFieldBegin("settled_ms", ::apache::thrift::protocol::T_MAP, 9);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I64, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->settled_ms.size()));
-    std::map<int64_t, int32_t> ::const_iterator _iter97;
-    for (_iter97 = this->settled_ms.begin(); _iter97 != this->settled_ms.end(); ++_iter97)
+    std::map<int64_t, int32_t> ::const_iterator _iter99;
+    for (_iter99 = this->settled_ms.begin(); _iter99 != this->settled_ms.end(); ++_iter99)
     {
-      xfer += oprot->writeI64(_iter97->first);
-      xfer += oprot->writeI32(_iter97->second);
+      xfer += oprot->writeI64(_iter99->first);
+      xfer += oprot->writeI32(_iter99->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2188,31 +2340,31 @@
   swap(a.__isset, b.__isset);
 }
 
-Permits::Permits(const Permits& other98) {
-  node = other98.node;
-  life = other98.life;
-  clock_ms = other98.clock_ms;
-  echo_ms = other98.echo_ms;
-  limits = other98.limits;
-  requests = other98.requests;
-  grants = other98.grants;
-  denials_ms = other98.denials_ms;
-  settled_ms = other98.settled_ms;
-  version = other98.version;
-  __isset = other98.__isset;
-}
-Permits& Permits::operator=(const Permits& other99) {
-  node = other99.node;
-  life = other99.life;
-  clock_ms = other99.clock_ms;
-  echo_ms = other99.echo_ms;
-  limits = other99.limits;
-  requests = other99.requests;
-  grants = other99.grants;
-  denials_ms = other99.denials_ms;
-  settled_ms = other99.settled_ms;
-  version = other99.version;
-  __isset = other99.__isset;
+Permits::Permits(const Permits& other100) {
+  node = other100.node;
+  life = other100.life;
+  clock_ms = other100.clock_ms;
+  echo_ms = other100.echo_ms;
+  limits = other100.limits;
+  requests = other100.requests;
+  grants = other100.grants;
+  denials_ms = other100.denials_ms;
+  settled_ms = other100.settled_ms;
+  version = other100.version;
+  __isset = other100.__isset;
+}
+Permits& Permits::operator=(const Permits& other101) {
+  node = other101.node;
+  life = other101.life;
+  clock_ms = other101.clock_ms;
+  echo_ms = other101.echo_ms;
+  limits = other101.limits;
+  requests = other101.requests;
+  grants = other101.grants;
+  denials_ms = other101.denials_ms;
+  settled_ms = other101.settled_ms;
+  version = other101.version;
+  __isset = other101.__isset;
   return *this;
 }
 void Permits::printTo(std::ostream& out) const {
@@ -2304,6 +2456,14 @@
   this->newest_version = val;
 }
 
+void Pulse::__set_write_refused(const bool val) {
+  this->write_refused = val;
+}
+
+void Pulse::__set_closed_groups(const std::map<std::string, ClosedGroup> & val) {
+  this->closed_groups = val;
+}
+
 void Pulse::__set_version(const int32_t val) {
   this->version = val;
 __isset.version = true;
@@ -2372,17 +2532,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->running.clear();
-            uint32_t _size100;
-            ::apache::thrift::protocol::TType _ktype101;
-            ::apache::thrift::protocol::TType _vtype102;
-            xfer += iprot->readMapBegin(_ktype101, _vtype102, _size100);
-            uint32_t _i104;
-            for (_i104 = 0; _i104 < _size100; ++_i104)
+            uint32_t _size102;
+            ::apache::thrift::protocol::TType _ktype103;
+            ::apache::thrift::protocol::TType _vtype104;
+            xfer += iprot->readMapBegin(_ktype103, _vtype104, _size102);
+            uint32_t _i106;
+            for (_i106 = 0; _i106 < _size102; ++_i106)
             {
-              std::string _key105;
-              xfer += iprot->readString(_key105);
-              int32_t& _val106 = this->running[_key105];
-              xfer += iprot->readI32(_val106);
+              std::string _key107;
+              xfer += iprot->readString(_key107);
+              int32_t& _val108 = this->running[_key107];
+              xfer += iprot->readI32(_val108);
             }
             xfer += iprot->readMapEnd();
           }
@@ -2395,17 +2555,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->demand.clear();
-            uint32_t _size107;
-            ::apache::thrift::protocol::TType _ktype108;
-            ::apache::thrift::protocol::TType _vtype109;
-            xfer += iprot->readMapBegin(_ktype108, _vtype109, _size107);
-            uint32_t _i111;
-            for (_i111 = 0; _i111 < _size107; ++_i111)
+            uint32_t _size109;
+            ::apache::thrift::protocol::TType _ktype110;
+            ::apache::thrift::protocol::TType _vtype111;
+            xfer += iprot->readMapBegin(_ktype110, _vtype111, _size109);
+            uint32_t _i113;
+            for (_i113 = 0; _i113 < _size109; ++_i113)
             {
-              std::string _key112;
-              xfer += iprot->readString(_key112);
-              double& _val113 = this->demand[_key112];
-              xfer += iprot->readDouble(_val113);
+              std::string _key114;
+              xfer += iprot->readString(_key114);
+              double& _val115 = this->demand[_key114];
+              xfer += iprot->readDouble(_val115);
             }
             xfer += iprot->readMapEnd();
           }
@@ -2418,17 +2578,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->suspects_ms.clear();
-            uint32_t _size114;
-            ::apache::thrift::protocol::TType _ktype115;
-            ::apache::thrift::protocol::TType _vtype116;
-            xfer += iprot->readMapBegin(_ktype115, _vtype116, _size114);
-            uint32_t _i118;
-            for (_i118 = 0; _i118 < _size114; ++_i118)
+            uint32_t _size116;
+            ::apache::thrift::protocol::TType _ktype117;
+            ::apache::thrift::protocol::TType _vtype118;
+            xfer += iprot->readMapBegin(_ktype117, _vtype118, _size116);
+            uint32_t _i120;
+            for (_i120 = 0; _i120 < _size116; ++_i120)
             {
-              std::string _key119;
-              xfer += iprot->readString(_key119);
-              int32_t& _val120 = this->suspects_ms[_key119];
-              xfer += iprot->readI32(_val120);
+              std::string _key121;
+              xfer += iprot->readString(_key121);
+              int32_t& _val122 = this->suspects_ms[_key121];
+              xfer += iprot->readI32(_val122);
             }
             xfer += iprot->readMapEnd();
           }
@@ -2457,17 +2617,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->heard_ms.clear();
-            uint32_t _size121;
-            ::apache::thrift::protocol::TType _ktype122;
-            ::apache::thrift::protocol::TType _vtype123;
-            xfer += iprot->readMapBegin(_ktype122, _vtype123, _size121);
-            uint32_t _i125;
-            for (_i125 = 0; _i125 < _size121; ++_i125)
+            uint32_t _size123;
+            ::apache::thrift::protocol::TType _ktype124;
+            ::apache::thrift::protocol::TType _vtype125;
+            xfer += iprot->readMapBegin(_ktype124, _vtype125, _size123);
+            uint32_t _i127;
+            for (_i127 = 0; _i127 < _size123; ++_i127)
             {
-              std::string _key126;
-              xfer += iprot->readString(_key126);
-              int32_t& _val127 = this->heard_ms[_key126];
-              xfer += iprot->readI32(_val127);
+              std::string _key128;
+              xfer += iprot->readString(_key128);
+              int32_t& _val129 = this->heard_ms[_key128];
+              xfer += iprot->readI32(_val129);
             }
             xfer += iprot->readMapEnd();
           }
@@ -2488,17 +2648,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->leaving.clear();
-            uint32_t _size128;
-            ::apache::thrift::protocol::TType _ktype129;
-            ::apache::thrift::protocol::TType _vtype130;
-            xfer += iprot->readMapBegin(_ktype129, _vtype130, _size128);
-            uint32_t _i132;
-            for (_i132 = 0; _i132 < _size128; ++_i132)
+            uint32_t _size130;
+            ::apache::thrift::protocol::TType _ktype131;
+            ::apache::thrift::protocol::TType _vtype132;
+            xfer += iprot->readMapBegin(_ktype131, _vtype132, _size130);
+            uint32_t _i134;
+            for (_i134 = 0; _i134 < _size130; ++_i134)
             {
-              std::string _key133;
-              xfer += iprot->readString(_key133);
-              int64_t& _val134 = this->leaving[_key133];
-              xfer += iprot->readI64(_val134);
+              std::string _key135;
+              xfer += iprot->readString(_key135);
+              int64_t& _val136 = this->leaving[_key135];
+              xfer += iprot->readI64(_val136);
             }
             xfer += iprot->readMapEnd();
           }
@@ -2519,17 +2679,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->limits.clear();
-            uint32_t _size135;
-            ::apache::thrift::protocol::TType _ktype136;
-            ::apache::thrift::protocol::TType _vtype137;
-            xfer += iprot->readMapBegin(_ktype136, _vtype137, _size135);
-            uint32_t _i139;
-            for (_i139 = 0; _i139 < _size135; ++_i139)
+            uint32_t _size137;
+            ::apache::thrift::protocol::TType _ktype138;
+            ::apache::thrift::protocol::TType _vtype139;
+            xfer += iprot->readMapBegin(_ktype138, _vtype139, _size137);
+            uint32_t _i141;
+            for (_i141 = 0; _i141 < _size137; ++_i141)
             {
-              std::string _key140;
-              xfer += iprot->readString(_key140);
-              ServerLimit& _val141 = this->limits[_key140];
-              xfer += _val141.read(iprot);
+              std::string _key142;
+              xfer += iprot->readString(_key142);
+              ServerLimit& _val143 = this->limits[_key142];
+              xfer += _val143.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -2562,6 +2722,37 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->write_refused);
+          this->__isset.write_refused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->closed_groups.clear();
+            uint32_t _size144;
+            ::apache::thrift::protocol::TType _ktype145;
+            ::apache::thrift::protocol::TType _vtype146;
+            xfer += iprot->readMapBegin(_ktype145, _vtype146, _size144);
+            uint32_t _i148;
+            for (_i148 = 0; _i148 < _size144; ++_i148)
+            {
+              std::string _key149;
+              xfer += iprot->readString(_key149);
+              ClosedGroup& _val150 = this->closed_groups[_key149];
+              xfer += _val150.read(iprot);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.closed_groups = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 20:
         if (ftype == ::apache::thrift::protocol::T_I32) {
           xfer += iprot->readI32(this->version);
@@ -2606,11 +2797,11 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_MAP, 5);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->running.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter142;
-    for (_iter142 = this->running.begin(); _iter142 != this->running.end(); ++_iter142)
+    std::map<std::string, int32_t> ::const_iterator _iter151;
+    for (_iter151 = this->running.begin(); _iter151 != this->running.end(); ++_iter151)
     {
-      xfer += oprot->writeString(_iter142->first);
-      xfer += oprot->writeI32(_iter142->second);
+      xfer += oprot->writeString(_iter151->first);
+      xfer += oprot->writeI32(_iter151->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2619,11 +2810,11 @@
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_MAP, 6);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_DOUBLE, static_cast<uint32_t>(this->demand.size()));
-    std::map<std::string, double> ::const_iterator _iter143;
-    for (_iter143 = this->demand.begin(); _iter143 != this->demand.end(); ++_iter143)
+    std::map<std::string, double> ::const_iterator _iter152;
+    for (_iter152 = this->demand.begin(); _iter152 != this->demand.end(); ++_iter152)
     {
-      xfer += oprot->writeString(_iter143->first);
-      xfer += oprot->writeDouble(_iter143->second);
+      xfer += oprot->writeString(_iter152->first);
+      xfer += oprot->writeDouble(_iter152->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2632,11 +2823,11 @@
   xfer += oprot->writeFieldBegin("suspects_ms", ::apache::thrift::protocol::T_MAP, 7);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->suspects_ms.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter144;
-    for (_iter144 = this->suspects_ms.begin(); _iter144 != this->suspects_ms.end(); ++_iter144)
+    std::map<std::string, int32_t> ::const_iterator _iter153;
+    for (_iter153 = this->suspects_ms.begin(); _iter153 != this->suspects_ms.end(); ++_iter153)
     {
-      xfer += oprot->writeString(_iter144->first);
-      xfer += oprot->writeI32(_iter144->second);
+      xfer += oprot->writeString(_iter153->first);
+      xfer += oprot->writeI32(_iter153->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2653,11 +2844,11 @@
   xfer += oprot->writeFieldBegin("heard_ms", ::apache::thrift::protocol::T_MAP, 10);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->heard_ms.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter145;
-    for (_iter145 = this->heard_ms.begin(); _iter145 != this->heard_ms.end(); ++_iter145)
+    std::map<std::string, int32_t> ::const_iterator _iter154;
+    for (_iter154 = this->heard_ms.begin(); _iter154 != this->heard_ms.end(); ++_iter154)
     {
-      xfer += oprot->writeString(_iter145->first);
-      xfer += oprot->writeI32(_iter145->second);
+      xfer += oprot->writeString(_iter154->first);
+      xfer += oprot->writeI32(_iter154->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2670,11 +2861,11 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_MAP, 12);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leaving.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter146;
-    for (_iter146 = this->leaving.begin(); _iter146 != this->leaving.end(); ++_iter146)
+    std::map<std::string, int64_t> ::const_iterator _iter155;
+    for (_iter155 = this->leaving.begin(); _iter155 != this->leaving.end(); ++_iter155)
     {
-      xfer += oprot->writeString(_iter146->first);
-      xfer += oprot->writeI64(_iter146->second);
+      xfer += oprot->writeString(_iter155->first);
+      xfer += oprot->writeI64(_iter155->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2687,11 +2878,11 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_MAP, 14);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::map<std::string, ServerLimit> ::const_iterator _iter147;
-    for (_iter147 = this->limits.begin(); _iter147 != this->limits.end(); ++_iter147)
+    std::map<std::string, ServerLimit> ::const_iterator _iter156;
+    for (_iter156 = this->limits.begin(); _iter156 != this->limits.end(); ++_iter156)
     {
-      xfer += oprot->writeString(_iter147->first);
-      xfer += _iter147->second.write(oprot);
+      xfer += oprot->writeString(_iter156->first);
+      xfer += _iter156->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2709,6 +2900,23 @@
   xfer += oprot->writeI64(this->newest_version);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("write_refused", ::apache::thrift::protocol::T_BOOL, 18);
+  xfer += oprot->writeBool(this->write_refused);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("closed_groups", ::apache::thrift::protocol::T_MAP, 19);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->closed_groups.size()));
+    std::map<std::string, ClosedGroup> ::const_iterator _iter157;
+    for (_iter157 = this->closed_groups.begin(); _iter157 != this->closed_groups.end(); ++_iter157)
+    {
+      xfer += oprot->writeString(_iter157->first);
+      xfer += _iter157->second.write(oprot);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   if (this->__isset.version) {
     xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I32, 20);
     xfer += oprot->writeI32(this->version);
@@ -2738,51 +2946,57 @@
   swap(a.cut, b.cut);
   swap(a.store_era, b.store_era);
   swap(a.newest_version, b.newest_version);
+  swap(a.write_refused, b.write_refused);
+  swap(a.closed_groups, b.closed_groups);
   swap(a.version, b.version);
   swap(a.__isset, b.__isset);
 }
 
-Pulse::Pulse(const Pulse& other148) {
-  node = other148.node;
-  life = other148.life;
-  number = other148.number;
-  taking = other148.taking;
-  running = other148.running;
-  demand = other148.demand;
-  suspects_ms = other148.suspects_ms;
-  clock_ms = other148.clock_ms;
-  held_revision = other148.held_revision;
-  heard_ms = other148.heard_ms;
-  settled = other148.settled;
-  leaving = other148.leaving;
-  quarantine = other148.quarantine;
-  limits = other148.limits;
-  cut = other148.cut;
-  store_era = other148.store_era;
-  newest_version = other148.newest_version;
-  version = other148.version;
-  __isset = other148.__isset;
-}
-Pulse& Pulse::operator=(const Pulse& other149) {
-  node = other149.node;
-  life = other149.life;
-  number = other149.number;
-  taking = other149.taking;
-  running = other149.running;
-  demand = other149.demand;
-  suspects_ms = other149.suspects_ms;
-  clock_ms = other149.clock_ms;
-  held_revision = other149.held_revision;
-  heard_ms = other149.heard_ms;
-  settled = other149.settled;
-  leaving = other149.leaving;
-  quarantine = other149.quarantine;
-  limits = other149.limits;
-  cut = other149.cut;
-  store_era = other149.store_era;
-  newest_version = other149.newest_version;
-  version = other149.version;
-  __isset = other149.__isset;
+Pulse::Pulse(const Pulse& other158) {
+  node = other158.node;
+  life = other158.life;
+  number = other158.number;
+  taking = other158.taking;
+  running = other158.running;
+  demand = other158.demand;
+  suspects_ms = other158.suspects_ms;
+  clock_ms = other158.clock_ms;
+  held_revision = other158.held_revision;
+  heard_ms = other158.heard_ms;
+  settled = other158.settled;
+  leaving = other158.leaving;
+  quarantine = other158.quarantine;
+  limits = other158.limits;
+  cut = other158.cut;
+  store_era = other158.store_era;
+  newest_version = other158.newest_version;
+  write_refused = other158.write_refused;
+  closed_groups = other158.closed_groups;
+  version = other158.version;
+  __isset = other158.__isset;
+}
+Pulse& Pulse::operator=(const Pulse& other159) {
+  node = other159.node;
+  life = other159.life;
+  number = other159.number;
+  taking = other159.taking;
+  running = other159.running;
+  demand = other159.demand;
+  suspects_ms = other159.suspects_ms;
+  clock_ms = other159.clock_ms;
+  held_revision = other159.held_revision;
+  heard_ms = other159.heard_ms;
+  settled = other159.settled;
+  leaving = other159.leaving;
+  quarantine = other159.quarantine;
+  limits = other159.limits;
+  cut = other159.cut;
+  store_era = other159.store_era;
+  newest_version = other159.newest_version;
+  write_refused = other159.write_refused;
+  closed_groups = other159.closed_groups;
+  version = other159.version;
+  __isset = other159.__isset;
   return *this;
 }
 void Pulse::printTo(std::ostream& out) const {
@@ -2805,6 +3019,8 @@
   out << ", " << "cut=" << to_string(cut);
   out << ", " << "store_era=" << to_string(store_era);
   out << ", " << "newest_version=" << to_string(newest_version);
+  out << ", " << "write_refused=" << to_string(write_refused);
+  out << ", " << "closed_groups=" << to_string(closed_groups);
   out << ", " << "version="; (__isset.version ? (out << to_string(version)) : (out << "<null>"));
   out << ")";
 }
@@ -2890,6 +3106,14 @@
   this->version = val;
 __isset.version = true;
 }
+
+void Digest::__set_write_refused(const std::set<std::string> & val) {
+  this->write_refused = val;
+}
+
+void Digest::__set_closed_groups(const std::map<std::string, ClosedGroup> & val) {
+  this->closed_groups = val;
+}
 std::ostream& operator<<(std::ostream& out, const Digest& obj)
 {
   obj.printTo(out);
@@ -2954,17 +3178,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->taking.clear();
-            uint32_t _size150;
-            ::apache::thrift::protocol::TType _ktype151;
-            ::apache::thrift::protocol::TType _vtype152;
-            xfer += iprot->readMapBegin(_ktype151, _vtype152, _size150);
-            uint32_t _i154;
-            for (_i154 = 0; _i154 < _size150; ++_i154)
+            uint32_t _size160;
+            ::apache::thrift::protocol::TType _ktype161;
+            ::apache::thrift::protocol::TType _vtype162;
+            xfer += iprot->readMapBegin(_ktype161, _vtype162, _size160);
+            uint32_t _i164;
+            for (_i164 = 0; _i164 < _size160; ++_i164)
             {
-              std::string _key155;
-              xfer += iprot->readString(_key155);
-              bool& _val156 = this->taking[_key155];
-              xfer += iprot->readBool(_val156);
+              std::string _key165;
+              xfer += iprot->readString(_key165);
+              bool& _val166 = this->taking[_key165];
+              xfer += iprot->readBool(_val166);
             }
             xfer += iprot->readMapEnd();
           }
@@ -2977,17 +3201,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->running.clear();
-            uint32_t _size157;
-            ::apache::thrift::protocol::TType _ktype158;
-            ::apache::thrift::protocol::TType _vtype159;
-            xfer += iprot->readMapBegin(_ktype158, _vtype159, _size157);
-            uint32_t _i161;
-            for (_i161 = 0; _i161 < _size157; ++_i161)
+            uint32_t _size167;
+            ::apache::thrift::protocol::TType _ktype168;
+            ::apache::thrift::protocol::TType _vtype169;
+            xfer += iprot->readMapBegin(_ktype168, _vtype169, _size167);
+            uint32_t _i171;
+            for (_i171 = 0; _i171 < _size167; ++_i171)
             {
-              std::string _key162;
-              xfer += iprot->readString(_key162);
-              int32_t& _val163 = this->running[_key162];
-              xfer += iprot->readI32(_val163);
+              std::string _key172;
+              xfer += iprot->readString(_key172);
+              int32_t& _val173 = this->running[_key172];
+              xfer += iprot->readI32(_val173);
             }
             xfer += iprot->readMapEnd();
           }
@@ -3000,17 +3224,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->demand.clear();
-            uint32_t _size164;
-            ::apache::thrift::protocol::TType _ktype165;
-            ::apache::thrift::protocol::TType _vtype166;
-            xfer += iprot->readMapBegin(_ktype165, _vtype166, _size164);
-            uint32_t _i168;
-            for (_i168 = 0; _i168 < _size164; ++_i168)
+            uint32_t _size174;
+            ::apache::thrift::protocol::TType _ktype175;
+            ::apache::thrift::protocol::TType _vtype176;
+            xfer += iprot->readMapBegin(_ktype175, _vtype176, _size174);
+            uint32_t _i178;
+            for (_i178 = 0; _i178 < _size174; ++_i178)
             {
-              std::string _key169;
-              xfer += iprot->readString(_key169);
-              double& _val170 = this->demand[_key169];
-              xfer += iprot->readDouble(_val170);
+              std::string _key179;
+              xfer += iprot->readString(_key179);
+              double& _val180 = this->demand[_key179];
+              xfer += iprot->readDouble(_val180);
             }
             xfer += iprot->readMapEnd();
           }
@@ -3023,17 +3247,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->suspects_ms.clear();
-            uint32_t _size171;
-            ::apache::thrift::protocol::TType _ktype172;
-            ::apache::thrift::protocol::TType _vtype173;
-            xfer += iprot->readMapBegin(_ktype172, _vtype173, _size171);
-            uint32_t _i175;
-            for (_i175 = 0; _i175 < _size171; ++_i175)
+            uint32_t _size181;
+            ::apache::thrift::protocol::TType _ktype182;
+            ::apache::thrift::protocol::TType _vtype183;
+            xfer += iprot->readMapBegin(_ktype182, _vtype183, _size181);
+            uint32_t _i185;
+            for (_i185 = 0; _i185 < _size181; ++_i185)
             {
-              std::string _key176;
-              xfer += iprot->readString(_key176);
-              int32_t& _val177 = this->suspects_ms[_key176];
-              xfer += iprot->readI32(_val177);
+              std::string _key186;
+              xfer += iprot->readString(_key186);
+              int32_t& _val187 = this->suspects_ms[_key186];
+              xfer += iprot->readI32(_val187);
             }
             xfer += iprot->readMapEnd();
           }
@@ -3046,17 +3270,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->heard_ms.clear();
-            uint32_t _size178;
-            ::apache::thrift::protocol::TType _ktype179;
-            ::apache::thrift::protocol::TType _vtype180;
-            xfer += iprot->readMapBegin(_ktype179, _vtype180, _size178);
-            uint32_t _i182;
-            for (_i182 = 0; _i182 < _size178; ++_i182)
+            uint32_t _size188;
+            ::apache::thrift::protocol::TType _ktype189;
+            ::apache::thrift::protocol::TType _vtype190;
+            xfer += iprot->readMapBegin(_ktype189, _vtype190, _size188);
+            uint32_t _i192;
+            for (_i192 = 0; _i192 < _size188; ++_i192)
             {
-              std::string _key183;
-              xfer += iprot->readString(_key183);
-              int32_t& _val184 = this->heard_ms[_key183];
-              xfer += iprot->readI32(_val184);
+              std::string _key193;
+              xfer += iprot->readString(_key193);
+              int32_t& _val194 = this->heard_ms[_key193];
+              xfer += iprot->readI32(_val194);
             }
             xfer += iprot->readMapEnd();
           }
@@ -3093,17 +3317,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->leaving.clear();
-            uint32_t _size185;
-            ::apache::thrift::protocol::TType _ktype186;
-            ::apache::thrift::protocol::TType _vtype187;
-            xfer += iprot->readMapBegin(_ktype186, _vtype187, _size185);
-            uint32_t _i189;
-            for (_i189 = 0; _i189 < _size185; ++_i189)
+            uint32_t _size195;
+            ::apache::thrift::protocol::TType _ktype196;
+            ::apache::thrift::protocol::TType _vtype197;
+            xfer += iprot->readMapBegin(_ktype196, _vtype197, _size195);
+            uint32_t _i199;
+            for (_i199 = 0; _i199 < _size195; ++_i199)
             {
-              std::string _key190;
-              xfer += iprot->readString(_key190);
-              int64_t& _val191 = this->leaving[_key190];
-              xfer += iprot->readI64(_val191);
+              std::string _key200;
+              xfer += iprot->readString(_key200);
+              int64_t& _val201 = this->leaving[_key200];
+              xfer += iprot->readI64(_val201);
             }
             xfer += iprot->readMapEnd();
           }
@@ -3124,17 +3348,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->limits.clear();
-            uint32_t _size192;
-            ::apache::thrift::protocol::TType _ktype193;
-            ::apache::thrift::protocol::TType _vtype194;
-            xfer += iprot->readMapBegin(_ktype193, _vtype194, _size192);
-            uint32_t _i196;
-            for (_i196 = 0; _i196 < _size192; ++_i196)
+            uint32_t _size202;
+            ::apache::thrift::protocol::TType _ktype203;
+            ::apache::thrift::protocol::TType _vtype204;
+            xfer += iprot->readMapBegin(_ktype203, _vtype204, _size202);
+            uint32_t _i206;
+            for (_i206 = 0; _i206 < _size202; ++_i206)
             {
-              std::string _key197;
-              xfer += iprot->readString(_key197);
-              ServerLimit& _val198 = this->limits[_key197];
-              xfer += _val198.read(iprot);
+              std::string _key207;
+              xfer += iprot->readString(_key207);
+              ServerLimit& _val208 = this->limits[_key207];
+              xfer += _val208.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -3147,15 +3371,15 @@
         if (ftype == ::apache::thrift::protocol::T_SET) {
           {
             this->cut.clear();
-            uint32_t _size199;
-            ::apache::thrift::protocol::TType _etype202;
-            xfer += iprot->readSetBegin(_etype202, _size199);
-            uint32_t _i203;
-            for (_i203 = 0; _i203 < _size199; ++_i203)
+            uint32_t _size209;
+            ::apache::thrift::protocol::TType _etype212;
+            xfer += iprot->readSetBegin(_etype212, _size209);
+            uint32_t _i213;
+            for (_i213 = 0; _i213 < _size209; ++_i213)
             {
-              std::string _elem204;
-              xfer += iprot->readString(_elem204);
-              this->cut.insert(_elem204);
+              std::string _elem214;
+              xfer += iprot->readString(_elem214);
+              this->cut.insert(_elem214);
             }
             xfer += iprot->readSetEnd();
           }
@@ -3188,6 +3412,50 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_SET) {
+          {
+            this->write_refused.clear();
+            uint32_t _size215;
+            ::apache::thrift::protocol::TType _etype218;
+            xfer += iprot->readSetBegin(_etype218, _size215);
+            uint32_t _i219;
+            for (_i219 = 0; _i219 < _size215; ++_i219)
+            {
+              std::string _elem220;
+              xfer += iprot->readString(_elem220);
+              this->write_refused.insert(_elem220);
+            }
+            xfer += iprot->readSetEnd();
+          }
+          this->__isset.write_refused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->closed_groups.clear();
+            uint32_t _size221;
+            ::apache::thrift::protocol::TType _ktype222;
+            ::apache::thrift::protocol::TType _vtype223;
+            xfer += iprot->readMapBegin(_ktype222, _vtype223, _size221);
+            uint32_t _i225;
+            for (_i225 = 0; _i225 < _size221; ++_i225)
+            {
+              std::string _key226;
+              xfer += iprot->readString(_key226);
+              ClosedGroup& _val227 = this->closed_groups[_key226];
+              xfer += _val227.read(iprot);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.closed_groups = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3224,11 +3492,11 @@
   xfer += oprot->writeFieldBegin("taking", ::apache::thrift::protocol::T_MAP, 5);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_BOOL, static_cast<uint32_t>(this->taking.size()));
-    std::map<std::string, bool> ::const_iterator _iter205;
-    for (_iter205 = this->taking.begin(); _iter205 != this->taking.end(); ++_iter205)
+    std::map<std::string, bool> ::const_iterator _iter228;
+    for (_iter228 = this->taking.begin(); _iter228 != this->taking.end(); ++_iter228)
     {
-      xfer += oprot->writeString(_iter205->first);
-      xfer += oprot->writeBool(_iter205->second);
+      xfer += oprot->writeString(_iter228->first);
+      xfer += oprot->writeBool(_iter228->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -3237,11 +3505,11 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_MAP, 6);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->running.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter206;
-    for (_iter206 = this->running.begin(); _iter206 != this->running.end(); ++_iter206)
+    std::map<std::string, int32_t> ::const_iterator _iter229;
+    for (_iter229 = this->running.begin(); _iter229 != this->running.end(); ++_iter229)
     {
-      xfer += oprot->writeString(_iter206->first);
-      xfer += oprot->writeI32(_iter206->second);
+      xfer += oprot->writeString(_iter229->first);
+      xfer += oprot->writeI32(_iter229->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -3250,11 +3518,11 @@
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_MAP, 7);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_DOUBLE, static_cast<uint32_t>(this->demand.size()));
-    std::map<std::string, double> ::const_iterator _iter207;
-    for (_iter207 = this->demand.begin(); _iter207 != this->demand.end(); ++_iter207)
+    std::map<std::string, double> ::const_iterator _iter230;
+    for (_iter230 = this->demand.begin(); _iter230 != this->demand.end(); ++_iter230)
     {
-      xfer += oprot->writeString(_iter207->first);
-      xfer += oprot->writeDouble(_iter207->second);
+      xfer += oprot->writeString(_iter230->first);
+      xfer += oprot->writeDouble(_iter230->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -3263,11 +3531,11 @@
   xfer += oprot->writeFieldBegin("suspects_ms", ::apache::thrift::protocol::T_MAP, 8);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->suspects_ms.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter208;
-    for (_iter208 = this->suspects_ms.begin(); _iter208 != this->suspects_ms.end(); ++_iter208)
+    std::map<std::string, int32_t> ::const_iterator _iter231;
+    for (_iter231 = this->suspects_ms.begin(); _iter231 != this->suspects_ms.end(); ++_iter231)
     {
-      xfer += oprot->writeString(_iter208->first);
-      xfer += oprot->writeI32(_iter208->second);
+      xfer += oprot->writeString(_iter231->first);
+      xfer += oprot->writeI32(_iter231->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -3276,11 +3544,11 @@
   xfer += oprot->writeFieldBegin("heard_ms", ::apache::thrift::protocol::T_MAP, 9);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->heard_ms.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter209;
-    for (_iter209 = this->heard_ms.begin(); _iter209 != this->heard_ms.end(); ++_iter209)
+    std::map<std::string, int32_t> ::const_iterator _iter232;
+    for (_iter232 = this->heard_ms.begin(); _iter232 != this->heard_ms.end(); ++_iter232)
     {
-      xfer += oprot->writeString(_iter209->first);
-      xfer += oprot->writeI32(_iter209->second);
+      xfer += oprot->writeString(_iter232->first);
+      xfer += oprot->writeI32(_iter232->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -3301,11 +3569,11 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_MAP, 13);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leaving.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter210;
-    for (_iter210 = this->leaving.begin(); _iter210 != this->leaving.end(); ++_iter210)
+    std::map<std::string, int64_t> ::const_iterator _iter233;
+    for (_iter233 = this->leaving.begin(); _iter233 != this->leaving.end(); ++_iter233)
     {
-      xfer += oprot->writeString(_iter210->first);
-      xfer += oprot->writeI64(_iter210->second);
+      xfer += oprot->writeString(_iter233->first);
+      xfer += oprot->writeI64(_iter233->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -3318,11 +3586,11 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_MAP, 15);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::map<std::string, ServerLimit> ::const_iterator _iter211;
-    for (_iter211 = this->limits.begin(); _iter211 != this->limits.end(); ++_iter211)
+    std::map<std::string, ServerLimit> ::const_iterator _iter234;
+    for (_iter234 = this->limits.begin(); _iter234 != this->limits.end(); ++_iter234)
     {
-      xfer += oprot->writeString(_iter211->first);
-      xfer += _iter211->second.write(oprot);
+      xfer += oprot->writeString(_iter234->first);
+      xfer += _iter234->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -3331,10 +3599,10 @@
   xfer += oprot->writeFieldBegin("cut", ::apache::thrift::protocol::T_SET, 16);
   {
     xfer += oprot->writeSetBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->cut.size()));
-    std::set<std::string> ::const_iterator _iter212;
-    for (_iter212 = this->cut.begin(); _iter212 != this->cut.end(); ++_iter212)
+    std::set<std::string> ::const_iterator _iter235;
+    for (_iter235 = this->cut.begin(); _iter235 != this->cut.end(); ++_iter235)
     {
-      xfer += oprot->writeString((*_iter212));
+      xfer += oprot->writeString((*_iter235));
     }
     xfer += oprot->writeSetEnd();
   }
@@ -3353,6 +3621,31 @@
     xfer += oprot->writeI32(this->version);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("write_refused", ::apache::thrift::protocol::T_SET, 21);
+  {
+    xfer += oprot->writeSetBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->write_refused.size()));
+    std::set<std::string> ::const_iterator _iter236;
+    for (_iter236 = this->write_refused.begin(); _iter236 != this->write_refused.end(); ++_iter236)
+    {
+      xfer += oprot->writeString((*_iter236));
+    }
+    xfer += oprot->writeSetEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("closed_groups", ::apache::thrift::protocol::T_MAP, 22);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->closed_groups.size()));
+    std::map<std::string, ClosedGroup> ::const_iterator _iter237;
+    for (_iter237 = this->closed_groups.begin(); _iter237 != this->closed_groups.end(); ++_iter237)
+    {
+      xfer += oprot->writeString(_iter237->first);
+      xfer += _iter237->second.write(oprot);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3379,52 +3672,58 @@
   swap(a.store_era, b.store_era);
   swap(a.newest_version, b.newest_version);
   swap(a.version, b.version);
+  swap(a.write_refused, b.write_refused);
+  swap(a.closed_groups, b.closed_groups);
   swap(a.__isset, b.__isset);
 }
 
-Digest::Digest(const Digest& other213) {
-  zone = other213.zone;
-  node = other213.node;
-  life = other213.life;
-  number = other213.number;
-  taking = other213.taking;
-  running = other213.running;
-  demand = other213.demand;
-  suspects_ms = other213.suspects_ms;
-  heard_ms = other213.heard_ms;
-  clock_ms = other213.clock_ms;
-  held_revision = other213.held_revision;
-  relayed = other213.relayed;
-  leaving = other213.leaving;
-  quarantine = other213.quarantine;
-  limits = other213.limits;
-  cut = other213.cut;
-  store_era = other213.store_era;
-  newest_version = other213.newest_version;
-  version = other213.version;
-  __isset = other213.__isset;
-}
-Digest& Digest::operator=(const Digest& other214) {
-  zone = other214.zone;
-  node = other214.node;
-  life = other214.life;
-  number = other214.number;
-  taking = other214.taking;
-  running = other214.running;
-  demand = other214.demand;
-  suspects_ms = other214.suspects_ms;
-  heard_ms = other214.heard_ms;
-  clock_ms = other214.clock_ms;
-  held_revision = other214.held_revision;
-  relayed = other214.relayed;
-  leaving = other214.leaving;
-  quarantine = other214.quarantine;
-  limits = other214.limits;
-  cut = other214.cut;
-  store_era = other214.store_era;
-  newest_version = other214.newest_version;
-  version = other214.version;
-  __isset = other214.__isset;
+Digest::Digest(const Digest& other238) {
+  zone = other238.zone;
+  node = other238.node;
+  life = other238.life;
+  number = other238.number;
+  taking = other238.taking;
+  running = other238.running;
+  demand = other238.demand;
+  suspects_ms = other238.suspects_ms;
+  heard_ms = other238.heard_ms;
+  clock_ms = other238.clock_ms;
+  held_revision = other238.held_revision;
+  relayed = other238.relayed;
+  leaving = other238.leaving;
+  quarantine = other238.quarantine;
+  limits = other238.limits;
+  cut = other238.cut;
+  store_era = other238.store_era;
+  newest_version = other238.newest_version;
+  version = other238.version;
+  write_refused = other238.write_refused;
+  closed_groups = other238.closed_groups;
+  __isset = other238.__isset;
+}
+Digest& Digest::operator=(const Digest& other239) {
+  zone = other239.zone;
+  node = other239.node;
+  life = other239.life;
+  number = other239.number;
+  taking = other239.taking;
+  running = other239.running;
+  demand = other239.demand;
+  suspects_ms = other239.suspects_ms;
+  heard_ms = other239.heard_ms;
+  clock_ms = other239.clock_ms;
+  held_revision = other239.held_revision;
+  relayed = other239.relayed;
+  leaving = other239.leaving;
+  quarantine = other239.quarantine;
+  limits = other239.limits;
+  cut = other239.cut;
+  store_era = other239.store_era;
+  newest_version = other239.newest_version;
+  version = other239.version;
+  write_refused = other239.write_refused;
+  closed_groups = other239.closed_groups;
+  __isset = other239.__isset;
   return *this;
 }
 void Digest::printTo(std::ostream& out) const {
@@ -3449,6 +3748,8 @@
   out << ", " << "store_era=" << to_string(store_era);
   out << ", " << "newest_version=" << to_string(newest_version);
   out << ", " << "version="; (__isset.version ? (out << to_string(version)) : (out << "<null>"));
+  out << ", " << "write_refused=" << to_string(write_refused);
+  out << ", " << "closed_groups=" << to_string(closed_groups);
   out << ")";
 }
 
@@ -3579,19 +3880,19 @@
   swap(a.__isset, b.__isset);
 }
 
-FeedChange::FeedChange(const FeedChange& other215) {
-  key = other215.key;
-  revision = other215.revision;
-  deleted = other215.deleted;
-  value = other215.value;
-  __isset = other215.__isset;
+FeedChange::FeedChange(const FeedChange& other240) {
+  key = other240.key;
+  revision = other240.revision;
+  deleted = other240.deleted;
+  value = other240.value;
+  __isset = other240.__isset;
 }
-FeedChange& FeedChange::operator=(const FeedChange& other216) {
-  key = other216.key;
-  revision = other216.revision;
-  deleted = other216.deleted;
-  value = other216.value;
-  __isset = other216.__isset;
+FeedChange& FeedChange::operator=(const FeedChange& other241) {
+  key = other241.key;
+  revision = other241.revision;
+  deleted = other241.deleted;
+  value = other241.value;
+  __isset = other241.__isset;
   return *this;
 }
 void FeedChange::printTo(std::ostream& out) const {
@@ -3644,14 +3945,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size217;
-            ::apache::thrift::protocol::TType _etype220;
-            xfer += iprot->readListBegin(_etype220, _size217);
-            this->changes.resize(_size217);
-            uint32_t _i221;
-            for (_i221 = 0; _i221 < _size217; ++_i221)
+            uint32_t _size242;
+            ::apache::thrift::protocol::TType _etype245;
+            xfer += iprot->readListBegin(_etype245, _size242);
+            this->changes.resize(_size242);
+            uint32_t _i246;
+            for (_i246 = 0; _i246 < _size242; ++_i246)
             {
-              xfer += this->changes[_i221].read(iprot);
+              xfer += this->changes[_i246].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3680,10 +3981,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<FeedChange> ::const_iterator _iter222;
-    for (_iter222 = this->changes.begin(); _iter222 != this->changes.end(); ++_iter222)
+    std::vector<FeedChange> ::const_iterator _iter247;
+    for (_iter247 = this->changes.begin(); _iter247 != this->changes.end(); ++_iter247)
     {
-      xfer += (*_iter222).write(oprot);
+      xfer += (*_iter247).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3700,13 +4001,13 @@
   swap(a.__isset, b.__isset);
 }
 
-FeedChanges::FeedChanges(const FeedChanges& other223) {
-  changes = other223.changes;
-  __isset = other223.__isset;
+FeedChanges::FeedChanges(const FeedChanges& other248) {
+  changes = other248.changes;
+  __isset = other248.__isset;
 }
-FeedChanges& FeedChanges::operator=(const FeedChanges& other224) {
-  changes = other224.changes;
-  __isset = other224.__isset;
+FeedChanges& FeedChanges::operator=(const FeedChanges& other249) {
+  changes = other249.changes;
+  __isset = other249.__isset;
   return *this;
 }
 void FeedChanges::printTo(std::ostream& out) const {
@@ -3796,14 +4097,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size225;
-            ::apache::thrift::protocol::TType _etype228;
-            xfer += iprot->readListBegin(_etype228, _size225);
-            this->changes.resize(_size225);
-            uint32_t _i229;
-            for (_i229 = 0; _i229 < _size225; ++_i229)
+            uint32_t _size250;
+            ::apache::thrift::protocol::TType _etype253;
+            xfer += iprot->readListBegin(_etype253, _size250);
+            this->changes.resize(_size250);
+            uint32_t _i254;
+            for (_i254 = 0; _i254 < _size250; ++_i254)
             {
-              xfer += this->changes[_i229].read(iprot);
+              xfer += this->changes[_i254].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3872,10 +4173,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<FeedChange> ::const_iterator _iter230;
-    for (_iter230 = this->changes.begin(); _iter230 != this->changes.end(); ++_iter230)
+    std::vector<FeedChange> ::const_iterator _iter255;
+    for (_iter255 = this->changes.begin(); _iter255 != this->changes.end(); ++_iter255)
     {
-      xfer += (*_iter230).write(oprot);
+      xfer += (*_iter255).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3914,25 +4215,25 @@
   swap(a.__isset, b.__isset);
 }
 
-Feed::Feed(const Feed& other231) {
-  from_revision = other231.from_revision;
-  to_revision = other231.to_revision;
-  changes = other231.changes;
-  echo_ms = other231.echo_ms;
-  proof_age_ms = other231.proof_age_ms;
-  compressed_changes = other231.compressed_changes;
-  store_era = other231.store_era;
-  __isset = other231.__isset;
-}
-Feed& Feed::operator=(const Feed& other232) {
-  from_revision = other232.from_revision;
-  to_revision = other232.to_revision;
-  changes = other232.changes;
-  echo_ms = other232.echo_ms;
-  proof_age_ms = other232.proof_age_ms;
-  compressed_changes = other232.compressed_changes;
-  store_era = other232.store_era;
-  __isset = other232.__isset;
+Feed::Feed(const Feed& other256) {
+  from_revision = other256.from_revision;
+  to_revision = other256.to_revision;
+  changes = other256.changes;
+  echo_ms = other256.echo_ms;
+  proof_age_ms = other256.proof_age_ms;
+  compressed_changes = other256.compressed_changes;
+  store_era = other256.store_era;
+  __isset = other256.__isset;
+}
+Feed& Feed::operator=(const Feed& other257) {
+  from_revision = other257.from_revision;
+  to_revision = other257.to_revision;
+  changes = other257.changes;
+  echo_ms = other257.echo_ms;
+  proof_age_ms = other257.proof_age_ms;
+  compressed_changes = other257.compressed_changes;
+  store_era = other257.store_era;
+  __isset = other257.__isset;
   return *this;
 }
 void Feed::printTo(std::ostream& out) const {
--- a/src/network/gen/peer_types.h
+++ b/src/network/gen/peer_types.h
@@ -43,6 +43,8 @@
 
 class ServerLimit;
 
+class ClosedGroup;
+
 class Permits;
 
 class Pulse;
@@ -766,6 +768,70 @@
 
 std::ostream& operator<<(std::ostream& out, const ServerLimit& obj);
 
+typedef struct _ClosedGroup__isset {
+  _ClosedGroup__isset() : started(false), group(false), generation(false), age_ms(false) {}
+  bool started :1;
+  bool group :1;
+  bool generation :1;
+  bool age_ms :1;
+} _ClosedGroup__isset;
+
+class ClosedGroup : public virtual ::apache::thrift::TBase {
+ public:
+
+  ClosedGroup(const ClosedGroup&);
+  ClosedGroup& operator=(const ClosedGroup&);
+  ClosedGroup() noexcept
+              : started(0),
+                group(),
+                generation(0),
+                age_ms(0) {
+  }
+
+  virtual ~ClosedGroup() noexcept;
+  int64_t started;
+  std::string group;
+  int64_t generation;
+  int32_t age_ms;
+
+  _ClosedGroup__isset __isset;
+
+  void __set_started(const int64_t val);
+
+  void __set_group(const std::string& val);
+
+  void __set_generation(const int64_t val);
+
+  void __set_age_ms(const int32_t val);
+
+  bool operator == (const ClosedGroup & rhs) const
+  {
+    if (!(started == rhs.started))
+      return false;
+    if (!(group == rhs.group))
+      return false;
+    if (!(generation == rhs.generation))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const ClosedGroup &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ClosedGroup & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ClosedGroup &a, ClosedGroup &b);
+
+std::ostream& operator<<(std::ostream& out, const ClosedGroup& obj);
+
 typedef struct _Permits__isset {
   _Permits__isset() : node(false), life(false), clock_ms(false), echo_ms(false), limits(false), requests(false), grants(false), denials_ms(false), settled_ms(false), version(false) {}
   bool node :1;
@@ -870,7 +936,7 @@
 std::ostream& operator<<(std::ostream& out, const Permits& obj);
 
 typedef struct _Pulse__isset {
-  _Pulse__isset() : node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), clock_ms(false), held_revision(false), heard_ms(false), settled(false), leaving(false), quarantine(false), limits(false), cut(false), store_era(false), newest_version(false), version(false) {}
+  _Pulse__isset() : node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), clock_ms(false), held_revision(false), heard_ms(false), settled(false), leaving(false), quarantine(false), limits(false), cut(false), store_era(false), newest_version(false), write_refused(false), closed_groups(false), version(false) {}
   bool node :1;
   bool life :1;
   bool number :1;
@@ -888,6 +954,8 @@
   bool cut :1;
   bool store_era :1;
   bool newest_version :1;
+  bool write_refused :1;
+  bool closed_groups :1;
   bool version :1;
 } _Pulse__isset;
 
@@ -907,6 +975,7 @@
           cut(0),
           store_era(0),
           newest_version(0),
+          write_refused(0),
           version(0) {
   }
 
@@ -928,6 +997,8 @@
   bool cut;
   int64_t store_era;
   int64_t newest_version;
+  bool write_refused;
+  std::map<std::string, ClosedGroup>  closed_groups;
   int32_t version;
 
   _Pulse__isset __isset;
@@ -966,6 +1037,10 @@
 
   void __set_newest_version(const int64_t val);
 
+  void __set_write_refused(const bool val);
+
+  void __set_closed_groups(const std::map<std::string, ClosedGroup> & val);
+
   void __set_version(const int32_t val);
 
   bool operator == (const Pulse & rhs) const
@@ -1004,6 +1079,10 @@
       return false;
     if (!(newest_version == rhs.newest_version))
       return false;
+    if (!(write_refused == rhs.write_refused))
+      return false;
+    if (!(closed_groups == rhs.closed_groups))
+      return false;
     if (__isset.version != rhs.__isset.version)
       return false;
     else if (__isset.version && !(version == rhs.version))
@@ -1027,7 +1106,7 @@
 std::ostream& operator<<(std::ostream& out, const Pulse& obj);
 
 typedef struct _Digest__isset {
-  _Digest__isset() : zone(false), node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), heard_ms(false), clock_ms(false), held_revision(false), relayed(false), leaving(false), quarantine(false), limits(false), cut(false), store_era(false), newest_version(false), version(false) {}
+  _Digest__isset() : zone(false), node(false), life(false), number(false), taking(false), running(false), demand(false), suspects_ms(false), heard_ms(false), clock_ms(false), held_revision(false), relayed(false), leaving(false), quarantine(false), limits(false), cut(false), store_era(false), newest_version(false), version(false), write_refused(false), closed_groups(false) {}
   bool zone :1;
   bool node :1;
   bool life :1;
@@ -1047,6 +1126,8 @@
   bool store_era :1;
   bool newest_version :1;
   bool version :1;
+  bool write_refused :1;
+  bool closed_groups :1;
 } _Digest__isset;
 
 class Digest : public virtual ::apache::thrift::TBase {
@@ -1087,6 +1168,8 @@
   int64_t store_era;
   int64_t newest_version;
   int32_t version;
+  std::set<std::string>  write_refused;
+  std::map<std::string, ClosedGroup>  closed_groups;
 
   _Digest__isset __isset;
 
@@ -1128,6 +1211,10 @@
 
   void __set_version(const int32_t val);
 
+  void __set_write_refused(const std::set<std::string> & val);
+
+  void __set_closed_groups(const std::map<std::string, ClosedGroup> & val);
+
   bool operator == (const Digest & rhs) const
   {
     if (!(zone == rhs.zone))
@@ -1170,6 +1257,10 @@
       return false;
     else if (__isset.version && !(version == rhs.version))
       return false;
+    if (!(write_refused == rhs.write_refused))
+      return false;
+    if (!(closed_groups == rhs.closed_groups))
+      return false;
     return true;
   }
   bool operator != (const Digest &rhs) const {
--- a/src/network/peer.thrift
+++ b/src/network/peer.thrift
@@ -92,6 +92,14 @@
   4: i32 age_ms // Since the answer that showed it.
 }
 
+// A group that its head has refused to serve.
+struct ClosedGroup {
+  1: i64 started // Start of the head's run.
+  2: string group
+  3: i64 generation
+  4: i32 age_ms // Since the refusal.
+}
+
 // Sent as a datagram between two nodes, on the limits of servers. At most 64 entries of each kind.
 struct Permits {
   1: string node
@@ -126,6 +134,8 @@
   15: bool cut // The node reaches no server. Earlier versions do not send it.
   16: i64 store_era // To which `held_revision` belongs. Earlier versions do not send it.
   17: i64 newest_version // Of the configuration that the sender has in force. Earlier versions do not send it.
+  18: bool write_refused // The store does not accept the node's writes. Earlier versions do not send it.
+  19: map<string, ClosedGroup> closed_groups // By head, at most 16. Earlier versions do not send it.
   20: optional i32 version // Of the sender's messages and records. Version 1 does not send it.
 }
 
@@ -151,6 +161,8 @@
   17: i64 store_era // As in Pulse.
   18: i64 newest_version // As in Pulse.
   20: optional i32 version // As in Pulse.
+  21: set<string> write_refused // Those of the live nodes whose writes the store does not accept.
+  22: map<string, ClosedGroup> closed_groups // By head, at most 64.
 }
 
 // A change of one key of the store.
--- a/src/network/pulse_socket.cpp
+++ b/src/network/pulse_socket.cpp
@@ -292,6 +292,35 @@
     return message;
 }
 
+std::map<std::string, peer::ClosedGroup> toWire(const ClosedGroups &groups)
+{
+    std::map<std::string, peer::ClosedGroup> wire;
+    for (const auto &[head, group] : groups) {
+        peer::ClosedGroup &entry = wire[head.value()];
+        entry.started = group.startedAt;
+        entry.group = group.name.value();
+        entry.generation = static_cast<std::int64_t>(group.generation.value());
+        entry.age_ms = toWireMilliseconds(group.age);
+    }
+    return wire;
+}
+
+ClosedGroups toClosedGroups(const std::map<std::string, peer::ClosedGroup> &wire,
+                            std::size_t maximum)
+{
+    ClosedGroups groups;
+    for (const auto &[head, entry] : wire) {
+        if (groups.size() == maximum)
+            break;
+        if (entry.age_ms < 0 || entry.generation < 0 || head.empty() || entry.group.empty())
+            continue;
+        groups[VmId(head)] = {entry.started, GroupId(entry.group),
+                              Generation(static_cast<std::uint64_t>(entry.generation)),
+                              Duration(entry.age_ms)};
+    }
+    return groups;
+}
+
 /// A version of the configuration; 0, "none", if the sender does not state a valid one.
 std::uint64_t toVersion(std::int64_t version)
 {
@@ -318,6 +347,8 @@
     wire.quarantine = toWire(pulse.quarantine);
     wire.limits = toWire(pulse.limits);
     wire.cut = pulse.cut;
+    wire.write_refused = pulse.writeRefused;
+    wire.closed_groups = toWire(pulse.closedGroups);
     wire.__set_version(formatVersion);
     return toBytes(pulseTag, wire);
 }
@@ -342,6 +373,8 @@
     pulse.quarantine = toNews(wire.quarantine);
     pulse.limits = toLimits(wire.limits, LimitBounds::reportedByNode);
     pulse.cut = wire.cut;
+    pulse.writeRefused = wire.write_refused;
+    pulse.closedGroups = toClosedGroups(wire.closed_groups, ClosedGroupBounds::reportedByNode);
     return pulse;
 }
 
@@ -367,6 +400,9 @@
     wire.limits = toWire(digest.limits);
     for (const NodeId &node : digest.cut)
         wire.cut.insert(node.value());
+    for (const NodeId &node : digest.writeRefused)
+        wire.write_refused.insert(node.value());
+    wire.closed_groups = toWire(digest.closedGroups);
     wire.relayed = digest.relayed;
     wire.__set_version(formatVersion);
     return toBytes(digestTag, wire);
@@ -394,6 +430,9 @@
     digest.limits = toLimits(wire.limits, LimitBounds::reportedByZone);
     for (const std::string &node : wire.cut)
         digest.cut.insert(NodeId(node));
+    for (const std::string &node : wire.write_refused)
+        digest.writeRefused.insert(NodeId(node));
+    digest.closedGroups = toClosedGroups(wire.closed_groups, ClosedGroupBounds::reportedByZone);
     digest.relayed = wire.relayed;
     return digest;
 }
--- a/src/request/membership_base.cpp
+++ b/src/request/membership_base.cpp
@@ -141,6 +141,7 @@
     peer.seenAt = now;
     peer.taking = pulse.taking;
     peer.cut = pulse.cut;
+    peer.writeRefused = pulse.writeRefused;
     peer.seenSinceReport = true;
     return true;
 }
@@ -162,6 +163,7 @@
         peer.seenAt = now;
         peer.taking = taking;
         peer.cut = digest.cut.count(node) > 0;
+        peer.writeRefused = digest.writeRefused.count(node) > 0;
         peer.seenSinceReport = true;
     }
     for (auto &[node, peer] : m_peers) {
@@ -201,14 +203,18 @@
 std::vector<NodeId> MembershipTable::dutyNodes(TimePoint now) const
 {
     Records records;
+    Records refused; // The store does not accept their writes.
     Records cut;
-    (m_cut ? cut : records).push_back(&m_options.own);
+    const auto add = [&](const MembershipRecord &record, bool isCut, bool isRefused) {
+        (isCut ? cut : isRefused ? refused : records).push_back(&record);
+    };
+    add(m_options.own, m_cut, m_writeRefused);
     for (const auto &[node, peer] : m_peers) {
         if (peer.record && alive(peer, now))
-            (peer.cut ? cut : records).push_back(&*peer.record);
+            add(*peer.record, peer.cut, peer.writeRefused);
     }
     if (records.empty())
-        records = cut;
+        records = refused.empty() ? cut : refused;
     keepLargest(records);
     std::vector<NodeId> nodes;
     for (const MembershipRecord *record : records)
@@ -339,10 +345,17 @@
     sum.newestVersion = own.newestVersion;
     NewsSum quarantine;
     std::vector<std::pair<VmId, ReportedLimit>> limits;
+    std::vector<std::pair<VmId, ClosedGroup>> closed;
     const auto add = [&](const Pulse &pulse, Duration age) {
         sum.taking[pulse.node] = pulse.taking;
         if (pulse.cut)
             sum.cut.insert(pulse.node);
+        if (pulse.writeRefused)
+            sum.writeRefused.insert(pulse.node);
+        for (const auto &[head, group] : pulse.closedGroups) {
+            closed.emplace_back(head, group);
+            closed.back().second.age += age;
+        }
         for (const auto &[server, count] : pulse.running)
             sum.running[server] += count;
         addTo(sum.demand, pulse.demand);
@@ -370,6 +383,12 @@
             add(peer.pulse, now - peer.seenAt);
     }
     sum.quarantine = quarantine.take();
+    std::stable_sort(closed.begin(), closed.end(),
+                     [](const auto &a, const auto &b) { return a.second.age < b.second.age; });
+    for (const auto &[head, group] : closed) {
+        if (sum.closedGroups.size() < ClosedGroupBounds::reportedByZone)
+            sum.closedGroups.try_emplace(head, group);
+    }
     std::stable_sort(limits.begin(), limits.end(),
                      [](const auto &a, const auto &b) { return a.second.age < b.second.age; });
     for (const auto &[server, limit] : limits) {
--- a/src/request/membership_base.h
+++ b/src/request/membership_base.h
@@ -46,6 +46,8 @@
     /// Whether this node reaches no server.
     void setCut(bool cut) { m_cut = cut; }
     bool isCut() const { return m_cut; }
+    /// Whether the store accepts the writes of this node.
+    void setWriteRefused(bool refused) { m_writeRefused = refused; }
     /// This node is about to stop and no longer represents its zone.
     void setLeaving() { m_leaving = true; }
     /// Whether this node has run long enough to have received a pulse of every live node of its
@@ -60,7 +62,8 @@
     bool isLive(const NodeId &node, TimePoint now) const;
     /// The live nodes that share the duties of the fleet, sorted by name: those with at least half
     /// of the processor share of the largest one. A small node has no share to spare for duties. A
-    /// node that reaches no server has none unless all are like that.
+    /// node that reaches no server has none unless all are like that, nor has one whose writes the
+    /// store does not accept.
     std::vector<NodeId> dutyNodes(TimePoint now) const;
     /// Nodes that became silent since the last call. The caller discards their running requests.
     std::vector<NodeId> takeSilentNodes(TimePoint now);
@@ -124,6 +127,7 @@
         TimePoint seenAt; ///< When its last pulse, or the last digest that lists it, arrived.
         bool taking = false; ///< Whether it takes requests, by its last pulse or digest.
         bool cut = false; ///< Whether it reaches no server, by the same.
+        bool writeRefused = false; ///< Whether the store accepts its writes, by the same.
         bool seenSinceReport = false; ///< It was not reported as silent since it was last seen.
     };
     struct Zone
@@ -149,6 +153,7 @@
     bool m_accepting = false;
     bool m_leaving = false;
     bool m_cut = false;
+    bool m_writeRefused = false;
 };
 
 } // namespace bramleypitch
--- a/src/request/membership_type.h
+++ b/src/request/membership_type.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "request/backend_base.h"
+#include "request/closed_group_type.h"
 #include "request/quarantine_type.h"
 #include "request/server_limit_type.h"
 
@@ -46,6 +47,8 @@
     QuarantineNews quarantine; ///< What it knows of parts of prompts.
     LimitNews limits; ///< What answers told it of the limits of servers.
     bool cut = false; ///< It reaches no server.
+    bool writeRefused = false; ///< The store does not accept its writes.
+    ClosedGroups closedGroups; ///< What refusals told it of groups.
 };
 
 /// Aggregate of the pulses of a zone, which one of its nodes sends to the other zones. The number
@@ -65,6 +68,8 @@
     QuarantineNews quarantine;
     LimitNews limits;
     std::set<NodeId> cut; ///< Those of the live nodes that reach no server.
+    std::set<NodeId> writeRefused; ///< Those whose writes the store does not accept.
+    ClosedGroups closedGroups;
     TimePoint clock; ///< Send time by the clock of the author, as in a pulse.
     Revision held; ///< Store revision that the author holds in full.
     StoreEra era; ///< Of the store, to which `held` belongs.
--- a/src/tests/wire_samples.cpp
+++ b/src/tests/wire_samples.cpp
@@ -87,6 +87,8 @@
     pulse.quarantine = sampleNews();
     pulse.limits = sampleLimits();
     pulse.cut = true;
+    pulse.writeRefused = true;
+    pulse.closedGroups = {{VmId("s5"), {104, GroupId("g1"), Generation(3), Duration(40)}}};
     return pulse;
 }
 
@@ -106,6 +108,8 @@
     digest.quarantine = sampleNews();
     digest.limits = sampleLimits();
     digest.cut = {NodeId("n2")};
+    digest.writeRefused = {NodeId("n1")};
+    digest.closedGroups = {{VmId("s5"), {104, GroupId("g1"), Generation(3), Duration(40)}}};
     digest.clock = timePoint(7'000);
     digest.held = Revision(8);
     digest.relayed = true;
