Feature: [Request] One refusal takes a group out of service on all nodes

Nodes learned one by one, each by refusals of its own, that a head had left its group: 410 requests went to two heads that had been told to leave two seconds before, and 370 were refused with misdirected though other groups were open. A refusal by a head now counts for more than older plans and entries, is told with the next pulse, sent early, and uses neither an attempt nor one of the servers that a request may try.

closed_group_test fails on the code before (the first test: the head gets further requests).

--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -13,7 +13,7 @@
 TESTS = ["ledger_test", "placement_test", "golden_test", "request_test", "attempt_test",
          "attempt_review_test", "quarantine_test", "limit_test", "links_test", "run_grant_test",
          "forwarded_grant_test", "backend_order_test", "caller_order_test", "memory_account_test",
-         "formation_test", "conversion_test", "initial_split_test", "foreign_entry_test", "odd_configuration_test", "overload_test", "relay_test", "http_client_test", "promises_test"]
+         "formation_test", "conversion_test", "closed_group_test", "initial_split_test", "foreign_entry_test", "odd_configuration_test", "overload_test", "relay_test", "http_client_test", "promises_test"]
 # Tests that start the program, for mutants that no test above catches. They share ports.
 PROCESS_TESTS = [["response_end_test.py"], ["repeated_refusal_test.py"],
                  ["resumed_stream_test.py"], ["half_closed_caller_test.py"],
@@ -140,6 +140,16 @@
      "allReady = allReady && backend->report.group.state == MemberState::Ready;", ""),
     ("members_reused_before_they_left", "formation/formation_system.cpp",
      "if (!allLeft)\n            continue;", ""),
+    ("closed_group_is_used", "request/backend_base.cpp",
+     "    if (m_closed.isClosed(backend.report))\n        return false;\n", ""),
+    ("closed_group_is_opened_by_older_reports", "request/closed_group_table.cpp",
+     " && now - entry.at >= reportDelay", ""),
+    ("group_is_closed_for_good", "request/closed_group_table.cpp",
+     "now - item.second.at >= closedTime", "false"),
+    ("caller_closes_groups", "request/request_system.cpp",
+     "request.arrival.expectsVersion || ", ""),
+    ("refusal_uses_up_servers", "request/request_system.cpp",
+     "AttemptFailure::Withdrawn && !isClosed", "AttemptFailure::Withdrawn"),
     ("conversion_without_grant", "formation/formation_system.cpp",
      "        write.expectedConversion = m_conversionRevision;\n", ""),
     ("conversion_with_unread_plans", "formation/formation_system.cpp",
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -607,6 +607,7 @@
     own.leaving = m_backends.recentlyLeaving(now);
     own.quarantine = m_requests.quarantineNews(now);
     own.limits = m_requests.limitNews(now);
+    own.closedGroups = m_backends.recentlyClosed(now);
     own.cut = m_requests.isCut();
     own.clock = now;
     own.held = m_mirror.held();
@@ -739,6 +740,7 @@
     m_backends.mergeSuspects(pulse.suspects, now);
     m_backends.mergeRecentProgress(pulse.recentProgress, now);
     mergeLeaving(pulse.leaving, pulse.node, now);
+    mergeClosedGroups(pulse.closedGroups, pulse.node, now);
     m_requests.mergeQuarantine(pulse.quarantine, now);
     mergeLimits(pulse.limits, pulse.node, now);
 }
@@ -766,6 +768,15 @@
                  {"peer", peer.value()}});
 }
 
+void ServingDaemon::mergeClosedGroups(const ClosedGroups &groups, const NodeId &peer, TimePoint now)
+{
+    for (const VmId &head : m_backends.mergeClosedGroups(groups, now))
+        logLine(LogLevel::Info, "group_closed",
+                {{"server", head.value()},
+                 {"group", groups.at(head).name.value()},
+                 {"peer", peer.value()}});
+}
+
 void ServingDaemon::onDigest(const ZoneDigest &digest)
 {
     const TimePoint now = m_loop.now();
@@ -776,6 +787,7 @@
     m_backends.mergeSuspects(digest.suspects, now);
     m_backends.mergeRecentProgress(digest.recentProgress, now);
     mergeLeaving(digest.leaving, digest.node, now);
+    mergeClosedGroups(digest.closedGroups, digest.node, now);
     m_requests.mergeQuarantine(digest.quarantine, now);
     mergeLimits(digest.limits, digest.node, now);
     TimePoint &relayedAt = m_relayedAt[digest.zone];
@@ -988,6 +1000,8 @@
     out << gaugeText({"waiting_requests", "Requests that wait for a server.",
                       static_cast<double>(m_requests.waiting())});
     out << gaugeText({"backend_servers", "Servers known.", static_cast<double>(m_backends.size())});
+    out << gaugeText({"closed_groups", "Groups that their heads have refused to serve.",
+                      static_cast<double>(m_backends.closedGroups())});
     out << gaugeText({"quarantined_parts", "Parts of prompts that no request may contain.",
                       static_cast<double>(m_requests.quarantinedParts())});
     out << gaugeText({"suspected_requests", "Whole requests that are tried, one at a time.",
--- a/src/network/serving_daemon.h
+++ b/src/network/serving_daemon.h
@@ -124,6 +124,8 @@
     void onDigest(const ZoneDigest &digest);
     /// Adopts the servers that a peer reports as leaving.
     void mergeLeaving(const LeavingRuns &runs, const NodeId &peer, TimePoint now);
+    /// Adopts and logs the groups that a peer reports as closed.
+    void mergeClosedGroups(const ClosedGroups &groups, const NodeId &peer, TimePoint now);
     void onPermitMessage(const PermitMessage &message);
     /// Notes the format version of a node, and logs it if it changes or differs from this node's.
     void onPeerVersion(const NodeId &peer, std::int32_t version);
--- a/src/platform/platform_dialect.cpp
+++ b/src/platform/platform_dialect.cpp
@@ -24,6 +24,7 @@
 constexpr const char *deadlineHeader = "X-Request-Deadline";
 /// The only server that may execute the request.
 constexpr const char *expectInstanceHeader = "X-Expect-Instance";
+constexpr const char *expectVersionHeader = "X-Expect-Version";
 constexpr const char *organisationHeader = "X-Tenant-Id";
 constexpr const char *lastEventIdHeader = "Last-Event-Id";
 constexpr const char *modelHeader = "X-Model-Name";
@@ -134,6 +135,7 @@
     if (authorization.compare(0, bearerPrefix.size(), bearerPrefix) == 0)
         arrival.key = authorization.substr(bearerPrefix.size());
     arrival.model = ModelId(head.value(modelHeader));
+    arrival.expectsVersion = head.find(expectVersionHeader) != nullptr;
     arrival.promptParts = readPromptParts(head);
     for (const auto &[name, value] : head.headers) {
         if (sameHeader(name, promptPartsHeader))
--- a/src/request/backend_base.cpp
+++ b/src/request/backend_base.cpp
@@ -23,6 +23,8 @@
 void BackendTable::update(const BackendReport &published, TimePoint now)
 {
     recordRun(published, now);
+    if (m_closed.onReport(published, now))
+        changed();
     BackendReport report = published;
     report.draining = report.draining || isMarkedLeaving(report, now);
     const auto found = m_byId.find(report.id);
@@ -225,6 +227,8 @@
     if (dissolving != m_dissolving.end()
         && dissolving->second.count({claim.name, claim.generation}) > 0)
         return false;
+    if (m_closed.isClosed(backend.report))
+        return false;
     updateMemberCounts();
     const auto present = m_memberCounts.find({claim.name, claim.generation});
     return present != m_memberCounts.end() && present->second >= model->span;
@@ -283,6 +287,36 @@
         m_domains.erase(found);
 }
 
+bool BackendTable::closeGroup(const Backend &head, TimePoint now)
+{
+    const bool isNew = m_closed.close(head.report, true, now, now);
+    if (isNew)
+        changed();
+    return isNew;
+}
+
+std::vector<VmId> BackendTable::mergeClosedGroups(const ClosedGroups &groups, TimePoint now)
+{
+    std::vector<VmId> added;
+    for (const auto &[id, group] : groups) {
+        const Backend *head = find(id);
+        const bool isKnown = head && head->report.startedAt == group.startedAt
+            && head->report.group.name == group.name
+            && head->report.group.generation == group.generation;
+        if (isKnown && m_closed.close(head->report, false, now - group.age, now))
+            added.push_back(id);
+    }
+    if (!added.empty())
+        changed();
+    return added;
+}
+
+void BackendTable::expireClosedGroups(TimePoint now)
+{
+    if (m_closed.expire(now))
+        changed();
+}
+
 void BackendTable::setDissolving(const DomainId &domain, std::set<GroupKey> groups)
 {
     std::set<GroupKey> &present = m_dissolving[domain];
--- a/src/request/backend_base.h
+++ b/src/request/backend_base.h
@@ -2,6 +2,7 @@
 
 #include "core/pool_type.h"
 #include "request/backend_type.h"
+#include "request/closed_group_table.h"
 
 #include <functional>
 #include <set>
@@ -71,6 +72,18 @@
     /// and while its entry is missing.
     void pause(const VmId &id, TimePoint until, TimePoint now);
 
+    /// The head refused a request of this node as it does not serve its group, which takes no new
+    /// requests from now on. Returns whether this is new.
+    bool closeGroup(const Backend &head, TimePoint now);
+    /// Adopts the closed groups that a peer node reports. Returns the heads of those that are new
+    /// to this node.
+    std::vector<VmId> mergeClosedGroups(const ClosedGroups &groups, TimePoint now);
+    /// The groups that heads refused to serve to this node a short time ago, for the other nodes.
+    ClosedGroups recentlyClosed(TimePoint now) const { return m_closed.recent(now); }
+    std::size_t closedGroups() const { return m_closed.size(); }
+    /// Tries groups again that have been closed for long.
+    void expireClosedGroups(TimePoint now);
+
     /// Sets the groups of a fabric domain that are being dissolved. They take no new requests.
     void setDissolving(const DomainId &domain, std::set<GroupKey> groups);
 
@@ -159,6 +172,7 @@
     std::map<VmId, TimePoint> m_pauses;
     std::uint64_t m_version = 1;
     std::map<DomainId, std::set<GroupKey>> m_dissolving;
+    ClosedGroupTable m_closed;
     mutable std::map<GroupKey, std::uint32_t> m_memberCounts;
     mutable std::uint64_t m_membersVersion = 0;
 };
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -1266,9 +1266,12 @@
     Request *request = find(id, attempt);
     if (!request)
         return;
-    if (failure != AttemptFailure::Withdrawn)
+    const bool isClosed = failure == AttemptFailure::Misdirected
+        && closeGroup(*request, request->current, now, actions);
+    if (failure != AttemptFailure::Withdrawn && !isClosed)
         addTried(*request, request->current.server);
-    suspectAfterFailure(request->current, failure, faultyServer, now);
+    if (!isClosed)
+        suspectAfterFailure(request->current, failure, faultyServer, now);
     const Backend *backend = m_backends.find(request->current.server);
     const bool isOfNode = request->current.isForwarded();
     const bool isServerUnlisted = !isOfNode && (!backend || backend->listing != Listing::Listed);
@@ -1341,6 +1344,24 @@
                                     {"attempt", std::to_string(request.current.number.value())}}});
 }
 
+bool RequestSystem::closeGroup(const Request &request, const Attempt &attempt, TimePoint now,
+                               RequestActions &actions)
+{
+    const Backend *backend = m_backends.find(attempt.server);
+    if (!backend || backend->report.startedAt != attempt.serverStartedAt
+        || request.arrival.expectsVersion || !m_configuration->engineOf(request.service))
+        return false;
+    if (m_backends.closeGroup(*backend, now)) {
+        m_hasNewClosedGroup = true;
+        actions.push_back(LogDecision {request.arrival.traceId,
+                                       "group_closed",
+                                       {{"server", attempt.server.value()},
+                                        {"group", backend->report.group.name.value()},
+                                        {"cause", "misdirected"}}});
+    }
+    return !backend->report.group.name.value().empty();
+}
+
 void RequestSystem::addTried(Request &request, const VmId &server)
 {
     if (std::find(request.tried.begin(), request.tried.end(), server) == request.tried.end())
@@ -1487,6 +1508,7 @@
     }
     if (m_stopDeadline)
         refuseOutlasting(now, actions);
+    m_backends.expireClosedGroups(now);
     checkLinks(now, actions);
     for (auto &[key, target] : m_targets)
         dispatchWaiting(target, now, actions);
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <set>
 #include <unordered_map>
+#include <utility>
 
 namespace bramleypitch {
 
@@ -173,8 +174,13 @@
     {
         m_quarantine.merge(news, now);
     }
-    /// Whether attempts of this node broke since the last call, so that there is evidence to tell.
-    bool takeNewEvidence() { return m_quarantine.takeNewEvidence(); }
+    /// Whether attempts of this node broke, or heads refused to serve their groups, since the last
+    /// call, so that there is evidence to tell.
+    bool takeNewEvidence()
+    {
+        const bool hasClosed = std::exchange(m_hasNewClosedGroup, false);
+        return m_quarantine.takeNewEvidence() || hasClosed;
+    }
     /// Adopts a quarantine that is kept in the store.
     void restoreQuarantine(PromptPart part, const QuarantinedPart &quarantine, TimePoint now)
     {
@@ -374,6 +380,10 @@
     /// Suspects the server of a failed attempt, and the one named as the cause.
     void suspectAfterFailure(const Attempt &attempt, AttemptFailure failure,
                              const VmId &faultyServer, TimePoint now);
+    /// The server of the attempt refused it, as it does not serve the group. Returns whether the
+    /// group counts as closed.
+    bool closeGroup(const Request &request, const Attempt &attempt, TimePoint now,
+                    RequestActions &actions);
     /// Records that an attempt that was sent broke off, unless its server had been writing for
     /// long.
     void recordBreak(const Request &request, const Attempt &attempt, TimePoint now);
@@ -439,6 +449,7 @@
     TimePoint m_linksAt;
     std::function<void(const QuarantineDecision &)> m_onQuarantined;
     bool m_hasArrivals = false;
+    bool m_hasNewClosedGroup = false; ///< Since the last call of takeNewEvidence().
     TimePoint m_stopStartedAt;
     std::optional<TimePoint> m_stopDeadline;
     TimePoint m_closedAt; ///< From then on requests that may outlast a stop are refused.
