Feature: [Network] Bounds on what is held for slow readers and sent to servers

Cause: a caller that pipelines requests and reads nothing makes a node hold any number of responses; a group may be sent more tokens than its memory holds.

Change, where the setting contracts names pressure: each caller has a share of the account of responses, reading is paused and resumed so that typical streams are read to their end, and what exceeds the account is given up in one order, least valuable first (network/memory_shedding). A group gets requests only while their tokens fit its kv_capacity_tokens, and a server one share of the memory for bodies at once (request/server_memory). A request larger than any group is refused with 413.

--- a/src/core/error_type.cpp
+++ b/src/core/error_type.cpp
@@ -61,6 +61,8 @@
         return "queue_full";
     case ErrorCode::RateLimited:
         return "rate_limited";
+    case ErrorCode::RequestTooLarge:
+        return "request_too_large";
     case ErrorCode::DeadlineUnreachable:
         return "deadline_unreachable";
     case ErrorCode::DeadlineExceeded:
--- a/src/core/error_type.h
+++ b/src/core/error_type.h
@@ -36,6 +36,7 @@
     LedgerFull,
     QueueFull,
     RateLimited, ///< The organisation has reached its own limit.
+    RequestTooLarge, ///< No group has memory for the tokens of the request.
     DeadlineUnreachable, ///< The response could not start before its deadline.
     DeadlineExceeded,
     NoCapacity, ///< No complete group and no server can accept the request.
--- a/src/network/backend_connections.cpp
+++ b/src/network/backend_connections.cpp
@@ -118,6 +118,7 @@
         ++m_opened;
         SocketHooks socketHooks;
         socketHooks.onConnected = [this, connection] { onConnected(*connection); };
+        socketHooks.onDrained = [connection] { onDrained(*connection); };
         socketHooks.onReadable = [this, connection] { onReadable(*connection); };
         socketHooks.onClosed = [this, connection](bool clean) { onClosed(*connection, clean); };
         connection->socket = std::make_unique<StreamSocket>(m_loop, connection->request.address,
@@ -173,6 +174,15 @@
     std::string bytes = std::exchange(connection.request.head, {});
     bytes += std::exchange(connection.request.body, {});
     connection.socket->write(bytes);
+    onDrained(connection);
+}
+
+void BackendConnections::onDrained(Connection &connection)
+{
+    if (!connection.isWritten || connection.socket->unsentBytes() > 0 || !connection.hooks.onSent)
+        return;
+    // Called once.
+    std::exchange(connection.hooks.onSent, nullptr)();
 }
 
 void BackendConnections::onReadable(Connection &connection)
--- a/src/network/backend_connections.h
+++ b/src/network/backend_connections.h
@@ -40,6 +40,8 @@
     std::function<bool()> mayWrite;
     /// The first byte of the request is written now if this returns true, and only then.
     std::function<bool()> takeGrant;
+    /// All of the request was passed to the kernel; optional.
+    std::function<void()> onSent;
     /// The request may not be written any more. Nothing was sent.
     std::function<void()> onWithdrawn;
     /// The attempt failed. With `sent`, part of the request may have reached the server.
@@ -105,6 +107,8 @@
     /// Reports the attempts that were withdrawn.
     void reportWithdrawn();
     void onConnected(Connection &connection);
+    /// Everything written to the socket was passed to the kernel.
+    static void onDrained(Connection &connection);
     void onReadable(Connection &connection);
     void processInput(Connection &connection);
     /// Which request the response being received belongs to.
--- a/src/network/caller_connections.cpp
+++ b/src/network/caller_connections.cpp
@@ -3,6 +3,8 @@
 #include "core/error_type.h"
 #include "network/address_func.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -79,6 +81,8 @@
     /// them.
     Duration idleTimeout {0};
     Duration headerTimeout {0};
+    TimePoint readAt; ///< When the caller last read something, or a byte began to wait.
+    bool mayRepeat = false; ///< The requests of the responses that wait may be sent again.
     bool processingInput = false; ///< The loop over received bytes is on the call stack.
 };
 
@@ -136,11 +140,21 @@
             connections->closeAfterReading(*connection);
         } else if (connection->reading && !connection->requestStarted) {
             connections->startTimeout(*connection);
+            if (!connection->processingInput && !connection->socket->received().empty())
+                connections->onReadable(*connection); // It was backed up.
         } else if (!connection->reading && connections->m_hooks.onDrained) {
             connections->m_hooks.onDrained(connection->exchange);
         }
     };
-    hooks.onUnsentChanged = [connection](std::size_t unsent) { connection->unsent.resize(unsent); };
+    hooks.onUnsentChanged = [connections, connection](std::size_t unsent) {
+        if (connection->unsent.size() == 0 || unsent < connection->unsent.size())
+            connection->readAt = connections->m_loop.now();
+        connection->unsent.resize(unsent);
+    };
+    if (connections->m_kernelBuffer > 0) {
+        const int bytes = static_cast<int>(connections->m_kernelBuffer);
+        setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
+    }
     hooks.onClosed = [connections, connection](bool clean) {
         connections->onClosed(*connection, clean);
     };
@@ -158,6 +172,8 @@
     connection.processingInput = true;
     while (m_connections.count(id) && connection.reading && !connection.closeWhenDrained
            && !connection.socket->received().empty()) {
+        if (!connection.requestStarted && isBackedUp(connection))
+            break;
         if (!connection.requestStarted) {
             connection.requestStarted = true;
             connection.timeoutStart = m_loop.now();
@@ -242,6 +258,17 @@
     connection.keptBody.resize(connection.keptBody.size() + part.size());
 }
 
+void CallerConnections::setCallerBounds(std::size_t unsent, std::size_t kernel)
+{
+    m_maxUnsent = unsent;
+    m_kernelBuffer = kernel;
+}
+
+bool CallerConnections::isBackedUp(const Connection &connection) const
+{
+    return m_maxUnsent > 0 && connection.socket->unsentBytes() > m_maxUnsent;
+}
+
 void CallerConnections::releaseBody(Connection &connection)
 {
     connection.keptBody.resize(0);
@@ -333,6 +360,39 @@
         connection->unsent.setServer(server);
 }
 
+void CallerConnections::setRepeatable(ExchangeId exchange, bool mayRepeat)
+{
+    if (Connection *connection = find(exchange)) // Earlier responses may still wait.
+        connection->mayRepeat =
+            mayRepeat && (connection->mayRepeat || connection->socket->unsentBytes() == 0);
+}
+
+std::vector<SlowCaller> CallerConnections::slowCallers() const
+{
+    std::vector<SlowCaller> callers;
+    for (const auto &[id, connection] : m_connections) {
+        if (connection->unsent.size() > 0)
+            callers.push_back({id, connection->exchange, connection->unsent.size(),
+                               connection->mayRepeat, connection->readAt});
+    }
+    return callers;
+}
+
+void CallerConnections::giveUp(std::uint64_t id)
+{
+    const auto found = m_connections.find(id);
+    if (found == m_connections.end())
+        return;
+    Connection &connection = *found->second;
+    const ExchangeId exchange = std::exchange(connection.exchange, ExchangeId());
+    m_exchanges.erase(exchange);
+    connection.socket->disable();
+    connection.unsent.resize(0); // The bytes are freed with the connection.
+    close(connection);
+    if (exchange != ExchangeId())
+        m_hooks.onDisconnected(exchange);
+}
+
 void CallerConnections::startChunkedResponse(ExchangeId exchange, int status,
                                              const HttpHeaders &headers)
 {
--- a/src/network/caller_connections.h
+++ b/src/network/caller_connections.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace bramleypitch {
 
@@ -33,6 +34,16 @@
     std::function<bool(ExchangeId)> onInputEnded;
 };
 
+/// A caller for which bytes of responses wait.
+struct SlowCaller
+{
+    std::uint64_t connection = 0;
+    ExchangeId exchange; ///< The request being answered; 0 if all responses are complete.
+    std::size_t unsent = 0;
+    bool mayRepeat = false; ///< The requests of these responses may be sent again.
+    TimePoint readAt; ///< When the caller last read something, or the first byte began to wait.
+};
+
 /// HTTP server for callers: reads requests from each connection one after another, within the
 /// limits of the configuration, and writes the responses. It is built on bufferevents and
 /// http_parser because libevhtp hides the details that the rules for malformed, slow and partially
@@ -52,6 +63,10 @@
     /// Limits the sum of the bodies of requests that are being received or answered. A body beyond
     /// it is dropped, but a single one is not.
     void setMaxBodyMemory(std::size_t bytes) { m_maxBodyMemory = bytes; }
+    /// Bounds what waits for one caller: no next request is read from its connection while more
+    /// than `unsent` bytes wait, and the kernel gets up to about `kernel` bytes of each new
+    /// connection. 0 means no bound.
+    void setCallerBounds(std::size_t unsent, std::size_t kernel);
     /// From now on, closes each connection after its next response, unless bytes of a next request
     /// have already been received. That request is answered first.
     void setClosing() { m_closing = true; }
@@ -69,6 +84,8 @@
     void reply(ExchangeId exchange, int status, const HttpHeaders &headers, BlockBuffer body);
     /// What waits for the caller is counted as bytes of this server from now on.
     void setServer(ExchangeId exchange, const VmId &server);
+    /// Whether the request of the response that starts may be sent again.
+    void setRepeatable(ExchangeId exchange, bool mayRepeat);
     /// Starts a response with chunked transfer coding.
     void startChunkedResponse(ExchangeId exchange, int status, const HttpHeaders &headers);
     void sendChunk(ExchangeId exchange, std::string_view chunk);
@@ -78,6 +95,10 @@
     void abortConnection(ExchangeId exchange);
     /// Number of bytes written for the caller that have not been passed to the kernel yet.
     std::size_t unsentBytes(ExchangeId exchange) const;
+    /// The callers for which bytes of responses wait.
+    std::vector<SlowCaller> slowCallers() const;
+    /// Closes a connection and frees what waits for its caller, who counts as disconnected.
+    void giveUp(std::uint64_t connection);
 
     /// Closes connections that exceed the idle timeout and rejects requests that arrive too slowly.
     void sweep(TimePoint now);
@@ -97,6 +118,8 @@
     bool readBody(Connection &connection);
     /// Adds a part to the body of a request, or drops the body for lack of memory.
     void addToBody(Connection &connection, const std::string &part);
+    /// Whether so much waits for the caller that its next request is not read.
+    bool isBackedUp(const Connection &connection) const;
     /// The body of the connection's request is not kept any longer.
     void releaseBody(Connection &connection);
     /// Passes a complete request to the hooks.
@@ -137,6 +160,8 @@
     Timer m_discard;
     Timer m_acceptAgain;
     std::size_t m_maxBodyMemory = 32 * 1024 * 1024;
+    std::size_t m_maxUnsent = 0; ///< Before the next request of a caller is read; 0: no bound.
+    std::size_t m_kernelBuffer = 0; ///< For the responses of a connection; 0: the system's own.
     std::uint64_t m_lastId = 0;
     bool m_closing = false;
 };
--- a/src/network/memory_account.cpp
+++ b/src/network/memory_account.cpp
@@ -12,6 +12,8 @@
 
 /// Each server may use this part of the limit.
 constexpr std::size_t serversPerLimit = 4;
+/// The limit, divided by this, is the reserve.
+constexpr std::size_t reservesPerLimit = 4;
 /// Blocks of this size and more are mapped and unmapped on their own.
 constexpr int mappedBlockBytes = 128 * 1024;
 constexpr Duration trimInterval {1'000};
@@ -97,7 +99,18 @@
 
 bool MemoryAccount::hasRoom(const VmId &server) const
 {
-    return responseBytes() <= m_responseLimit && heldBy(server) <= serverLimit();
+    return responseBytes() <= roomLimit() && heldBy(server) <= serverLimit();
+}
+
+std::size_t MemoryAccount::roomLimit() const
+{
+    return m_hasReserve ? m_responseLimit - m_responseLimit / reservesPerLimit : m_responseLimit;
+}
+
+std::size_t MemoryAccount::excess(std::size_t more) const
+{
+    const std::size_t wanted = responseBytes() + more;
+    return wanted > m_responseLimit ? wanted - m_responseLimit : 0;
 }
 
 std::size_t MemoryAccount::responseBytes() const
--- a/src/network/memory_account.h
+++ b/src/network/memory_account.h
@@ -60,6 +60,13 @@
     /// Limits the bytes that servers have sent.
     void setResponseLimit(std::size_t bytes) { m_responseLimit = bytes; }
     std::size_t responseLimit() const { return m_responseLimit; }
+    /// With a reserve, hasRoom() is false from a part of the limit on, so that servers are read
+    /// more slowly before anything has to be given up.
+    void setReserve(bool hasReserve) { m_hasReserve = hasReserve; }
+    /// The bytes from which on there is no room.
+    std::size_t roomLimit() const;
+    /// Bytes to free so that `more` bytes of servers can be held within the limit.
+    std::size_t excess(std::size_t more) const;
     /// The part of the limit that each server may use.
     std::size_t serverLimit() const;
     /// Whether neither the limit nor that of the server is exceeded.
@@ -79,6 +86,7 @@
     void change(HeldKind kind, const VmId &server, std::size_t before, std::size_t after);
 
     std::size_t m_responseLimit = 32 * 1024 * 1024;
+    bool m_hasReserve = false;
     std::array<std::size_t, heldKinds> m_held {};
     std::map<VmId, std::size_t> m_servers;
     std::size_t m_peak = 0;
--- a/src/network/relay.cpp
+++ b/src/network/relay.cpp
@@ -24,6 +24,12 @@
 constexpr std::size_t minUnsentBytes = 16 * 1024;
 /// Time after which room for unfinished events is made by giving up an attempt.
 constexpr Duration maxRoomWait {1'000};
+/// What the kernel may hold of responses for one caller, so that the rest is counted. A typical
+/// stream fits in.
+constexpr std::size_t callerKernelBytes = 64 * 1024;
+/// When room is made, this part of the limit is freed in addition, so that it lasts for a while.
+constexpr std::size_t slackPerLimit = 32;
+constexpr Duration givenUpLogInterval {1'000};
 /// For callers whose body was dropped for lack of memory.
 constexpr Duration bodyMemoryRetry {1'000};
 constexpr std::string_view eventStreamType = "text/event-stream";
@@ -38,6 +44,8 @@
         return 401;
     case ErrorCode::UnknownPath:
         return 404;
+    case ErrorCode::RequestTooLarge:
+        return 413;
     case ErrorCode::BackendFailed:
         return 502;
     case ErrorCode::DeadlineExceeded:
@@ -47,6 +55,21 @@
     }
 }
 
+const char *worthName(ResponseWorth worth)
+{
+    switch (worth) {
+    case ResponseWorth::Replaceable:
+        return "replaceable";
+    case ResponseWorth::FinishedRepeatable:
+        return "finished_repeatable";
+    case ResponseWorth::UnfinishedOnly:
+        return "unfinished_only";
+    case ResponseWorth::FinishedOnly:
+        return "finished_only";
+    }
+    return "unknown";
+}
+
 ExchangeId toExchangeId(RequestId id)
 {
     return ExchangeId(id.value());
@@ -136,6 +159,10 @@
 {
     m_callers.sweep(now);
     m_backends.sweep(now);
+    if (m_boundsSlowReaders) {
+        makeRoom(0);
+        readPaused(now);
+    }
     findRoom(now);
     m_trimmer.tick(now);
 }
@@ -182,9 +209,11 @@
         return;
     }
     arrival->request = request;
+    arrival->bodyBytes = exchange.body.size();
     arrival->content = contentHash(exchange.head, exchange.body);
     RequestActions actions;
     m_requests.onRequestArrived(*arrival, now, actions);
+    exchange.mayRepeat = m_requests.mayRepeatRun(request);
     perform(actions);
 }
 
@@ -212,6 +241,7 @@
         return;
     Exchange &exchange = found->second;
     exchange.paused = false;
+    exchange.allowance = 0;
     updateReading(exchange, exchange.current);
     m_requests.onReadingPaused(found->first, exchange.current.number, false, m_loop.now());
 }
@@ -248,6 +278,13 @@
 }
 
 void Relay::onResponseBody(RequestId id, AttemptNumber attempt, const std::string &bytes)
+{
+    makeRoom(bytes.size());
+    takeResponseBody(id, attempt, bytes);
+    makeRoom(0); // Buffers grow by more than their bytes.
+}
+
+void Relay::takeResponseBody(RequestId id, AttemptNumber attempt, const std::string &bytes)
 {
     const OpenAttempt open = find(id, attempt);
     if (!open)
@@ -309,15 +346,133 @@
 
 void Relay::pauseForCaller(RequestId id, Exchange &exchange)
 {
-    const std::size_t limit =
-        m_account.hasRoom(exchange.current.server) ? maxUnsentBytes : minUnsentBytes;
+    const bool hasRoom = m_account.hasRoom(exchange.current.server);
+    std::size_t limit = hasRoom ? maxUnsentBytes : minUnsentBytes;
+    if (m_boundsSlowReaders)
+        limit = std::max(hasRoom ? std::min(maxUnsentBytes, m_allowance.limit) : m_allowance.first,
+                         exchange.allowance);
     if (exchange.paused || m_callers.unsentBytes(toExchangeId(id)) <= limit)
         return;
     exchange.paused = true;
+    exchange.pausedAt = m_loop.now();
     updateReading(exchange, exchange.current);
     m_requests.onReadingPaused(id, exchange.current.number, true, m_loop.now());
 }
 
+void Relay::setResponseMemory(std::size_t limit, bool boundsSlowReaders)
+{
+    m_account.setResponseLimit(limit);
+    m_account.setReserve(boundsSlowReaders);
+    m_boundsSlowReaders = boundsSlowReaders;
+    m_allowance = callerAllowance(limit);
+    m_callers.setCallerBounds(boundsSlowReaders ? m_allowance.limit : 0,
+                              boundsSlowReaders ? callerKernelBytes : 0);
+}
+
+void Relay::readPaused(TimePoint now)
+{
+    for (auto &[id, exchange] : m_exchanges) {
+        if (!exchange.paused)
+            continue;
+        const std::size_t unsent = m_callers.unsentBytes(toExchangeId(id));
+        const std::size_t allowed = nextAllowance(m_allowance, unsent, exchange.pausedAt,
+                                                  m_account.hasRoom(exchange.current.server), now);
+        if (allowed <= unsent)
+            continue;
+        exchange.allowance = allowed;
+        exchange.paused = false;
+        updateReading(exchange, exchange.current);
+        m_requests.onReadingPaused(id, exchange.current.number, false, now);
+    }
+}
+
+void Relay::collectHeld(std::vector<HeldItem> &items, std::vector<HeldResponse> &held) const
+{
+    const auto add = [&](HeldItem item, HeldResponse response) {
+        if (response.bytes == 0)
+            return;
+        items.push_back(item);
+        held.push_back(response);
+    };
+    for (const SlowCaller &caller : m_callers.slowCallers()) {
+        const RequestId request = toRequestId(caller.exchange);
+        const bool isFinished = caller.exchange == ExchangeId();
+        const bool mayRepeat = isFinished ? caller.mayRepeat : m_requests.mayRepeatRun(request);
+        add({HeldItem::Kind::Caller, caller.connection, request, {}},
+            {caller.unsent, responseWorth(isFinished, mayRepeat), caller.readAt});
+    }
+    const TimePoint now = m_loop.now(); // Their callers do not read slowly.
+    for (const auto &[id, exchange] : m_exchanges) {
+        const bool mayRepeat = m_requests.mayRepeatRun(id);
+        const auto addAttempt = [&, request = id](const Attempt &attempt) {
+            add({HeldItem::Kind::Attempt, 0, request, attempt.number},
+                {attempt.held.size(), responseWorth(false, mayRepeat), now});
+        };
+        addAttempt(exchange.current);
+        std::for_each(exchange.stalled.begin(), exchange.stalled.end(), addAttempt);
+        add({HeldItem::Kind::KeptResponse, 0, id, {}},
+            {exchange.lastResponseHeld.size(), responseWorth(true, mayRepeat), now});
+    }
+}
+
+void Relay::makeRoom(std::size_t bytes)
+{
+    const std::size_t excess = m_boundsSlowReaders ? m_account.excess(bytes) : 0;
+    if (excess == 0)
+        return;
+    std::vector<HeldItem> items;
+    std::vector<HeldResponse> held;
+    collectHeld(items, held);
+    const std::size_t slack = m_account.responseLimit() / slackPerLimit;
+    std::size_t freed = 0;
+    for (const std::size_t position : responsesToGiveUp(held, excess + slack)) {
+        const bool isLastWorth = held[position].worth >= ResponseWorth::UnfinishedOnly;
+        if (isLastWorth && freed >= excess)
+            return; // Not for the slack alone.
+        freed += held[position].bytes;
+        noteGivenUp(worthName(held[position].worth), held[position].bytes);
+        giveUp(items[position]);
+    }
+}
+
+void Relay::giveUp(const HeldItem &item)
+{
+    switch (item.kind) {
+    case HeldItem::Kind::Caller:
+        m_callers.giveUp(item.connection);
+        return;
+    case HeldItem::Kind::Attempt:
+        if (find(item.request, item.attempt))
+            dropAttempt(item.request, item.attempt);
+        return;
+    case HeldItem::Kind::KeptResponse:
+        if (m_exchanges.count(item.request) == 0)
+            return;
+        m_callers.abortConnection(toExchangeId(item.request));
+        onCallerDisconnected(toExchangeId(item.request));
+        return;
+    }
+}
+
+void Relay::noteGivenUp(const std::string &cause, std::size_t bytes)
+{
+    const TimePoint now = m_loop.now();
+    ++m_givenUpByCause[cause];
+    GivenUp &unlogged = m_unlogged[cause];
+    ++unlogged.responses;
+    unlogged.bytes += bytes;
+    if (unlogged.loggedAt && now - *unlogged.loggedAt < givenUpLogInterval)
+        return;
+    m_hooks.decided({"",
+                     "held_given_up",
+                     {{"cause", cause},
+                      {"responses", std::to_string(unlogged.responses)},
+                      {"bytes", std::to_string(unlogged.bytes)},
+                      {"held", std::to_string(m_account.responseBytes())},
+                      {"limit", std::to_string(m_account.responseLimit())}}});
+    unlogged = {0, 0, now};
+}
+
 void Relay::updateReading(Exchange &exchange, Attempt &attempt)
 {
     const bool isForCaller = &attempt == &exchange.current && exchange.paused;
@@ -380,13 +535,17 @@
 void Relay::giveUp(RequestId id, AttemptNumber attempt)
 {
     const OpenAttempt open = find(id, attempt);
-    m_hooks.decided({open.exchange->head.value(m_dialect.traceHeader),
-                     "response_given_up",
-                     {{"server", open.attempt->server.value()},
-                      {"bytes", std::to_string(open.attempt->held.size())},
-                      {"held_by_server", std::to_string(m_account.heldBy(open.attempt->server))},
-                      {"held", std::to_string(m_account.responseBytes())},
-                      {"limit", std::to_string(m_account.responseLimit())}}});
+    if (m_boundsSlowReaders)
+        noteGivenUp("no_room", open.attempt->held.size());
+    else
+        m_hooks.decided(
+            {open.exchange->head.value(m_dialect.traceHeader),
+             "response_given_up",
+             {{"server", open.attempt->server.value()},
+              {"bytes", std::to_string(open.attempt->held.size())},
+              {"held_by_server", std::to_string(m_account.heldBy(open.attempt->server))},
+              {"held", std::to_string(m_account.responseBytes())},
+              {"limit", std::to_string(m_account.responseLimit())}}});
     dropAttempt(id, attempt);
 }
 
@@ -420,6 +579,7 @@
     const TimePoint now = m_loop.now();
     m_hooks.firstEvent(now - exchange.arrivedAt);
     m_callers.setServer(toExchangeId(id), exchange.current.server);
+    m_callers.setRepeatable(toExchangeId(id), exchange.mayRepeat);
     m_callers.startChunkedResponse(toExchangeId(id), exchange.current.head.status,
                                    forwardedHeaders(exchange.current.head));
     m_requests.onStreamStarted(id, exchange.current.number, now);
@@ -439,6 +599,8 @@
     const TimePoint now = m_loop.now();
     const Forwarding forwarding = selectEvents(*receiving.exchange, *receiving.attempt,
                                                receiving.attempt->framing.take(bytes));
+    // What is sent does not count twice.
+    receiving.attempt->held.resize(receiving.attempt->framing.heldBytes());
     if (!forwarding.bytes.empty())
         sendEvents(id, chooseAttempt(id, attempt), forwarding);
     const OpenAttempt open = find(id, attempt);
@@ -672,6 +834,7 @@
     hooks.takeGrant = [this, id, attempt] {
         return m_requests.onWriting(id, attempt, m_loop.now());
     };
+    hooks.onSent = [this, id, attempt] { m_requests.onRequestSent(id, attempt); };
     hooks.onWithdrawn = [this, id, attempt] {
         handleAttemptFailure(id, attempt, AttemptFailure::Withdrawn);
     };
@@ -708,6 +871,7 @@
     m_hooks.answered(m_loop.now() - exchange.arrivedAt);
     exchange.lastResponseHeld.resize(0);
     m_callers.setServer(toExchangeId(deliver.request), exchange.lastResponseServer);
+    m_callers.setRepeatable(toExchangeId(deliver.request), exchange.mayRepeat);
     m_callers.reply(toExchangeId(deliver.request), exchange.lastResponseHead.status,
                     forwardedHeaders(exchange.lastResponseHead),
                     std::move(exchange.lastResponseBody));
--- a/src/network/relay.h
+++ b/src/network/relay.h
@@ -5,6 +5,7 @@
 #include "network/event_framing.h"
 #include "network/event_sequence.h"
 #include "network/memory_account.h"
+#include "network/memory_shedding.h"
 #include "request/request_system.h"
 
 #include <functional>
@@ -62,12 +63,19 @@
     Relay(EventLoop &loop, RequestSystem &requests, RelayDialect dialect, RelayHooks hooks);
 
     CallerConnections &callers() { return m_callers; }
+    const CallerConnections &callers() const { return m_callers; }
     /// Counts the bytes that callers and servers make the node hold.
     MemoryAccount &account() { return m_account; }
     const MemoryAccount &account() const { return m_account; }
     /// Sets the key that other nodes show with the requests that they pass on to this one. Requests
     /// without it are those of callers, whatever their headers say. Until it is set, all are.
     void setForwardKey(std::string key) { m_forwardKey = std::move(key); }
+    /// Limits the bytes of responses that are held. With `boundsSlowReaders`, each caller has a
+    /// share of them, streams to slow callers are read to their end while there is room, and
+    /// responses are given up in the order of memory_shedding if the limit would be exceeded.
+    void setResponseMemory(std::size_t limit, bool boundsSlowReaders);
+    /// Number of responses that were given up for lack of room, by cause.
+    const std::map<std::string, std::uint64_t> &givenUp() const { return m_givenUpByCause; }
     /// Re-evaluates waiting requests after time has passed or servers or configuration have
     /// changed.
     void tick(TimePoint now);
@@ -114,6 +122,9 @@
         VmId lastResponseServer;
         bool headSent = false; ///< The head of the response was sent to the caller.
         bool paused = false; ///< Reading from the server is paused for a slow caller.
+        TimePoint pausedAt;
+        std::size_t allowance = 0; ///< Bytes that may wait for the caller beyond the usual ones.
+        bool mayRepeat = false; ///< The caller may send the request again after it has run.
         EventSequence sequence; ///< The events sent to the caller.
     };
     /// An open attempt with its exchange; null if there is none.
@@ -133,6 +144,7 @@
     void onCallerDrained(ExchangeId id);
     void onResponseHead(RequestId id, AttemptNumber attempt, const MessageHead &head);
     void onResponseBody(RequestId id, AttemptNumber attempt, const std::string &bytes);
+    void takeResponseBody(RequestId id, AttemptNumber attempt, const std::string &bytes);
     /// Passes on what was received of the body if it cannot be kept for lack of room, or gives the
     /// attempt up if its response may be replaced by another one.
     void makeRoomForBody(RequestId id, AttemptNumber attempt);
@@ -142,6 +154,25 @@
     static bool mayPassOn(const Exchange &exchange, const Attempt &attempt);
     /// Pauses reading from the server if too many bytes wait for the caller.
     void pauseForCaller(RequestId id, Exchange &exchange);
+    /// Reads a further part of responses whose servers would cut them off otherwise.
+    void readPaused(TimePoint now);
+    /// Gives up held responses, the least valuable first, so that `bytes` more can be held.
+    void makeRoom(std::size_t bytes);
+    /// Something that bytes are held for: what waits for a caller, the attempt of a request, or its
+    /// response that is kept in case no attempt has a better one.
+    struct HeldItem
+    {
+        enum class Kind { Caller, Attempt, KeptResponse };
+        Kind kind = Kind::Caller;
+        std::uint64_t connection = 0;
+        RequestId request;
+        AttemptNumber attempt;
+    };
+    /// Collects what bytes are held for. Both lists have the same order.
+    void collectHeld(std::vector<HeldItem> &items, std::vector<HeldResponse> &held) const;
+    void giveUp(const HeldItem &item);
+    /// Counts a response that is given up, and logs at most one line per cause and second.
+    void noteGivenUp(const std::string &cause, std::size_t bytes);
     /// Reads from the server of the attempt unless its caller or lack of room forbids it.
     void updateReading(Exchange &exchange, Attempt &attempt);
     /// Resumes reading where there is room for unfinished events. If there is none for too long,
@@ -210,6 +241,17 @@
     CallerConnections m_callers;
     BackendConnections m_backends;
     std::string m_forwardKey;
+    bool m_boundsSlowReaders = false;
+    CallerAllowance m_allowance;
+    std::map<std::string, std::uint64_t> m_givenUpByCause;
+    /// What was given up since the last line of the log.
+    struct GivenUp
+    {
+        std::uint64_t responses = 0;
+        std::uint64_t bytes = 0;
+        std::optional<TimePoint> loggedAt;
+    };
+    std::map<std::string, GivenUp> m_unlogged;
     std::map<RequestId, Exchange> m_exchanges;
     /// Attempts of which reading is paused for lack of room.
     std::set<std::pair<RequestId, AttemptNumber>> m_awaitingRoom;
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -156,7 +156,7 @@
     m_store.setEraHook([this](StoreEra previous, StoreEra era) { onStoreEra(previous, era); });
     m_formation.setFirstStart(m_options.firstStart);
     m_relay.callers().setMaxBodyMemory(m_options.maxBodyMemory);
-    m_relay.account().setResponseLimit(m_options.maxResponseMemory);
+    m_relay.setResponseMemory(m_options.maxResponseMemory, m_options.boundsSlowReaders);
     m_requests.setQuarantineHook([this](const QuarantineDecision &decision) {
         m_quarantineStore.add(decision, m_loop.now());
     });
@@ -193,7 +193,7 @@
     m_options.stopTime = options.stopTime;
     m_options.entryCacheTime = options.entryCacheTime;
     m_relay.callers().setMaxBodyMemory(options.maxBodyMemory);
-    m_relay.account().setResponseLimit(options.maxResponseMemory);
+    m_relay.setResponseMemory(options.maxResponseMemory, options.boundsSlowReaders);
     m_requests.setOptions(options.requests);
     logLine(LogLevel::Info, "reloaded", {{"stop_time_ms", formatMilliseconds(options.stopTime)}});
 }
@@ -1075,6 +1075,7 @@
                       static_cast<double>(account.peak())});
     out << gaugeText({"held_bytes_servers", "Servers of which bytes are held.",
                       static_cast<double>(account.servers())});
+    writeSlowReaders(out);
     out << gaugeText({"log_lines_dropped", "Log lines dropped as the reader was too slow.",
                       static_cast<double>(droppedLogLines())});
     out << gaugeText({"callback_failures", "Exceptions that reached the event loop: faults.",
@@ -1084,6 +1085,37 @@
     return out.str();
 }
 
+void ServingDaemon::writeSlowReaders(std::ostream &out) const
+{
+    if (!m_options.boundsSlowReaders)
+        return;
+    std::size_t most = 0;
+    const std::vector<SlowCaller> callers = m_relay.callers().slowCallers();
+    for (const SlowCaller &caller : callers)
+        most = std::max(most, caller.unsent);
+    std::uint64_t tokens = 0;
+    std::size_t unsent = 0;
+    m_backends.forEach([&](BackendIndex, const Backend &backend) {
+        unsent = std::max(unsent, backend.ownUnsentBytes);
+        const ServingConfigurationPtr &configuration = m_requests.configuration();
+        const EngineSpec *engine =
+            configuration ? configuration->engineOf(backend.report.service) : nullptr;
+        if (engine)
+            tokens = std::max(tokens, heldTokens(backend, *engine));
+    });
+    out << gaugeText({"slow_callers", "Callers for which bytes of responses wait.",
+                      static_cast<double>(callers.size())});
+    out << gaugeText({"slow_caller_bytes_max", "Bytes that wait for one of them, at most.",
+                      static_cast<double>(most)});
+    out << gaugeText({"group_tokens_max", "Tokens that a group holds, at most, as estimated.",
+                      static_cast<double>(tokens)});
+    out << gaugeText({"server_unsent_bytes_max",
+                      "Bytes of bodies that wait to be written to one server, at most.",
+                      static_cast<double>(unsent)});
+    for (const auto &[cause, count] : m_relay.givenUp())
+        out << "bramleypitch_given_up_total{cause=\"" << cause << "\"} " << count << "\n";
+}
+
 void ServingDaemon::finishStop(TimePoint now)
 {
     if (now - m_stopAt >= minDrainTime && m_requests.open() == 0) {
--- a/src/network/serving_daemon.h
+++ b/src/network/serving_daemon.h
@@ -39,6 +39,9 @@
     std::size_t maxBodyMemory = 32 * 1024 * 1024;
     /// Limit on the bytes of responses that are held, in bytes.
     std::size_t maxResponseMemory = 32 * 1024 * 1024;
+    /// Whether what is held for slow callers, and what is sent to servers at once, is bounded by
+    /// caller, server and memory of the servers.
+    bool boundsSlowReaders = false;
     Duration entryCacheTime {2'000}; ///< How long callers may cache the list of entry addresses.
     RequestOptions requests;
     FormationOptions formation;
@@ -165,6 +168,8 @@
     /// Ends the process for the given cause.
     void endProcess(LogLevel level, const char *cause, TimePoint now);
     std::string metricsText() const;
+    /// Writes the metrics of slow callers and servers.
+    void writeSlowReaders(std::ostream &out) const;
     std::string planKey(const DomainId &domain) const;
 
     EventLoop &m_loop;
--- a/src/platform/platform_configuration.cpp
+++ b/src/platform/platform_configuration.cpp
@@ -14,6 +14,7 @@
 
 constexpr double millisecondsPerSecond = 1'000;
 constexpr int lowestPriority = 1'000'000;
+constexpr double maxTokens = 1e15; ///< Larger sizes of memory count as this one.
 
 Duration readMilliseconds(const JsonReader &item, const char *field)
 {
@@ -117,6 +118,8 @@
         engine.typicalPromptTokens = readFigure(usual, "prompt", 0);
         engine.typicalCompletionTokens = readFigure(usual, "answer", 0);
     }
+    engine.memoryTokens =
+        static_cast<std::uint64_t>(std::min(readFigure(item, "kv_capacity_tokens", 0), maxTokens));
     engine.maxLoadsPerSecond = readFigure(item, "loads_per_s", 0);
     engine.maxConcurrentLoads = readCount(item, "loads_at_once", 0, 1);
     // "cached_prefixes" is the number of models whose weights a host keeps.
--- a/src/platform/platform_settings.cpp
+++ b/src/platform/platform_settings.cpp
@@ -4,6 +4,7 @@
 #include "network/address_func.h"
 
 #include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <cmath>
 #include <fstream>
@@ -24,6 +25,8 @@
 constexpr double bodyMemoryShare = 0.125;
 /// Memory for responses that are kept or wait for slow callers, as a share of the same limit.
 constexpr double responseMemoryShare = 0.125;
+/// Bodies that wait to be written to one server may use this part of that for bodies.
+constexpr std::size_t bodySharesOfServers = 4;
 constexpr double bytesPerMegabyte = 1'048'576;
 constexpr double defaultMemoryMb = 256;
 
@@ -32,6 +35,19 @@
     return Duration(static_cast<Duration::rep>(std::clamp(value, 0.0, maxSettingMs)));
 }
 
+/// Whether the setting `contracts`, a list with commas, has an entry.
+bool listsContract(const SettingsFile &file, const std::string &name)
+{
+    std::istringstream list(file.text("contracts", ""));
+    for (std::string entry; std::getline(list, entry, ',');) {
+        const auto isSpace = [](unsigned char c) { return std::isspace(c) != 0; };
+        std::erase_if(entry, isSpace);
+        if (entry == name)
+            return true;
+    }
+    return false;
+}
+
 } // namespace
 
 const char *const settingsPathVariable = "BRAMLEYPITCH_BOOT";
@@ -126,6 +142,7 @@
                                                      * std::clamp(memory, 1.0, maxCount));
     options.maxResponseMemory = static_cast<std::size_t>(responseMemoryShare * bytesPerMegabyte
                                                          * std::clamp(memory, 1.0, maxCount));
+    options.boundsSlowReaders = listsContract(file, "pressure");
     options.firstStart = file.boolean("first_start", false);
     options.changeTime = milliseconds(file.number("bounds.config_apply_ms", 2'000));
     options.stopTime = milliseconds(file.number("bounds.grace_s", 8) * millisecondsPerSecond);
@@ -139,6 +156,8 @@
         std::clamp(file.number("bounds.retry_slack", requests.retries.slack), 0.0, maxCount);
     requests.retries.window =
         milliseconds(file.number("bounds.retry_window_s", 10) * millisecondsPerSecond);
+    requests.boundsServerMemory = options.boundsSlowReaders;
+    requests.maxUnsentPerServer = options.maxBodyMemory / bodySharesOfServers;
     requests.failClosed = file.boolean("bounds.fail_closed", true);
     requests.maxKeyProofAge =
         milliseconds(file.number("bounds.revoke_ms", 5'000) * keyProofAgeShare);
--- a/src/request/backend_type.h
+++ b/src/request/backend_type.h
@@ -98,6 +98,8 @@
     ModelId lastModel;
     Listing listing = Listing::Listed;
     std::uint32_t ownRunning = 0; ///< Running requests of this node.
+    std::uint64_t ownTokens = 0; ///< Tokens of the running requests of this node.
+    std::size_t ownUnsentBytes = 0; ///< Of bodies of these that wait to be written to it.
     std::uint32_t peersRunning = 0; ///< Running requests of the other nodes, as last reported.
     TimePoint suspectUntil; ///< Other servers are preferred until then, after a failure or stall.
     bool isSuspectedForSilence = false; ///< Progress of the server ends the suspicion.
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -56,6 +56,8 @@
 constexpr Duration linkCheckInterval {100};
 /// From the end of a caller's input to the write of its request.
 constexpr Duration maxWriteDelay {250};
+/// Requests that wait for memory of a server and let those behind them go first, in one pass.
+constexpr std::size_t maxPassedOver = 8;
 constexpr Duration longWait {400}; ///< For an answer, while no server sends anything.
 const std::string nodePrefix = "node/"; ///< No server has such a name.
 /// A server that has been writing a response for this time is not crashed by its prompt. One that
@@ -100,6 +102,31 @@
     return std::max(later - earlier, Duration(0));
 }
 
+/// Entries that are taken out of a queue for a while, and are put back at the end of the scope.
+class PassedOver
+{
+public:
+    explicit PassedOver(std::vector<WaitingRequest> &queue)
+        : m_queue(queue)
+    {
+    }
+    ~PassedOver() { m_queue.insert(m_queue.end(), m_entries.begin(), m_entries.end()); }
+    PassedOver(const PassedOver &) = delete;
+    PassedOver &operator=(const PassedOver &) = delete;
+
+    bool isFull() const { return m_entries.size() >= maxPassedOver; }
+    void take(std::size_t position)
+    {
+        const auto entry = m_queue.begin() + static_cast<std::ptrdiff_t>(position);
+        m_entries.push_back(*entry);
+        m_queue.erase(entry);
+    }
+
+private:
+    std::vector<WaitingRequest> &m_queue;
+    std::vector<WaitingRequest> m_entries;
+};
+
 /// Picks a service by weight. The result is always the same for the same request.
 const WeightedService &pickService(const RouteSpec &route, const std::string &traceId)
 {
@@ -307,6 +334,11 @@
         const GenerationSize size {arrival.promptTokens, arrival.completionTokens};
         request.slotsNeeded = slotsNeeded(*engine, *model, size);
     }
+    request.load = loadOf(arrival);
+    if (m_options.boundsServerMemory && engine && exceedsMemory(*engine, request.load.tokens)) {
+        refuse(request, ErrorCode::RequestTooLarge, std::nullopt, "server_memory", now, actions);
+        return;
+    }
     request.parts = promptParts(arrival.promptParts, request.service);
     request.identity = stableHash(arrival.traceId);
     if (arrival.content != 0) {
@@ -445,6 +477,9 @@
     input.ownZone = m_options.zone;
     input.nodes = m_nodes;
     input.permits = m_limits.empty() ? nullptr : &m_permits;
+    if (m_options.boundsServerMemory)
+        input.load = request.load;
+    input.maxUnsentBytes = m_options.maxUnsentPerServer;
     return input;
 }
 
@@ -470,6 +505,7 @@
 
 void RequestSystem::dispatchWaiting(Target &target, TimePoint now, RequestActions &actions)
 {
+    PassedOver passedOver(target.waiting);
     while (!target.waiting.empty() && m_configuration) {
         const std::size_t next = nextToDispatch(target.waiting, now);
         Request &request = m_requests.at(target.waiting[next].request);
@@ -491,6 +527,11 @@
             && (choice.outcome == TargetChoice::Outcome::Chosen
                 || choice.outcome == TargetChoice::Outcome::Full);
         const PeerNode *peer = mayForward ? choosePeer(request) : nullptr;
+        if (!peer && choice.lacksMemory && choice.outcome == TargetChoice::Outcome::Full
+            && !passedOver.isFull()) {
+            passedOver.take(next);
+            continue;
+        }
         if (!peer && choice.outcome != TargetChoice::Outcome::Chosen)
             return;
         target.waiting.erase(target.waiting.begin() + static_cast<std::ptrdiff_t>(next));
@@ -715,6 +756,11 @@
     request.current.serverStartedAt = m_backends.newestStart(backend.report.id);
     request.current.isTrial = m_quarantine.onDispatched(request.parts, now);
     m_backends.onDispatched(backend, now);
+    if (m_options.boundsServerMemory) {
+        request.current.load = request.load;
+        backend.ownTokens += request.load.tokens;
+        backend.ownUnsentBytes += request.load.bodyBytes;
+    }
     if (!m_limits.empty())
         request.current.permit =
             m_permits.take({request.current.server, request.current.serverStartedAt}, now);
@@ -768,8 +814,11 @@
             m_forwarded.erase(forwarded);
         return;
     }
-    if (Backend *backend = m_backends.find(attempt.server); backend && backend->ownRunning > 0)
+    if (Backend *backend = m_backends.find(attempt.server); backend && backend->ownRunning > 0) {
         --backend->ownRunning;
+        backend->ownTokens -= std::min(backend->ownTokens, attempt.load.tokens);
+        backend->ownUnsentBytes -= std::min(backend->ownUnsentBytes, attempt.load.bodyBytes);
+    }
     if (attempt.permit && !attempt.isWritten)
         m_permits.giveBack(*attempt.permit);
     ++m_targets[{request.service, request.arrival.model}].departures;
@@ -927,6 +976,26 @@
     return true;
 }
 
+void RequestSystem::releaseUnsent(Attempt &attempt)
+{
+    if (Backend *backend = m_backends.find(attempt.server))
+        backend->ownUnsentBytes -= std::min(backend->ownUnsentBytes, attempt.load.bodyBytes);
+    attempt.load.bodyBytes = 0;
+}
+
+void RequestSystem::onRequestSent(RequestId id, AttemptNumber attempt)
+{
+    const auto found = m_requests.find(id);
+    if (found == m_requests.end() || !found->second.running)
+        return;
+    if (found->second.current.number == attempt)
+        releaseUnsent(found->second.current);
+    for (Attempt &stalled : found->second.stalled) {
+        if (stalled.number == attempt)
+            releaseUnsent(stalled);
+    }
+}
+
 void RequestSystem::onServerNotice(RequestId id, AttemptNumber attempt, const ServerNotice &notice,
                                    TimePoint now, RequestActions &actions)
 {
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -47,6 +47,11 @@
     /// An attempt is only sent if at least this time is left before the deadline. With less time a
     /// server cannot produce a useful response, so the attempt would be wasted.
     Duration minTimeLeft {30};
+    /// Whether a server is sent only what its memory can hold: tokens of prompts and completions,
+    /// and bytes of bodies that wait to be written to it.
+    bool boundsServerMemory = false;
+    /// Bytes of bodies that may wait to be written to one server, if it reads slowly.
+    std::size_t maxUnsentPerServer = 8 * 1024 * 1024;
 };
 
 /// Handles all requests of one node independently of the transport: arrival, queueing, attempts,
@@ -130,6 +135,9 @@
     /// Returns whether it may be: an attempt that has ended may not, nor may that of a request
     /// which may run only once and may have run. Counts against the limit of the server.
     bool onWriting(RequestId request, AttemptNumber attempt, TimePoint now);
+    /// All of the attempt's request was passed to the network, so that nothing of it waits for its
+    /// server any more.
+    void onRequestSent(RequestId request, AttemptNumber attempt);
     /// The head of a response to the attempt was received. A server that leaves or asks for a pause
     /// gets no further requests, or none until the pause ends.
     void onServerNotice(RequestId request, AttemptNumber attempt, const ServerNotice &notice,
@@ -242,6 +250,7 @@
         std::optional<TimePoint> firstEventAt; ///< When its first event was forwarded.
         bool isTrial = false; ///< A suspected request that is tried.
         bool isKnownSound = false; ///< Its server has been writing for a while.
+        RequestLoad load; ///< What is counted for it at its server.
 
         bool isForwarded() const { return !node.value().empty(); }
     };
@@ -262,6 +271,7 @@
         TimePoint latestStart; ///< Latest start that still meets the latency target.
         std::uint32_t maxAttempts = 1;
         int priority = 0;
+        RequestLoad load;
         double slotsNeeded = 1; ///< Group slots. Not used for plain services.
         bool running = false; ///< An attempt is in progress.
         Attempt current; ///< The latest attempt, unless that failed and a stalled one is left.
@@ -373,7 +383,9 @@
     static double refusedSlots(const RefusedDemand &refused, TimePoint now);
     /// Ends all attempts of the request.
     void endAttempts(Request &request);
-    /// Frees the slot that an attempt took on its server.
+    /// Nothing of the attempt's request waits for its server any more.
+    void releaseUnsent(Attempt &attempt);
+    /// Frees the slot and the memory that an attempt took on its server.
     void releaseServer(const Request &request, const Attempt &attempt);
     /// Closes the connections of all attempts of the request, and ends them.
     void abandonAttempts(Request &request, RequestActions &actions);
--- a/src/request/request_type.h
+++ b/src/request/request_type.h
@@ -30,8 +30,10 @@
     /// Attempts that are left to this node; set if another node passed the request on.
     std::optional<std::uint32_t> attemptsLeft;
     std::string forwardKey; ///< What a node showed with a request that it passed on.
-    /// It names the version of the weights that it expects, so that a server may refuse it for that.
+    /// It names the version of the weights that it expects, so that a server may refuse it for
+    /// that.
     bool expectsVersion = false;
+    std::size_t bodyBytes = 0; ///< Size of its body.
     std::uint64_t content = 0; ///< Hash of method, target and body; 0 if they are not known.
 };
 
--- a/src/request/serving_type.h
+++ b/src/request/serving_type.h
@@ -74,6 +74,8 @@
     double promptTokensPerMs = 1; ///< Prefill speed.
     double typicalPromptTokens = 0; ///< Typical prompt length.
     double typicalCompletionTokens = 0; ///< Typical completion length.
+    /// Tokens of prompts and completions that a group holds at most. 0 if it is not published.
+    std::uint64_t memoryTokens = 0;
     double maxLoadsPerSecond = 0; ///< Rate of load starts that the weight store admits.
     std::uint32_t maxConcurrentLoads =
         1; ///< Concurrent loads that the weight store serves at full speed.
--- a/src/request/target_choice.cpp
+++ b/src/request/target_choice.cpp
@@ -106,6 +106,16 @@
     return backend.ownRunning >= std::max(limit, 1.0);
 }
 
+/// Whether a server has memory for the request, as far as that is bounded.
+bool hasMemory(const Backend &backend, const ChoiceInput &input)
+{
+    if (!input.load)
+        return true;
+    const EngineSpec *engine = input.configuration->engineOf(backend.report.service);
+    return (!engine || hasMemoryFor(backend, *engine, input.load->tokens))
+        && mayBeSent(backend, input.load->bodyBytes, input.maxUnsentBytes);
+}
+
 void keepMostReliable(std::vector<Candidate> &candidates)
 {
     Reliability best = Reliability::Tried;
@@ -204,6 +214,10 @@
         if (service != input.configuration->services.end()
             && !mayDispatchToCold(backend, service->second, input.nodes, now))
             continue;
+        if (!hasMemory(backend, input)) {
+            choice.lacksMemory = true;
+            continue;
+        }
         const bool tried = input.tried
             && std::find(input.tried->begin(), input.tried->end(), backend.report.id)
                 != input.tried->end();
--- a/src/request/target_choice.h
+++ b/src/request/target_choice.h
@@ -2,8 +2,11 @@
 
 #include "request/backend_base.h"
 #include "request/cold_start_limit.h"
+#include "request/server_memory.h"
 #include "request/server_permit_base.h"
 
+#include <limits>
+#include <optional>
 #include <set>
 
 namespace bramleypitch {
@@ -21,6 +24,10 @@
     NodeShare nodes; ///< The nodes that send requests to the same servers.
     /// Share of the requests that a server may run at most up to which it is considered.
     double maxUtilization = 1;
+    /// What the request takes of its server; none if the memory of servers is not bounded.
+    std::optional<RequestLoad> load;
+    /// Bytes of bodies that wait to be written to one server, at most.
+    std::size_t maxUnsentBytes = std::numeric_limits<std::size_t>::max();
     PermitTable *permits = nullptr; ///< Null if no server has named a limit.
 };
 
@@ -38,6 +45,8 @@
     BackendIndex server;
     /// With Paused and Limited: the earliest end of a pause, or time of a permit.
     TimePoint availableAt;
+    /// With Full: a server would have had a slot, but no memory for this request.
+    bool lacksMemory = false;
 };
 
 /// Chooses the server that is expected to finish one more request soonest: the server with the
