--- a/src/network/backend_connections.cpp
+++ b/src/network/backend_connections.cpp
@@ -123,6 +123,8 @@
         socketHooks.onClosed = [this, connection](bool clean) { onClosed(*connection, clean); };
         connection->socket = std::make_unique<StreamSocket>(m_loop, connection->request.address,
                                                             std::move(socketHooks));
+        if (m_kernelBuffer > 0)
+            connection->socket->setKernelBuffer(m_kernelBuffer);
     } else {
         begin(*connection);
     }
--- a/src/network/backend_connections.h
+++ b/src/network/backend_connections.h
@@ -84,6 +84,8 @@
     void abandon(AttemptHandle handle);
     /// Pauses or resumes reading the attempt's response.
     void setReading(AttemptHandle handle, bool reading);
+    /// What the kernel may hold of requests on one connection from now on; 0: no bound.
+    void setKernelBuffer(std::size_t bytes) { m_kernelBuffer = bytes; }
     /// Closes connections whose idle timeout has passed, and fails attempts whose connection could
     /// not be established in time.
     void sweep(TimePoint now);
@@ -130,6 +132,7 @@
     Timer m_discard;
     std::vector<AttemptHandle> m_withdrawn; ///< Reported by m_report.
     Timer m_report;
+    std::size_t m_kernelBuffer = 0;
     std::uint64_t m_lastId = 0;
     std::uint64_t m_opened = 0;
 };
--- a/src/network/caller_connections.cpp
+++ b/src/network/caller_connections.cpp
@@ -3,8 +3,6 @@
 #include "core/error_type.h"
 #include "network/address_func.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -151,15 +149,13 @@
             connection->readAt = connections->m_loop.now();
         connection->unsent.resize(unsent);
     };
-    if (connections->m_kernelBuffer > 0) {
-        const int bytes = static_cast<int>(connections->m_kernelBuffer);
-        setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
-    }
     hooks.onClosed = [connections, connection](bool clean) {
         connections->onClosed(*connection, clean);
     };
     connection->socket =
         std::make_unique<StreamSocket>(connections->m_loop, descriptor, std::move(hooks));
+    if (connections->m_kernelBuffer > 0)
+        connection->socket->setKernelBuffer(connections->m_kernelBuffer);
 }
 
 void CallerConnections::onReadable(Connection &connection)
--- a/src/network/relay.cpp
+++ b/src/network/relay.cpp
@@ -24,9 +24,9 @@
 constexpr std::size_t minUnsentBytes = 16 * 1024;
 /// Time after which room for unfinished events is made by giving up an attempt.
 constexpr Duration maxRoomWait {1'000};
-/// What the kernel may hold of responses for one caller, so that the rest is counted. A typical
-/// stream fits in.
-constexpr std::size_t callerKernelBytes = 64 * 1024;
+/// What the kernel may hold for one caller or server, so that the rest is counted. A typical stream
+/// fits in.
+constexpr std::size_t kernelBytes = 64 * 1024;
 /// When room is made, this part of the limit is freed in addition, so that it lasts for a while.
 constexpr std::size_t slackPerLimit = 32;
 constexpr Duration givenUpLogInterval {1'000};
@@ -365,8 +365,9 @@
     m_account.setReserve(boundsSlowReaders);
     m_boundsSlowReaders = boundsSlowReaders;
     m_allowance = callerAllowance(limit);
-    m_callers.setCallerBounds(boundsSlowReaders ? m_allowance.limit : 0,
-                              boundsSlowReaders ? callerKernelBytes : 0);
+    const std::size_t kernel = boundsSlowReaders ? kernelBytes : 0;
+    m_callers.setCallerBounds(boundsSlowReaders ? m_allowance.limit : 0, kernel);
+    m_backends.setKernelBuffer(kernel);
 }
 
 void Relay::readPaused(TimePoint now)
--- a/src/network/stream_socket.cpp
+++ b/src/network/stream_socket.cpp
@@ -76,6 +76,12 @@
                sizeof(unacknowledgedTimeoutMs));
 }
 
+void StreamSocket::setKernelBuffer(std::size_t bytes)
+{
+    const int size = static_cast<int>(bytes);
+    setsockopt(bufferevent_getfd(m_bufferEvent), SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
+}
+
 std::string_view StreamSocket::received()
 {
     evbuffer *input = bufferevent_get_input(m_bufferEvent);
--- a/src/network/stream_socket.h
+++ b/src/network/stream_socket.h
@@ -49,6 +49,8 @@
     void endWriting();
     /// Pauses or resumes reading. Used to apply back-pressure to the sender.
     void setReading(bool reading);
+    /// Limits what the kernel holds of written bytes, to about this number.
+    void setKernelBuffer(std::size_t bytes);
     /// Whether `onConnected` was called.
     bool isConnected() const { return m_connected; }
     /// Whether the system neither has opened the connection nor failed to. Otherwise a hook is
