--- a/src/network/backend_connections.h
+++ b/src/network/backend_connections.h
@@ -40,6 +40,8 @@
     std::function<bool()> mayWrite;
     /// The first byte of the request is written now if this returns true, and only then.
     std::function<bool()> takeGrant;
+    /// All of the request was passed to the kernel; optional.
+    std::function<void()> onSent;
     /// The request may not be written any more. Nothing was sent.
     std::function<void()> onWithdrawn;
     /// The attempt failed. With `sent`, part of the request may have reached the server.
@@ -82,6 +84,8 @@
     void abandon(AttemptHandle handle);
     /// Pauses or resumes reading the attempt's response.
     void setReading(AttemptHandle handle, bool reading);
+    /// What the kernel may hold of requests on one connection from now on; 0: no bound.
+    void setKernelBuffer(std::size_t bytes) { m_kernelBuffer = bytes; }
     /// Closes connections whose idle timeout has passed, and fails attempts whose connection could
     /// not be established in time.
     void sweep(TimePoint now);
@@ -105,6 +109,8 @@
     /// Reports the attempts that were withdrawn.
     void reportWithdrawn();
     void onConnected(Connection &connection);
+    /// Everything written to the socket was passed to the kernel.
+    static void onDrained(Connection &connection);
     void onReadable(Connection &connection);
     void processInput(Connection &connection);
     /// Which request the response being received belongs to.
@@ -126,6 +132,7 @@
     Timer m_discard;
     std::vector<AttemptHandle> m_withdrawn; ///< Reported by m_report.
     Timer m_report;
+    std::size_t m_kernelBuffer = 0;
     std::uint64_t m_lastId = 0;
     std::uint64_t m_opened = 0;
 };
