Feature: [Request] Late requests are served while their callers wait

A request that would miss its latency target was refused on arrival, and a waiting one 500 ms after its latest start, although servers were free soon after. Late requests now wait behind the others until the first event would come too late for the caller. Only the work ahead of a request counts toward its predicted start; one that cannot start in time for its caller is refused at once, with a Retry-After from when the queue will have room, spread and within a third of the time left. The share of the slots up to which a late request starts rises from 0.8 only near the end of its patience, and late starts are spread over time. RequestOptions::lateRequests keeps the behaviour before.

WaitingRequestIsRefusedSoonAfterItsLatencyTarget and RefusalsComeSoonAndSayWhenToComeBack assert the refusal before, and now set the option for it. load_shedding_test and queue_admission_test assert the bounds on the wait of late requests.

--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -3,6 +3,7 @@
 #include "core/rendezvous_func.h"
 #include "request/engine_model.h"
 #include "request/quarantine_func.h"
+#include "request/request_value.h"
 
 #include <algorithm>
 #include <array>
@@ -25,7 +26,7 @@
 constexpr Duration refusedDemandTime {1'000};
 /// A late request starts only on a server with less than this share of its slots in use. It would
 /// occupy a slot for a second or more, which other requests need that can still be on time.
-constexpr double lateUtilization = 0.8;
+constexpr double refusedLateUtilization = 0.8;
 constexpr Duration rateInterval {500}; ///< Between updates of the rate at which attempts end.
 constexpr double rateSmoothing = 0.5;
 constexpr double gapSmoothing = 0.1;
@@ -301,12 +302,15 @@
     request.latestStart = now + route.targetLatency;
     const EngineSpec *engine = m_configuration->engineOf(request.service);
     const ServedModel *model = m_configuration->findModel(request.service, arrival.model);
+    const GenerationSize size {arrival.promptTokens, arrival.completionTokens};
     if (engine && model) {
         const auto start = firstEventMs(*engine, *model, arrival.promptTokens);
         request.latestStart -= Duration(static_cast<Duration::rep>(start));
-        const GenerationSize size {arrival.promptTokens, arrival.completionTokens};
         request.slotsNeeded = slotsNeeded(*engine, *model, size);
     }
+    request.lastStart =
+        lastUsefulStart(route, engine, model, size, {now, request.latestStart, request.deadline});
+    request.work = requestWork(engine, model, size);
     request.parts = promptParts(arrival.promptParts, request.service);
     request.identity = stableHash(arrival.traceId);
     if (arrival.content != 0) {
@@ -343,6 +347,8 @@
         refuseWaiting(m_targets[key], choice.availableAt, now, actions);
     } else if (choice.outcome == TargetChoice::Outcome::Limited) {
         refuseWithoutPermit(m_targets[key], choice.availableAt, now, actions);
+    } else if (servesLate()) {
+        reviewWaiting(key, m_targets[key], now, actions);
     } else if (const auto queueWait = excessiveQueueWait(queued->second, m_targets[key], now)) {
         addRefusedDemand(queued->second, now);
         refuse(queued->second, ErrorCode::QueueFull, *queueWait, "queue", now, actions);
@@ -429,8 +435,111 @@
     entry.latestStart = request.latestStart;
     entry.priority = request.priority;
     entry.responseStarted = request.responseStarted;
+    entry.lastStart = std::min(request.lastStart, request.deadline - m_options.minTimeLeft);
+    entry.work = request.work;
+    entry.route = request.route;
+    entry.organisation = request.organisation;
+    entry.mayBeGivenUp =
+        !request.responseStarted && !request.hasResponse && !request.grant.mayHaveRun();
     request.lastProgress = now;
-    m_targets[{request.service, request.arrival.model}].waiting.push_back(entry);
+    Target &target = m_targets[{request.service, request.arrival.model}];
+    target.waiting.push_back(std::move(entry));
+    if (servesLate())
+        sortByValue(target.waiting, now);
+}
+
+std::size_t RequestSystem::nextWaiting(const Target &target, TimePoint now) const
+{
+    return servesLate() ? target.starvation.next(target.waiting, now)
+                        : nextToDispatch(target.waiting, now);
+}
+
+double RequestSystem::maxUtilization(const Target &target, std::size_t index, TimePoint now) const
+{
+    const WaitingRequest &waiting = target.waiting[index];
+    if (!isTooLate(m_requests.at(waiting.request), now))
+        return 1;
+    if (!servesLate())
+        return refusedLateUtilization;
+    if (!target.lateBudget.permitsStart())
+        return 0;
+    return index > 0 ? 1 : lateUtilization(waiting.latestStart, waiting.lastStart, now);
+}
+
+void RequestSystem::takeWaiting(Target &target, std::size_t index, TimePoint now)
+{
+    const WaitingRequest &taken = target.waiting[index];
+    if (servesLate()) {
+        target.starvation.onStarted(target.waiting, index, now);
+        if (taken.responseStarted || !taken.isLate(now))
+            target.inTimeWork += taken.work;
+        else
+            ++m_servedLate;
+        if (!taken.responseStarted && taken.isLate(now))
+            target.lateBudget.onStarted(taken.work);
+    }
+    target.waiting.erase(target.waiting.begin() + static_cast<std::ptrdiff_t>(index));
+}
+
+void RequestSystem::reviewWaiting(const TargetKey &key, Target &target, TimePoint now,
+                                  RequestActions &actions)
+{
+    if (target.waiting.empty() || !m_configuration)
+        return;
+    const QueueRates rates = startRates(key, target);
+    for (const GivenUpRequest &givenUp : reviewQueue(target.waiting, rates, now)) {
+        Request &request = m_requests.at(givenUp.request);
+        ++m_givenUp[givenUp.cause];
+        addRefusedDemand(request, now);
+        const Duration retryAfter = retryAfterRoom(
+            givenUp.untilRoom, elapsed(now, request.deadline), stableHash(request.arrival.traceId));
+        refuse(request, ErrorCode::QueueFull, retryAfter, giveUpCauseName(givenUp.cause), now,
+               actions);
+    }
+}
+
+QueueRates RequestSystem::startRates(const TargetKey &key, const Target &target)
+{
+    double perSecond = target.workPerSecond;
+    // A node has few of the requests of many nodes, so that what it has measured varies much. It
+    // can expect its part of what the servers do by their published figures.
+    const EngineSpec *engine = m_configuration->engineOf(key.service);
+    const ServedModel *model = m_configuration->findModel(key.service, key.model);
+    if (engine && model && executionMs(*engine, *model, {}) > 0) {
+        const std::size_t groups =
+            m_backends.targets(key.service, key.model, *m_configuration).size();
+        perSecond = std::max(perSecond,
+                             static_cast<double>(groups * engine->slots)
+                                 / std::max<std::uint32_t>(m_nodes.count, 1));
+    }
+    return queueRates(perSecond, target.inTimePerSecond);
+}
+
+void RequestSystem::updateRates(TimePoint now)
+{
+    const double seconds = static_cast<double>((now - m_ratesAt).count()) / millisecondsPerSecond;
+    const auto update = [&](double &rate, double count) {
+        rate += rateSmoothing * (count / seconds - rate);
+    };
+    for (auto &[key, target] : m_targets) {
+        update(target.departuresPerSecond, target.departures);
+        update(target.workPerSecond, std::exchange(target.endedWork, 0));
+        update(target.inTimePerSecond, std::exchange(target.inTimeWork, 0));
+        target.departures = 0;
+    }
+    m_ratesAt = now;
+}
+
+LateFigures RequestSystem::lateFigures() const
+{
+    LateFigures figures;
+    figures.served = m_servedLate;
+    figures.givenUp = m_givenUp;
+    for (const auto &[key, target] : m_targets)
+        figures.waiting += static_cast<std::size_t>(
+            std::count_if(target.waiting.begin(), target.waiting.end(),
+                          [](const WaitingRequest &item) { return item.isExpectedLate; }));
+    return figures;
 }
 
 ChoiceInput RequestSystem::choiceInput(const Request &request)
@@ -471,11 +580,10 @@
 void RequestSystem::dispatchWaiting(Target &target, TimePoint now, RequestActions &actions)
 {
     while (!target.waiting.empty() && m_configuration) {
-        const std::size_t next = nextToDispatch(target.waiting, now);
+        const std::size_t next = nextWaiting(target, now);
         Request &request = m_requests.at(target.waiting[next].request);
         ChoiceInput input = choiceInput(request);
-        if (isTooLate(request, now))
-            input.maxUtilization = lateUtilization;
+        input.maxUtilization = maxUtilization(target, next, now);
         const TargetChoice choice = chooseTarget(m_backends, input, now);
         // The request may be among those that are refused, and is gone then.
         if (choice.outcome == TargetChoice::Outcome::Paused) {
@@ -493,7 +601,7 @@
         const PeerNode *peer = mayForward ? choosePeer(request) : nullptr;
         if (!peer && choice.outcome != TargetChoice::Outcome::Chosen)
             return;
-        target.waiting.erase(target.waiting.begin() + static_cast<std::ptrdiff_t>(next));
+        takeWaiting(target, next, now);
         // A response that has begun was permitted when its request arrived.
         if (!request.responseStarted && !isStillPermitted(request, now)) {
             // The configuration changed while the request waited. A retry uses the new one.
@@ -772,7 +880,9 @@
         --backend->ownRunning;
     if (attempt.permit && !attempt.isWritten)
         m_permits.giveBack(*attempt.permit);
-    ++m_targets[{request.service, request.arrival.model}].departures;
+    Target &target = m_targets[{request.service, request.arrival.model}];
+    ++target.departures;
+    target.endedWork += request.work;
 }
 
 void RequestSystem::endAttempts(Request &request)
@@ -1472,8 +1582,9 @@
     std::vector<RequestId> expired;
     std::vector<RequestId> silent;
     for (const auto &[id, request] : m_requests) {
-        const bool waitsTooLong =
-            !request.running && !request.responseStarted && now > request.latestStart + maxLateness;
+        // Served late ones are given up by reviewWaiting().
+        const bool waitsTooLong = !servesLate() && !request.running && !request.responseStarted
+            && now > request.latestStart + maxLateness;
         if (now >= request.deadline || waitsTooLong) {
             expired.push_back(id);
         } else if (request.running && request.kind == RequestKind::ResumableStream
@@ -1497,21 +1608,20 @@
 
 void RequestSystem::tick(TimePoint now, RequestActions &actions)
 {
-    if (now - m_ratesAt >= rateInterval) {
-        const double seconds = static_cast<double>((now - m_ratesAt).count()) / 1'000;
-        for (auto &[key, target] : m_targets) {
-            const double rate = target.departures / seconds;
-            target.departuresPerSecond += rateSmoothing * (rate - target.departuresPerSecond);
-            target.departures = 0;
-        }
-        m_ratesAt = now;
-    }
+    if (now - m_ratesAt >= rateInterval)
+        updateRates(now);
     if (m_stopDeadline)
         refuseOutlasting(now, actions);
     m_backends.expireClosedGroups(now);
     checkLinks(now, actions);
-    for (auto &[key, target] : m_targets)
+    const bool isReviewDue = servesLate() && now - m_deadlinesAt >= deadlineInterval;
+    for (auto &[key, target] : m_targets) {
+        if (servesLate() && m_configuration && !target.waiting.empty())
+            target.lateBudget.refill(startRates(key, target).sparePerSecond, now);
         dispatchWaiting(target, now, actions);
+        if (isReviewDue)
+            reviewWaiting(key, target, now, actions);
+    }
     if (!m_limits.empty())
         requestPermits(now);
     if (now - m_prunedAt >= pruneInterval) {
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -3,6 +3,7 @@
 #include "request/backend_base.h"
 #include "request/configuration_proof.h"
 #include "request/quarantine_base.h"
+#include "request/queue_admission.h"
 #include "request/queue_order.h"
 #include "request/request_type.h"
 #include "request/retry_allowance.h"
@@ -47,6 +48,15 @@
     /// An attempt is only sent if at least this time is left before the deadline. With less time a
     /// server cannot produce a useful response, so the attempt would be wasted.
     Duration minTimeLeft {30};
+    LateRequests lateRequests = LateRequests::Serve;
+};
+
+/// Counts of requests that waited for a server longer than their latency target allows.
+struct LateFigures
+{
+    std::size_t waiting = 0; ///< That wait now and are late or expected to be.
+    std::uint64_t served = 0; ///< Sent to a server late, since the start.
+    std::map<GiveUpCause, std::uint64_t> givenUp; ///< Refused while they waited, since the start.
 };
 
 /// Handles all requests of one node independently of the transport: arrival, queueing, attempts,
@@ -222,6 +232,8 @@
     /// Whether any request was received since the start.
     bool hasArrivals() const { return m_hasArrivals; }
     std::size_t waiting() const;
+    /// Only counted if late requests are served.
+    LateFigures lateFigures() const;
     /// Number of services and models for which a queue or the rate of ended attempts is kept.
     std::size_t queues() const { return m_targets.size(); }
     /// Slots needed by the running and waiting requests, by model, and by those that were refused a
@@ -260,6 +272,8 @@
         TimePoint deadline; ///< Of the caller and the route, but not after the end of a stop.
         Duration cutByStop {0}; ///< Time that it would have after the end of the stop.
         TimePoint latestStart; ///< Latest start that still meets the latency target.
+        TimePoint lastStart; ///< Latest start that is still of use to the caller.
+        double work = 1; ///< As in WaitingRequest.
         std::uint32_t maxAttempts = 1;
         int priority = 0;
         double slotsNeeded = 1; ///< Group slots. Not used for plain services.
@@ -307,6 +321,12 @@
         std::vector<WaitingRequest> waiting;
         double departuresPerSecond = 0; ///< Smoothed rate of ended attempts.
         std::uint32_t departures = 0; ///< Ended attempts since the last update of the rate.
+        double workPerSecond = 0; ///< Smoothed work of ended attempts.
+        double endedWork = 0; ///< Of ended attempts since the last update.
+        double inTimePerSecond = 0; ///< Smoothed work of attempts that started in time.
+        double inTimeWork = 0; ///< Of attempts that started in time since the last update.
+        StarvationGuard starvation;
+        LateBudget lateBudget;
     };
 
     /// The request, or null unless the given attempt is the current one and in progress.
@@ -326,6 +346,20 @@
     const ServingConfiguration &configurationOf(const Request &request) const;
     /// Adds a request to the queue of its service and model.
     void enqueue(Request &request, TimePoint now);
+    bool servesLate() const { return m_options.lateRequests == LateRequests::Serve; }
+    /// Index of the waiting request to start next.
+    std::size_t nextWaiting(const Target &target, TimePoint now) const;
+    /// Share of the requests that a server may run up to which it is considered for the waiting
+    /// request at `index`.
+    double maxUtilization(const Target &target, std::size_t index, TimePoint now) const;
+    /// Counts the start of the waiting request at `index`, and removes it from the queue.
+    void takeWaiting(Target &target, std::size_t index, TimePoint now);
+    /// Refuses the waiting requests of a target that will start too late for their callers.
+    void reviewWaiting(const TargetKey &key, Target &target, TimePoint now,
+                       RequestActions &actions);
+    /// Rates at which requests of a target start on this node.
+    QueueRates startRates(const TargetKey &key, const Target &target);
+    void updateRates(TimePoint now);
     /// Dispatches waiting requests for as long as a server can take them.
     void dispatchWaiting(Target &target, TimePoint now, RequestActions &actions);
     /// Whether a request for a model would start too late to meet its latency target.
@@ -454,6 +488,8 @@
     std::optional<TimePoint> m_stopDeadline;
     TimePoint m_closedAt; ///< From then on requests that may outlast a stop are refused.
     bool m_openAtStopLogged = false;
+    std::uint64_t m_servedLate = 0;
+    std::map<GiveUpCause, std::uint64_t> m_givenUp;
     TimePoint m_ratesAt;
     TimePoint m_deadlinesAt;
     TimePoint m_prunedAt;
