--- a/src/network/relay.cpp
+++ b/src/network/relay.cpp
@@ -44,8 +44,6 @@
         return 401;
     case ErrorCode::UnknownPath:
         return 404;
-    case ErrorCode::RequestTooLarge:
-        return 413;
     case ErrorCode::BackendFailed:
         return 502;
     case ErrorCode::DeadlineExceeded:
