--- a/src/network/relay.cpp
+++ b/src/network/relay.cpp
@@ -353,8 +353,8 @@
                          exchange.allowance);
     if (exchange.paused || m_callers.unsentBytes(toExchangeId(id)) <= limit)
         return;
-    exchange.paused = true;
     exchange.pausedAt = m_loop.now();
+    exchange.paused = true;
     updateReading(exchange, exchange.current);
     m_requests.onReadingPaused(id, exchange.current.number, true, m_loop.now());
 }
@@ -600,8 +600,8 @@
     const TimePoint now = m_loop.now();
     const Forwarding forwarding = selectEvents(*receiving.exchange, *receiving.attempt,
                                                receiving.attempt->framing.take(bytes));
-    // What is sent does not count twice.
-    receiving.attempt->held.resize(receiving.attempt->framing.heldBytes());
+    if (m_boundsSlowReaders) // What is sent does not count twice.
+        receiving.attempt->held.resize(receiving.attempt->framing.heldBytes());
     if (!forwarding.bytes.empty())
         sendEvents(id, chooseAttempt(id, attempt), forwarding);
     const OpenAttempt open = find(id, attempt);
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -192,6 +192,7 @@
 {
     m_options.stopTime = options.stopTime;
     m_options.entryCacheTime = options.entryCacheTime;
+    m_options.boundsSlowReaders = options.boundsSlowReaders;
     m_relay.callers().setMaxBodyMemory(options.maxBodyMemory);
     m_relay.setResponseMemory(options.maxResponseMemory, options.boundsSlowReaders);
     m_requests.setOptions(options.requests);
