--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -1028,6 +1028,15 @@
         {"open_requests", "Requests not answered yet.", static_cast<double>(m_requests.open())});
     out << gaugeText({"waiting_requests", "Requests that wait for a server.",
                       static_cast<double>(m_requests.waiting())});
+    const LateFigures late = m_requests.lateFigures();
+    out << gaugeText({"waiting_late_requests",
+                      "Requests that wait for a server and are late, or are expected to be.",
+                      static_cast<double>(late.waiting)});
+    out << gaugeText({"served_late_requests", "Requests sent to a server late, since the start.",
+                      static_cast<double>(late.served)});
+    for (const auto &[cause, count] : late.givenUp)
+        out << "bramleypitch_given_up_total{cause=\"" << giveUpCauseName(cause) << "\"} " << count
+            << "\n";
     out << gaugeText({"backend_servers", "Servers known.", static_cast<double>(m_backends.size())});
     out << gaugeText({"store_writes_refused",
                       "1 while the store does not accept this node's writes.",
--- a/src/platform/platform_dialect.cpp
+++ b/src/platform/platform_dialect.cpp
@@ -40,6 +40,8 @@
 /// Between nodes: shows that such a request comes from a node. Each node has its own key, which the
 /// others read in the store.
 constexpr const char *forwardKeyHeader = "X-Bramleypitch-Key";
+/// To servers: 0 to 9. They start requests with lower numbers first, and assume 5 without it.
+constexpr const char *priorityHeader = "X-Request-Priority";
 constexpr const char *faultyServerHeader = "At-Server";
 constexpr const char *instanceHeader = "X-Instance-Id"; ///< The server that responded.
 constexpr const char *leavingHeader = "Server-Leaving"; ///< "1": the server that responded leaves.
@@ -183,6 +185,8 @@
             add("Authorization", *key);
     } else {
         add(expectInstanceHeader, dispatch.server.value());
+        if (dispatch.priority)
+            add(priorityHeader, std::to_string(*dispatch.priority));
     }
     if (!dispatch.organisation.value().empty())
         add(organisationHeader, dispatch.organisation.value());
--- a/src/platform/platform_serve.cpp
+++ b/src/platform/platform_serve.cpp
@@ -23,6 +23,14 @@
 constexpr Duration startRetryInterval {100};
 constexpr std::uint16_t metricsPort = 7'354; ///< Must match the port in the deploy file.
 
+/// The options of the settings file and the environment.
+ServingOptions nodeOptions(const SettingsFile &file)
+{
+    ServingOptions options = servingOptions(file, metricsPort);
+    options.requests.lateRequests = parseLateRequests(std::getenv(lateRequestsVariable));
+    return options;
+}
+
 /// A serving node and its settings file. The node starts as soon as the file is usable and its
 /// addresses can be bound; until then a start is tried again and again. An earlier process of the
 /// node, or a connection of any process, may still have the addresses.
@@ -110,7 +118,7 @@
 void PlatformNode::start()
 {
     const SettingsFile &file = m_settings.current();
-    const ServingOptions options = servingOptions(file, metricsPort);
+    const ServingOptions options = nodeOptions(file);
     setLogNode(options.node.value());
     m_store.emplace(m_http, storeAddress(file));
     auto daemon =
@@ -122,7 +130,7 @@
 void PlatformNode::applySettings()
 {
     m_store->setAddress(storeAddress(m_settings.current()));
-    m_daemon->reload(servingOptions(m_settings.current(), metricsPort));
+    m_daemon->reload(nodeOptions(m_settings.current()));
 }
 
 void PlatformNode::stop()
--- a/src/platform/platform_settings.cpp
+++ b/src/platform/platform_settings.cpp
@@ -35,6 +35,18 @@
 } // namespace
 
 const char *const settingsPathVariable = "BRAMLEYPITCH_BOOT";
+const char *const lateRequestsVariable = "BRAMLEYPITCH_LATE_REQUESTS";
+
+LateRequests parseLateRequests(const char *value)
+{
+    const std::string text = value ? value : "";
+    if (text.empty())
+        return RequestOptions().lateRequests;
+    if (text != "serve" && text != "refuse")
+        throw Failure(ErrorCode::InvalidSetting,
+                      std::string(lateRequestsVariable) + ": must be serve or refuse");
+    return text == "serve" ? LateRequests::Serve : LateRequests::Refuse;
+}
 
 SettingsFile SettingsFile::read(const std::string &path)
 {
--- a/src/platform/platform_settings.h
+++ b/src/platform/platform_settings.h
@@ -9,6 +9,10 @@
 
 /// Name of the environment variable that contains the path of the settings file.
 extern const char *const settingsPathVariable;
+/// Environment variable with what to do with late requests: "serve", the default, or "refuse".
+extern const char *const lateRequestsVariable;
+/// Reads the value of lateRequestsVariable; null if it is not set.
+LateRequests parseLateRequests(const char *value);
 
 /// The platform's settings file. Each line has the form "a.b=value"; other lines are ignored.
 class SettingsFile
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -150,6 +150,7 @@
 void RequestSystem::setConfiguration(ServingConfigurationPtr configuration)
 {
     m_configuration = std::move(configuration);
+    m_priorities = servicePriorities(*m_configuration);
     m_proof.setVersion(m_configuration->version);
     m_proof.onReadable();
 }
@@ -493,8 +494,9 @@
         addRefusedDemand(request, now);
         const Duration retryAfter = retryAfterRoom(
             givenUp.untilRoom, elapsed(now, request.deadline), stableHash(request.arrival.traceId));
-        refuse(request, ErrorCode::QueueFull, retryAfter, giveUpCauseName(givenUp.cause), now,
-               actions);
+        const ErrorCode code =
+            request.grant.mayHaveRun() ? ErrorCode::DeadlineUnreachable : ErrorCode::QueueFull;
+        refuse(request, code, retryAfter, giveUpCauseName(givenUp.cause), now, actions);
     }
 }
 
@@ -830,6 +832,10 @@
         backend.lastColdDispatchAt = now;
     action.address = backend.report.address;
     action.organisation = request.organisation;
+    if (const auto priorities = m_priorities.find(request.service);
+        priorities != m_priorities.end())
+        action.priority =
+            serverPriority(priorities->second, request.priority, request.responseStarted);
     actions.push_back(action);
     actions.push_back(
         LogDecision {request.arrival.traceId,
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -11,6 +11,7 @@
 #include "request/server_limit_base.h"
 #include "request/server_links.h"
 #include "request/server_permit_base.h"
+#include "request/server_priority.h"
 #include "request/target_choice.h"
 
 #include <map>
@@ -466,6 +467,7 @@
     RequestOptions m_options;
     BackendTable &m_backends;
     ServingConfigurationPtr m_configuration;
+    ServicePriorities m_priorities; ///< Of the configuration in force.
     ConfigurationProof m_proof;
     std::set<ZoneId> m_zonesOut;
     NodeShare m_nodes;
--- a/src/request/request_type.h
+++ b/src/request/request_type.h
@@ -30,7 +30,8 @@
     /// Attempts that are left to this node; set if another node passed the request on.
     std::optional<std::uint32_t> attemptsLeft;
     std::string forwardKey; ///< What a node showed with a request that it passed on.
-    /// It names the version of the weights that it expects, so that a server may refuse it for that.
+    /// It names the version of the weights that it expects, so that a server may refuse it for
+    /// that.
     bool expectsVersion = false;
     std::uint64_t content = 0; ///< Hash of method, target and body; 0 if they are not known.
 };
@@ -77,6 +78,8 @@
     std::uint32_t attemptsLeft = 0; ///< For that node.
     std::string forwardKey; ///< Shown to that node. May be empty.
     Duration timeLeft {0};
+    /// Told to the server, 0 to 9, 0 first. Empty if all requests of the service have the same.
+    std::optional<int> priority;
     /// Requires a new connection. A reused one could be closed while the request is being sent.
     bool needsNewConnection = false;
     /// The attempt before this one stays open: its server is silent, but may go on.
--- a/src/tests/queue_admission_test.cpp
+++ b/src/tests/queue_admission_test.cpp
@@ -2,6 +2,7 @@
 
 #include "request/queue_admission.h"
 #include "request/request_value.h"
+#include "request/server_priority.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
@@ -234,6 +235,51 @@
     }
 }
 
+ServingConfiguration priorityConfiguration(const std::vector<int> &priorities)
+{
+    ServingConfiguration configuration;
+    for (const int priority : priorities) {
+        RouteSpec route;
+        route.priority = priority;
+        route.services = {{ServiceId("engines"), 1}};
+        configuration.routes.push_back(route);
+    }
+    return configuration;
+}
+
+TEST(ServerPriority, IsNotSentIfAllRequestsOfTheServiceHaveTheSame)
+{
+    ServingConfiguration configuration = priorityConfiguration({2, 2});
+    configuration.organisations = {{OrganisationId("a"), std::nullopt}};
+    const ServiceId engines("engines");
+    EXPECT_FALSE(serverPriority(servicePriorities(configuration).at(engines), 2, true));
+    configuration.organisations[0].priority = 0;
+    const ServicePriorities overridden = servicePriorities(configuration);
+    EXPECT_LT(serverPriority(overridden.at(engines), 0, false),
+              serverPriority(overridden.at(engines), 2, false));
+    for (RouteSpec &route : configuration.routes)
+        route.keyless = true;
+    EXPECT_FALSE(serverPriority(servicePriorities(configuration).at(engines), 2, false));
+}
+
+RC_GTEST_PROP(ServerPriorityProperty, MoreUrgentComesFirstWithinTheLevelsOfServers, ())
+{
+    const auto priorities =
+        *rc::gen::nonEmpty(rc::gen::container<std::vector<int>>(rc::gen::inRange(-20, 20)));
+    const std::vector<int> known =
+        servicePriorities(priorityConfiguration(priorities)).at(ServiceId("engines"));
+    RC_PRE(known.size() > 1);
+    for (std::size_t i = 0; i < known.size(); ++i) {
+        const int plain = *serverPriority(known, known[i], false);
+        const int ahead = *serverPriority(known, known[i], true);
+        RC_ASSERT(0 <= ahead && ahead <= plain && plain <= 9);
+        if (i > 0) {
+            RC_ASSERT(*serverPriority(known, known[i - 1], false) <= ahead);
+            RC_ASSERT(known.size() > 9 || *serverPriority(known, known[i - 1], false) < plain);
+        }
+    }
+}
+
 TEST(LateUtilization, RisesOnlyNearTheEndOfThePatience)
 {
     EXPECT_DOUBLE_EQ(lateUtilization(now, now + Duration(1'000), now), 0.8);
--- a/src/tests/relay_test.cpp
+++ b/src/tests/relay_test.cpp
@@ -1339,7 +1339,7 @@
     parser.feed("POST /p/x?q=1 HTTP/1.1\r\nHost: Shop.example:80\r\nX-Request-Id: r1\r\n"
                 "Authorization: Bearer secret\r\nX-Tenant-Id: forged\r\nLast-Event-Id: 4\r\n"
                 "X-Request-Deadline: 8000\r\nX-Expect-Instance: forged\r\nX-Other: kept\r\n"
-                "Content-Length: 0\r\n\r\n");
+                "X-Request-Priority: 0\r\nContent-Length: 0\r\n\r\n");
     const RelayDialect dialect = platform::relayDialect();
     const auto arrival = dialect.readArrival(parser.head());
     ASSERT_TRUE(arrival.has_value());
@@ -1358,6 +1358,11 @@
     EXPECT_NE(head.find("X-Expect-Instance: s1\r\n"), std::string::npos);
     EXPECT_NE(head.find("X-Request-Deadline: 7000\r\n"), std::string::npos);
     EXPECT_NE(head.find("Last-Event-Id: 9\r\n"), std::string::npos);
+    EXPECT_EQ(head.find("X-Request-Priority"), std::string::npos);
+    dispatch.priority = 7;
+    EXPECT_NE(
+        dialect.writeAttempt(parser.head(), dispatch, 0, "9").find("X-Request-Priority: 7\r\n"),
+        std::string::npos);
     EXPECT_EQ(head.find("Last-Event-Id: 4"), std::string::npos);
     EXPECT_NE(head.find("X-Other: kept\r\n"), std::string::npos);
 }
