--- a/src/request/request_type.h
+++ b/src/request/request_type.h
@@ -79,6 +79,8 @@
     std::uint32_t attemptsLeft = 0; ///< For that node.
     std::string forwardKey; ///< Shown to that node. May be empty.
     Duration timeLeft {0};
+    /// Told to the server, 0 to 9, 0 first. Empty if all requests of the service have the same.
+    std::optional<int> priority;
     /// Requires a new connection. A reused one could be closed while the request is being sent.
     bool needsNewConnection = false;
     /// The attempt before this one stays open: its server is silent, but may go on.
