Feature: [Request] Nodes that start together assume each other's requests

After a restart of all nodes each believed that the servers were empty, since what it hears of the others is older than the requests that return within a second. Its queue had no rate of ended requests yet, so that nothing was refused before its target had passed. In its first 2 s a node now assumes that each other node has started as many requests as itself since its last report, and that its queue drains at least at its share of the published rate of the groups. A node that starts among running ones has no such phase.

Not measured on a deployment.

--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -13,7 +13,7 @@
 TESTS = ["ledger_test", "placement_test", "golden_test", "request_test", "attempt_test",
          "attempt_review_test", "quarantine_test", "limit_test", "links_test", "run_grant_test",
          "forwarded_grant_test", "backend_order_test", "caller_order_test", "memory_account_test",
-         "formation_test", "conversion_test", "closed_group_test", "repair_duty_test", "initial_split_test", "foreign_entry_test", "odd_configuration_test", "overload_test", "relay_test", "http_client_test", "promises_test"]
+         "formation_test", "conversion_test", "closed_group_test", "repair_duty_test", "initial_split_test", "foreign_entry_test", "odd_configuration_test", "overload_test", "start_phase_test", "relay_test", "http_client_test", "promises_test"]
 # Tests that start the program, for mutants that no test above catches. They share ports.
 PROCESS_TESTS = [["response_end_test.py"], ["repeated_refusal_test.py"],
                  ["resumed_stream_test.py"], ["half_closed_caller_test.py"],
@@ -498,6 +498,19 @@
      "connection->unsent.resize(unsent);", "(void)unsent;"),
     ("faulty_server_read_for_slow_caller", "network/relay.cpp",
      "exchange.paused = true;\n    updateReading", "exchange.paused = true;\n    if (false) updateReading"),
+    ("start_of_others_ignored", "request/target_choice.cpp",
+     "if (running + input.assumedRunning\n", "if (running + 0.0\n"),
+    ("queue_after_start_without_rate", "request/request_system.cpp",
+     "return std::max(target.departuresPerSecond, m_startPhase.ownRate(*engine, *model, groups));",
+     "(void)groups; return target.departuresPerSecond;"),
+    ("start_phase_without_end", "request/start_phase.cpp",
+     "&& now - m_begunAt < phaseTime", "&& now >= m_begunAt"),
+    ("start_phase_among_running_nodes", "request/start_phase.cpp", "&& !m_hasRunningPeer", ""),
+    ("silent_nodes_assumed_to_start", "request/membership_base.cpp",
+     "now - since < hearingTime", "true"),
+    ("counts_of_start_phase_kept", "request/start_phase.cpp",
+     "while (m_counts.size() > 1 && now - m_counts[1].at >= otherZoneNewsAge)",
+     "while (false)"),
     ("event_buffer_kept", "network/event_framing.cpp", "m_buffer.shrink_to_fit();", ";"),
 ]
 RAPIDCHECK_PARAMETERS = "seed=20261203 max_success=25 max_size=14 noshrink=1"
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -28,6 +28,10 @@
 constexpr Duration pulseIntervalPerNode {6};
 constexpr Duration maxPulseInterval {400};
 constexpr Duration sweepInterval {100};
+/// A node that is settled within this time after this one started, or whose wall clock showed an
+/// earlier start by the difference, did not start together with this one.
+constexpr Duration settledPeerTime {1'000};
+constexpr Duration minLifeDifference {3'000};
 /// Interval of the digests between the representatives of the zones, and of their feeds.
 constexpr Duration digestInterval {150};
 /// Minimum interval at which a digest of another zone is relayed, per node of the own zone. Each is
@@ -571,6 +575,7 @@
     }
     m_mirror.setWatching(mustWatch(now));
     updateReadiness(now);
+    updateStartPhase(now);
     runFormation(now);
     m_relay.tick(now);
     probeLinks(now);
@@ -738,6 +743,7 @@
     if (!m_membership.onPulse(pulse, now))
         return;
     onPeerStoreHeard(pulse.node, pulse.era, pulse.newestVersion, now);
+    checkRunningPeer(pulse.life, pulse.settled, now);
     m_backends.setPeerRunning(pulse.node, pulse.running);
     m_backends.mergeSuspects(pulse.suspects, now);
     m_backends.mergeRecentProgress(pulse.recentProgress, now);
@@ -785,6 +791,7 @@
     if (!m_membership.onDigest(digest, now))
         return;
     onPeerStoreHeard(digest.node, digest.era, digest.newestVersion, now);
+    checkRunningPeer(digest.life, false, now);
     m_backends.setPeerRunning(zoneCountsId(digest.zone), digest.running);
     m_backends.mergeSuspects(digest.suspects, now);
     m_backends.mergeRecentProgress(digest.recentProgress, now);
@@ -803,6 +810,30 @@
     m_pulseSocket->send(relayed, m_membership.ownZonePeers());
 }
 
+void ServingDaemon::checkRunningPeer(std::int64_t life, bool settled, TimePoint now)
+{
+    const bool isSettledSoon = settled && now - m_startedAt < settledPeerTime;
+    if (isSettledSoon || m_incarnation - life >= minLifeDifference.count())
+        m_requests.startPhase().onRunningPeer();
+}
+
+void ServingDaemon::updateStartPhase(TimePoint now)
+{
+    StartPhase &phase = m_requests.startPhase();
+    if (phase.begunAt() == TimePoint() || (!m_isStartPhase && now > phase.begunAt()))
+        return;
+    const StartPeers peers = m_membership.startPeers(phase.begunAt(), now);
+    phase.setPeers(peers);
+    const bool isActive = phase.isActive(now);
+    if (isActive == m_isStartPhase)
+        return;
+    m_isStartPhase = isActive;
+    logLine(LogLevel::Info, isActive ? "start_phase_begun" : "start_phase_ended",
+            {{"own_zone", std::to_string(peers.ownZone)},
+             {"other_zones", std::to_string(peers.otherZones)},
+             {"running_peer", phase.hasRunningPeer() ? "true" : "false"}});
+}
+
 void ServingDaemon::handleSilentPeers(TimePoint now)
 {
     for (const NodeId &silent : m_membership.takeSilentNodes(now)) {
@@ -978,6 +1009,8 @@
         return;
     m_ready = ready;
     m_membership.setAccepting(ready);
+    if (ready)
+        m_requests.startPhase().begin(now);
     logLine(LogLevel::Info, ready ? "ready" : "not_ready", {});
     pulse(now);
 }
@@ -1035,6 +1068,9 @@
     out << gaugeText({"domains_without_writer",
                       "Owned domains of which no node can write the plan, as far as is known.",
                       m_writesRefused ? static_cast<double>(m_formation.owned()) : 0.0});
+    out << gaugeText({"start_phase",
+                      "1 while this node assumes that the others fill empty servers like it.",
+                      m_isStartPhase ? 1.0 : 0.0});
     out << gaugeText({"closed_groups", "Groups that their heads have refused to serve.",
                       static_cast<double>(m_backends.closedGroups())});
     out << gaugeText({"quarantined_parts", "Parts of prompts that no request may contain.",
--- a/src/network/serving_daemon.h
+++ b/src/network/serving_daemon.h
@@ -138,6 +138,10 @@
     void mergeLimits(const LimitNews &news, const NodeId &peer, TimePoint now);
     /// Drops the request counts of nodes and zones that have become silent.
     void handleSilentPeers(TimePoint now);
+    /// Tells the requests which other nodes take requests while all start, and logs the phase.
+    void updateStartPhase(TimePoint now);
+    /// Another node shows that it has been running for longer than this one.
+    void checkRunningPeer(std::int64_t life, bool settled, TimePoint now);
     /// Whether this node has to watch the store itself: either because it is the one that watches
     /// on behalf of the others, or because the feeds that it receives have become too old.
     bool mustWatch(TimePoint now) const;
@@ -217,6 +221,7 @@
     TimePoint m_lastLeaseCallAt; ///< Time of the last call for the lease.
     std::uint64_t m_linkProbes = 0;
     bool m_ready = false;
+    bool m_isStartPhase = false; ///< As last logged.
     bool m_stopping = false;
     TimePoint m_stopAt;
     TimePoint m_stopEndsAt; ///< The process ends then at the latest.
--- a/src/request/membership_base.cpp
+++ b/src/request/membership_base.cpp
@@ -12,6 +12,10 @@
 
 const std::string representativeKey = "feeder/";
 const std::string watcherKey = "watcher";
+/// A node of which nothing was heard for this time after the start of this node takes no requests:
+/// pulses of the own zone have arrived by then, and digests of the others.
+constexpr Duration ownZoneHearingTime {500};
+constexpr Duration otherZoneHearingTime {1'500};
 
 using Records = std::vector<const MembershipRecord *>;
 
@@ -451,6 +455,21 @@
     return peers;
 }
 
+StartPeers MembershipTable::startPeers(TimePoint since, TimePoint now) const
+{
+    StartPeers peers;
+    for (const auto &[node, peer] : m_peers) {
+        if (!peer.record)
+            continue;
+        const bool isOwnZone = isInOwnZone(peer);
+        const Duration hearingTime = isOwnZone ? ownZoneHearingTime : otherZoneHearingTime;
+        const bool isHeard = peer.seenAt != TimePoint();
+        if (isHeard ? peer.taking && alive(peer, now) : now - since < hearingTime)
+            ++(isOwnZone ? peers.ownZone : peers.otherZones);
+    }
+    return peers;
+}
+
 std::optional<Address> MembershipTable::peerAddress(const NodeId &node) const
 {
     const auto found = m_peers.find(node);
--- a/src/request/membership_base.h
+++ b/src/request/membership_base.h
@@ -3,6 +3,7 @@
 #include "request/cold_start_limit.h"
 #include "request/membership_type.h"
 #include "request/request_type.h"
+#include "request/start_phase.h"
 
 #include <optional>
 #include <string>
@@ -104,6 +105,9 @@
     std::vector<NodeId> limitNodes(TimePoint now) const;
     /// The other live nodes that take requests and reach servers.
     std::vector<PeerNode> servingPeers(TimePoint now) const;
+    /// The other nodes that take requests, or that may do so as nothing was heard of them since
+    /// this node began to take requests at `since`.
+    StartPeers startPeers(TimePoint since, TimePoint now) const;
     /// Address to which messages for a node are sent; none if it has no record.
     std::optional<Address> peerAddress(const NodeId &node) const;
     /// Number of nodes of this node's zone that have a record, including this one.
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -334,7 +334,7 @@
     const auto queued = m_requests.find(arrival.request);
     if (queued == m_requests.end() || queued->second.running)
         return;
-    const TargetChoice choice = chooseTarget(m_backends, choiceInput(queued->second), now);
+    const TargetChoice choice = chooseTarget(m_backends, choiceInput(queued->second, now), now);
     if (choice.outcome == TargetChoice::Outcome::None) {
         addRefusedDemand(queued->second, now);
         refuse(queued->second, ErrorCode::NoCapacity, m_options.defaultRetryAfter, "no_server", now,
@@ -408,11 +408,12 @@
 }
 
 std::optional<Duration> RequestSystem::excessiveQueueWait(const Request &request,
-                                                          const Target &target, TimePoint now) const
+                                                          const Target &target, TimePoint now)
 {
-    if (request.responseStarted || target.departuresPerSecond < minTrackedRate)
+    const double perSecond = drainRate(request, target, now);
+    if (request.responseStarted || perSecond < minTrackedRate)
         return std::nullopt;
-    const double seconds = static_cast<double>(target.waiting.size()) / target.departuresPerSecond;
+    const double seconds = static_cast<double>(target.waiting.size()) / perSecond;
     const Duration queueWait(static_cast<Duration::rep>(seconds * 1'000));
     const Duration tolerance =
         m_configuration->engineOf(request.service) ? Duration(0) : maxLateness;
@@ -433,7 +434,7 @@
     m_targets[{request.service, request.arrival.model}].waiting.push_back(entry);
 }
 
-ChoiceInput RequestSystem::choiceInput(const Request &request)
+ChoiceInput RequestSystem::choiceInput(const Request &request, TimePoint now)
 {
     ChoiceInput input;
     input.configuration = &configurationOf(request);
@@ -445,9 +446,35 @@
     input.ownZone = m_options.zone;
     input.nodes = m_nodes;
     input.permits = m_limits.empty() ? nullptr : &m_permits;
+    if (m_startPhase.isActive(now))
+        input.assumedRunning = assumedPerServer(request, now);
     return input;
 }
 
+double RequestSystem::assumedPerServer(const Request &request, TimePoint now)
+{
+    const std::vector<BackendIndex> &servers =
+        m_backends.targets(request.service, request.arrival.model, configurationOf(request));
+    double running = 0;
+    for (const BackendIndex index : servers)
+        running += m_backends.find(index)->ownRunning;
+    RecentGrowth &growth = m_targets[{request.service, request.arrival.model}].growth;
+    growth.add(running, now);
+    return m_startPhase.assumedPerServer(growth, running, servers.size(), now);
+}
+
+double RequestSystem::drainRate(const Request &request, const Target &target, TimePoint now)
+{
+    const ServingConfiguration &configuration = configurationOf(request);
+    const EngineSpec *engine = configuration.engineOf(request.service);
+    const ServedModel *model = configuration.findModel(request.service, request.arrival.model);
+    if (!m_startPhase.isActive(now) || !engine || !model)
+        return target.departuresPerSecond;
+    const auto groups =
+        m_backends.targets(request.service, request.arrival.model, configuration).size();
+    return std::max(target.departuresPerSecond, m_startPhase.ownRate(*engine, *model, groups));
+}
+
 const ServingConfiguration &RequestSystem::configurationOf(const Request &request) const
 {
     const ServingConfiguration &present = *m_configuration;
@@ -473,7 +500,7 @@
     while (!target.waiting.empty() && m_configuration) {
         const std::size_t next = nextToDispatch(target.waiting, now);
         Request &request = m_requests.at(target.waiting[next].request);
-        ChoiceInput input = choiceInput(request);
+        ChoiceInput input = choiceInput(request, now);
         if (isTooLate(request, now))
             input.maxUtilization = lateUtilization;
         const TargetChoice choice = chooseTarget(m_backends, input, now);
@@ -1386,7 +1413,7 @@
         return;
     }
     const TargetKey key {request.service, request.arrival.model};
-    const TargetChoice choice = chooseTarget(m_backends, choiceInput(request), now);
+    const TargetChoice choice = chooseTarget(m_backends, choiceInput(request, now), now);
     const bool isPaused =
         choice.outcome == TargetChoice::Outcome::Paused && !request.responseStarted;
     // A response that has begun may wait for a server, since its caller has no other way to get the
@@ -1435,7 +1462,7 @@
 {
     if (Backend *backend = m_backends.find(request.current.server))
         m_backends.suspect(*backend, Suspicion::Silence, m_options.silenceSuspicionTime, now);
-    ChoiceInput input = choiceInput(request);
+    ChoiceInput input = choiceInput(request, now);
     std::vector<VmId> avoided = request.tried;
     avoided.push_back(request.current.server);
     input.tried = &avoided;
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -10,6 +10,7 @@
 #include "request/server_limit_base.h"
 #include "request/server_links.h"
 #include "request/server_permit_base.h"
+#include "request/start_phase.h"
 #include "request/target_choice.h"
 
 #include <map>
@@ -93,6 +94,9 @@
     void setNodes(NodeShare nodes) { m_nodes = nodes; }
     /// Sets the other nodes to which requests are passed on while this one reaches no server.
     void setPeers(std::vector<PeerNode> peers) { m_peers = std::move(peers); }
+    /// What this node assumes of the others while all of them start.
+    StartPhase &startPhase() { return m_startPhase; }
+    const StartPhase &startPhase() const { return m_startPhase; }
     /// A connection to a server could not be opened, or had no answer.
     void onLinkFailed(const VmId &server, TimePoint now) { m_links.onFailed(server, now); }
     /// A server answered on a connection that was opened at the given time.
@@ -307,6 +311,7 @@
         std::vector<WaitingRequest> waiting;
         double departuresPerSecond = 0; ///< Smoothed rate of ended attempts.
         std::uint32_t departures = 0; ///< Ended attempts since the last update of the rate.
+        RecentGrowth growth; ///< In the start phase.
     };
 
     /// The request, or null unless the given attempt is the current one and in progress.
@@ -411,7 +416,7 @@
     void finish(RequestId request);
     /// The expected waiting time if it is too long for the latency target, otherwise nothing.
     std::optional<Duration> excessiveQueueWait(const Request &request, const Target &target,
-                                               TimePoint now) const;
+                                               TimePoint now);
     /// Whether the current attempt of a stream has stalled.
     bool isStalled(const Request &request, TimePoint now) const;
     /// Sends a request whose server is silent to another one as well, if that is possible at once.
@@ -426,7 +431,12 @@
     void logOpenAtStop(TimePoint now, RequestActions &actions);
     /// Ends requests that are past their deadline and resumes stalled streams elsewhere.
     void checkDeadlines(TimePoint now, RequestActions &actions);
-    ChoiceInput choiceInput(const Request &request);
+    ChoiceInput choiceInput(const Request &request, TimePoint now);
+    /// In the start phase, requests that other nodes are assumed to have started on each server
+    /// since their last report.
+    double assumedPerServer(const Request &request, TimePoint now);
+    /// Requests per second by which a queue is expected to drain.
+    double drainRate(const Request &request, const Target &target, TimePoint now);
     RetryAllowance &retries(const ServiceId &service);
 
     RequestOptions m_options;
@@ -435,6 +445,7 @@
     ConfigurationProof m_proof;
     std::set<ZoneId> m_zonesOut;
     NodeShare m_nodes;
+    StartPhase m_startPhase;
     std::unordered_map<RequestId, Request> m_requests;
     std::map<TargetKey, Target> m_targets; ///< Entries that are not used are erased by tick().
     std::map<ServiceId, RetryAllowance> m_retries;
--- a/src/request/target_choice.cpp
+++ b/src/request/target_choice.cpp
@@ -199,7 +199,8 @@
         if (isReturningFromPause(backend, input, now))
             continue;
         const std::uint32_t running = backend.ownRunning + backend.peersRunning;
-        if (running >= input.maxUtilization * currentLimit(backend, input, now))
+        if (running + input.assumedRunning
+            >= input.maxUtilization * currentLimit(backend, input, now))
             continue;
         if (service != input.configuration->services.end()
             && !mayDispatchToCold(backend, service->second, input.nodes, now))
--- a/src/request/target_choice.h
+++ b/src/request/target_choice.h
@@ -21,6 +21,9 @@
     NodeShare nodes; ///< The nodes that send requests to the same servers.
     /// Share of the requests that a server may run at most up to which it is considered.
     double maxUtilization = 1;
+    /// Requests that other nodes are assumed to have started on each server since their last
+    /// report.
+    double assumedRunning = 0;
     PermitTable *permits = nullptr; ///< Null if no server has named a limit.
 };
 
