--- a/src/request/target_choice.h
+++ b/src/request/target_choice.h
@@ -28,6 +28,9 @@
     std::optional<RequestLoad> load;
     /// Bytes of bodies that wait to be written to one server, at most.
     std::size_t maxUnsentBytes = std::numeric_limits<std::size_t>::max();
+    /// Requests that other nodes are assumed to have started on each server since their last
+    /// report.
+    double assumedRunning = 0;
     PermitTable *permits = nullptr; ///< Null if no server has named a limit.
 };
 
