Fix: [Network] Whole responses to slow callers took too long with bounds on slow readers

Cause: the kernel got only 64 KiB of a response, so that each of 4 MiB went to its caller in many steps of pausing and reading. Change: 256 KiB.

--- a/src/network/relay.cpp
+++ b/src/network/relay.cpp
@@ -26,7 +26,7 @@
 constexpr Duration maxRoomWait {1'000};
 /// What the kernel may hold for one caller or server, so that the rest is counted. A typical stream
 /// fits in.
-constexpr std::size_t kernelBytes = 64 * 1024;
+constexpr std::size_t kernelBytes = 256 * 1024;
 /// When room is made, this part of the limit is freed in addition, so that it lasts for a while.
 constexpr std::size_t slackPerLimit = 32;
 constexpr Duration givenUpLogInterval {1'000};
--- a/src/tests/slow_readers_process_test.py
+++ b/src/tests/slow_readers_process_test.py
@@ -28,7 +28,7 @@
 UNREAD_S = 3  # Servers cut off what stays unread for some seconds.
 EVENTS = 58
 EVENT = b"data: " + b"x" * 460 + b"\n\n"
-LARGE = bytes(range(256)) * 1200  # More than the kernel holds for one caller.
+LARGE = bytes(range(256)) * 3600  # More than the kernel holds for one caller.
 ROUTES = {
     "flow": {"route_type": "streaming", "resumable": True, "timeout_ms": 8000, "max_attempts": 2},
     "read": {"route_type": "idempotent", "timeout_ms": 8000, "max_attempts": 1},
@@ -52,7 +52,7 @@
         if path.startswith("/flow/"):
             connection.sendall(start + b"Content-Type: text/event-stream\r\n"
                                b"Transfer-Encoding: chunked\r\n\r\n")
-            count = EVENTS if path.endswith("/typical") else 10 * EVENTS
+            count = EVENTS if path.endswith("/typical") else 40 * EVENTS
             for number in range(count):
                 connection.sendall(chunk(b"id: %d\n" % (number + 1) + EVENT))
             connection.sendall(b"0\r\n\r\n")
