--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -214,7 +214,7 @@
     ("late_requests_take_any_room", "request/queue_admission.cpp",
      "constexpr double minLateUtilization = 0.8;", "constexpr double minLateUtilization = 1;"),
     ("late_requests_outlast_their_callers", "request/queue_admission.cpp",
-     "else if (now > item.lastStart)", "else if (false)"),
+     "            if (now > item.lastStart)", "            if (false)"),
     ("requests_without_a_chance_wait", "request/queue_admission.cpp",
      "now + wait > item.lastStart)", "false)"),
     ("queue_is_unbounded", "request/queue_admission.cpp", "kept >= maxWaiting", "false"),
--- a/src/request/queue_admission.cpp
+++ b/src/request/queue_admission.cpp
@@ -87,16 +87,15 @@
         const Duration wait = inTimeWait + waitFor(lateWork, rates.latePerSecond);
         const bool isFirstOfKind = kinds.insert({item.route, item.priority}).second;
         std::optional<GiveUpCause> cause;
-        if (item.responseStarted)
-            cause = std::nullopt;
-        else if (now > item.lastStart)
-            cause = GiveUpCause::Patience;
-        else if (!item.mayBeGivenUp)
-            cause = std::nullopt;
-        else if (kept >= maxWaiting)
-            cause = GiveUpCause::Full;
-        else if (item.isExpectedLate && !isFirstOfKind && now + wait > item.lastStart)
-            cause = GiveUpCause::Queue;
+        if (!item.responseStarted) {
+            if (now > item.lastStart)
+                cause = GiveUpCause::Patience;
+            else if (item.mayBeGivenUp && kept >= maxWaiting)
+                cause = GiveUpCause::Full;
+            else if (item.mayBeGivenUp && item.isExpectedLate && !isFirstOfKind
+                     && now + wait > item.lastStart)
+                cause = GiveUpCause::Queue;
+        }
         if (cause) {
             // One that has waited for its whole patience needs the queue ahead of it to drain.
             const Duration untilRoom =
