--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -218,7 +218,7 @@
     ("requests_without_a_chance_wait", "request/queue_admission.cpp",
      "now + wait > item.lastStart)", "false)"),
     ("queue_is_unbounded", "request/queue_admission.cpp", "kept >= maxWaiting", "false"),
-    ("kinds_are_shut_out", "request/queue_admission.cpp", "!isFirstOfKind && ", ""),
+    ("kinds_are_shut_out", "request/queue_admission.cpp", " && !isFirstOfKind", ""),
     ("urgent_requests_starve_others", "request/queue_admission.cpp",
      "if (m_startsSinceTurn < startsPerTurn ||", "if (true ||"),
     ("callers_return_together", "request/queue_admission.cpp",
