Feature: [Formation] Conversions follow lasting demand toward a wanted split

Cause: groups were converted for demand smoothed over 2 s. A wave of demand converted groups forth and back, the groups arrived after the wave that caused it, and the model that gave was short in its own peak. In domains without leftover VMs nothing was converted at all.

The wanted split is the search of the first split with lasting demand instead of published shares. The first split and services with one model stay as they were. New log line wanted_split and gauge model_groups.

--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -2,8 +2,10 @@
 
 #include "core/rendezvous_func.h"
 #include "formation/conversion_record.h"
+#include "formation/target_split.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace bramleypitch {
@@ -22,6 +24,9 @@
 constexpr double typicalUtilization = 0.6;
 /// Weight of the measured work relative to the published shares.
 constexpr double measuredWeight = 0.7;
+/// Change of demand, relative to that of the last time, for which the wanted split is computed
+/// again.
+constexpr double minTargetChange = 0.05;
 /// With more domains than turns, several domains share a turn to convert groups. Their conversions
 /// for the same demand are as small a part of the fleet as that of one domain in a small fleet.
 constexpr std::size_t maxConversionTurns = 6;
@@ -73,6 +78,7 @@
     : m_options(std::move(options))
     , m_backends(backends)
     , m_startedAt(startedAt)
+    , m_estimate(m_options.estimate)
 {
 }
 
@@ -268,6 +274,14 @@
         const auto found = slots.find(model);
         smoothed += weight * ((found == slots.end() ? 0 : found->second) - smoothed);
     }
+    if (!engineService())
+        return;
+    m_estimate.update(slots, openSlots(), now);
+    const std::vector<ServedModel> &models = engineService()->engine->models;
+    double peaks = 0;
+    for (const ServedModel &model : models)
+        peaks += m_estimate.peak(model.name);
+    m_isEstimated = models.size() > 1 && m_estimate.isMeasured(now) && peaks >= minMeasuredSlots;
 }
 
 void FormationSystem::onOrderDone(const GroupOrderDone &done, TimePoint now,
@@ -309,6 +323,7 @@
     m_ownedCount = 0;
     for (const auto &[id, servers] : m_backends.domains())
         m_domains.try_emplace(id);
+    updateTarget(now, actions);
     for (auto &[id, domain] : m_domains) {
         if (!owns(id)) {
             domain.ownedSince = TimePoint();
@@ -600,10 +615,88 @@
             found == m_demand.end() ? 0 : found->second / static_cast<double>(engine.slots);
         if (isMeasured)
             demand.work = measuredWeight * measured + (1 - measuredWeight) * demand.work;
+        if (m_isEstimated) {
+            demand.peakWork = m_estimate.peak(demand.model->name) / engine.slots;
+            demand.lastingWork = m_estimate.lasting(demand.model->name) / engine.slots;
+        }
     }
     return all;
 }
 
+std::map<ModelId, double> FormationSystem::openSlots() const
+{
+    const EngineSpec &engine = *engineService()->engine;
+    std::map<ModelId, double> groups;
+    for (const auto &[id, domain] : m_domains) {
+        for (const PlannedGroup &group : domain.plan.groups) {
+            if (!group.dissolving && !isZoneOut(group) && isOpen(group))
+                groups[group.model] += 1;
+        }
+    }
+    std::map<ModelId, double> slots;
+    for (const ServedModel &model : engine.models)
+        slots[model.name] = std::max(groups[model.name], 1.0) * engine.slots;
+    return slots;
+}
+
+void FormationSystem::updateTarget(TimePoint now, FormationActions &actions)
+{
+    if (!m_isEstimated) {
+        m_target.clear();
+        return;
+    }
+    const std::vector<ModelDemand> models = demand();
+    const bool isOther = m_target.size() != models.size() || m_targetWork.size() != models.size();
+    if (!isOther && now - m_targetAt < m_options.targetInterval)
+        return;
+    std::map<DomainId, std::uint32_t> sizes;
+    for (const auto &[domain, servers] : m_backends.domains()) {
+        for (const auto &[vm, index] : servers) {
+            const Backend &backend = *m_backends.find(index);
+            sizes[domain] += isUsable(backend) && !m_zonesOut.count(backend.report.zone) ? 1 : 0;
+        }
+    }
+    bool isDue = isOther || sizes != m_targetSizes;
+    for (std::size_t i = 0; i < models.size() && !isDue; ++i)
+        isDue =
+            std::abs(models[i].lastingWork - m_targetWork[i]) > minTargetChange * m_targetWork[i];
+    if (!isDue)
+        return;
+    m_targetAt = now;
+    GroupCounts target = targetSplit(sizes, *engineService()->engine, models);
+    m_targetSizes = std::move(sizes);
+    m_targetWork.clear();
+    for (const ModelDemand &model : models)
+        m_targetWork.push_back(model.lastingWork);
+    if (target == m_target)
+        return;
+    m_target = std::move(target);
+    if (std::none_of(m_domains.begin(), m_domains.end(),
+                     [this](const auto &entry) { return owns(entry.first); }))
+        return;
+    LogFormation line {"wanted_split", {}};
+    for (std::size_t i = 0; i < models.size(); ++i) {
+        const std::string &name = models[i].model->name.value();
+        line.fields.emplace_back("wanted_" + name, std::to_string(m_target[i]));
+        line.fields.emplace_back("present_" + name, std::to_string(std::lround(models[i].groups)));
+        line.fields.emplace_back("needed_" + name,
+                                 std::to_string(std::lround(std::ceil(models[i].lastingWork))));
+    }
+    actions.push_back(std::move(line));
+}
+
+std::vector<ModelSplit> FormationSystem::split() const
+{
+    std::vector<ModelSplit> result;
+    if (m_target.empty() || !engineService())
+        return result;
+    const std::vector<ModelDemand> models = demand();
+    for (std::size_t i = 0; i < std::min(models.size(), m_target.size()); ++i)
+        result.push_back(
+            {models[i].model->name, static_cast<std::uint32_t>(models[i].groups), m_target[i]});
+    return result;
+}
+
 bool FormationSystem::addGroups(const DomainId &id, FormationPlan &next, bool mayDissolve,
                                 std::vector<GroupId> &dissolved, TimePoint now,
                                 FormationActions &actions)
@@ -622,6 +715,8 @@
     input.free = free;
     input.demand = demand();
     input.mayConvert = hasConversionTurn(id, now);
+    input.target = m_target;
+    input.isEstimating = m_target.empty() && input.demand.size() > 1;
     input.mayDissolve = mayDissolve;
     // Conversions have no benefit in a zone that takes no new requests.
     input.isZoneInService =
--- a/src/formation/formation_system.h
+++ b/src/formation/formation_system.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "formation/demand_estimate.h"
 #include "formation/weight_staging.h"
 
 #include <map>
@@ -43,6 +44,16 @@
     Duration conversionRetryDelay {1'000};
     /// Time constant of the smoothed demand. Short peaks must not cause conversions.
     Duration demandSmoothing {2'000};
+    DemandEstimateOptions estimate;
+    Duration targetInterval {1'000}; ///< Between two computations of the wanted split.
+};
+
+/// Groups of a model over all domains.
+struct ModelSplit
+{
+    ModelId model;
+    std::uint32_t present = 0; ///< Formed and planned.
+    std::uint32_t wanted = 0;
 };
 
 /// Forms groups of VMs in the fabric domains that this node owns, opens them once all members are
@@ -90,6 +101,8 @@
 
     /// Number of domains owned by this node at the last tick.
     std::size_t owned() const { return m_ownedCount; }
+    /// The present and the wanted split. Empty while there is no wanted one.
+    std::vector<ModelSplit> split() const;
 
 private:
     struct Domain
@@ -159,6 +172,10 @@
     std::vector<const Backend *> findFreeVms(const DomainId &id, const FormationPlan &plan,
                                              TimePoint now, FormationActions &actions);
     std::vector<ModelDemand> demand() const;
+    /// The slots of the open groups of each model, at least those of one group.
+    std::map<ModelId, double> openSlots() const;
+    /// Computes the wanted split if it is due. Logs it if it has changed.
+    void updateTarget(TimePoint now, FormationActions &actions);
     /// Sends the orders that form and open a group.
     void sendFormingOrders(Domain &domain, const PlannedGroup &group, TimePoint now,
                            FormationActions &actions);
@@ -214,6 +231,12 @@
     std::set<ZoneId> m_zonesOut;
     std::map<ModelId, double> m_demand; ///< Slots needed by model, smoothed.
     TimePoint m_demandAt;
+    DemandEstimate m_estimate;
+    bool m_isEstimated = false; ///< Enough was measured, and there are two or more models.
+    GroupCounts m_target; ///< The wanted split, in the order of the models. Empty if there is none.
+    std::vector<double> m_targetWork; ///< For which it was computed.
+    std::map<DomainId, std::uint32_t> m_targetSizes;
+    TimePoint m_targetAt;
     bool m_beforeTraffic = false;
     std::map<DomainId, GroupCounts> m_split; ///< The first split of the VMs in m_splitSizes.
     std::map<DomainId, std::uint32_t> m_splitSizes;
--- a/src/formation/group_choice.cpp
+++ b/src/formation/group_choice.cpp
@@ -1,5 +1,7 @@
 #include "formation/group_choice.h"
 
+#include "formation/target_split.h"
+
 #include <algorithm>
 
 namespace bramleypitch {
@@ -24,6 +26,13 @@
 /// single group complete it.
 constexpr double repairCost = 0.01;
 
+/// Utilization of a model that gives groups while its peaks are not known yet. A wave of demand may
+/// be at its lowest.
+constexpr double maxEarlyDonorUtilization = 0.6;
+/// Utilization from which a model gets smaller groups of others at once. With larger groups it
+/// loses more capacity with each member.
+constexpr double severeUtilization = 1.4;
+
 /// Number of other models whose weights a VM holds. VMs that hold none are used first.
 std::size_t countOtherWeights(const Backend &backend, const ServedModel &model,
                               const EngineSpec &engine)
@@ -169,7 +178,8 @@
             if (best.dissolved.empty())
                 best = bestConversion();
             if (!best.dissolved.empty()) {
-                if (changed || !m_input.mayDissolve || (!best.isRepair && !m_input.mayConvert))
+                const bool hasTurn = best.isRepair || m_input.mayConvert || !m_input.target.empty();
+                if (changed || !m_input.mayDissolve || !hasTurn)
                     return changed; // Keep the free VMs until this domain may convert groups.
                 startConversion(best);
                 return true;
@@ -353,8 +363,10 @@
         result.receiver = receiver;
         Vms free = m_input.free;
         const std::size_t available = countWithWeights(free, model(receiver));
-        // Without a free VM that holds the weights, exchanging groups costs more than it gains.
-        if (available == 0 || available >= model(receiver).span)
+        const bool hasTarget = !m_input.target.empty();
+        // Without a free VM that holds the weights, exchanging groups costs more than it gains, by
+        // queueing costs alone.
+        if ((available == 0 && !hasTarget) || available >= model(receiver).span)
             return {};
         for (PlannedGroup &group : m_plan.groups) {
             if (group.dissolving || group.model != model(donor).name)
@@ -374,6 +386,21 @@
         if (!mayGive(m_input.demand[donor], dissolved, m_input.demand[receiver]))
             return {};
         result.isRepair = result.dissolved.size() == 1 && 2 * available >= model(receiver).span;
+        // A small group that completes a larger one replaces a lost member.
+        const bool isLostMember = result.isRepair && model(donor).span < model(receiver).span;
+        if (m_input.isEstimating && !isLostMember && !mayConvertEarly(donor, dissolved, receiver))
+            return {};
+        if (hasTarget
+            && !(isLostMember && m_input.demand[receiver].groups < m_input.target[receiver])) {
+            SplitChange change {&m_input.demand[donor], &m_input.demand[receiver], dissolved};
+            const std::size_t formed =
+                countWithWeights(free, model(receiver)) / std::max(model(receiver).span, 1U);
+            change.gained = static_cast<double>(formed);
+            change.donorTarget = m_input.target[donor];
+            change.receiverTarget = m_input.target[receiver];
+            result.gain = targetGain(change);
+            return result;
+        }
         std::vector<ModelDemand> demand = m_input.demand;
         demand[donor].groups -= dissolved;
         demand[receiver].groups += 1;
@@ -385,6 +412,16 @@
         return result;
     }
 
+    /// Whether groups may be converted before enough demand was measured.
+    bool mayConvertEarly(std::size_t donor, double given, std::size_t receiver) const
+    {
+        const double shortage = utilization(m_input.demand[receiver]);
+        const double left = utilization(afterGiving(m_input.demand[donor], given));
+        const bool isLarger = model(donor).span < model(receiver).span;
+        return (isLarger && shortage >= severeUtilization)
+            || (shortage >= saturatedUtilization && left <= maxEarlyDonorUtilization);
+    }
+
     Vms membersOf(const PlannedGroup &group) const
     {
         Vms members;
--- a/src/formation/group_choice.h
+++ b/src/formation/group_choice.h
@@ -12,6 +12,10 @@
     double work = 0; ///< Number of groups that its requests would fully utilize.
     double groups = 0; ///< Number of formed and planned groups.
     double openGroups = 0; ///< Those of them that take requests.
+    /// The same as `work` for the highest recent demand, and for the highest that lasted. 0 until
+    /// enough was measured.
+    double peakWork = 0;
+    double lastingWork = 0;
 };
 
 /// Number of groups of a model in a plan that are not being dissolved.
@@ -51,6 +55,12 @@
     /// Whether this domain may convert groups at this time. The domains take turns, so that few
     /// convert groups for the same demand. Repairs do not wait for the turn.
     bool mayConvert = false;
+    /// The wanted split over all domains, in the order of the demand. Empty if there is none: then
+    /// queueing costs alone decide.
+    GroupCounts target;
+    /// Whether demand is still too new for a wanted split: groups are converted only for a model
+    /// that is saturated, from one with much headroom.
+    bool isEstimating = false;
     /// Whether groups may be dissolved for other models at all. All conversions of the fleet are
     /// written one after the other, each with the knowledge of those before.
     bool mayDissolve = true;
@@ -59,7 +69,8 @@
 /// Adds the groups that are needed to the plan, as far as the free VMs allow. A few VMs are kept as
 /// spares. Groups are formed only of VMs that hold the weights, which takes less than two seconds:
 /// a group that waits for a load keeps all its other members idle. If the VMs of some groups would
-/// serve callers better in a group of another model, those groups are dissolved, and their VMs are
+/// serve callers better in a group of another model, or move the groups toward the wanted split if
+/// there is one, those groups are dissolved, and their VMs are
 /// reserved for the other model. A model without any group gets one whenever others can spare
 /// theirs. This handles crashes, VMs that are added and removed, and shifts of traffic between
 /// models. A change that dissolves groups for another model makes no other change. Returns false if
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -1065,6 +1065,12 @@
                       static_cast<double>(m_store.droppedAnswers())});
     out << gaugeText({"owned_domains", "Fabric domains that this node forms groups in.",
                       static_cast<double>(m_formation.owned())});
+    for (const ModelSplit &model : m_formation.split()) {
+        for (const auto &[kind, groups] :
+             {std::pair("present", model.present), std::pair("wanted", model.wanted)})
+            out << "bramleypitch_model_groups{model=\"" << model.model.value() << "\",kind=\""
+                << kind << "\"} " << groups << "\n";
+    }
     out << gaugeText({"backend_connections_opened", "Connections opened since the start.",
                       static_cast<double>(m_relay.connectionsOpened())});
     const MemoryAccount &account = m_relay.account();
