--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -274,7 +274,7 @@
         const auto found = slots.find(model);
         smoothed += weight * ((found == slots.end() ? 0 : found->second) - smoothed);
     }
-    if (!engineService())
+    if (!engineService() || !m_options.followsDemand)
         return;
     m_estimate.update(slots, openSlots(), now);
     const std::vector<ServedModel> &models = engineService()->engine->models;
@@ -716,7 +716,8 @@
     input.demand = demand();
     input.mayConvert = hasConversionTurn(id, now);
     input.target = m_target;
-    input.isEstimating = m_target.empty() && input.demand.size() > 1;
+    input.isEstimating =
+        m_options.followsDemand && m_target.empty() && input.demand.size() > 1;
     input.mayDissolve = mayDissolve;
     // Conversions have no benefit in a zone that takes no new requests.
     input.isZoneInService =
--- a/src/formation/formation_system.h
+++ b/src/formation/formation_system.h
@@ -44,6 +44,8 @@
     Duration conversionRetryDelay {1'000};
     /// Time constant of the smoothed demand. Short peaks must not cause conversions.
     Duration demandSmoothing {2'000};
+    /// Whether conversions follow lasting demand toward a wanted split, and not demand alone.
+    bool followsDemand = false;
     DemandEstimateOptions estimate;
     Duration targetInterval {1'000}; ///< Between two computations of the wanted split.
 };
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -1010,7 +1010,7 @@
         return;
     m_ready = ready;
     m_membership.setAccepting(ready);
-    if (ready)
+    if (ready && m_options.requests.assumesPeersAtStart)
         m_requests.startPhase().begin(now);
     logLine(LogLevel::Info, ready ? "ready" : "not_ready", {});
     pulse(now);
--- a/src/platform/platform_serve.cpp
+++ b/src/platform/platform_serve.cpp
@@ -28,6 +28,10 @@
 {
     ServingOptions options = servingOptions(file, metricsPort);
     options.requests.lateRequests = parseLateRequests(std::getenv(lateRequestsVariable));
+    options.requests.assumesPeersAtStart =
+        parseSwitch(startPhaseVariable, std::getenv(startPhaseVariable));
+    options.formation.followsDemand =
+        parseSwitch(demandSplitVariable, std::getenv(demandSplitVariable));
     return options;
 }
 
--- a/src/platform/platform_settings.cpp
+++ b/src/platform/platform_settings.cpp
@@ -53,6 +53,17 @@
 const char *const settingsPathVariable = "BRAMLEYPITCH_BOOT";
 const char *const lateRequestsVariable = "BRAMLEYPITCH_LATE_REQUESTS";
 
+const char *const demandSplitVariable = "BRAMLEYPITCH_DEMAND_SPLIT";
+const char *const startPhaseVariable = "BRAMLEYPITCH_START_PHASE";
+
+bool parseSwitch(const char *name, const char *value)
+{
+    const std::string text = value ? value : "";
+    if (!text.empty() && text != "on" && text != "off")
+        throw Failure(ErrorCode::InvalidSetting, std::string(name) + ": must be on or off");
+    return text == "on";
+}
+
 LateRequests parseLateRequests(const char *value)
 {
     const std::string text = value ? value : "";
--- a/src/platform/platform_settings.h
+++ b/src/platform/platform_settings.h
@@ -11,6 +11,12 @@
 extern const char *const settingsPathVariable;
 /// Environment variable with what to do with late requests: "serve", the default, or "refuse".
 extern const char *const lateRequestsVariable;
+/// The environment variables that switch on a wanted split of groups that follows lasting demand,
+/// and what a node assumes of the others when all of them start.
+extern const char *const demandSplitVariable;
+extern const char *const startPhaseVariable;
+/// Whether such a variable is "on". `value` is null if it is not set, which means "off".
+bool parseSwitch(const char *name, const char *value);
 /// Reads the value of lateRequestsVariable; null if it is not set.
 LateRequests parseLateRequests(const char *value);
 
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -56,6 +56,8 @@
     /// Bytes of bodies that may wait to be written to one server, if it reads slowly.
     std::size_t maxUnsentPerServer = 8 * 1024 * 1024;
     LateRequests lateRequests = LateRequests::Serve;
+    /// Whether a node that starts together with the others assumes requests of theirs.
+    bool assumesPeersAtStart = false;
 };
 
 /// Counts of requests that waited for a server longer than their latency target allows.
--- a/src/tests/capacity_replay.h
+++ b/src/tests/capacity_replay.h
@@ -56,6 +56,7 @@
             }
         }
         FormationOptions options;
+        options.followsDemand = true;
         options.node = NodeId("n1");
         m_system = std::make_unique<FormationSystem>(options, m_backends, m_now);
         m_system->setConfiguration(m_configuration);
