Fix: [Tests] The bytes of pulses and digests end with the fields for refused writes and closed groups

EarlierAndLaterVersionsAreUnderstood failed since the fields were added, as it states the last bytes of a message. It states the new ones too, and reads messages without them.

--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -716,8 +716,7 @@
     input.demand = demand();
     input.mayConvert = hasConversionTurn(id, now);
     input.target = m_target;
-    input.isEstimating =
-        m_options.followsDemand && m_target.empty() && input.demand.size() > 1;
+    input.isEstimating = m_options.followsDemand && m_target.empty() && input.demand.size() > 1;
     input.mayDissolve = mayDissolve;
     // Conversions have no benefit in a zone that takes no new requests.
     input.isZoneInService =
--- a/src/tests/relay_test.cpp
+++ b/src/tests/relay_test.cpp
@@ -972,20 +972,24 @@
     const std::string cut = "\x12"s; // The field after it, false.
     const std::string cutNodes = "\x1a\x08"s; // The same of a digest, an empty set.
     const std::string store = "\x16\0\x16\0"s; // Two fields after it: an unknown era, no version.
-    std::size_t added = quarantine.size() + limits.size() + cut.size() + store.size() + end.size();
+    const std::string digestDuties = "\x3a\x08\x1b\0"s; // The same of a digest: two empty ones.
+    const std::string duties = "\x12\x1b\0"s; // Two fields after it: false, an empty map.
+    std::size_t added =
+        quarantine.size() + limits.size() + cut.size() + store.size() + duties.size() + end.size();
     peer::Pulse pulse;
     pulse.node = "n1";
     pulse.leaving["s"] = 7;
     const std::string bytes = "P" + toThriftBytes(pulse);
-    ASSERT_EQ(bytes.substr(bytes.size() - added), quarantine + limits + cut + store + end);
+    ASSERT_EQ(bytes.substr(bytes.size() - added), quarantine + limits + cut + store + duties + end);
     const std::string known = bytes.substr(0, bytes.size() - added);
     // Versions without these fields, without the later ones, and with a further field.
     std::string withCut = quarantine;
     withCut.append(limits).append(cut);
     std::string later = quarantine;
-    later.append(limits).append(cut).append(store).append(quarantine);
+    later.append(limits).append(cut).append(store).append(duties).append(quarantine);
+    const std::string withStore = withCut + store;
     for (const std::string &fields :
-         {std::string(), quarantine, quarantine + limits, withCut, later}) {
+         {std::string(), quarantine, quarantine + limits, withCut, withStore, later}) {
         m_pulses.clear();
         std::string received = known;
         received.append(fields).append(end);
@@ -997,18 +1001,21 @@
         EXPECT_FALSE(m_pulses[0].cut);
         EXPECT_EQ(m_pulses[0].era, StoreEra());
         EXPECT_EQ(m_pulses[0].newestVersion, 0U);
+        EXPECT_FALSE(m_pulses[0].writeRefused);
+        EXPECT_TRUE(m_pulses[0].closedGroups.empty());
     }
 
-    added += cutNodes.size() - cut.size();
+    added += cutNodes.size() - cut.size() + digestDuties.size() - duties.size();
     peer::Digest digest;
     digest.zone = "z";
     const std::string digestBytes = "D" + toThriftBytes(digest);
     ASSERT_EQ(digestBytes.substr(digestBytes.size() - added),
-              quarantine + limits + cutNodes + store + end);
+              quarantine + limits + cutNodes + store + digestDuties + end);
     std::string withCutNodes = quarantine;
     withCutNodes.append(limits).append(cutNodes);
+    const std::string withDigestStore = withCutNodes + store;
     for (const std::string &fields :
-         {std::string(), quarantine, quarantine + limits, withCutNodes}) {
+         {std::string(), quarantine, quarantine + limits, withCutNodes, withDigestStore}) {
         m_digests.clear();
         std::string received = digestBytes.substr(0, digestBytes.size() - added);
         received.append(fields).append(end);
@@ -1020,6 +1027,8 @@
         EXPECT_TRUE(m_digests[0].cut.empty());
         EXPECT_EQ(m_digests[0].era, StoreEra());
         EXPECT_EQ(m_digests[0].newestVersion, 0U);
+        EXPECT_TRUE(m_digests[0].writeRefused.empty());
+        EXPECT_TRUE(m_digests[0].closedGroups.empty());
     }
     EXPECT_EQ(m_receiver.malformedDatagrams(), 0U);
 }
