Fix: [Formation] Findings of a review of conversions, closed groups and repair duty

- A conversion that another one preceded counted as a failed write, so that the repairs of its domain waited for up to 2 s.
- A deleted conversion record kept nodes from converting until they started again.
- A report of an earlier group of the server erased the refusal of the present one, and a report could open a closed group 1.5 s after the refusal though entries were seen to arrive up to 3.7 s late.
- slow_readers_test used prompts that take the engine 6 s to read, which are refused at once now.

--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -137,6 +137,12 @@
     m_conversionRetryAt = TimePoint();
 }
 
+void FormationSystem::onConversionDeleted()
+{
+    m_conversionRevision = Revision();
+    m_conversionRetryAt = TimePoint();
+}
+
 bool FormationSystem::knowsConversions(TimePoint now) const
 {
     const bool isWriting = std::any_of(m_domains.begin(), m_domains.end(), [](const auto &entry) {
@@ -249,8 +255,8 @@
         m_conversionRevision = std::max(m_conversionRevision, revision);
     if (revision > domain.revision)
         applyPlan(id, plan, revision);
-    else if (revision == Revision())
-        onWriteFailed(domain);
+    else if (revision == Revision() && !wasConverting)
+        onWriteFailed(domain); // A conversion that another one preceded delays no repair.
 }
 
 void FormationSystem::onWriteFailed(Domain &domain) const
--- a/src/formation/formation_system.h
+++ b/src/formation/formation_system.h
@@ -88,6 +88,8 @@
     void setStoreView(Revision held, TimePoint provenAt);
     /// The store holds the conversion record with this number at this revision.
     void onConversionRead(std::uint64_t number, Revision revision);
+    /// The conversion record was deleted from the store. The next conversion writes it again.
+    void onConversionDeleted();
     /// Handles a plan that was read from the store. `revision` is 0 if there is none.
     void onPlanRead(const DomainId &domain, const FormationPlan &plan, Revision revision);
     /// The stored plan cannot be read. The last one that was read stays in force, and the owner of
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -476,7 +476,9 @@
         return;
     }
     if (key == conversionKey) {
-        if (!change.deleted)
+        if (change.deleted)
+            m_formation.onConversionDeleted();
+        else
             m_formation.onConversionRead(parseConversionNumber(change.value), change.revision);
         return;
     }
@@ -1010,7 +1012,8 @@
         return;
     m_ready = ready;
     m_membership.setAccepting(ready);
-    if (ready && m_options.requests.assumesPeersAtStart)
+    if (ready && m_options.requests.assumesPeersAtStart
+        && m_options.requests.lateRequests == LateRequests::Refuse)
         m_requests.startPhase().begin(now);
     logLine(LogLevel::Info, ready ? "ready" : "not_ready", {});
     pulse(now);
--- a/src/request/closed_group_table.cpp
+++ b/src/request/closed_group_table.cpp
@@ -11,7 +11,7 @@
 /// for another reason must not take a group out of service for good.
 constexpr Duration closedTime {4'000};
 /// A report that arrives sooner after a refusal may have been written before it.
-constexpr Duration reportDelay {1'500};
+constexpr Duration reportDelay {3'000};
 /// Refusals are repeated to other nodes for this time, so that lost datagrams do not matter.
 constexpr Duration reportTime {1'500};
 constexpr std::size_t maxEntries = 4'096;
@@ -53,8 +53,10 @@
     if (found == m_entries.end())
         return false;
     const Entry &entry = found->second;
-    const bool isNewer = report.number > entry.number && now - entry.at >= reportDelay;
-    if (matches(entry, report) && !isNewer)
+    // A report of before the refusal may arrive late, also one of an earlier group of the server.
+    const bool isNewer = report.startedAt != entry.startedAt || report.number > entry.number;
+    const bool isLateEnough = !matches(entry, report) || now - entry.at >= reportDelay;
+    if (!isNewer || !isLateEnough)
         return false;
     m_entries.erase(found);
     return true;
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -56,7 +56,8 @@
     /// Bytes of bodies that may wait to be written to one server, if it reads slowly.
     std::size_t maxUnsentPerServer = 8 * 1024 * 1024;
     LateRequests lateRequests = LateRequests::Serve;
-    /// Whether a node that starts together with the others assumes requests of theirs.
+    /// Whether a node that starts together with the others assumes requests of theirs. Only used if
+    /// late requests are refused: beside their admission, fewer requests were in time with it.
     bool assumesPeersAtStart = false;
 };
 
--- a/src/tests/conversion_test.cpp
+++ b/src/tests/conversion_test.cpp
@@ -94,6 +94,14 @@
 
     void startTraffic() { m_hasTraffic = true; }
 
+    /// All nodes read that another writer deleted it.
+    void deleteConversionRecord()
+    {
+        m_conversionRevision = Revision();
+        for (auto &node : m_nodes)
+            node->system->onConversionDeleted();
+    }
+
     void setDemand(double largeSlots, double smallSlots)
     {
         m_demandSince = m_now;
@@ -372,6 +380,21 @@
     EXPECT_LE(countConversions(true, false), 1U); // None is known before the first one.
 }
 
+TEST(ConversionTest, DeletedRecordIsWrittenAgain)
+{
+    Owners owners(Shape(), 1);
+    owners.run(Duration(4'000));
+    owners.startTraffic();
+    owners.setDemand(40, 900);
+    owners.run(Duration(4'000));
+    const std::size_t before = owners.conversions;
+    ASSERT_GT(before, 0U);
+    owners.deleteConversionRecord();
+    owners.setDemand(500, 100);
+    owners.run(Duration(12'000));
+    EXPECT_GT(owners.conversions, before);
+}
+
 TEST(ConversionTest, ModelThatGivesKeepsAnOpenGroupAndWhatItNeeds)
 {
     // Guards against counting a group that is still being formed, and may never open.
--- a/src/tests/repair_duty_test.cpp
+++ b/src/tests/repair_duty_test.cpp
@@ -36,6 +36,20 @@
     EXPECT_TRUE(monitor.mustCheck(start + Duration(400)));
 }
 
+TEST(StoreWriteMonitorTest, NodesThatAreTurnedAwayAskLessOften)
+{
+    StoreWriteMonitor monitor;
+    int checks = 0;
+    for (TimePoint now = start; now < start + Duration(20'000); now += Duration(50)) {
+        if (now == start || monitor.mustCheck(now)) {
+            monitor.onFailed(now);
+            ++checks;
+        }
+    }
+    EXPECT_GE(checks, 20); // At least one a second.
+    EXPECT_LE(checks, 24);
+}
+
 TEST(StoreWriteMonitorTest, NodeReturnsToDutyWithoutFlapping)
 {
     StoreWriteMonitor monitor;
--- a/src/tests/slow_readers_test.cpp
+++ b/src/tests/slow_readers_test.cpp
@@ -188,6 +188,8 @@
         configure([](ServingConfiguration &configuration) {
             EngineSpec &engine = *configuration.services.at(ServiceId("engines")).engine;
             engine.memoryTokens = 10'000;
+            engine.promptTokensPerMs =
+                50; // Else their first events would come too late to wait for.
             engine.typicalPromptTokens = 900;
             engine.typicalCompletionTokens = 100;
         });
--- a/src/tests/start_phase_test.cpp
+++ b/src/tests/start_phase_test.cpp
@@ -201,6 +201,8 @@
     void startNode(Node &node)
     {
         RequestOptions options;
+        // The start phase is for nodes that refuse late requests.
+        options.lateRequests = LateRequests::Refuse;
         options.node = nodeId(node.index);
         options.zone = zoneId(node.zone);
         node.backends = std::make_unique<BackendTable>();
