--- a/src/request/queue_admission.h
+++ b/src/request/queue_admission.h
@@ -13,6 +13,7 @@
 enum class LateRequests {
     Refuse, ///< They are refused as soon as that is predicted, or soon after it has happened.
     Serve, ///< They wait behind the others for as long as their callers do.
+    ByPriority, ///< Served if the routes to a service with engines have different priorities.
 };
 
 /// Rates at which waiting requests start, in units of work per second. 0 means that it is not
--- a/src/request/request_system.cpp
+++ b/src/request/request_system.cpp
@@ -177,7 +177,8 @@
 void RequestSystem::setConfiguration(ServingConfigurationPtr configuration)
 {
     m_configuration = std::move(configuration);
-    m_priorities = servicePriorities(*m_configuration);
+    m_hasRoutePriorities = haveRoutePriorities(*m_configuration);
+    m_priorities = m_hasRoutePriorities ? servicePriorities(*m_configuration) : ServicePriorities();
     m_proof.setVersion(m_configuration->version);
     m_proof.onReadable();
 }
--- a/src/request/request_system.h
+++ b/src/request/request_system.h
@@ -55,7 +55,7 @@
     bool boundsServerMemory = false;
     /// Bytes of bodies that may wait to be written to one server, if it reads slowly.
     std::size_t maxUnsentPerServer = 8 * 1024 * 1024;
-    LateRequests lateRequests = LateRequests::Serve;
+    LateRequests lateRequests = LateRequests::ByPriority;
     /// Whether a node that starts together with the others assumes requests of theirs. Only used if
     /// late requests are refused: beside their admission, fewer requests were in time with it.
     bool assumesPeersAtStart = false;
@@ -365,7 +365,11 @@
     const ServingConfiguration &configurationOf(const Request &request) const;
     /// Adds a request to the queue of its service and model.
     void enqueue(Request &request, TimePoint now);
-    bool servesLate() const { return m_options.lateRequests == LateRequests::Serve; }
+    bool servesLate() const
+    {
+        return m_options.lateRequests == LateRequests::Serve
+            || (m_options.lateRequests == LateRequests::ByPriority && m_hasRoutePriorities);
+    }
     /// Index of the waiting request to start next.
     std::size_t nextWaiting(const Target &target, TimePoint now) const;
     /// Share of the requests that a server may run up to which it is considered for the waiting
@@ -492,6 +496,7 @@
     RequestOptions m_options;
     BackendTable &m_backends;
     ServingConfigurationPtr m_configuration;
+    bool m_hasRoutePriorities = false; ///< See haveRoutePriorities().
     ServicePriorities m_priorities; ///< Of the configuration in force.
     ConfigurationProof m_proof;
     std::set<ZoneId> m_zonesOut;
--- a/src/request/server_priority.cpp
+++ b/src/request/server_priority.cpp
@@ -35,6 +35,20 @@
     return priorities;
 }
 
+bool haveRoutePriorities(const ServingConfiguration &configuration)
+{
+    std::map<ServiceId, int> first;
+    for (const RouteSpec &route : configuration.routes) {
+        for (const WeightedService &service : route.services) {
+            if (configuration.engineOf(service.service)
+                && first.try_emplace(service.service, route.priority).first->second
+                    != route.priority)
+                return true;
+        }
+    }
+    return false;
+}
+
 std::optional<int> serverPriority(const std::vector<int> &priorities, int priority, bool goesAhead)
 {
     if (priorities.size() < 2)
--- a/src/tests/queue_admission_test.cpp
+++ b/src/tests/queue_admission_test.cpp
@@ -31,6 +31,7 @@
 std::vector<std::uint64_t> idsOf(const std::vector<WaitingRequest> &waiting)
 {
     std::vector<std::uint64_t> ids;
+    ids.reserve(waiting.size());
     for (const WaitingRequest &item : waiting)
         ids.push_back(item.request.value());
     return ids;
@@ -305,6 +306,31 @@
     EXPECT_GE(*different.begin(), Duration(600));
 }
 
+TEST(RoutePrioritiesTest, OnlyDifferentPrioritiesOfRoutesToEnginesCount)
+{
+    // Guards against late requests that take room from others where nobody asked for an order.
+    ServingConfiguration configuration;
+    ServedService engines;
+    engines.name = ServiceId("engines");
+    engines.engine.emplace();
+    configuration.services[engines.name] = engines;
+    configuration.services[ServiceId("till")].name = ServiceId("till");
+    const auto addRoute = [&](const char *service, int priority) {
+        RouteSpec route;
+        route.priority = priority;
+        route.services = {{ServiceId(service), 1}};
+        configuration.routes.push_back(route);
+    };
+    addRoute("engines", 1);
+    addRoute("engines", 1);
+    addRoute("till", 2);
+    addRoute("till", 3);
+    configuration.organisations = {{OrganisationId("chain"), 0}};
+    EXPECT_FALSE(haveRoutePriorities(configuration));
+    addRoute("engines", 0);
+    EXPECT_TRUE(haveRoutePriorities(configuration));
+}
+
 } // namespace
 
 } // namespace bramleypitch
