Codechange: [Formation] Open slots and open groups are found in one place each; one metric name, one meaning

The waiting requests that were given up and the held responses that were given up shared the counter given_up_total; the first one is given_up_requests_total. openSlots() counted the open groups once more beside demand(), and three places asked whether a head is open. Free VMs were counted once for each model. No decision changes: formation_test, conversion_test, capacity_test, repair_duty_test, foreign_entry_test pass.

--- a/src/formation/conversion_record.h
+++ b/src/formation/conversion_record.h
@@ -20,8 +20,6 @@
     ModelId receiver; ///< Model that gets a group.
     std::vector<GroupId> dissolved;
     StoreEra era; ///< Of the store when it was written.
-
-    bool operator==(const ConversionRecord &) const = default;
 };
 
 /// Serializes a record for the store, as compact JSON.
--- a/src/formation/formation_system.cpp
+++ b/src/formation/formation_system.cpp
@@ -255,8 +255,8 @@
         m_conversionRevision = std::max(m_conversionRevision, revision);
     if (revision > domain.revision)
         applyPlan(id, plan, revision);
-    else if (revision == Revision() && !wasConverting)
-        onWriteFailed(domain); // A conversion that another one preceded delays no repair.
+    else if (revision == Revision() && !wasConverting) // A lost conversion delays no repair.
+        onWriteFailed(domain);
 }
 
 void FormationSystem::onWriteFailed(Domain &domain) const
@@ -456,8 +456,7 @@
 {
     for (const PlannedGroup &group : domain.plan.groups) {
         const Backend *head = findMember(m_backends, group.members.front());
-        if (group.dissolving || !head || !isMemberOf(*head, group)
-            || head->report.group.state != MemberState::Open)
+        if (group.dissolving || !isOpen(group))
             continue;
         for (const PlannedMember &member : group.members) {
             const Backend *backend = findMember(m_backends, member);
@@ -488,16 +487,13 @@
         VmId failedMember;
         // A group continues to serve without the entry of a member that still answers probes, but
         // not without the entry of its head.
-        const auto isStillServing = [this](const PlannedGroup &serving) {
-            const Backend *head = findMember(m_backends, serving.members.front());
-            return head && head->listing != Listing::Missing && isMemberOf(*head, serving)
-                && head->report.group.state == MemberState::Open;
-        };
+        const Backend *head = findMember(m_backends, group.members.front());
+        const bool isStillServing = head && head->listing != Listing::Missing && isOpen(group);
         for (const PlannedMember &member : group.members) {
             const Backend *backend = findMember(m_backends, member);
             if (!backend)
                 cause = "member_lost";
-            else if (backend->listing == Listing::Missing && !isStillServing(group))
+            else if (backend->listing == Listing::Missing && !isStillServing)
                 cause = "member_missing";
             else if (backend->report.draining)
                 cause = "member_draining";
@@ -632,16 +628,9 @@
 std::map<ModelId, double> FormationSystem::openSlots() const
 {
     const EngineSpec &engine = *engineService()->engine;
-    std::map<ModelId, double> groups;
-    for (const auto &[id, domain] : m_domains) {
-        for (const PlannedGroup &group : domain.plan.groups) {
-            if (!group.dissolving && !isZoneOut(group) && isOpen(group))
-                groups[group.model] += 1;
-        }
-    }
     std::map<ModelId, double> slots;
-    for (const ServedModel &model : engine.models)
-        slots[model.name] = std::max(groups[model.name], 1.0) * engine.slots;
+    for (const ModelDemand &model : demand())
+        slots[model.model->name] = std::max(model.openGroups, 1.0) * engine.slots;
     return slots;
 }
 
@@ -830,20 +819,20 @@
     input.engine = &*engineService()->engine;
     input.demand = demand();
     input.unserved = unservedModelOf(id, input.demand);
+    std::vector<const Backend *> free = m_backends.serversInDomain(id);
+    std::erase_if(free, [](const Backend *backend) {
+        return backend->report.group.state != MemberState::None
+            || backend->listing != Listing::Listed || backend->report.draining;
+    });
+    input.freeVms = free.size();
     for (const ModelDemand &modelDemand : input.demand) {
-        std::size_t holders = 0;
-        input.freeVms = 0;
-        for (const Backend *backend : m_backends.serversInDomain(id)) {
-            const auto sent = m_staging.find(backend->report.id);
-            const bool isStaging =
-                sent != m_staging.end() && sent->second.model == modelDemand.model->name;
-            const bool free = backend->report.group.state == MemberState::None
-                && backend->listing == Listing::Listed && !backend->report.draining;
-            input.freeVms += free ? 1 : 0;
-            holders +=
-                free && (isStaging || holdsWeights(*backend, modelDemand.model->name)) ? 1 : 0;
-        }
-        input.holders.push_back(holders);
+        const ModelId &model = modelDemand.model->name;
+        input.holders.push_back(static_cast<std::size_t>(
+            std::count_if(free.begin(), free.end(), [&](const Backend *backend) {
+                const auto sent = m_staging.find(backend->report.id);
+                return (sent != m_staging.end() && sent->second.model == model)
+                    || holdsWeights(*backend, model);
+            })));
     }
     return input;
 }
--- a/src/formation/group_choice.h
+++ b/src/formation/group_choice.h
@@ -70,11 +70,10 @@
 /// spares. Groups are formed only of VMs that hold the weights, which takes less than two seconds:
 /// a group that waits for a load keeps all its other members idle. If the VMs of some groups would
 /// serve callers better in a group of another model, or move the groups toward the wanted split if
-/// there is one, those groups are dissolved, and their VMs are
-/// reserved for the other model. A model without any group gets one whenever others can spare
-/// theirs. This handles crashes, VMs that are added and removed, and shifts of traffic between
-/// models. A change that dissolves groups for another model makes no other change. Returns false if
-/// nothing changed.
+/// there is one, those groups are dissolved, and their VMs are reserved for the other model. A
+/// model without any group gets one whenever others can spare theirs. This handles crashes, VMs
+/// that are added and removed, and shifts of traffic between models. A change that dissolves groups
+/// for another model makes no other change. Returns false if nothing changed.
 bool formGroups(FormationPlan &plan, const DomainId &domain, const FormationInput &input);
 
 } // namespace bramleypitch
--- a/src/network/serving_daemon.cpp
+++ b/src/network/serving_daemon.cpp
@@ -1072,8 +1072,8 @@
     out << gaugeText({"served_late_requests", "Requests sent to a server late, since the start.",
                       static_cast<double>(late.served)});
     for (const auto &[cause, count] : late.givenUp)
-        out << "bramleypitch_given_up_total{cause=\"" << giveUpCauseName(cause) << "\"} " << count
-            << "\n";
+        out << "bramleypitch_given_up_requests_total{cause=\"" << giveUpCauseName(cause) << "\"} "
+            << count << "\n";
     out << gaugeText({"backend_servers", "Servers known.", static_cast<double>(m_backends.size())});
     out << gaugeText({"store_writes_refused",
                       "1 while the store does not accept this node's writes.",
--- a/src/platform/platform_settings.h
+++ b/src/platform/platform_settings.h
@@ -9,7 +9,8 @@
 
 /// Name of the environment variable that contains the path of the settings file.
 extern const char *const settingsPathVariable;
-/// Environment variable with what to do with late requests: "serve", the default, or "refuse".
+/// Environment variable with what to do with late requests: "serve" or "refuse". If it is not set,
+/// the priorities of the routes decide.
 extern const char *const lateRequestsVariable;
 /// The environment variables that switch on a wanted split of groups that follows lasting demand,
 /// and what a node assumes of the others when all of them start.
