Fix: [Tests] Replays of overload checked late requests that are served, which most deployments refuse

overload_test and a test of requests had been set to serve or to refuse late requests while the default was to serve them. The default is by priority since, so that the tests as they were check what is in force on services with one priority; load_shedding_test checks the other.

--- a/src/tests/overload_test.cpp
+++ b/src/tests/overload_test.cpp
@@ -37,7 +37,7 @@
 class Replay
 {
 public:
-    explicit Replay(std::uint32_t seed, LateRequests lateRequests = LateRequests::Serve)
+    explicit Replay(std::uint32_t seed)
         : m_random(seed)
     {
         ServingConfiguration configuration;
@@ -65,7 +65,6 @@
             RequestOptions options;
             options.node = nodeId(i);
             options.zone = ZoneId("z");
-            options.lateRequests = lateRequests;
             Node &node = m_nodes.emplace_back();
             node.backends = std::make_unique<BackendTable>();
             node.requests = std::make_unique<RequestSystem>(options, *node.backends);
@@ -214,8 +213,7 @@
 
 TEST_P(OverloadTest, RefusalsComeSoonAndSayWhenToComeBack)
 {
-    // Late requests that are served wait for longer; see LoadSheddingTest for those.
-    const Outcome outcome = Replay(GetParam(), LateRequests::Refuse).run(2, Duration(20'000));
+    const Outcome outcome = Replay(GetParam()).run(2, Duration(20'000));
     EXPECT_GT(outcome.refused, 0);
     EXPECT_EQ(outcome.refusedWithoutRetryAfter, 0);
     EXPECT_LE(outcome.longestHold, targetLatency + Duration(600));
--- a/src/tests/request_test.cpp
+++ b/src/tests/request_test.cpp
@@ -452,9 +452,6 @@
 
 TEST_F(RequestTest, WaitingRequestIsRefusedSoonAfterItsLatencyTarget)
 {
-    RequestOptions options = nodeOptions();
-    options.lateRequests = LateRequests::Refuse;
-    m_system.setOptions(options);
     addGroup("g");
     for (std::uint32_t i = 0; i < slots; ++i)
         EXPECT_EQ(actionsOf<DispatchAttempt>(sendRequest("/ask/x")).size(), 1U);
