--- a/src/tests/capacity_replay.h
+++ b/src/tests/capacity_replay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "formation/formation_system.h"
+#include "vm_reports.h"
 
 #include <algorithm>
 #include <array>
@@ -45,16 +46,8 @@
         , m_random(seed)
     {
         m_configuration = configurationOf(shape);
-        for (std::size_t domain = 0; domain < shape.domains; ++domain) {
-            for (std::size_t i = 0; i < shape.vmsPerDomain; ++i) {
-                BackendReport report;
-                report.id = VmId("vm" + std::to_string(domain) + "-" + std::to_string(i + 100));
-                report.service = ServiceId("engines");
-                report.domain = DomainId("d" + std::to_string(domain));
-                report.startedAt = 1;
-                m_vms[report.id].report = report;
-            }
-        }
+        for (const BackendReport &report : vmReports(shape.domains, shape.vmsPerDomain))
+            m_vms[report.id].report = report;
         FormationOptions options;
         options.followsDemand = true;
         options.node = NodeId("n1");
--- a/src/tests/closed_group_test.cpp
+++ b/src/tests/closed_group_test.cpp
@@ -146,16 +146,9 @@
     // Guards against a caller that takes groups out of service for others.
     addGroup("a");
     addGroup("b");
-    RequestArrival arrival;
-    arrival.request = RequestId(900);
-    arrival.traceId = "version";
-    arrival.host = "shop.example";
-    arrival.path = "/ask/1";
-    arrival.key = apiKey;
-    arrival.model = ModelId("m");
+    RequestArrival arrival = makeArrival("/ask/1");
     arrival.expectsVersion = true;
-    RequestActions actions;
-    m_system.onRequestArrived(arrival, m_now, actions);
+    RequestActions actions = sendArrival(arrival);
     const DispatchAttempt attempt = actionsOf<DispatchAttempt>(actions).front();
     m_system.onAttemptFailed(attempt.request, attempt.attempt, AttemptFailure::Misdirected, VmId(),
                              m_now, actions);
--- a/src/tests/conversion_test.cpp
+++ b/src/tests/conversion_test.cpp
@@ -5,6 +5,7 @@
 #include "formation/formation_func.h"
 #include "formation/formation_system.h"
 #include "formation/group_choice.h"
+#include "vm_reports.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -65,16 +66,9 @@
         , m_random(seed)
         , m_configuration(configurationOf(shape))
     {
-        for (std::size_t domain = 0; domain < shape.domains; ++domain) {
-            for (std::size_t i = 0; i < shape.vmsPerDomain; ++i) {
-                BackendReport report;
-                report.id = VmId("vm" + std::to_string(domain) + "-" + std::to_string(i + 100));
-                report.service = ServiceId("engines");
-                report.domain = DomainId("d" + std::to_string(domain));
-                report.startedAt = 1;
-                report.staged = {large, small};
-                m_reports[report.id] = report;
-            }
+        for (BackendReport &report : vmReports(shape.domains, shape.vmsPerDomain)) {
+            report.staged = {large, small};
+            m_reports[report.id] = report;
         }
         std::vector<NodeId> names;
         for (std::size_t i = 0; i < shape.nodes; ++i)
--- a/src/tests/links_test.cpp
+++ b/src/tests/links_test.cpp
@@ -61,16 +61,9 @@
     /// A request that another node passed on.
     RequestActions takeOver(const std::string &path, std::uint32_t attemptsLeft)
     {
-        RequestArrival arrival;
-        arrival.request = RequestId(++m_lastRequestId);
-        arrival.traceId = "t" + std::to_string(m_lastRequestId);
-        arrival.host = "shop.example";
-        arrival.path = path;
-        arrival.key = apiKey;
+        RequestArrival arrival = makeArrival(path);
         arrival.attemptsLeft = attemptsLeft;
-        RequestActions actions;
-        m_system.onRequestArrived(arrival, m_now, actions);
-        return actions;
+        return sendArrival(arrival);
     }
 };
 
--- a/src/tests/request_fixture.h
+++ b/src/tests/request_fixture.h
@@ -121,7 +121,8 @@
         m_backends.update(memberReport(name + "-2", name, 1), m_now);
     }
 
-    RequestActions sendRequest(const std::string &path, const std::string &bearerToken = apiKey)
+    /// A new request of a caller.
+    RequestArrival makeArrival(const std::string &path, const std::string &bearerToken = apiKey)
     {
         RequestArrival arrival;
         arrival.request = RequestId(++m_lastRequestId);
@@ -131,11 +132,21 @@
         arrival.key = bearerToken;
         if (path.find("/ask/") == 0)
             arrival.model = ModelId("m");
+        return arrival;
+    }
+
+    RequestActions sendArrival(const RequestArrival &arrival)
+    {
         RequestActions actions;
         m_system.onRequestArrived(arrival, m_now, actions);
         return actions;
     }
 
+    RequestActions sendRequest(const std::string &path, const std::string &bearerToken = apiKey)
+    {
+        return sendArrival(makeArrival(path, bearerToken));
+    }
+
     /// Sends a request for a stream. The server of its attempt forwards an event.
     DispatchAttempt startStream()
     {
--- a/src/tests/slow_readers_test.cpp
+++ b/src/tests/slow_readers_test.cpp
@@ -197,19 +197,10 @@
 
     RequestActions send(const std::string &path, double tokens, std::size_t bodyBytes = 0)
     {
-        RequestArrival arrival;
-        arrival.request = RequestId(++m_lastRequestId);
-        arrival.traceId = "t" + std::to_string(m_lastRequestId);
-        arrival.host = "shop.example";
-        arrival.path = path;
-        arrival.key = apiKey;
+        RequestArrival arrival = makeArrival(path);
         arrival.promptTokens = tokens;
         arrival.bodyBytes = bodyBytes;
-        if (path.find("/ask/") == 0)
-            arrival.model = ModelId("m");
-        RequestActions actions;
-        m_system.onRequestArrived(arrival, m_now, actions);
-        return actions;
+        return sendArrival(arrival);
     }
 };
 
