Change: [Review] Case 8 with six nodes as on the site, and rules quoted in full

Cause: with two nodes, one that freezes is half of them; the site allows a share of 0.11, one of six.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,7 +1,8 @@
 """A server leaves while a node has been running for little more than a second: see claim.txt.
 
-Processes: the project's stand-in for the store, three plain servers (till.py), two nodes with the command of the
-deploy file in one zone. Exit status: 1 the rule was broken, 0 it held, 2 the case could not run.
+Processes: the project's stand-in for the store, four plain servers that requests need and 24 to 36 that they don't (till.py),
+six nodes with the command of the deploy file in three zones (3, 2 and 1, as on the site).
+Exit status: 1 the rule was broken, 0 it held, 2 the case could not run.
 """
 
 import asyncio
@@ -22,10 +23,13 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 NET = "127.77"
 STORE = f"{NET}.1.1:23700"
-TILLS = [f"{NET}.3.{i + 1}:23710" for i in range(3)]
-NODES = [f"{NET}.4.{i + 1}" for i in range(2)]
+TILLS = [f"{NET}.3.{i + 1}:23710" for i in range(4)]
+SHELVES = [f"{NET}.5.{i + 1}:23711" for i in range(36)]  # Servers of another service, which no request needs.
+SHELVES_AT_START, SHELVES_ADDED = 24, 6  # scale_out on the site: a share of 0.25 at most.
+NODES = [f"{NET}.4.{i + 1}" for i in range(6)]
+ZONES = ["za", "za", "za", "zb", "zb", "zc"]
 STABLE_WINDOW_S, DRAIN_S = 3.0, 2.0
-FREEZE_S = 3.5  # node_freeze on the site: at most 3.5 s.
+FREEZE_S = 3.5  # node_freeze on the site: at most 3.5 s and a share of 0.11, one of six machines.
 KEY = "key-of-chain-a"
 record = open(HERE / "record.txt", "w", encoding="utf-8")
 processes = {}
@@ -57,48 +61,12 @@
     raise RuntimeError(f"not reached within {seconds} s: {what}")
 
 
-class Proxy:
-    """Passes one node's calls on to the store and notes when it last asked for changes there."""
-
-    def __init__(self, address):
-        self.address, self.watched_at = address, []
-
-    async def start(self):
-        host, port = self.address.rsplit(":", 1)
-        await asyncio.start_server(self.serve, host, int(port))
-
-    async def serve(self, reader, writer):
-        host, port = STORE.rsplit(":", 1)
-        try:
-            store_reader, store_writer = await asyncio.open_connection(host, int(port))
-        except OSError:
-            writer.close()
-            return
-
-        async def pump(source, sink, watch):
-            try:
-                while data := await source.read(65536):
-                    if watch and b"/v1/kv-watch" in data:
-                        self.watched_at.append(time.monotonic())
-                    sink.write(data)
-                    await sink.drain()
-            except OSError:
-                pass
-            finally:
-                sink.close()
-
-        try:
-            await asyncio.gather(pump(reader, store_writer, True), pump(store_reader, writer, False))
-        except asyncio.CancelledError:
-            pass  # The case has ended.
-
-
 def configure():
     route = {"host": "shop.example", "timeout_ms": 2000, "target_latency_ms": 300, "priority": 2, "auth_exempt": False}
     config = {"version": 5, "routes": [dict(route, name="pay", path_prefix="/pay/", route_type="non_idempotent",
                                             service="till", max_attempts=1)],
-              "services": [{"name": "till", "health_path": "/health", "max_connections": 96, "cold_start_s": 0.0,
-                            "cold_per_s": 0.0}],
+              "services": [{"name": name, "health_path": "/health", "max_connections": 96, "cold_start_s": 0.0,
+                            "cold_per_s": 0.0} for name in ("till", "shelves")],
               "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000,
                          "idle_timeout_ms": 15000},
               "tenants": [{"name": "chain-a", "api_keys": [KEY]}]}
@@ -115,18 +83,23 @@
     processes[name] = subprocess.Popen(arguments, stdout=log, stderr=log, cwd=ROOT, **options)
 
 
-def start_node(number, proxy, folder):
-    ip = NODES[number]
+def start_server(address, service, folder):
+    start(address, [sys.executable, str(HERE / "till.py"), address, STORE, os.path.join(folder, address + ".events"),
+                    service], folder)
+
+
+def start_node(number, folder):
+    ip, zone = NODES[number], ZONES[number]
     path = os.path.join(folder, f"node{number}.conf")
     settings = {
-        "node_name": f"front-za-{number + 1}", "role": "entry", "machine_class": "front", "serves": "front,directory",
-        "ip": ip, "zone": "za", "region": "r", "zones.za": "r", "listen.front": ip + ":23720",
+        "node_name": f"front-{zone}-{1 + ZONES[:number].count(zone)}", "role": "entry", "machine_class": "front", "serves": "front,directory",
+        "ip": ip, "zone": zone, "region": "r", "zones.za": "r", "zones.zb": "r", "zones.zc": "r", "listen.front": ip + ":23720",
         "listen.ready": ip + ":23721", "listen.directory": ip + ":23722", "internal_ports": "23730,23745",
         "first_start": "false", "limits.cpu_share": 0.25, "limits.cores": 1, "limits.memory_mb": 260,
         "limits.max_fds": 4200, "discovery": "platform", "entry": "directory", "heartbeat_ms": 1200,
         "bounds.stable_window_ms": 3000, "bounds.drain_ms": 2000, "bounds.grace_s": 8, "bounds.config_apply_ms": 2000,
         "bounds.fail_closed": "true", "bounds.revoke_ms": 5000, "bounds.retry_ratio": 0.2, "bounds.retry_window_s": 10,
-        "bounds.retry_slack": 103, "platform.address": proxy.address, "platform.form": "kv",
+        "bounds.retry_slack": 103, "platform.address": STORE, "platform.form": "kv",
         "platform.writes_per_s": 400, "platform.reads_per_s": 2000, "platform.history_s": 20,
         "platform.min_ttl_ms": 1000}
     with open(path, "w", encoding="utf-8") as file:
@@ -156,7 +129,7 @@
         await asyncio.sleep(worker * 0.0125)
         while not self.stopped:
             count += 1
-            request = f"p{worker}-{count}"
+            request = f"p{id(self)}-{worker}-{count}"
             begun = time.monotonic()
             try:
                 if writer is None:
@@ -194,45 +167,54 @@
     await in_thread(wait_for, "the store", lambda: call(STORE, "GET", "/v1/kv-range?path_prefix=")[0] == 200)
     configure()
     for address in TILLS:
-        start(address, [sys.executable, str(HERE / "till.py"), address, STORE,
-                        os.path.join(folder, address + ".events")], folder)
-    proxies = [Proxy(f"{NET}.1.{i + 11}:23701") for i in range(2)]
-    for proxy in proxies:
-        await proxy.start()
-    for number in range(2):
-        start_node(number, proxies[number], folder)
-    for number in range(2):
-        await in_thread(wait_for, f"node {number}", lambda: is_ready(number))
+        start_server(address, "till", folder)
+    for address in SHELVES[:SHELVES_AT_START]:
+        start_server(address, "shelves", folder)
+    for number in range(len(NODES)):
+        start_node(number, folder)
+    for number in range(len(NODES)):
+        await in_thread(wait_for, f"node {number}", lambda n=number: is_ready(n))
     await asyncio.sleep(4)
-    # The node that reads the store for both, and the other one.
-    now = time.monotonic()
-    recent = [sum(1 for at in proxy.watched_at if at > now - 1.5) for proxy in proxies]
-    reader = 0 if recent[0] >= recent[1] else 1
-    node = 1 - reader
-    note(f"node {reader} reads the store ({recent} watches in 1.5 s); requests go to node {node}")
-    requester = Requester(node)
+    # One of the others in its zone feeds node 1 with the changes of the store. Each is frozen, in its turn.
+    late = 0
+    for turn, frozen in enumerate(number for number in range(len(NODES)) if ZONES[number] == ZONES[1] and number != 1):
+        late += await play_turn(folder, frozen, TILLS[turn])
+        await asyncio.sleep(4)
+    return 1 if late > 0 else 0
+
+
+async def play_turn(folder, frozen, leaver):
+    """Node 0 starts, another one freezes 1.3 s later, and a server leaves. Returns the requests that came too late."""
+    in_thread = asyncio.to_thread
+    requester = Requester(1)
     if TROUBLE:
-        processes[f"n{node}"].kill()
-        processes[f"n{node}"].wait()
+        processes["n1"].kill()
+        processes["n1"].wait()
         await asyncio.sleep(0.3)
-        start_node(node, proxies[node], folder)
+        start_node(1, folder)
     started_at = time.monotonic()
-    note(f"0.000 node {node} has started" if TROUBLE else "0.000 (no node was killed)")
-    await in_thread(wait_for, "the node", lambda: is_ready(node))
+    note("0.000 node 1 has started" if TROUBLE else "0.000 (no node was killed)")
+    await in_thread(wait_for, "the node", lambda: is_ready(1))
     paying = asyncio.create_task(requester.run())
+    for step in range(SHELVES_ADDED):
+        await asyncio.sleep(max(0, started_at + 0.5 + 0.12 * step - time.monotonic()))
+        start_server(next(shelf for shelf in SHELVES if shelf not in processes), "shelves", folder)
     await asyncio.sleep(max(0, started_at + 1.3 - time.monotonic()))
     if TROUBLE:
-        processes[f"n{reader}"].send_signal(signal.SIGSTOP)
-        note(f"{time.monotonic() - started_at:.3f} node {reader} is frozen for {FREEZE_S} s")
+        processes[f"n{frozen}"].send_signal(signal.SIGSTOP)
+        note(f"{time.monotonic() - started_at:.3f} node {frozen} is frozen for {FREEZE_S} s")
     await asyncio.sleep(0.05)
-    leaver = TILLS[0]
     processes[leaver].send_signal(signal.SIGUSR1)
     await asyncio.sleep(FREEZE_S)
     if TROUBLE:
-        processes[f"n{reader}"].send_signal(signal.SIGCONT)
+        processes[f"n{frozen}"].send_signal(signal.SIGCONT)
     await asyncio.sleep(1)
     requester.stopped = True
     await paying
+    return report(folder, requester, leaver, started_at)
+
+
+def report(folder, requester, leaver, started_at):
     events = read_log(folder, leaver)
     gone_at = next(at for kind, what, at in events if kind == "gone" and what == "200")
     exit_at = next(at for kind, what, at in events if kind == "exit")
@@ -256,14 +238,14 @@
     note(f"answers: {counts}; {late} requests too late (bound {1000 * DRAIN_S:.0f} ms), {cut} of them cut off by the exit")
     if counts.get("200", 0) < 50:
         raise RuntimeError("too few requests were served")
-    return 1 if late > 0 else 0
+    return late
 
 
 def main():
     status = 2
     with tempfile.TemporaryDirectory() as folder:
         try:
-            status = asyncio.run(asyncio.wait_for(play(folder), 60))
+            status = asyncio.run(asyncio.wait_for(play(folder), 90))
         except Exception as error:  # pylint: disable=broad-except
             note(f"could not run: {error!r}")
         finally:
--- a/review/8/till.py
+++ b/review/8/till.py
@@ -1,4 +1,4 @@
-"""A plain server of the counter service: till.py ADDRESS STORE LOG.
+"""A plain server: till.py ADDRESS STORE LOG SERVICE.
 
 It registers under servers/ID, writes there every 0.4 s and works 60 ms on each request. On SIGUSR1 it leaves as
 servers do that never report `draining`: it removes its entry, goes on serving for drain_ms (2 s) and 0.5 s more,
@@ -13,10 +13,10 @@
 import sys
 import time
 
-ADDRESS, STORE, LOG = sys.argv[1:4]
+ADDRESS, STORE, LOG, SERVICE = sys.argv[1:5]
 SERVER_ID = "i-" + ADDRESS.replace(".", "-").replace(":", "-")
 DRAIN_S, LONGER_S, WORK_S, BEAT_S = 2.0, 0.5, 0.06, 0.4
-entry = {"service": "till", "address": ADDRESS, "zone": "za", "version": "v1", "slots": 6, "state": "ready",
+entry = {"service": SERVICE, "address": ADDRESS, "zone": "za", "version": "v1", "slots": 6, "state": "ready",
          "cold_remaining_ms": 0, "born": int(time.time() * 1000), "seq_num": 0}
 log = open(LOG, "a", buffering=1, encoding="utf-8")
 leaving = asyncio.Event()
