Fix: [Network] A response with a status below 100 was read as an interim one

What callers saw: a server sent a head with status 000. Callers did not get it as an answer, but they got a response that stood in its body as the server's own, also to payments.

Cause: each status below 200 counted as interim, without a lower bound. An interim response has no body, so that what followed the head was read as the next response.

Evidence: malformed_head_test sends 972 answers with malformed status lines and field names, in three framings, as final and as interim responses, on every kind of route.

Why this works: a status below 100 belongs to no class, so nothing tells whether a body follows. The head is malformed for every reader that checks heads; the attempt ends as broken. Statuses above 599 are final, have a body with known bounds and are passed on unchanged as before.

--- a/src/network/message_grammar.cpp
+++ b/src/network/message_grammar.cpp
@@ -95,15 +95,16 @@
     return isValid ? version : std::string_view();
 }
 
-/// A status line without the blank before an empty reason phrase is accepted.
+/// A status line without the blank before an empty reason phrase is accepted. A status below 100
+/// belongs to no class (RFC 9110, 15), so that nothing tells whether a body follows the head.
 std::string_view responseVersion(std::string_view line)
 {
     const std::size_t blank = std::min(line.find(' '), line.size());
     const std::string_view version = line.substr(0, blank);
     const std::string_view rest = line.substr(std::min(blank + 1, line.size()));
     const bool isValid = isVersion(version) && isDigits(rest.substr(0, statusDigits))
-        && rest.size() >= statusDigits && (rest.size() == statusDigits || rest[statusDigits] == ' ')
-        && isFieldText(rest);
+        && rest.front() != '0' && rest.size() >= statusDigits
+        && (rest.size() == statusDigits || rest[statusDigits] == ' ') && isFieldText(rest);
     return isValid ? version : std::string_view();
 }
 
--- a/src/tests/framing_test.cpp
+++ b/src/tests/framing_test.cpp
@@ -487,6 +487,17 @@
     EXPECT_TRUE(isRead("HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nto the end"));
     EXPECT_TRUE(isRead("HTTP/1.1 204 No Content\r\n\r\n"));
     EXPECT_TRUE(isRead("HTTP/1.1 304 Not Modified\r\nContent-Length: 7\r\n\r\n"));
+    EXPECT_TRUE(isRead("HTTP/1.1 999 Own\r\nContent-Length: 2\r\n\r\nok"));
+    for (const char *status : {"000", "001", "099", "0200", "20", "-20", "+20", "2x0", "2 0", ""}) {
+        const std::string head = std::string("HTTP/1.1 ") + status + " OK\r\n";
+        EXPECT_FALSE(isRead(head + "\r\n")) << status;
+        EXPECT_FALSE(isRead(head + "Content-Length: 2\r\n\r\nok")) << status;
+    }
+    for (const std::string name :
+         {std::string("X Bad"), std::string("X-Bad "), std::string("X-Bad\t"), std::string("X\x01"),
+          std::string("X\0", 2), std::string("X\x0b"), std::string("X\x7f"), std::string("")})
+        EXPECT_FALSE(isRead("HTTP/1.1 200 OK\r\n" + name + ": 1\r\nContent-Length: 2\r\n\r\nok"))
+            << name;
     for (const char *malformed :
          {"HTTP/1.1 200 OK\nContent-Length: 2\n\nok",
           "\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
--- /dev/null
+++ b/src/tests/malformed_head_test.py
@@ -0,0 +1,114 @@
+"""Answers whose head no reader may accept, seen from outside.
+
+Usage: malformed_head_test.py BUILD_DIR [unittest arguments]
+
+A scripted server sends an answer with a malformed status line or field name, in each framing and on
+each kind of route. It is never passed on: the request is served by another server if it may be
+repeated, and fails otherwise. Some bodies hold a whole response, which a reader that is wrong about
+the body takes for the answer.
+"""
+
+import os
+import sys
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+
+from platform_system import wait_for  # noqa: E402
+from response_end_test import (BUILD_DIR, CONCURRENT_CALLS, ROUTES, Case,  # noqa: E402
+                               EndsSystem)
+
+STATUSES = ("000", "001", "099", "0200", "20", "2x0", "-200", "+20", "2 0", "")
+FIELDS = (b"X Bad: 1", b"X-Bad : 1", b"X-Bad\t: 1", b"X\x01Bad: 1", b"X\x00Bad: 1", b"X\x0bBad: 1",
+          b"X\x7fBad: 1", b" X-Bad: 1", b"\tX-Bad: 1", b": 1", b"X-Bad", b"Content-Length : 2",
+          b"Content-Length\x01: 2", b"Content Length: 2", b"Transfer-Encoding : chunked",
+          b"\x0bTransfer-Encoding: chunked", b"X-Server-Seal : forged")
+FRAMINGS = ("length", "chunked", "close")
+MALFORMED = "malformed"  # In place of the name of a cut.
+
+
+class MalformedCase(Case):
+    """One request, whose first answer has a malformed head."""
+
+    def __init__(self, number, kind, framing, status, field, is_interim=False, hides_response=False):
+        super().__init__(number, kind, framing, MALFORMED, "fin")
+        self.status, self.field = status, field
+        self.is_interim, self.hides_response = is_interim, hides_response
+
+    def __str__(self):
+        return (f"{self.kind}, {self.framing}, status {self.status!r}, field {self.field!r}, "
+                f"interim {self.is_interim}, hides a response {self.hides_response} "
+                f"(case {self.number})")
+
+    def response(self, start, fields, body):
+        fields = [b"X-Request-Id: r%d" % self.number, b"X-Server-Seal: run0", *fields]
+        if self.framing == "length":
+            fields.append(b"Content-Length: %d" % len(body))
+        elif self.framing == "chunked":
+            fields.append(b"Transfer-Encoding: chunked")
+            body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+        return b"\r\n".join([start, *fields]) + b"\r\n\r\n" + body
+
+    def wire(self):
+        body = self.whole_body()
+        kind = b"text/event-stream" if self.is_stream() else b"application/json"
+        sound = self.response(b"HTTP/1.1 200 OK", [b"Content-Type: " + kind], body)
+        start = b"HTTP/1.1 " + self.status.encode() + b" OK"
+        fields = [b"Content-Type: " + kind] + ([self.field] if self.field else [])
+        if self.is_interim:
+            return b"\r\n".join([start, *fields]) + b"\r\n\r\n" + sound
+        return self.response(start, fields, sound if self.hides_response else body)
+
+    def serve(self, connection, head):
+        with self.lock:
+            run = len(self.runs)
+            self.runs.append(int(head.get("last-event-id", 0)))
+        connection.sendall(self.wire() if run == 0 else self.answer_after(0, run).wire)
+        return False
+
+    def may_look_complete(self, run):
+        return False
+
+    def violations(self, reply):
+        found = super().violations(reply)
+        if reply.headers.get("x-server-seal") == "run0":
+            found.append(f"passed on with status {reply.status}: {reply.headers}")
+        return found
+
+
+def make_cases():
+    cases = []
+
+    def add(*arguments, **options):
+        cases.append(MalformedCase(len(cases) + 1, *arguments, **options))
+
+    for kind in ROUTES:
+        for framing in FRAMINGS:
+            for status in STATUSES:
+                add(kind, framing, status, b"")
+                add(kind, framing, status, b"", is_interim=True)
+                add(kind, framing, status, b"", hides_response=True)
+            for field in FIELDS:
+                add(kind, framing, "200", field)
+                add(kind, framing, "102", field, is_interim=True)
+                add(kind, framing, "200", field, hides_response=True)
+    return cases
+
+
+class MalformedHeadTest(unittest.TestCase):
+
+    def test_answer_with_a_malformed_head_is_not_passed_on(self):
+        cases = make_cases()
+        system = EndsSystem(BUILD_DIR, cases)
+        self.addCleanup(system.stop)
+        wait_for("node 0 to be ready", lambda: system.is_ready(0))
+        with ThreadPoolExecutor(CONCURRENT_CALLS) as pool:
+            violations = [line for lines in pool.map(system.play, cases) for line in lines]
+        self.assertIsNone(system.processes["n0"].poll(), "the node has ended")
+        print(f"{len(cases)} malformed answers, {len(violations)} violations", file=sys.stderr)
+        self.assertEqual(violations, [], "\n" + "\n".join(violations))
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
