Fix: [Network] Calls to the store, engines and nodes accepted malformed responses

Whom it concerned: not callers, but all that the node and the load tool ask themselves. A response with a status such as -200, 0200 or 200x, a blank or a control byte in the name of a field, a folded line or a bare line feed counted as an answer. With 'Content-Length : 1' beside another length, readers differ about the body.

Cause: answers had two readers. Relayed responses are checked against the grammar; calls trusted evhttp, which reads over what is malformed.

Why this works: MessageParser, the reader of relayed responses, follows each byte that a call receives. It alone decides what the head is and whether the response is complete; evhttp remains the transport. A malformed head ends the call at once and no piece of its body is passed on. http_client_test passes.

--- a/src/network/http_client.cpp
+++ b/src/network/http_client.cpp
@@ -9,13 +9,13 @@
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
 
 namespace bramleypitch {
 
 namespace {
 
 constexpr std::size_t maxIdleConnectionsPerAddress = 64;
+constexpr int minFinalStatus = 200;
 constexpr int minSuccessStatus = 200;
 constexpr int minRedirectStatus = 300;
 
@@ -43,17 +43,6 @@
     return text;
 }
 
-/// Whether the response declares where its body ends, so that a complete body can be distinguished
-/// from one that was cut short by a lost connection.
-bool hasExplicitEnd(evhttp_request *request)
-{
-    evkeyvalq *headers = evhttp_request_get_input_headers(request);
-    if (const char *coding = evhttp_find_header(headers, "Transfer-Encoding"))
-        return sameHeader(coding, "chunked"); // evhttp reads any other coding until the close.
-    return evhttp_find_header(headers, "Content-Length")
-        || evhttp_request_get_response_code(request) == HTTP_NOCONTENT;
-}
-
 } // namespace
 
 /// A call in progress. evhttp owns the request object until its callback has run.
@@ -66,7 +55,11 @@
     evhttp_connection *connection = nullptr;
     evhttp_request *request = nullptr;
     evbuffer_cb_entry *outputCallback = nullptr;
+    evbuffer_cb_entry *inputCallback = nullptr;
     std::unique_ptr<Timer> timer;
+    /// Reads what evhttp reads, which accepts malformed heads and chunks.
+    MessageParser parser {MessageParser::Kind::Response};
+    bool isHeadRequest = false;
     bool useNewConnection = false;
     bool sent = false;
     bool timedOut = false;
@@ -78,11 +71,54 @@
             static_cast<Call *>(self)->sent = true;
     }
 
+    static void onInputChanged(evbuffer *input, const evbuffer_cb_info *info, void *self)
+    {
+        if (info->n_added == 0)
+            return;
+        std::string bytes(info->n_added, '\0');
+        evbuffer_ptr begin;
+        evbuffer_ptr_set(input, &begin, evbuffer_get_length(input) - bytes.size(),
+                         EVBUFFER_PTR_SET);
+        evbuffer_copyout_from(input, &begin, bytes.data(), bytes.size());
+        static_cast<Call *>(self)->check(bytes);
+    }
+
+    /// Follows the response. An interim response is followed by another one.
+    void check(std::string_view bytes)
+    {
+        while (!bytes.empty() && !parser.failed()) {
+            const bool isInterim = parser.complete() && parser.head().status < minFinalStatus;
+            if (parser.complete() && !isInterim)
+                return;
+            if (isInterim)
+                parser.reset(isHeadRequest);
+            bytes.remove_prefix(parser.feed(bytes));
+            parser.takeBody(); // evhttp keeps it.
+        }
+    }
+
+    /// Ends the call at once if its head is malformed.
+    static int onHead(evhttp_request *, void *self)
+    {
+        constexpr int carryOn = 0;
+        constexpr int closeConnection = -1;
+        const MessageParser &parser = static_cast<Call *>(self)->parser;
+        return parser.failed() || !parser.headComplete() ? closeConnection : carryOn;
+    }
+
+    /// Whether the response is complete by its own framing, so that it can be distinguished from
+    /// one that was cut short by a lost connection.
+    bool isComplete() const
+    {
+        return parser.complete() && parser.head().status >= minFinalStatus
+            && parser.bodyEnd() != BodyEnd::ConnectionClose;
+    }
+
     static void onChunk(evhttp_request *request, void *self)
     {
         auto *call = static_cast<Call *>(self);
-        const int status = evhttp_request_get_response_code(request);
-        if (status < minSuccessStatus || status >= minRedirectStatus)
+        const int status = call->parser.head().status;
+        if (call->parser.failed() || status < minSuccessStatus || status >= minRedirectStatus)
             return;
         const std::string piece = readAll(evhttp_request_get_input_buffer(request));
         if (!piece.empty())
@@ -99,17 +135,13 @@
     static void onRequestDone(evhttp_request *request, void *self)
     {
         auto *call = static_cast<Call *>(self);
-        const bool complete = request && !call->failed
-            && evhttp_request_get_response_code(request) != 0 && hasExplicitEnd(request);
+        const bool complete = request && !call->failed && call->isComplete();
         HttpResponse response;
         if (complete) {
-            response.status = evhttp_request_get_response_code(request);
-            const evkeyvalq *headers = evhttp_request_get_input_headers(request);
-            const char *type = evhttp_find_header(headers, "Content-Type");
-            response.contentType = type ? type : "";
-            for (const evkeyval *header = headers->tqh_first; header;
-                 header = header->next.tqe_next)
-                response.headers.emplace_back(header->key, header->value);
+            const MessageHead &head = call->parser.head();
+            response.status = head.status;
+            response.contentType = head.value("Content-Type");
+            response.headers = head.headers;
             response.body = readAll(evhttp_request_get_input_buffer(request));
         }
         const HttpFailure failure {call->sent, call->timedOut};
@@ -184,6 +216,7 @@
     call.timer->startOnce(request.timeLimit);
     call.request = evhttp_request_new(Call::onRequestDone, &call);
     evhttp_request_set_error_cb(call.request, Call::onError);
+    evhttp_request_set_header_cb(call.request, Call::onHead);
     if (call.hooks.onChunk)
         evhttp_request_set_chunked_cb(call.request, Call::onChunk);
     evhttp_connection_set_max_headers_size(call.connection, ResponseLimits::callHeadBytes);
@@ -200,6 +233,10 @@
                  request.body.size());
     evbuffer *output = bufferevent_get_output(evhttp_connection_get_bufferevent(call.connection));
     call.outputCallback = evbuffer_add_cb(output, Call::onOutputChanged, &call);
+    call.isHeadRequest = request.method == "HEAD";
+    call.parser.reset(call.isHeadRequest);
+    evbuffer *input = bufferevent_get_input(evhttp_connection_get_bufferevent(call.connection));
+    call.inputCallback = evbuffer_add_cb(input, Call::onInputChanged, &call);
     m_calls.emplace(id, std::move(owned));
     // If this fails, evhttp has already invoked the callback and the call no longer exists.
     evhttp_make_request(call.connection, call.request, toEvhttpMethod(request.method),
@@ -209,8 +246,10 @@
 
 void HttpClient::finish(Call &call, bool reusable)
 {
-    evbuffer *output = bufferevent_get_output(evhttp_connection_get_bufferevent(call.connection));
-    evbuffer_remove_cb_entry(output, call.outputCallback);
+    bufferevent *transport = evhttp_connection_get_bufferevent(call.connection);
+    evbuffer *input = bufferevent_get_input(transport);
+    evbuffer_remove_cb_entry(bufferevent_get_output(transport), call.outputCallback);
+    evbuffer_remove_cb_entry(input, call.inputCallback);
     auto &idle = m_idle[call.address];
     if (reusable && idle.size() < maxIdleConnectionsPerAddress)
         idle.push_back(call.connection);
@@ -245,6 +284,7 @@
     Call &call = *found->second;
     // The callbacks of the request must no longer access the call, which is destroyed here.
     evhttp_request_set_error_cb(call.request, nullptr);
+    evhttp_request_set_header_cb(call.request, nullptr);
     evhttp_request_set_chunked_cb(call.request, nullptr);
     call.request->cb = [](evhttp_request *, void *) {};
     evhttp_request *request = call.request;
--- a/src/tests/http_client_test.cpp
+++ b/src/tests/http_client_test.cpp
@@ -181,6 +181,65 @@
     EXPECT_TRUE(call(start + "2\r\n\r\nok", Ending::Silence));
 }
 
+TEST_F(HttpClientTest, ResponseWithAMalformedHeadIsAFailure)
+{
+    // Guards against ORDER and TWICE: evhttp reads over what is malformed, and may see another
+    // body.
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string end = "Content-Length: 2\r\n\r\nok";
+    std::vector<std::string> malformed;
+    for (const char *status : {"000", "001", "099", "0200", "20", "-200", "+200", "2x0", "200x",
+                               "2000", " 200", "", "x"})
+        malformed.push_back(std::string("HTTP/1.1 ") + status + " OK\r\n" + end);
+    for (const std::string &field :
+         {std::string("X Bad: 1"), std::string("X-Bad : 1"), std::string("X-Bad\t: 1"),
+          std::string("X\x01: 1"), std::string("X\0: 1", 5), std::string("X\x0b: 1"),
+          std::string("X\x7f: 1"), std::string(": 1"), std::string("X-Bad"),
+          std::string("X-Bad: \x01"), std::string("X-Bad: 1\r\n folded"),
+          std::string("X-Bad: 1\n"
+                      "X-Next: 1"),
+          std::string("Content-Length : 1"), std::string("Transfer-Encoding : chunked")}) {
+        malformed.push_back(ok + field + "\r\n" + end);
+        malformed.push_back(ok + "X-First: 1\r\n" + field + "\r\n" + end);
+        malformed.push_back("HTTP/1.1 100 Continue\r\n" + field + "\r\n\r\n" + ok + end);
+    }
+    malformed.push_back(ok + "Content-Length: 2\r\n" + end);
+    malformed.push_back("HTTP/2 200 OK\r\n" + end);
+    malformed.push_back("\r\n" + ok + end);
+    malformed.push_back("HTTP/1.1 200 OK\nContent-Length: 2\n\nok");
+    for (const std::string &bytes : malformed) {
+        for (const Ending ending : {Ending::Close, Ending::Silence})
+            EXPECT_FALSE(call(bytes, ending)) << bytes;
+    }
+    for (const std::string &sound :
+         {ok + end, "HTTP/1.1 200\r\n" + end, "HTTP/1.1 100 Continue\r\n\r\n" + ok + end,
+          ok + "X-Empty:\r\nX-Name: caf\xc3\xa9\r\n" + end}) {
+        const auto response = call(sound, Ending::Silence);
+        ASSERT_TRUE(response) << sound;
+        EXPECT_EQ(response->body, "ok");
+    }
+}
+
+TEST_F(HttpClientTest, PiecesOfAResponseWithAMalformedHeadAreNotPassedOn)
+{
+    for (const std::string field : {"X Bad: 1\r\n", ""}) {
+        m_server.response = "HTTP/1.1 200 OK\r\n" + field
+            + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+        m_server.ending = Ending::Silence;
+        HttpCall call;
+        call.address = m_server.address();
+        call.timeLimit = Duration(150);
+        std::string pieces;
+        HttpHooks hooks;
+        hooks.onChunk = [&](std::string_view piece) { pieces += piece; };
+        hooks.onResponse = [&](const HttpResponse &) { m_loop.stop(); };
+        hooks.onFailure = [&](const HttpFailure &) { m_loop.stop(); };
+        m_client.send(call, std::move(hooks));
+        m_loop.run();
+        EXPECT_EQ(pieces, field.empty() ? "ok" : "");
+    }
+}
+
 TEST_F(HttpClientTest, ResetDuringAWriteIsNoOrderlyEnd)
 {
     // Guards against ORDER and MIXED: a write took the error of the reset from the socket, and the
