Fix: [Network] Bytes behind a response were the response to the next call on its connection

Whom it concerned: calls to the store, to engines and between nodes. A server that sent a second response at once had it taken for the answer to the next call, past the check of heads.

Cause: a connection with unread bytes went back to the pool. Evidence: the new test, HttpClientTest.BytesBehindAResponseAreNotThatToTheNextCall, failed before. Why this works: such a connection is closed, as connections for relayed requests are; bytes that come later reach evhttp on an idle connection, which it closes.

--- a/src/network/http_client.cpp
+++ b/src/network/http_client.cpp
@@ -250,8 +250,10 @@
     evbuffer *input = bufferevent_get_input(transport);
     evbuffer_remove_cb_entry(bufferevent_get_output(transport), call.outputCallback);
     evbuffer_remove_cb_entry(input, call.inputCallback);
+    // Bytes behind the response would be read as the response to the next call, unchecked.
+    const bool hasMore = evbuffer_get_length(input) > 0;
     auto &idle = m_idle[call.address];
-    if (reusable && idle.size() < maxIdleConnectionsPerAddress)
+    if (reusable && !hasMore && idle.size() < maxIdleConnectionsPerAddress)
         idle.push_back(call.connection);
     else
         discard(call.connection);
--- a/src/tests/http_client_test.cpp
+++ b/src/tests/http_client_test.cpp
@@ -240,6 +240,19 @@
     }
 }
 
+TEST_F(HttpClientTest, BytesBehindAResponseAreNotThatToTheNextCall)
+{
+    const auto response = [](const std::string &body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n" + body;
+    };
+    const auto first = call(response("ok") + response("no"), Ending::Silence);
+    ASSERT_TRUE(first);
+    EXPECT_EQ(first->body, "ok");
+    const auto second = call(response("ok"), Ending::Silence);
+    ASSERT_TRUE(second);
+    EXPECT_EQ(second->body, "ok");
+}
+
 TEST_F(HttpClientTest, ResetDuringAWriteIsNoOrderlyEnd)
 {
     // Guards against ORDER and MIXED: a write took the error of the reset from the socket, and the
