--- a/src/tests/framing_test.cpp
+++ b/src/tests/framing_test.cpp
@@ -493,7 +493,7 @@
         EXPECT_FALSE(isRead(head + "\r\n")) << status;
         EXPECT_FALSE(isRead(head + "Content-Length: 2\r\n\r\nok")) << status;
     }
-    for (const std::string name :
+    for (const std::string &name :
          {std::string("X Bad"), std::string("X-Bad "), std::string("X-Bad\t"), std::string("X\x01"),
           std::string("X\0", 2), std::string("X\x0b"), std::string("X\x7f"), std::string("")})
         EXPECT_FALSE(isRead("HTTP/1.1 200 OK\r\n" + name + ": 1\r\nContent-Length: 2\r\n\r\nok"))
--- a/src/tests/http_client_test.cpp
+++ b/src/tests/http_client_test.cpp
@@ -15,9 +15,11 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <initializer_list>
 #include <memory>
 #include <optional>
 #include <sstream>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -28,6 +30,14 @@
 /// Longer than a connection to a server may take to be established.
 constexpr Duration frozenTime {600};
 
+std::string join(std::initializer_list<std::string_view> parts)
+{
+    std::string text;
+    for (const std::string_view part : parts)
+        text += part;
+    return text;
+}
+
 /// How a scripted response ends.
 enum class Ending { Close, Reset, Silence };
 
@@ -54,6 +64,12 @@
     ScriptedHttpServer &operator=(const ScriptedHttpServer &) = delete;
 
     const Address &address() const { return m_address; }
+    /// Sends bytes without a request.
+    void sendToAll(const std::string &bytes)
+    {
+        for (const auto &connection : m_connections)
+            connection->socket->write(bytes);
+    }
 
     std::string response;
     Ending ending = Ending::Close;
@@ -190,7 +206,7 @@
     std::vector<std::string> malformed;
     for (const char *status : {"000", "001", "099", "0200", "20", "-200", "+200", "2x0", "200x",
                                "2000", " 200", "", "x"})
-        malformed.push_back(std::string("HTTP/1.1 ") + status + " OK\r\n" + end);
+        malformed.push_back(join({"HTTP/1.1 ", status, " OK\r\n", end}));
     for (const std::string &field :
          {std::string("X Bad: 1"), std::string("X-Bad : 1"), std::string("X-Bad\t: 1"),
           std::string("X\x01: 1"), std::string("X\0: 1", 5), std::string("X\x0b: 1"),
@@ -199,9 +215,9 @@
           std::string("X-Bad: 1\n"
                       "X-Next: 1"),
           std::string("Content-Length : 1"), std::string("Transfer-Encoding : chunked")}) {
-        malformed.push_back(ok + field + "\r\n" + end);
-        malformed.push_back(ok + "X-First: 1\r\n" + field + "\r\n" + end);
-        malformed.push_back("HTTP/1.1 100 Continue\r\n" + field + "\r\n\r\n" + ok + end);
+        malformed.push_back(join({ok, field, "\r\n", end}));
+        malformed.push_back(join({ok, "X-First: 1\r\n", field, "\r\n", end}));
+        malformed.push_back(join({"HTTP/1.1 100 Continue\r\n", field, "\r\n\r\n", ok, end}));
     }
     malformed.push_back(ok + "Content-Length: 2\r\n" + end);
     malformed.push_back("HTTP/2 200 OK\r\n" + end);
@@ -212,8 +228,8 @@
             EXPECT_FALSE(call(bytes, ending)) << bytes;
     }
     for (const std::string &sound :
-         {ok + end, "HTTP/1.1 200\r\n" + end, "HTTP/1.1 100 Continue\r\n\r\n" + ok + end,
-          ok + "X-Empty:\r\nX-Name: caf\xc3\xa9\r\n" + end}) {
+         {ok + end, "HTTP/1.1 200\r\n" + end, join({"HTTP/1.1 100 Continue\r\n\r\n", ok, end}),
+          join({ok, "X-Empty:\r\nX-Name: caf\xc3\xa9\r\n", end})}) {
         const auto response = call(sound, Ending::Silence);
         ASSERT_TRUE(response) << sound;
         EXPECT_EQ(response->body, "ok");
@@ -245,12 +261,20 @@
     const auto response = [](const std::string &body) {
         return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n" + body;
     };
-    const auto first = call(response("ok") + response("no"), Ending::Silence);
-    ASSERT_TRUE(first);
-    EXPECT_EQ(first->body, "ok");
-    const auto second = call(response("ok"), Ending::Silence);
-    ASSERT_TRUE(second);
-    EXPECT_EQ(second->body, "ok");
+    for (const bool isLate : {false, true}) {
+        const auto first = call(response("ok") + (isLate ? "" : response("no")), Ending::Silence);
+        ASSERT_TRUE(first);
+        EXPECT_EQ(first->body, "ok");
+        if (isLate) {
+            m_server.sendToAll(response("no"));
+            Timer arrival(m_loop, [this] { m_loop.stop(); });
+            arrival.startOnce(Duration(20));
+            m_loop.run();
+        }
+        const auto second = call(response("ok"), Ending::Silence);
+        ASSERT_TRUE(second) << "late: " << isLate;
+        EXPECT_EQ(second->body, "ok") << "late: " << isLate;
+    }
 }
 
 TEST_F(HttpClientTest, ResetDuringAWriteIsNoOrderlyEnd)
