--- a/src/tests/response_end_test.py
+++ b/src/tests/response_end_test.py
@@ -123,12 +123,16 @@
             return answer.cuts[self.cut]
         return answer.random_cut(seeded(SEED, self.number, self.cut, run))
 
-    def serve(self, connection, head):
+    def begin_run(self, head):
+        """Records a run. Returns its number and its answer."""
         last_event = int(head.get("last-event-id", 0))
         with self.lock:
             run = len(self.runs)
             self.runs.append(last_event)
-        answer = self.answer_after(last_event, run)
+        return run, self.answer_after(last_event, run)
+
+    def serve(self, connection, head):
+        run, answer = self.begin_run(head)
         generator = seeded(SEED, self.number, run)
         if run < self.breaks and self.way in FLOODS:
             connection.sendall(FLOOD_STARTS.get(self.way, b""))
@@ -200,11 +204,7 @@
     an answer is broken off, so that the node still writes it then."""
 
     def serve(self, connection, head):
-        last_event = int(head.get("last-event-id", 0))
-        with self.lock:
-            run = len(self.runs)
-            self.runs.append(last_event)
-        answer = self.answer_after(last_event, run)
+        run, answer = self.begin_run(head)
         if run >= self.breaks:
             connection.sendall(answer.wire)
             if self.framing in CLOSE_DELIMITED:
