--- a/src/tests/response_end_test.py
+++ b/src/tests/response_end_test.py
@@ -271,11 +271,12 @@
 class EndsSystem(ScriptedSystem):
     """A service of its own for each case."""
 
-    def __init__(self, build, cases, answers_early=None, body=b"{}", limits=None):
+    def __init__(self, build, cases, answers_early=None, body=b"{}", request_limits=None):
         self.cases = {f"c{case.number}": case for case in cases}
         self.body = body
         super().__init__(build, {name: ROUTES[case.kind] for name, case in self.cases.items()},
-                         SERVERS, self.answer, answers_early=answers_early, limits=limits)
+                         SERVERS, self.answer, answers_early=answers_early,
+                         request_limits=request_limits)
 
     def answer(self, _, connection, head):
         return self.cases[service_of(head)].serve(connection, head)
@@ -313,7 +314,7 @@
     def test_answer_that_breaks_off_during_the_upload_is_not_complete(self):
         cases = make_early_cases()
         system = EndsSystem(BUILD_DIR, cases, body=b"u" * UPLOAD_BYTES,
-                            limits={"max_body_bytes": UPLOAD_BYTES},
+                            request_limits={"max_body_bytes": UPLOAD_BYTES},
                             answers_early=lambda _: True)
         self.addCleanup(system.stop)
         for server in system.servers:  # Connections inherit it.
--- a/src/tests/scripted_system.py
+++ b/src/tests/scripted_system.py
@@ -17,15 +17,15 @@
     """Each service has a route of its name and consists of all scripted servers."""
 
     def __init__(self, build, routes, servers, answer=None, slot=0, settings=None,
-                 answers_early=None, nodes=1, keys=None, limits=None):
+                 answers_early=None, nodes=1, keys=None, request_limits=None):
         """`routes` maps services to the properties of their routes. `servers` is the number of
         servers, which answer by `answer(server, connection, head)`: it serves a request and returns
         whether its connection may carry another one. `servers` may also be a list of servers with
         an `address` and `stop`. `settings` replace lines of the node's settings file. The servers
         answer a request before they read its body if `answers_early(head)` is true. `keys` maps API
-        keys to their tenants; callers need none without. `limits` are those of the configuration for
-        requests."""
-        self.routes, self.route_keys, self.limits = routes, keys or {}, limits or {}
+        keys to their tenants; callers need none without.
+        `request_limits` are the limits of the configuration."""
+        self.routes, self.route_keys, self.request_limits = routes, keys or {}, request_limits or {}
         self.settings = settings or {}
         self.settings_path = None
         self.servers = servers if isinstance(servers, list) else [
@@ -54,7 +54,7 @@
                        service=name, target_latency_ms=400, priority=1,
                        auth_exempt=not self.route_keys)
                   for name, properties in self.routes.items()]
-        self.put({"op/config": {"version": 1, "routes": routes, "limits": self.limits,
+        self.put({"op/config": {"version": 1, "routes": routes, "limits": self.request_limits,
                                 "tenants": [{"name": name, "api_keys": [key]}
                                             for key, name in self.route_keys.items()],
                                 "services": [{"name": name} for name in self.routes]}})
