--- a/src/tests/slow_readers_process_test.py
+++ b/src/tests/slow_readers_process_test.py
@@ -104,7 +104,7 @@
         rest = rest[count + 2:]
 
 
-class SlowReadersTest(unittest.TestCase):
+class SlowReadersTestCase(unittest.TestCase):
     def setUp(self):
         self.server = SlowServer()
         servers = [ScriptedServer(f"127.{SLOT}.6.{number + 1}:23300",
@@ -147,6 +147,9 @@
             time.sleep(0.1)
         return most
 
+
+class SlowReadersTest(SlowReadersTestCase):
+
     def test_caller_that_asks_for_more_than_it_reads(self):
         """Guards against a caller that takes the memory of all others by requests in advance."""
         connection = self.connect()
@@ -194,6 +197,9 @@
             self.assertEqual(data.count(EVENT), EVENTS)
             self.assertTrue(data.endswith(b"0\r\n\r\n"))
 
+
+class KeptPaymentsTest(SlowReadersTestCase):
+
     def test_payments_are_kept_while_streams_can_be_given_up(self):
         """Guards against a full account, and a payment that its caller never learns of."""
         payments = [self.connect() for _ in range(25)]
