--- a/src/network/http_client.h
+++ b/src/network/http_client.h
@@ -57,8 +57,9 @@
     std::function<void(std::string_view)> onChunk;
 };
 
-/// HTTP client that keeps connections alive for reuse. It never retries a request. evhttp transports
-/// the messages; what is a complete response is decided by MessageParser, as for relayed requests.
+/// HTTP client that keeps connections alive for reuse. It never retries a request. evhttp
+/// transports the messages; what is a complete response is decided by MessageParser, as for relayed
+/// requests.
 class HttpClient
 {
 public:
