Fix: [Tests] A mutant named text that the reader of calls no longer has

any_coding_ends_a_response was left without its text when MessageParser took over the framing of calls. It names the check that replaced it; ResponseThatItsFramingDoesNotEndIsAFailure ends it. The other two mutants of the changed files still have their text.

--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -304,7 +304,7 @@
     ("event_without_end_is_kept", "network/relay.cpp",
      "if (unfinished > ResponseLimits::eventBytes)", "if (false)"),
     ("any_coding_ends_a_response", "network/http_client.cpp",
-     'return sameHeader(coding, "chunked");', "return coding != nullptr;"),
+     "&& !call->failed && call->isComplete()", "&& !call->failed"),
     ("broken_completion_is_framed_as_complete", "network/daemon.cpp",
      "m_server.breakStream(exchange, CompletionWriter::errorEvent(refuse));",
      "m_server.sendChunk(exchange, CompletionWriter::errorEvent(refuse));\n"
